Add the design page, the peer protocol and the project's checks

The project starts empty. The design page comes before the code, so that the parts can be built against one set of interfaces: messages, the peer connection, typed errors, state charts, and the Protocol types between nodes and the control plane.

--- /dev/null
+++ b/src/kumquatrun/control_api.py
@@ -0,0 +1,88 @@
+"""Interfaces between the control plane and the nodes that use it."""
+
+from collections.abc import Callable, Sequence
+from typing import Any, Protocol
+
+from kumquatrun.document import Document
+from kumquatrun.messages import AgentReport, BudgetReport, HostRecord
+
+
+class ControlApi(Protocol):
+    """Calls the control leader."""
+
+    async def call(self, request: Any, timeout_s: float) -> Any:
+        """Send a request to the leader and return its reply.
+
+        Finds the leader again after ``not_leader`` or a lost connection. A
+        request whose outcome is unknown is sent again only if it is one of
+        the messages that the leader deduplicates.
+
+        Raises
+        ------
+        ControlUnreachableError
+            If no leader answered in time.
+        """
+        ...
+
+
+class ClusterState(Protocol):
+    """A node's copy of the shared state."""
+
+    @property
+    def document(self) -> Document:
+        """Return the document in force; an empty one before the first."""
+        ...
+
+    def account_of_key(self, key: str) -> str | None:
+        """Return the account of an issued key, None if unknown or revoked."""
+        ...
+
+    def agents_of(self, service: str) -> Sequence[HostRecord]:
+        """Return the agents of a service that are not draining."""
+        ...
+
+    def report_of(self, host_id: str) -> AgentReport | None:
+        """Return the newest soft state of an agent."""
+        ...
+
+    def fingerprint_state(self, fingerprint: str) -> str:
+        """Return ``clear``, ``suspect`` or ``quarantined``."""
+        ...
+
+
+class NodeSession(Protocol):
+    """A node's membership: registration, lease and feed."""
+
+    @property
+    def record(self) -> HostRecord:
+        """Return the committed host record with its fencing number."""
+        ...
+
+    @property
+    def view(self) -> ClusterState:
+        """Return the node's copy of the shared state."""
+        ...
+
+    @property
+    def control(self) -> ControlApi:
+        """Return the connection to the leader."""
+        ...
+
+    def lease_valid(self) -> bool:
+        """Return whether the lease is valid now."""
+        ...
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after each feed item and when the lease ends."""
+        ...
+
+    def report_agent(self, source: Callable[[], AgentReport]) -> None:
+        """Set where renewals take the agent's soft state from."""
+        ...
+
+    def report_budgets(
+        self,
+        source: Callable[[], tuple[BudgetReport, ...]],
+    ) -> None:
+        """Set where renewals take consumed and returned tokens from."""
+        ...
--- /dev/null
+++ b/src/kumquatrun/messages.py
@@ -0,0 +1,379 @@
+"""Messages between the project's own processes.
+
+Each message is a frozen data class. The class name travels with the fields, so
+a renamed class or field is a change of the peer protocol: raise
+``PROTOCOL_VERSION`` with it.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from functools import cache
+from typing import Any
+
+from pydantic import TypeAdapter
+
+from kumquatrun.errors import Outcome, WireError
+
+PROTOCOL_VERSION = 1
+
+_registry: dict[str, type] = {}
+
+
+def message(cls: type) -> type:
+    """Register a frozen data class as a message type."""
+    registered = dataclass(frozen=True, kw_only=True)(cls)
+    _registry[cls.__name__] = registered
+    return registered
+
+
+@cache
+def _adapter(name: str) -> TypeAdapter:
+    return TypeAdapter(_registry[name])
+
+
+def encode_message(msg: Any) -> list:
+    """Return ``[class name, fields]`` for msgpack."""
+    name = type(msg).__name__
+    return [name, _adapter(name).dump_python(msg)]
+
+
+def decode_message(encoded: Any) -> Any:
+    """Rebuild a message from ``[class name, fields]``.
+
+    Raises
+    ------
+    WireError
+        If the class is unknown or a field is missing, unknown or mistyped.
+    """
+    try:
+        name, fields = encoded
+        return _adapter(name).validate_python(fields)
+    except (LookupError, TypeError, ValueError) as error:
+        raise WireError(f'cannot decode a message: {error}') from error
+
+
+@message
+class Hello:
+    """Opens a connection and identifies the sender."""
+
+    node_id: str
+    incarnation: str
+    cluster_token: str = ''
+    protocol_version: int = PROTOCOL_VERSION
+
+
+@message
+class Ack:
+    """Confirms a call that has no other result."""
+
+
+@message
+class ErrorReply:
+    """Carries a typed error to the caller of a request."""
+
+    code: str
+    detail: str
+    outcome: Outcome
+    retry_after_s: float | None = None
+    cause: str = ''
+
+
+# Membership, leases and feed.
+
+
+@message
+class HostRecord:
+    """Describes one entry or agent host."""
+
+    host_id: str
+    incarnation: str
+    role: str
+    address: str
+    region: str
+    failure_domain: str
+    service: str = ''
+    fencing_number: int = 0
+    draining: bool = False
+
+
+@message
+class RegisterHost:
+    """Asks the leader to commit a host record with a new fencing number."""
+
+    record: HostRecord
+
+
+@message
+class RegisterReply:
+    """Returns the committed record with its fencing number."""
+
+    record: HostRecord
+
+
+@message
+class AgentReport:
+    """Soft state of one agent: load and loaded adapters."""
+
+    host_id: str
+    incarnation: str
+    running: int = 0
+    queued: int = 0
+    capacity: int = 0
+    adapters: tuple[str, ...] = ()
+
+
+@message
+class BudgetReport:
+    """Tokens that an entry consumed and returned since its last report."""
+
+    account: str
+    consumed_tokens: int = 0
+    returned_tokens: int = 0
+
+
+@message
+class RenewLease:
+    """Extends a host's lease and reports its soft state.
+
+    ``sequence`` numbers the reports of one incarnation, so that a report that
+    is sent again after a lost answer is counted once.
+    """
+
+    host_id: str
+    incarnation: str
+    feed_index: int
+    sequence: int = 0
+    agent_report: AgentReport | None = None
+    budget_reports: tuple[BudgetReport, ...] = ()
+
+
+@message
+class LeaseReply:
+    """Grants a lease, counted from the send time of the renewal.
+
+    ``duration_s`` is 0 if the host must first catch up with the feed.
+    """
+
+    duration_s: float
+    feed_index: int
+    agent_reports: tuple[AgentReport, ...] = ()
+
+
+@message
+class FollowFeed:
+    """Opens the feed; items after ``after_index`` follow as stream items."""
+
+    host_id: str
+    after_index: int
+
+
+@message
+class FeedItem:
+    """One change of shared state.
+
+    ``kind`` is ``snapshot``, ``document``, ``key``, ``host`` or
+    ``quarantine``; ``body`` is the record in msgpack, see ``cluster_view``.
+    """
+
+    index: int
+    kind: str
+    body: bytes
+
+
+# Token budgets.
+
+
+@message
+class GrantTokens:
+    """Asks for tokens of an account; committed before it is answered."""
+
+    host_id: str
+    incarnation: str
+    account: str
+    wanted_tokens: int
+
+
+@message
+class GrantReply:
+    """Returns the granted tokens; may be fewer than wanted."""
+
+    granted_tokens: int
+    retry_after_s: float = 0
+
+
+# Claims for requests that may not be repeated.
+
+
+@message
+class ClaimRequest:
+    """Claims the single execution of a request."""
+
+    claim_key: str
+    body_digest: bytes
+    host_id: str
+    incarnation: str
+    request_id: str
+
+
+@message
+class StoredAnswer:
+    """The answer of a finished request, kept for repeats."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+@message
+class ClaimReply:
+    """Returns the state of a claim.
+
+    ``status`` is ``granted``, ``in_progress``, ``finished``, ``unknown`` or
+    ``mismatch``.
+    """
+
+    status: str
+    answer: StoredAnswer | None = None
+
+
+@message
+class FinishClaim:
+    """Ends a claim; outcome ``not_run`` releases it."""
+
+    claim_key: str
+    request_id: str
+    outcome: Outcome
+    answer: StoredAnswer | None = None
+
+
+# Load slots and crash-inducing requests.
+
+
+@message
+class AcquireLoadSlot:
+    """Asks for one of the fleet-wide load slots."""
+
+    host_id: str
+    incarnation: str
+    adapter: str
+    waiting_requests: int = 1
+
+
+@message
+class LoadSlotReply:
+    """Returns a slot id, or an empty id and the time to ask again."""
+
+    slot_id: str
+    retry_after_s: float = 0
+
+
+@message
+class ReleaseLoadSlot:
+    """Returns a load slot."""
+
+    slot_id: str
+
+
+@message
+class ReportSuspects:
+    """Reports fingerprints that were running when a backend server died.
+
+    ``alone`` is true if the fingerprint was the only one in the batch.
+    """
+
+    host_id: str
+    fingerprints: tuple[str, ...]
+    alone: bool = False
+
+
+@message
+class ClearSuspect:
+    """Reports that a suspected request finished while it ran alone."""
+
+    host_id: str
+    fingerprint: str
+
+
+@message
+class QuarantineRecord:
+    """State of one fingerprint: ``suspect``, ``quarantined`` or ``clear``."""
+
+    fingerprint: str
+    state: str
+
+
+# Operator calls.
+
+
+@message
+class OperatorCall:
+    """Runs an operator action on the leader.
+
+    ``action`` and ``arguments`` are listed in ``control``; ``operation_id``
+    makes a resend harmless.
+    """
+
+    action: str
+    operator: str
+    operation_id: str
+    operator_token: str = ''
+    arguments: Mapping[str, Any] = field(default_factory=dict)
+
+
+@message
+class OperatorReply:
+    """Returns the result of an operator action."""
+
+    result: Mapping[str, Any]
+
+
+# Requests.
+
+
+@message
+class Dispatch:
+    """Hands one request to an agent.
+
+    ``agent_incarnation`` binds it to one run of the agent process, so that a
+    late dispatch never runs on a restarted agent.
+    """
+
+    request_id: str
+    attempt: int
+    agent_incarnation: str
+    account: str
+    service: str
+    adapter: str
+    version: str
+    path: str
+    method: str
+    body: bytes
+    content_type: str = 'application/json'
+    cost_tokens: int = 0
+    weight: float = 1
+    priority: int = 0
+    deadline_s: float = 60
+    repeatable: bool = True
+    alone: bool = False
+    fingerprint: str = ''
+    stream: bool = False
+
+
+@message
+class Started:
+    """First stream item of a dispatch: what runs it, and the HTTP head."""
+
+    host_id: str
+    adapter: str
+    version: str
+    status: int
+    content_type: str
+
+
+@message
+class Finished:
+    """Ends a dispatch; the whole answer was sent."""
+
+    outcome: Outcome
+    prompt_tokens: int = 0
+    output_tokens: int = 0
--- /dev/null
+++ b/tests/test_peer.py
@@ -0,0 +1,97 @@
+"""Peer connections: calls, streams, cancellation and lost peers."""
+
+import pytest
+
+from kumquatrun.errors import (
+    ConnectionLostError,
+    InvalidRequestError,
+    Outcome,
+    UnauthorizedPeerError,
+)
+from kumquatrun.messages import Ack, Finished, FollowFeed, Hello
+from kumquatrun.peer import Address, PeerClient, PeerServer
+
+LOOPBACK = Address('127.0.0.1', 0)
+
+
+class Handler:
+    async def handle(self, request, context):
+        if isinstance(request, Ack):
+            return request
+        if isinstance(request, FollowFeed):
+            context.outcome = Outcome.RAN
+            for number in range(request.after_index):
+                await context.send_item(b'%d' % number)
+            return Finished(outcome=Outcome.RAN)
+        raise InvalidRequestError('not known', retry_after_s=2)
+
+
+@pytest.fixture
+async def server():
+    server = PeerServer(
+        Hello(node_id='server', incarnation='1', cluster_token='t'),
+        Handler(),
+    )
+    server.address = await server.start(LOOPBACK)
+    yield server
+    await server.stop()
+
+
+@pytest.fixture
+async def client(server):
+    identity = Hello(node_id='client', incarnation='1', cluster_token='t')
+    client = PeerClient(server.address, identity)
+    yield client
+    await client.close()
+
+
+async def test_call_returns_the_reply(client):
+    assert await client.call(Ack(), 1) == Ack()
+    assert client.peer.node_id == 'server'
+
+
+async def test_typed_error_crosses_the_connection(client):
+    with pytest.raises(InvalidRequestError) as caught:
+        await client.call(Finished(outcome=Outcome.RAN), 1)
+    assert caught.value.outcome is Outcome.NOT_RUN
+    assert caught.value.retry_after_s == 2
+
+
+async def test_long_stream_arrives_in_order(client):
+    # Guards against lost items when the credit runs out.
+    async with client.stream(FollowFeed(host_id='a', after_index=500)) as call:
+        numbers = [int(item) async for item in call]
+    assert numbers == list(range(500))
+    assert call.reply.outcome is Outcome.RAN
+
+
+async def test_cancel_returns_what_the_peer_knows(client):
+    request = FollowFeed(host_id='a', after_index=100_000)
+    async with client.stream(request) as call:
+        assert await anext(call) == b'0'
+        assert await call.cancel() is Outcome.RAN
+
+
+async def test_lost_connection_leaves_the_outcome_unknown(server, client):
+    request = FollowFeed(host_id='a', after_index=100_000)
+    async with client.stream(request) as call:
+        await anext(call)
+        await server.stop()
+        with pytest.raises(ConnectionLostError) as caught:
+            await call.result()
+    assert caught.value.outcome is Outcome.UNKNOWN
+
+
+async def test_unreachable_peer_is_not_run(server, client):
+    await server.stop()
+    with pytest.raises(ConnectionLostError) as caught:
+        await client.call(Ack(), 1)
+    assert caught.value.outcome is Outcome.NOT_RUN
+
+
+async def test_wrong_cluster_token_is_refused(server):
+    identity = Hello(node_id='x', incarnation='1', cluster_token='wrong')
+    client = PeerClient(server.address, identity)
+    with pytest.raises(UnauthorizedPeerError):
+        await client.call(Ack(), 1)
+    await client.close()
