--- /dev/null
+++ b/src/kumquatrun/control_client.py
@@ -0,0 +1,225 @@
+"""Membership of a node: registration, lease, feed and reports."""
+
+import asyncio
+import logging
+import random
+import uuid
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import replace
+
+from kumquatrun.clock import Clock
+from kumquatrun.cluster_view import ClusterView
+from kumquatrun.errors import KumquatrunError, NotFoundError
+from kumquatrun.leader_client import LeaderClient
+from kumquatrun.leases import LEASE_S, RENEW_INTERVAL_S
+from kumquatrun.messages import (
+    AgentReport,
+    BudgetReport,
+    FeedItem,
+    FollowFeed,
+    Hello,
+    HostRecord,
+    LeaseReply,
+    RegisterHost,
+    RenewLease,
+)
+from kumquatrun.peer import Address
+
+log = logging.getLogger(__name__)
+
+CALL_TIMEOUT_S = 2.5
+FEED_RETRY_S = 0.1
+
+
+class Session:
+    """Implements ``control_api.NodeSession`` over the control leader."""
+
+    def __init__(
+        self,
+        record: HostRecord,
+        control_addresses: tuple[Address, ...],
+        clock: Clock,
+        *,
+        cluster_token: str = '',
+        rng: random.Random | None = None,
+    ) -> None:
+        self._clock = clock
+        self._rng = rng or random.Random()
+        self._record = replace(record, incarnation=uuid.uuid4().hex)
+        self._view = ClusterView()
+        self._leader_client = LeaderClient(
+            control_addresses,
+            Hello(
+                node_id=record.host_id,
+                incarnation=self._record.incarnation,
+                cluster_token=cluster_token,
+            ),
+            clock,
+            self._rng,
+        )
+        self._lease_ends_at_s = float('-inf')
+        self._had_lease = False
+        self._listeners: list[Callable[[], None]] = []
+        self._agent_source: Callable[[], AgentReport] | None = None
+        self._budget_source: Callable[[], tuple[BudgetReport, ...]] | None = (
+            None
+        )
+        self._budget_reports: tuple[BudgetReport, ...] = ()
+        self._sequence = 0
+        self._tasks: list[asyncio.Task] = []
+
+    @property
+    def record(self) -> HostRecord:
+        """Return the committed host record with its fencing number."""
+        return self._record
+
+    @property
+    def view(self) -> ClusterView:
+        """Return the node's copy of the shared state."""
+        return self._view
+
+    @property
+    def control(self) -> LeaderClient:
+        """Return the connection to the leader."""
+        return self._leader_client
+
+    def lease_valid(self) -> bool:
+        """Return whether the lease is valid now."""
+        return self._clock.now_s() < self._lease_ends_at_s
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after each feed item and when the lease ends."""
+        self._listeners.append(listener)
+
+    def report_agent(self, source: Callable[[], AgentReport]) -> None:
+        """Set where renewals take the agent's soft state from."""
+        self._agent_source = source
+
+    def report_budgets(
+        self,
+        source: Callable[[], tuple[BudgetReport, ...]],
+    ) -> None:
+        """Set where renewals take consumed and returned tokens from."""
+        self._budget_source = source
+
+    async def start(self) -> None:
+        """Register and keep the lease and the feed in the background."""
+        self._tasks = [
+            asyncio.create_task(self._keep_lease()),
+            asyncio.create_task(self._follow_feed()),
+            asyncio.create_task(self._watch_lease()),
+        ]
+
+    async def stop(self) -> None:
+        """Stop renewing and close the connections."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._leader_client.close()
+
+    async def wait_ready(self, timeout_s: float) -> None:
+        """Wait until the host is registered and has a lease."""
+        async with asyncio.timeout(timeout_s):
+            while not self.lease_valid():
+                await asyncio.sleep(RENEW_INTERVAL_S / 10)
+
+    async def _keep_lease(self) -> None:
+        registered = False
+        while True:
+            try:
+                if registered:
+                    await self._renew()
+                else:
+                    await self._register()
+                    registered = True
+                    continue
+            except NotFoundError:
+                # The leader expired this host. A new incarnation starts with
+                # an empty wallet, so that old grants cannot be spent again.
+                registered = False
+                self._start_new_incarnation()
+            except KumquatrunError as error:
+                log.info('event=renewal_failed error=%r', str(error))
+            await asyncio.sleep(RENEW_INTERVAL_S)
+
+    async def _register(self) -> None:
+        reply = await self._leader_client.call(
+            RegisterHost(record=self._record),
+            CALL_TIMEOUT_S,
+        )
+        self._record = reply.record
+        log.info(
+            'event=host_registered host_id=%s fencing_number=%s',
+            self._record.host_id,
+            self._record.fencing_number,
+        )
+        self._notify()
+
+    def _start_new_incarnation(self) -> None:
+        self._record = replace(self._record, incarnation=uuid.uuid4().hex)
+        self._lease_ends_at_s = float('-inf')
+        self._budget_reports = ()
+        self._sequence = 0
+        self._notify()
+
+    async def _renew(self) -> None:
+        if not self._budget_reports and self._budget_source is not None:
+            self._budget_reports = self._budget_source()
+            self._sequence += bool(self._budget_reports)
+        incarnation = self._record.incarnation
+        sent_at_s = self._clock.now_s()
+        reply: LeaseReply = await self._leader_client.call(
+            RenewLease(
+                host_id=self._record.host_id,
+                incarnation=incarnation,
+                feed_index=self._view.applied_index,
+                sequence=self._sequence,
+                agent_report=self._agent_source and self._agent_source(),
+                budget_reports=self._budget_reports,
+            ),
+            CALL_TIMEOUT_S,
+        )
+        self._budget_reports = ()
+        self._view.update_reports(reply.agent_reports)
+        self._extend_lease(sent_at_s + min(reply.duration_s, LEASE_S), reply)
+
+    def _extend_lease(self, ends_at_s: float, reply: LeaseReply) -> None:
+        if reply.duration_s > 0:
+            self._lease_ends_at_s = max(self._lease_ends_at_s, ends_at_s)
+        if self.lease_valid() and not self._had_lease:
+            self._had_lease = True
+            log.info('event=lease_gained host_id=%s', self._record.host_id)
+            self._notify()
+
+    async def _watch_lease(self) -> None:
+        while True:
+            remaining_s = self._lease_ends_at_s - self._clock.now_s()
+            await asyncio.sleep(max(0.02, min(remaining_s, 0.1)))
+            if self._had_lease and not self.lease_valid():
+                self._had_lease = False
+                log.warning('event=lease_lost host_id=%s', self._record.host_id)
+                self._notify()
+
+    async def _follow_feed(self) -> None:
+        while True:
+            request = FollowFeed(
+                host_id=self._record.host_id,
+                after_index=self._view.applied_index,
+            )
+            try:
+                async with self._leader_client.leader.stream(request) as feed:
+                    async for item in feed:
+                        self._apply(item)
+            except KumquatrunError as error:
+                self._leader_client.follow(error)
+            await asyncio.sleep(FEED_RETRY_S)
+
+    def _apply(self, item: FeedItem) -> None:
+        self._view.apply(item)
+        self._notify()
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            with suppress(KumquatrunError):
+                listener()
--- /dev/null
+++ b/src/kumquatrun/load_slots.py
@@ -0,0 +1,102 @@
+"""Load slots: bounds the adapter loads in flight over the whole fleet.
+
+The table is soft state of the leader. A new leader starts with an empty one,
+so that for one load time more than ``limit`` loads can be in flight; they then
+only take longer in proportion. Waiting for the old slots to end instead would
+stall every load after each leader change.
+"""
+
+import heapq
+import itertools
+from dataclasses import dataclass
+
+MAX_LOADS_IN_FLIGHT = 8
+SLOT_DURATION_S = 6.0
+
+
+@dataclass(frozen=True, order=True)
+class SlotTicket:
+    """A waiting request for a slot; the smallest one is served first."""
+
+    rank: float
+    number: int
+    host_id: str
+    adapter: str
+
+
+@dataclass(frozen=True)
+class LoadSlot:
+    """A granted slot; it ends by itself at ``ends_at_s``."""
+
+    slot_id: str
+    ticket: SlotTicket
+    ends_at_s: float
+
+
+class LoadSlots:
+    """Grants slots by the number of requests that wait for the load.
+
+    Parameters
+    ----------
+    prefix
+        Distinguishes the slots of this leader from those of earlier ones.
+    limit
+        Largest number of loads in flight.
+    """
+
+    def __init__(self, prefix: str, limit: int = MAX_LOADS_IN_FLIGHT) -> None:
+        self._prefix = prefix
+        self._limit = limit
+        self._numbers = itertools.count(1)
+        self._waiting: list[SlotTicket] = []
+        self._granted: dict[str, LoadSlot] = {}
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of granted slots."""
+        return len(self._granted)
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of waiting tickets."""
+        return len(self._waiting)
+
+    def enqueue(
+        self,
+        host_id: str,
+        adapter: str,
+        waiting_requests: int,
+    ) -> SlotTicket:
+        """Add a ticket; the load that most requests wait for goes first."""
+        ticket = SlotTicket(
+            -float(waiting_requests),
+            next(self._numbers),
+            host_id,
+            adapter,
+        )
+        heapq.heappush(self._waiting, ticket)
+        return ticket
+
+    def withdraw(self, ticket: SlotTicket) -> None:
+        """Remove a ticket that nobody waits for any more."""
+        if ticket in self._waiting:
+            self._waiting.remove(ticket)
+            heapq.heapify(self._waiting)
+
+    def release(self, slot_id: str) -> None:
+        """Return a slot; unknown slots are ignored."""
+        self._granted.pop(slot_id, None)
+
+    def grant_next(self, now_s: float) -> list[LoadSlot]:
+        """Free the slots that ended and grant as many as there is room for."""
+        for slot in list(self._granted.values()):
+            if slot.ends_at_s <= now_s:
+                self.release(slot.slot_id)
+        granted = []
+        while self._waiting and len(self._granted) < self._limit:
+            ticket = heapq.heappop(self._waiting)
+            slot_id = f'{self._prefix}-{ticket.number}'
+            slot = LoadSlot(slot_id, ticket, now_s + SLOT_DURATION_S)
+            self._granted[slot_id] = slot
+            granted.append(slot)
+        return granted
