--- /dev/null
+++ b/src/kumquatrun/quorum_changes.py
@@ -0,0 +1,126 @@
+"""Membership changes: one voter is added or removed at a time.
+
+Majorities of two memberships that differ by one voter always intersect. A lost
+voter is therefore replaced in two steps: the old disk is removed while the new
+one is recorded as a learner, then the learner is made a voter.
+"""
+
+from collections.abc import Callable, Mapping
+
+from kumquatrun.consensus_messages import Member
+from kumquatrun.errors import InvalidRequestError, NotFoundError
+from kumquatrun.quorum_entries import EntryLog
+from kumquatrun.quorum_membership import Membership
+from kumquatrun.quorum_progress import Progress
+from kumquatrun.quorum_types import MembershipChange, Timing
+
+
+def _add_learner(
+    membership: Membership, change: MembershipChange
+) -> Membership:
+    if change.replica_id in membership.by_id:
+        raise InvalidRequestError(
+            f'replica {change.replica_id} is already a member',
+        )
+    return membership.with_member(
+        Member(
+            replica_id=change.replica_id,
+            disk_id=change.disk_id,
+            address=change.address,
+            voter=False,
+        ),
+    )
+
+
+def _promote(membership: Membership, change: MembershipChange) -> Membership:
+    member = membership.by_id[change.replica_id]
+    return membership.with_member(
+        Member(
+            replica_id=member.replica_id,
+            disk_id=member.disk_id,
+            address=member.address,
+        ),
+    )
+
+
+def _remove(membership: Membership, change: MembershipChange) -> Membership:
+    changed = membership.without(change.replica_id)
+    if not changed.voters:
+        raise InvalidRequestError('the last voter cannot be removed')
+    return changed
+
+
+_ACTIONS: Mapping[str, Callable[[Membership, MembershipChange], Membership]] = {
+    'add_learner': _add_learner,
+    'promote': _promote,
+    'remove': _remove,
+}
+
+
+def changed_membership(
+    membership: Membership,
+    change: MembershipChange,
+) -> Membership:
+    """Return the membership after a change that an operator asked for.
+
+    Raises
+    ------
+    InvalidRequestError
+        If the action is unknown, a learner is already a member, or the last
+        voter would be removed.
+    NotFoundError
+        If the replica is not a member.
+    """
+    action = _ACTIONS.get(change.action)
+    if action is None:
+        raise InvalidRequestError(
+            f'unknown action {change.action!r}; use {", ".join(_ACTIONS)}',
+        )
+    is_known = change.replica_id in membership.by_id
+    if change.action != 'add_learner' and not is_known:
+        raise NotFoundError(f'replica {change.replica_id} is not a member')
+    return action(membership, change)
+
+
+def has_caught_up(log: EntryLog, progress: Progress, timing: Timing) -> bool:
+    """Return whether a learner may be made a voter.
+
+    It must hold the newest membership and lag behind by few entries, so that
+    the group does not wait for it when another voter is lost next.
+    """
+    lag_entries = log.last_index - progress.match_index
+    return (
+        progress.match_index >= log.membership_index
+        and lag_entries <= timing.max_learner_lag_entries
+    )
+
+
+def next_repair(
+    log: EntryLog,
+    progress: Mapping[str, Progress],
+    timing: Timing,
+) -> Membership | None:
+    """Return the next step that puts a joining disk into the membership.
+
+    A joining disk of a new replica id is recorded as a learner and stays one
+    until an operator promotes it.
+    """
+    membership = log.membership
+    for replica_id, row in progress.items():
+        member = membership.by_id.get(replica_id)
+        if not has_caught_up(log, row, timing):
+            continue
+        if member is not None and member.disk_id == row.disk_id:
+            if member.promote:
+                return _promote(membership, MembershipChange('', replica_id))
+            continue
+        return membership.with_member(
+            Member(
+                replica_id=replica_id,
+                disk_id=row.disk_id,
+                address=row.address,
+                voter=False,
+                promote=member is not None and (member.voter or member.promote),
+            ),
+        )
+    return None
--- /dev/null
+++ b/src/kumquatrun/quorum_leader.py
@@ -0,0 +1,272 @@
+"""The leader's part of the quorum log: replication, commit and rounds."""
+
+import logging
+from dataclasses import dataclass
+
+from kumquatrun.consensus_messages import (
+    AppendReply,
+    AppendRequest,
+    JoinRequest,
+    SnapshotReply,
+)
+from kumquatrun.quorum_entries import EntryLog
+from kumquatrun.quorum_progress import ChunkTransfer, Progress
+from kumquatrun.quorum_types import ChunkOrder, Envelope, Timing
+
+log = logging.getLogger(__name__)
+
+CHUNK_RETRY_S = 1.0
+
+
+@dataclass(frozen=True)
+class Identity:
+    """Replica id and disk identity of this replica."""
+
+    replica_id: str
+    disk_id: str
+
+
+class Leadership:
+    """State of one term as leader.
+
+    Attributes
+    ----------
+    first_index
+        Index of the term's first entry; once it is committed, all entries of
+        earlier terms are.
+    progress
+        Replication state by replica id.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        entries: EntryLog,
+        term: int,
+        timing: Timing,
+        now_s: float,
+    ) -> None:
+        self.term = term
+        self.first_index = entries.last_index + 1
+        self.progress: dict[str, Progress] = {}
+        self.round_number = 0
+        self.confirmed_at_s = float('-inf')
+        self.heartbeat_due_s = now_s
+        self._identity = identity
+        self._log = entries
+        self._timing = timing
+        self._elected_s = now_s
+        self._round_sent_s: dict[int, float] = {}
+        self._outbox: list[Envelope | ChunkOrder] = []
+
+    def take_messages(self) -> list[Envelope | ChunkOrder]:
+        """Return the messages to send and forget them."""
+        messages = self._outbox
+        self._outbox = []
+        return messages
+
+    def follow_membership(self, now_s: float) -> None:
+        """Keep one progress per recorded replica and per joining disk."""
+        membership = self._log.membership
+        for replica_id in list(self.progress):
+            known = self.progress[replica_id]
+            if replica_id not in membership.by_id and not known.address:
+                self.progress.pop(replica_id)
+        for member in membership.members:
+            known = self.progress.get(member.replica_id)
+            if member.replica_id == self._identity.replica_id:
+                continue
+            if known is not None and known.disk_id == member.disk_id:
+                known.address = ''
+            elif known is None or not known.address:
+                self._add_progress(member.replica_id, member.disk_id, now_s)
+
+    def admit(self, request: JoinRequest, now_s: float) -> bool:
+        """Start to replicate to a disk that is not in the membership.
+
+        Refuses while the recorded disk of the same replica id still answers,
+        so that a second process with the same id cannot displace it.
+        """
+        replica_id = request.sender
+        known = self.progress.get(replica_id)
+        if replica_id == self._identity.replica_id:
+            return False
+        if known is not None and known.disk_id == request.disk_id:
+            return True
+        silent_s = now_s - known.last_reply_s if known else float('inf')
+        if silent_s < self._timing.election_max_s:
+            log.warning(
+                'event=join_refused replica=%s disk=%s reason=%s',
+                replica_id,
+                request.disk_id,
+                'recorded disk answers',
+            )
+            return False
+        self._add_progress(replica_id, request.disk_id, now_s)
+        self.progress[replica_id].address = request.address
+        self._send(replica_id, now_s, heartbeat=True)
+        return True
+
+    def start_round(self, now_s: float) -> int:
+        """Send a heartbeat round; returns its number."""
+        self.round_number += 1
+        self._round_sent_s[self.round_number] = now_s
+        self.heartbeat_due_s = now_s + self._timing.heartbeat_s
+        for replica_id in self.progress:
+            self._send(replica_id, now_s, heartbeat=True)
+        self._update_confirmed()
+        return self.round_number
+
+    def replicate(self, now_s: float) -> None:
+        """Send new entries to all replicas that are ready for them."""
+        for replica_id in self.progress:
+            self._send(replica_id, now_s, heartbeat=False)
+
+    def on_append_reply(self, reply: AppendReply, now_s: float) -> None:
+        """Update progress, rounds and the commit index."""
+        known = self._known_sender(reply, now_s)
+        if known is None:
+            return
+        if reply.success:
+            known.record_match(reply.match_index)
+            self.advance_commit()
+        elif not known.record_rejection(reply.match_index):
+            return
+        self._send(reply.sender, now_s, heartbeat=known.probing)
+
+    def on_snapshot_reply(self, reply: SnapshotReply, now_s: float) -> None:
+        """Send the next chunk, or entries after an installed snapshot."""
+        known = self._known_sender(reply, now_s)
+        if known is None or known.transfer is None:
+            return
+        if reply.last_index != known.transfer.meta.last_index:
+            return
+        if reply.installed:
+            known.transfer = None
+            known.record_match(reply.last_index)
+            self.advance_commit()
+        else:
+            known.transfer.offset = reply.next_offset
+            known.transfer.sent_s = float('-inf')
+        self._send(reply.sender, now_s, heartbeat=False)
+
+    def confirmed_round(self) -> int:
+        """Return the newest round that a majority acknowledged."""
+        return self._majority_of('acked_round', self.round_number)
+
+    def majority_is_lost(self, now_s: float) -> bool:
+        """Return whether no majority answered for an election timeout."""
+        confirmed_s = max(self._elected_s, self.confirmed_at_s)
+        return now_s - confirmed_s > self._timing.election_max_s
+
+    def advance_commit(self) -> None:
+        """Commit what a majority has saved.
+
+        Entries of earlier terms are committed only together with an entry of
+        this term: a majority that holds an old entry does not exclude that
+        another leader overwrites it.
+        """
+        index = self._majority_of('match_index', self._log.saved_index)
+        if self._log.term_at(index) == self.term:
+            self._log.commit_to(index)
+
+    @property
+    def is_sending_snapshot(self) -> bool:
+        """Return whether a snapshot transfer is under way."""
+        return any(row.transfer for row in self.progress.values())
+
+    def _majority_of(self, field: str, own_value: int) -> int:
+        membership = self._log.membership
+        reached = {
+            replica_id: getattr(row, field)
+            for replica_id, row in self.progress.items()
+            if membership.is_voter(replica_id, row.disk_id)
+        }
+        reached[self._identity.replica_id] = own_value
+        return membership.majority_value(reached)
+
+    def _update_confirmed(self) -> None:
+        confirmed = self.confirmed_round()
+        newly = [row for row in self._round_sent_s if row <= confirmed]
+        for number in newly:
+            self.confirmed_at_s = self._round_sent_s.pop(number)
+
+    def _known_sender(
+        self,
+        reply: AppendReply | SnapshotReply,
+        now_s: float,
+    ) -> Progress | None:
+        known = self.progress.get(reply.sender)
+        if known is None or known.disk_id != reply.disk_id:
+            return None
+        known.last_reply_s = now_s
+        known.acked_round = max(known.acked_round, reply.round_number)
+        self._update_confirmed()
+        return known
+
+    def _add_progress(
+        self,
+        replica_id: str,
+        disk_id: str,
+        now_s: float,
+    ) -> None:
+        next_index = self._log.last_index + 1
+        self.progress[replica_id] = Progress(disk_id, next_index, now_s)
+
+    def _send(self, receiver: str, now_s: float, *, heartbeat: bool) -> None:
+        known = self.progress[receiver]
+        if self._log.term_at(known.next_index - 1) is None:
+            self._send_chunk(receiver, known, now_s)
+            if heartbeat:
+                # Index 0 matches every log and commits nothing.
+                self._send_append(receiver, 0, ())
+            return
+        sent = False
+        while known.may_send or (known.probing and heartbeat and not sent):
+            entries = self._log.batch_from(
+                known.next_index, self._timing.append_bytes
+            )
+            if not entries:
+                break
+            self._send_append(receiver, known.next_index - 1, entries)
+            known.record_sent(entries[-1].index)
+            sent = True
+        if heartbeat and not sent:
+            self._send_append(receiver, known.next_index - 1, ())
+
+    def _send_append(self, receiver: str, prev_index: int, entries) -> None:
+        request = AppendRequest(
+            term=self.term,
+            sender=self._identity.replica_id,
+            disk_id=self._identity.disk_id,
+            prev_index=prev_index,
+            prev_term=self._log.term_at(prev_index) or 0,
+            commit_index=self._log.commit_index,
+            round_number=self.round_number,
+            entries=entries,
+        )
+        self._outbox.append(Envelope(receiver, request))
+
+    def _send_chunk(
+        self,
+        receiver: str,
+        known: Progress,
+        now_s: float,
+    ) -> None:
+        meta = self._log.snapshot_meta
+        transfer = known.transfer
+        if transfer is None or transfer.meta != meta:
+            transfer = ChunkTransfer(meta, 0, float('-inf'))
+            known.transfer = transfer
+        if now_s - transfer.sent_s < CHUNK_RETRY_S:
+            return
+        transfer.sent_s = now_s
+        self._outbox.append(
+            ChunkOrder(
+                receiver=receiver,
+                meta=meta,
+                offset=transfer.offset,
+                round_number=self.round_number,
+                term=self.term,
+            ),
+        )
--- /dev/null
+++ b/src/kumquatrun/quorum_membership.py
@@ -0,0 +1,73 @@
+"""Membership of the consensus group and its majorities."""
+
+from collections.abc import Mapping
+from dataclasses import asdict, dataclass
+from functools import cached_property
+
+import msgpack
+
+from kumquatrun.consensus_messages import Member
+
+
+@dataclass(frozen=True)
+class Membership:
+    """The recorded replicas; voters and learners."""
+
+    members: tuple[Member, ...] = ()
+
+    @classmethod
+    def decode(cls, content: bytes) -> 'Membership':
+        """Rebuild a membership from the data of a log entry."""
+        rows = msgpack.unpackb(content, raw=False)
+        return cls(tuple(Member(**row) for row in rows))
+
+    def encode(self) -> bytes:
+        """Return the data of a log entry."""
+        return msgpack.packb([asdict(member) for member in self.members])
+
+    @cached_property
+    def by_id(self) -> Mapping[str, Member]:
+        """Return the members by replica id."""
+        return {member.replica_id: member for member in self.members}
+
+    @cached_property
+    def voters(self) -> Mapping[str, str]:
+        """Return the disk identity of each voter by replica id."""
+        return {
+            member.replica_id: member.disk_id
+            for member in self.members
+            if member.voter
+        }
+
+    @property
+    def majority(self) -> int:
+        """Return the number of voters that form a majority."""
+        return len(self.voters) // 2 + 1
+
+    def is_voter(self, replica_id: str, disk_id: str) -> bool:
+        """Return whether this disk of this replica may vote."""
+        return self.voters.get(replica_id) == disk_id
+
+    def includes(self, replica_id: str, disk_id: str) -> bool:
+        """Return whether this disk is recorded, as a voter or a learner."""
+        member = self.by_id.get(replica_id)
+        return member is not None and member.disk_id == disk_id
+
+    def majority_value(self, reached: Mapping[str, int]) -> int:
+        """Return the largest value that a majority of voters has reached."""
+        by_voter = sorted(
+            (reached.get(voter, 0) for voter in self.voters),
+            reverse=True,
+        )
+        return by_voter[self.majority - 1] if by_voter else 0
+
+    def with_member(self, member: Member) -> 'Membership':
+        """Return the membership with ``member`` added or replaced."""
+        others = self.without(member.replica_id).members
+        return Membership((*others, member))
+
+    def without(self, replica_id: str) -> 'Membership':
+        """Return the membership without one replica."""
+        return Membership(
+            tuple(row for row in self.members if row.replica_id != replica_id),
+        )
