--- /dev/null
+++ b/src/kumquatrun/log_segments.py
@@ -0,0 +1,127 @@
+"""Segment files: the entries of the log in order, each in its own record."""
+
+import os
+from collections.abc import Sequence
+from pathlib import Path
+
+from kumquatrun.consensus_messages import LogEntry
+from kumquatrun.errors import CorruptLogError
+from kumquatrun.log_records import (
+    decode_entry,
+    encode_entry,
+    has_record_after,
+    read_records,
+)
+
+SEGMENT_PATTERN = 'log-*.seg'
+
+
+def sync_directory(path: Path) -> None:
+    """Make created, renamed and deleted names in ``path`` durable."""
+    directory = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(directory)
+    finally:
+        os.close(directory)
+
+
+class Segment:
+    """One segment file, open for appending.
+
+    Attributes
+    ----------
+    first_index
+        Index of the first entry, also part of the file name.
+    ends
+        Offset after each record.
+    """
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        self.first_index = int(path.stem.partition('-')[2])
+        self.ends: list[int] = []
+        flags = os.O_RDWR | os.O_CREAT | os.O_APPEND
+        self._file = os.open(path, flags, 0o600)
+        self.needs_sync = False
+
+    @classmethod
+    def create(cls, folder: Path, first_index: int) -> 'Segment':
+        """Create an empty segment with a durable name."""
+        segment = cls(folder / f'log-{first_index:020d}.seg')
+        sync_directory(folder)
+        return segment
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self.first_index + len(self.ends) - 1
+
+    @property
+    def size_bytes(self) -> int:
+        """Return the size of all records."""
+        return self.ends[-1] if self.ends else 0
+
+    def read(self, *, is_last: bool) -> list[LogEntry]:
+        """Read all entries; a torn record at the end of the log is removed.
+
+        Raises
+        ------
+        CorruptLogError
+            If a record before the last one is damaged or out of order.
+        """
+        content = self.path.read_bytes()
+        entries = []
+        for record in read_records(content):
+            entry = decode_entry(record.content)
+            if entry.index != self.first_index + len(entries):
+                raise self._corrupt(self.size_bytes, 'is out of order')
+            entries.append(entry)
+            self.ends.append(record.end)
+        if self.size_bytes < len(content):
+            if not is_last or has_record_after(content, self.size_bytes):
+                raise self._corrupt(self.size_bytes, 'is damaged')
+            self._truncate(self.size_bytes)
+        return entries
+
+    def append(self, entries: Sequence[LogEntry]) -> None:
+        """Write entries; they are durable after ``sync``."""
+        content = bytearray()
+        start = self.size_bytes
+        for entry in entries:
+            content += encode_entry(entry)
+            self.ends.append(start + len(content))
+        written = 0
+        while written < len(content):
+            written += os.write(self._file, memoryview(content)[written:])
+        self.needs_sync = True
+
+    def truncate_from(self, index: int) -> None:
+        """Remove the entry at ``index`` and all later ones, durably."""
+        kept = max(0, index - self.first_index)
+        if kept < len(self.ends):
+            del self.ends[kept:]
+            self._truncate(self.size_bytes)
+
+    def sync(self) -> None:
+        """Make all written entries durable."""
+        if self.needs_sync:
+            os.fdatasync(self._file)
+            self.needs_sync = False
+
+    def close(self) -> None:
+        """Close the file without a sync."""
+        os.close(self._file)
+
+    def delete(self) -> None:
+        """Close and remove the file."""
+        self.close()
+        self.path.unlink()
+
+    def _truncate(self, size_bytes: int) -> None:
+        os.ftruncate(self._file, size_bytes)
+        os.fsync(self._file)
+
+    def _corrupt(self, offset: int, what: str) -> CorruptLogError:
+        return CorruptLogError(
+            f'record at offset {offset} of {self.path} {what}',
+        )
--- /dev/null
+++ b/src/kumquatrun/log_store.py
@@ -0,0 +1,330 @@
+"""Durable storage of a replica in one data folder.
+
+The folder holds segment files with entries, the newest snapshot, and a file
+with disk identity, term and vote. Snapshot and term files are replaced as a
+whole: written under a temporary name, synced and renamed.
+"""
+
+import fcntl
+import os
+import zlib
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Protocol
+
+import msgpack
+
+from kumquatrun.consensus_messages import LogEntry
+from kumquatrun.errors import CorruptLogError, SettingError
+from kumquatrun.log_records import Record, decode_record, encode_record
+from kumquatrun.log_segments import SEGMENT_PATTERN, Segment, sync_directory
+from kumquatrun.quorum_membership import Membership
+from kumquatrun.quorum_types import (
+    HardState,
+    ReplicaMeta,
+    Snapshot,
+    SnapshotMeta,
+    StoredState,
+)
+
+SEGMENT_BYTES = 4 * 1024 * 1024
+SNAPSHOT_PATTERN = 'snapshot-*.bin'
+META_NAME = 'replica.meta'
+LOCK_NAME = 'lock'
+
+
+class Storage(Protocol):
+    """Durable state of one replica.
+
+    ``append`` becomes durable with ``sync``; all other changes are durable
+    when the method returns.
+    """
+
+    def load(self) -> StoredState:
+        """Return what was stored; called once, before anything else."""
+        ...
+
+    def save_meta(self, meta: ReplicaMeta) -> None:
+        """Store disk identity, term and vote."""
+        ...
+
+    def append(self, entries: Sequence[LogEntry]) -> None:
+        """Write entries after the last one."""
+        ...
+
+    def truncate_from(self, index: int) -> None:
+        """Remove the entry at ``index`` and all later ones."""
+        ...
+
+    def sync(self) -> None:
+        """Make all written entries durable."""
+        ...
+
+    def save_snapshot(self, snapshot: Snapshot, first_kept: int) -> None:
+        """Store a snapshot; entries before ``first_kept`` may be dropped."""
+        ...
+
+    def install_snapshot(self, snapshot: Snapshot) -> None:
+        """Store a snapshot from the leader and drop all entries."""
+        ...
+
+    def read_chunk(
+        self,
+        last_index: int,
+        offset: int,
+        size_bytes: int,
+    ) -> tuple[bytes, int] | None:
+        """Return part of the newest snapshot and its total size.
+
+        None if the newest snapshot does not end at ``last_index``.
+        """
+        ...
+
+    def close(self) -> None:
+        """Release files."""
+        ...
+
+
+class FileStorage:
+    """``Storage`` in files below ``data_dir``."""
+
+    def __init__(
+        self,
+        data_dir: str | Path,
+        segment_bytes: int = SEGMENT_BYTES,
+    ) -> None:
+        self._folder = Path(data_dir)
+        self._segment_bytes = segment_bytes
+        self._segments: list[Segment] = []
+        self._snapshot: Path | None = None
+        self._lock: int | None = None
+
+    def load(self) -> StoredState:
+        """Read the folder; an empty one is created.
+
+        Raises
+        ------
+        CorruptLogError
+            If a file is damaged; the message names file and offset.
+        SettingError
+            If another process uses the folder.
+        """
+        self._folder.mkdir(parents=True, exist_ok=True)
+        self._acquire_lock()
+        for unfinished in self._folder.glob('*.tmp'):
+            unfinished.unlink()
+        meta = self._load_meta()
+        snapshot = self._load_snapshot()
+        entries = self._load_entries(snapshot)
+        if meta is None and (snapshot is not None or entries):
+            raise CorruptLogError(
+                f'{self._folder / META_NAME} is missing beside log files',
+            )
+        return StoredState(meta, snapshot, tuple(entries))
+
+    def save_meta(self, meta: ReplicaMeta) -> None:
+        """Replace the file with disk identity, term and vote."""
+        content = msgpack.packb(
+            (
+                meta.disk_id,
+                meta.hard_state.term,
+                meta.hard_state.voted_for,
+                Membership(meta.initial).encode(),
+                meta.formed,
+            ),
+        )
+        self._replace_file(META_NAME, [encode_record(content)])
+
+    def append(self, entries: Sequence[LogEntry]) -> None:
+        """Write entries to the last segment; starts a new one if it is full."""
+        if not entries:
+            return
+        if not self._segments:
+            self._add_segment(entries[0].index)
+        if self._segments[-1].size_bytes >= self._segment_bytes:
+            # A torn record is accepted in the last segment only.
+            self._segments[-1].sync()
+            self._add_segment(entries[0].index)
+        self._segments[-1].append(entries)
+
+    def truncate_from(self, index: int) -> None:
+        """Remove the entry at ``index`` and all later ones."""
+        while self._segments and self._segments[-1].first_index >= index:
+            self._segments.pop().delete()
+        if self._segments:
+            self._segments[-1].truncate_from(index)
+        sync_directory(self._folder)
+
+    def sync(self) -> None:
+        """Make all written entries durable."""
+        if self._segments:
+            self._segments[-1].sync()
+
+    def save_snapshot(self, snapshot: Snapshot, first_kept: int) -> None:
+        """Store a snapshot and delete segments before ``first_kept``."""
+        self._write_snapshot(snapshot)
+        while len(self._segments) > 1 and (
+            self._segments[1].first_index <= first_kept
+        ):
+            self._segments.pop(0).delete()
+
+    def install_snapshot(self, snapshot: Snapshot) -> None:
+        """Store a snapshot from the leader and delete all segments."""
+        self._write_snapshot(snapshot)
+        while self._segments:
+            # From the end, so that a crash leaves no gap in the log.
+            self._segments.pop().delete()
+        sync_directory(self._folder)
+
+    def read_chunk(
+        self,
+        last_index: int,
+        offset: int,
+        size_bytes: int,
+    ) -> tuple[bytes, int] | None:
+        """Return part of the newest snapshot and its total size."""
+        path = self._snapshot
+        if path is None or path.name != _snapshot_name(last_index):
+            return None
+        with path.open('rb') as stored:
+            header = _read_header(path, stored.read(_MAX_HEADER_BYTES))
+            stored.seek(header.end + offset)
+            chunk = stored.read(size_bytes)
+        return chunk, path.stat().st_size - header.end
+
+    def close(self) -> None:
+        """Close all files and release the folder."""
+        for segment in self._segments:
+            segment.close()
+        self._segments.clear()
+        if self._lock is not None:
+            os.close(self._lock)
+            self._lock = None
+
+    def _acquire_lock(self) -> None:
+        lock = os.open(self._folder / LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(lock)
+            raise SettingError(
+                f'data folder {self._folder} is used by another process',
+            ) from None
+        self._lock = lock
+
+    def _load_meta(self) -> ReplicaMeta | None:
+        path = self._folder / META_NAME
+        if not path.exists():
+            return None
+        record = decode_record(path.read_bytes(), 0)
+        if record is None:
+            raise CorruptLogError(f'record at offset 0 of {path} is damaged')
+        disk_id, term, voted_for, initial, formed = msgpack.unpackb(
+            record.content,
+        )
+        members = Membership.decode(initial).members
+        return ReplicaMeta(disk_id, HardState(term, voted_for), members, formed)
+
+    def _load_snapshot(self) -> Snapshot | None:
+        paths = sorted(self._folder.glob(SNAPSHOT_PATTERN))
+        if not paths:
+            return None
+        self._snapshot = paths[-1]
+        stored = self._snapshot.read_bytes()
+        header = _read_header(self._snapshot, stored)
+        content = stored[header.end :]
+        index, term, rows, content_crc = msgpack.unpackb(header.content)
+        if zlib.crc32(content) != content_crc:
+            raise CorruptLogError(
+                f'content at offset {header.end} of {self._snapshot} is damaged'
+            )
+        members = Membership.decode(rows).members
+        return Snapshot(SnapshotMeta(index, term, members), content)
+
+    def _load_entries(self, snapshot: Snapshot | None) -> list[LogEntry]:
+        paths = sorted(self._folder.glob(SEGMENT_PATTERN))
+        entries: list[LogEntry] = []
+        for path in paths:
+            segment = Segment(path)
+            self._segments.append(segment)
+            if entries and segment.first_index != entries[-1].index + 1:
+                raise CorruptLogError(
+                    f'entry {entries[-1].index + 1} is missing before '
+                    f'offset 0 of {path}',
+                )
+            entries.extend(segment.read(is_last=path == paths[-1]))
+        return self._entries_after(snapshot, entries)
+
+    def _entries_after(
+        self,
+        snapshot: Snapshot | None,
+        entries: list[LogEntry],
+    ) -> list[LogEntry]:
+        """Return the entries after the snapshot.
+
+        A crash during the installation of a snapshot can leave entries that
+        do not reach it or conflict with it; they are removed.
+        """
+        meta = snapshot.meta if snapshot is not None else SnapshotMeta()
+        terms = {entry.index: entry.term for entry in entries}
+        first = entries[0].index if entries else meta.last_index + 1
+        if first > meta.last_index + 1:
+            raise CorruptLogError(
+                f'entry {meta.last_index + 1} is missing before '
+                f'offset 0 of {self._segments[0].path}',
+            )
+        is_joined = first == meta.last_index + 1 or (
+            terms.get(meta.last_index) == meta.last_term
+        )
+        if not is_joined:
+            while self._segments:
+                self._segments.pop().delete()
+            return []
+        return [entry for entry in entries if entry.index > meta.last_index]
+
+    def _add_segment(self, first_index: int) -> None:
+        self._segments.append(Segment.create(self._folder, first_index))
+
+    def _write_snapshot(self, snapshot: Snapshot) -> None:
+        meta = snapshot.meta
+        header = msgpack.packb(
+            (
+                meta.last_index,
+                meta.last_term,
+                Membership(meta.members).encode(),
+                zlib.crc32(snapshot.content),
+            ),
+        )
+        earlier = self._snapshot
+        self._snapshot = self._replace_file(
+            _snapshot_name(meta.last_index),
+            [encode_record(header), snapshot.content],
+        )
+        if earlier is not None and earlier != self._snapshot:
+            earlier.unlink()
+
+    def _replace_file(self, name: str, parts: Sequence[bytes]) -> Path:
+        path = self._folder / name
+        temporary = self._folder / f'{name}.tmp'
+        with temporary.open('wb') as output:
+            output.writelines(parts)
+            output.flush()
+            os.fsync(output.fileno())
+        temporary.rename(path)
+        sync_directory(self._folder)
+        return path
+
+
+# A header holds the membership: 64 KiB are enough for several hundred members.
+_MAX_HEADER_BYTES = 64 * 1024
+
+
+def _snapshot_name(last_index: int) -> str:
+    return f'snapshot-{last_index:020d}.bin'
+
+
+def _read_header(path: Path, content: bytes) -> Record:
+    record = decode_record(content, 0)
+    if record is None:
+        raise CorruptLogError(f'record at offset 0 of {path} is damaged')
+    return record
--- /dev/null
+++ b/src/kumquatrun/quorum_node.py
@@ -0,0 +1,312 @@
+"""One replica without network and timers: core, store and state machine.
+
+The asyncio driver and the simulated cluster of the tests use the same class.
+One cycle is ``receive``, ``tick``, ``propose`` any number of times, then
+``begin_flush``, then ``finish_flush``.
+"""
+
+import logging
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+from typing import Any, Protocol
+
+from kumquatrun.consensus_messages import (
+    EntryKind,
+    FormationState,
+    JoinRequest,
+    LogEntry,
+    SnapshotChunk,
+)
+from kumquatrun.group_formation import FormationStep, GroupFormation
+from kumquatrun.log_store import Storage
+from kumquatrun.quorum_log import QuorumLog
+from kumquatrun.quorum_types import (
+    ChunkOrder,
+    Envelope,
+    Output,
+    ReplicaMeta,
+    Snapshot,
+    SnapshotMeta,
+    Timing,
+)
+
+log = logging.getLogger(__name__)
+
+FORMATION_INTERVAL_S = 0.2
+JOIN_INTERVAL_S = 0.5
+
+
+class StateMachine(Protocol):
+    """Deterministic state that the log's commands change."""
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply a committed command and return its result."""
+        ...
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        ...
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace the whole state."""
+        ...
+
+
+@dataclass(frozen=True)
+class NodeOptions:
+    """Sizes and times of one replica.
+
+    ``kept_entries`` remain in the log after a snapshot, so that a follower
+    that is slightly behind does not need the snapshot.
+    """
+
+    timing: Timing = field(default_factory=Timing)
+    snapshot_entries: int = 10_000
+    kept_entries: int = 1000
+
+
+@dataclass(frozen=True)
+class NodeSettings:
+    """Identity of a replica and addresses of the initial members."""
+
+    replica_id: str
+    address: str
+    initial_addresses: Mapping[str, str]
+    joining: bool = False
+
+
+@dataclass(frozen=True)
+class Applied:
+    """A committed command and its result."""
+
+    entry: LogEntry
+    result: bytes
+
+
+@dataclass(frozen=True)
+class FlushResult:
+    """What a flush produced: messages to send and applied commands."""
+
+    messages: tuple[Envelope, ...]
+    applied: tuple[Applied, ...]
+
+
+class LogNode:
+    """Connects the consensus core with a store and a state machine.
+
+    Attributes
+    ----------
+    core
+        The consensus core.
+    applied_index
+        Index of the last entry that the state machine has applied.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        state_machine: StateMachine,
+        storage: Storage,
+        rng: random.Random,
+        options: NodeOptions,
+        new_disk_id: str,
+        now_s: float,
+    ) -> None:
+        self._settings = settings
+        self._machine = state_machine
+        self._storage = storage
+        self._options = options
+        stored = storage.load()
+        if stored.meta is None:
+            stored = replace(stored, meta=ReplicaMeta(new_disk_id))
+            storage.save_meta(stored.meta)
+        self._formation = GroupFormation(
+            settings.replica_id,
+            settings.initial_addresses,
+            stored.meta,
+            joining=settings.joining,
+        )
+        self.core = QuorumLog(
+            settings.replica_id,
+            stored,
+            options.timing,
+            rng,
+            now_s,
+        )
+        self.applied_index = 0
+        self._was_member = False
+        self._contact_due_s = now_s
+        self._contacts: list[Envelope] = []
+        self._warned_of_conflict = False
+        if stored.snapshot is not None:
+            self._restore(stored.snapshot)
+
+    @property
+    def disk_id(self) -> str:
+        """Return the identity of the data folder."""
+        return self._formation.meta.disk_id
+
+    def receive(self, msg: Any, now_s: float) -> Any:
+        """Process a message; returns the reply, to be sent after the flush."""
+        if isinstance(msg, FormationState):
+            self._formation.hear(msg)
+            self._advance_formation(now_s)
+            return self._formation.state()
+        return self.core.receive(msg, now_s)
+
+    def tick(self, now_s: float) -> None:
+        """Process the passage of time."""
+        if now_s >= self._contact_due_s:
+            self._make_contacts(now_s)
+        self.core.tick(now_s)
+
+    def begin_flush(self) -> tuple[tuple[Envelope, ...], Output]:
+        """Return the messages that may be sent before the sync."""
+        output = self.core.take_output()
+        return self._envelopes(output.early_messages), output
+
+    def finish_flush(self, output: Output, now_s: float) -> FlushResult:
+        """Make an output durable and apply what is committed."""
+        self._save(output)
+        self.core.mark_saved(now_s)
+        contacts = self._contacts
+        self._contacts = []
+        messages = (*self._envelopes(output.late_messages), *contacts)
+        if output.snapshot is not None:
+            self._restore(output.snapshot)
+        applied = self._apply_committed()
+        self._compact()
+        return FlushResult(messages, tuple(applied))
+
+    def _save(self, output: Output) -> None:
+        if output.hard_state is not None:
+            meta = replace(self._formation.meta, hard_state=output.hard_state)
+            self._save_meta(meta)
+        if output.snapshot is not None:
+            self._storage.install_snapshot(output.snapshot)
+        if output.truncate_from is not None:
+            self._storage.truncate_from(output.truncate_from)
+        if output.entries:
+            self._storage.append(output.entries)
+            self._storage.sync()
+
+    def _save_meta(self, meta: ReplicaMeta) -> None:
+        self._formation.meta = meta
+        self._storage.save_meta(meta)
+
+    def _envelopes(
+        self,
+        messages: tuple[Envelope | ChunkOrder, ...],
+    ) -> tuple[Envelope, ...]:
+        filled = (
+            self._fill_chunk(msg) if isinstance(msg, ChunkOrder) else msg
+            for msg in messages
+        )
+        return tuple(msg for msg in filled if msg is not None)
+
+    def _fill_chunk(self, order: ChunkOrder) -> Envelope | None:
+        stored = self._storage.read_chunk(
+            order.meta.last_index,
+            order.offset,
+            self._options.timing.chunk_bytes,
+        )
+        if stored is None:
+            return None
+        chunk = SnapshotChunk(
+            term=order.term,
+            sender=self._settings.replica_id,
+            disk_id=self.disk_id,
+            last_index=order.meta.last_index,
+            last_term=order.meta.last_term,
+            members=order.meta.members,
+            offset=order.offset,
+            total_bytes=stored[1],
+            data=stored[0],
+            round_number=order.round_number,
+        )
+        return Envelope(order.receiver, chunk)
+
+    def _restore(self, snapshot: Snapshot) -> None:
+        self._machine.restore(snapshot.content)
+        self.applied_index = snapshot.meta.last_index
+
+    def _apply_committed(self) -> list[Applied]:
+        applied = []
+        entries = self.core.entries
+        # What is applied is durable here, so that a snapshot never ends
+        # beyond the stored log.
+        last = min(entries.commit_index, entries.saved_index)
+        for entry in entries.entries_between(self.applied_index + 1, last):
+            self.applied_index = entry.index
+            if entry.kind is EntryKind.COMMAND:
+                result = self._machine.apply(entry.index, entry.data)
+                applied.append(Applied(entry, result))
+        return applied
+
+    def _compact(self) -> None:
+        entries = self.core.entries
+        limit = self._options.snapshot_entries
+        leader = self.core.leadership
+        if leader is not None and leader.is_sending_snapshot:
+            # A new snapshot restarts a transfer, which might then never end.
+            limit *= 4
+        if self.applied_index - entries.snapshot_meta.last_index < limit:
+            return
+        meta = SnapshotMeta(
+            self.applied_index,
+            entries.term_at(self.applied_index),
+            entries.membership_at(self.applied_index).members,
+        )
+        first_kept = meta.last_index + 1 - self._options.kept_entries
+        snapshot = Snapshot(meta, self._machine.snapshot())
+        self._storage.save_snapshot(snapshot, first_kept)
+        self.core.compact(meta, self._options.kept_entries)
+        log.info(
+            'event=snapshot_taken index=%s size_bytes=%s',
+            meta.last_index,
+            len(snapshot.content),
+        )
+
+    def _make_contacts(self, now_s: float) -> None:
+        """Send formation states or join requests until they are not needed."""
+        own_id = self._settings.replica_id
+        self._was_member = self._was_member or (
+            self.core.membership.includes(own_id, self.disk_id)
+        )
+        if self._formation.meta.formed or self._was_member:
+            return
+        self._contact_due_s = now_s + FORMATION_INTERVAL_S
+        step = self._advance_formation(now_s)
+        msg: Any = self._formation.state()
+        if step is FormationStep.FORM:
+            return
+        if step is FormationStep.JOIN:
+            self._contact_due_s = now_s + JOIN_INTERVAL_S
+            msg = JoinRequest(
+                sender=own_id,
+                disk_id=self.disk_id,
+                address=self._settings.address,
+            )
+        peers = self._formation.peers
+        self._contacts = [Envelope(peer, msg) for peer in peers]
+
+    def _advance_formation(self, now_s: float) -> FormationStep | None:
+        if self._formation.meta.formed:
+            return None
+        step = self._formation.next_step()
+        if step is FormationStep.AGREE:
+            self._save_meta(self._formation.agree())
+            step = self._formation.next_step()
+        if step is FormationStep.FORM:
+            self._save_meta(self._formation.form())
+            self.core.form(self._formation.meta.initial, now_s)
+        if step is FormationStep.CONFLICT and not self._warned_of_conflict:
+            self._warned_of_conflict = True
+            log.error(
+                'event=formation_conflict replica=%s remedy=%r',
+                self._settings.replica_id,
+                'a data folder was replaced before the group was formed; '
+                'empty the data folders of all initial members',
+            )
+        return step
