--- /dev/null
+++ b/src/kumquatrun/replica.py
@@ -0,0 +1,425 @@
+"""Asyncio driver of one replica of the quorum log."""
+
+import asyncio
+import logging
+import random
+import uuid
+from collections.abc import Callable
+from typing import Any
+
+from kumquatrun.clock import Clock
+from kumquatrun.consensus_messages import (
+    AppendRequest,
+    FormationState,
+    JoinRequest,
+    SnapshotChunk,
+    VoteRequest,
+)
+from kumquatrun.errors import (
+    DeadlineExceededError,
+    InvalidRequestError,
+    NotLeaderError,
+    OutcomeUnknownError,
+    RequestTooLargeError,
+    SettingError,
+)
+from kumquatrun.log_store import Storage
+from kumquatrun.messages import Ack
+from kumquatrun.peer import Address
+from kumquatrun.quorum_log import QuorumLog
+from kumquatrun.quorum_node import (
+    LogNode,
+    NodeOptions,
+    NodeSettings,
+    StateMachine,
+)
+from kumquatrun.quorum_types import Envelope, MembershipChange, Output
+from kumquatrun.replica_transport import Transport
+from kumquatrun.replica_work import ReplicaWork, Reply
+from kumquatrun.settings import ReplicaSettings
+
+log = logging.getLogger(__name__)
+
+TICK_S = 0.02
+CHANGE_RETRY_S = 0.05
+# An entry must fit into a peer frame of 8 MiB together with others.
+MAX_COMMAND_BYTES = 4 * 1024 * 1024
+
+CONSENSUS_REQUESTS = (
+    AppendRequest,
+    FormationState,
+    JoinRequest,
+    SnapshotChunk,
+    VoteRequest,
+)
+
+
+class Replica:
+    """One replica of the replicated log.
+
+    Parameters
+    ----------
+    settings
+        Replica id, own address and initial members.
+    state_machine
+        Gets the committed commands in order.
+    transport
+        Sends messages to the other replicas; closed by ``stop``.
+    storage
+        Durable state; closed by ``stop``.
+    clock
+        Source of time.
+    rng
+        Source of election timeouts.
+    options
+        Sizes and times.
+    """
+
+    def __init__(
+        self,
+        settings: ReplicaSettings,
+        state_machine: StateMachine,
+        transport: Transport,
+        storage: Storage,
+        clock: Clock,
+        rng: random.Random,
+        options: NodeOptions | None = None,
+    ) -> None:
+        self.failure: Exception | None = None
+        self._settings = settings
+        self._machine = state_machine
+        self._transport = transport
+        self._storage = storage
+        self._clock = clock
+        self._rng = rng
+        self._options = options or NodeOptions()
+        self._node: LogNode | None = None
+        self._work = ReplicaWork()
+        self._flushing = False
+        self._role_listeners: list[Callable[[], None]] = []
+        self._seen_role: tuple = ()
+        self._seen_members: tuple = ()
+        self._ticker: asyncio.Task | None = None
+
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this replica is the leader of its term."""
+        return self._node is not None and self._node.core.is_leader
+
+    @property
+    def leader_id(self) -> str:
+        """Return the replica id of the known leader, else an empty string."""
+        return self._node.core.leader_id if self._node else ''
+
+    @property
+    def leader_address(self) -> Address | None:
+        """Return the address of the known leader."""
+        if self._node is None:
+            return None
+        member = self._node.core.membership.by_id.get(self.leader_id)
+        if member is not None and member.address:
+            return Address.parse(member.address)
+        return dict(self._settings.replicas).get(self.leader_id)
+
+    @property
+    def term(self) -> int:
+        """Return the current term."""
+        return self._node.core.term if self._node else 0
+
+    @property
+    def commit_index(self) -> int:
+        """Return the last index known to be committed."""
+        return self._node.core.entries.commit_index if self._node else 0
+
+    @property
+    def applied_index(self) -> int:
+        """Return the last index that the state machine has applied."""
+        return self._node.applied_index if self._node else 0
+
+    @property
+    def members(self):
+        """Return the members of the newest membership."""
+        return self._node.core.membership.members if self._node else ()
+
+    @property
+    def disk_id(self) -> str:
+        """Return the identity of the data folder, empty before the start."""
+        return self._node.disk_id if self._node else ''
+
+    @property
+    def quorum_confirmed_at_s(self) -> float:
+        """Return when the newest confirmed heartbeat round was sent.
+
+        Leases are counted from this clock time. Minus infinity if this
+        replica is not the leader or no round was confirmed yet.
+        """
+        if self._node is None or self._node.core.leadership is None:
+            return float('-inf')
+        return self._node.core.leadership.confirmed_at_s
+
+    def on_role_change(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after each change of role, leader or term."""
+        self._role_listeners.append(listener)
+
+    async def start(self) -> None:
+        """Load the stored state and take part in the group.
+
+        Raises
+        ------
+        CorruptLogError
+            If the data folder is damaged.
+        SettingError
+            If the initial members do not include this replica.
+        """
+        addresses = dict(self._settings.replicas)
+        own_id = self._settings.replica_id
+        if not addresses and not self._settings.join:
+            addresses = {own_id: self._settings.listen}
+        if own_id not in addresses and not self._settings.join:
+            raise SettingError(f'replica {own_id} is not in its replica list')
+        self._transport.on_reply(self._on_reply)
+        self._transport.set_addresses(
+            {name: row for name, row in addresses.items() if name != own_id},
+        )
+        self._node = LogNode(
+            NodeSettings(
+                replica_id=own_id,
+                address=str(addresses.get(own_id, self._settings.listen)),
+                initial_addresses={
+                    name: str(row) for name, row in addresses.items()
+                },
+                joining=self._settings.join,
+            ),
+            self._machine,
+            self._storage,
+            self._rng,
+            self._options,
+            uuid.uuid4().hex,
+            self._clock.now_s(),
+        )
+        self._ticker = asyncio.create_task(self._tick())
+
+    async def stop(self) -> None:
+        """Stop; pending proposals end with an unknown outcome."""
+        if self._ticker is not None:
+            self._ticker.cancel()
+            await asyncio.gather(self._ticker, return_exceptions=True)
+            self._ticker = None
+        self._node = None
+        self._work.fail_all(NotLeaderError('the replica was stopped'))
+        await self._transport.close()
+        self._storage.close()
+
+    async def handle(self, request: Any, context: Any) -> Any:
+        """Answer a consensus message; mountable into a ``PeerServer``.
+
+        Raises
+        ------
+        InvalidRequestError
+            If the message is not a consensus message.
+        NotLeaderError
+            If the replica does not run.
+        """
+        if not isinstance(request, CONSENSUS_REQUESTS):
+            raise InvalidRequestError(f'unexpected {type(request).__name__}')
+        self._require_running()
+        if isinstance(request, JoinRequest):
+            address = Address.parse(request.address)
+            self._transport.set_addresses({request.sender: address})
+        future = self._work.add_request(request)
+        self._schedule_flush()
+        return await future
+
+    async def propose(self, command: bytes, timeout_s: float) -> bytes:
+        """Append a command and return the result of applying it.
+
+        Raises
+        ------
+        NotLeaderError
+            If this replica is not the leader; the command was not run.
+        OutcomeUnknownError
+            If leadership was lost before the command was committed.
+        DeadlineExceededError
+            If it was not committed in time; its outcome is unknown.
+        RequestTooLargeError
+            If the command exceeds ``MAX_COMMAND_BYTES``.
+        """
+        if len(command) > MAX_COMMAND_BYTES:
+            raise RequestTooLargeError(f'command of {len(command)} bytes')
+        self._require_running().require_leader()
+        future = self._work.add_proposal(command)
+        self._schedule_flush()
+        return await self._wait(future, timeout_s, 'commit')
+
+    async def read_barrier(self, timeout_s: float) -> int:
+        """Wait until the state machine reflects all earlier commits.
+
+        Returns the index that the barrier waited for.
+
+        Raises
+        ------
+        NotLeaderError
+            If this replica is not the leader or loses leadership.
+        DeadlineExceededError
+            If no majority confirmed leadership in time.
+        """
+        self._require_running().require_leader()
+        future = self._work.add_barrier()
+        self._schedule_flush()
+        return await self._wait(future, timeout_s, 'read barrier')
+
+    async def change_membership(
+        self,
+        change: MembershipChange,
+        timeout_s: float,
+    ) -> None:
+        """Change one member and wait until the change is committed.
+
+        Waits for an earlier change, and before ``promote`` until the learner
+        has caught up.
+
+        Raises
+        ------
+        NotLeaderError
+            If this replica is not the leader.
+        InvalidRequestError, NotFoundError
+            If the change does not apply to the current membership.
+        DeadlineExceededError
+            If the change could not be committed in time.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                term, index = await self._append_change(change)
+                await self._wait_applied(term, index)
+        except TimeoutError:
+            raise DeadlineExceededError(
+                f'{change.action} of {change.replica_id} not committed in '
+                f'{timeout_s} s',
+            ) from None
+
+    async def _append_change(self, change: MembershipChange) -> tuple[int, int]:
+        while True:
+            core = self._require_running()
+            try:
+                index = core.change_membership(change, self._clock.now_s())
+            except NotLeaderError as error:
+                if not error.cause:
+                    raise
+                await asyncio.sleep(CHANGE_RETRY_S)
+                continue
+            self._schedule_flush()
+            return core.term, index
+
+    async def _wait_applied(self, term: int, index: int) -> None:
+        while self.applied_index < index:
+            if self.term != term:
+                raise OutcomeUnknownError('leadership was lost')
+            await asyncio.sleep(CHANGE_RETRY_S)
+
+    async def _wait(
+        self,
+        future: asyncio.Future,
+        timeout_s: float,
+        what: str,
+    ) -> Any:
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await future
+        except TimeoutError:
+            raise DeadlineExceededError(
+                f'no {what} in {timeout_s} s',
+            ) from None
+
+    def _require_running(self) -> QuorumLog:
+        if self._node is None or self.failure is not None:
+            raise NotLeaderError('the replica does not run')
+        return self._node.core
+
+    def _on_reply(self, msg: Any) -> None:
+        if self._node is not None and not isinstance(msg, Ack):
+            self._work.add_reply(msg)
+            self._schedule_flush()
+
+    async def _tick(self) -> None:
+        while True:
+            self._run(self._tick_once)
+            await asyncio.sleep(TICK_S)
+
+    def _tick_once(self) -> None:
+        self._node.tick(self._clock.now_s())
+        self._schedule_flush()
+
+    def _schedule_flush(self) -> None:
+        if not self._flushing:
+            self._flushing = True
+            asyncio.get_running_loop().call_soon(self._run, self._begin_flush)
+
+    def _run(self, step: Callable[..., None], *arguments: Any) -> None:
+        """Run a step; any error stops the replica.
+
+        After a failed sync it is not known what is durable, and a violated
+        invariant must not spread.
+        """
+        if self._node is None or self.failure is not None:
+            return
+        try:
+            step(*arguments)
+        except Exception as error:
+            log.exception('event=replica_failed')
+            self.failure = error
+            self._work.fail_all(NotLeaderError(f'the replica failed: {error}'))
+
+    def _begin_flush(self) -> None:
+        node = self._node
+        replies = self._work.hand_over(node, self._clock.now_s())
+        messages, output = node.begin_flush()
+        self._send(messages)
+        if output.needs_sync:
+            # The sync blocks the loop; the messages are written before it.
+            asyncio.get_running_loop().call_soon(
+                self._run,
+                self._finish_flush,
+                output,
+                replies,
+            )
+        else:
+            self._finish_flush(output, replies)
+
+    def _finish_flush(self, output: Output, replies: list[Reply]) -> None:
+        node = self._node
+        flushed = node.finish_flush(output, self._clock.now_s())
+        for reply in replies:
+            reply.resolve()
+        self._send(flushed.messages)
+        self._work.resolve(node, flushed.applied)
+        self._follow_addresses()
+        self._notify_role()
+        self._flushing = False
+        if self._work.is_pending:
+            self._schedule_flush()
+
+    def _send(self, messages: tuple[Envelope, ...]) -> None:
+        for envelope in messages:
+            self._transport.send(envelope.receiver, envelope.message)
+
+    def _follow_addresses(self) -> None:
+        members = self._node.core.membership.members
+        if members is self._seen_members:
+            return
+        self._seen_members = members
+        self._transport.set_addresses(
+            {
+                member.replica_id: Address.parse(member.address)
+                for member in members
+                if member.address
+                and member.replica_id != self._settings.replica_id
+            },
+        )
+
+    def _notify_role(self) -> None:
+        core = self._node.core
+        seen = (core.role, core.leader_id, core.term)
+        if seen != self._seen_role:
+            self._seen_role = seen
+            for listener in self._role_listeners:
+                listener()
