Add the decision code of the shared state

Adds stale_incarnation and feed_gap errors, GrantTokens.needed_tokens, ReportSuspects.report_id and the feed item kind batch.

--- /dev/null
+++ b/src/kumquatrun/account_budgets.py
@@ -0,0 +1,225 @@
+"""Register of account budgets: token buckets with amounts at the entries.
+
+Amounts are integers in millionths of a token and refills are whole numbers of
+millionths per millisecond, so every replica computes the same and no rounding
+adds tokens. A rate below 0.001 tokens/s refills nothing.
+
+Invariant: level + outstanding <= burst at every refill. In any window an
+account receives at most rate x time + burst, because the level plus the
+outstanding amount at its start is at most burst and only refill adds to it.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from kumquatrun.document import AccountSpec
+from kumquatrun.errors import NotFoundError
+from kumquatrun.hosts import Incarnation
+from kumquatrun.messages import BudgetReport, GrantReply, GrantTokens
+
+_MICRO = 1_000_000
+# A tokens/s rate is a millitokens/ms rate, that is 1,000 microtokens/ms.
+_MICRO_PER_MS = 1000
+# An entry returns idle tokens after 1 s, so asking earlier is of no use when
+# they are needed elsewhere.
+_IDLE_RETURN_S = 1.0
+_MIN_RETRY_S = 0.05
+
+
+@dataclass
+class AccountBudget:
+    """Bucket of one account; ``removed`` accounts get no grants."""
+
+    rate_micro_per_ms: int
+    burst_micro: int
+    level_micro: int
+    refilled_ms: int
+    removed: bool = False
+    outstanding_micro: dict[Incarnation, int] = field(default_factory=dict)
+    outstanding_sum_micro: int = 0
+
+    def refill(self, now_ms: int) -> None:
+        """Add what the rate allows, up to the burst minus outstanding."""
+        room = self.refill_room_micro()
+        added = self.rate_micro_per_ms * (now_ms - self.refilled_ms)
+        self.level_micro += max(0, min(added, room))
+        self.refilled_ms = now_ms
+
+    def refill_room_micro(self) -> int:
+        """Return how much the level may grow."""
+        return self.burst_micro - self.outstanding_sum_micro - self.level_micro
+
+    def change(self, rate_micro_per_ms: int, burst_micro: int) -> None:
+        """Take a new rate and burst; never adds to the level."""
+        self.rate_micro_per_ms = rate_micro_per_ms
+        self.burst_micro = burst_micro
+        excess = -min(0, self.refill_room_micro())
+        self.level_micro = max(0, self.level_micro - excess)
+
+    def move(self, holder: Incarnation, amount_micro: int) -> None:
+        """Change the outstanding amount of one entry."""
+        amount = self.outstanding_micro.get(holder, 0) + amount_micro
+        self.outstanding_sum_micro += amount_micro
+        if amount:
+            self.outstanding_micro[holder] = amount
+        else:
+            self.outstanding_micro.pop(holder, None)
+
+    def is_full(self) -> bool:
+        """Return whether nothing is missing from the bucket."""
+        return self.level_micro >= self.burst_micro
+
+
+class BudgetRegister:
+    """Budgets of all accounts and the report numbers of the entries."""
+
+    def __init__(self) -> None:
+        self._budgets: dict[str, AccountBudget] = {}
+        self._sequences: dict[Incarnation, int] = {}
+
+    def configure(self, specs: Iterable[AccountSpec], now_ms: int) -> None:
+        """Take the accounts of a new document.
+
+        A removed account keeps its bucket until it would be full, so that
+        removing and adding an account yields no second burst.
+        """
+        by_name = {spec.name: spec for spec in specs}
+        for name, budget in list(self._budgets.items()):
+            budget.refill(now_ms)
+            budget.removed = name not in by_name
+            if budget.removed and budget.is_full():
+                del self._budgets[name]
+        for name, spec in by_name.items():
+            rate = int(spec.rate_tokens_per_s * _MICRO_PER_MS)
+            burst = spec.burst_tokens * _MICRO
+            if name in self._budgets:
+                self._budgets[name].change(rate, burst)
+            else:
+                self._budgets[name] = AccountBudget(rate, burst, burst, now_ms)
+
+    def grant(self, command: GrantTokens, now_ms: int) -> GrantReply:
+        """Move tokens from the level to the entry's outstanding amount.
+
+        Raises
+        ------
+        NotFoundError
+            If the account is not in the document.
+        """
+        budget = self._budgets.get(command.account)
+        if budget is None or budget.removed:
+            raise NotFoundError(f'account {command.account!r} does not exist')
+        budget.refill(now_ms)
+        wanted = max(0, command.wanted_tokens)
+        needed = command.needed_tokens
+        needed = wanted if needed is None else max(0, min(needed, wanted))
+        level = budget.level_micro // _MICRO
+        spare = level - budget.burst_micro // _MICRO // 2
+        granted = min(level, max(needed, min(wanted, spare)))
+        holder = (command.host_id, command.incarnation)
+        budget.level_micro -= granted * _MICRO
+        budget.move(holder, granted * _MICRO)
+        missing = needed - granted
+        return GrantReply(
+            granted_tokens=granted,
+            retry_after_s=_retry_after_s(budget, missing) if missing > 0 else 0,
+        )
+
+    def report(
+        self,
+        holder: Incarnation,
+        sequence: int,
+        reports: Iterable[BudgetReport],
+        now_ms: int,
+    ) -> bool:
+        """Count consumed and returned tokens; False for a repeated report.
+
+        Amounts above the outstanding amount are cut, so that a faulty entry
+        cannot create tokens.
+        """
+        if sequence <= self._sequences.get(holder, -1):
+            return False
+        self._sequences[holder] = sequence
+        for row in reports:
+            budget = self._budgets.get(row.account)
+            if budget is None:
+                continue
+            budget.refill(now_ms)
+            held = budget.outstanding_micro.get(holder, 0)
+            consumed = max(0, min(row.consumed_tokens * _MICRO, held))
+            returned = row.returned_tokens * _MICRO
+            returned = max(0, min(returned, held - consumed))
+            budget.move(holder, -consumed - returned)
+            budget.level_micro += returned
+            _limit_level(budget)
+        return True
+
+    def expire(self, holder: Incarnation, now_ms: int) -> None:
+        """Count the outstanding tokens of an incarnation as consumed."""
+        self._sequences.pop(holder, None)
+        for budget in self._budgets.values():
+            budget.refill(now_ms)
+            budget.move(holder, -budget.outstanding_micro.get(holder, 0))
+
+    def status(self, now_ms: int) -> dict[str, dict[str, Any]]:
+        """Return level and outstanding tokens per account."""
+        rows = {}
+        for name, budget in self._budgets.items():
+            if budget.removed:
+                continue
+            budget.refill(now_ms)
+            rows[name] = {
+                'rate_tokens_per_s': budget.rate_micro_per_ms / _MICRO_PER_MS,
+                'burst_tokens': budget.burst_micro // _MICRO,
+                'level_tokens': budget.level_micro // _MICRO,
+                'outstanding_tokens': {
+                    host_id: held // _MICRO
+                    for (host_id, _), held in budget.outstanding_micro.items()
+                },
+            }
+        return rows
+
+    def snapshot(self) -> Any:
+        """Return the register as plain values for msgpack."""
+        budgets = [
+            [
+                name,
+                budget.rate_micro_per_ms,
+                budget.burst_micro,
+                budget.level_micro,
+                budget.refilled_ms,
+                budget.removed,
+                list(budget.outstanding_micro.items()),
+            ]
+            for name, budget in self._budgets.items()
+        ]
+        return [budgets, list(self._sequences.items())]
+
+    def restore(self, content: Any) -> None:
+        """Replace the register with a snapshot."""
+        budgets, sequences = content
+        self._budgets = {}
+        for name, rate, burst, level, refilled_ms, removed, held in budgets:
+            budget = AccountBudget(rate, burst, level, refilled_ms, removed)
+            for holder, amount in held:
+                budget.move(tuple(holder), amount)
+            self._budgets[name] = budget
+        self._sequences = {tuple(key): number for key, number in sequences}
+
+
+def _limit_level(budget: AccountBudget) -> None:
+    # Returned tokens of an account whose burst was lowered since the grant
+    # may exceed the new burst.
+    excess = -min(0, budget.refill_room_micro())
+    budget.level_micro = max(0, budget.level_micro - excess)
+
+
+def _retry_after_s(budget: AccountBudget, missing_tokens: int) -> float:
+    """Estimate when the missing tokens can be granted."""
+    missing = missing_tokens * _MICRO
+    refill = max(0, budget.refill_room_micro())
+    if refill < missing:
+        # The rest is at other entries, which return or consume it.
+        return _IDLE_RETURN_S
+    wait_ms = missing / max(1, budget.rate_micro_per_ms)
+    return max(_MIN_RETRY_S, wait_ms / 1000)
--- /dev/null
+++ b/src/kumquatrun/audit.py
@@ -0,0 +1,62 @@
+"""Audit trail: who changed what and when, with short forms of both states."""
+
+from collections import deque
+from dataclasses import asdict, dataclass
+from itertools import islice
+from typing import Any
+
+MAX_AUDIT_ENTRIES = 10_000
+_MAX_TEXT = 300
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AuditEntry:
+    """One change; ``number`` counts all changes from 1."""
+
+    number: int
+    time_ms: int
+    operator: str
+    operation_id: str
+    action: str
+    subject: str
+    before: str
+    after: str
+
+
+class AuditTrail:
+    """The newest changes, oldest first."""
+
+    def __init__(self, max_entries: int = MAX_AUDIT_ENTRIES) -> None:
+        self._entries: deque[AuditEntry] = deque(maxlen=max_entries)
+        self._count = 0
+
+    def record(self, **change: Any) -> AuditEntry:
+        """Append a change; takes the fields of ``AuditEntry`` but number."""
+        self._count += 1
+        for member in ('before', 'after'):
+            change[member] = str(change[member])[:_MAX_TEXT]
+        entry = AuditEntry(number=self._count, **change)
+        self._entries.append(entry)
+        return entry
+
+    def page(self, before: int | None, limit: int) -> tuple[AuditEntry, ...]:
+        """Return up to ``limit`` entries numbered below ``before``.
+
+        Entries are newest first; None starts at the newest.
+        """
+        newest_first = reversed(self._entries)
+        if before is not None:
+            skipped = max(0, self._count - before + 1)
+            newest_first = islice(newest_first, skipped, None)
+        return tuple(islice(newest_first, max(0, limit)))
+
+    def snapshot(self) -> Any:
+        """Return the trail as plain values for msgpack."""
+        return [self._count, [asdict(entry) for entry in self._entries]]
+
+    def restore(self, content: Any) -> None:
+        """Replace the trail with a snapshot."""
+        count, rows = content
+        self._count = count
+        self._entries.clear()
+        self._entries.extend(AuditEntry(**row) for row in rows)
--- /dev/null
+++ b/src/kumquatrun/cluster_view.py
@@ -0,0 +1,211 @@
+"""A node's copy of the shared state, kept up to date by the feed.
+
+Bodies of feed items, in msgpack:
+
+- ``document``: ``[revision, digest, base_revision, delta]``
+- ``key``: ``[key_id, key_hash, account, revoked]``
+- ``host``: ``[host_id, fields of the record, or None if it was removed]``
+- ``quarantine``: ``[fingerprint, state]``
+- ``batch``: ``[[kind, body], ...]``, all changes of one log entry
+- ``snapshot``: a map of all of these, with the compressed document
+"""
+
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+import msgpack
+
+from kumquatrun.commands import inflate
+from kumquatrun.document import (
+    EMPTY_DOCUMENT,
+    MAX_DOCUMENT_BYTES,
+    Document,
+    apply_document_delta,
+    decode_delta,
+    parse_document,
+)
+from kumquatrun.errors import FeedGapError, WireError
+from kumquatrun.keys import hash_key
+from kumquatrun.messages import AgentReport, FeedItem, HostRecord
+
+AGENT_ROLE = 'agent'
+
+
+class ClusterView:
+    """Document, keys, hosts and quarantine as of one feed index."""
+
+    def __init__(self) -> None:
+        self._applied_index = 0
+        self._document = EMPTY_DOCUMENT
+        self._revision = 0
+        self._digest = ''
+        self._accounts_by_key: dict[bytes, str] = {}
+        self._hosts: dict[str, HostRecord] = {}
+        self._agents: dict[str, tuple[HostRecord, ...]] = {}
+        self._fingerprints: dict[str, str] = {}
+        self._reports: dict[str, AgentReport] = {}
+        self._handlers = {
+            'batch': self._apply_batch,
+            'document': self._apply_document,
+            'host': self._apply_host,
+            'key': self._apply_key,
+            'quarantine': self._apply_quarantine,
+            'snapshot': self._apply_snapshot,
+        }
+
+    @property
+    def applied_index(self) -> int:
+        """Return the index of the newest applied feed item."""
+        return self._applied_index
+
+    @property
+    def document(self) -> Document:
+        """Return the document in force; an empty one before the first."""
+        return self._document
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the document in force; 0 before the first."""
+        return self._revision
+
+    @property
+    def digest(self) -> str:
+        """Return the digest of the document in force."""
+        return self._digest
+
+    @property
+    def hosts(self) -> Sequence[HostRecord]:
+        """Return the records of all registered hosts."""
+        return tuple(self._hosts.values())
+
+    def apply(self, item: FeedItem) -> bool:
+        """Apply a feed item; False if its index is not above the own one.
+
+        Raises
+        ------
+        FeedGapError
+            If the item builds on a document that this view lacks.
+        WireError
+            If the item cannot be decoded.
+        """
+        if item.index <= self._applied_index:
+            return False
+        try:
+            handler = self._handlers[item.kind]
+            body = msgpack.unpackb(item.body)
+            handler(body)
+        except (LookupError, TypeError, ValueError) as error:
+            raise WireError(
+                f'cannot decode the {item.kind} item {item.index}: {error}',
+            ) from error
+        self._applied_index = item.index
+        return True
+
+    def account_of_key(self, key: str) -> str | None:
+        """Return the account of an issued key.
+
+        None if the key is unknown or revoked, or its account is not in the
+        document any more.
+        """
+        account = self._accounts_by_key.get(hash_key(key))
+        if account is None or self._document.index.account(account) is None:
+            return None
+        return account
+
+    def agents_of(self, service: str) -> Sequence[HostRecord]:
+        """Return the agents of a service that are not draining."""
+        return self._agents.get(service, ())
+
+    def host(self, host_id: str) -> HostRecord | None:
+        """Return the record of a host."""
+        return self._hosts.get(host_id)
+
+    def update_reports(self, reports: Iterable[AgentReport]) -> None:
+        """Take newer soft state of agents; unregistered hosts are ignored."""
+        for report in reports:
+            if report.host_id in self._hosts:
+                self._reports[report.host_id] = report
+
+    def report_of(self, host_id: str) -> AgentReport | None:
+        """Return the newest soft state of an agent's present incarnation."""
+        report = self._reports.get(host_id)
+        record = self._hosts.get(host_id)
+        if report is None or record is None:
+            return None
+        return report if report.incarnation == record.incarnation else None
+
+    def fingerprint_state(self, fingerprint: str) -> str:
+        """Return ``clear``, ``suspect`` or ``quarantined``."""
+        return self._fingerprints.get(fingerprint, 'clear')
+
+    def _apply_batch(self, rows: Any) -> None:
+        for kind, body in rows:
+            self._handlers[kind](body)
+
+    def _apply_document(self, body: Any) -> None:
+        revision, digest, base_revision, delta = body
+        if revision <= self._revision:
+            return
+        if base_revision != self._revision:
+            raise FeedGapError(
+                f'document {revision} builds on revision {base_revision}, '
+                f'this view has {self._revision}',
+            )
+        self._document = apply_document_delta(
+            self._document,
+            decode_delta(delta),
+        )
+        self._revision = revision
+        self._digest = digest
+
+    def _apply_key(self, body: Any) -> None:
+        _, key_hash, account, revoked = body
+        if revoked:
+            self._accounts_by_key.pop(key_hash, None)
+        else:
+            self._accounts_by_key[key_hash] = account
+
+    def _apply_host(self, body: Any) -> None:
+        host_id, fields = body
+        self._hosts.pop(host_id, None)
+        if fields is None:
+            self._reports.pop(host_id, None)
+        else:
+            self._hosts[host_id] = HostRecord(**fields)
+        self._index_agents()
+
+    def _apply_quarantine(self, body: Any) -> None:
+        fingerprint, state = body
+        if state == 'clear':
+            self._fingerprints.pop(fingerprint, None)
+        else:
+            self._fingerprints[fingerprint] = state
+
+    def _apply_snapshot(self, body: Any) -> None:
+        if body['revision'] > self._revision:
+            content = inflate(body['document'], MAX_DOCUMENT_BYTES)
+            self._document = parse_document(content)
+            self._revision = body['revision']
+            self._digest = body['digest']
+        self._accounts_by_key = {}
+        for row in body['keys']:
+            self._apply_key(row)
+        self._hosts = {
+            fields['host_id']: HostRecord(**fields) for fields in body['hosts']
+        }
+        self._fingerprints = dict(body['quarantine'])
+        self._reports = {
+            host_id: report
+            for host_id, report in self._reports.items()
+            if host_id in self._hosts
+        }
+        self._index_agents()
+
+    def _index_agents(self) -> None:
+        agents: dict[str, list[HostRecord]] = {}
+        for record in self._hosts.values():
+            if record.role == AGENT_ROLE and not record.draining:
+                agents.setdefault(record.service, []).append(record)
+        self._agents = {
+            service: tuple(rows) for service, rows in agents.items()
+        }
--- a/src/kumquatrun/document.py
+++ b/src/kumquatrun/document.py
@@ -1,91 +1,222 @@
-"""Configuration documents: one per environment, in JSON."""
+"""Configuration documents: one per environment, in JSON.
 
+``parse_document`` sorts every part by name, so that the order of the JSON
+arrays has no meaning and a delta needs to carry changed entries only. Paths in
+error messages refer to the order in the JSON text.
+"""
+
+import hashlib
+import json
+from bisect import bisect_left
+from collections.abc import Mapping
 from dataclasses import dataclass
-from enum import StrEnum
+from typing import Any
+
+from pydantic import TypeAdapter, ValidationError
+
+from kumquatrun.document_checks import (
+    content_faults,
+    repeated_members,
+    shape_faults,
+)
+from kumquatrun.document_types import (
+    EMPTY_DOCUMENT,
+    Access,
+    AccountSpec,
+    AdapterSpec,
+    Document,
+    DocumentIndex,
+    RouteSpec,
+    ServiceKind,
+    ServiceSpec,
+)
+from kumquatrun.errors import DocumentError
+
+__all__ = (
+    'EMPTY_DOCUMENT',
+    'MAX_DOCUMENT_BYTES',
+    'Access',
+    'AccountSpec',
+    'AdapterSpec',
+    'Document',
+    'DocumentDelta',
+    'DocumentIndex',
+    'RouteSpec',
+    'ServiceKind',
+    'ServiceSpec',
+    'apply_document_delta',
+    'decode_delta',
+    'digest_document',
+    'document_delta',
+    'encode_delta',
+    'parse_document',
+)
+
+MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
+_MAX_FAULTS = 20
+_DIGEST_BYTES = 32
+
+
+def digest_document(content: bytes) -> str:
+    """Return the BLAKE2b digest of the bytes of a document, in hex."""
+    return hashlib.blake2b(content, digest_size=_DIGEST_BYTES).hexdigest()
+
+
+def parse_document(content: bytes) -> Document:
+    """Parse and check a document.
+
+    Raises
+    ------
+    DocumentError
+        If the document is too large, malformed or inconsistent. The detail
+        names the path to each fault.
+    """
+    if len(content) > MAX_DOCUMENT_BYTES:
+        raise DocumentError(
+            f'$: has {len(content)} bytes, the limit is {MAX_DOCUMENT_BYTES}',
+        )
+    try:
+        document = _checker.validate_json(content)
+    except ValidationError as error:
+        rows = error.errors(include_url=False, include_input=False)
+        raise _refusal(shape_faults(rows)) from None
+    faults = [*repeated_members(content), *content_faults(document)]
+    if faults:
+        raise _refusal(faults)
+    return _sorted_document(document)
 
 
-class ServiceKind(StrEnum):
-    """What runs behind a service."""
+_checker = TypeAdapter(Document)
 
-    ENGINE = 'engine'
-    PLAIN = 'plain'
 
+def _refusal(faults: list[str]) -> DocumentError:
+    shown = faults[:_MAX_FAULTS]
+    if len(faults) > _MAX_FAULTS:
+        shown.append(f'and {len(faults) - _MAX_FAULTS} more')
+    return DocumentError('; '.join(shown))
 
-class Access(StrEnum):
-    """Who may call a route."""
 
-    OPEN = 'open'
-    KEY = 'key'
+def _by_name(spec: Any) -> str:
+    return spec.name
 
 
-@dataclass(frozen=True, kw_only=True)
-class AccountSpec:
-    """A client account with its rate, burst and share."""
+def _by_path(route: RouteSpec) -> str:
+    return route.path
 
-    name: str
-    rate_tokens_per_s: float
-    burst_tokens: int
-    weight: float = 1
 
+def _sorted_document(document: Document) -> Document:
+    shared: dict[Any, Any] = {}
+    adapters = sorted(document.adapters, key=_by_name)
+    return Document(
+        environment=document.environment,
+        accounts=tuple(sorted(document.accounts, key=_by_name)),
+        services=tuple(sorted(document.services, key=_by_name)),
+        adapters=tuple(_shared_spec(spec, shared) for spec in adapters),
+        routes=tuple(sorted(document.routes, key=_by_path)),
+    )
 
-@dataclass(frozen=True, kw_only=True)
-class ServiceSpec:
-    """A set of backend servers that answer the same calls."""
 
-    name: str
-    kind: ServiceKind
-    base_model: str = ''
+def _shared_spec(spec: AdapterSpec, shared: dict[Any, Any]) -> AdapterSpec:
+    # Thousands of adapters have the same service and versions; sharing these
+    # values keeps a document of the design size small in memory.
+    return AdapterSpec(
+        name=spec.name,
+        service=shared.setdefault(spec.service, spec.service),
+        versions=shared.setdefault(spec.versions, spec.versions),
+    )
 
 
 @dataclass(frozen=True, kw_only=True)
-class AdapterSpec:
-    """An adapter with its versions; the last one is the default."""
-
-    name: str
-    service: str
-    versions: tuple[str, ...]
-
+class DocumentDelta:
+    """Changes between two documents; None marks an unchanged part.
 
-@dataclass(frozen=True, kw_only=True)
-class RouteSpec:
-    """A path prefix that callers use.
-
-    Attributes
-    ----------
-    path
-        Path prefix, for example ``/v1/`` or ``/ledger/``.
-    service
-        Name of the service that answers.
-    access
-        ``open`` routes need no key.
-    idempotent
-        Whether a call may be repeated after an unknown outcome.
-    accounts
-        Accounts that may use the route; empty means all.
-    adapters
-        Adapters that the route may use; empty means all of the service.
-    cost_tokens
-        Tokens charged for a call to a plain service.
-    default_max_tokens
-        Output limit of completions that name none.
+    ``adapters`` has added and changed adapters only.
     """
 
-    path: str
-    service: str
-    access: Access = Access.KEY
-    idempotent: bool = False
-    accounts: tuple[str, ...] = ()
-    adapters: tuple[str, ...] = ()
-    cost_tokens: int = 1
-    default_max_tokens: int = 256
-
-
-@dataclass(frozen=True, kw_only=True)
-class Document:
-    """A checked configuration document."""
-
     environment: str
-    accounts: tuple[AccountSpec, ...] = ()
-    services: tuple[ServiceSpec, ...] = ()
+    accounts: tuple[AccountSpec, ...] | None = None
+    services: tuple[ServiceSpec, ...] | None = None
+    routes: tuple[RouteSpec, ...] | None = None
     adapters: tuple[AdapterSpec, ...] = ()
-    routes: tuple[RouteSpec, ...] = ()
+    removed_adapters: tuple[str, ...] = ()
+
+
+def _changed(old: tuple, new: tuple) -> tuple | None:
+    return None if old == new else new
+
+
+def document_delta(old: Document, new: Document) -> DocumentDelta:
+    """Return what turns ``old`` into ``new``."""
+    before = old.index.adapters
+    after = new.index.adapters
+    return DocumentDelta(
+        environment=new.environment,
+        accounts=_changed(old.accounts, new.accounts),
+        services=_changed(old.services, new.services),
+        routes=_changed(old.routes, new.routes),
+        adapters=tuple(
+            spec for spec in new.adapters if before.get(spec.name) != spec
+        ),
+        removed_adapters=tuple(name for name in before if name not in after),
+    )
+
+
+def apply_document_delta(old: Document, delta: DocumentDelta) -> Document:
+    """Return the document that ``delta`` leads to."""
+    parts = {
+        part: old_value if new_value is None else new_value
+        for part, old_value, new_value in (
+            ('accounts', old.accounts, delta.accounts),
+            ('services', old.services, delta.services),
+            ('routes', old.routes, delta.routes),
+        )
+    }
+    if not delta.adapters and not delta.removed_adapters:
+        document = Document(
+            environment=delta.environment,
+            adapters=old.adapters,
+            **parts,
+        )
+        return _indexed(document, old.index.adapters)
+    table = old.index.adapters.copy()
+    rows = list(old.adapters)
+    for name in delta.removed_adapters:
+        if table.pop(name, None) is not None:
+            del rows[_position(rows, name)]
+    for spec in delta.adapters:
+        position = _position(rows, spec.name)
+        replaced = spec.name in table
+        if replaced:
+            rows[position] = spec
+        else:
+            rows.insert(position, spec)
+        table[spec.name] = spec
+    document = Document(
+        environment=delta.environment,
+        adapters=tuple(rows),
+        **parts,
+    )
+    return _indexed(document, table)
+
+
+def _position(rows: list[AdapterSpec], name: str) -> int:
+    return bisect_left(rows, name, key=_by_name)
+
+
+def _indexed(document: Document, adapters: dict[str, AdapterSpec]) -> Document:
+    # Reuses the table instead of building it again from all adapters.
+    document.__dict__['index'] = DocumentIndex(document, adapters)
+    return document
+
+
+_delta_codec = TypeAdapter(DocumentDelta)
+
+
+def encode_delta(delta: DocumentDelta) -> dict[str, Any]:
+    """Return the delta as plain values for msgpack."""
+    return _delta_codec.dump_python(delta, mode='json', exclude_defaults=True)
+
+
+def decode_delta(encoded: Mapping[str, Any]) -> DocumentDelta:
+    """Rebuild a delta from ``encode_delta``."""
+    return _delta_codec.validate_json(json.dumps(encoded))
--- a/src/kumquatrun/errors.py
+++ b/src/kumquatrun/errors.py
@@ -337,6 +337,28 @@
     )
 
 
+class StaleIncarnationError(KumquatrunError):
+    """Refuses a host incarnation that was replaced or has expired."""
+
+    kind = ErrorKind(
+        'stale_incarnation',
+        409,
+        Outcome.NOT_RUN,
+        'Register the host again with a new incarnation.',
+    )
+
+
+class FeedGapError(KumquatrunError):
+    """Reports a feed item that needs an earlier item that is missing."""
+
+    kind = ErrorKind(
+        'feed_gap',
+        409,
+        Outcome.NOT_RUN,
+        'Follow the feed from index 0, which sends a snapshot first.',
+    )
+
+
 class NotFoundError(KumquatrunError):
     """Reports an unknown account, host or key."""
 
--- a/src/kumquatrun/messages.py
+++ b/src/kumquatrun/messages.py
@@ -171,8 +171,9 @@
 class FeedItem:
     """One change of shared state.
 
-    ``kind`` is ``snapshot``, ``document``, ``key``, ``host`` or
-    ``quarantine``; ``body`` is the record in msgpack, see ``cluster_view``.
+    ``kind`` is ``snapshot``, ``document``, ``key``, ``host``, ``quarantine``
+    or ``batch``, which holds several changes of one index; ``body`` is the
+    record in msgpack, see ``cluster_view``.
     """
 
     index: int
@@ -185,12 +186,18 @@
 
 @message
 class GrantTokens:
-    """Asks for tokens of an account; committed before it is answered."""
+    """Asks for tokens of an account; committed before it is answered.
+
+    ``needed_tokens`` is the part that requests wait for; the rest is fetched
+    in advance and granted from the upper half of the burst only, so that
+    idle tokens at one entry do not starve another. None means all.
+    """
 
     host_id: str
     incarnation: str
     account: str
     wanted_tokens: int
+    needed_tokens: int | None = None
 
 
 @message
@@ -279,11 +286,14 @@
     """Reports fingerprints that were running when a backend server died.
 
     ``alone`` is true if the fingerprint was the only one in the batch.
+    ``report_id`` makes a resend harmless: without it, a report that is sent
+    again counts as a second crash.
     """
 
     host_id: str
     fingerprints: tuple[str, ...]
     alone: bool = False
+    report_id: str = ''
 
 
 @message
--- /dev/null
+++ b/src/kumquatrun/quarantine.py
@@ -0,0 +1,94 @@
+"""Register of request fingerprints that may crash backend servers.
+
+An innocent request in a batch that crashes becomes a suspect with the others.
+If it is idempotent, it is retried once, alone, and cleared when it finishes;
+its caller sees a longer wait. If it is not idempotent, its caller gets
+``outcome_unknown``, as after any crash. Until it is cleared, requests with the
+same fingerprint run alone. It is quarantined wrongly only if a backend server
+that runs it crashes a second time before it finished alone.
+
+After 10 minutes in quarantine a fingerprint is a suspect again, so that the
+next attempt runs alone and cannot harm other requests.
+"""
+
+from collections import OrderedDict
+from typing import Any
+
+from kumquatrun.statechart import load_chart
+
+QUARANTINE_MS = 10 * 60 * 1000
+# A suspect that nobody sends again is forgotten after this time.
+SUSPECT_MS = 60 * 60 * 1000
+# A batch has at most tens of requests; this bound covers hundreds of crashes
+# within one hour and is reached only under a flood of new fingerprints.
+MAX_FINGERPRINTS = 20_000
+_KEPT_MS = {'suspect': SUSPECT_MS, 'quarantined': QUARANTINE_MS}
+
+Change = tuple[str, str, str]
+
+
+class QuarantineRegister:
+    """States of the fingerprints that are not clear, with their end times."""
+
+    def __init__(self, max_fingerprints: int = MAX_FINGERPRINTS) -> None:
+        self._chart = load_chart('fingerprint')
+        self._max_fingerprints = max_fingerprints
+        # Fingerprint to end time, per state, in the order of the end times.
+        self._ends_ms: dict[str, OrderedDict[str, int]] = {
+            state: OrderedDict() for state in _KEPT_MS
+        }
+
+    def state(self, fingerprint: str) -> str:
+        """Return ``clear``, ``suspect`` or ``quarantined``."""
+        for state, ends_ms in self._ends_ms.items():
+            if fingerprint in ends_ms:
+                return state
+        return self._chart.initial
+
+    def states(self) -> dict[str, str]:
+        """Return the state of each fingerprint that is not clear."""
+        return {
+            fingerprint: state
+            for state, ends_ms in self._ends_ms.items()
+            for fingerprint in ends_ms
+        }
+
+    def handle(self, fingerprint: str, event: str, now_ms: int) -> Change:
+        """Process an event; return fingerprint, old and new state."""
+        before = self.state(fingerprint)
+        after = self._chart.next_state(before, event)
+        if before == after and event == 'finished_alone':
+            return fingerprint, before, after
+        if before in self._ends_ms:
+            # A repeated crash restarts the time of the quarantine.
+            del self._ends_ms[before][fingerprint]
+        if after in self._ends_ms:
+            self._ends_ms[after][fingerprint] = now_ms + _KEPT_MS[after]
+        return fingerprint, before, after
+
+    def expire(self, now_ms: int) -> list[Change]:
+        """End states whose time is over and states above the bound."""
+        changes = []
+        for state in ('quarantined', 'suspect'):
+            ends_ms = self._ends_ms[state]
+            while ends_ms and next(iter(ends_ms.values())) <= now_ms:
+                oldest = next(iter(ends_ms))
+                changes.append(self.handle(oldest, 'expired', now_ms))
+        suspects = self._ends_ms['suspect']
+        while len(suspects) > self._max_fingerprints:
+            oldest = next(iter(suspects))
+            changes.append(self.handle(oldest, 'expired', now_ms))
+        return changes
+
+    def snapshot(self) -> Any:
+        """Return the register as plain values for msgpack."""
+        return {
+            state: list(ends_ms.items())
+            for state, ends_ms in self._ends_ms.items()
+        }
+
+    def restore(self, content: Any) -> None:
+        """Replace the register with a snapshot."""
+        self._ends_ms = {
+            state: OrderedDict(map(tuple, content[state])) for state in _KEPT_MS
+        }
--- /dev/null
+++ b/src/kumquatrun/token_wallet.py
@@ -0,0 +1,279 @@
+"""An entry's share of the account budgets: reserve, consume, settle.
+
+A wallet holds tokens that the control state has granted to one incarnation of
+the entry. Tokens are reserved when a request is admitted, consumed as they are
+streamed and put back when it ends. Reports return tokens that nothing used for
+1 s, so that other entries can get them.
+
+The wallet does not know the lease: its user checks ``lease_valid`` before each
+``reserve`` and ``consume``, and calls ``clear`` when the lease ends.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from kumquatrun.messages import BudgetReport, GrantTokens
+
+# Tokens that were not needed during two such periods are returned, that is
+# between 1 s and 1.5 s after they became idle.
+_IDLE_PERIOD_S = 0.5
+# Demand is averaged over about this time.
+_DEMAND_PERIOD_S = 1.0
+# Tokens for this much demand are kept at hand, so that most requests need not
+# wait for a grant to be committed; asked for again when half of it is left.
+_AHEAD_S = 0.5
+_LOW_SHARE = 0.5
+# Two requests that run out of tokens together should not both ask ahead.
+_ASK_AHEAD_PERIOD_S = 0.1
+
+
+@dataclass(frozen=True, kw_only=True)
+class Shortage:
+    """Refuses a reservation or consumption for which tokens are missing.
+
+    ``cause`` is ``over_rate`` or ``lease_lost``.
+    """
+
+    account: str
+    missing_tokens: int
+    cause: str = 'over_rate'
+
+
+@dataclass(eq=False, kw_only=True)
+class Reservation:
+    """Tokens set aside for one request."""
+
+    account: str
+    reserved_tokens: int
+    consumed_tokens: int = 0
+    closed: bool = False
+
+    @property
+    def open_tokens(self) -> int:
+        """Return the tokens that are reserved and not consumed yet."""
+        return self.reserved_tokens - self.consumed_tokens
+
+
+@dataclass
+class _Balance:
+    idle_tokens: int = 0
+    consumed_tokens: int = 0
+    needed_tokens: int = 0
+    demand_tokens: float = 0
+    demand_at_s: float = 0
+    asked_ahead_s: float = -math.inf
+    # Smallest idle amounts of the previous and the present idle period.
+    low_tokens: tuple[int, int] = (0, 0)
+    period_start_s: float = -math.inf
+    reservations: set[Reservation] = field(default_factory=set)
+
+    def add_demand(self, tokens: int, now_s: float) -> None:
+        self.demand_tokens = self.recent_demand_tokens(now_s) + tokens
+        self.demand_at_s = now_s
+
+    def recent_demand_tokens(self, now_s: float) -> float:
+        """Return the decayed demand, about tokens per demand period."""
+        passed_s = max(0, now_s - self.demand_at_s)
+        return self.demand_tokens * math.exp(-passed_s / _DEMAND_PERIOD_S)
+
+    def take_idle(self, tokens: int) -> None:
+        self.idle_tokens -= tokens
+        previous, present = self.low_tokens
+        self.low_tokens = (previous, min(present, self.idle_tokens))
+
+    def take_surplus(self, now_s: float) -> int:
+        """Take the tokens that were idle during the last two periods."""
+        if now_s - self.period_start_s < _IDLE_PERIOD_S:
+            return 0
+        surplus = min(self.low_tokens)
+        self.idle_tokens -= surplus
+        self.low_tokens = (self.low_tokens[1] - surplus, self.idle_tokens)
+        self.period_start_s = now_s
+        return surplus
+
+
+class TokenWallet:
+    """Tokens of all accounts at one incarnation of an entry."""
+
+    def __init__(self, host_id: str, incarnation: str) -> None:
+        self._host_id = host_id
+        self._incarnation = incarnation
+        self._balances: dict[str, _Balance] = {}
+
+    @property
+    def incarnation(self) -> str:
+        """Return the incarnation that the tokens were granted to."""
+        return self._incarnation
+
+    def idle_tokens(self, account: str) -> int:
+        """Return the tokens that may be reserved now."""
+        balance = self._balances.get(account)
+        return balance.idle_tokens if balance else 0
+
+    def reserve(
+        self,
+        account: str,
+        tokens: int,
+        now_s: float,
+    ) -> Result[Reservation, Shortage]:
+        """Set tokens aside for a request.
+
+        After a shortage, send ``grant_request`` (or ask for ``wanted``
+        tokens), add the grant and reserve again.
+        """
+        _check_amount(tokens)
+        balance = self._balances.setdefault(account, _Balance())
+        missing = tokens - balance.idle_tokens
+        if missing > 0:
+            balance.needed_tokens = missing
+            return Err(Shortage(account=account, missing_tokens=missing))
+        balance.add_demand(tokens, now_s)
+        balance.take_idle(tokens)
+        reservation = Reservation(account=account, reserved_tokens=tokens)
+        balance.reservations.add(reservation)
+        return Ok(reservation)
+
+    def consume(
+        self,
+        reservation: Reservation,
+        tokens: int,
+    ) -> Result[int, Shortage]:
+        """Record tokens before they are relayed; return what is left open.
+
+        A reservation that is too small is extended from the idle tokens. On
+        a shortage nothing is recorded and the tokens must not be relayed.
+        """
+        _check_amount(tokens)
+        account = reservation.account
+        if reservation.closed:
+            return Err(
+                Shortage(
+                    account=account,
+                    missing_tokens=tokens,
+                    cause='lease_lost',
+                ),
+            )
+        balance = self._balances[account]
+        missing = tokens - reservation.open_tokens
+        if missing > balance.idle_tokens:
+            short = missing - balance.idle_tokens
+            return Err(Shortage(account=account, missing_tokens=short))
+        if missing > 0:
+            balance.take_idle(missing)
+            reservation.reserved_tokens += missing
+        reservation.consumed_tokens += tokens
+        balance.consumed_tokens += tokens
+        return Ok(reservation.open_tokens)
+
+    def settle(self, reservation: Reservation) -> None:
+        """End a reservation and put its open tokens back."""
+        if reservation.closed:
+            return
+        reservation.closed = True
+        balance = self._balances[reservation.account]
+        balance.reservations.discard(reservation)
+        balance.idle_tokens += reservation.open_tokens
+
+    def wanted(self, account: str, now_s: float) -> int:
+        """Return how many tokens to ask for now, 0 for none.
+
+        That is what the last reservation lacked, which is then forgotten,
+        and what recent demand calls for in advance.
+        """
+        return sum(self._wanted_parts(account, now_s))
+
+    def grant_request(self, account: str, now_s: float) -> GrantTokens | None:
+        """Return the request for the wanted tokens, None for none."""
+        needed, ahead = self._wanted_parts(account, now_s)
+        if needed + ahead == 0:
+            return None
+        return GrantTokens(
+            host_id=self._host_id,
+            incarnation=self._incarnation,
+            account=account,
+            wanted_tokens=needed + ahead,
+            needed_tokens=needed,
+        )
+
+    def add_grant(
+        self,
+        account: str,
+        tokens: int,
+        incarnation: str | None = None,
+    ) -> bool:
+        """Add granted tokens; False if they were granted to another run.
+
+        ``incarnation`` is that of the grant request. A reply that arrives
+        after the entry registered again belongs to the old incarnation.
+        """
+        _check_amount(tokens)
+        if incarnation not in {None, self._incarnation}:
+            return False
+        balance = self._balances.setdefault(account, _Balance())
+        balance.idle_tokens += tokens
+        return True
+
+    def take_reports(self, now_s: float) -> tuple[BudgetReport, ...]:
+        """Return what was consumed and is returned since the last call.
+
+        The caller sends each result until it is acknowledged, under one
+        sequence number, before it takes the next.
+        """
+        reports = []
+        for account, balance in self._balances.items():
+            returned = balance.take_surplus(now_s)
+            if returned or balance.consumed_tokens:
+                report = BudgetReport(
+                    account=account,
+                    consumed_tokens=balance.consumed_tokens,
+                    returned_tokens=returned,
+                )
+                balance.consumed_tokens = 0
+                reports.append(report)
+        return tuple(reports)
+
+    def clear(self, incarnation: str | None = None) -> None:
+        """Drop all tokens and end all reservations, as the lease has ended.
+
+        Pass the incarnation under which the entry registers again. Without
+        one, the dropped tokens are reported as consumed, because the control
+        state still counts them as outstanding.
+        """
+        for balance in self._balances.values():
+            lost = balance.idle_tokens
+            for reservation in balance.reservations:
+                reservation.closed = True
+                lost += reservation.open_tokens
+            balance.reservations.clear()
+            balance.idle_tokens = 0
+            balance.low_tokens = (0, 0)
+            balance.consumed_tokens += lost
+            if incarnation is not None:
+                balance.consumed_tokens = 0
+        if incarnation is not None:
+            self._incarnation = incarnation
+
+    def _wanted_parts(self, account: str, now_s: float) -> tuple[int, int]:
+        """Return the needed tokens and those to ask for in advance."""
+        balance = self._balances.get(account)
+        if balance is None:
+            return 0, 0
+        needed = balance.needed_tokens
+        balance.needed_tokens = 0
+        target = int(
+            balance.recent_demand_tokens(now_s) * _AHEAD_S / _DEMAND_PERIOD_S,
+        )
+        left = 0 if needed else balance.idle_tokens
+        if left > target * _LOW_SHARE:
+            return needed, 0
+        if now_s - balance.asked_ahead_s < _ASK_AHEAD_PERIOD_S:
+            return needed, 0
+        balance.asked_ahead_s = now_s
+        return needed, target - left
+
+
+def _check_amount(tokens: int) -> None:
+    if tokens < 0:
+        raise ValueError(f'a token amount must not be negative: {tokens}')
