Split the control state into registers and count lost grants

A grant whose reply is lost stays outstanding for the whole incarnation and shrinks the burst of the account. Grant requests now have a number: a resend is granted once, and the wallet reports requests that it gave up on, whose tokens then return to the account.

A request that released a claim cannot claim again, because a late resend of either command would then block or release a claim that is in use. Reading the status no longer changes the state.

--- a/src/kumquatrun/account_budgets.py
+++ b/src/kumquatrun/account_budgets.py
@@ -9,8 +9,9 @@
 outstanding amount at its start is at most burst and only refill adds to it.
 """
 
+from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from kumquatrun.document import AccountSpec
@@ -21,6 +22,8 @@
 _MICRO = 1_000_000
 # A tokens/s rate is a millitokens/ms rate, that is 1,000 microtokens/ms.
 _MICRO_PER_MS = 1000
+# An entry abandons a grant after 5 s; at 50 grants/s this covers twice that.
+_REMEMBERED_GRANTS = 512
 # An entry returns idle tokens after 1 s, so asking earlier is of no use when
 # they are needed elsewhere.
 _IDLE_RETURN_S = 1.0
@@ -46,6 +49,11 @@
         self.level_micro += max(0, min(added, room))
         self.refilled_ms = now_ms
 
+    def limit(self) -> None:
+        """Cut the level to the burst minus outstanding."""
+        excess = -min(0, self.refill_room_micro())
+        self.level_micro = max(0, self.level_micro - excess)
+
     def refill_room_micro(self) -> int:
         """Return how much the level may grow."""
         return self.burst_micro - self.outstanding_sum_micro - self.level_micro
@@ -54,8 +62,7 @@
         """Take a new rate and burst; never adds to the level."""
         self.rate_micro_per_ms = rate_micro_per_ms
         self.burst_micro = burst_micro
-        excess = -min(0, self.refill_room_micro())
-        self.level_micro = max(0, self.level_micro - excess)
+        self.limit()
 
     def move(self, holder: Incarnation, amount_micro: int) -> None:
         """Change the outstanding amount of one entry."""
@@ -77,6 +84,8 @@
     def __init__(self) -> None:
         self._budgets: dict[str, AccountBudget] = {}
         self._sequences: dict[Incarnation, int] = {}
+        # Granted tokens by grant number, 0 for an abandoned grant.
+        self._grants: dict[Incarnation, OrderedDict[int, int]] = {}
 
     def configure(self, specs: Iterable[AccountSpec], now_ms: int) -> None:
         """Take the accounts of a new document.
@@ -101,6 +110,8 @@
     def grant(self, command: GrantTokens, now_ms: int) -> GrantReply:
         """Move tokens from the level to the entry's outstanding amount.
 
+        A resend returns what the same number was granted before.
+
         Raises
         ------
         NotFoundError
@@ -109,6 +120,10 @@
         budget = self._budgets.get(command.account)
         if budget is None or budget.removed:
             raise NotFoundError(f'account {command.account!r} does not exist')
+        holder = (command.host_id, command.incarnation)
+        recorded = self._grants.get(holder, {}).get(command.number)
+        if recorded is not None:
+            return GrantReply(granted_tokens=recorded)
         budget.refill(now_ms)
         wanted = max(0, command.wanted_tokens)
         needed = command.needed_tokens
@@ -116,9 +131,9 @@
         level = budget.level_micro // _MICRO
         spare = level - budget.burst_micro // _MICRO // 2
         granted = min(level, max(needed, min(wanted, spare)))
-        holder = (command.host_id, command.incarnation)
         budget.level_micro -= granted * _MICRO
         budget.move(holder, granted * _MICRO)
+        self._remember_grant(holder, command.number, granted)
         missing = needed - granted
         return GrantReply(
             granted_tokens=granted,
@@ -147,16 +162,19 @@
             budget.refill(now_ms)
             held = budget.outstanding_micro.get(holder, 0)
             consumed = max(0, min(row.consumed_tokens * _MICRO, held))
-            returned = row.returned_tokens * _MICRO
+            returned = row.returned_tokens + self._abandon(holder, row)
+            returned *= _MICRO
             returned = max(0, min(returned, held - consumed))
             budget.move(holder, -consumed - returned)
             budget.level_micro += returned
-            _limit_level(budget)
+            # The burst may have been lowered since the grant.
+            budget.limit()
         return True
 
     def expire(self, holder: Incarnation, now_ms: int) -> None:
         """Count the outstanding tokens of an incarnation as consumed."""
         self._sequences.pop(holder, None)
+        self._grants.pop(holder, None)
         for budget in self._budgets.values():
             budget.refill(now_ms)
             budget.move(holder, -budget.outstanding_micro.get(holder, 0))
@@ -167,6 +185,8 @@
         for name, budget in self._budgets.items():
             if budget.removed:
                 continue
+            # A read must not change the state, which replicas compare.
+            budget = replace(budget)
             budget.refill(now_ms)
             rows[name] = {
                 'rate_tokens_per_s': budget.rate_micro_per_ms / _MICRO_PER_MS,
@@ -193,11 +213,15 @@
             ]
             for name, budget in self._budgets.items()
         ]
-        return [budgets, list(self._sequences.items())]
+        grants = [
+            [holder, list(numbers.items())]
+            for holder, numbers in self._grants.items()
+        ]
+        return [budgets, list(self._sequences.items()), grants]
 
     def restore(self, content: Any) -> None:
         """Replace the register with a snapshot."""
-        budgets, sequences = content
+        budgets, sequences, grants = content
         self._budgets = {}
         for name, rate, burst, level, refilled_ms, removed, held in budgets:
             budget = AccountBudget(rate, burst, level, refilled_ms, removed)
@@ -205,13 +229,31 @@
                 budget.move(tuple(holder), amount)
             self._budgets[name] = budget
         self._sequences = {tuple(key): number for key, number in sequences}
+        self._grants = {
+            tuple(holder): OrderedDict(map(tuple, numbers))
+            for holder, numbers in grants
+        }
 
+    def _remember_grant(
+        self,
+        holder: Incarnation,
+        number: int,
+        tokens: int,
+    ) -> None:
+        if not number:
+            return
+        grants = self._grants.setdefault(holder, OrderedDict())
+        grants[number] = tokens
+        if len(grants) > _REMEMBERED_GRANTS:
+            grants.popitem(last=False)
 
-def _limit_level(budget: AccountBudget) -> None:
-    # Returned tokens of an account whose burst was lowered since the grant
-    # may exceed the new burst.
-    excess = -min(0, budget.refill_room_micro())
-    budget.level_micro = max(0, budget.level_micro - excess)
+    def _abandon(self, holder: Incarnation, row: BudgetReport) -> int:
+        """Return the tokens of abandoned grants; later ones get nothing."""
+        tokens = 0
+        for number in row.abandoned_grants:
+            tokens += self._grants.get(holder, {}).get(number, 0)
+            self._remember_grant(holder, number, 0)
+        return tokens
 
 
 def _retry_after_s(budget: AccountBudget, missing_tokens: int) -> float:
--- a/src/kumquatrun/claims.py
+++ b/src/kumquatrun/claims.py
@@ -1,7 +1,9 @@
 """Register of claims: at most one execution per claim key.
 
 A claim is granted once. Only the request that holds it can release it, with
-proof that it was not run. A claim whose host incarnation has expired answers
+proof that it was not run. A request that released its claim cannot claim again:
+its claim would come from a resend that nobody waits for, and a resend of its
+release would then end a claim that is in use. A claim whose host incarnation has expired answers
 ``unknown``; a late ``FinishClaim`` of its holder still records the outcome.
 """
 
@@ -10,7 +12,11 @@
 from dataclasses import dataclass
 from typing import Any
 
-from kumquatrun.errors import NoCapacityError, Outcome
+from kumquatrun.errors import (
+    InvalidRequestError,
+    NoCapacityError,
+    Outcome,
+)
 from kumquatrun.messages import (
     ClaimReply,
     ClaimRequest,
@@ -23,6 +29,9 @@
 # About 250 MB of records; a claim that is still retained cannot be dropped
 # without allowing a second execution, so further claims are refused instead.
 MAX_CLAIMS = 500_000
+# Longer than any resend of a command can be under way.
+RELEASED_MS = 10 * 60 * 1000
+MAX_RELEASED = 100_000
 # Answers beyond this total are dropped oldest first; a repeat is then told
 # ``already_ran`` instead of being given the answer.
 MAX_ANSWERS_BYTES = 64 * 1024 * 1024
@@ -55,6 +64,8 @@
         # Keys of the claims with an answer, in the order they were stored.
         self._answers: OrderedDict[str, int] = OrderedDict()
         self._answers_bytes = 0
+        # Claim key and request id of releases to the time of the release.
+        self._released: OrderedDict[tuple[str, str], int] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._claims)
@@ -69,7 +80,14 @@
         ------
         NoCapacityError
             If the register is full.
+        InvalidRequestError
+            If the request released this claim before.
         """
+        if (command.claim_key, command.request_id) in self._released:
+            raise InvalidRequestError(
+                f'request {command.request_id!r} released this claim; claim '
+                'again under a new request id',
+            )
         claim = self._claims.get(command.claim_key)
         if claim is None:
             self._add(command, now_ms)
@@ -86,7 +104,7 @@
             return ClaimReply(status='granted')
         return ClaimReply(status='in_progress')
 
-    def finish(self, command: FinishClaim) -> None:
+    def finish(self, command: FinishClaim, now_ms: int) -> None:
         """Record the outcome; only the holder's request id has an effect."""
         claim = self._claims.get(command.claim_key)
         if claim is None or claim.request_id != command.request_id:
@@ -95,6 +113,7 @@
             return
         if command.outcome is Outcome.NOT_RUN:
             del self._claims[command.claim_key]
+            self._released[command.claim_key, command.request_id] = now_ms
         elif command.outcome is Outcome.RAN:
             claim.state = 'finished'
             self._store_answer(command.claim_key, claim, command.answer)
@@ -102,7 +121,13 @@
             claim.state = 'unknown'
 
     def expire(self, now_ms: int) -> None:
-        """Drop claims older than the retention time."""
+        """Drop claims and releases older than their retention times."""
+        while self._released:
+            released_ms = next(iter(self._released.values()))
+            few = len(self._released) <= MAX_RELEASED
+            if few and released_ms + RELEASED_MS > now_ms:
+                break
+            self._released.popitem(last=False)
         while self._claims:
             key, claim = next(iter(self._claims.items()))
             if claim.claimed_ms + RETENTION_MS > now_ms:
@@ -126,11 +151,15 @@
                 for key, claim in self._claims.items()
             ],
             [self._answer_row(key) for key in self._answers],
+            list(self._released.items()),
         ]
 
     def restore(self, content: Any) -> None:
         """Replace the register with a snapshot."""
-        claims, answers = content
+        claims, answers, released = content
+        self._released = OrderedDict(
+            (tuple(key), released_ms) for key, released_ms in released
+        )
         self._claims = OrderedDict(
             (key, _Claim(*fields)) for key, *fields in claims
         )
--- /dev/null
+++ b/src/kumquatrun/control_registers.py
@@ -0,0 +1,358 @@
+"""Registers of the control state and the handlers of its commands."""
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import asdict
+from typing import Any
+
+from kumquatrun.account_budgets import BudgetRegister
+from kumquatrun.audit import AuditTrail
+from kumquatrun.claims import ClaimRegister
+from kumquatrun.commands import (
+    ApplyDocument,
+    DocumentReply,
+    DrainHost,
+    ExpireHost,
+    IssueKey,
+    KeyReply,
+    ReportBudgets,
+    RevokeKey,
+    error_reply,
+)
+from kumquatrun.document_register import DocumentRegister
+from kumquatrun.errors import (
+    InvalidRequestError,
+    KumquatrunError,
+    NotFoundError,
+)
+from kumquatrun.hosts import HostRegister
+from kumquatrun.keys import KeyRecord, KeyRegister
+from kumquatrun.messages import (
+    Ack,
+    ClaimReply,
+    ClaimRequest,
+    ClearSuspect,
+    FinishClaim,
+    GrantReply,
+    GrantTokens,
+    HostRecord,
+    RegisterHost,
+    RegisterReply,
+    ReportSuspects,
+)
+from kumquatrun.operations import OperationRegister
+from kumquatrun.quarantine import Change, QuarantineRegister
+
+# Author of changes that follow from the passing of time.
+_CONTROL = 'control'
+
+
+class ControlRegisters:
+    """All registers, the state machine time and the pending feed rows."""
+
+    def __init__(self) -> None:
+        self.now_ms = 0
+        self.documents = DocumentRegister()
+        self.hosts = HostRegister()
+        self.keys = KeyRegister()
+        self.budgets = BudgetRegister()
+        self.claims = ClaimRegister(self.hosts.is_live)
+        self.quarantine = QuarantineRegister()
+        self.audit = AuditTrail()
+        self.operations = OperationRegister()
+        self._feed_rows: list[tuple[str, Any]] = []
+        self._handlers: Mapping[type, Callable[[Any], Any]] = {
+            RegisterHost: self._register_host,
+            ExpireHost: self._expire_host,
+            DrainHost: self._drain_host,
+            GrantTokens: self._grant_tokens,
+            ReportBudgets: self._report_budgets,
+            ClaimRequest: self._claim,
+            FinishClaim: self._finish_claim,
+            ReportSuspects: self._report_suspects,
+            ClearSuspect: self._clear_suspect,
+            ApplyDocument: self._apply_document,
+            IssueKey: self._issue_key,
+            RevokeKey: self._revoke_key,
+        }
+
+    def advance(self, elapsed_ms: int) -> None:
+        """Move the state machine time and end what has expired."""
+        self.now_ms += elapsed_ms
+        self.claims.expire(self.now_ms)
+        changes = self.quarantine.expire(self.now_ms)
+        self._record_fingerprints(changes, _CONTROL)
+
+    def run(self, command: Any) -> Any:
+        """Run a command; return its result or an ``ErrorReply``."""
+        try:
+            return self._run_once(command)
+        except KumquatrunError as error:
+            return error_reply(error)
+
+    def take_feed_rows(self) -> list[tuple[str, Any]]:
+        """Return kind and body of the changes since the last call."""
+        rows = self._feed_rows
+        self._feed_rows = []
+        return rows
+
+    def snapshot(self) -> Any:
+        """Return all registers as plain values for msgpack."""
+        rows = {
+            name: register.snapshot()
+            for name, register in self._registers().items()
+        }
+        return {'now_ms': self.now_ms, **rows}
+
+    def restore(self, content: Any) -> None:
+        """Replace all registers with a snapshot."""
+        self.now_ms = content['now_ms']
+        for name, register in self._registers().items():
+            register.restore(content[name])
+        self._feed_rows.clear()
+
+    def _registers(self) -> dict[str, Any]:
+        return {
+            'documents': self.documents,
+            'hosts': self.hosts,
+            'keys': self.keys,
+            'budgets': self.budgets,
+            'claims': self.claims,
+            'quarantine': self.quarantine,
+            'audit': self.audit,
+            'operations': self.operations,
+        }
+
+    def _run_once(self, command: Any) -> Any:
+        operation_id = _operation_id(command)
+        if operation_id is None:
+            return self._handle(command)
+        reply = self.operations.recorded(operation_id, command)
+        if reply is None:
+            try:
+                reply = self._handle(command)
+            except KumquatrunError as error:
+                reply = error_reply(error)
+            self.operations.record(operation_id, command, reply)
+        return reply
+
+    def _handle(self, command: Any) -> Any:
+        handler = self._handlers.get(type(command))
+        if handler is None:
+            raise InvalidRequestError(
+                f'{type(command).__name__} is not a command',
+            )
+        return handler(command)
+
+    # Hosts.
+
+    def _register_host(self, command: RegisterHost) -> RegisterReply:
+        before = self.hosts.records.get(command.record.host_id)
+        record = self.hosts.register(command.record)
+        if record != before:
+            operator = f'host:{record.host_id}'
+            self._host_changed('register_host', before, record, operator)
+        return RegisterReply(record=record)
+
+    def _expire_host(self, command: ExpireHost) -> Ack:
+        holder = (command.host_id, command.incarnation)
+        before = self.hosts.records.get(command.host_id)
+        self.budgets.expire(holder, self.now_ms)
+        if self.hosts.expire(*holder):
+            self._host_changed('expire_host', before, None, _CONTROL)
+        return Ack()
+
+    def _drain_host(self, command: DrainHost) -> RegisterReply:
+        before = self.hosts.records.get(command.host_id)
+        record = self.hosts.drain(command.host_id)
+        self._host_changed(
+            'drain_host',
+            before,
+            record,
+            command.operator,
+            command.operation_id,
+        )
+        return RegisterReply(record=record)
+
+    def _host_changed(
+        self,
+        action: str,
+        before: HostRecord | None,
+        after: HostRecord | None,
+        operator: str,
+        operation_id: str = '',
+    ) -> None:
+        host_id = (before or after).host_id
+        fields = asdict(after) if after else None
+        self._feed_rows.append(('host', [host_id, fields]))
+        self._record(
+            action,
+            host_id,
+            (_host_text(before), _host_text(after)),
+            operator,
+            operation_id,
+        )
+
+    # Budgets and claims.
+
+    def _grant_tokens(self, command: GrantTokens) -> GrantReply:
+        self.hosts.check_current(command.host_id, command.incarnation)
+        return self.budgets.grant(command, self.now_ms)
+
+    def _report_budgets(self, command: ReportBudgets) -> Ack:
+        # The outstanding tokens of an expired incarnation count as consumed
+        # already, so its late reports have no effect.
+        if self.hosts.is_live(command.host_id, command.incarnation):
+            self.budgets.report(
+                (command.host_id, command.incarnation),
+                command.sequence,
+                command.reports,
+                self.now_ms,
+            )
+        return Ack()
+
+    def _claim(self, command: ClaimRequest) -> ClaimReply:
+        self.hosts.check_current(command.host_id, command.incarnation)
+        return self.claims.claim(command, self.now_ms)
+
+    def _finish_claim(self, command: FinishClaim) -> Ack:
+        self.claims.finish(command, self.now_ms)
+        return Ack()
+
+    # Quarantine.
+
+    def _report_suspects(self, command: ReportSuspects) -> Ack:
+        event = 'crash_alone' if command.alone else 'crash_shared'
+        # One crash counts once for a fingerprint that ran twice in the batch.
+        changes = [
+            self.quarantine.handle(fingerprint, event, self.now_ms)
+            for fingerprint in dict.fromkeys(command.fingerprints)
+        ]
+        changes.extend(self.quarantine.expire(self.now_ms))
+        self._record_fingerprints(changes, f'host:{command.host_id}')
+        return Ack()
+
+    def _clear_suspect(self, command: ClearSuspect) -> Ack:
+        change = self.quarantine.handle(
+            command.fingerprint,
+            'finished_alone',
+            self.now_ms,
+        )
+        self._record_fingerprints([change], f'host:{command.host_id}')
+        return Ack()
+
+    def _record_fingerprints(
+        self,
+        changes: Iterable[Change],
+        operator: str,
+    ) -> None:
+        for fingerprint, before, after in changes:
+            if before != after:
+                self._feed_rows.append(('quarantine', [fingerprint, after]))
+                self._record(
+                    'change_fingerprint',
+                    fingerprint,
+                    (before, after),
+                    operator,
+                )
+
+    # Configuration and keys.
+
+    def _apply_document(self, command: ApplyDocument) -> DocumentReply:
+        documents = self.documents
+        before = documents.summary()
+        row = documents.replace(command.expected_revision, command.content)
+        self.budgets.configure(documents.document.accounts, self.now_ms)
+        self._feed_rows.append(('document', row))
+        self._record(
+            'apply_document',
+            f'revision {documents.revision}',
+            (before, documents.summary()),
+            command.operator,
+            command.operation_id,
+        )
+        return DocumentReply(
+            revision=documents.revision,
+            digest=documents.digest,
+        )
+
+    def _issue_key(self, command: IssueKey) -> KeyReply:
+        index = self.documents.document.index
+        if index.account(command.account) is None:
+            raise NotFoundError(f'account {command.account!r} does not exist')
+        record = self.keys.issue(
+            KeyRecord(
+                key_id=command.key_id,
+                key_hash=command.key_hash,
+                account=command.account,
+            ),
+        )
+        return self._key_changed('issue_key', None, record, command)
+
+    def _revoke_key(self, command: RevokeKey) -> KeyReply:
+        before = self.keys.records.get(command.key_id)
+        record = self.keys.revoke(command.key_id)
+        return self._key_changed('revoke_key', before, record, command)
+
+    def _key_changed(
+        self,
+        action: str,
+        before: KeyRecord | None,
+        after: KeyRecord,
+        command: IssueKey | RevokeKey,
+    ) -> KeyReply:
+        self._feed_rows.append(('key', after.row()))
+        self._record(
+            action,
+            after.key_id,
+            (_key_text(before), _key_text(after)),
+            command.operator,
+            command.operation_id,
+        )
+        return KeyReply(
+            key_id=after.key_id,
+            account=after.account,
+            revoked=after.revoked,
+        )
+
+    def _record(
+        self,
+        action: str,
+        subject: str,
+        states: tuple[str, str],
+        operator: str,
+        operation_id: str = '',
+    ) -> None:
+        self.audit.record(
+            time_ms=self.now_ms,
+            operator=operator,
+            operation_id=operation_id,
+            action=action,
+            subject=subject,
+            before=states[0],
+            after=states[1],
+        )
+
+
+def _operation_id(command: Any) -> str | None:
+    """Return the id under which a command's result is recorded."""
+    report_id = getattr(command, 'report_id', '')
+    if report_id:
+        return f'report:{report_id}'
+    return getattr(command, 'operation_id', None)
+
+
+def _host_text(record: HostRecord | None) -> str:
+    if record is None:
+        return ''
+    state = 'draining' if record.draining else 'active'
+    return (
+        f'{record.role} {record.incarnation} at {record.address}, '
+        f'fencing number {record.fencing_number}, {state}'
+    )
+
+
+def _key_text(record: KeyRecord | None) -> str:
+    if record is None:
+        return ''
+    state = 'revoked' if record.revoked else 'active'
+    return f'key of {record.account}, {state}'
--- a/src/kumquatrun/keys.py
+++ b/src/kumquatrun/keys.py
@@ -33,6 +33,10 @@
     account: str
     revoked: bool = False
 
+    def row(self) -> list[Any]:
+        """Return the body of the feed item of kind ``key``."""
+        return [self.key_id, self.key_hash, self.account, self.revoked]
+
 
 class KeyRegister:
     """Issued and revoked keys by key id."""
--- a/src/kumquatrun/messages.py
+++ b/src/kumquatrun/messages.py
@@ -124,11 +124,16 @@
 
 @message
 class BudgetReport:
-    """Tokens that an entry consumed and returned since its last report."""
+    """Tokens that an entry consumed and returned since its last report.
+
+    ``abandoned_grants`` has the numbers of grant requests whose replies the
+    entry will not use; their tokens go back to the account.
+    """
 
     account: str
     consumed_tokens: int = 0
     returned_tokens: int = 0
+    abandoned_grants: tuple[int, ...] = ()
 
 
 @message
@@ -191,6 +196,8 @@
     ``needed_tokens`` is the part that requests wait for; the rest is fetched
     in advance and granted from the upper half of the burst only, so that
     idle tokens at one entry do not starve another. None means all.
+    ``number`` is unique within the incarnation, so that a resend is granted
+    once and a grant whose reply was lost can be abandoned; 0 means neither.
     """
 
     host_id: str
@@ -198,6 +205,7 @@
     account: str
     wanted_tokens: int
     needed_tokens: int | None = None
+    number: int = 0
 
 
 @message
--- /dev/null
+++ b/src/kumquatrun/operations.py
@@ -0,0 +1,67 @@
+"""Register of operation ids: the recorded result answers a resend."""
+
+import hashlib
+from collections import OrderedDict
+from typing import Any
+
+import msgpack
+
+from kumquatrun.errors import InvalidRequestError
+from kumquatrun.messages import decode_message, encode_message
+
+MAX_OPERATIONS = 10_000
+_DIGEST_BYTES = 16
+
+
+class OperationRegister:
+    """Results of the newest operations by operation id."""
+
+    def __init__(self, max_operations: int = MAX_OPERATIONS) -> None:
+        self._max_operations = max_operations
+        # Operation id to the digest of its command and its encoded result.
+        self._replies: OrderedDict[str, tuple[bytes, Any]] = OrderedDict()
+
+    def recorded(self, operation_id: str, command: Any) -> Any | None:
+        """Return the result of an earlier run of the same command.
+
+        Raises
+        ------
+        InvalidRequestError
+            If the id is empty or was used for another command. Returning the
+            result of the other command would report a change as made that
+            was not made.
+        """
+        if not operation_id:
+            raise InvalidRequestError('the operation id is empty')
+        entry = self._replies.get(operation_id)
+        if entry is None:
+            return None
+        if entry[0] != _command_digest(command):
+            raise InvalidRequestError(
+                f'operation id {operation_id!r} was used for another operation',
+            )
+        return decode_message(entry[1])
+
+    def record(self, operation_id: str, command: Any, reply: Any) -> None:
+        """Keep a result, refusals too, and drop the oldest one."""
+        self._replies[operation_id] = (
+            _command_digest(command),
+            encode_message(reply),
+        )
+        if len(self._replies) > self._max_operations:
+            self._replies.popitem(last=False)
+
+    def snapshot(self) -> Any:
+        """Return the register as plain values for msgpack."""
+        return [[key, *entry] for key, entry in self._replies.items()]
+
+    def restore(self, content: Any) -> None:
+        """Replace the register with a snapshot."""
+        self._replies = OrderedDict(
+            (key, (digest, reply)) for key, digest, reply in content
+        )
+
+
+def _command_digest(command: Any) -> bytes:
+    packed = msgpack.packb(encode_message(command))
+    return hashlib.blake2b(packed, digest_size=_DIGEST_BYTES).digest()
--- a/src/kumquatrun/token_wallet.py
+++ b/src/kumquatrun/token_wallet.py
@@ -27,6 +27,9 @@
 _LOW_SHARE = 0.5
 # Two requests that run out of tokens together should not both ask ahead.
 _ASK_AHEAD_PERIOD_S = 0.1
+# A grant without a reply is given up after this time, so that its tokens are
+# not lost to the account. Longer than any call of a relay waits.
+_ABANDON_S = 5.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -83,11 +86,23 @@
         previous, present = self.low_tokens
         self.low_tokens = (previous, min(present, self.idle_tokens))
 
+    def ahead_tokens(self, now_s: float) -> int:
+        """Return the idle tokens that recent demand calls for."""
+        demand = self.recent_demand_tokens(now_s)
+        return int(demand * _AHEAD_S / _DEMAND_PERIOD_S)
+
     def take_surplus(self, now_s: float) -> int:
-        """Take the tokens that were idle during the last two periods."""
+        """Take the tokens that were idle during the last two periods.
+
+        While there is demand, the reserve that would be asked for again at
+        once is kept.
+        """
         if now_s - self.period_start_s < _IDLE_PERIOD_S:
             return 0
-        surplus = min(self.low_tokens)
+        kept = 0
+        if now_s - self.demand_at_s < 2 * _IDLE_PERIOD_S:
+            kept = int(self.ahead_tokens(now_s) * _LOW_SHARE) + 1
+        surplus = max(0, min(self.low_tokens) - kept)
         self.idle_tokens -= surplus
         self.low_tokens = (self.low_tokens[1] - surplus, self.idle_tokens)
         self.period_start_s = now_s
@@ -101,6 +116,9 @@
         self._host_id = host_id
         self._incarnation = incarnation
         self._balances: dict[str, _Balance] = {}
+        self._last_number = 0
+        # Grant requests without a reply: number to account and send time.
+        self._unanswered: dict[int, tuple[str, float]] = {}
 
     @property
     def incarnation(self) -> str:
@@ -189,48 +207,57 @@
         needed, ahead = self._wanted_parts(account, now_s)
         if needed + ahead == 0:
             return None
+        self._last_number += 1
+        self._unanswered[self._last_number] = (account, now_s)
         return GrantTokens(
             host_id=self._host_id,
             incarnation=self._incarnation,
             account=account,
             wanted_tokens=needed + ahead,
             needed_tokens=needed,
+            number=self._last_number,
         )
 
     def add_grant(
         self,
         account: str,
         tokens: int,
-        incarnation: str | None = None,
+        request: GrantTokens | None = None,
     ) -> bool:
-        """Add granted tokens; False if they were granted to another run.
+        """Add granted tokens; False if the reply came too late.
 
-        ``incarnation`` is that of the grant request. A reply that arrives
-        after the entry registered again belongs to the old incarnation.
+        Pass the request that was answered. Without it, a reply to an earlier
+        incarnation cannot be told apart and would be spent wrongly.
         """
         _check_amount(tokens)
-        if incarnation not in {None, self._incarnation}:
+        if request and self._unanswered.pop(request.number, None) is None:
             return False
         balance = self._balances.setdefault(account, _Balance())
         balance.idle_tokens += tokens
         return True
 
+    def abandon_grant(self, request: GrantTokens) -> None:
+        """Give up a grant request whose call failed."""
+        if request.number in self._unanswered:
+            self._unanswered[request.number] = (request.account, -math.inf)
+
     def take_reports(self, now_s: float) -> tuple[BudgetReport, ...]:
         """Return what was consumed and is returned since the last call.
 
         The caller sends each result until it is acknowledged, under one
         sequence number, before it takes the next.
         """
+        abandoned = self._take_abandoned(now_s)
         reports = []
         for account, balance in self._balances.items():
-            returned = balance.take_surplus(now_s)
-            if returned or balance.consumed_tokens:
-                report = BudgetReport(
-                    account=account,
-                    consumed_tokens=balance.consumed_tokens,
-                    returned_tokens=returned,
-                )
-                balance.consumed_tokens = 0
+            report = BudgetReport(
+                account=account,
+                consumed_tokens=balance.consumed_tokens,
+                returned_tokens=balance.take_surplus(now_s),
+                abandoned_grants=tuple(abandoned.get(account, ())),
+            )
+            balance.consumed_tokens = 0
+            if report != BudgetReport(account=account):
                 reports.append(report)
         return tuple(reports)
 
@@ -250,10 +277,20 @@
             balance.idle_tokens = 0
             balance.low_tokens = (0, 0)
             balance.consumed_tokens += lost
-            if incarnation is not None:
-                balance.consumed_tokens = 0
+        for number, (account, _) in self._unanswered.items():
+            self._unanswered[number] = (account, -math.inf)
         if incarnation is not None:
             self._incarnation = incarnation
+            self._balances.clear()
+            self._unanswered.clear()
+
+    def _take_abandoned(self, now_s: float) -> dict[str, list[int]]:
+        abandoned: dict[str, list[int]] = {}
+        for number, (account, sent_s) in list(self._unanswered.items()):
+            if now_s - sent_s >= _ABANDON_S:
+                del self._unanswered[number]
+                abandoned.setdefault(account, []).append(number)
+        return abandoned
 
     def _wanted_parts(self, account: str, now_s: float) -> tuple[int, int]:
         """Return the needed tokens and those to ask for in advance."""
@@ -262,9 +299,7 @@
             return 0, 0
         needed = balance.needed_tokens
         balance.needed_tokens = 0
-        target = int(
-            balance.recent_demand_tokens(now_s) * _AHEAD_S / _DEMAND_PERIOD_S,
-        )
+        target = balance.ahead_tokens(now_s)
         left = 0 if needed else balance.idle_tokens
         if left > target * _LOW_SHARE:
             return needed, 0
