--- /dev/null
+++ b/src/kumquatrun/control_state.py
@@ -0,0 +1,207 @@
+"""Deterministic state machine of the control replicas.
+
+Applying the same entries leads to the same state, results and feed on every
+replica; the only time it knows is the sum of the elapsed times of the batches.
+"""
+
+from bisect import bisect_right
+from dataclasses import asdict
+from typing import Any
+
+import msgpack
+
+from kumquatrun.audit import AuditEntry
+from kumquatrun.commands import decode_batch, encode_results
+from kumquatrun.control_registers import ControlRegisters
+from kumquatrun.document import AdapterSpec, Document
+from kumquatrun.hosts import Incarnation
+from kumquatrun.keys import KeyRecord
+from kumquatrun.messages import FeedItem, HostRecord
+
+_FORMAT = 1
+
+
+class ControlState:
+    """Shared state of the cluster; fits the ``StateMachine`` protocol."""
+
+    def __init__(self) -> None:
+        self._applied_index = 0
+        self._feed_index = 0
+        self._registers = ControlRegisters()
+        self._changes: list[FeedItem] = []
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply one batch and return the encoded results."""
+        batch = decode_batch(command)
+        self._registers.advance(batch.elapsed_ms)
+        replies = [self._registers.run(row) for row in batch.commands]
+        self._applied_index = index
+        self._collect_changes(index)
+        return encode_results(replies)
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return msgpack.packb(
+            {
+                'format': _FORMAT,
+                'applied_index': self._applied_index,
+                'feed_index': self._feed_index,
+                'registers': self._registers.snapshot(),
+            },
+        )
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace the whole state with a snapshot.
+
+        Raises
+        ------
+        ValueError
+            If the snapshot has another format.
+        """
+        content = msgpack.unpackb(snapshot)
+        if content['format'] != _FORMAT:
+            raise ValueError(f'snapshot has format {content["format"]}')
+        self._applied_index = content['applied_index']
+        self._feed_index = content['feed_index']
+        self._registers.restore(content['registers'])
+        self._changes.clear()
+
+    def drain_changes(self) -> list[FeedItem]:
+        """Return the feed items since the last call, one per log index."""
+        changes = self._changes
+        self._changes = []
+        return changes
+
+    def snapshot_feed(self) -> FeedItem:
+        """Return the whole feed state as one item of kind ``snapshot``."""
+        registers = self._registers
+        documents = registers.documents
+        body = {
+            'revision': documents.revision,
+            'digest': documents.digest,
+            'document': documents.compressed,
+            'keys': [
+                record.row()
+                for record in registers.keys.records.values()
+                if not record.revoked
+            ],
+            'hosts': [
+                asdict(record) for record in registers.hosts.records.values()
+            ],
+            'quarantine': registers.quarantine.states(),
+        }
+        return FeedItem(
+            index=self._feed_index,
+            kind='snapshot',
+            body=msgpack.packb(body),
+        )
+
+    # Reads for the control service and operators.
+
+    @property
+    def applied_index(self) -> int:
+        """Return the index of the newest applied log entry."""
+        return self._applied_index
+
+    @property
+    def feed_index(self) -> int:
+        """Return the index of the newest feed item.
+
+        A node whose view has this index lacks nothing, although the log may
+        have newer entries that changed nothing in the feed.
+        """
+        return self._feed_index
+
+    @property
+    def now_ms(self) -> int:
+        """Return the state machine time in milliseconds."""
+        return self._registers.now_ms
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the document in force."""
+        return self._registers.documents.revision
+
+    @property
+    def digest(self) -> str:
+        """Return the digest of the document in force."""
+        return self._registers.documents.digest
+
+    @property
+    def document(self) -> Document:
+        """Return the document in force."""
+        return self._registers.documents.document
+
+    def content(self) -> bytes:
+        """Return the bytes of the document in force."""
+        return self._registers.documents.content()
+
+    def incarnations(self) -> tuple[Incarnation, ...]:
+        """Return every ``(host_id, incarnation)`` that may hold a lease.
+
+        The leader proposes ``ExpireHost`` for each whose lease has certainly
+        ended; a new leader first waits for the longest lease that its
+        predecessor may have granted.
+        """
+        return self._registers.hosts.incarnations()
+
+    def host(self, host_id: str) -> HostRecord | None:
+        """Return the record of a host."""
+        return self._registers.hosts.records.get(host_id)
+
+    def hosts(self) -> tuple[HostRecord, ...]:
+        """Return the records of all hosts by host id."""
+        records = self._registers.hosts.records
+        return tuple(record for _, record in sorted(records.items()))
+
+    def keys(self) -> tuple[KeyRecord, ...]:
+        """Return all key records, revoked ones too, by key id."""
+        records = self._registers.keys.records
+        return tuple(record for _, record in sorted(records.items()))
+
+    def adapters(
+        self,
+        after: str = '',
+        limit: int = 100,
+    ) -> tuple[AdapterSpec, ...]:
+        """Return up to ``limit`` adapters whose names follow ``after``."""
+        rows = self.document.adapters
+        start = bisect_right(rows, after, key=lambda spec: spec.name)
+        return rows[start : start + max(0, limit)]
+
+    def audit(
+        self,
+        before: int | None = None,
+        limit: int = 100,
+    ) -> tuple[AuditEntry, ...]:
+        """Return audit entries numbered below ``before``, newest first."""
+        return self._registers.audit.page(before, limit)
+
+    def status(self) -> dict[str, Any]:
+        """Return a summary for operators."""
+        registers = self._registers
+        return {
+            'applied_index': self._applied_index,
+            'feed_index': self._feed_index,
+            'time_ms': registers.now_ms,
+            'revision': self.revision,
+            'digest': self.digest,
+            'hosts': len(registers.hosts.records),
+            'keys': len(registers.keys.records),
+            'adapters': len(self.document.adapters),
+            'claims': len(registers.claims),
+            'accounts': registers.budgets.status(registers.now_ms),
+            'fingerprints': registers.quarantine.states(),
+        }
+
+    def _collect_changes(self, index: int) -> None:
+        rows = self._registers.take_feed_rows()
+        if not rows:
+            return
+        # A view applies at most one item per index, so the changes of one
+        # batch travel together.
+        kind, body = rows[0] if len(rows) == 1 else ('batch', rows)
+        self._changes.append(
+            FeedItem(index=index, kind=kind, body=msgpack.packb(body)),
+        )
+        self._feed_index = index
