--- /dev/null
+++ b/src/kumquatrun_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the backend servers and stores around kumquatrun."""
