--- /dev/null
+++ b/src/kumquatrun/adapter_slots.py
@@ -0,0 +1,381 @@
+"""Adapter slots of one engine: pins, loads and eviction."""
+
+import math
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from kumquatrun.invariants import require
+from kumquatrun.statechart import load_chart
+
+# A use counts half after this time; about the time in which the popularity
+# of an adapter shifts.
+USE_HALF_LIFE_S = 60.0
+# An adapter stays for at least four load times (0.25 s each) after it was
+# loaded, so that a slot spends at most a fifth of its time on loading.
+PROTECTION_S = 1.0
+DEFAULT_LOAD_S = 0.25
+FORGET_USES_BELOW = 0.01
+
+
+class AdapterKey(NamedTuple):
+    """An adapter at one version."""
+
+    adapter: str
+    version: str
+
+    def __str__(self) -> str:
+        return f'{self.adapter}@{self.version}'
+
+
+class Pin(NamedTuple):
+    """Use of a slot by one request; void after a reset of the slots."""
+
+    slot: int
+    epoch: int
+    key: AdapterKey
+
+
+class LoadTicket(NamedTuple):
+    """A load that was decided: first unload ``evict``, then load ``key``."""
+
+    slot: int
+    epoch: int
+    key: AdapterKey
+    evict: AdapterKey | None
+
+
+@dataclass
+class _Slot:
+    state: str
+    key: AdapterKey | None = None
+    pins: int = 0
+    evicting: AdapterKey | None = None
+    loaded_s: float = -math.inf
+    retired_for: AdapterKey | None = None
+
+
+@dataclass
+class UseRates:
+    """Recent use of adapters, decayed exponentially."""
+
+    _uses: dict[AdapterKey, tuple[float, float]] = field(default_factory=dict)
+
+    def record(self, key: AdapterKey, now_s: float) -> None:
+        """Count one use."""
+        self._uses[key] = (self.uses(key, now_s) + 1, now_s)
+
+    def uses(self, key: AdapterKey, now_s: float) -> float:
+        """Return the decayed number of uses."""
+        count, counted_s = self._uses.get(key, (0.0, now_s))
+        return count * 0.5 ** ((now_s - counted_s) / USE_HALF_LIFE_S)
+
+    def forget_unused(self, now_s: float) -> None:
+        """Drop adapters that were not used for a long time."""
+        self._uses = {
+            key: entry
+            for key, entry in self._uses.items()
+            if self.uses(key, now_s) >= FORGET_USES_BELOW
+        }
+
+
+class AdapterSlots:
+    """What the engine holds and what may be loaded or unloaded.
+
+    Parameters
+    ----------
+    capacity
+        Number of slots of the engine.
+    protection_s
+        Time after a load during which the adapter is not evicted.
+    """
+
+    def __init__(
+        self,
+        capacity: int,
+        protection_s: float = PROTECTION_S,
+    ) -> None:
+        self._chart = load_chart('adapter_slot')
+        self._slots = [_Slot(self._chart.initial) for _ in range(capacity)]
+        self._protection_s = protection_s
+        self._epoch = 0
+        self._rates = UseRates()
+        self._load_times_s: dict[AdapterKey, float] = {}
+        self._open_loads: set[AdapterKey] = set()
+
+    @property
+    def epoch(self) -> int:
+        """Return the number of resets so far."""
+        return self._epoch
+
+    def loaded(self) -> tuple[AdapterKey, ...]:
+        """Return the adapters that requests can be pinned to."""
+        return tuple(
+            slot.key
+            for slot in self._slots
+            if slot.state == 'loaded' and slot.key is not None
+        )
+
+    def states(self) -> tuple[tuple[str, AdapterKey | None, int], ...]:
+        """Return state, adapter and pin count of each slot."""
+        return tuple((slot.state, slot.key, slot.pins) for slot in self._slots)
+
+    def is_ready(self, key: AdapterKey) -> bool:
+        """Return whether a request can be pinned to ``key`` now."""
+        return self._find(key, 'loaded') is not None
+
+    def pin(self, key: AdapterKey, now_s: float) -> Pin:
+        """Protect a loaded adapter from eviction until ``unpin``."""
+        index = self._find(key, 'loaded')
+        require(index is not None, 'pin_of_loaded_adapter', str(key))
+        self._slots[index].pins += 1
+        self._rates.record(key, now_s)
+        return Pin(index, self._epoch, key)
+
+    def unpin(self, pin: Pin) -> None:
+        """Release a pin; pins from before a reset are void."""
+        if pin.epoch != self._epoch:
+            return
+        slot = self._slots[pin.slot]
+        require(
+            slot.key == pin.key and slot.pins > 0,
+            'pinned_adapter_stays',
+            f'{pin.key} was replaced by {slot.key}',
+        )
+        slot.pins -= 1
+
+    # Loads: ``open_load``, then ``place`` once a load slot is held, then the
+    # result of the orders, then ``close_load``.
+
+    def open_load(self, key: AdapterKey) -> bool:
+        """Announce a load; False if an equal load is joined instead."""
+        if key in self._open_loads:
+            return False
+        self._open_loads.add(key)
+        return True
+
+    def close_load(self, key: AdapterKey) -> None:
+        """End an announced load, whatever its result."""
+        self._open_loads.discard(key)
+
+    @property
+    def open_loads(self) -> frozenset[AdapterKey]:
+        """Return the loads that are announced and not closed."""
+        return frozenset(self._open_loads)
+
+    def could_place(
+        self,
+        key: AdapterKey,
+        now_s: float,
+        wanted: Collection[AdapterKey] = (),
+        urgent: bool = False,
+    ) -> bool:
+        """Return whether ``place`` would find a slot."""
+        return self._candidate(key, now_s, wanted, urgent) is not None
+
+    def place(
+        self,
+        key: AdapterKey,
+        now_s: float,
+        wanted: Collection[AdapterKey] = (),
+        urgent: bool = False,
+    ) -> LoadTicket | None:
+        """Choose the slot for a load and start to change it.
+
+        Parameters
+        ----------
+        key
+            Adapter to load.
+        now_s
+            Clock time in seconds.
+        wanted
+            Adapters that queued requests wait for; they are not evicted
+            unless the load is urgent.
+        urgent
+            Whether the request has waited too long already.
+
+        Returns
+        -------
+        LoadTicket | None
+            None if every slot is in use or protected.
+        """
+        index = self._candidate(key, now_s, wanted, urgent)
+        if index is None:
+            return None
+        slot = self._slots[index]
+        evict = slot.key
+        if slot.state == 'empty':
+            self._step(slot, 'load')
+        else:
+            self._step(slot, 'unload')
+        slot.key = key
+        slot.evicting = evict
+        slot.retired_for = None
+        return LoadTicket(index, self._epoch, key, evict)
+
+    def evicted(self, ticket: LoadTicket) -> bool:
+        """Record that the engine unloaded the previous adapter."""
+        return self._apply(ticket, 'unloaded')
+
+    def load_finished(
+        self,
+        ticket: LoadTicket,
+        now_s: float,
+        load_s: float = DEFAULT_LOAD_S,
+    ) -> bool:
+        """Record a load; False if the slots were reset meanwhile."""
+        if not self._apply(ticket, 'loaded'):
+            return False
+        self._slots[ticket.slot].loaded_s = now_s
+        self._load_times_s[ticket.key] = load_s
+        return True
+
+    def load_failed(self, ticket: LoadTicket) -> bool:
+        """Record that the engine refused an order."""
+        return self._apply(ticket, 'failed')
+
+    def load_uncertain(self, ticket: LoadTicket) -> bool:
+        """Record an order without an answer."""
+        return self._apply(ticket, 'timed_out')
+
+    def retire(
+        self,
+        key: AdapterKey,
+        now_s: float,
+    ) -> bool:
+        """Stop new pins of the cheapest pinned adapter in favour of ``key``.
+
+        Without it, a few busy adapters would keep all slots pinned and other
+        adapters would never be loaded. One slot retires at a time, so that
+        the others keep serving.
+        """
+        if any(slot.state == 'retiring' for slot in self._slots):
+            return False
+        pinned = [
+            index
+            for index, slot in enumerate(self._slots)
+            if slot.state == 'loaded'
+            and slot.pins
+            and not self._is_protected(slot, now_s)
+        ]
+        if not pinned:
+            return False
+        chosen = self._slots[self._cheapest(pinned, now_s)]
+        self._step(chosen, 'retire')
+        chosen.retired_for = key
+        return True
+
+    def keep_retiring(self, wanted: Collection[AdapterKey]) -> None:
+        """Reopen retiring slots whose beneficiary no longer waits."""
+        for slot in self._slots:
+            if slot.state == 'retiring' and slot.retired_for not in wanted:
+                self._step(slot, 'keep')
+                slot.retired_for = None
+
+    def adopt(self, keys: Iterable[AdapterKey], now_s: float) -> None:
+        """Take over adapters that the engine already holds."""
+        known = {slot.key for slot in self._slots}
+        free = [slot for slot in self._slots if slot.state == 'empty']
+        for slot, key in zip(free, set(keys) - known, strict=False):
+            self._step(slot, 'adopt')
+            slot.key = key
+            slot.loaded_s = now_s - self._protection_s
+
+    def mark_missing(self, key: AdapterKey) -> None:
+        """Record that the engine does not hold an adapter it should hold."""
+        for slot in self._slots:
+            if slot.key == key and self._chart.accepts(slot.state, 'missing'):
+                self._step(slot, 'missing')
+
+    def reset(self, capacity: int) -> None:
+        """Forget all slots and pins after a restart of the engine."""
+        self._epoch += 1
+        self._slots = [_Slot(self._chart.initial) for _ in range(capacity)]
+
+    def _find(self, key: AdapterKey, state: str) -> int | None:
+        for index, slot in enumerate(self._slots):
+            if slot.key == key and slot.state == state:
+                return index
+        return None
+
+    def _find_unpinned(self, state: str) -> int | None:
+        for index, slot in enumerate(self._slots):
+            if slot.state == state and not slot.pins:
+                return index
+        return None
+
+    def _step(self, slot: _Slot, event: str) -> None:
+        if event == 'unload':
+            require(
+                slot.pins == 0,
+                'pinned_adapter_stays',
+                f'{event} of {slot.key} with {slot.pins} pins',
+            )
+        slot.state = self._chart.next_state(slot.state, event)
+        if slot.state == 'empty':
+            slot.key = None
+
+    def _apply(self, ticket: LoadTicket, event: str) -> bool:
+        if ticket.epoch != self._epoch:
+            return False
+        slot = self._slots[ticket.slot]
+        was_unloading = slot.state == 'unloading'
+        self._step(slot, event)
+        if was_unloading and slot.state == 'uncertain':
+            slot.key = slot.evicting
+        slot.evicting = None
+        return True
+
+    def _is_protected(self, slot: _Slot, now_s: float) -> bool:
+        return now_s - slot.loaded_s < self._protection_s
+
+    def _candidate(
+        self,
+        key: AdapterKey,
+        now_s: float,
+        wanted: Collection[AdapterKey],
+        urgent: bool,
+    ) -> int | None:
+        if any(key in {slot.key, slot.evicting} for slot in self._slots):
+            return self._reload_candidate(key)
+        for state in ('empty', 'uncertain'):
+            unused = self._find_unpinned(state)
+            if unused is not None:
+                return unused
+        evictable = [
+            place
+            for place, occupant in enumerate(self._slots)
+            if self._is_evictable(occupant, key, now_s)
+            and (urgent or occupant.key not in wanted)
+        ]
+        return self._cheapest(evictable, now_s) if evictable else None
+
+    def _reload_candidate(self, key: AdapterKey) -> int | None:
+        # Two slots must never hold one adapter. An uncertain slot of the same
+        # adapter is unloaded and loaded again; other states have it already.
+        index = self._find(key, 'uncertain')
+        if index is None or self._slots[index].pins:
+            return None
+        return index
+
+    def _is_evictable(
+        self,
+        slot: _Slot,
+        key: AdapterKey,
+        now_s: float,
+    ) -> bool:
+        if slot.pins:
+            return False
+        if slot.state == 'retiring':
+            return slot.retired_for == key
+        return slot.state == 'loaded' and not self._is_protected(slot, now_s)
+
+    def _cheapest(self, indexes: list[int], now_s: float) -> int:
+        return min(indexes, key=lambda index: self._reload_cost(index, now_s))
+
+    def _reload_cost(self, index: int, now_s: float) -> float:
+        key = self._slots[index].key
+        if key is None:
+            return 0
+        load_s = self._load_times_s.get(key, DEFAULT_LOAD_S)
+        return self._rates.uses(key, now_s) * load_s
--- /dev/null
+++ b/src/kumquatrun/scheduler.py
@@ -0,0 +1,190 @@
+"""Order in which an agent starts requests and loads adapters."""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from result import Result
+
+from kumquatrun.adapter_slots import AdapterKey, AdapterSlots, LoadTicket, Pin
+from kumquatrun.errors import KumquatrunError, NoCapacityError
+from kumquatrun.fair_queue import FairQueue, Share
+from kumquatrun.messages import Dispatch
+from kumquatrun.suspects import SoloGate
+
+# Loads of one engine at the same time; more would only compete for the
+# fleet-wide load slots and empty more adapter slots at once.
+MAX_OPEN_LOADS = 2
+# Half of the 1.3 s bound of the 95th-percentile time to first token remains
+# for the load (0.25 s) and the prompt.
+URGENT_AFTER_S = 0.6
+
+
+@dataclass(eq=False, kw_only=True)
+class Job:
+    """One accepted dispatch; ``key`` is None for a plain service."""
+
+    dispatch: Dispatch
+    key: AdapterKey | None
+    queued_s: float
+    pin: Pin | None = None
+    on_failure: Callable[[KumquatrunError], None] = lambda error: None
+
+    def fail(self, error: KumquatrunError) -> None:
+        """Refuse a waiting job."""
+        self.on_failure(error)
+
+    @property
+    def share(self) -> Share:
+        """Return how the job counts in the fair queue."""
+        return Share(
+            account=self.dispatch.account,
+            cost_tokens=self.dispatch.cost_tokens,
+            weight=self.dispatch.weight,
+            priority=self.dispatch.priority,
+            deadline_s=self.queued_s + self.dispatch.deadline_s,
+        )
+
+
+class Scheduler:
+    """Fair queue in front of a bounded batch and a few adapter slots.
+
+    A request takes a place in the batch only once its adapter is loaded, so
+    that waiting for a load never keeps others from running.
+
+    Parameters
+    ----------
+    max_running
+        Requests that may run at the same time.
+    max_queued
+        Requests that may wait.
+    slots
+        Adapter slots; None for a plain service.
+    """
+
+    def __init__(
+        self,
+        *,
+        max_running: int,
+        max_queued: int,
+        slots: AdapterSlots | None = None,
+    ) -> None:
+        self.slots = slots
+        self._max_running = max_running
+        self._queue: FairQueue[Job] = FairQueue(max_queued)
+        self._gate = SoloGate()
+        self._held: Job | None = None
+
+    @property
+    def running(self) -> int:
+        """Return the number of running jobs."""
+        return self._gate.running
+
+    @property
+    def queued(self) -> int:
+        """Return the number of waiting jobs."""
+        return len(self._queue) + (self._held is not None)
+
+    def push(self, job: Job) -> Result[Job | None, NoCapacityError]:
+        """Queue a job; see ``FairQueue.push``."""
+        return self._queue.push(job, job.share)
+
+    def next_start(self, now_s: float) -> Job | None:
+        """Return the next job to start, pinned and counted as running."""
+        if self._gate.running >= self._max_running:
+            return None
+        job = self._next_candidate()
+        if job is None:
+            return None
+        self._held = None
+        self._gate.start(job, job.dispatch.alone)
+        if self.slots is not None and job.key is not None:
+            job.pin = self.slots.pin(job.key, now_s)
+        return job
+
+    def finish(self, job: Job) -> None:
+        """Record the end of a job, or withdraw a waiting one."""
+        if job.pin is not None and self.slots is not None:
+            self.slots.unpin(job.pin)
+            job.pin = None
+        if self._held is job:
+            self._held = None
+        self._queue.remove(job)
+        self._gate.finish(job)
+
+    def expire(self, now_s: float) -> list[Job]:
+        """Remove and return the waiting jobs whose deadline has passed."""
+        expired = self._queue.expire(now_s)
+        held = self._held
+        if held is not None and held.share.deadline_s <= now_s:
+            expired.append(held)
+            self.finish(held)
+        return expired
+
+    def waiting_for(self, key: AdapterKey) -> list[Job]:
+        """Return the jobs that wait for an adapter."""
+        return [job for job in self._waiting() if job.key == key]
+
+    def next_load(self, now_s: float) -> AdapterKey | None:
+        """Return the adapter to load next and announce its load."""
+        slots = self.slots
+        if slots is None:
+            return None
+        waiting = self._waiting()
+        wanted = {job.key for job in waiting if job.key is not None}
+        slots.keep_retiring(wanted)
+        if len(slots.open_loads) >= MAX_OPEN_LOADS:
+            return None
+        for job in waiting:
+            if job.key is None or self._is_served(job.key):
+                continue
+            urgent = now_s - job.queued_s >= URGENT_AFTER_S
+            if slots.could_place(job.key, now_s, wanted, urgent):
+                slots.open_load(job.key)
+                return job.key
+            if urgent:
+                slots.retire(job.key, now_s)
+        return None
+
+    def place(self, key: AdapterKey, now_s: float) -> LoadTicket | None:
+        """Choose the slot of an announced load; None if none is free."""
+        if self.slots is None:
+            return None
+        waiting = self._waiting()
+        wanted = {job.key for job in waiting if job.key is not None}
+        oldest_s = min(
+            (job.queued_s for job in waiting if job.key == key),
+            default=now_s,
+        )
+        urgent = now_s - oldest_s >= URGENT_AFTER_S
+        return self.slots.place(key, now_s, wanted, urgent)
+
+    def demand(self) -> Counter[AdapterKey | None]:
+        """Return the number of waiting jobs per adapter."""
+        return Counter(job.key for job in self._waiting())
+
+    def _next_candidate(self) -> Job | None:
+        held = self._held
+        if held is not None:
+            may_start = self._gate.may_start(held, alone=True)
+            return held if may_start and self._is_ready(held) else None
+        if not self._gate.is_open:
+            return None
+        job = self._queue.pop(self._is_ready)
+        if job is None or self._gate.may_start(job, job.dispatch.alone):
+            return job
+        self._held = job
+        self._gate.wait_alone(job)
+        return None
+
+    def _waiting(self) -> list[Job]:
+        held = [] if self._held is None else [self._held]
+        return held + list(self._queue.in_order())
+
+    def _is_ready(self, job: Job) -> bool:
+        if self.slots is None or job.key is None:
+            return True
+        return self.slots.is_ready(job.key)
+
+    def _is_served(self, key: AdapterKey) -> bool:
+        return self.slots.is_ready(key) or key in self.slots.open_loads
