Add HTTP clients for engines and plain services

aiohttp sends idempotent methods again when a connection drops before the answer, on new connections too (client.py, retry_persistent_connection), so force_close alone is not enough; a client middleware replaces the error types that it reacts to.

--- /dev/null
+++ b/src/kumquatrun/backend_http.py
@@ -0,0 +1,182 @@
+"""HTTP calls to a backend server that are sent at most once each."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable, Mapping
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import aiohttp
+from yarl import URL
+
+from kumquatrun.errors import (
+    ConnectionLostError,
+    InvalidRequestError,
+    Outcome,
+)
+
+CONNECT_TIMEOUT_S = 2.0
+READ_CHUNK_BYTES = 64 * 1024
+
+
+@dataclass(frozen=True, kw_only=True)
+class BackendCall:
+    """One HTTP call; carries no header of the caller but the content type."""
+
+    request_id: str
+    method: str
+    path: str
+    body: bytes = b''
+    content_type: str = 'application/json'
+
+
+@dataclass
+class _SendState:
+    on_sent: Callable[[], None]
+
+
+async def _mark_sent(session, context, params) -> None:
+    state = context.trace_request_ctx
+    if state is not None:
+        state.on_sent()
+
+
+async def _send_once(
+    request: aiohttp.ClientRequest,
+    handler: aiohttp.ClientHandlerType,
+) -> aiohttp.ClientResponse:
+    # aiohttp sends GET, PUT, DELETE and the other idempotent methods again
+    # when the connection drops before the answer, even on a new connection.
+    # It does so for its own error types only, so they are replaced here.
+    try:
+        return await handler(request)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as e:
+        raise ConnectionLostError(
+            f'cannot connect to the backend server: {e}',
+            outcome=Outcome.NOT_RUN,
+        ) from e
+    except (aiohttp.ClientError, OSError) as error:
+        raise ConnectionLostError(
+            f'the backend server closed the connection: {error!r}',
+        ) from error
+
+
+class BackendHttp:
+    """Client of one backend server.
+
+    Each call uses a connection of its own: a connection that went silent then
+    affects one call only, and closing it is how a call is cancelled.
+
+    Parameters
+    ----------
+    base_url
+        Scheme, IP address and port of the backend server.
+    """
+
+    def __init__(self, base_url: str) -> None:
+        self._base_url = base_url.rstrip('/')
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    @asynccontextmanager
+    async def open(
+        self,
+        call: BackendCall,
+        *,
+        headers: Mapping[str, str] | None = None,
+        on_sent: Callable[[], None] = lambda: None,
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Send a call and yield the head of the answer.
+
+        Leaving the block closes the connection, which cancels the call at the
+        backend server.
+
+        Parameters
+        ----------
+        call
+            What to send.
+        headers
+            Additional headers of the project's own.
+        on_sent
+            Called before the first byte is sent.
+
+        Raises
+        ------
+        ConnectionLostError
+            ``not_run`` if no connection was opened, else ``unknown``.
+        """
+        response = await self._get_session().request(
+            call.method,
+            self._url(call.path),
+            data=call.body or None,
+            headers={
+                'Content-Type': call.content_type,
+                'X-Request-Id': call.request_id,
+                'Accept-Encoding': 'identity',
+                **(headers or {}),
+            },
+            # A redirect would run the call twice.
+            allow_redirects=False,
+            trace_request_ctx=_SendState(on_sent),
+        )
+        try:
+            yield response
+        finally:
+            response.close()
+
+    def _url(self, path: str) -> URL:
+        if not path.startswith('/'):
+            raise InvalidRequestError(f'path {path!r} does not begin with /')
+        return URL(self._base_url + path, encoded=True)
+
+    def _get_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            tracing = aiohttp.TraceConfig()
+            tracing.on_connection_create_end.append(_mark_sent)
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(force_close=True, limit=0),
+                # Cookies of one caller must not reach another one's call.
+                cookie_jar=aiohttp.DummyCookieJar(),
+                timeout=aiohttp.ClientTimeout(
+                    total=None,
+                    sock_connect=CONNECT_TIMEOUT_S,
+                ),
+                skip_auto_headers=('User-Agent', 'Accept', 'Content-Type'),
+                auto_decompress=False,
+                middlewares=(_send_once,),
+                trace_configs=[tracing],
+            )
+        return self._session
+
+
+async def read_chunks(
+    response: aiohttp.ClientResponse,
+    silence_limit_s: float | None,
+) -> AsyncIterator[bytes]:
+    """Yield the body as it arrives.
+
+    Raises
+    ------
+    ConnectionLostError
+        If the connection ends before the body is complete, or is silent for
+        ``silence_limit_s``.
+    """
+    while True:
+        try:
+            async with asyncio.timeout(silence_limit_s):
+                chunk = await response.content.readany()
+        except TimeoutError:
+            raise ConnectionLostError(
+                f'no byte of the answer in {silence_limit_s} s',
+                cause='silent',
+            ) from None
+        except (aiohttp.ClientError, OSError) as error:
+            raise ConnectionLostError(
+                f'the backend server ended the answer early: {error!r}',
+            ) from error
+        if not chunk:
+            return
+        yield chunk
--- /dev/null
+++ b/src/kumquatrun/engine_client.py
@@ -0,0 +1,367 @@
+"""Client of one model engine: orders, generation and health."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Callable
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+import aiohttp
+
+from kumquatrun.adapter_slots import AdapterKey
+from kumquatrun.backend_http import BackendCall, BackendHttp, read_chunks
+from kumquatrun.document import ServiceKind
+from kumquatrun.errors import (
+    AdapterLoadError,
+    BackendError,
+    ConnectionLostError,
+    InvalidRequestError,
+    Outcome,
+    StaleDispatchError,
+)
+from kumquatrun.sse import EventSplitter, event_json
+
+FENCING_HEADER = 'X-Fencing-Number'
+HEALTH_TIMEOUT_S = 1.0
+# The agent admits no more requests than the engine's batch holds, so a token
+# is due every few tens of milliseconds; the limit leaves room for a long
+# prompt.
+STREAM_SILENCE_S = 10.0
+MAX_WHOLE_ANSWER_BYTES = 8 * 1024 * 1024
+
+
+@dataclass(frozen=True, kw_only=True)
+class EngineHealth:
+    """What an engine says about itself; its load report may lag."""
+
+    incarnation: str
+    slots: int
+    adapters: tuple[AdapterKey, ...] = ()
+    running: int = 0
+    waiting: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class ServedBy:
+    """What ran a request, from the engine's first event."""
+
+    adapter: str
+    version: str
+    incarnation: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Usage:
+    """Tokens that a request used."""
+
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class GenerateCall:
+    """A completion on one adapter; ``body`` is the caller's JSON."""
+
+    request_id: str
+    path: str
+    body: bytes
+    key: AdapterKey
+    priority: int = 0
+    stream: bool = False
+
+
+class Generation(Protocol):
+    """The answer to one completion."""
+
+    status: int
+    content_type: str
+    served_by: ServedBy | None
+    usage: Usage
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        """Yield the body; whole events if it is streamed.
+
+        ``served_by`` is set before the first item.
+        """
+        ...
+
+
+class EngineApi(Protocol):
+    """Operations of a model engine."""
+
+    kind: ServiceKind
+
+    async def health(self) -> EngineHealth:
+        """Return the engine's state.
+
+        Raises
+        ------
+        ConnectionLostError
+            If the engine does not answer.
+        """
+        ...
+
+    async def load(self, key: AdapterKey, fencing_number: int) -> str:
+        """Load an adapter; returns the engine's incarnation.
+
+        Raises
+        ------
+        AdapterLoadError
+            If the engine refused or failed.
+        StaleDispatchError
+            If the engine has seen a higher fencing number.
+        """
+        ...
+
+    async def unload(self, key: AdapterKey, fencing_number: int) -> str:
+        """Unload an adapter; returns the engine's incarnation."""
+        ...
+
+    def generate(
+        self,
+        call: GenerateCall,
+        on_sent: Callable[[], None],
+    ) -> AbstractAsyncContextManager[Generation]:
+        """Run a completion; leaving the block cancels it.
+
+        ``on_sent`` is called before the engine may have received it.
+        """
+        ...
+
+    async def close(self) -> None:
+        """Close all connections."""
+        ...
+
+
+def engine_body(call: GenerateCall) -> tuple[bytes, bool]:
+    """Return the body for the engine, and whether the caller wants usage.
+
+    The model is replaced by adapter and version, so that the engine never
+    resolves a default version itself.
+
+    Raises
+    ------
+    InvalidRequestError
+        If the body is not a JSON object.
+    """
+    try:
+        content = json.loads(call.body)
+    except ValueError as error:
+        raise InvalidRequestError(f'body is not JSON: {error}') from error
+    if not isinstance(content, dict):
+        raise InvalidRequestError('body is not a JSON object')
+    content['model'] = str(call.key)
+    content['priority'] = call.priority
+    content['stream'] = call.stream
+    options = content.pop('stream_options', None)
+    options = dict(options) if isinstance(options, dict) else {}
+    wants_usage = bool(options.get('include_usage'))
+    if call.stream:
+        content['stream_options'] = options | {'include_usage': True}
+    return json.dumps(content).encode(), wants_usage
+
+
+def _served_by(content: dict[str, Any] | None) -> ServedBy | None:
+    fields = (content or {}).get('served_by')
+    if not isinstance(fields, dict):
+        return None
+    return ServedBy(
+        adapter=str(fields.get('adapter')),
+        version=str(fields.get('version')),
+        incarnation=str(fields.get('incarnation')),
+    )
+
+
+def _usage(content: dict[str, Any] | None) -> Usage | None:
+    fields = (content or {}).get('usage')
+    if not isinstance(fields, dict):
+        return None
+    return Usage(
+        prompt_tokens=int(fields.get('prompt_tokens', 0)),
+        output_tokens=int(fields.get('completion_tokens', 0)),
+    )
+
+
+def _is_done(event: bytes) -> bool:
+    return event.strip() == b'data: [DONE]'
+
+
+@dataclass
+class _HttpGeneration:
+    """Reads the answer of an engine over HTTP."""
+
+    response: aiohttp.ClientResponse
+    is_stream: bool
+    wants_usage: bool
+    silence_limit_s: float
+    served_by: ServedBy | None = None
+    usage: Usage = field(default_factory=Usage)
+
+    @property
+    def status(self) -> int:
+        return self.response.status
+
+    @property
+    def content_type(self) -> str:
+        return self.response.headers.get('Content-Type', 'application/json')
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        return self._events() if self.is_stream else self._whole()
+
+    async def _events(self) -> AsyncIterator[bytes]:
+        splitter = EventSplitter()
+        is_first = True
+        is_done = False
+        async for chunk in read_chunks(self.response, self.silence_limit_s):
+            events = splitter.feed(chunk)
+            if events and is_first:
+                is_first = False
+                self.served_by = _served_by(event_json(events[0]))
+            is_done = is_done or any(map(_is_done, events))
+            kept = b''.join(filter(self._keep, events))
+            if kept:
+                yield kept
+        if not splitter.is_empty or not is_done:
+            raise ConnectionLostError('the engine ended the stream early')
+
+    def _keep(self, event: bytes) -> bool:
+        if b'"usage"' not in event:
+            return True
+        content = event_json(event)
+        self.usage = _usage(content) or self.usage
+        return self.wants_usage or bool((content or {}).get('choices'))
+
+    async def _whole(self) -> AsyncIterator[bytes]:
+        body = bytearray()
+        async for chunk in read_chunks(self.response, None):
+            body += chunk
+            if len(body) > MAX_WHOLE_ANSWER_BYTES:
+                raise BackendError('the answer of the engine is too large')
+        try:
+            content = json.loads(bytes(body))
+        except ValueError:
+            content = None
+        if isinstance(content, dict):
+            self.served_by = _served_by(content)
+            self.usage = _usage(content) or self.usage
+        yield bytes(body)
+
+
+class EngineClient:
+    """Talks HTTP to an engine with an OpenAI-compatible API."""
+
+    kind = ServiceKind.ENGINE
+
+    def __init__(
+        self,
+        base_url: str,
+        silence_limit_s: float = STREAM_SILENCE_S,
+    ) -> None:
+        self._http = BackendHttp(base_url)
+        self._silence_limit_s = silence_limit_s
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._http.close()
+
+    async def health(self) -> EngineHealth:
+        """Return the engine's state, read over a new connection."""
+        call = BackendCall(request_id='health', method='GET', path='/health')
+        try:
+            async with asyncio.timeout(HEALTH_TIMEOUT_S):
+                _, content = await self._json(call, {})
+        except TimeoutError:
+            raise ConnectionLostError('no answer to a health check') from None
+        try:
+            return EngineHealth(
+                incarnation=str(content['incarnation']),
+                slots=int(content['slots']),
+                adapters=tuple(AdapterKey(*key) for key in content['adapters']),
+                running=int(content.get('running', 0)),
+                waiting=int(content.get('waiting', 0)),
+            )
+        except (LookupError, TypeError, ValueError) as error:
+            raise ConnectionLostError(f'bad health answer: {error!r}') from None
+
+    async def load(self, key: AdapterKey, fencing_number: int) -> str:
+        """Load an adapter; returns the engine's incarnation."""
+        return await self._order('load', key, fencing_number)
+
+    async def unload(self, key: AdapterKey, fencing_number: int) -> str:
+        """Unload an adapter; returns the engine's incarnation."""
+        return await self._order('unload', key, fencing_number)
+
+    @asynccontextmanager
+    async def generate(
+        self,
+        call: GenerateCall,
+        on_sent: Callable[[], None],
+    ) -> AsyncIterator[Generation]:
+        """Run a completion; leaving the block cancels it."""
+        body, wants_usage = engine_body(call)
+        request = BackendCall(
+            request_id=call.request_id,
+            method='POST',
+            path=call.path,
+            body=body,
+        )
+        async with self._http.open(request, on_sent=on_sent) as response:
+            yield _HttpGeneration(
+                response=response,
+                is_stream=response.content_type == 'text/event-stream',
+                wants_usage=wants_usage,
+                silence_limit_s=self._silence_limit_s,
+            )
+
+    async def _order(
+        self,
+        action: str,
+        key: AdapterKey,
+        fencing_number: int,
+    ) -> str:
+        call = BackendCall(
+            request_id=f'{action}-{key}',
+            method='POST',
+            path=f'/orders/{action}',
+            body=json.dumps(key._asdict()).encode(),
+        )
+        headers = {FENCING_HEADER: str(fencing_number)}
+        status, content = await self._json(call, headers)
+        if status == 409:
+            raise StaleDispatchError(f'engine refused number {fencing_number}')
+        if status != 200:
+            raise AdapterLoadError(f'{action} {key}: {status} {content}')
+        return str(content.get('incarnation', ''))
+
+    async def _json(
+        self,
+        call: BackendCall,
+        headers: dict[str, str],
+    ) -> tuple[int, dict[str, Any]]:
+        async with self._http.open(call, headers=headers) as response:
+            chunks = [chunk async for chunk in read_chunks(response, None)]
+            status = response.status
+        try:
+            content = json.loads(b''.join(chunks))
+        except ValueError:
+            content = None
+        return status, content if isinstance(content, dict) else {}
+
+
+def refusal_code(body: bytes) -> str:
+    """Return the ``code`` of an engine's refusal, empty if it has none."""
+    try:
+        content = json.loads(body)
+    except ValueError:
+        return ''
+    code = content.get('code', '') if isinstance(content, dict) else ''
+    return str(code)
+
+
+NOT_RUN_CODES = frozenset(('adapter_not_loaded',))
+
+
+def refused_outcome(code: str) -> Outcome:
+    """Return what a refusal of the engine says about the execution."""
+    return Outcome.NOT_RUN if code in NOT_RUN_CODES else Outcome.RAN
--- /dev/null
+++ b/src/kumquatrun/sse.py
@@ -0,0 +1,61 @@
+"""Server-sent events: splitting a byte stream into whole events."""
+
+import json
+import re
+from collections.abc import Iterable
+from typing import Any
+
+from kumquatrun.errors import BackendError
+
+MAX_EVENT_BYTES = 1024 * 1024
+_END_OF_EVENT = re.compile(rb'\r\n\r\n|\n\n|\r\r')
+
+
+class EventSplitter:
+    """Collects bytes and returns whole events.
+
+    The end of an event may be split over two reads, so a lone line end at the
+    end of the buffer waits for the next read.
+    """
+
+    def __init__(self) -> None:
+        self._buffer = b''
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no part of an event is left."""
+        return not self._buffer.strip()
+
+    def feed(self, received: bytes) -> list[bytes]:
+        """Add bytes; returns the events that are complete, with their end.
+
+        Raises
+        ------
+        BackendError
+            If one event is larger than ``MAX_EVENT_BYTES``.
+        """
+        buffer = self._buffer + received
+        events = []
+        start = 0
+        for match in _END_OF_EVENT.finditer(buffer):
+            events.append(buffer[start : match.end()])
+            start = match.end()
+        self._buffer = buffer[start:]
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise BackendError(f'event above {MAX_EVENT_BYTES} bytes')
+        return events
+
+
+def event_json(event: bytes) -> dict[str, Any] | None:
+    """Return the JSON object in an event's data, None if it has none."""
+    lines: Iterable[bytes] = event.splitlines()
+    text = b'\n'.join(
+        line[len(b'data:') :].strip()
+        for line in lines
+        if line.startswith(b'data:')
+    )
+    try:
+        content = json.loads(text)
+    except ValueError:
+        return None
+    return content if isinstance(content, dict) else None
