--- a/src/kumquatrun/peer.py
+++ b/src/kumquatrun/peer.py
@@ -138,6 +138,11 @@
                 with suppress(ConnectionLostError):
                     await self.send(FrameKind.PING, 0, None)
 
+    async def flush(self) -> None:
+        """Wait until the send buffer is empty."""
+        self._writer.transport.set_write_buffer_limits(high=0)
+        await self._writer.drain()
+
     def abort(self) -> None:
         """Close the connection at once, without flushing."""
         self._writer.transport.abort()
@@ -195,6 +200,7 @@
         self._handler = handler
         self._server: asyncio.Server | None = None
         self._links: set[_Link] = set()
+        self._sessions: set[_ServerSession] = set()
         self._tasks: set[asyncio.Task] = set()
 
     async def start(self, address: Address) -> Address:
@@ -207,6 +213,16 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return Address(host, port)
 
+    async def wait_idle(self) -> None:
+        """Wait until no call is open and all replies left the buffers.
+
+        ``stop`` drops what is still buffered, so a planned shutdown waits
+        here first.
+        """
+        while any(session.has_calls for session in self._sessions):
+            for session in list(self._sessions):
+                await session.wait_idle()
+
     async def stop(self) -> None:
         """Stop listening and close all connections."""
         if self._server is not None:
@@ -226,6 +242,7 @@
         task = asyncio.current_task()
         self._tasks.add(task)
         self._links.add(session.link)
+        self._sessions.add(session)
         try:
             await session.run()
         except (OSError, EOFError, KumquatrunError) as error:
@@ -236,6 +253,7 @@
         finally:
             session.close()
             self._links.discard(session.link)
+            self._sessions.discard(session)
             self._tasks.discard(task)
 
     def check_peer(self, peer: Hello) -> None:
@@ -269,6 +287,16 @@
         self._calls: dict[int, tuple[asyncio.Task, CallContext]] = {}
         self._keep_alive = asyncio.create_task(link.keep_alive())
 
+    @property
+    def has_calls(self) -> bool:
+        return bool(self._calls)
+
+    async def wait_idle(self) -> None:
+        tasks = [task for task, _ in self._calls.values()]
+        await asyncio.gather(*tasks, return_exceptions=True)
+        with suppress(OSError):
+            await self.link.flush()
+
     async def run(self) -> None:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             frame = await self.link.read()
