Add the agent

Serves a dispatch end to end against the engine stand-in: final checks, fair queue, load with a load slot, check of the first event, relay, drain.

--- /dev/null
+++ b/src/kumquatrun/agent.py
@@ -0,0 +1,314 @@
+"""Agent: the sole client of one backend server."""
+
+import asyncio
+import logging
+from typing import Any
+
+from kumquatrun.backend_runner import BackendRunner
+from kumquatrun.clock import Clock
+from kumquatrun.control_api import NodeSession
+from kumquatrun.document import ServiceKind
+from kumquatrun.engine_client import EngineApi, EngineClient
+from kumquatrun.engine_runner import EngineRunner
+from kumquatrun.errors import (
+    ControlUnreachableError,
+    DeadlineExceededError,
+    DrainingError,
+    InvalidRequestError,
+    KumquatrunError,
+    NoCapacityError,
+    Outcome,
+    SettingError,
+    StaleDispatchError,
+)
+from kumquatrun.messages import AgentReport, Dispatch, Finished, Hello
+from kumquatrun.peer import CallContext, PeerServer
+from kumquatrun.scheduler import Job
+from kumquatrun.seen_requests import SeenRequests
+from kumquatrun.service_client import ServiceApi, ServiceClient
+from kumquatrun.service_runner import ServiceRunner
+from kumquatrun.settings import AgentSettings
+from kumquatrun.statechart import load_chart
+
+log = logging.getLogger(__name__)
+
+# Bounds how late the scheduler notices a change that depends on time only,
+# such as the end of an adapter's protection.
+TICK_S = 0.05
+FORGET_INTERVAL_S = 10.0
+
+BACKENDS = {
+    ServiceKind.ENGINE: EngineClient,
+    ServiceKind.PLAIN: ServiceClient,
+}
+
+
+def backend_for(
+    session: NodeSession,
+    settings: AgentSettings,
+) -> EngineApi | ServiceApi:
+    """Return the client that fits the kind of the agent's service.
+
+    Raises
+    ------
+    SettingError
+        If the configuration document does not list the service.
+    """
+    for service in session.view.document.services:
+        if service.name == settings.service:
+            return BACKENDS[service.kind](settings.backend_url)
+    raise SettingError(
+        f'--service: the document has no service {settings.service!r}',
+    )
+
+
+def _runner(
+    settings: AgentSettings,
+    session: NodeSession,
+    backend: EngineApi | ServiceApi,
+    clock: Clock,
+) -> BackendRunner:
+    if backend.kind is ServiceKind.ENGINE:
+        return EngineRunner(settings, session, backend, clock)
+    return ServiceRunner(settings, backend)
+
+
+class Agent:
+    """Serves dispatches: final checks, fair queue, adapter slots, drain.
+
+    Parameters
+    ----------
+    settings
+        Settings of the agent.
+    session
+        Membership of the node: record, lease, shared state, leader.
+    backend
+        Client of the backend server, see ``backend_for``.
+    clock
+        Time source.
+    """
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        session: NodeSession,
+        backend: EngineApi | ServiceApi,
+        clock: Clock,
+    ) -> None:
+        self.address = settings.listen
+        self._settings = settings
+        self._session = session
+        self._clock = clock
+        self._runner = _runner(settings, session, backend, clock)
+        self._seen = SeenRequests()
+        self._chart = load_chart('host')
+        self._state = self._chart.initial
+        self._server: PeerServer | None = None
+        self._ticker: asyncio.Task | None = None
+        self._turns: dict[Job, asyncio.Future[None]] = {}
+        self._open: set[Job] = set()
+        self._idle = asyncio.Event()
+
+    @property
+    def state(self) -> str:
+        """Return the state of the host's chart."""
+        return self._state
+
+    @property
+    def open_requests(self) -> int:
+        """Return the number of queued and running requests."""
+        return len(self._open)
+
+    async def start(self) -> None:
+        """Watch the backend server and listen for dispatches."""
+        await self._runner.start(self._pump)
+        record = self._session.record
+        identity = Hello(
+            node_id=self._settings.host_id,
+            incarnation=record.incarnation,
+            cluster_token=self._settings.cluster_token,
+        )
+        self._server = PeerServer(identity, self)
+        self.address = await self._server.start(self._settings.listen)
+        self._step('registered')
+        self._session.on_change(self._on_session_change)
+        self._session.report_agent(self.report)
+        self._on_session_change()
+        self._ticker = asyncio.create_task(self._tick())
+
+    async def drain(self, timeout_s: float) -> None:
+        """Refuse new work and wait until the accepted work has ended.
+
+        Logs ``stop_incomplete`` after ``timeout_s`` and continues to wait;
+        ``stop`` ends the remaining requests.
+        """
+        self._begin_drain()
+        while self._open:
+            self._idle.clear()
+            try:
+                async with asyncio.timeout(timeout_s):
+                    await self._idle.wait()
+            except TimeoutError:
+                log.warning(
+                    'event=stop_incomplete open_requests=%d',
+                    len(self._open),
+                )
+        if self._server is not None:
+            await self._server.wait_idle()
+        if self._chart.accepts(self._state, 'idle'):
+            self._step('idle')
+
+    async def stop(self) -> None:
+        """End all requests and close all connections."""
+        self._begin_drain()
+        if self._chart.accepts(self._state, 'cut'):
+            self._step('cut')
+        if self._ticker is not None:
+            self._ticker.cancel()
+        if self._server is not None:
+            await self._server.stop()
+        await self._runner.stop()
+
+    def report(self) -> AgentReport:
+        """Return the soft state that lease renewals carry."""
+        scheduler = self._runner.scheduler
+        record = self._session.record
+        serving = self._state == 'active' and self._runner.is_up
+        slots = scheduler.slots
+        adapters = () if slots is None else slots.loaded()
+        return AgentReport(
+            host_id=record.host_id,
+            incarnation=record.incarnation,
+            running=scheduler.running,
+            queued=scheduler.queued,
+            capacity=self._settings.max_running if serving else 0,
+            adapters=tuple(str(key) for key in adapters),
+        )
+
+    async def handle(self, request: Any, context: CallContext) -> Finished:
+        """Answer one peer call."""
+        context.outcome = Outcome.NOT_RUN
+        if not isinstance(request, Dispatch):
+            raise InvalidRequestError(f'unexpected {type(request).__name__}')
+        self._check(request)
+        now_s = self._clock.now_s()
+        self._seen.accept(request, context, now_s)
+        job = self._runner.make_job(request, now_s)
+        self._open.add(job)
+        try:
+            return await self._serve(job, context)
+        finally:
+            self._seen.close(request)
+            self._runner.scheduler.finish(job)
+            self._open.discard(job)
+            if not self._open:
+                self._idle.set()
+            self._pump()
+
+    def _check(self, dispatch: Dispatch) -> None:
+        if dispatch.agent_incarnation != self._session.record.incarnation:
+            raise StaleDispatchError(
+                f'meant for incarnation {dispatch.agent_incarnation}',
+            )
+        if dispatch.service != self._settings.service:
+            raise StaleDispatchError(
+                f'{dispatch.service} is not served by this agent',
+            )
+        if self._state not in {'active', 'isolated'}:
+            raise DrainingError(f'the agent is {self._state}')
+        self._check_lease(dispatch)
+        if dispatch.deadline_s <= 0:
+            raise DeadlineExceededError(
+                'the deadline has passed',
+                outcome=Outcome.NOT_RUN,
+            )
+        if not self._runner.is_up:
+            raise NoCapacityError('the backend server is down')
+
+    def _check_lease(self, dispatch: Dispatch) -> None:
+        # Open routes carry no account and are served during a partition too.
+        if dispatch.account and not self._session.lease_valid():
+            raise ControlUnreachableError('the lease of the agent expired')
+
+    async def _serve(self, job: Job, context: CallContext) -> Finished:
+        deadline_s = job.dispatch.deadline_s
+        try:
+            async with asyncio.timeout(deadline_s):
+                await self._wait_for_turn(job)
+                self._check_lease(job.dispatch)
+                return await self._runner.run(job, context)
+        except TimeoutError:
+            raise DeadlineExceededError(
+                f'not finished in {deadline_s} s',
+                outcome=context.outcome,
+            ) from None
+
+    async def _wait_for_turn(self, job: Job) -> None:
+        turn = asyncio.get_running_loop().create_future()
+        self._turns[job] = turn
+        job.on_failure = lambda error: _refuse(turn, error)
+        try:
+            displaced = self._runner.scheduler.push(job)
+            if displaced.is_err():
+                raise displaced.unwrap_err()
+            if displaced.unwrap() is not None:
+                full = NoCapacityError('gave way in the full queue')
+                displaced.unwrap().fail(full)
+            self._pump()
+            await turn
+        finally:
+            self._turns.pop(job, None)
+
+    def _pump(self) -> None:
+        """Start what can start now."""
+        scheduler = self._runner.scheduler
+        now_s = self._clock.now_s()
+        for expired in scheduler.expire(now_s):
+            expired.fail(
+                DeadlineExceededError(
+                    'the deadline passed in the queue',
+                    outcome=Outcome.NOT_RUN,
+                ),
+            )
+        job = scheduler.next_start(now_s)
+        while job is not None:
+            turn = self._turns.get(job)
+            if turn is None or turn.done():
+                scheduler.finish(job)
+            else:
+                turn.set_result(None)
+            job = scheduler.next_start(now_s)
+        self._runner.start_loads()
+
+    async def _tick(self) -> None:
+        forgot_s = self._clock.now_s()
+        while True:
+            await asyncio.sleep(TICK_S)
+            if self._runner.scheduler.queued:
+                self._pump()
+            if self._clock.now_s() - forgot_s >= FORGET_INTERVAL_S:
+                forgot_s = self._clock.now_s()
+                self._seen.forget_old(forgot_s)
+
+    def _on_session_change(self) -> None:
+        if self._session.record.draining:
+            self._begin_drain()
+        has_lease = self._session.lease_valid()
+        event = 'lease_gained' if has_lease else 'lease_lost'
+        if self._chart.accepts(self._state, event):
+            self._step(event)
+
+    def _begin_drain(self) -> None:
+        if self._chart.accepts(self._state, 'drain'):
+            self._step('drain')
+
+    def _step(self, event: str) -> None:
+        previous = self._state
+        self._state = self._chart.next_state(previous, event)
+        if previous != self._state:
+            log.info('event=host_state from=%s to=%s', previous, self._state)
+
+
+def _refuse(turn: asyncio.Future[None], error: KumquatrunError) -> None:
+    if not turn.done():
+        turn.set_exception(error)
--- /dev/null
+++ b/src/kumquatrun/crash_reports.py
@@ -0,0 +1,78 @@
+"""Reports suspects of a crashed backend server to the control leader."""
+
+import asyncio
+import logging
+from typing import Any
+
+from kumquatrun.control_api import NodeSession
+from kumquatrun.errors import KumquatrunError
+from kumquatrun.messages import ClearSuspect, ReportSuspects
+from kumquatrun.suspects import BatchRecord
+
+log = logging.getLogger(__name__)
+
+REPORT_TIMEOUT_S = 2.0
+REPORT_ATTEMPTS = 5
+REPORT_RETRY_S = 0.5
+# Callers of a crashed batch wait at most this long for the report.
+REPORT_WAIT_S = 1.0
+
+
+class CrashReporter:
+    """Sends what ``batch`` held when the backend server crashed.
+
+    Both messages can be sent again without harm: they name a state of the
+    fingerprint and not a change.
+    """
+
+    def __init__(self, host_id: str, session: NodeSession) -> None:
+        self.batch = BatchRecord()
+        self._host_id = host_id
+        self._session = session
+        self._tasks: set[asyncio.Task] = set()
+
+    async def report(self) -> None:
+        """Report the batch as suspects; waits a bounded time."""
+        crash = self.batch.crashed()
+        if crash is None:
+            return
+        log.warning(
+            'event=backend_crashed suspects=%d alone=%s',
+            len(crash.fingerprints),
+            crash.alone,
+        )
+        message = ReportSuspects(
+            host_id=self._host_id,
+            fingerprints=crash.fingerprints,
+            alone=crash.alone,
+        )
+        await asyncio.wait({self._send(message)}, timeout=REPORT_WAIT_S)
+
+    def clear(self, fingerprint: str) -> None:
+        """Report that a suspect finished alone."""
+        if fingerprint:
+            self._send(
+                ClearSuspect(host_id=self._host_id, fingerprint=fingerprint),
+            )
+
+    async def stop(self) -> None:
+        """Give up what is not sent."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _send(self, message: Any) -> asyncio.Task:
+        task = asyncio.create_task(self._deliver(message))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _deliver(self, message: Any) -> None:
+        for _ in range(REPORT_ATTEMPTS):
+            try:
+                await self._session.control.call(message, REPORT_TIMEOUT_S)
+            except KumquatrunError as error:
+                log.warning('event=report_failed error=%r', str(error))
+                await asyncio.sleep(REPORT_RETRY_S)
+            else:
+                return
--- /dev/null
+++ b/src/kumquatrun/engine_loader.py
@@ -0,0 +1,155 @@
+"""Loads adapters into one engine with a fleet-wide load slot."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+from kumquatrun.adapter_slots import AdapterKey, LoadTicket
+from kumquatrun.clock import Clock
+from kumquatrun.control_api import NodeSession
+from kumquatrun.engine_client import EngineApi
+from kumquatrun.errors import (
+    AdapterLoadError,
+    ControlUnreachableError,
+    KumquatrunError,
+    StaleDispatchError,
+)
+from kumquatrun.messages import AcquireLoadSlot, ReleaseLoadSlot
+from kumquatrun.scheduler import Scheduler
+
+log = logging.getLogger(__name__)
+
+CONTROL_TIMEOUT_S = 2.0
+MIN_SLOT_RETRY_S = 0.02
+
+
+class EngineLoader:
+    """Carries out the loads that the scheduler decides.
+
+    Parameters
+    ----------
+    session
+        Membership of the node; gives load slots and the fencing number.
+    engine
+        The engine that takes the orders.
+    scheduler
+        Decides what to load and where.
+    clock
+        Time source.
+    load_timeout_s
+        Bound of one unload and load.
+    on_incarnation
+        Called with the engine incarnation of each answered order.
+    """
+
+    def __init__(
+        self,
+        *,
+        session: NodeSession,
+        engine: EngineApi,
+        scheduler: Scheduler,
+        clock: Clock,
+        load_timeout_s: float,
+        on_incarnation: Callable[[str], None],
+    ) -> None:
+        self._session = session
+        self._engine = engine
+        self._scheduler = scheduler
+        self._clock = clock
+        self._load_timeout_s = load_timeout_s
+        self._on_incarnation = on_incarnation
+        # The jitter only spreads requests, so its seed needs no secrecy.
+        self._random = random.Random()  # noqa: S311
+
+    async def load(self, key: AdapterKey) -> None:
+        """Load an announced adapter, if a request still waits for it.
+
+        Raises
+        ------
+        KumquatrunError
+            If it could not be loaded; nothing was run.
+        """
+        slot_id = await self._acquire(key)
+        if not slot_id:
+            return
+        try:
+            await self._load_into_slot(key)
+        finally:
+            await self._release(slot_id)
+
+    async def _acquire(self, key: AdapterKey) -> str:
+        while True:
+            waiting = len(self._scheduler.waiting_for(key))
+            if not waiting:
+                return ''
+            record = self._session.record
+            reply = await self._session.control.call(
+                AcquireLoadSlot(
+                    host_id=record.host_id,
+                    incarnation=record.incarnation,
+                    adapter=str(key),
+                    waiting_requests=waiting,
+                ),
+                CONTROL_TIMEOUT_S,
+            )
+            if reply.slot_id:
+                return reply.slot_id
+            retry_s = max(MIN_SLOT_RETRY_S, reply.retry_after_s)
+            await asyncio.sleep(retry_s * self._random.uniform(0.5, 1))
+
+    async def _release(self, slot_id: str) -> None:
+        # A release that is lost costs the slot's time limit, nothing else.
+        try:
+            await self._session.control.call(
+                ReleaseLoadSlot(slot_id=slot_id),
+                CONTROL_TIMEOUT_S,
+            )
+        except KumquatrunError as error:
+            log.info('event=load_slot_not_released error=%r', str(error))
+
+    async def _load_into_slot(self, key: AdapterKey) -> None:
+        started_s = self._clock.now_s()
+        ticket = self._scheduler.place(key, started_s)
+        if ticket is None:
+            return
+        slots = self._scheduler.slots
+        try:
+            async with asyncio.timeout(self._load_timeout_s):
+                await self._send_orders(ticket)
+        except TimeoutError:
+            slots.load_uncertain(ticket)
+            raise AdapterLoadError(
+                f'{key} was not loaded in {self._load_timeout_s} s',
+            ) from None
+        except (AdapterLoadError, StaleDispatchError, ControlUnreachableError):
+            slots.load_failed(ticket)
+            raise
+        except BaseException:
+            slots.load_uncertain(ticket)
+            raise
+        load_s = self._clock.now_s() - started_s
+        slots.load_finished(ticket, self._clock.now_s(), load_s)
+        log.info(
+            'event=adapter_loaded adapter=%s evicted=%s load_s=%.3f',
+            key,
+            ticket.evict,
+            load_s,
+        )
+
+    async def _send_orders(self, ticket: LoadTicket) -> None:
+        if ticket.evict is not None:
+            number = self._fencing_number()
+            incarnation = await self._engine.unload(ticket.evict, number)
+            self._on_incarnation(incarnation)
+            self._scheduler.slots.evicted(ticket)
+        number = self._fencing_number()
+        incarnation = await self._engine.load(ticket.key, number)
+        self._on_incarnation(incarnation)
+
+    def _fencing_number(self) -> int:
+        # Some engines ignore fencing numbers. An agent without a lease may
+        # have been replaced, so it sends no order at all.
+        if not self._session.lease_valid():
+            raise ControlUnreachableError('the lease of the agent expired')
+        return self._session.record.fencing_number
--- /dev/null
+++ b/src/kumquatrun/engine_runner.py
@@ -0,0 +1,310 @@
+"""Runs dispatches on one engine and watches its incarnation."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Coroutine
+
+from kumquatrun.adapter_slots import AdapterKey, AdapterSlots
+from kumquatrun.clock import Clock
+from kumquatrun.control_api import NodeSession
+from kumquatrun.crash_reports import CrashReporter
+from kumquatrun.engine_client import (
+    EngineApi,
+    EngineHealth,
+    GenerateCall,
+    Generation,
+    ServedBy,
+    refusal_code,
+)
+from kumquatrun.engine_loader import EngineLoader
+from kumquatrun.errors import (
+    AdapterLoadError,
+    ConnectionLostError,
+    KumquatrunError,
+    NoCapacityError,
+    Outcome,
+    OutcomeUnknownError,
+)
+from kumquatrun.invariants import violations
+from kumquatrun.messages import Dispatch, Finished, Started
+from kumquatrun.peer import CallContext
+from kumquatrun.scheduler import Job, Scheduler
+from kumquatrun.settings import AgentSettings
+
+log = logging.getLogger(__name__)
+
+HEALTH_INTERVAL_S = 0.5
+# A crashed engine refuses connections or answers with a new incarnation; a
+# few checks tell this from a single lost connection.
+CRASH_CHECKS = 3
+CRASH_CHECK_INTERVAL_S = 0.05
+
+
+class EngineRunner:
+    """Backend runner for a model engine.
+
+    Parameters
+    ----------
+    settings
+        Settings of the agent.
+    session
+        Membership of the node.
+    engine
+        The engine.
+    clock
+        Time source.
+    """
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        session: NodeSession,
+        engine: EngineApi,
+        clock: Clock,
+    ) -> None:
+        self.scheduler = Scheduler(
+            max_running=settings.max_running,
+            max_queued=settings.max_queued,
+            slots=AdapterSlots(0),
+        )
+        self._host_id = settings.host_id
+        self._session = session
+        self._engine = engine
+        self._clock = clock
+        self._crashes = CrashReporter(settings.host_id, session)
+        self._loader = EngineLoader(
+            session=session,
+            engine=engine,
+            scheduler=self.scheduler,
+            clock=clock,
+            load_timeout_s=settings.load_timeout_s,
+            on_incarnation=self._check_incarnation,
+        )
+        self._incarnation = ''
+        self._is_up = False
+        self._on_change: Callable[[], None] = lambda: None
+        self._tasks: set[asyncio.Task] = set()
+        self._relays: dict[Job, asyncio.Task] = {}
+        self._check: asyncio.Task | None = None
+
+    @property
+    def is_up(self) -> bool:
+        """Return whether the engine answered the last check."""
+        return self._is_up
+
+    def make_job(self, dispatch: Dispatch, now_s: float) -> Job:
+        """Return the job of a dispatch."""
+        key = AdapterKey(dispatch.adapter, dispatch.version)
+        return Job(dispatch=dispatch, key=key, queued_s=now_s)
+
+    async def start(self, on_change: Callable[[], None]) -> None:
+        """Read the engine's state and keep watching it."""
+        self._on_change = on_change
+        await self._poll()
+        self._spawn(self._watch())
+
+    async def stop(self) -> None:
+        """Stop all tasks and close the connections."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._crashes.stop()
+        await self._engine.close()
+
+    def start_loads(self) -> None:
+        """Start the loads that the scheduler asks for."""
+        while self._is_up:
+            key = self.scheduler.next_load(self._clock.now_s())
+            if key is None:
+                return
+            self._spawn(self._load(key))
+
+    async def run(self, job: Job, context: CallContext) -> Finished:
+        """Run a started job; a restart of the engine ends it."""
+        relay = asyncio.create_task(self._run(job, context))
+        self._relays[job] = relay
+        try:
+            return await relay
+        except asyncio.CancelledError:
+            if asyncio.current_task().cancelling():
+                raise
+            raise _lost_error('the engine restarted', context) from None
+        finally:
+            relay.cancel()
+            self._relays.pop(job, None)
+            self._crashes.batch.discard(job)
+
+    async def _run(self, job: Job, context: CallContext) -> Finished:
+        try:
+            finished = await self._relay(job, context)
+        except ConnectionLostError as error:
+            await self._check_engine()
+            # Raised here only if the engine still runs: a restart cancels
+            # this task.
+            context.outcome = error.outcome
+            raise
+        if job.dispatch.alone:
+            self._crashes.clear(job.dispatch.fingerprint)
+        return finished
+
+    async def _relay(self, job: Job, context: CallContext) -> Finished:
+        dispatch = job.dispatch
+        incarnation = self._incarnation
+
+        def on_sent() -> None:
+            context.outcome = Outcome.UNKNOWN
+            self._crashes.batch.add(job, dispatch.fingerprint)
+
+        call = GenerateCall(
+            request_id=dispatch.request_id,
+            path=dispatch.path,
+            body=dispatch.body,
+            key=job.key,
+            priority=dispatch.priority,
+            stream=dispatch.stream,
+        )
+        async with self._engine.generate(call, on_sent) as generation:
+            is_first = True
+            async for item in generation:
+                if is_first:
+                    is_first = False
+                    self._verify(job, generation, item, incarnation, context)
+                    context.outcome = Outcome.RAN
+                    await context.send_message(self._started(job, generation))
+                await context.send_item(item)
+            usage = generation.usage
+        if is_first:
+            raise ConnectionLostError('the engine sent no answer')
+        return Finished(
+            outcome=Outcome.RAN,
+            prompt_tokens=usage.prompt_tokens,
+            output_tokens=usage.output_tokens,
+        )
+
+    def _started(self, job: Job, generation: Generation) -> Started:
+        return Started(
+            host_id=self._host_id,
+            adapter=job.dispatch.adapter,
+            version=job.dispatch.version,
+            status=generation.status,
+            content_type=generation.content_type,
+        )
+
+    def _verify(
+        self,
+        job: Job,
+        generation: Generation,
+        first_item: bytes,
+        incarnation: str,
+        context: CallContext,
+    ) -> None:
+        if generation.status >= 400:
+            if refusal_code(first_item) == 'adapter_not_loaded':
+                context.outcome = Outcome.NOT_RUN
+                self.scheduler.slots.mark_missing(job.key)
+                raise AdapterLoadError(f'the engine does not hold {job.key}')
+            return
+        expected = ServedBy(
+            adapter=job.dispatch.adapter,
+            version=job.dispatch.version,
+            incarnation=incarnation,
+        )
+        if generation.served_by != expected:
+            violations['right_adapter'] += 1
+            log.error(
+                'event=wrong_adapter request_id=%s expected=%s served_by=%s',
+                job.dispatch.request_id,
+                expected,
+                generation.served_by,
+            )
+            raise OutcomeUnknownError(
+                f'expected {expected}, the engine ran {generation.served_by}',
+            )
+
+    # Loads.
+
+    async def _load(self, key: AdapterKey) -> None:
+        try:
+            await self._loader.load(key)
+        except KumquatrunError as error:
+            log.warning('event=load_failed adapter=%s error=%s', key, error)
+            self._fail_waiting(key, error)
+        finally:
+            self.scheduler.slots.close_load(key)
+            self._on_change()
+
+    def _fail_waiting(self, key: AdapterKey, error: KumquatrunError) -> None:
+        for job in self.scheduler.waiting_for(key):
+            job.fail(error)
+
+    # Health.
+
+    async def _watch(self) -> None:
+        while True:
+            await asyncio.sleep(HEALTH_INTERVAL_S)
+            await self._poll()
+            self._on_change()
+
+    async def _poll(self) -> bool:
+        try:
+            health = await self._engine.health()
+        except KumquatrunError as error:
+            if self._is_up:
+                log.warning('event=engine_down error=%r', str(error))
+            self._is_up = False
+            return False
+        await self._observe(health)
+        return True
+
+    async def _observe(self, health: EngineHealth) -> None:
+        slots = self.scheduler.slots
+        self._is_up = True
+        if health.incarnation == self._incarnation:
+            return
+        was_known = bool(self._incarnation)
+        self._incarnation = health.incarnation
+        slots.reset(health.slots)
+        slots.adopt(health.adapters, self._clock.now_s())
+        if was_known:
+            log.warning('event=engine_restarted now=%s', health.incarnation)
+            await self._end_batch()
+
+    async def _end_batch(self) -> None:
+        relays = list(self._relays.values())
+        # Reported before the callers learn of the loss, so that the control
+        # state knows the suspects when they are sent again.
+        await self._crashes.report()
+        for relay in relays:
+            relay.cancel()
+
+    async def _check_engine(self) -> None:
+        """Find out whether the engine crashed; equal checks are joined."""
+        if self._check is None or self._check.done():
+            self._check = self._spawn(self._check_for_crash())
+        await asyncio.shield(self._check)
+
+    async def _check_for_crash(self) -> None:
+        for _ in range(CRASH_CHECKS):
+            if await self._poll():
+                return
+            await asyncio.sleep(CRASH_CHECK_INTERVAL_S)
+        # The engine is unreachable. Its next incarnation resets the slots.
+        await self._end_batch()
+
+    def _check_incarnation(self, incarnation: str) -> None:
+        if incarnation != self._incarnation:
+            self._spawn(self._check_engine())
+            raise AdapterLoadError('the engine restarted during the load')
+
+    def _spawn(self, coroutine: Coroutine) -> asyncio.Task:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+
+def _lost_error(detail: str, context: CallContext) -> KumquatrunError:
+    if context.outcome is Outcome.NOT_RUN:
+        return NoCapacityError(detail)
+    context.outcome = Outcome.UNKNOWN
+    return OutcomeUnknownError(detail)
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,88 @@
+"""Fakes that several test files share."""
+
+import itertools
+
+from kumquatrun.document import Document, ServiceKind, ServiceSpec
+from kumquatrun.errors import ControlUnreachableError
+from kumquatrun.messages import (
+    Ack,
+    AcquireLoadSlot,
+    HostRecord,
+    LoadSlotReply,
+    ReleaseLoadSlot,
+)
+
+INCARNATION = 'agent-1'
+
+
+class FakeControl:
+    """Leader with ``free_slots`` load slots that records all messages."""
+
+    def __init__(self, free_slots=8):
+        self.free_slots = free_slots
+        self.messages = []
+        self.is_reachable = True
+        self._ids = itertools.count(1)
+
+    async def call(self, request, timeout_s):
+        if not self.is_reachable:
+            raise ControlUnreachableError('no leader')
+        self.messages.append(request)
+        if isinstance(request, AcquireLoadSlot):
+            if not self.free_slots:
+                return LoadSlotReply(slot_id='', retry_after_s=0.05)
+            self.free_slots -= 1
+            return LoadSlotReply(slot_id=f'slot-{next(self._ids)}')
+        if isinstance(request, ReleaseLoadSlot):
+            self.free_slots += 1
+        return Ack()
+
+    def sent(self, kind):
+        return [msg for msg in self.messages if isinstance(msg, kind)]
+
+
+class FakeView:
+    def __init__(self, document):
+        self.document = document
+
+
+class FakeSession:
+    """Membership of a node with a lease that tests take away."""
+
+    def __init__(self, kind=ServiceKind.ENGINE, service='assistant'):
+        self.record = HostRecord(
+            host_id='host-a',
+            incarnation=INCARNATION,
+            role='agent',
+            address='127.0.0.1:0',
+            region='r1',
+            failure_domain='d1',
+            service=service,
+            fencing_number=5,
+        )
+        spec = ServiceSpec(name=service, kind=kind)
+        self.view = FakeView(Document(environment='trial', services=(spec,)))
+        self.control = FakeControl()
+        self.has_lease = True
+        self.listeners = []
+        self.agent_source = None
+
+    def lease_valid(self):
+        return self.has_lease
+
+    def set_lease(self, has_lease):
+        self.has_lease = has_lease
+        self.notify()
+
+    def notify(self):
+        for listener in self.listeners:
+            listener()
+
+    def on_change(self, listener):
+        self.listeners.append(listener)
+
+    def report_agent(self, source):
+        self.agent_source = source
+
+    def report_budgets(self, source):
+        """Not used by agents."""
