Reconcile adapter slots with the engine and release load slots later

A load whose answer arrives after a reset of the slots left an adapter in the engine that the agent did not know; the engine then refused later loads for want of a slot. Health answers that no order overlapped are now compared with the slots. Releasing a load slot no longer delays the requests that waited for the load. Ended dispatches no longer keep their peer connection alive.

--- a/src/kumquatrun/adapter_slots.py
+++ b/src/kumquatrun/adapter_slots.py
@@ -1,7 +1,7 @@
 """Adapter slots of one engine: pins, loads and eviction."""
 
 import math
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -272,11 +272,19 @@
                 self._step(slot, 'keep')
                 slot.retired_for = None
 
-    def adopt(self, keys: Iterable[AdapterKey], now_s: float) -> None:
-        """Take over adapters that the engine already holds."""
+    def reconcile(self, held: Collection[AdapterKey], now_s: float) -> None:
+        """Compare with what the engine holds while no order is under way.
+
+        An agent that starts beside a running engine, or that lost the answer
+        to a load, takes over what the engine holds. An engine that ignores
+        fencing numbers may have lost adapters to another agent's orders.
+        """
+        for lost in set(self.loaded()) - set(held):
+            self.mark_missing(lost)
         known = {slot.key for slot in self._slots}
         free = [slot for slot in self._slots if slot.state == 'empty']
-        for slot, key in zip(free, set(keys) - known, strict=False):
+        unknown = sorted(set(held) - known)
+        for slot, key in zip(free, unknown, strict=False):
             self._step(slot, 'adopt')
             slot.key = key
             slot.loaded_s = now_s - self._protection_s
--- a/src/kumquatrun/engine_loader.py
+++ b/src/kumquatrun/engine_loader.py
@@ -27,6 +27,8 @@
 class EngineLoader:
     """Carries out the loads that the scheduler decides.
 
+    ``orders`` counts the orders sent so far.
+
     Parameters
     ----------
     session
@@ -59,6 +61,8 @@
         self._clock = clock
         self._load_timeout_s = load_timeout_s
         self._on_incarnation = on_incarnation
+        self._releases: set[asyncio.Task] = set()
+        self.orders = 0
         # The jitter only spreads requests, so its seed needs no secrecy.
         self._random = random.Random()  # noqa: S311
 
@@ -76,7 +80,13 @@
         try:
             await self._load_into_slot(key)
         finally:
-            await self._release(slot_id)
+            self._release_later(slot_id)
+
+    async def stop(self) -> None:
+        """Give up the releases that were not answered."""
+        for task in list(self._releases):
+            task.cancel()
+        await asyncio.gather(*self._releases, return_exceptions=True)
 
     async def _acquire(self, key: AdapterKey) -> str:
         while True:
@@ -98,6 +108,12 @@
             retry_s = max(MIN_SLOT_RETRY_S, reply.retry_after_s)
             await asyncio.sleep(retry_s * self._random.uniform(0.5, 1))
 
+    def _release_later(self, slot_id: str) -> None:
+        # The waiting requests start without waiting for the leader's answer.
+        task = asyncio.create_task(self._release(slot_id))
+        self._releases.add(task)
+        task.add_done_callback(self._releases.discard)
+
     async def _release(self, slot_id: str) -> None:
         # A release that is lost costs the slot's time limit, nothing else.
         try:
@@ -152,4 +168,5 @@
         # have been replaced, so it sends no order at all.
         if not self._session.lease_valid():
             raise ControlUnreachableError('the lease of the agent expired')
+        self.orders += 1
         return self._session.record.fencing_number
--- a/src/kumquatrun/engine_runner.py
+++ b/src/kumquatrun/engine_runner.py
@@ -108,6 +108,7 @@
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._loader.stop()
         await self._crashes.stop()
         await self._engine.close()
 
@@ -246,6 +247,7 @@
             self._on_change()
 
     async def _poll(self) -> bool:
+        orders = self._loader.orders
         try:
             health = await self._engine.health()
         except KumquatrunError as error:
@@ -254,6 +256,9 @@
             self._is_up = False
             return False
         await self._observe(health)
+        slots = self.scheduler.slots
+        if orders == self._loader.orders and not slots.open_loads:
+            slots.reconcile(health.adapters, self._clock.now_s())
         return True
 
     async def _observe(self, health: EngineHealth) -> None:
@@ -264,7 +269,7 @@
         was_known = bool(self._incarnation)
         self._incarnation = health.incarnation
         slots.reset(health.slots)
-        slots.adopt(health.adapters, self._clock.now_s())
+        slots.reconcile(health.adapters, self._clock.now_s())
         if was_known:
             log.warning('event=engine_restarted now=%s', health.incarnation)
             await self._end_batch()
@@ -299,9 +304,14 @@
     def _spawn(self, coroutine: Coroutine) -> asyncio.Task:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._on_task_done)
         return task
 
+    def _on_task_done(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error('event=task_failed', exc_info=task.exception())
+
 
 def _lost_error(detail: str, context: CallContext) -> KumquatrunError:
     if context.outcome is Outcome.NOT_RUN:
--- a/src/kumquatrun/fair_queue.py
+++ b/src/kumquatrun/fair_queue.py
@@ -150,14 +150,14 @@
     def expire(self, now_s: float) -> list[Item]:
         """Remove and return the items whose deadline has passed."""
         expired = [
-            (name, entry)
+            (name, late)
             for name, account in self._accounts.items()
-            for entry in account.entries
-            if entry.share.deadline_s <= now_s
+            for late in account.entries
+            if late.share.deadline_s <= now_s
         ]
         for name, entry in expired:
             self._take(name, entry)
-        return [entry.item for _, entry in expired]
+        return [late.item for _, late in expired]
 
     def _by_tag(self) -> list[tuple[str, _Account[Item]]]:
         backlogged = [
--- a/src/kumquatrun/seen_requests.py
+++ b/src/kumquatrun/seen_requests.py
@@ -27,9 +27,20 @@
 @dataclass
 class _Seen:
     attempt: int
-    holder: OutcomeHolder
+    holder: OutcomeHolder | None
     deadline_s: float
-    is_open: bool = True
+    final_outcome: Outcome = Outcome.UNKNOWN
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether the attempt has not ended."""
+        return self.holder is not None
+
+    def close(self) -> None:
+        """Keep the outcome and let go of the call."""
+        if self.holder is not None:
+            self.final_outcome = self.holder.outcome
+            self.holder = None
 
     def refusal(self, dispatch: Dispatch) -> KumquatrunError | None:
         """Return why ``dispatch`` may not run beside this attempt."""
@@ -37,7 +48,9 @@
         same_attempt = dispatch.attempt == self.attempt
         if self.is_open and (same_attempt or not dispatch.repeatable):
             return InProgressError(f'{name} is running here')
-        outcome = self.holder.outcome
+        outcome = (
+            self.final_outcome if self.holder is None else (self.holder.outcome)
+        )
         if outcome is not Outcome.NOT_RUN and not dispatch.repeatable:
             return OutcomeUnknownError(
                 f'{name} was accepted before: {outcome}', outcome=outcome
@@ -89,7 +102,7 @@
         """Record that an accepted dispatch has ended."""
         for seen in self._seen.get(dispatch.request_id, ()):
             if seen.attempt == dispatch.attempt:
-                seen.is_open = False
+                seen.close()
 
     def forget_old(self, now_s: float) -> None:
         """Drop requests whose last deadline is long past."""
