Serve completions over HTTP through an agent

The entry parses OpenAI-style requests, authenticates the key, reserves tokens, claims requests that have an Idempotency-Key and dispatches them over the peer protocol.

--- /dev/null
+++ b/src/kumquatrun/admission.py
@@ -0,0 +1,204 @@
+"""Turns an HTTP request into a request of the relay, or refuses it."""
+
+import hashlib
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from kumquatrun.clock import Clock
+from kumquatrun.control_api import NodeSession
+from kumquatrun.document import Access, RouteSpec
+from kumquatrun.errors import (
+    ControlUnreachableError,
+    InvalidKeyError,
+    InvalidRequestError,
+    RouteNotFoundError,
+)
+from kumquatrun.execution import RelayRequest
+from kumquatrun.openai_api import (
+    CompletionRequest,
+    Endpoint,
+    endpoint_of,
+    parse_completion,
+)
+from kumquatrun.route_table import RouteTable
+
+MAX_IDEMPOTENCY_KEY = 256
+MAX_KEY = 512
+
+
+@dataclass(frozen=True, kw_only=True)
+class HttpRequest:
+    """What the entry uses of an HTTP request; ``path`` has the query."""
+
+    request_id: str
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes = b''
+
+    @property
+    def bare_path(self) -> str:
+        """Return the path without the query."""
+        return self.path.partition('?')[0]
+
+
+class Admission:
+    """Authenticates, routes and parses requests."""
+
+    def __init__(
+        self,
+        session: NodeSession,
+        clock: Clock,
+        request_timeout_s: float,
+    ) -> None:
+        self._session = session
+        self._clock = clock
+        self._request_timeout_s = request_timeout_s
+        self._table = RouteTable(session.view.document)
+
+    @property
+    def table(self) -> RouteTable:
+        """Return the index of the document in force."""
+        document = self._session.view.document
+        if document is not self._table.document:
+            self._table = RouteTable(document)
+        return self._table
+
+    def authenticate(self, http: HttpRequest) -> tuple[RouteSpec, str, str]:
+        """Return route, key and account; both are empty on open routes.
+
+        Raises
+        ------
+        KumquatrunError
+            If no route matches or the key does not admit the caller.
+        """
+        route = self.table.route_of(http.bare_path)
+        if route.access is Access.OPEN:
+            return route, '', ''
+        if not self._session.lease_valid():
+            raise ControlUnreachableError('this entry has no valid lease')
+        key = _bearer_token(http.headers)
+        account = self._session.view.account_of_key(key)
+        if account is None:
+            raise InvalidKeyError('the key is unknown or revoked')
+        self.table.check_account(route, account)
+        return route, key, account
+
+    def build(
+        self,
+        http: HttpRequest,
+        route: RouteSpec,
+        key: str,
+        account: str,
+    ) -> RelayRequest:
+        """Return the request that the relay runs.
+
+        Raises
+        ------
+        KumquatrunError
+            If the body or a header is malformed or the adapter is unknown.
+        """
+        common = {
+            'request_id': http.request_id,
+            'route': route,
+            'account': account,
+            'key': key,
+            'method': http.method,
+            'weight': self.table.weight_of(account),
+            'deadline_s': self._clock.now_s() + self._request_timeout_s,
+            'idempotency_key': _idempotency_key(http.headers),
+        }
+        if self.table.is_engine(route):
+            request = self._completion(http, route, common)
+        else:
+            request = RelayRequest(
+                path=http.path,
+                body=http.body,
+                content_type=http.headers.get('Content-Type', ''),
+                prompt_tokens=route.cost_tokens,
+                fingerprint=_fingerprint(
+                    route.service, http.method, http.path, http.body
+                ),
+                **common,
+            )
+        self._check_burst(request)
+        return request
+
+    def _completion(
+        self,
+        http: HttpRequest,
+        route: RouteSpec,
+        common: dict,
+    ) -> RelayRequest:
+        endpoint = endpoint_of(http.bare_path)
+        if endpoint in {None, Endpoint.MODELS} or http.method != 'POST':
+            raise RouteNotFoundError(
+                f'{http.method} {http.bare_path[:100]} is not a completion',
+            )
+        parsed = parse_completion(endpoint, http.body)
+        adapter, version = self.table.resolve(
+            route, parsed.adapter, parsed.version
+        )
+        return RelayRequest(
+            path=f'/v1{endpoint.value}',
+            body=_limited_body(parsed, route, http.body),
+            content_type='application/json',
+            adapter=adapter,
+            version=version,
+            priority=parsed.priority,
+            stream=parsed.stream,
+            prompt_tokens=parsed.prompt_tokens,
+            output_tokens=parsed.output_tokens(route.default_max_tokens),
+            fingerprint=_fingerprint(
+                route.service, adapter, version, parsed.prompt_digest
+            ),
+            **common,
+        )
+
+    def _check_burst(self, request: RelayRequest) -> None:
+        burst = self.table.burst_of(request.account)
+        if burst is not None and request.cost_tokens > burst:
+            raise InvalidRequestError(
+                f'the request may use {request.cost_tokens} tokens, more than '
+                f"the account's burst of {burst}; lower max_tokens",
+            )
+
+
+def _limited_body(
+    parsed: CompletionRequest,
+    route: RouteSpec,
+    body: bytes,
+) -> bytes:
+    # Without a limit in the body the engine could produce more tokens than
+    # were reserved.
+    if parsed.max_tokens is None:
+        return parsed.body_with_limit(route.default_max_tokens)
+    return body
+
+
+def _bearer_token(headers: Mapping[str, str]) -> str:
+    scheme, _, key = headers.get('Authorization', '').partition(' ')
+    key = key.strip()
+    if scheme.lower() != 'bearer' or not 0 < len(key) <= MAX_KEY:
+        raise InvalidKeyError('no bearer token in the Authorization header')
+    return key
+
+
+def _idempotency_key(headers: Mapping[str, str]) -> str:
+    key = headers.get('Idempotency-Key')
+    if key is None:
+        return ''
+    if not 0 < len(key) <= MAX_IDEMPOTENCY_KEY:
+        raise InvalidRequestError(
+            f'Idempotency-Key is empty or over {MAX_IDEMPOTENCY_KEY} characters'
+        )
+    return key
+
+
+def _fingerprint(*parts: str | bytes) -> str:
+    digest = hashlib.blake2b(digest_size=16)
+    for part in parts:
+        encoded = part.encode() if isinstance(part, str) else part
+        digest.update(len(encoded).to_bytes(8, 'big'))
+        digest.update(encoded)
+    return digest.hexdigest()
--- /dev/null
+++ b/src/kumquatrun/agent_pool.py
@@ -0,0 +1,167 @@
+"""Connections to agents and the entry's estimate of their load."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+
+from kumquatrun.clock import Clock
+from kumquatrun.control_api import NodeSession
+from kumquatrun.messages import AgentReport, Hello, HostRecord
+from kumquatrun.peer import Address, PeerClient
+from kumquatrun.placement import AgentLoad, PlacementPolicy, PlacementRequest
+
+# An agent that refused a dispatch or a connection is not selected for as long
+# as its host record may lag behind (page 6: a lease lasts 3 s).
+AVOID_S = 3.0
+
+
+@dataclass
+class _Estimate:
+    report: AgentReport | None = None
+    open_at_report: int = 0
+    open_now: int = 0
+    avoid_until_s: float = 0
+    incarnation: str = ''
+
+
+class AgentPool:
+    """Selects agents and keeps one connection per agent."""
+
+    def __init__(
+        self,
+        session: NodeSession,
+        clock: Clock,
+        policy: PlacementPolicy,
+        connect: Callable[[Address, Hello], PeerClient] = PeerClient,
+        cluster_token: str = '',
+    ) -> None:
+        self._session = session
+        self._clock = clock
+        self._policy = policy
+        self._connect = connect
+        self._cluster_token = cluster_token
+        self._clients: dict[str, PeerClient] = {}
+        self._estimates: dict[str, _Estimate] = {}
+        self._demand: Counter[tuple[str, str, str]] = Counter()
+        self._closing: set[asyncio.Task] = set()
+
+    def choose(
+        self,
+        service: str,
+        adapter: str,
+        version: str,
+        excluded: Collection[str] = (),
+    ) -> HostRecord | None:
+        """Return the agent for a request, None if there is none."""
+        records = {
+            record.host_id: record
+            for record in self._session.view.agents_of(service)
+        }
+        others = [
+            record
+            for record in records.values()
+            if record.host_id not in excluded
+        ]
+        usable = [each for each in others if not self._is_avoided(each)]
+        request = PlacementRequest(
+            service=service,
+            adapter=adapter,
+            version=version,
+            demand=self._demand[service, adapter, version],
+        )
+        candidates = usable or others or list(records.values())
+        loads = [self._load_of(record) for record in candidates]
+        host_id = self._policy.choose(request, loads)
+        return None if host_id is None else records[host_id]
+
+    def client(self, record: HostRecord) -> PeerClient:
+        """Return the connection to an agent."""
+        address = Address.parse(record.address)
+        client = self._clients.get(record.host_id)
+        if client is None or client.address != address:
+            if client is not None:
+                self._close(client)
+            client = self._connect(address, self._identity())
+            self._clients[record.host_id] = client
+        return client
+
+    def begin(self, record: HostRecord, adapter: str, version: str) -> None:
+        """Count a dispatch."""
+        self._estimate(record.host_id).open_now += 1
+        self._demand[record.service, adapter, version] += 1
+
+    def end(self, record: HostRecord, adapter: str, version: str) -> None:
+        """Count the end of a dispatch."""
+        self._estimate(record.host_id).open_now -= 1
+        name = record.service, adapter, version
+        self._demand[name] -= 1
+        if not self._demand[name]:
+            del self._demand[name]
+
+    def avoid(self, record: HostRecord) -> None:
+        """Select other agents until the host record may have changed."""
+        estimate = self._estimate(record.host_id)
+        estimate.avoid_until_s = self._clock.now_s() + AVOID_S
+        estimate.incarnation = record.incarnation
+
+    def open_dispatches(self) -> int:
+        """Return the number of dispatches that have not ended."""
+        return sum(each.open_now for each in self._estimates.values())
+
+    async def close(self) -> None:
+        """Close all connections."""
+        clients = list(self._clients.values())
+        self._clients.clear()
+        await asyncio.gather(*(client.close() for client in clients))
+        await asyncio.gather(*self._closing)
+
+    def _is_avoided(self, record: HostRecord) -> bool:
+        estimate = self._estimate(record.host_id)
+        return (
+            estimate.incarnation == record.incarnation
+            and self._clock.now_s() < estimate.avoid_until_s
+        )
+
+    def _load_of(self, record: HostRecord) -> AgentLoad:
+        estimate = self._estimate(record.host_id)
+        report = self._session.view.report_of(record.host_id)
+        if report is not estimate.report:
+            estimate.report = report
+            estimate.open_at_report = estimate.open_now
+        load = estimate.open_now
+        if report is None:
+            return AgentLoad(
+                host_id=record.host_id,
+                is_local=self._is_local(record),
+                load=load,
+            )
+        # Reports lag; what this entry began and ended since is added.
+        reported = report.running + report.queued
+        load = max(load, reported + load - estimate.open_at_report)
+        return AgentLoad(
+            host_id=record.host_id,
+            is_local=self._is_local(record),
+            load=load,
+            capacity=report.capacity,
+            loaded=frozenset(report.adapters),
+        )
+
+    def _is_local(self, record: HostRecord) -> bool:
+        return record.region == self._session.record.region
+
+    def _estimate(self, host_id: str) -> _Estimate:
+        return self._estimates.setdefault(host_id, _Estimate())
+
+    def _identity(self) -> Hello:
+        own = self._session.record
+        return Hello(
+            node_id=own.host_id,
+            incarnation=own.incarnation,
+            cluster_token=self._cluster_token,
+        )
+
+    def _close(self, client: PeerClient) -> None:
+        task = asyncio.create_task(client.close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
--- /dev/null
+++ b/src/kumquatrun/answer.py
@@ -0,0 +1,133 @@
+"""Hands an agent's answer to the caller and counts its tokens."""
+
+from typing import Protocol
+
+from kumquatrun.messages import StoredAnswer
+
+# An answer that is not a stream of events is held back up to this size, so
+# that a failure can still be answered with a typed error or a retry.
+HOLD_BYTES = 64 * 1024
+EVENT_STREAM = 'text/event-stream'
+_EVENT_END = b'\n\n'
+_NEWLINE = 0x0A
+
+
+class Sink(Protocol):
+    """The caller's connection."""
+
+    async def start(self, status: int, content_type: str) -> None:
+        """Send the head of an answer whose length is not known yet."""
+        ...
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a part of the body; waits while the caller reads slowly."""
+        ...
+
+    async def finish(self) -> None:
+        """End the body."""
+        ...
+
+    async def send(self, answer: StoredAnswer) -> None:
+        """Send a whole answer."""
+        ...
+
+
+class EventCounter:
+    """Counts the server-sent events of a stream, one per output token."""
+
+    def __init__(self) -> None:
+        self.events = 0
+        self._ends_with_newline = False
+
+    def add(self, chunk: bytes) -> None:
+        """Count the events that end in ``chunk``."""
+        if not chunk:
+            return
+        self.events += chunk.count(_EVENT_END)
+        if self._ends_with_newline and chunk[0] == _NEWLINE:
+            self.events += 1
+        # A chunk that ends an event does not begin the end of another one.
+        self._ends_with_newline = chunk[-1] == _NEWLINE and not chunk.endswith(
+            _EVENT_END
+        )
+
+
+class AnswerWriter:
+    """Writes one answer to the caller.
+
+    Parameters
+    ----------
+    sink
+        The caller's connection.
+    keep_bytes
+        Largest body that is kept for a stored answer; 0 keeps none.
+    """
+
+    def __init__(self, sink: Sink, keep_bytes: int = 0) -> None:
+        self.is_started = False
+        self.status = 0
+        self.is_event_stream = False
+        self.counter = EventCounter()
+        self._sink = sink
+        self._content_type = ''
+        self._held = bytearray()
+        self._keep_bytes = keep_bytes
+        self._kept: bytearray | None = bytearray()
+
+    def begin(self, status: int, content_type: str) -> None:
+        """Take the head of an answer; drops what a failed attempt held."""
+        self.status = status
+        self._content_type = content_type
+        self.is_event_stream = content_type.startswith(EVENT_STREAM)
+        self._held.clear()
+        self._kept = bytearray()
+
+    async def write(self, chunk: bytes) -> None:
+        """Send or hold a part of the body."""
+        self._keep(chunk)
+        if self.is_event_stream:
+            self.counter.add(chunk)
+        if self.is_started:
+            await self._sink.write(chunk)
+            return
+        self._held += chunk
+        if self.is_event_stream or len(self._held) > HOLD_BYTES:
+            await self._start()
+
+    async def finish(self) -> None:
+        """Send what is held and end the body."""
+        if self.is_started:
+            await self._sink.finish()
+            return
+        answer = StoredAnswer(
+            status=self.status,
+            content_type=self._content_type,
+            body=bytes(self._held),
+        )
+        self.is_started = True
+        await self._sink.send(answer)
+
+    def stored_answer(self) -> StoredAnswer | None:
+        """Return the answer if it is small enough to be stored."""
+        if self._kept is None:
+            return None
+        return StoredAnswer(
+            status=self.status,
+            content_type=self._content_type,
+            body=bytes(self._kept),
+        )
+
+    async def _start(self) -> None:
+        self.is_started = True
+        await self._sink.start(self.status, self._content_type)
+        held = bytes(self._held)
+        self._held.clear()
+        await self._sink.write(held)
+
+    def _keep(self, chunk: bytes) -> None:
+        if self._kept is None:
+            return
+        if len(self._kept) + len(chunk) > self._keep_bytes:
+            self._kept = None
+        else:
+            self._kept += chunk
--- /dev/null
+++ b/src/kumquatrun/entry.py
@@ -0,0 +1,351 @@
+"""Entry: the HTTP server that callers use."""
+
+import asyncio
+import logging
+import random
+import uuid
+from collections.abc import Callable
+from typing import Any
+
+from aiohttp import web
+
+from kumquatrun.admission import Admission, HttpRequest
+from kumquatrun.agent_pool import AgentPool
+from kumquatrun.budget_client import BudgetClient, make_wallet
+from kumquatrun.claim_client import ClaimClient
+from kumquatrun.clock import Clock
+from kumquatrun.control_api import NodeSession
+from kumquatrun.document import RouteSpec
+from kumquatrun.errors import (
+    DrainingError,
+    InvalidRequestError,
+    KumquatrunError,
+)
+from kumquatrun.execution import Execution
+from kumquatrun.http_server import (
+    JSON_TYPE,
+    SWEEPS_PER_TIMEOUT,
+    HttpServer,
+    ResponseSink,
+    read_body,
+)
+from kumquatrun.invariants import Invariants
+from kumquatrun.messages import Hello, StoredAnswer
+from kumquatrun.openai_api import Endpoint, endpoint_of, render_models
+from kumquatrun.peer import Address, PeerClient
+from kumquatrun.placement import BoundedAffinity, PlacementPolicy
+from kumquatrun.relay import CallerGoneError, Relay, RelayResult
+from kumquatrun.settings import EntrySettings
+from kumquatrun.statechart import load_chart
+
+log = logging.getLogger(__name__)
+
+READY_PATH = '/-/ready'
+HTTP_OK = 200
+MS_PER_S = 1000
+
+
+class Entry:
+    """Serves callers.
+
+    Parameters
+    ----------
+    settings
+        Validated settings.
+    session
+        The host's membership; it must have registered.
+    clock
+        Time source.
+    wallet
+        Token wallet of this entry; a new ``TokenWallet`` by default.
+    policy
+        Selects agents.
+    rng
+        Source of jitter.
+    invariants
+        Checker of the guarantees.
+    connect
+        Opens connections to agents.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        session: NodeSession,
+        clock: Clock,
+        *,
+        wallet: Any = None,
+        policy: PlacementPolicy | None = None,
+        rng: random.Random | None = None,
+        invariants: Invariants | None = None,
+        connect: Callable[[Address, Hello], PeerClient] = PeerClient,
+    ) -> None:
+        self.address: Address | None = None
+        self.invariants = invariants or Invariants()
+        self._settings = settings
+        self._session = session
+        self._clock = clock
+        self._rng = rng or random.Random()  # noqa: S311
+        self._pool = AgentPool(
+            session,
+            clock,
+            policy or BoundedAffinity(),
+            connect,
+            settings.cluster_token,
+        )
+        self._budgets = BudgetClient(wallet or make_wallet(), session, clock)
+        self._relay = Relay(
+            session,
+            clock,
+            self._pool,
+            self._budgets,
+            ClaimClient(session, clock, self._rng),
+            rng=self._rng,
+            invariants=self.invariants,
+        )
+        self._admission = Admission(session, clock, settings.request_timeout_s)
+        self._chart = load_chart('host')
+        self._state = self._chart.initial
+        self._http: HttpServer | None = None
+        self._server: asyncio.Server | None = None
+        self._tasks: list[asyncio.Task] = []
+        self._open: dict[ResponseSink, Execution] = {}
+        self._open_requests = 0
+        self._idle = asyncio.Event()
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether a load balancer should send requests here."""
+        return self._state in {'active', 'isolated'}
+
+    @property
+    def open_requests(self) -> int:
+        """Return the number of requests that have not ended."""
+        return self._open_requests
+
+    async def start(self) -> Address:
+        """Listen; returns the bound address."""
+        settings = self._settings
+        self._http = HttpServer(
+            self._handle, settings.max_connections, settings.write_timeout_s
+        )
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._http,
+            settings.http_listen.host,
+            settings.http_listen.port,
+        )
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = Address(host, port)
+        self._session.report_budgets(self._budgets.take_reports)
+        self._session.on_change(self._follow_session)
+        self._tasks = [
+            asyncio.create_task(self._http.sweep()),
+            asyncio.create_task(self._cut_slow_callers()),
+        ]
+        self._step('registered')
+        self._follow_session()
+        log.info('event=entry_started address=%s', self.address)
+        return self.address
+
+    async def drain(self, timeout_s: float) -> None:
+        """Refuse new requests and wait until the open ones have ended."""
+        self._step('drain')
+        log.info('event=draining open_requests=%d', self._open_requests)
+        while self._open_requests:
+            self._idle.clear()
+            try:
+                async with asyncio.timeout(timeout_s):
+                    await self._idle.wait()
+            except TimeoutError:
+                log.warning(
+                    'event=stop_incomplete open_requests=%d',
+                    self._open_requests,
+                )
+        await self._relay.idle()
+
+    async def stop(self) -> None:
+        """Stop listening and end everything that is still open."""
+        self._step('drain')
+        self._step('cut' if self._open_requests else 'idle')
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._server is not None:
+            self._server.close()
+            await self._http.shutdown(timeout=0)
+        await self._relay.idle()
+        await self._pool.close()
+
+    def _step(self, event: str) -> None:
+        if self._chart.accepts(self._state, event):
+            self._state = self._chart.next_state(self._state, event)
+
+    def _follow_session(self) -> None:
+        has_lease = self._session.lease_valid()
+        self._step('lease_gained' if has_lease else 'lease_lost')
+        self._budgets.follow_session()
+        self._relay.end_streams()
+
+    async def _cut_slow_callers(self) -> None:
+        limit_s = self._settings.write_timeout_s
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(limit_s / SWEEPS_PER_TIMEOUT)
+            oldest_s = loop.time() - limit_s
+            for sink, execution in list(self._open.items()):
+                since_s = sink.blocked_since_s
+                if since_s is not None and since_s < oldest_s:
+                    gone = CallerGoneError('the caller reads too slowly')
+                    execution.interrupt(gone)
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        connection = request.protocol
+        connection.is_busy = True
+        self._open_requests += 1
+        try:
+            return await self._answer(request)
+        finally:
+            self._open_requests -= 1
+            if not self._open_requests:
+                self._idle.set()
+            connection.is_busy = False
+            connection.idle_since_s = asyncio.get_running_loop().time()
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.raw_path == READY_PATH:
+            return web.Response(status=HTTP_OK if self.is_ready else 503)
+        began_s = self._clock.now_s()
+        http = HttpRequest(
+            request_id=uuid.uuid4().hex,
+            method=request.method,
+            path=request.raw_path,
+            headers=request.headers,
+        )
+        sink = ResponseSink(request, http.request_id)
+        try:
+            route, key, account = self._admit(http)
+        except KumquatrunError as error:
+            _log_refused(http, '', error)
+            return await self._fail(sink, error)
+        try:
+            return await self._serve(
+                request, sink, http, (route, key, account), began_s
+            )
+        except KumquatrunError as error:
+            _log_refused(http, account, error)
+            return await self._fail(sink, error)
+
+    def _admit(self, http: HttpRequest) -> tuple[RouteSpec, str, str]:
+        if self._state in {'draining', 'stopped'}:
+            raise DrainingError('this entry is about to stop')
+        if not http.path.startswith('/'):
+            raise InvalidRequestError('the request target is not a path')
+        return self._admission.authenticate(http)
+
+    async def _serve(
+        self,
+        request: web.BaseRequest,
+        sink: ResponseSink,
+        http: HttpRequest,
+        caller: tuple[RouteSpec, str, str],
+        began_s: float,
+    ) -> web.StreamResponse:
+        route, key, account = caller
+        if self._is_models_call(http, route):
+            adapters = self._admission.table.adapters_of(route)
+            await sink.send(_models_answer(render_models(adapters)))
+            return sink.response
+        body = await read_body(
+            request,
+            self._settings.max_body_bytes,
+            self._settings.write_timeout_s,
+        )
+        http = HttpRequest(
+            request_id=http.request_id,
+            method=http.method,
+            path=http.path,
+            headers=http.headers,
+            body=body,
+        )
+        relayed = self._admission.build(http, route, key, account)
+        execution = Execution(relayed)
+        self._open[sink] = execution
+        try:
+            result = await self._relay.run(execution, sink)
+        except asyncio.CancelledError:
+            error = CallerGoneError('the caller disconnected')
+            result = RelayResult(execution.outcome, 0, error)
+            _log_finished(execution, result, began_s)
+            raise
+        finally:
+            self._open.pop(sink, None)
+        _log_finished(execution, result, began_s)
+        if isinstance(result.error, CallerGoneError):
+            sink.abort()
+        elif result.error is not None:
+            return await self._fail(sink, result.error)
+        return sink.response or web.Response(status=result.status)
+
+    async def _fail(
+        self,
+        sink: ResponseSink,
+        error: KumquatrunError,
+    ) -> web.StreamResponse:
+        response = await sink.fail(error)
+        if self._state == 'draining':
+            response.force_close()
+        return response
+
+    def _is_models_call(self, http: HttpRequest, route: RouteSpec) -> bool:
+        return (
+            http.method == 'GET'
+            and self._admission.table.is_engine(route)
+            and endpoint_of(http.bare_path) is Endpoint.MODELS
+        )
+
+
+def _models_answer(body: bytes) -> StoredAnswer:
+    return StoredAnswer(status=HTTP_OK, content_type=JSON_TYPE, body=body)
+
+
+def _log_refused(
+    http: HttpRequest,
+    account: str,
+    error: KumquatrunError,
+) -> None:
+    log.info(
+        'event=request_finished request_id=%s account=%s adapter= version= '
+        'host= outcome=%s status=%d code=%s ttft_ms= output_tokens=0',
+        http.request_id,
+        account,
+        error.outcome,
+        error.kind.http_status,
+        error.code,
+    )
+
+
+def _log_finished(
+    execution: Execution,
+    result: RelayResult,
+    began_s: float,
+) -> None:
+    request = execution.request
+    ttft_ms = ''
+    if execution.first_byte_s is not None:
+        ttft_ms = f'{(execution.first_byte_s - began_s) * MS_PER_S:.1f}'
+    log.info(
+        'event=request_finished request_id=%s account=%s adapter=%s '
+        'version=%s host=%s outcome=%s status=%d code=%s ttft_ms=%s '
+        'output_tokens=%d',
+        request.request_id,
+        request.account,
+        request.adapter,
+        request.version,
+        execution.host_id,
+        result.outcome,
+        result.status,
+        result.error.code if result.error else '',
+        ttft_ms,
+        execution.output_tokens,
+    )
--- /dev/null
+++ b/src/kumquatrun/execution.py
@@ -0,0 +1,103 @@
+"""What the entry knows about the executions of one request."""
+
+import asyncio
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+from kumquatrun.document import RouteSpec
+from kumquatrun.errors import KumquatrunError, Outcome
+
+
+@dataclass(frozen=True, kw_only=True)
+class RelayRequest:
+    """One parsed and authenticated request.
+
+    Attributes
+    ----------
+    key
+        API key; empty on open routes. It never leaves the entry.
+    prompt_tokens, output_tokens
+        Tokens to reserve.
+    deadline_s
+        End of the request in the clock's seconds.
+    """
+
+    request_id: str
+    route: RouteSpec
+    account: str
+    path: str
+    method: str
+    body: bytes
+    content_type: str
+    fingerprint: str
+    deadline_s: float
+    key: str = field(default='', repr=False)
+    adapter: str = ''
+    version: str = ''
+    weight: float = 1
+    priority: int = 0
+    stream: bool = False
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    idempotency_key: str = ''
+
+    @property
+    def cost_tokens(self) -> int:
+        """Return the tokens that the request may use at most."""
+        return self.prompt_tokens + self.output_tokens
+
+
+@dataclass
+class Attempt:
+    """One dispatch of a request to an agent."""
+
+    host_id: str
+    outcome: Outcome = Outcome.NOT_RUN
+
+
+class Execution:
+    """State of one open request.
+
+    Parameters
+    ----------
+    request
+        The request.
+    """
+
+    def __init__(self, request: RelayRequest) -> None:
+        self.request = request
+        self.attempts: list[Attempt] = []
+        self.output_tokens = 0
+        self.prompt_tokens = 0
+        self.first_byte_s: float | None = None
+        self.interruption: KumquatrunError | None = None
+        self.closing: asyncio.Task | None = None
+        self._timeout: asyncio.Timeout | None = None
+
+    @property
+    def outcome(self) -> Outcome:
+        """Return what is known over all attempts."""
+        outcomes = {attempt.outcome for attempt in self.attempts}
+        for outcome in (Outcome.RAN, Outcome.UNKNOWN):
+            if outcome in outcomes:
+                return outcome
+        return Outcome.NOT_RUN
+
+    @property
+    def host_id(self) -> str:
+        """Return the host of the last attempt."""
+        return self.attempts[-1].host_id if self.attempts else ''
+
+    def scope(self, now_s: float) -> asyncio.Timeout:
+        """Return the context in which the request runs until its deadline."""
+        self._timeout = asyncio.timeout(max(0, self.request.deadline_s - now_s))
+        return self._timeout
+
+    def interrupt(self, error: KumquatrunError) -> None:
+        """End the request with ``error``; the first interruption counts."""
+        if self.interruption is not None or self._timeout is None:
+            return
+        self.interruption = error
+        # The scope may have been left already; then there is nothing to end.
+        with suppress(RuntimeError):
+            self._timeout.reschedule(0)
--- /dev/null
+++ b/src/kumquatrun/http_server.py
@@ -0,0 +1,259 @@
+"""HTTP server of the entry: connection limits, sinks and slow callers."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+
+from kumquatrun.errors import (
+    DeadlineExceededError,
+    InvalidRequestError,
+    KumquatrunError,
+    Outcome,
+    RequestTooLargeError,
+)
+from kumquatrun.messages import StoredAnswer
+from kumquatrun.openai_api import (
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
+    error_headers,
+    render_error,
+    render_error_event,
+)
+
+log = logging.getLogger(__name__)
+
+MAX_LINE_BYTES = 8190
+MAX_HEADERS = 64
+READ_BUFFER_BYTES = 64 * 1024
+IDLE_TIMEOUT_S = 75.0
+LINGERING_S = 2.0
+SWEEPS_PER_TIMEOUT = 8
+JSON_TYPE = 'application/json'
+HTTP_BAD_REQUEST = 400
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+Handle = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class _Connection(RequestHandler):
+    """One caller's connection."""
+
+    def __init__(self, *args, **kwargs) -> None:
+        super().__init__(*args, **kwargs)
+        self.is_busy = False
+        self.idle_since_s = self._loop.time()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer a malformed HTTP request with a typed error."""
+        if status == HTTP_BAD_REQUEST:
+            error: KumquatrunError = InvalidRequestError(
+                f'malformed HTTP request: {message or exc}'[:200],
+            )
+        else:
+            log.error('event=handler_failed', exc_info=exc)
+            error = KumquatrunError('unexpected error in the entry')
+        response = error_response(error, '')
+        response.force_close()
+        return response
+
+
+class HttpServer(web.Server):
+    """Accepts a bounded number of connections."""
+
+    def __init__(
+        self,
+        handle: Handle,
+        max_connections: int,
+        write_timeout_s: float,
+    ) -> None:
+        super().__init__(
+            handle,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=IDLE_TIMEOUT_S,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+            max_headers=MAX_HEADERS,
+            read_bufsize=READ_BUFFER_BYTES,
+            lingering_time=LINGERING_S,
+            auto_decompress=False,
+        )
+        self._max_connections = max_connections
+        self._write_timeout_s = write_timeout_s
+
+    def __call__(self) -> RequestHandler:
+        """Return the protocol object of a new connection."""
+        return _Connection(self, loop=self._loop, **self._kwargs)
+
+    def connection_made(
+        self,
+        handler: RequestHandler,
+        transport: asyncio.Transport,
+    ) -> None:
+        """Close a connection over the limit at once."""
+        super().connection_made(handler, transport)
+        if len(self._connections) > self._max_connections:
+            log.warning(
+                'event=connection_refused max_connections=%d',
+                self._max_connections,
+            )
+            transport.abort()
+
+    async def sweep(self) -> None:
+        """Close connections that stay idle or unread; never returns."""
+        while True:
+            await asyncio.sleep(self._write_timeout_s / SWEEPS_PER_TIMEOUT)
+            now_s = self._loop.time()
+            for connection, transport in list(self._connections.items()):
+                if not connection.is_busy:
+                    self._check_idle(connection, transport, now_s)
+
+    def _check_idle(
+        self,
+        connection: _Connection,
+        transport: asyncio.Transport,
+        now_s: float,
+    ) -> None:
+        limit_s = IDLE_TIMEOUT_S
+        if transport.get_write_buffer_size():
+            limit_s = self._write_timeout_s
+        if now_s - connection.idle_since_s > limit_s:
+            transport.abort()
+
+
+class ResponseSink:
+    """Writes one answer to the caller's connection."""
+
+    def __init__(self, request: web.BaseRequest, request_id: str) -> None:
+        self.response: web.StreamResponse | None = None
+        self.blocked_since_s: float | None = None
+        self._request = request
+        self._request_id = request_id
+        self._time = asyncio.get_running_loop().time
+        self._is_event_stream = False
+
+    async def start(self, status: int, content_type: str) -> None:
+        """Send the head of an answer whose length is not known yet."""
+        self._is_event_stream = content_type.startswith('text/event-stream')
+        headers = self._headers(content_type, Outcome.RAN)
+        self.response = web.StreamResponse(status=status, headers=headers)
+        if self._is_event_stream:
+            self.response.headers['Cache-Control'] = 'no-cache'
+        await self.response.prepare(self._request)
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a part of the body; waits while the caller reads slowly."""
+        self.blocked_since_s = self._time()
+        await self.response.write(chunk)
+        self.blocked_since_s = None
+
+    async def finish(self) -> None:
+        """End the body."""
+        self.blocked_since_s = self._time()
+        await self.response.write_eof()
+        self.blocked_since_s = None
+
+    async def send(self, answer: StoredAnswer) -> None:
+        """Send a whole answer."""
+        self.blocked_since_s = self._time()
+        self.response = web.Response(
+            status=answer.status,
+            headers=self._headers(answer.content_type, Outcome.RAN),
+            body=answer.body,
+        )
+        await self.response.prepare(self._request)
+        await self.response.write_eof()
+        self.blocked_since_s = None
+
+    async def fail(self, error: KumquatrunError) -> web.StreamResponse:
+        """Answer with an error, or end a begun answer with one."""
+        if self.response is None:
+            self.response = error_response(error, self._request_id)
+        elif self._is_event_stream:
+            await self.write(render_error_event(error))
+            await self.finish()
+            self.response.force_close()
+        else:
+            # A missing last chunk is the only sign of an incomplete body.
+            self.abort()
+        return self.response
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        if self._request.transport is not None:
+            self._request.transport.abort()
+
+    def _headers(self, content_type: str, outcome: Outcome) -> dict[str, str]:
+        headers = {
+            OUTCOME_HEADER: outcome.value,
+            REQUEST_ID_HEADER: self._request_id,
+        }
+        if content_type:
+            headers['Content-Type'] = content_type
+        return headers
+
+
+def error_response(error: KumquatrunError, request_id: str) -> web.Response:
+    """Return the answer that carries ``error``."""
+    return web.Response(
+        status=error.kind.http_status,
+        headers=error_headers(error, request_id),
+        body=render_error(error),
+        content_type=JSON_TYPE,
+    )
+
+
+async def read_body(
+    request: web.BaseRequest,
+    max_bytes: int,
+    timeout_s: float,
+) -> bytes:
+    """Read the body of a request.
+
+    Raises
+    ------
+    RequestTooLargeError
+        If the body has more than ``max_bytes``.
+    InvalidRequestError
+        If the body is compressed or incomplete.
+    DeadlineExceededError
+        If it did not arrive in time; the outcome is ``not_run``.
+    """
+    if request.headers.get('Content-Encoding', 'identity') != 'identity':
+        raise InvalidRequestError('compressed bodies are not supported')
+    if (request.content_length or 0) > max_bytes:
+        raise RequestTooLargeError(f'the body has more than {max_bytes} bytes')
+    if request.headers.get('Expect', '').lower() == '100-continue':
+        await request.writer.write(_CONTINUE)
+        request.writer.output_size = 0
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await _read_limited(request, max_bytes)
+    except TimeoutError:
+        raise DeadlineExceededError(
+            f'the body did not arrive in {timeout_s} s',
+            outcome=Outcome.NOT_RUN,
+        ) from None
+
+
+async def _read_limited(request: web.BaseRequest, max_bytes: int) -> bytes:
+    body = bytearray()
+    try:
+        async for chunk in request.content.iter_any():
+            body += chunk
+            if len(body) > max_bytes:
+                raise RequestTooLargeError(
+                    f'the body has more than {max_bytes} bytes',
+                )
+    except (web.RequestPayloadError, ValueError) as error:
+        raise InvalidRequestError(f'malformed body: {error}') from None
+    return bytes(body)
--- /dev/null
+++ b/tests/entry_fakes.py
@@ -0,0 +1,312 @@
+"""Fakes for the tests of the entry: session, wallet and agent."""
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass, field
+
+from result import Err, Ok
+
+from kumquatrun.document import (
+    Access,
+    AccountSpec,
+    AdapterSpec,
+    Document,
+    RouteSpec,
+    ServiceKind,
+    ServiceSpec,
+)
+from kumquatrun.errors import (
+    ControlUnreachableError,
+    Outcome,
+    StaleDispatchError,
+)
+from kumquatrun.messages import (
+    Ack,
+    ClaimReply,
+    ClaimRequest,
+    Dispatch,
+    FinishClaim,
+    Finished,
+    GrantReply,
+    GrantTokens,
+    Hello,
+    HostRecord,
+    Started,
+)
+from kumquatrun.peer import Address, PeerServer
+
+KEY = 'key-a'
+ACCOUNT = 'a'
+
+
+def make_document(**changes) -> Document:
+    fields = {
+        'environment': 'trial',
+        'accounts': (
+            AccountSpec(name='a', rate_tokens_per_s=1000, burst_tokens=10_000),
+            AccountSpec(name='b', rate_tokens_per_s=1000, burst_tokens=10_000),
+        ),
+        'services': (
+            ServiceSpec(name='assistant', kind=ServiceKind.ENGINE),
+            ServiceSpec(name='ledger', kind=ServiceKind.PLAIN),
+        ),
+        'adapters': (
+            AdapterSpec(name='wheat', service='assistant', versions=('1', '2')),
+            AdapterSpec(name='rice', service='assistant', versions=('1',)),
+        ),
+        'routes': (
+            RouteSpec(path='/v1/', service='assistant', idempotent=True),
+            RouteSpec(
+                path='/open/v1/',
+                service='assistant',
+                access=Access.OPEN,
+                idempotent=True,
+            ),
+            RouteSpec(path='/ledger/', service='ledger', cost_tokens=5),
+            RouteSpec(
+                path='/stock/', service='ledger', cost_tokens=5, idempotent=True
+            ),
+        ),
+    }
+    return Document(**fields | changes)
+
+
+class FakeView:
+    def __init__(self) -> None:
+        self.document = make_document()
+        self.keys = {KEY: ACCOUNT, 'key-b': 'b'}
+        self.agents: list[HostRecord] = []
+        self.reports = {}
+        self.fingerprints = {}
+
+    def account_of_key(self, key):
+        return self.keys.get(key)
+
+    def agents_of(self, service):
+        return [
+            agent
+            for agent in self.agents
+            if agent.service == service and not agent.draining
+        ]
+
+    def report_of(self, host_id):
+        return self.reports.get(host_id)
+
+    def fingerprint_state(self, fingerprint):
+        return self.fingerprints.get(fingerprint, 'clear')
+
+
+class FakeControl:
+    """Leader with claims and an unlimited or fixed number of tokens."""
+
+    def __init__(self) -> None:
+        self.is_reachable = True
+        self.lose_replies: Counter[type] = Counter()
+        self.tokens = 1_000_000
+        self.claims: dict[str, dict] = {}
+        self.calls = []
+
+    async def call(self, request, timeout_s):
+        self.calls.append(request)
+        if not self.is_reachable:
+            await asyncio.sleep(timeout_s)
+            raise ControlUnreachableError('no leader')
+        reply = self._answers[type(request)](self, request)
+        if self.lose_replies[type(request)]:
+            self.lose_replies[type(request)] -= 1
+            await asyncio.sleep(timeout_s)
+            raise ControlUnreachableError('the reply was lost')
+        return reply
+
+    def _grant(self, request):
+        granted = min(self.tokens, request.wanted_tokens)
+        self.tokens -= granted
+        return GrantReply(granted_tokens=granted, retry_after_s=0.5)
+
+    def _claim(self, request):
+        known = self.claims.get(request.claim_key)
+        if known is None or known['request_id'] == request.request_id:
+            self.claims[request.claim_key] = {
+                'request_id': request.request_id,
+                'digest': request.body_digest,
+                'status': 'in_progress',
+                'answer': None,
+            }
+            return ClaimReply(status='granted')
+        if known['digest'] != request.body_digest:
+            return ClaimReply(status='mismatch')
+        return ClaimReply(status=known['status'], answer=known['answer'])
+
+    def _finish(self, request):
+        known = self.claims.get(request.claim_key)
+        if known and known['request_id'] == request.request_id:
+            if request.outcome is Outcome.NOT_RUN:
+                del self.claims[request.claim_key]
+            else:
+                known['answer'] = request.answer
+                known['status'] = (
+                    'finished' if request.outcome is Outcome.RAN else 'unknown'
+                )
+        return Ack()
+
+    _answers = {
+        GrantTokens: _grant,
+        ClaimRequest: _claim,
+        FinishClaim: _finish,
+    }
+
+
+class FakeSession:
+    def __init__(self) -> None:
+        self.record = HostRecord(
+            host_id='entry-1',
+            incarnation='e1',
+            role='entry',
+            address='127.0.0.1:1',
+            region='lahore',
+            failure_domain='l1',
+        )
+        self.view = FakeView()
+        self.control = FakeControl()
+        self.is_leased = True
+        self._listeners = []
+
+    def lease_valid(self):
+        return self.is_leased
+
+    def on_change(self, listener):
+        self._listeners.append(listener)
+
+    def report_agent(self, source):
+        """Entries report no agent state."""
+
+    def report_budgets(self, source):
+        self.budget_source = source
+
+    def changed(self):
+        for listener in self._listeners:
+            listener()
+
+
+@dataclass
+class _Reserved:
+    account: str
+    left: int
+
+
+class FakeWallet:
+    """Token wallet without time; counts what is open."""
+
+    def __init__(self) -> None:
+        self.free: Counter[str] = Counter()
+        self.consumed: Counter[str] = Counter()
+        self.open: list[_Reserved] = []
+        self.short: Counter[str] = Counter()
+
+    def reserve(self, account, tokens, now_s):
+        if self.free[account] < tokens:
+            self.short[account] = tokens - self.free[account]
+            return Err('shortage')
+        self.free[account] -= tokens
+        reserved = _Reserved(account, tokens)
+        self.open.append(reserved)
+        return Ok(reserved)
+
+    def consume(self, reservation, tokens):
+        assert 0 < tokens <= reservation.left
+        reservation.left -= tokens
+        self.consumed[reservation.account] += tokens
+
+    def settle(self, reservation):
+        self.open.remove(reservation)
+        self.free[reservation.account] += reservation.left
+
+    def add_grant(self, account, tokens):
+        self.free[account] += tokens
+
+    def wanted(self, account, now_s):
+        return self.short[account]
+
+    def take_reports(self, now_s):
+        return ()
+
+    def clear(self):
+        self.free.clear()
+        self.open.clear()
+
+
+@dataclass
+class FakeAgent:
+    """Agent on a real socket; records every execution."""
+
+    host_id: str = 'agent-1'
+    service: str = 'assistant'
+    region: str = 'lahore'
+    incarnation: str = 'i1'
+    chunks: tuple[bytes, ...] = (b'{"choices":', b'[]}')
+    content_type: str = 'application/json'
+    output_tokens: int = 2
+    executions: list[Dispatch] = field(default_factory=list)
+    dispatches: list[Dispatch] = field(default_factory=list)
+    cancelled: int = 0
+    open: int = 0
+    chunk_delay_s: float = 0
+
+    async def start(self, session) -> None:
+        identity = Hello(node_id=self.host_id, incarnation=self.incarnation)
+        self.server = PeerServer(identity, self)
+        address = await self.server.start(Address('127.0.0.1', 0))
+        session.view.agents.append(self.record(str(address)))
+
+    def record(self, address: str) -> HostRecord:
+        return HostRecord(
+            host_id=self.host_id,
+            incarnation=self.incarnation,
+            role='agent',
+            address=address,
+            region=self.region,
+            failure_domain='d1',
+            service=self.service,
+        )
+
+    async def stop(self) -> None:
+        await self.server.stop()
+
+    async def handle(self, request, context):
+        self.dispatches.append(request)
+        if request.agent_incarnation != self.incarnation:
+            raise StaleDispatchError('other incarnation')
+        self.open += 1
+        try:
+            return await self.execute(request, context)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        finally:
+            self.open -= 1
+
+    async def execute(self, request, context):
+        self.executions.append(request)
+        context.outcome = Outcome.RAN
+        await context.send_message(self.started(request))
+        for chunk in self.chunks:
+            await asyncio.sleep(self.chunk_delay_s)
+            await context.send_item(chunk)
+        return self.finished(request)
+
+    def started(self, request, **changes):
+        fields = {
+            'host_id': self.host_id,
+            'adapter': request.adapter,
+            'version': request.version,
+            'status': 200,
+            'content_type': self.content_type,
+        }
+        return Started(**fields | changes)
+
+    def finished(self, request):
+        return Finished(
+            outcome=Outcome.RAN,
+            prompt_tokens=1 if request.adapter else 0,
+            output_tokens=self.output_tokens if request.adapter else 0,
+        )
