--- a/src/kumquatrun/invariants.py
+++ b/src/kumquatrun/invariants.py
@@ -1,4 +1,9 @@
-"""Invariants of the guarantees: counted, logged and raised when violated."""
+"""Invariants of the guarantees: counted and logged when violated.
+
+``require`` guards an operation that must not be carried out if the invariant
+does not hold. ``Invariants`` checks what has already happened; it raises only
+if it is strict, as in tests.
+"""
 
 import logging
 from collections import Counter
@@ -9,29 +14,58 @@
 
 
 class InvariantError(AssertionError):
-    """Reports a violated invariant; the operation is not carried out."""
+    """Reports a violated invariant."""
+
+
+InvariantViolationError = InvariantError
 
 
 def require(holds: bool, invariant: str, detail: str = '') -> None:
     """Check an invariant before the operation that depends on it.
 
-    Parameters
-    ----------
-    holds
-        Whether the invariant holds.
-    invariant
-        Name of the invariant, the key in ``violations``.
-    detail
-        Values involved.
-
     Raises
     ------
     InvariantError
         If the invariant does not hold.
     """
     if not holds:
-        violations[invariant] += 1
-        log.error(
-            'event=invariant_violated invariant=%s detail=%r', invariant, detail
-        )
+        _record(invariant, detail)
         raise InvariantError(f'{invariant}: {detail}')
+
+
+class Invariants:
+    """Checks invariants after the fact.
+
+    Parameters
+    ----------
+    is_strict
+        Whether a violation raises ``InvariantError``.
+    """
+
+    def __init__(self, *, is_strict: bool = False) -> None:
+        self.violations: Counter[str] = Counter()
+        self._is_strict = is_strict
+
+    def check(self, holds: bool, invariant: str, detail: str = '') -> None:
+        """Count a violation of ``invariant`` unless ``holds``.
+
+        Raises
+        ------
+        InvariantError
+            If the checker is strict.
+        """
+        if holds:
+            return
+        self.violations[invariant] += 1
+        _record(invariant, detail)
+        if self._is_strict:
+            raise InvariantError(f'{invariant}: {detail}')
+
+
+def _record(invariant: str, detail: str) -> None:
+    violations[invariant] += 1
+    log.error(
+        'event=invariant_violated invariant=%s detail=%r',
+        invariant,
+        detail,
+    )
