--- /dev/null
+++ b/src/kumquatrun/admin.py
@@ -0,0 +1,62 @@
+"""Admin HTTP server: metrics, liveness and readiness."""
+
+from collections.abc import Callable
+
+from aiohttp import hdrs, web
+
+from kumquatrun.metrics import Metrics
+from kumquatrun.peer import Address
+
+UNAVAILABLE = 503
+
+
+class AdminServer:
+    """Serves ``/metrics``, ``/healthz`` and ``/readyz``.
+
+    Parameters
+    ----------
+    metrics
+        Metrics of the process.
+    not_ready_reason
+        Returns why the daemon should get no traffic, or an empty text.
+    """
+
+    def __init__(
+        self,
+        metrics: Metrics,
+        not_ready_reason: Callable[[], str],
+    ) -> None:
+        self._metrics = metrics
+        self._not_ready_reason = not_ready_reason
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, address: Address) -> Address:
+        """Listen; returns the bound address (port 0 picks a free one)."""
+        app = web.Application()
+        app.router.add_get('/metrics', self._serve_metrics)
+        app.router.add_get('/healthz', self._serve_health)
+        app.router.add_get('/readyz', self._serve_readiness)
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, address.host, address.port)
+        await site.start()
+        return Address(*self._runner.addresses[0][:2])
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _serve_metrics(self, request: web.Request) -> web.Response:
+        accept = request.headers.getall(hdrs.ACCEPT, [])
+        content, headers = self._metrics.render(accept)
+        return web.Response(body=content, headers=headers)
+
+    async def _serve_health(self, request: web.Request) -> web.Response:
+        return web.Response(text='ok\n')
+
+    async def _serve_readiness(self, request: web.Request) -> web.Response:
+        reason = self._not_ready_reason()
+        if reason:
+            return web.Response(status=UNAVAILABLE, text=f'{reason}\n')
+        return web.Response(text='ready\n')
--- /dev/null
+++ b/src/kumquatrun/cli.py
@@ -0,0 +1,52 @@
+"""The command ``kumquatrun``."""
+
+import click
+
+from kumquatrun import __version__
+from kumquatrun.cli_daemons import daemon_command
+from kumquatrun.cli_documents import document_commands, key_commands
+from kumquatrun.cli_operator import SIMPLE_ACTIONS
+from kumquatrun.setting_table import ALL_DAEMONS, ENVIRONMENT_PREFIX
+
+
+@click.group(context_settings={'auto_envvar_prefix': ENVIRONMENT_PREFIX})
+@click.version_option(__version__)
+def main() -> None:
+    """Serve many LoRA adapters on one base model for many client accounts."""
+
+
+@main.group('document')
+def document_group() -> None:
+    """Check, apply, try, promote and show configuration documents."""
+
+
+@main.group('key')
+def key_group() -> None:
+    """Issue, revoke and list API keys."""
+
+
+@main.group('replica')
+def replica_group() -> None:
+    """Add, remove and list control replicas."""
+
+
+_GROUPS = {
+    'document': document_group,
+    'key': key_group,
+    'replica': replica_group,
+}
+
+
+def _add_commands() -> None:
+    for daemon in ALL_DAEMONS:
+        main.add_command(daemon_command(daemon))
+    for command in document_commands():
+        document_group.add_command(command)
+    for command in key_commands():
+        key_group.add_command(command)
+    for simple in SIMPLE_ACTIONS:
+        group = _GROUPS.get(simple.command.split()[0], main)
+        group.add_command(simple.build())
+
+
+_add_commands()
--- /dev/null
+++ b/src/kumquatrun/cli_daemons.py
@@ -0,0 +1,78 @@
+"""Commands that start a daemon."""
+
+import asyncio
+import sys
+from typing import Any
+
+import click
+
+from kumquatrun import daemons
+from kumquatrun.cli_output import ExitCode, exit_code_of
+from kumquatrun.errors import KumquatrunError
+from kumquatrun.logs import configure_logs
+from kumquatrun.setting_builder import build_settings
+from kumquatrun.setting_table import (
+    ENVIRONMENT_PREFIX,
+    Setting,
+    settings_of,
+)
+
+_TEXTS = {
+    'entry': 'Start an entry: the HTTP server for callers.',
+    'agent': 'Start an agent beside one backend server.',
+    'control': 'Start a dedicated control replica.',
+}
+
+
+def daemon_command(daemon: str) -> click.Command:
+    """Return the command that starts a daemon with its settings."""
+
+    def callback(**given: Any) -> None:
+        start_daemon(daemon, given)
+
+    return click.Command(
+        daemon,
+        callback=callback,
+        params=[_option(row) for row in settings_of(daemon)],
+        help=_TEXTS[daemon],
+        context_settings={'auto_envvar_prefix': ENVIRONMENT_PREFIX},
+    )
+
+
+def start_daemon(daemon: str, given: dict[str, Any]) -> None:
+    """Check the settings and run the daemon until it is told to stop."""
+    try:
+        settings = build_settings(daemon, given)
+    except KumquatrunError as error:
+        click.echo(f'error: {error}', err=True)
+        sys.exit(int(ExitCode.USAGE))
+    configure_logs(
+        settings.log_format,
+        settings.log_level,
+        secrets=(settings.cluster_token, settings.operator_token),
+    )
+    try:
+        asyncio.run(daemons.run(daemon, settings))
+    except KumquatrunError as error:
+        click.echo(f'error: {error}', err=True)
+        sys.exit(int(exit_code_of(error)))
+    except OSError as error:
+        click.echo(
+            f'error: cannot start: {error}. Check that the addresses of the '
+            'settings belong to this host and are free.',
+            err=True,
+        )
+        sys.exit(int(ExitCode.UNEXPECTED))
+
+
+def _option(row: Setting) -> click.Option:
+    return click.Option(
+        [row.flag, row.name],
+        type=row.kind,
+        default=row.default,
+        is_flag=row.kind is click.BOOL,
+        envvar=row.env_name,
+        show_envvar=True,
+        show_default=not row.secret,
+        help=row.text,
+    )
--- /dev/null
+++ b/src/kumquatrun/cli_documents.py
@@ -0,0 +1,268 @@
+"""Commands for configuration documents and API keys."""
+
+import hashlib
+import secrets
+from pathlib import Path
+from typing import Any
+
+import click
+
+from kumquatrun import setting_kinds as kinds
+from kumquatrun.cli_operator import (
+    OperatorContext,
+    operator_command,
+    option,
+)
+from kumquatrun.cli_output import fail, print_result
+from kumquatrun.errors import (
+    KumquatrunError,
+    NotTriedError,
+    RevisionConflictError,
+)
+from kumquatrun.logs import KEY_PREFIX
+from kumquatrun.operator_client import ControlTarget
+
+DIGEST_BYTES = 32
+KEY_BYTES = 32
+KEY_ID_BYTES = 6
+
+
+def parse_document(content: bytes) -> Any:
+    """Parse and check a document offline."""
+    from kumquatrun import document
+
+    return document.parse_document(content)
+
+
+def hash_key(key: str) -> Any:
+    """Return the hash of a key that is sent instead of it."""
+    from kumquatrun import keys
+
+    return keys.hash_key(key)
+
+
+def content_digest(content: bytes) -> str:
+    """Return the BLAKE2b digest of the bytes of a document."""
+    return hashlib.blake2b(content, digest_size=DIGEST_BYTES).hexdigest()
+
+
+@click.command('check')
+@click.argument('file', type=click.Path(exists=True, dir_okay=False))
+@click.option('--json', 'as_json', is_flag=True, help='Print one JSON object.')
+def check_document(file: str, *, as_json: bool) -> None:
+    """Check a document offline; nothing is sent."""
+    content = Path(file).read_bytes()
+    try:
+        document = parse_document(content)
+    except KumquatrunError as error:
+        fail(error, as_json=as_json)
+    summary = {
+        'digest': content_digest(content),
+        'environment': document.environment,
+        'accounts': len(document.accounts),
+        'services': len(document.services),
+        'adapters': len(document.adapters),
+        'routes': len(document.routes),
+    }
+    print_result(summary, as_json=as_json)
+
+
+def _apply(
+    context: OperatorContext,
+    content: bytes,
+    expected_revision: int,
+    target: ControlTarget | None = None,
+) -> None:
+    arguments = {'expected_revision': expected_revision, 'content': content}
+    result = context.call('apply_document', arguments, target=target)
+    context.print(result)
+
+
+def _read_checked(context: OperatorContext, file: str) -> bytes:
+    content = Path(file).read_bytes()
+    try:
+        parse_document(content)
+    except KumquatrunError as error:
+        context.fail(error)
+    return content
+
+
+def _apply_document(
+    context: OperatorContext,
+    file: str,
+    expected_revision: int,
+) -> None:
+    _apply(context, _read_checked(context, file), expected_revision)
+
+
+def _try_document(
+    context: OperatorContext,
+    file: str,
+    expected_revision: int | None,
+    **trial: Any,
+) -> None:
+    target = _trial_target(context, trial)
+    content = _read_checked(context, file)
+    if expected_revision is None:
+        current = context.call('get_document', {}, target=target)
+        expected_revision = int(current['revision'])
+    _apply(context, content, expected_revision, target)
+
+
+def _promote_document(
+    context: OperatorContext,
+    file: str,
+    expected_revision: int | None,
+    **trial: Any,
+) -> None:
+    content = _read_checked(context, file)
+    target = _trial_target(context, trial)
+    tried = context.call('get_document', {}, target=target)
+    tried_digest = content_digest(as_bytes(tried.get('content', b'')))
+    digest = content_digest(content)
+    if digest != tried_digest:
+        context.fail(
+            NotTriedError(
+                f'{file} has digest {digest}; trial has {tried_digest} in '
+                f'force at revision {tried.get("revision")}',
+            ),
+        )
+    if expected_revision is None:
+        current = context.call('get_document', {})
+        expected_revision = int(current['revision'])
+    _apply(context, content, expected_revision)
+
+
+def _show_document(context: OperatorContext) -> None:
+    result = context.call('get_document', {})
+    if context.as_json:
+        print_result(result, as_json=True)
+        return
+    # The content alone goes to standard output, so that it can be redirected
+    # to a file byte for byte.
+    click.echo(
+        f'revision: {result.get("revision")}\ndigest: {result.get("digest")}',
+        err=True,
+    )
+    click.echo(as_bytes(result.get('content', b'')), nl=False)
+
+
+def _issue_key(context: OperatorContext, account: str) -> None:
+    key = KEY_PREFIX + secrets.token_urlsafe(KEY_BYTES)
+    key_id = f'key-{secrets.token_hex(KEY_ID_BYTES)}'
+    hint = (
+        f'If {key_id} is in "key list", revoke it: its text was not printed. '
+        'Then issue a new key.'
+    )
+    arguments = {
+        'key_id': key_id,
+        'key_hash': hash_key(key),
+        'account': account,
+    }
+    result = context.call('issue_key', arguments, hint=hint)
+    recorded = result.get('key_id', key_id)
+    if recorded != key_id:
+        context.fail(
+            RevisionConflictError(
+                f'operation {context.operation_id} issued {recorded} before; '
+                'its text cannot be printed again. Revoke it and issue a new '
+                'key without --operation-id',
+            ),
+        )
+    context.print({'key_id': key_id, 'account': account, 'key': key})
+
+
+def as_bytes(content: bytes | str) -> bytes:
+    """Return the content of a document as bytes."""
+    return content.encode() if isinstance(content, str) else content
+
+
+def _trial_target(
+    context: OperatorContext,
+    trial: dict[str, Any],
+) -> ControlTarget:
+    own = context.target
+    return ControlTarget(
+        addresses=trial['trial_control'],
+        cluster_token=trial['trial_cluster_token'] or own.cluster_token,
+        operator_token=trial['trial_operator_token'] or own.operator_token,
+        operator=own.operator,
+        timeout_s=own.timeout_s,
+    )
+
+
+_FILE = click.Argument(['file'], type=click.Path(exists=True, dir_okay=False))
+
+
+def _revision(*, required: bool) -> click.Option:
+    return option(
+        '--expected-revision',
+        type=kinds.NumberKind(int, 0, 2**53, 'revisions'),
+        required=required,
+        allow_from_autoenv=False,
+        help='Revision that the change is based on; the current one by default.'
+        if not required
+        else 'Revision that the change is based on.',
+    )
+
+
+_TRIAL = (
+    option(
+        '--trial-control',
+        type=kinds.ADDRESSES,
+        required=True,
+        help='Addresses of the control replicas of the trial environment.',
+    ),
+    option(
+        '--trial-cluster-token',
+        type=kinds.TOKEN,
+        default='',
+        help='The cluster token by default.',
+    ),
+    option(
+        '--trial-operator-token',
+        type=kinds.TOKEN,
+        default='',
+        help='The operator token by default.',
+    ),
+)
+
+
+def document_commands() -> list[click.Command]:
+    """Return the commands of the group ``document``."""
+    optional = _revision(required=False)
+    return [
+        check_document,
+        operator_command(
+            'apply',
+            _apply_document,
+            'Put a document in force.',
+            (_FILE, _revision(required=True)),
+        ),
+        operator_command(
+            'try',
+            _try_document,
+            'Put a document in force in the trial environment.',
+            (_FILE, optional, *_TRIAL),
+        ),
+        operator_command(
+            'promote',
+            _promote_document,
+            'Put a document in force that trial has in force.',
+            (_FILE, optional, *_TRIAL),
+        ),
+        operator_command('show', _show_document, 'Print the document.'),
+    ]
+
+
+def key_commands() -> list[click.Command]:
+    """Return the commands of the group ``key`` that are not simple."""
+    account = click.Argument(['account'], type=kinds.NAME)
+    return [
+        operator_command(
+            'issue',
+            _issue_key,
+            'Issue an API key and print it once.',
+            (account,),
+        ),
+    ]
--- /dev/null
+++ b/src/kumquatrun/cli_operator.py
@@ -0,0 +1,253 @@
+"""Options and calls that all operator commands share, and simple commands."""
+
+import asyncio
+import getpass
+import uuid
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import click
+
+from kumquatrun import setting_kinds as kinds
+from kumquatrun.cli_output import fail, print_result
+from kumquatrun.errors import KumquatrunError
+from kumquatrun.operator_client import (
+    READ_ACTIONS,
+    ControlTarget,
+    OperatorClient,
+)
+from kumquatrun.setting_table import ENVIRONMENT_PREFIX
+
+MAX_AUDIT_ROWS = 10_000
+
+
+@dataclass(frozen=True, kw_only=True)
+class OperatorContext:
+    """Options of one operator command."""
+
+    target: ControlTarget
+    operation_id: str
+    as_json: bool
+
+    def call(
+        self,
+        action: str,
+        arguments: Mapping[str, Any],
+        *,
+        target: ControlTarget | None = None,
+        hint: str = '',
+    ) -> Mapping[str, Any]:
+        """Run an action; ends the command if it fails."""
+        client = OperatorClient(target or self.target)
+        try:
+            return asyncio.run(
+                client.call(action, arguments, self.operation_id),
+            )
+        except KumquatrunError as error:
+            self.fail(error, hint=hint)
+
+    def fail(self, error: KumquatrunError, *, hint: str = '') -> None:
+        """End the command with the exit code of ``error``."""
+        fail(
+            error,
+            as_json=self.as_json,
+            operation_id=self.operation_id,
+            hint=hint,
+        )
+
+    def print(self, result: Mapping[str, Any]) -> None:
+        """Print the result with the operation id."""
+        print_result(
+            result,
+            as_json=self.as_json,
+            operation_id=self.operation_id,
+        )
+
+
+def option(flag: str, **more: Any) -> click.Option:
+    """Return an option with its environment variable."""
+    name = flag.lstrip('-').replace('-', '_')
+    if more.get('allow_from_autoenv', True):
+        more['envvar'] = f'{ENVIRONMENT_PREFIX}_{name.upper()}'
+        more['show_envvar'] = True
+    return click.Option([flag, more.pop('name', name)], **more)
+
+
+def target_options() -> list[click.Option]:
+    """Return the options that name the control replicas and the operator."""
+    return [
+        option(
+            '--control-addresses',
+            type=kinds.ADDRESSES,
+            help='Addresses of the control replicas.',
+        ),
+        option('--cluster-token', type=kinds.TOKEN, default=''),
+        option('--operator-token', type=kinds.TOKEN, default=''),
+        option(
+            '--operator',
+            type=kinds.NAME,
+            default=getpass.getuser,
+            help='Name for the audit trail; the login name by default.',
+        ),
+        option(
+            '--timeout-s',
+            type=kinds.NumberKind(float, 0.1, 600, 'seconds'),
+            default=10,
+            help='Time for the whole command, with resends.',
+        ),
+        # An operation id from the environment would make later commands
+        # return the result of the first one.
+        option(
+            '--operation-id',
+            type=kinds.NAME,
+            default=lambda: str(uuid.uuid4()),
+            allow_from_autoenv=False,
+            help='Id of the change; a command that is repeated with the '
+            'same id is executed once. A new UUID by default.',
+        ),
+        option(
+            '--json',
+            name='as_json',
+            is_flag=True,
+            allow_from_autoenv=False,
+            help='Print one JSON object.',
+        ),
+    ]
+
+
+def pop_context(given: dict[str, Any]) -> OperatorContext:
+    """Take the shared options out of the given of a command."""
+    if not given['control_addresses']:
+        raise click.UsageError(
+            '--control-addresses (KUMQUATRUN_CONTROL_ADDRESSES) is not set: '
+            'list the control replicas as ip:port,ip:port.',
+        )
+    target = ControlTarget(
+        addresses=given.pop('control_addresses'),
+        cluster_token=given.pop('cluster_token'),
+        operator_token=given.pop('operator_token'),
+        operator=given.pop('operator'),
+        timeout_s=given.pop('timeout_s'),
+    )
+    return OperatorContext(
+        target=target,
+        operation_id=given.pop('operation_id'),
+        as_json=given.pop('as_json'),
+    )
+
+
+def operator_command(
+    name: str,
+    callback: Any,
+    text: str,
+    params: tuple[click.Parameter, ...] = (),
+) -> click.Command:
+    """Return a command whose callback gets an ``OperatorContext``."""
+
+    def run(**given: Any) -> None:
+        context = pop_context(given)
+        callback(context, **given)
+
+    return click.Command(
+        name,
+        callback=run,
+        params=[*params, *target_options()],
+        help=text,
+        context_settings={'auto_envvar_prefix': ENVIRONMENT_PREFIX},
+    )
+
+
+@dataclass(frozen=True)
+class SimpleAction:
+    """A command that sends its parameters as the arguments of an action."""
+
+    command: str
+    action: str
+    text: str
+    params: tuple[click.Parameter, ...] = ()
+
+    def build(self) -> click.Command:
+        """Return the command."""
+
+        def callback(context: OperatorContext, **arguments: Any) -> None:
+            plain = {
+                name: value if isinstance(value, int) else str(value)
+                for name, value in arguments.items()
+            }
+            result = context.call(self.action, plain)
+            if self.action in READ_ACTIONS:
+                print_result(result, as_json=context.as_json)
+            else:
+                context.print(result)
+
+        name = self.command.split()[-1]
+        return operator_command(name, callback, self.text, self.params)
+
+
+def _argument(name: str, kind: click.ParamType = kinds.NAME) -> click.Argument:
+    return click.Argument([name], type=kind)
+
+
+SIMPLE_ACTIONS: tuple[SimpleAction, ...] = (
+    SimpleAction(
+        'key revoke',
+        'revoke_key',
+        'Revoke an API key; open streams of its callers end.',
+        (_argument('key_id'),),
+    ),
+    SimpleAction(
+        'key list',
+        'list_keys',
+        'List key ids with account and status.',
+    ),
+    SimpleAction('status', 'get_status', 'Show the state of the cluster.'),
+    SimpleAction('hosts', 'list_hosts', 'List entry and agent hosts.'),
+    SimpleAction(
+        'adapters', 'list_adapters', 'List adapters and where they are loaded.'
+    ),
+    SimpleAction(
+        'audit',
+        'list_audit',
+        'List changes: who, when, before and after.',
+        (
+            option(
+                '--after',
+                type=kinds.NumberKind(int, 0, 2**53, 'audit records'),
+                default=0,
+                allow_from_autoenv=False,
+                help='Number of the last record already seen.',
+            ),
+            option(
+                '--limit',
+                type=kinds.NumberKind(int, 1, MAX_AUDIT_ROWS, 'records'),
+                default=100,
+                allow_from_autoenv=False,
+                help='Most records to list.',
+            ),
+        ),
+    ),
+    SimpleAction(
+        'drain',
+        'drain_host',
+        'Drain a host: it gets no new work and finishes what it has.',
+        (_argument('host_id'),),
+    ),
+    SimpleAction(
+        'replica add',
+        'add_replica',
+        'Add a control replica that was started with --join.',
+        (
+            _argument('replica_id'),
+            _argument('address', kinds.PEER_ADDRESS),
+            _argument('disk_id'),
+        ),
+    ),
+    SimpleAction(
+        'replica remove',
+        'remove_replica',
+        'Remove a control replica.',
+        (_argument('replica_id'),),
+    ),
+    SimpleAction('replica list', 'list_replicas', 'List control replicas.'),
+)
--- /dev/null
+++ b/src/kumquatrun/cli_output.py
@@ -0,0 +1,154 @@
+"""Output of the commands: exit codes, JSON objects and tables."""
+
+import json
+import sys
+from collections.abc import Mapping, Sequence
+from enum import IntEnum
+from typing import Any, NoReturn
+
+import click
+
+from kumquatrun.errors import KumquatrunError, Outcome
+
+
+class ExitCode(IntEnum):
+    """Exit codes of all commands; part of the public API."""
+
+    DONE = 0
+    UNEXPECTED = 1
+    USAGE = 2
+    REFUSED = 3
+    CONFLICT = 4
+    UNREACHABLE = 5
+    OUTCOME_UNKNOWN = 6
+
+
+_BY_CODE: Mapping[str, ExitCode] = {
+    'internal_error': ExitCode.UNEXPECTED,
+    'wire_error': ExitCode.UNEXPECTED,
+    'corrupt_log': ExitCode.UNEXPECTED,
+    'invalid_setting': ExitCode.USAGE,
+    'revision_conflict': ExitCode.CONFLICT,
+    'connection_lost': ExitCode.UNREACHABLE,
+    'control_unreachable': ExitCode.UNREACHABLE,
+    'deadline_exceeded': ExitCode.UNREACHABLE,
+    'not_leader': ExitCode.UNREACHABLE,
+}
+
+
+def exit_code_of(error: KumquatrunError) -> ExitCode:
+    """Return the exit code for an error."""
+    if error.code == 'outcome_unknown' or (
+        error.outcome is Outcome.UNKNOWN and error.code in _BY_CODE
+    ):
+        return ExitCode.OUTCOME_UNKNOWN
+    return _BY_CODE.get(error.code, ExitCode.REFUSED)
+
+
+def to_json(value: Any) -> str:
+    """Return JSON text; bytes become text, or hexadecimal digits."""
+    return json.dumps(value, indent=2, ensure_ascii=False, default=_plain)
+
+
+def print_result(
+    result: Mapping[str, Any],
+    *,
+    as_json: bool,
+    operation_id: str = '',
+) -> None:
+    """Print the result of a command on standard output."""
+    if not as_json:
+        click.echo('\n'.join(_text_lines(result)))
+        return
+    content: dict[str, Any] = {'ok': True}
+    if operation_id:
+        content['operation_id'] = operation_id
+    click.echo(to_json({**content, 'result': result}))
+
+
+def fail(
+    error: KumquatrunError,
+    *,
+    as_json: bool,
+    operation_id: str = '',
+    hint: str = '',
+) -> NoReturn:
+    """Print an error and end the command with its exit code."""
+    code = exit_code_of(error)
+    if code is ExitCode.OUTCOME_UNKNOWN and operation_id and not hint:
+        hint = (
+            f'Repeat the command with --operation-id {operation_id}: it '
+            'is then executed at most once.'
+        )
+    if as_json:
+        click.echo(to_json(_error_object(error, code, operation_id, hint)))
+    else:
+        click.echo(f'error: {error}', err=True)
+        if hint:
+            click.echo(hint, err=True)
+    sys.exit(int(code))
+
+
+def _error_object(
+    error: KumquatrunError,
+    code: ExitCode,
+    operation_id: str,
+    hint: str,
+) -> Mapping[str, Any]:
+    return {
+        'ok': False,
+        'exit_code': int(code),
+        'operation_id': operation_id,
+        'error': {
+            'code': error.code,
+            'detail': error.detail,
+            'remedy': hint or error.remedy,
+            'outcome': error.outcome.value,
+        },
+    }
+
+
+def _plain(value: Any) -> Any:
+    if isinstance(value, bytes):
+        try:
+            return value.decode()
+        except UnicodeDecodeError:
+            return value.hex()
+    return str(value)
+
+
+def _text_lines(result: Mapping[str, Any]) -> list[str]:
+    lines = []
+    for name, value in result.items():
+        if _is_table(value):
+            lines.extend(_table_lines(value) or [f'{name}: none'])
+        else:
+            lines.append(f'{name}: {_cell(value)}')
+    return lines or ['done']
+
+
+def _is_table(value: Any) -> bool:
+    return isinstance(value, (list, tuple)) and all(
+        isinstance(row, Mapping) for row in value
+    )
+
+
+def _table_lines(rows: Sequence[Mapping[str, Any]]) -> list[str]:
+    if not rows:
+        return []
+    names = list(dict.fromkeys(name for row in rows for name in row))
+    table = [names]
+    table.extend([_cell(row.get(name, '')) for name in names] for row in rows)
+    widths = [max(map(len, column)) for column in zip(*table, strict=True)]
+    return [
+        '  '.join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in table
+    ]
+
+
+def _cell(value: Any) -> str:
+    if isinstance(value, (Mapping, list, tuple)):
+        return json.dumps(value, ensure_ascii=False, default=_plain)
+    return str(_plain(value))
--- /dev/null
+++ b/src/kumquatrun/metrics.py
@@ -0,0 +1,271 @@
+"""All metrics of the daemons, in one table."""
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from functools import cache
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+PREFIX = 'kumquatrun_'
+INFINITY = float('inf')
+# The bounds include the goals of the design page: 3 ms and 10 ms of added
+# latency, 54 ms between tokens, 1.3 s to the first token, 5 s for a load.
+LATENCY_BOUNDS_S = (
+    0.001,
+    0.003,
+    0.01,
+    0.025,
+    0.054,
+    0.1,
+    0.25,
+    0.5,
+    1.3,
+    2.5,
+    5.0,
+    10.0,
+    INFINITY,
+)
+
+
+@dataclass(frozen=True)
+class Metric:
+    """Name, kind, meaning and labels of one metric."""
+
+    name: str
+    kind: type
+    text: str
+    labels: tuple[str, ...] = ()
+
+
+METRICS: tuple[Metric, ...] = (
+    Metric(
+        'requests_total',
+        Counter,
+        'Requests that ended, by route, service and outcome.',
+        ('route', 'service', 'outcome'),
+    ),
+    Metric(
+        'refusals_total',
+        Counter,
+        'Refused requests, by error code and cause.',
+        ('code', 'cause'),
+    ),
+    Metric(
+        'open_requests',
+        Gauge,
+        'Requests that are open in this process.',
+    ),
+    Metric(
+        'time_to_first_token_seconds',
+        Histogram,
+        'Time from the arrival of a request to its first token.',
+        ('service',),
+    ),
+    Metric(
+        'inter_token_seconds',
+        Histogram,
+        'Time between two items of one stream.',
+        ('service',),
+    ),
+    Metric(
+        'added_latency_seconds',
+        Histogram,
+        'Time to the first token without the time in the backend server.',
+    ),
+    Metric(
+        'tokens_total',
+        Counter,
+        'Tokens, by account and direction (prompt or output).',
+        ('account', 'direction'),
+    ),
+    Metric(
+        'granted_tokens_total',
+        Counter,
+        'Tokens that the control leader granted to this entry.',
+        ('account',),
+    ),
+    Metric(
+        'wallet_tokens',
+        Gauge,
+        'Tokens that this entry holds and has not used.',
+        ('account',),
+    ),
+    Metric(
+        'stalls_total',
+        Counter,
+        'Requests that waited for the load of an adapter.',
+        ('service',),
+    ),
+    Metric(
+        'stall_seconds',
+        Histogram,
+        'Time that a request waited for the load of an adapter.',
+        ('service',),
+    ),
+    Metric(
+        'adapter_loads_total',
+        Counter,
+        'Loads of adapters, by result (done, failed or timeout).',
+        ('result',),
+    ),
+    Metric(
+        'adapter_evictions_total',
+        Counter,
+        'Adapters that were unloaded to make room.',
+    ),
+    Metric(
+        'load_slots_in_use',
+        Gauge,
+        'Fleet-wide load slots that the leader has granted.',
+    ),
+    Metric(
+        'running_requests',
+        Gauge,
+        'Requests that run in the backend server.',
+    ),
+    Metric(
+        'queued_requests',
+        Gauge,
+        'Requests that wait in the queue of the agent, by account.',
+        ('account',),
+    ),
+    Metric(
+        'batch_size',
+        Gauge,
+        'Requests in the last batch of the backend server.',
+    ),
+    Metric(
+        'backend_restarts_total',
+        Counter,
+        'Restarts of the backend server that the agent saw.',
+    ),
+    Metric(
+        'quarantined_total',
+        Counter,
+        'Requests refused because their fingerprint is quarantined.',
+    ),
+    Metric(
+        'lease_valid',
+        Gauge,
+        '1 while the lease of this host is valid, else 0.',
+    ),
+    Metric(
+        'feed_index',
+        Gauge,
+        'Index of the last feed item that this host applied.',
+    ),
+    Metric(
+        'document_revision',
+        Gauge,
+        'Revision of the document in force on this host.',
+    ),
+    Metric(
+        'retries_total',
+        Counter,
+        'Retries of dispatches, by cause.',
+        ('cause',),
+    ),
+    Metric(
+        'peer_bytes_total',
+        Counter,
+        'Bytes sent to other processes, by scope (local or region).',
+        ('scope',),
+    ),
+    Metric(
+        'replica_term',
+        Gauge,
+        'Term of the control replica.',
+    ),
+    Metric(
+        'replica_commit_index',
+        Gauge,
+        'Index of the last committed entry of the control replica.',
+    ),
+    Metric(
+        'replica_is_leader',
+        Gauge,
+        '1 while the control replica leads, else 0.',
+    ),
+    Metric(
+        'log_sync_seconds',
+        Histogram,
+        'Time of one sync of the log of the control replica.',
+    ),
+    Metric(
+        'invariant_violations_total',
+        Counter,
+        'Violations of an invariant of the design page, by invariant.',
+        ('invariant',),
+    ),
+)
+
+
+class Metrics:
+    """The metrics of one process; names are given without the prefix."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self._labels: dict[str, frozenset[str]] = {}
+        self._sources: list[Callable[[], None]] = []
+        for metric in METRICS:
+            self._register(metric)
+
+    def count(self, name: str, amount: float = 1, **labels: str) -> None:
+        """Add ``amount`` to a counter."""
+        self._find(name, labels).add(labels, amount)
+
+    def set_gauge(self, name: str, value: float, **labels: str) -> None:
+        """Set a gauge."""
+        self._find(name, labels).set(labels, value)
+
+    def observe(self, name: str, value: float, **labels: str) -> None:
+        """Add an observation to a histogram."""
+        self._find(name, labels).add(labels, float(value))
+
+    def value(self, name: str, **labels: str) -> float:
+        """Return a counter or gauge; 0 if it was never changed."""
+        try:
+            return self._find(name, labels).get(labels)
+        except KeyError:
+            return 0
+
+    def before_render(self, source: Callable[[], None]) -> None:
+        """Call ``source`` before each rendering, to set its gauges."""
+        self._sources.append(source)
+
+    def render(self, accept: Sequence[str]) -> tuple[bytes, Mapping[str, str]]:
+        """Return the content and the headers of ``/metrics``."""
+        for source in self._sources:
+            source()
+        return render(self.registry, list(accept))
+
+    def _register(self, metric: Metric) -> None:
+        options = {}
+        if metric.kind is Histogram:
+            options['buckets'] = LATENCY_BOUNDS_S
+        name = PREFIX + metric.name
+        metric.kind(name, metric.text, registry=self.registry, **options)
+        self._labels[metric.name] = frozenset(metric.labels)
+
+    def _find(self, name: str, labels: Mapping[str, str]):
+        """Return a collector.
+
+        Raises
+        ------
+        ValueError
+            If the table has no such metric, or other labels for it. A
+            misspelled name must fail in tests, not start a new series.
+        """
+        if self._labels.get(name) != labels.keys():
+            raise ValueError(
+                f'no metric {name} with labels {sorted(labels)}; '
+                'see METRICS in metrics.py',
+            )
+        return self.registry.get(PREFIX + name)
+
+
+@cache
+def process_metrics() -> Metrics:
+    """Return the metrics of this process."""
+    return Metrics()
--- /dev/null
+++ b/src/kumquatrun/setting_builder.py
@@ -0,0 +1,112 @@
+"""Build checked settings from values by name."""
+
+from collections.abc import Mapping
+from dataclasses import fields
+from typing import Any
+
+import click
+
+from kumquatrun.errors import SettingError
+from kumquatrun.setting_table import CLASSES, SETTINGS, Setting, settings_of
+from kumquatrun.settings import DaemonSettings, ReplicaSettings
+
+_BY_NAME: Mapping[str, Setting] = {row.name: row for row in SETTINGS}
+
+# Flags of the replica role by the field of ``ReplicaSettings``. The role also
+# runs inside entries and agents, so its directory and its port have names of
+# their own.
+REPLICA_NAMES: Mapping[str, str] = {
+    'replica_id': 'replica_id',
+    'data_dir': 'control_data_dir',
+    'listen': 'replica_listen',
+    'replicas': 'replicas',
+    'join': 'join',
+}
+
+
+def build_settings(daemon: str, given: Mapping[str, Any]) -> DaemonSettings:
+    """Check ``given`` by name and build the settings of a daemon.
+
+    Raises
+    ------
+    SettingError
+        If a value is missing, wrong or contradicts another one.
+    """
+    checked = {
+        row.name: _checked(row, given.get(row.name))
+        for row in settings_of(daemon)
+    }
+    checked = {name: entry for name, entry in checked.items() if entry != ''}
+    replica = _replica_settings(daemon, checked)
+    own = {field.name for field in fields(CLASSES[daemon])}
+    chosen = {
+        name: value
+        for name, value in checked.items()
+        if name in own and value is not None
+    }
+    if replica is not None and 'control_addresses' not in chosen:
+        members = tuple(address for _, address in replica.replicas)
+        chosen['control_addresses'] = members or (replica.listen,)
+    if 'control_addresses' not in chosen:
+        raise _missing('control_addresses', 'list the control replicas')
+    return CLASSES[daemon](replica=replica, **chosen)
+
+
+def _checked(row: Setting, value: Any) -> Any:
+    if value is None:
+        value = row.default
+    if value is None:
+        if row.required:
+            raise _missing(row.name, row.text)
+        return None
+    try:
+        return row.kind.convert(value, None, None)
+    except click.BadParameter as error:
+        raise SettingError(
+            f'{row.flag} ({row.env_name}): {error.message}',
+        ) from None
+
+
+def _missing(name: str, text: str) -> SettingError:
+    row = _BY_NAME[name]
+    return SettingError(f'{row.flag} ({row.env_name}) is not set: {text}')
+
+
+def _replica_settings(
+    daemon: str,
+    checked: Mapping[str, Any],
+) -> ReplicaSettings | None:
+    if checked.get('control_data_dir') is None:
+        if daemon == 'control':
+            raise _missing('control_data_dir', 'a control host needs one')
+        for given_name in ('replica_id', 'replica_listen'):
+            if checked.get(given_name) is not None:
+                raise _missing('control_data_dir', f'needed with {given_name}')
+        return None
+    found = {field: checked.get(name) for field, name in REPLICA_NAMES.items()}
+    for required in ('replica_id', 'listen'):
+        if found[required] is None:
+            raise _missing(
+                REPLICA_NAMES[required],
+                'needed with --control-data-dir',
+            )
+    replica = ReplicaSettings(**{**found, 'replicas': found['replicas'] or ()})
+    _check_members(replica)
+    return replica
+
+
+def _check_members(replica: ReplicaSettings) -> None:
+    addresses = dict(replica.replicas)
+    if not replica.join and replica.replica_id not in addresses:
+        raise SettingError(
+            f'--replicas (KUMQUATRUN_REPLICAS) does not name '
+            f'{replica.replica_id!r}: list this replica as well, or set '
+            '--join to join a running group',
+        )
+    own = addresses.get(replica.replica_id, replica.listen)
+    if own != replica.listen:
+        raise SettingError(
+            f'--replica-listen (KUMQUATRUN_REPLICA_LISTEN) is '
+            f'{replica.listen} but --replicas says {own}: write the same '
+            'address in both',
+        )
--- /dev/null
+++ b/src/kumquatrun/setting_table.py
@@ -0,0 +1,242 @@
+"""The table of settings: flag, variable, kind, default and use of each."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, fields
+from typing import Any
+
+import click
+
+from kumquatrun import setting_kinds as kinds
+from kumquatrun.document import ServiceKind
+from kumquatrun.settings import (
+    AgentSettings,
+    ControlSettings,
+    DaemonSettings,
+    EntrySettings,
+)
+
+ENVIRONMENT_PREFIX = 'KUMQUATRUN'
+ALL_DAEMONS = ('entry', 'agent', 'control')
+MAX_COUNT = 1_000_000
+MAX_BODY_BYTES = 1024 * 1024 * 1024
+DAY_S = 86_400
+
+CLASSES: Mapping[str, type[DaemonSettings]] = {
+    'entry': EntrySettings,
+    'agent': AgentSettings,
+    'control': ControlSettings,
+}
+
+
+@dataclass(frozen=True, kw_only=True)
+class Setting:
+    """One setting of the daemons.
+
+    Attributes
+    ----------
+    name
+        Name of the field, with underscores.
+    kind
+        Parses and checks a value.
+    text
+        What the setting does; shown by ``--help``.
+    daemons
+        Daemons that have the setting.
+    secret
+        Whether the value must not be printed or logged.
+    """
+
+    name: str
+    kind: click.ParamType
+    text: str
+    daemons: tuple[str, ...] = ALL_DAEMONS
+    default: Any = None
+    required: bool = False
+    secret: bool = False
+
+    @property
+    def flag(self) -> str:
+        """Return the flag of the command line."""
+        return '--' + self.name.replace('_', '-')
+
+    @property
+    def env_name(self) -> str:
+        """Return the environment variable."""
+        return f'{ENVIRONMENT_PREFIX}_{self.name.upper()}'
+
+
+def _seconds(low: float, high: float = DAY_S) -> kinds.NumberKind:
+    return kinds.NumberKind(float, low, high, 'seconds')
+
+
+def _count(unit: str, high: int = MAX_COUNT) -> kinds.NumberKind:
+    return kinds.NumberKind(int, 1, high, unit)
+
+
+def _setting(name: str, kind: click.ParamType, text: str, **more) -> Setting:
+    daemons = more.pop('daemons', ALL_DAEMONS)
+    more.setdefault('default', _field_default(name, daemons))
+    return Setting(name=name, kind=kind, text=text, daemons=daemons, **more)
+
+
+def _field_default(name: str, daemons: tuple[str, ...]) -> Any:
+    for field in fields(CLASSES[daemons[0]]):
+        if field.name == name and isinstance(
+            field.default,
+            (str, int, float, tuple),
+        ):
+            return field.default or None
+    return None
+
+
+SETTINGS: tuple[Setting, ...] = (
+    _setting(
+        'host_id',
+        kinds.NAME,
+        'Name of this host, unique in the environment.',
+        required=True,
+    ),
+    _setting('region', kinds.NAME, 'Region of this host.'),
+    _setting('failure_domain', kinds.NAME, 'Failure domain of this host.'),
+    _setting(
+        'control_addresses',
+        kinds.ADDRESSES,
+        'Addresses of the control replicas. A host that runs the replica '
+        'role takes them from --replicas if this is not set.',
+    ),
+    _setting(
+        'cluster_token',
+        kinds.TOKEN,
+        'Shared secret of all processes of the environment.',
+        secret=True,
+    ),
+    _setting(
+        'operator_token',
+        kinds.TOKEN,
+        'Secret that operator commands must send; used by replicas.',
+        secret=True,
+    ),
+    _setting(
+        'admin_listen',
+        kinds.ADDRESS,
+        'Address of /metrics, /healthz and /readyz; off if not set.',
+    ),
+    _setting(
+        'log_format',
+        click.Choice(['text', 'json']),
+        'Form of the log lines.',
+    ),
+    _setting(
+        'log_level',
+        click.Choice(['debug', 'info', 'warning', 'error']),
+        'Least severe level that is logged.',
+    ),
+    _setting(
+        'drain_timeout_s',
+        _seconds(1),
+        'Time after which an incomplete drain is logged.',
+    ),
+    _setting(
+        'http_listen',
+        kinds.ADDRESS,
+        'Address for callers.',
+        daemons=('entry',),
+        required=True,
+    ),
+    _setting(
+        'max_body_bytes',
+        _count('bytes', MAX_BODY_BYTES),
+        'Largest request body.',
+        daemons=('entry',),
+    ),
+    _setting(
+        'max_connections',
+        _count('connections'),
+        'Most open connections of callers.',
+        daemons=('entry',),
+    ),
+    _setting(
+        'write_timeout_s',
+        _seconds(0.1),
+        'Time after which a caller that reads nothing is disconnected.',
+        daemons=('entry',),
+    ),
+    _setting(
+        'request_timeout_s',
+        _seconds(0.1),
+        'Deadline of a request.',
+        daemons=('entry',),
+    ),
+    _setting(
+        'listen',
+        kinds.PEER_ADDRESS,
+        'Address for dispatches from entries.',
+        daemons=('agent',),
+        required=True,
+    ),
+    _setting(
+        'service',
+        kinds.NAME,
+        'Service of the document that the backend server belongs to.',
+        daemons=('agent',),
+        required=True,
+    ),
+    _setting(
+        'backend_url',
+        kinds.URL,
+        'Base URL of the backend server.',
+        daemons=('agent',),
+        required=True,
+    ),
+    _setting(
+        'backend_kind',
+        click.Choice([kind.value for kind in ServiceKind]),
+        'Whether the backend server is a model engine or a plain service.',
+        daemons=('agent',),
+    ),
+    _setting(
+        'max_running',
+        _count('requests'),
+        'Most requests that run at once in the backend server.',
+        daemons=('agent',),
+    ),
+    _setting(
+        'max_queued',
+        _count('requests'),
+        'Most requests that wait in the queue of the agent.',
+        daemons=('agent',),
+    ),
+    _setting(
+        'load_timeout_s',
+        _seconds(0.1),
+        'Time after which the load of an adapter counts as failed.',
+        daemons=('agent',),
+    ),
+    _setting(
+        'control_data_dir',
+        kinds.DIRECTORY,
+        'Data directory of the control replica; turns the replica role on.',
+    ),
+    _setting('replica_id', kinds.NAME, 'Name of the control replica.'),
+    _setting(
+        'replica_listen',
+        kinds.PEER_ADDRESS,
+        'Address of the control replica.',
+    ),
+    _setting(
+        'replicas',
+        kinds.MEMBERS,
+        'Initial control replicas with their addresses.',
+    ),
+    _setting(
+        'join',
+        click.BOOL,
+        'Join a running group of replicas instead of starting one.',
+        default=False,
+    ),
+)
+
+
+def settings_of(daemon: str) -> tuple[Setting, ...]:
+    """Return the settings of one daemon."""
+    return tuple(row for row in SETTINGS if daemon in row.daemons)
--- a/src/kumquatrun/settings.py
+++ b/src/kumquatrun/settings.py
@@ -1,7 +1,11 @@
-"""Settings of the daemons, each with a flag and an environment variable."""
+"""Settings of the daemons, each with a flag and an environment variable.
+
+``setting_table`` lists the flags, variables, defaults and limits.
+"""
 
 from dataclasses import dataclass
 
+from kumquatrun.document import ServiceKind
 from kumquatrun.peer import Address
 
 
@@ -55,6 +59,7 @@
     listen: Address
     service: str
     backend_url: str
+    backend_kind: ServiceKind = ServiceKind.ENGINE
     max_running: int = 16
     max_queued: int = 256
     load_timeout_s: float = 5
