--- a/src/kumquatrun/cli_documents.py
+++ b/src/kumquatrun/cli_documents.py
@@ -15,16 +15,19 @@
 )
 from kumquatrun.cli_output import fail, print_result
 from kumquatrun.errors import (
+    DocumentError,
     KumquatrunError,
     NotTriedError,
     RevisionConflictError,
 )
 from kumquatrun.logs import KEY_PREFIX
 from kumquatrun.operator_client import ControlTarget
+from kumquatrun.wire import MAX_FRAME_BYTES
 
 DIGEST_BYTES = 32
 KEY_BYTES = 32
 KEY_ID_BYTES = 6
+FRAME_MARGIN_BYTES = 4096
 
 
 def parse_document(content: bytes) -> Any:
@@ -81,12 +84,23 @@
 def _read_checked(context: OperatorContext, file: str) -> bytes:
     content = Path(file).read_bytes()
     try:
+        _check_size(content)
         parse_document(content)
     except KumquatrunError as error:
         context.fail(error)
     return content
 
 
+def _check_size(content: bytes) -> None:
+    # A document travels in one frame of the peer protocol.
+    limit = MAX_FRAME_BYTES - FRAME_MARGIN_BYTES
+    if len(content) > limit:
+        raise DocumentError(
+            f'the document has {len(content)} bytes; at most {limit} can be '
+            'sent',
+        )
+
+
 def _apply_document(
     context: OperatorContext,
     file: str,
--- a/src/kumquatrun/setting_kinds.py
+++ b/src/kumquatrun/setting_kinds.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 import os
+import re
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -12,7 +13,10 @@
 from kumquatrun.peer import Address
 
 MAX_PORT = 65535
-MAX_NAME_CHARACTERS = 64
+# The same limit as for names in documents.
+MAX_NAME_CHARACTERS = 128
+
+_NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]*')
 
 
 def parse_address(text: str) -> Address:
@@ -91,11 +95,10 @@
     ValueError
         If it is empty, too long or has other characters.
     """
-    allowed = text.replace('-', '').replace('_', '').replace('.', '')
-    if not text.isascii() or not allowed.isalnum():
+    if _NAME.fullmatch(text) is None:
         raise ValueError(
             f'{text!r} is not a name; use letters, digits, dot, dash and '
-            'underscore',
+            'underscore after a letter or digit',
         )
     if len(text) > MAX_NAME_CHARACTERS:
         raise ValueError(
