--- a/src/kumquatrun/setting_kinds.py
+++ b/src/kumquatrun/setting_kinds.py
@@ -4,6 +4,7 @@
 import os
 import re
 from collections.abc import Callable
+from enum import StrEnum
 from pathlib import Path
 from typing import Any
 from urllib.parse import urlsplit
@@ -121,7 +122,10 @@
         raise ValueError(
             f'{text!r} is not a base URL; write http://ip:port without a path',
         )
-    parse_address(parts.netloc)
+    try:
+        parse_address(parts.netloc)
+    except ValueError as error:
+        raise ValueError(f'{text!r}: {error}') from None
     return text.rstrip('/')
 
 
@@ -168,6 +172,18 @@
             return self.fail(f'{error}.', parameter, ctx)
 
 
+class EnumKind(click.Choice):
+    """One of the values of an enumeration of texts."""
+
+    def __init__(self, members: type[StrEnum]) -> None:
+        super().__init__([member.value for member in members])
+        self._members = members
+
+    def convert(self, value, parameter, ctx):
+        """Return the member."""
+        return self._members(super().convert(str(value), parameter, ctx))
+
+
 class NumberKind(click.ParamType):
     """A number within limits, with its unit."""
 
--- a/src/kumquatrun/setting_table.py
+++ b/src/kumquatrun/setting_table.py
@@ -190,7 +190,7 @@
     ),
     _setting(
         'backend_kind',
-        click.Choice([kind.value for kind in ServiceKind]),
+        kinds.EnumKind(ServiceKind),
         'Whether the backend server is a model engine or a plain service.',
         daemons=('agent',),
     ),
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,369 @@
+"""Operator commands: calls, exit codes, resends and JSON output."""
+
+import hashlib
+import json
+
+import pytest
+from click.testing import CliRunner
+from tests.fake_control import (
+    CLUSTER_TOKEN,
+    INTERNAL,
+    OPERATOR_TOKEN,
+    UNREACHABLE,
+    FakeControl,
+    running,
+)
+
+from kumquatrun import cli_documents
+from kumquatrun.cli import main
+from kumquatrun.cli_output import ExitCode
+from kumquatrun.document import Document
+from kumquatrun.errors import (
+    DocumentError,
+    InvalidKeyError,
+    NotFoundError,
+    Outcome,
+    error_from_code,
+    error_kinds,
+)
+
+CONTENT = b'{"environment": "demo"}\n'
+
+
+@pytest.fixture
+def control():
+    with running(FakeControl()) as fake:
+        yield fake
+
+
+@pytest.fixture
+def trial():
+    with running(FakeControl()) as fake:
+        yield fake
+
+
+@pytest.fixture(autouse=True)
+def parts(monkeypatch):
+    """Replace the parser and the hash, which have tests of their own."""
+
+    def parse(content):
+        if not content.startswith(b'{'):
+            raise DocumentError('$: is not JSON')
+        return Document(environment='demo')
+
+    def hash_key(key):
+        return hashlib.blake2b(key.encode()).digest()
+
+    monkeypatch.setattr(cli_documents, 'parse_document', parse)
+    monkeypatch.setattr(cli_documents, 'hash_key', hash_key)
+
+
+@pytest.fixture
+def document(tmp_path):
+    path = tmp_path / 'document.json'
+    path.write_bytes(CONTENT)
+    return str(path)
+
+
+@pytest.fixture
+def invoke(control):
+    def run(*arguments, **environment):
+        variables = {
+            'KUMQUATRUN_CONTROL_ADDRESSES': str(control.address),
+            'KUMQUATRUN_CLUSTER_TOKEN': CLUSTER_TOKEN,
+            'KUMQUATRUN_OPERATOR_TOKEN': OPERATOR_TOKEN,
+            'KUMQUATRUN_OPERATOR': 'ada',
+            'KUMQUATRUN_TIMEOUT_S': '1.5',
+            **environment,
+        }
+        result = CliRunner(env=variables).invoke(main, list(arguments))
+        if result.exception and not isinstance(result.exception, SystemExit):
+            raise result.exception
+        return result
+
+    return run
+
+
+SIMPLE = (
+    (('status',), 'get_status', {}, 'leader: control-1'),
+    (('hosts',), 'list_hosts', {}, 'host_id  draining'),
+    (('adapters',), 'list_adapters', {}, 'adapters: none'),
+    (
+        ('audit', '--after', '7', '--limit', '20'),
+        'list_audit',
+        {'after': 7, 'limit': 20},
+        'number  operator',
+    ),
+    (('drain', 'e1'), 'drain_host', {'host_id': 'e1'}, 'draining: True'),
+    (
+        ('replica', 'add', 'd', '10.0.0.4:7400', 'disk-4'),
+        'add_replica',
+        {'replica_id': 'd', 'address': '10.0.0.4:7400', 'disk_id': 'disk-4'},
+        'done',
+    ),
+    (
+        ('replica', 'remove', 'd'),
+        'remove_replica',
+        {'replica_id': 'd'},
+        'done',
+    ),
+    (('replica', 'list'), 'list_replicas', {}, 'replica_id  voter'),
+    (('key', 'list'), 'list_keys', {}, 'keys: none'),
+)
+
+
+@pytest.mark.parametrize(('command', 'action', 'arguments', 'text'), SIMPLE)
+def test_simple_commands(invoke, control, command, action, arguments, text):
+    result = invoke(*command)
+    assert result.exit_code == 0, result.output
+    assert text in result.output
+    call = control.calls[0]
+    assert (call.action, call.arguments) == (action, arguments)
+    assert call.operator == 'ada'
+    answer = json.loads(invoke(*command, '--json').stdout)
+    assert answer['ok'] is True
+    assert isinstance(answer['result'], dict)
+
+
+def test_document_apply_and_show(invoke, control, document):
+    applied = invoke('document', 'apply', document, '--expected-revision', '0')
+    assert applied.exit_code == 0, applied.output
+    shown = invoke('document', 'show')
+    # The output is the document byte for byte, so that it can be redirected.
+    assert shown.stdout.encode() == control.content == CONTENT
+    assert 'revision: 1' in shown.stderr
+
+
+def test_second_operator_gets_a_conflict(invoke, control, document):
+    # Guards against a lost update when two operators start from the same
+    # revision.
+    arguments = ('document', 'apply', document, '--expected-revision', '0')
+    assert invoke(*arguments).exit_code == ExitCode.DONE
+    result = invoke(*arguments, '--json')
+    assert result.exit_code == ExitCode.CONFLICT
+    answer = json.loads(result.stdout)
+    assert answer['error']['code'] == 'revision_conflict'
+    assert answer['exit_code'] == ExitCode.CONFLICT
+    assert control.revision == 1
+
+
+def test_repeated_operation_id_is_executed_once(invoke, control, document):
+    arguments = ('document', 'apply', document, '--expected-revision', '0')
+    for _ in range(2):
+        result = invoke(*arguments, '--operation-id', 'op-1')
+        assert result.exit_code == 0, result.output
+    assert control.executions == ['apply_document']
+
+
+def test_lost_reply_is_resent_with_the_same_id(invoke, control, document):
+    control.lose_replies = 1
+    arguments = ('document', 'apply', document, '--expected-revision', '0')
+    result = invoke(*arguments)
+    assert result.exit_code == 0, result.output
+    assert len({call.operation_id for call in control.calls}) == 1
+    assert len(control.calls) == 2
+    assert control.executions == ['apply_document']
+
+
+def test_lost_replies_leave_the_outcome_unknown(invoke, control, document):
+    control.lose_replies = 99
+    arguments = ('document', 'apply', document, '--expected-revision', '0')
+    result = invoke(*arguments, '--operation-id', 'op-1')
+    # Guards against reporting "not run" for a change that is in force.
+    assert result.exit_code == ExitCode.OUTCOME_UNKNOWN
+    assert '--operation-id op-1' in result.output
+    assert control.revision == 1
+
+
+AFTER_A_LOST_REPLY = (
+    (INTERNAL, ExitCode.OUTCOME_UNKNOWN),
+    (InvalidKeyError('wrong operator token'), ExitCode.OUTCOME_UNKNOWN),
+    (NotFoundError('no host e1'), ExitCode.REFUSED),
+)
+
+
+@pytest.mark.parametrize(('error', 'code'), AFTER_A_LOST_REPLY)
+def test_refusal_of_a_resend(invoke, control, error, code):
+    # Only the state machine knows that the first attempt had no effect; a
+    # check in front of it must not turn "unknown" into "not run".
+    control.lose_replies = 1
+    control.error_after_loss = error
+    assert invoke('drain', 'e1').exit_code == code
+
+
+def test_lost_replies_of_reads_are_unreachable(invoke, control):
+    control.lose_replies = 99
+    assert invoke('status').exit_code == ExitCode.UNREACHABLE
+
+
+def test_not_leader_is_followed(invoke, control, trial):
+    control.leader = str(trial.address)
+    result = invoke('status')
+    assert result.exit_code == 0, result.output
+    assert len(trial.calls) == 1
+
+
+def test_temporary_refusals_are_retried(invoke, control):
+    control.errors = [UNREACHABLE, UNREACHABLE]
+    assert invoke('hosts').exit_code == 0
+
+
+def test_other_addresses_are_tried(invoke, control):
+    addresses = f'127.0.0.1:9,{control.address}'
+    result = invoke('status', KUMQUATRUN_CONTROL_ADDRESSES=addresses)
+    assert result.exit_code == 0, result.output
+
+
+FAILURES = (
+    (('status',), {'KUMQUATRUN_CONTROL_ADDRESSES': '127.0.0.1:9'}, 5),
+    (('drain', 'e1'), {'KUMQUATRUN_CONTROL_ADDRESSES': '127.0.0.1:9'}, 5),
+    (('status',), {'KUMQUATRUN_CONTROL_ADDRESSES': 'control:7400'}, 2),
+    (('status',), {'KUMQUATRUN_CONTROL_ADDRESSES': ''}, 2),
+    (('status',), {'KUMQUATRUN_TIMEOUT_S': 'soon'}, 2),
+    (('status',), {'KUMQUATRUN_CLUSTER_TOKEN': 'wrong'}, 3),
+    (('status',), {'KUMQUATRUN_OPERATOR_TOKEN': 'wrong'}, 3),
+    (('key', 'revoke', 'key-0'), {}, 3),
+    (('audit', '--limit', '0'), {}, 2),
+    (('document', 'check', '/nonexistent'), {}, 2),
+)
+
+
+@pytest.mark.parametrize(('command', 'environment', 'code'), FAILURES)
+def test_failures_have_documented_exit_codes(
+    invoke, command, environment, code
+):
+    result = invoke(*command, **environment)
+    assert result.exit_code == code, result.output
+    assert result.stderr
+
+
+def test_every_error_code_has_an_exit_code(invoke, control):
+    # A refusal that says "not run" must never end as 1 or 6.
+    expected = {
+        'internal_error': 1,
+        'wire_error': 1,
+        'corrupt_log': 1,
+        'invalid_setting': 2,
+        'revision_conflict': 4,
+    }
+    retried = {
+        'connection_lost',
+        'control_unreachable',
+        'deadline_exceeded',
+        'not_leader',
+    }
+    for code in error_kinds().keys() - retried:
+        error = error_from_code(code, 'x', outcome=Outcome.NOT_RUN)
+        control.errors = [error]
+        result = invoke('drain', 'e1', '--json')
+        wanted = expected.get(code, 3)
+        if code == 'outcome_unknown':
+            wanted = 6
+        assert result.exit_code == wanted, code
+
+
+def test_unknown_outcome_of_a_refusal(invoke, control):
+    control.errors = [INTERNAL]
+    assert invoke('drain', 'e1').exit_code == ExitCode.OUTCOME_UNKNOWN
+
+
+def test_document_check_is_offline(invoke, control, document, tmp_path):
+    result = invoke('document', 'check', document, '--json')
+    assert json.loads(result.stdout)['result']['environment'] == 'demo'
+    bad = tmp_path / 'bad.json'
+    bad.write_text('no')
+    result = invoke('document', 'check', str(bad))
+    assert result.exit_code == ExitCode.REFUSED
+    assert 'is not JSON' in result.stderr
+    apply = ('document', 'apply', str(bad), '--expected-revision', '0')
+    assert invoke(*apply).exit_code == ExitCode.REFUSED
+    assert not control.calls
+
+
+def test_document_larger_than_a_frame_is_not_sent(invoke, control, tmp_path):
+    large = tmp_path / 'large.json'
+    large.write_bytes(b'{' + b' ' * 8 * 1024 * 1024)
+    result = invoke('document', 'apply', str(large), '--expected-revision', '0')
+    assert result.exit_code == ExitCode.REFUSED
+    assert not control.calls
+
+
+def test_promote_needs_the_bytes_that_trial_runs(
+    invoke, control, trial, document
+):
+    promote = (
+        'document',
+        'promote',
+        document,
+        '--trial-control',
+        str(trial.address),
+    )
+    trial.content = CONTENT.strip()
+    refused = invoke(*promote, '--json')
+    # One byte of difference is enough: production must run what was tried.
+    assert refused.exit_code == ExitCode.REFUSED
+    assert json.loads(refused.stdout)['error']['code'] == 'not_tried'
+    assert control.revision == 0
+    tried = invoke('document', 'try', *promote[2:])
+    assert tried.exit_code == 0, tried.output
+    assert (trial.content, control.revision) == (CONTENT, 0)
+    assert invoke(*promote).exit_code == 0
+    assert (control.content, control.revision) == (CONTENT, 1)
+
+
+def test_promote_with_an_old_revision_is_a_conflict(
+    invoke, control, trial, document
+):
+    trial.content, control.revision = CONTENT, 5
+    result = invoke(
+        'document',
+        'promote',
+        document,
+        '--trial-control',
+        str(trial.address),
+        '--expected-revision',
+        '4',
+    )
+    assert result.exit_code == ExitCode.CONFLICT
+
+
+def test_issued_key_is_printed_once_and_only_its_hash_sent(invoke, control):
+    answer = json.loads(invoke('key', 'issue', 'mill', '--json').stdout)
+    issued = answer['result']
+    (record,) = control.keys.values()
+    assert record['account'] == 'mill'
+    assert (
+        record['key_hash'] == hashlib.blake2b(issued['key'].encode()).digest()
+    )
+    assert issued['key'] not in repr(control.calls)
+    listed = invoke('key', 'list').output
+    assert issued['key_id'] in listed
+    assert issued['key'] not in listed
+    assert invoke('key', 'revoke', issued['key_id']).exit_code == 0
+    assert not control.keys
+
+
+def test_key_of_an_earlier_operation_is_not_replaced(invoke, control):
+    # Guards against printing a key that the cluster does not know.
+    command = ('key', 'issue', 'mill', '--operation-id', 'op-1')
+    assert invoke(*command).exit_code == 0
+    repeated = invoke(*command)
+    assert repeated.exit_code == ExitCode.CONFLICT
+    assert 'kq-' not in repeated.output
+    assert len(control.keys) == 1
+
+
+def test_unknown_outcome_of_a_key_names_its_id(invoke, control):
+    control.lose_replies = 99
+    result = invoke('key', 'issue', 'mill')
+    assert result.exit_code == ExitCode.OUTCOME_UNKNOWN
+    assert next(iter(control.keys)) in result.output
+    assert 'kq-' not in result.output
+
+
+def test_operation_id_is_not_taken_from_the_environment(invoke, control):
+    # A variable that is left set would make later changes return the result
+    # of the first one.
+    for _ in range(2):
+        invoke('drain', 'e1', KUMQUATRUN_OPERATION_ID='op-1')
+    assert len({call.operation_id for call in control.calls}) == 2
--- /dev/null
+++ b/tests/test_daemons.py
@@ -0,0 +1,115 @@
+"""Daemons: order of start and stop, signals, drain."""
+
+import asyncio
+import os
+import signal
+
+import pytest
+
+from kumquatrun.daemons import Daemon, run_daemon
+from kumquatrun.settings import DaemonSettings
+
+SETTINGS = DaemonSettings(host_id='h1', drain_timeout_s=7)
+
+
+class Part:
+    def __init__(self, name, calls, fail=''):
+        self.name = name
+        self.calls = calls
+        self.fail = fail
+        self.drained = asyncio.Event()
+
+    def _call(self, what):
+        self.calls.append(f'{what} {self.name}')
+        if self.fail == what:
+            raise OSError(f'{what} {self.name} failed')
+
+    async def start(self):
+        self._call('start')
+        if self.fail == 'hang':
+            await asyncio.Event().wait()
+
+    async def drain(self, timeout_s):
+        self._call(f'drain {timeout_s}')
+        await self.drained.wait()
+
+    async def stop(self):
+        self._call('stop')
+
+
+def daemon_of(calls, **fail):
+    parts = [Part(name, calls, fail.get(name, '')) for name in 'abc']
+    return Daemon(SETTINGS, parts, parts[2]), parts[2]
+
+
+async def poll(condition):
+    for _ in range(2000):
+        if condition():
+            return
+        await asyncio.sleep(0.001)
+    raise AssertionError('condition not met in 2 s')
+
+
+async def until(daemon, state):
+    await poll(lambda: daemon.state == state)
+
+
+async def test_first_signal_drains_before_the_stop():
+    calls = []
+    daemon, server = daemon_of(calls)
+    task = asyncio.create_task(run_daemon(daemon))
+    await until(daemon, 'running')
+    os.kill(os.getpid(), signal.SIGTERM)
+    await until(daemon, 'draining')
+    await asyncio.sleep(0.02)
+    # Guards against a stop that interrupts open requests.
+    assert calls == ['start a', 'start b', 'start c', 'drain 7 c']
+    server.drained.set()
+    await task
+    assert calls[4:] == ['stop c', 'stop b', 'stop a']
+    assert daemon.state == 'stopped'
+
+
+async def test_second_signal_stops_at_once():
+    calls = []
+    daemon, _ = daemon_of(calls)
+    task = asyncio.create_task(run_daemon(daemon))
+    await until(daemon, 'running')
+    os.kill(os.getpid(), signal.SIGTERM)
+    await until(daemon, 'draining')
+    os.kill(os.getpid(), signal.SIGINT)
+    async with asyncio.timeout(2):
+        await task
+    assert calls[-3:] == ['stop c', 'stop b', 'stop a']
+
+
+async def test_signal_during_start_stops_the_started_parts():
+    calls = []
+    daemon, _ = daemon_of(calls, b='hang')
+    task = asyncio.create_task(run_daemon(daemon))
+    await poll(lambda: 'start b' in calls)
+    daemon.terminate('SIGTERM')
+    async with asyncio.timeout(2):
+        await task
+    assert calls == ['start a', 'start b', 'stop b', 'stop a']
+
+
+async def test_failed_start_stops_the_started_parts():
+    # Guards against a process that stays half started.
+    calls = []
+    daemon, _ = daemon_of(calls, b='start')
+    with pytest.raises(OSError, match='start b failed'):
+        await run_daemon(daemon)
+    assert calls == ['start a', 'start b', 'stop b', 'stop a']
+    assert daemon.state == 'stopped'
+
+
+async def test_failed_stop_does_not_skip_the_others():
+    calls = []
+    daemon, server = daemon_of(calls, c='stop')
+    server.drained.set()
+    task = asyncio.create_task(run_daemon(daemon))
+    await until(daemon, 'running')
+    daemon.terminate('SIGTERM')
+    await task
+    assert calls[-3:] == ['stop c', 'stop b', 'stop a']
