Connect all parts: a request is served through separate processes

Cause: the parts were written against interfaces and had never met. Connecting them showed three gaps. The token wallet needs the host's incarnation and gives numbered grant requests, so the budget client now uses those instead of an amount. A lease belongs to an incarnation, not to a host, since a replaced one may still hold a lease.

Ruled out: giving the fake wallet of the entry tests a special path in the budget client; the fake got the wallet's interface instead.

Before: no whole path.

--- a/src/kumquatrun/account_budgets.py
+++ b/src/kumquatrun/account_budgets.py
@@ -230,8 +230,8 @@
             self._budgets[name] = budget
         self._sequences = {tuple(key): number for key, number in sequences}
         self._grants = {
-            tuple(holder): OrderedDict(map(tuple, numbers))
-            for holder, numbers in grants
+            tuple(key): OrderedDict(map(tuple, numbers))
+            for key, numbers in grants
         }
 
     def _remember_grant(
--- a/src/kumquatrun/budget_client.py
+++ b/src/kumquatrun/budget_client.py
@@ -6,13 +6,12 @@
 
 import asyncio
 from dataclasses import dataclass
-from importlib import import_module
-from typing import Any
 
 from kumquatrun.clock import Clock
 from kumquatrun.control_api import NodeSession
 from kumquatrun.errors import KumquatrunError, RateLimitedError
-from kumquatrun.messages import BudgetReport, GrantReply, GrantTokens
+from kumquatrun.messages import BudgetReport, GrantReply
+from kumquatrun.token_wallet import Reservation, TokenWallet
 
 GRANT_TIMEOUT_S = 1.0
 # Bounds how long a request may wait for tokens before it is refused: long
@@ -27,13 +26,14 @@
     """A reservation together with the wallet's incarnation."""
 
     account: str
-    reservation: Any
+    reservation: Reservation
     incarnation: str
 
 
-def make_wallet() -> Any:
-    """Return an empty token wallet."""
-    return import_module('kumquatrun.token_wallet').TokenWallet()
+def make_wallet(session: NodeSession) -> TokenWallet:
+    """Return an empty token wallet for the host's incarnation."""
+    record = session.record
+    return TokenWallet(record.host_id, record.incarnation)
 
 
 class BudgetClient:
@@ -41,7 +41,7 @@
 
     def __init__(
         self,
-        wallet: Any,
+        wallet: TokenWallet,
         session: NodeSession,
         clock: Clock,
         max_wait_s: float = MAX_WAIT_S,
@@ -98,7 +98,7 @@
         incarnation = self._session.record.incarnation
         if incarnation != self._incarnation:
             self._incarnation = incarnation
-            self._wallet.clear()
+            self._wallet.clear(incarnation)
 
     def _try_reserve(self, account: str, tokens: int) -> Charge | None:
         self.follow_session()
@@ -129,25 +129,20 @@
         return await asyncio.shield(task)
 
     async def _ask_leader(self, account: str) -> float:
-        incarnation = self._incarnation
-        request = GrantTokens(
-            host_id=self._session.record.host_id,
-            incarnation=incarnation,
-            account=account,
-            wanted_tokens=self._wallet.wanted(account, self._clock.now_s()),
-        )
+        request = self._wallet.grant_request(account, self._clock.now_s())
+        if request is None:
+            return 0
         try:
             reply: GrantReply = await self._session.control.call(
                 request, GRANT_TIMEOUT_S
             )
         except KumquatrunError as error:
+            self._wallet.abandon_grant(request)
             raise RateLimitedError(
                 f'the control leader granted no tokens: {error.detail}',
                 retry_after_s=DEFAULT_RETRY_AFTER_S,
                 cause='budget_unreachable',
             ) from error
         self.follow_session()
-        # A grant to an earlier incarnation already counts as consumed.
-        if reply.granted_tokens and incarnation == self._incarnation:
-            self._wallet.add_grant(account, reply.granted_tokens)
+        self._wallet.add_grant(account, reply.granted_tokens, request)
         return reply.retry_after_s
--- a/src/kumquatrun/control_client.py
+++ b/src/kumquatrun/control_client.py
@@ -10,13 +10,17 @@
 
 from kumquatrun.clock import Clock
 from kumquatrun.cluster_view import ClusterView
-from kumquatrun.errors import KumquatrunError, NotFoundError
+from kumquatrun.errors import (
+    FeedGapError,
+    KumquatrunError,
+    NotFoundError,
+    StaleIncarnationError,
+)
 from kumquatrun.leader_client import LeaderClient
 from kumquatrun.leases import LEASE_S, RENEW_INTERVAL_S
 from kumquatrun.messages import (
     AgentReport,
     BudgetReport,
-    FeedItem,
     FollowFeed,
     Hello,
     HostRecord,
@@ -30,6 +34,8 @@
 
 CALL_TIMEOUT_S = 2.5
 FEED_RETRY_S = 0.1
+# No feed item has this index, so the leader answers with a snapshot.
+BEFORE_FIRST_INDEX = -1
 
 
 class Session:
@@ -118,12 +124,6 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._leader_client.close()
 
-    async def wait_ready(self, timeout_s: float) -> None:
-        """Wait until the host is registered and has a lease."""
-        async with asyncio.timeout(timeout_s):
-            while not self.lease_valid():
-                await asyncio.sleep(RENEW_INTERVAL_S / 10)
-
     async def _keep_lease(self) -> None:
         registered = False
         while True:
@@ -134,7 +134,7 @@
                     await self._register()
                     registered = True
                     continue
-            except NotFoundError:
+            except (NotFoundError, StaleIncarnationError):
                 # The leader expired this host. A new incarnation starts with
                 # an empty wallet, so that old grants cannot be spent again.
                 registered = False
@@ -203,21 +203,28 @@
 
     async def _follow_feed(self) -> None:
         while True:
-            request = FollowFeed(
-                host_id=self._record.host_id,
-                after_index=self._view.applied_index,
-            )
             try:
-                async with self._leader_client.leader.stream(request) as feed:
-                    async for item in feed:
-                        self._apply(item)
+                await self._read_feed(self._view.applied_index)
+            except FeedGapError as error:
+                log.warning('event=feed_gap error=%r', str(error))
+                await self._read_snapshot()
             except KumquatrunError as error:
                 self._leader_client.follow(error)
             await asyncio.sleep(FEED_RETRY_S)
 
-    def _apply(self, item: FeedItem) -> None:
-        self._view.apply(item)
-        self._notify()
+    async def _read_snapshot(self) -> None:
+        with suppress(KumquatrunError):
+            await self._read_feed(BEFORE_FIRST_INDEX)
+
+    async def _read_feed(self, after_index: int) -> None:
+        request = FollowFeed(
+            host_id=self._record.host_id,
+            after_index=after_index,
+        )
+        async with self._leader_client.leader.stream(request) as feed:
+            async for feed_item in feed:
+                self._view.apply(feed_item)
+                self._notify()
 
     def _notify(self) -> None:
         for listener in self._listeners:
--- /dev/null
+++ b/src/kumquatrun/control_host.py
@@ -0,0 +1,102 @@
+"""The control role of one process: replica, state, service and listener."""
+
+import random
+import uuid
+
+from kumquatrun.clock import Clock
+from kumquatrun.control import ControlService
+from kumquatrun.control_state import ControlState
+from kumquatrun.errors import SettingError
+from kumquatrun.feed_log import FeedLog
+from kumquatrun.log_store import FileStorage, Storage
+from kumquatrun.messages import Hello
+from kumquatrun.peer import Address, PeerServer
+from kumquatrun.replica import Replica
+from kumquatrun.replica_transport import TcpTransport
+from kumquatrun.settings import DaemonSettings
+
+
+class FeedingState:
+    """State machine that hands its changes to the feed.
+
+    Fits the ``StateMachine`` protocol of the replica.
+    """
+
+    def __init__(self, state: ControlState, feed: FeedLog) -> None:
+        self._state = state
+        self._feed = feed
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply one log entry and publish what it changed."""
+        encoded = self._state.apply(index, command)
+        self._feed.extend(self._state.drain_changes())
+        return encoded
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return self._state.snapshot()
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace the whole state; followers of the feed get a snapshot."""
+        self._state.restore(snapshot)
+        self._feed.reset(self._state.feed_index)
+
+
+class ControlHost:
+    """Runs the control role in this process.
+
+    Raises
+    ------
+    SettingError
+        If the settings do not turn the replica role on.
+    """
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        clock: Clock,
+        *,
+        storage: Storage | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        replica_settings = settings.replica
+        if replica_settings is None:
+            raise SettingError('--control-data-dir is not set')
+        rng = rng or random.Random()
+        identity = Hello(
+            node_id=replica_settings.replica_id,
+            incarnation=uuid.uuid4().hex,
+            cluster_token=settings.cluster_token,
+        )
+        self._listen = replica_settings.listen
+        self.state = ControlState()
+        feed = FeedLog()
+        self.replica = Replica(
+            replica_settings,
+            FeedingState(self.state, feed),
+            TcpTransport(identity, rng),
+            storage or FileStorage(replica_settings.data_dir),
+            clock,
+            rng,
+        )
+        self.service = ControlService(
+            self.replica,
+            self.state,
+            feed,
+            clock,
+            settings.operator_token,
+        )
+        self._server = PeerServer(identity, self.service)
+        self.address: Address | None = None
+
+    async def start(self) -> None:
+        """Load the stored state, listen and take part in the group."""
+        await self.replica.start()
+        await self.service.start()
+        self.address = await self._server.start(self._listen)
+
+    async def stop(self) -> None:
+        """Stop listening and leave the group without a membership change."""
+        await self._server.stop()
+        await self.service.stop()
+        await self.replica.stop()
--- a/src/kumquatrun/daemons.py
+++ b/src/kumquatrun/daemons.py
@@ -254,13 +254,19 @@
 ) -> NodeSession:
     from kumquatrun.control_client import Session
 
-    return Session(settings, record, clock)
+    addresses = settings.control_addresses
+    return Session(
+        record,
+        addresses,
+        clock,
+        cluster_token=settings.cluster_token,
+    )
 
 
 def _build_control_service(settings: DaemonSettings, clock: Clock) -> Part:
-    from kumquatrun.control import ControlService
+    from kumquatrun.control_host import ControlHost
 
-    return ControlService(settings, clock)
+    return ControlHost(settings, clock)
 
 
 def _build_backend(settings: AgentSettings) -> Any:
--- a/src/kumquatrun/engine_loader.py
+++ b/src/kumquatrun/engine_loader.py
@@ -64,7 +64,7 @@
         self._releases: set[asyncio.Task] = set()
         self.orders = 0
         # The jitter only spreads requests, so its seed needs no secrecy.
-        self._random = random.Random()  # noqa: S311
+        self._random = random.Random()
 
     async def load(self, key: AdapterKey) -> None:
         """Load an announced adapter, if a request still waits for it.
--- a/src/kumquatrun/entry.py
+++ b/src/kumquatrun/entry.py
@@ -85,7 +85,7 @@
         self._settings = settings
         self._session = session
         self._clock = clock
-        self._rng = rng or random.Random()  # noqa: S311
+        self._rng = rng or random.Random()
         self._pool = AgentPool(
             session,
             clock,
@@ -93,7 +93,9 @@
             connect,
             settings.cluster_token,
         )
-        self._budgets = BudgetClient(wallet or make_wallet(), session, clock)
+        self._budgets = BudgetClient(
+            wallet or make_wallet(session), session, clock
+        )
         self._relay = Relay(
             session,
             clock,
--- a/src/kumquatrun/feed_log.py
+++ b/src/kumquatrun/feed_log.py
@@ -13,9 +13,10 @@
     """A bounded list of feed items with a wake-up for followers."""
 
     def __init__(self, kept_items: int = KEPT_ITEMS) -> None:
-        self._items: deque[FeedItem] = deque(maxlen=kept_items)
-        self._changed = asyncio.Event()
+        self._items: deque[FeedItem] = deque()
+        self._kept_items = kept_items
         self._start_index = 0
+        self._changed = asyncio.Event()
         self.index = 0
 
     def reset(self, index: int) -> None:
@@ -25,30 +26,39 @@
         self.index = index
         self._wake()
 
-    def extend(self, items: Sequence[FeedItem]) -> None:
+    def extend(self, added: Sequence[FeedItem]) -> None:
         """Add items in index order."""
-        for item in items:
-            if len(self._items) == self._items.maxlen:
-                self._start_index = self._items[0].index
-            self._items.append(item)
-            self.index = item.index
-        if items:
-            self._wake()
+        if not added:
+            return
+        self._items.extend(added)
+        self.index = added[-1].index
+        while len(self._items) > self._kept_items:
+            self._start_index = self._items.popleft().index
+        self._wake()
 
     def after(self, index: int) -> list[FeedItem] | None:
-        """Return the items after ``index``, None if some are gone."""
-        if index < self._start_index or index > self.index:
+        """Return the items after ``index``, None if some are gone.
+
+        A follower can be ahead of a leader that has not applied all of its
+        log yet; it gets an empty list.
+        """
+        if index < self._start_index:
             return None
         newer = []
-        for item in reversed(self._items):
-            if item.index <= index:
+        for feed_item in reversed(self._items):
+            if feed_item.index <= index:
                 break
-            newer.append(item)
-        return newer[::-1]
+            newer.append(feed_item)
+        newer.reverse()
+        return newer
 
-    async def wait(self) -> None:
-        """Wait until items were added."""
-        await self._changed.wait()
+    async def wait(self, timeout_s: float) -> None:
+        """Wait until items were added, at most ``timeout_s``."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._changed.wait()
+        except TimeoutError:
+            return
 
     def _wake(self) -> None:
         self._changed.set()
--- a/src/kumquatrun/leases.py
+++ b/src/kumquatrun/leases.py
@@ -7,10 +7,11 @@
 # Covers the difference between the rates of two hosts' clocks over a lease.
 CLOCK_DRIFT_MARGIN_S = 0.1
 
+Incarnation = tuple[str, str]
+
 
 @dataclass(frozen=True)
 class _HostLease:
-    incarnation: str
     ends_at_s: float
     required_index: int
 
@@ -25,21 +26,19 @@
     Parameters
     ----------
     elected_at_s
-        When this leader was elected; leases of earlier leaders have ended
+        When this leader began to serve; leases of earlier leaders have ended
         ``LEASE_S`` after it.
     feed_index
         Index of the newest feed item at that time.
     """
 
     def __init__(self, elected_at_s: float, feed_index: int) -> None:
-        self._elected_at_s = elected_at_s
-        self._first_index = feed_index
-        self._leases: dict[str, _HostLease] = {}
+        self._assumed = _HostLease(elected_at_s + LEASE_S, feed_index)
+        self._leases: dict[Incarnation, _HostLease] = {}
 
     def renew(
         self,
-        host_id: str,
-        incarnation: str,
+        holder: Incarnation,
         *,
         applied_index: int,
         feed_index: int,
@@ -52,41 +51,32 @@
         committed before its previous renewal. A host that lags keeps the
         lease it has.
         """
-        known = self._known(host_id, incarnation)
+        known = self._leases.get(holder, self._assumed)
         ends_at_s = known.ends_at_s
         duration_s = 0.0
         if applied_index >= known.required_index:
             duration_s = max(0, min(now_s, confirmed_at_s) + LEASE_S - now_s)
             ends_at_s = max(ends_at_s, now_s + duration_s)
-        self._leases[host_id] = _HostLease(incarnation, ends_at_s, feed_index)
+        self._leases[holder] = _HostLease(ends_at_s, feed_index)
         return duration_s
 
-    def surely_ended(self, host_id: str, now_s: float) -> bool:
-        """Return whether the host's lease has ended by every clock."""
-        known = self._leases.get(host_id)
-        ends_at_s = self._elected_at_s + LEASE_S
-        if known is not None:
-            ends_at_s = max(known.ends_at_s, ends_at_s)
+    def surely_ended(self, holder: Incarnation, now_s: float) -> bool:
+        """Return whether the holder's lease has ended by every clock.
+
+        Whatever this leader granted, a lease of its predecessor can last
+        until ``LEASE_S`` after the start of this leadership.
+        """
+        known = self._leases.get(holder, self._assumed)
+        ends_at_s = max(known.ends_at_s, self._assumed.ends_at_s)
         return now_s > ends_at_s + CLOCK_DRIFT_MARGIN_S
 
-    def start(self, host_id: str, incarnation: str, now_s: float) -> None:
-        """Record a registered host, which has time to renew for the first time."""
-        self._leases[host_id] = _HostLease(
-            incarnation,
+    def start(self, holder: Incarnation, now_s: float) -> None:
+        """Give a newly registered host time for its first renewal."""
+        self._leases[holder] = _HostLease(
             now_s + LEASE_S,
-            self._first_index,
+            self._assumed.required_index,
         )
 
-    def forget(self, host_id: str) -> None:
-        """Remove a host that was expired."""
-        self._leases.pop(host_id, None)
-
-    def _known(self, host_id: str, incarnation: str) -> _HostLease:
-        known = self._leases.get(host_id)
-        if known is not None and known.incarnation == incarnation:
-            return known
-        return _HostLease(
-            incarnation,
-            self._elected_at_s + LEASE_S,
-            self._first_index,
-        )
+    def forget(self, holder: Incarnation) -> None:
+        """Remove a holder that was expired."""
+        self._leases.pop(holder, None)
--- /dev/null
+++ b/src/kumquatrun/load_slot_queue.py
@@ -0,0 +1,52 @@
+"""Waits for load slots on the leader."""
+
+import asyncio
+
+from kumquatrun.clock import Clock
+from kumquatrun.load_slots import LoadSlots
+from kumquatrun.messages import AcquireLoadSlot, LoadSlotReply
+
+SLOT_WAIT_S = 1.0
+RETRY_AFTER_S = 0.05
+
+
+class LoadSlotQueue:
+    """Lets calls wait for a slot of the ``LoadSlots`` table."""
+
+    def __init__(self, prefix: str, clock: Clock) -> None:
+        self._clock = clock
+        self._slots = LoadSlots(prefix)
+        self._waiters: dict[int, asyncio.Future[str]] = {}
+
+    async def acquire(self, request: AcquireLoadSlot) -> LoadSlotReply:
+        """Wait for a slot; the reply has an empty id if none got free."""
+        ticket = self._slots.enqueue(
+            request.host_id,
+            request.adapter,
+            request.waiting_requests,
+        )
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters[ticket.number] = waiter
+        self.grant_waiting()
+        try:
+            async with asyncio.timeout(SLOT_WAIT_S):
+                return LoadSlotReply(slot_id=await waiter)
+        except TimeoutError:
+            return LoadSlotReply(slot_id='', retry_after_s=RETRY_AFTER_S)
+        finally:
+            self._waiters.pop(ticket.number, None)
+            self._slots.withdraw(ticket)
+
+    def release(self, slot_id: str) -> None:
+        """Return a slot and hand it to the next waiting call."""
+        self._slots.release(slot_id)
+        self.grant_waiting()
+
+    def grant_waiting(self) -> None:
+        """Hand free slots to waiting calls."""
+        for granted in self._slots.grant_next(self._clock.now_s()):
+            waiter = self._waiters.get(granted.ticket.number)
+            if waiter is None or waiter.done():
+                self._slots.release(granted.slot_id)
+            else:
+                waiter.set_result(granted.slot_id)
--- a/src/kumquatrun/load_slots.py
+++ b/src/kumquatrun/load_slots.py
@@ -89,14 +89,24 @@
 
     def grant_next(self, now_s: float) -> list[LoadSlot]:
         """Free the slots that ended and grant as many as there is room for."""
-        for slot in list(self._granted.values()):
-            if slot.ends_at_s <= now_s:
-                self.release(slot.slot_id)
+        ended = [
+            slot_id
+            for slot_id, slot in self._granted.items()
+            if slot.ends_at_s <= now_s
+        ]
+        for slot_id in ended:
+            self.release(slot_id)
         granted = []
         while self._waiting and len(self._granted) < self._limit:
             ticket = heapq.heappop(self._waiting)
-            slot_id = f'{self._prefix}-{ticket.number}'
-            slot = LoadSlot(slot_id, ticket, now_s + SLOT_DURATION_S)
-            self._granted[slot_id] = slot
-            granted.append(slot)
+            granted.append(self._grant(ticket, now_s))
+        return granted
+
+    def _grant(self, ticket: SlotTicket, now_s: float) -> LoadSlot:
+        granted = LoadSlot(
+            f'{self._prefix}-{ticket.number}',
+            ticket,
+            now_s + SLOT_DURATION_S,
+        )
+        self._granted[granted.slot_id] = granted
         return granted
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -221,16 +221,24 @@
         self.open.remove(reservation)
         self.free[reservation.account] += reservation.left
 
-    def add_grant(self, account, tokens):
+    def add_grant(self, account, tokens, request=None):
         self.free[account] += tokens
 
-    def wanted(self, account, now_s):
-        return self.short[account]
+    def grant_request(self, account, now_s):
+        return GrantTokens(
+            host_id='entry-1',
+            incarnation='1',
+            account=account,
+            wanted_tokens=self.short[account],
+        )
+
+    def abandon_grant(self, request):
+        """Nothing to do: the fake leader keeps no account."""
 
     def take_reports(self, now_s):
         return ()
 
-    def clear(self):
+    def clear(self, incarnation=None):
         self.free.clear()
         self.open.clear()
 
