--- a/src/kumquatrun/crash_reports.py
+++ b/src/kumquatrun/crash_reports.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import uuid
 from typing import Any
 
 from kumquatrun.control_api import NodeSession
@@ -21,8 +22,8 @@
 class CrashReporter:
     """Sends what ``batch`` held when the backend server crashed.
 
-    Both messages can be sent again without harm: they name a state of the
-    fingerprint and not a change.
+    Both messages can be sent again without harm: a crash has an id under
+    which the control state counts it once, and clearing is idempotent.
     """
 
     def __init__(self, host_id: str, session: NodeSession) -> None:
@@ -45,6 +46,7 @@
             host_id=self._host_id,
             fingerprints=crash.fingerprints,
             alone=crash.alone,
+            report_id=uuid.uuid4().hex,
         )
         await asyncio.wait({self._send(message)}, timeout=REPORT_WAIT_S)
 
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,187 @@
+"""Control service and sessions: configuration, keys, leases under faults."""
+
+import asyncio
+import json
+import time
+
+import pytest
+from tests.control_cluster import control_cluster, eventually
+
+from kumquatrun.errors import (
+    KumquatrunError,
+    RevisionConflictError,
+    UnauthorizedPeerError,
+)
+from kumquatrun.keys import hash_key
+from kumquatrun.leases import LEASE_S
+
+# Design page, 1.1: a change is in force everywhere within 4 s.
+IN_FORCE_S = 4.0
+
+
+def document(rate=100.0):
+    content = {
+        'environment': 'test',
+        'accounts': [
+            {'name': 'acme', 'rate_tokens_per_s': rate, 'burst_tokens': 500},
+        ],
+        'services': [{'name': 'assistant', 'kind': 'engine'}],
+        'adapters': [
+            {'name': 'a', 'service': 'assistant', 'versions': ['1']},
+        ],
+        'routes': [{'path': '/v1/', 'service': 'assistant'}],
+    }
+    return json.dumps(content).encode()
+
+
+async def apply(cluster, revision, rate=100.0, **more):
+    return await cluster.operate(
+        'apply_document',
+        expected_revision=revision,
+        content=document(rate),
+        **more,
+    )
+
+
+def in_force(session, revision):
+    """Whether the host serves by this revision, or serves nothing."""
+    return session.view.revision >= revision or not session.lease_valid()
+
+
+@pytest.mark.parametrize('fault', ['none', 'kill_leader', 'cut_leader'])
+async def test_change_is_in_force_everywhere_in_time(fault):
+    # Guards against a host that serves by an old document after a fault.
+    async with control_cluster() as cluster:
+        sessions = [await cluster.join(f'entry-{n}') for n in range(3)]
+        await eventually(lambda: all(s.lease_valid() for s in sessions), 5)
+        accepted = await apply(cluster, 0)
+        accepted_s = time.monotonic()
+        leader = cluster.leader()
+        if fault == 'kill_leader':
+            await cluster.kill_replica(leader)
+        if fault == 'cut_leader':
+            cluster.links[leader].cut()
+        await eventually(
+            lambda: all(in_force(s, accepted['revision']) for s in sessions),
+            IN_FORCE_S,
+        )
+        assert time.monotonic() - accepted_s < IN_FORCE_S
+        # The loss of one replica must not end service for good.
+        await eventually(
+            lambda: all(
+                s.lease_valid() and s.view.revision == 1 for s in sessions
+            ),
+            2 * LEASE_S,
+        )
+
+
+async def test_cut_off_host_stops_serving_before_the_bound():
+    # Guards against a withdrawn key that lives on at a cut-off entry.
+    async with control_cluster() as cluster:
+        await apply(cluster, 0)
+        await cluster.operate(
+            'issue_key', key_id='k1', key_hash=hash_key('kq-x'), account='acme'
+        )
+        session = await cluster.join('entry-1')
+        await eventually(
+            lambda: session.view.account_of_key('kq-x') == 'acme', IN_FORCE_S
+        )
+        await eventually(session.lease_valid, IN_FORCE_S)
+        lost = []
+        session.on_change(lambda: lost.append(session.lease_valid()))
+        for link in cluster.links.values():
+            link.cut()
+        took_s = await eventually(lambda: not session.lease_valid(), IN_FORCE_S)
+        assert took_s <= LEASE_S + 0.1
+        await eventually(lambda: lost[-1:] == [False], 0.5)
+        for link in cluster.links.values():
+            link.heal()
+        await eventually(session.lease_valid, 2 * LEASE_S)
+
+
+async def test_one_of_two_racing_operators_wins():
+    # Guards against two changes that are both accepted for one revision.
+    async with control_cluster() as cluster:
+        outcomes = await asyncio.gather(
+            *(apply(cluster, 0, rate=rate) for rate in (1.0, 2.0, 3.0)),
+            return_exceptions=True,
+        )
+        won = [row for row in outcomes if not isinstance(row, Exception)]
+        lost = [row for row in outcomes if isinstance(row, Exception)]
+        assert [row['revision'] for row in won] == [1]
+        assert all(isinstance(row, RevisionConflictError) for row in lost)
+
+
+async def test_resent_operation_is_applied_once_across_a_leader_change():
+    # Guards against a second change when the first reply was lost.
+    async with control_cluster() as cluster:
+        first = await apply(cluster, 0, operation_id='op-1')
+        await cluster.kill_replica(cluster.leader())
+        again = await apply(cluster, 0, operation_id='op-1')
+        assert again == first
+        status = await cluster.operate('get_status')
+        assert status['revision'] == 1
+
+
+async def test_revoked_key_stops_working_everywhere():
+    async with control_cluster() as cluster:
+        await apply(cluster, 0)
+        await cluster.operate(
+            'issue_key', key_id='k1', key_hash=hash_key('kq-x'), account='acme'
+        )
+        sessions = [await cluster.join(f'entry-{n}') for n in range(2)]
+
+        def accounts():
+            return {s.view.account_of_key('kq-x') for s in sessions}
+
+        await eventually(lambda: accounts() == {'acme'}, IN_FORCE_S)
+        await cluster.operate('revoke_key', key_id='k1')
+        await eventually(lambda: accounts() == {None}, IN_FORCE_S)
+
+
+async def test_dead_host_is_expired_and_a_new_incarnation_registers():
+    # Guards against placements on a dead host and a reused wallet.
+    async with control_cluster() as cluster:
+        entry = await cluster.join('entry-1')
+        agent = await cluster.join('agent-1', role='agent')
+        await eventually(lambda: entry.view.agents_of('assistant'), IN_FORCE_S)
+        await agent.stop()
+        await eventually(
+            lambda: not entry.view.agents_of('assistant'), 2 * LEASE_S
+        )
+        again = await cluster.join('agent-1', role='agent')
+        await eventually(again.lease_valid, IN_FORCE_S)
+        assert again.record.incarnation != agent.record.incarnation
+        assert again.record.fencing_number > agent.record.fencing_number
+
+
+async def test_state_survives_the_restart_of_all_replicas():
+    # Guards against an acknowledged change that was not durable.
+    async with control_cluster() as cluster:
+        for revision in range(20):
+            await apply(cluster, revision, rate=1.0 + revision)
+        for name in cluster.names:
+            await cluster.kill_replica(name)
+        for name in cluster.names:
+            await cluster.start_replica(name)
+        status = await cluster.operate('get_status')
+        assert status['revision'] == 20
+        audit = await cluster.operate('list_audit', after=0, limit=100)
+        assert [row['number'] for row in audit['records']] == list(range(1, 21))
+
+
+async def test_no_majority_refuses_changes():
+    async with control_cluster() as cluster:
+        for name in cluster.names[:2]:
+            await cluster.kill_replica(name)
+        with pytest.raises(KumquatrunError):
+            await apply(cluster, 0, timeout_s=2)
+
+
+async def test_wrong_operator_token_changes_nothing():
+    async with control_cluster(size=1) as cluster:
+        host = cluster.hosts['control-1']
+        host.service._actions._operator_token = 'other'
+        with pytest.raises(UnauthorizedPeerError):
+            await apply(cluster, 0)
+        assert host.state.revision == 0
