--- a/src/kumquatrun/admin.py
+++ b/src/kumquatrun/admin.py
@@ -19,28 +19,36 @@
         Metrics of the process.
     not_ready_reason
         Returns why the daemon should get no traffic, or an empty text.
+    listen
+        Address to serve on; port 0 picks a free one.
     """
 
     def __init__(
         self,
         metrics: Metrics,
         not_ready_reason: Callable[[], str],
+        listen: Address,
     ) -> None:
+        self.address = listen
         self._metrics = metrics
         self._not_ready_reason = not_ready_reason
         self._runner: web.AppRunner | None = None
 
-    async def start(self, address: Address) -> Address:
-        """Listen; returns the bound address (port 0 picks a free one)."""
+    async def start(self) -> None:
+        """Listen; ``address`` is the bound address afterwards."""
         app = web.Application()
         app.router.add_get('/metrics', self._serve_metrics)
         app.router.add_get('/healthz', self._serve_health)
         app.router.add_get('/readyz', self._serve_readiness)
         self._runner = web.AppRunner(app, access_log=None)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, address.host, address.port)
+        site = web.TCPSite(
+            self._runner,
+            self.address.host,
+            self.address.port,
+        )
         await site.start()
-        return Address(*self._runner.addresses[0][:2])
+        self.address = Address(*self._runner.addresses[0][:2])
 
     async def stop(self) -> None:
         """Stop listening."""
--- a/src/kumquatrun/cli_documents.py
+++ b/src/kumquatrun/cli_documents.py
@@ -1,6 +1,5 @@
 """Commands for configuration documents and API keys."""
 
-import hashlib
 import secrets
 from pathlib import Path
 from typing import Any
@@ -14,41 +13,23 @@
     option,
 )
 from kumquatrun.cli_output import fail, print_result
+from kumquatrun.document import digest_document, parse_document
 from kumquatrun.errors import (
     DocumentError,
     KumquatrunError,
     NotTriedError,
     RevisionConflictError,
 )
+from kumquatrun.keys import hash_key
 from kumquatrun.logs import KEY_PREFIX
 from kumquatrun.operator_client import ControlTarget
 from kumquatrun.wire import MAX_FRAME_BYTES
 
-DIGEST_BYTES = 32
 KEY_BYTES = 32
 KEY_ID_BYTES = 6
 FRAME_MARGIN_BYTES = 4096
 
 
-def parse_document(content: bytes) -> Any:
-    """Parse and check a document offline."""
-    from kumquatrun import document
-
-    return document.parse_document(content)
-
-
-def hash_key(key: str) -> Any:
-    """Return the hash of a key that is sent instead of it."""
-    from kumquatrun import keys
-
-    return keys.hash_key(key)
-
-
-def content_digest(content: bytes) -> str:
-    """Return the BLAKE2b digest of the bytes of a document."""
-    return hashlib.blake2b(content, digest_size=DIGEST_BYTES).hexdigest()
-
-
 @click.command('check')
 @click.argument('file', type=click.Path(exists=True, dir_okay=False))
 @click.option('--json', 'as_json', is_flag=True, help='Print one JSON object.')
@@ -60,7 +41,7 @@
     except KumquatrunError as error:
         fail(error, as_json=as_json)
     summary = {
-        'digest': content_digest(content),
+        'digest': digest_document(content),
         'environment': document.environment,
         'accounts': len(document.accounts),
         'services': len(document.services),
@@ -132,8 +113,8 @@
     content = _read_checked(context, file)
     target = _trial_target(context, trial)
     tried = context.call('get_document', {}, target=target)
-    tried_digest = content_digest(as_bytes(tried.get('content', b'')))
-    digest = content_digest(content)
+    tried_digest = digest_document(as_bytes(tried.get('content', b'')))
+    digest = digest_document(content)
     if digest != tried_digest:
         context.fail(
             NotTriedError(
--- a/src/kumquatrun/metrics.py
+++ b/src/kumquatrun/metrics.py
@@ -219,6 +219,10 @@
         """Set a gauge."""
         self._find(name, labels).set(labels, value)
 
+    def set_count(self, name: str, total: float, **labels: str) -> None:
+        """Set a counter to a total that is counted elsewhere."""
+        self._find(name, labels).set(labels, total)
+
     def observe(self, name: str, value: float, **labels: str) -> None:
         """Add an observation to a histogram."""
         self._find(name, labels).add(labels, float(value))
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -12,9 +12,10 @@
 async def admin():
     state = {'reason': ''}
     metrics = Metrics()
-    server = AdminServer(metrics, lambda: state['reason'])
-    address = await server.start(Address('127.0.0.1', 0))
-    yield address, metrics, state
+    listen = Address('127.0.0.1', 0)
+    server = AdminServer(metrics, lambda: state['reason'], listen)
+    await server.start()
+    yield server.address, metrics, state
     await server.stop()
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,6 +1,5 @@
 """Operator commands: calls, exit codes, resends and JSON output."""
 
-import hashlib
 import json
 
 import pytest
@@ -14,18 +13,16 @@
     running,
 )
 
-from kumquatrun import cli_documents
 from kumquatrun.cli import main
 from kumquatrun.cli_output import ExitCode
-from kumquatrun.document import Document
 from kumquatrun.errors import (
-    DocumentError,
     InvalidKeyError,
     NotFoundError,
     Outcome,
     error_from_code,
     error_kinds,
 )
+from kumquatrun.keys import hash_key
 
 CONTENT = b'{"environment": "demo"}\n'
 
@@ -42,22 +39,6 @@
         yield fake
 
 
-@pytest.fixture(autouse=True)
-def parts(monkeypatch):
-    """Replace the parser and the hash, which have tests of their own."""
-
-    def parse(content):
-        if not content.startswith(b'{'):
-            raise DocumentError('$: is not JSON')
-        return Document(environment='demo')
-
-    def hash_key(key):
-        return hashlib.blake2b(key.encode()).digest()
-
-    monkeypatch.setattr(cli_documents, 'parse_document', parse)
-    monkeypatch.setattr(cli_documents, 'hash_key', hash_key)
-
-
 @pytest.fixture
 def document(tmp_path):
     path = tmp_path / 'document.json'
@@ -274,7 +255,7 @@
     bad.write_text('no')
     result = invoke('document', 'check', str(bad))
     assert result.exit_code == ExitCode.REFUSED
-    assert 'is not JSON' in result.stderr
+    assert 'invalid_document' in result.stderr
     apply = ('document', 'apply', str(bad), '--expected-revision', '0')
     assert invoke(*apply).exit_code == ExitCode.REFUSED
     assert not control.calls
@@ -332,9 +313,7 @@
     issued = answer['result']
     (record,) = control.keys.values()
     assert record['account'] == 'mill'
-    assert (
-        record['key_hash'] == hashlib.blake2b(issued['key'].encode()).digest()
-    )
+    assert record['key_hash'] == hash_key(issued['key'])
     assert issued['key'] not in repr(control.calls)
     listed = invoke('key', 'list').output
     assert issued['key_id'] in listed
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from kumquatrun.daemons import Daemon, run_daemon
+from kumquatrun.lifecycle import Daemon, run_daemon
 from kumquatrun.settings import DaemonSettings
 
 SETTINGS = DaemonSettings(host_id='h1', drain_timeout_s=7)
