--- a/src/kumquatrun/daemons.py
+++ b/src/kumquatrun/daemons.py
@@ -1,8 +1,8 @@
 """Daemons: build the parts of each daemon from its settings."""
 
+import asyncio
 import logging
 from collections.abc import Callable
-from contextlib import suppress
 from typing import Any
 
 from kumquatrun.admin import AdminServer
@@ -66,16 +66,20 @@
 
     async def start(self) -> None:
         """Wait without a limit; logs why the daemon does not serve yet."""
+        changed = asyncio.Event()
+        self._session.on_change(changed.set)
         while not self._session.lease_valid():
-            with suppress(TimeoutError):
-                await self._session.wait_ready(REGISTRATION_LOG_S)
-                return
-            log_event(
-                log,
-                'waiting_for_lease',
-                level=logging.WARNING,
-                remedy='check that a majority of control replicas is up',
-            )
+            changed.clear()
+            try:
+                async with asyncio.timeout(REGISTRATION_LOG_S):
+                    await changed.wait()
+            except TimeoutError:
+                log_event(
+                    log,
+                    'waiting_for_lease',
+                    level=logging.WARNING,
+                    remedy='check that a majority of control replicas is up',
+                )
 
     async def stop(self) -> None:
         """Nothing to do: the session ends the lease."""
