--- a/src/kumquatrun/cli_output.py
+++ b/src/kumquatrun/cli_output.py
@@ -38,9 +38,7 @@
 
 def exit_code_of(error: KumquatrunError) -> ExitCode:
     """Return the exit code for an error."""
-    if error.code == 'outcome_unknown' or (
-        error.outcome is Outcome.UNKNOWN and error.code in _BY_CODE
-    ):
+    if error.outcome is Outcome.UNKNOWN:
         return ExitCode.OUTCOME_UNKNOWN
     return _BY_CODE.get(error.code, ExitCode.REFUSED)
 
