Refuse JSON text that has no UTF-8 form

Half of a surrogate pair passed the parser and would have failed later in a log line or in the engine. tests/test_openai_api.py covers the parser and the error answers; the case 'lone surrogate' failed before this change.

--- a/src/kumquatrun/openai_api.py
+++ b/src/kumquatrun/openai_api.py
@@ -28,6 +28,7 @@
 DEFAULT_RETRY_AFTER_S = 1
 HTTP_UNAVAILABLE = 503
 
+_SURROGATE_ESCAPE = rb'\ud'
 _ERROR_TYPES = {
     400: 'invalid_request_error',
     401: 'authentication_error',
@@ -256,9 +257,21 @@
         raise InvalidRequestError(f'body is not valid JSON: {error}') from None
     if not isinstance(fields, dict):
         raise InvalidRequestError('body is not a JSON object')
+    if _SURROGATE_ESCAPE in body.lower():
+        _check_encodable(fields)
     return fields
 
 
+def _check_encodable(fields: dict[str, Any]) -> None:
+    # Half of a surrogate pair has no UTF-8 form; logs and engines fail on it.
+    try:
+        json.dumps(fields, ensure_ascii=False).encode()
+    except UnicodeEncodeError:
+        raise InvalidRequestError(
+            'body has an escape of half a surrogate pair',
+        ) from None
+
+
 def _unique_fields(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
     # Parsers differ in which of two equal names they keep, so the engine
     # could run another model than the one that was checked here.
