Charge a retried request once and end unanswered claims

A fault matrix runs one fault at each step of a request against fake agents that record executions. It found two faults: - the prompt of a retried request was consumed again for each attempt, which exceeded the reservation; consumption now rises to a total; - a claim whose reply was lost stayed in progress; it is now ended like a granted one, by the request id that only this request has. Broken variants of the relay show that the checks notice each mechanism.

--- a/src/kumquatrun/answer.py
+++ b/src/kumquatrun/answer.py
@@ -79,6 +79,7 @@
         self.status = status
         self._content_type = content_type
         self.is_event_stream = content_type.startswith(EVENT_STREAM)
+        self.counter = EventCounter()
         self._held.clear()
         self._kept = bytearray()
 
--- a/src/kumquatrun/relay.py
+++ b/src/kumquatrun/relay.py
@@ -29,7 +29,13 @@
 )
 from kumquatrun.execution import Attempt, Execution, RelayRequest
 from kumquatrun.invariants import Invariants
-from kumquatrun.messages import Dispatch, Finished, HostRecord, Started
+from kumquatrun.messages import (
+    Dispatch,
+    Finished,
+    HostRecord,
+    Started,
+    StoredAnswer,
+)
 from kumquatrun.retry import Backoff, Deadline, RetryBudget
 
 log = logging.getLogger(__name__)
@@ -63,8 +69,8 @@
     execution: Execution
     writer: AnswerWriter
     charge: Charge | None = None
-    is_claim_asked: bool = False
     is_claimed: bool = False
+    is_claim_pending: bool = False
     consumed_tokens: int = 0
     finished: Finished | None = None
     tried: list[str] = field(default_factory=list)
@@ -171,14 +177,29 @@
                 request.account, request.cost_tokens
             )
         if request.idempotency_key:
-            work.is_claim_asked = True
-            answer = await self._claims.claim(request)
+            answer = await self._claim(work)
             if answer is not None:
                 await self._repeat_answer(work, answer)
                 return
-            work.is_claimed = True
         await self._dispatch(work)
 
+    async def _claim(self, work: _Work) -> StoredAnswer | None:
+        # Until an answer comes the claim may be granted, so that it is ended
+        # when the request ends.
+        work.is_claimed = True
+        work.is_claim_pending = True
+        try:
+            answer = await self._claims.claim(work.execution.request)
+        except ControlUnreachableError:
+            raise
+        except KumquatrunError:
+            work.is_claimed = False
+            work.is_claim_pending = False
+            raise
+        work.is_claimed = answer is None
+        work.is_claim_pending = False
+        return answer
+
     def _check_admission(self, request: RelayRequest) -> str:
         is_keyed = request.route.access is Access.KEY
         if is_keyed and not self._session.lease_valid():
@@ -188,7 +209,7 @@
             raise QuarantinedError('the request is quarantined')
         return state
 
-    async def _repeat_answer(self, work: _Work, answer) -> None:
+    async def _repeat_answer(self, work: _Work, answer: StoredAnswer) -> None:
         work.execution.attempts.append(Attempt('', Outcome.RAN))
         work.writer.begin(answer.status, answer.content_type)
         await work.writer.write(answer.body)
@@ -332,14 +353,14 @@
     ) -> None:
         writer = work.writer
         is_started = False
-        unreported = 0
+        next_report = CONSUME_STEP_TOKENS
         async for item in call:
             if isinstance(item, Started) and not is_started:
                 is_started = True
                 self._check_started(work, record, item)
                 attempt.outcome = Outcome.RAN
                 writer.begin(item.status, item.content_type)
-                self._consume(work, work.execution.request.prompt_tokens)
+                self._consume(work, self._streamed_tokens(work))
                 continue
             if not is_started or not isinstance(item, bytes):
                 raise BackendError(
@@ -349,9 +370,9 @@
             if work.execution.first_byte_s is None:
                 work.execution.first_byte_s = self._clock.now_s()
             await writer.write(item)
-            if writer.counter.events - unreported >= CONSUME_STEP_TOKENS:
-                self._consume(work, writer.counter.events - unreported)
-                unreported = writer.counter.events
+            if writer.counter.events >= next_report:
+                next_report = writer.counter.events + CONSUME_STEP_TOKENS
+                self._consume(work, self._streamed_tokens(work))
         work.finished = call.reply
         await writer.finish()
 
@@ -370,9 +391,19 @@
                 outcome=Outcome.UNKNOWN,
             )
 
-    def _consume(self, work: _Work, tokens: int) -> None:
-        if work.charge is not None:
-            work.consumed_tokens += tokens
+    def _streamed_tokens(self, work: _Work) -> int:
+        prompt_tokens = work.execution.request.prompt_tokens
+        return prompt_tokens + work.writer.counter.events
+
+    def _consume(self, work: _Work, used_tokens: int) -> None:
+        """Raise the consumption of a request to ``used_tokens``.
+
+        A retried request is charged once, and never more than was reserved.
+        """
+        used_tokens = min(used_tokens, work.execution.request.cost_tokens)
+        tokens = used_tokens - work.consumed_tokens
+        if work.charge is not None and tokens > 0:
+            work.consumed_tokens = used_tokens
             self._budgets.consume(work.charge, tokens)
 
     def _close_call(
@@ -410,7 +441,7 @@
         if execution.closing is not None:
             await execution.closing
         if work.charge is not None:
-            self._consume(work, self._used_tokens(work) - work.consumed_tokens)
+            self._consume(work, self._used_tokens(work))
             self._budgets.settle(work.charge)
         if work.is_claimed:
             self._spawn(
@@ -422,16 +453,14 @@
             )
 
     def _used_tokens(self, work: _Work) -> int:
-        request = work.execution.request
+        finished = work.finished
         if work.execution.outcome is Outcome.NOT_RUN:
             return 0
-        if work.finished is not None and work.finished.prompt_tokens:
-            work.execution.output_tokens = work.finished.output_tokens
-            used = work.finished.prompt_tokens + work.finished.output_tokens
-        else:
+        if finished is None or not finished.prompt_tokens:
             work.execution.output_tokens = work.writer.counter.events
-            used = request.prompt_tokens + work.writer.counter.events
-        return min(used, request.cost_tokens)
+            return self._streamed_tokens(work)
+        work.execution.output_tokens = finished.output_tokens
+        return finished.prompt_tokens + finished.output_tokens
 
     def _result(
         self,
@@ -445,6 +474,11 @@
             error = StreamCutError(f'the answer was cut: {error.detail}')
         if work.execution.attempts:
             error.outcome = outcome
+        elif work.is_claim_pending:
+            # An earlier request under the same key may have run.
+            error.outcome = Outcome.UNKNOWN
+        elif isinstance(error, DeadlineExceededError):
+            error.outcome = Outcome.NOT_RUN
         return RelayResult(error.outcome, error.kind.http_status, error)
 
     def _spawn(self, coroutine) -> asyncio.Task:
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -2,7 +2,9 @@
 
 import asyncio
 from collections import Counter
-from dataclasses import dataclass, field
+from collections.abc import Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field, replace
 
 from result import Err, Ok
 
@@ -16,8 +18,11 @@
     ServiceSpec,
 )
 from kumquatrun.errors import (
+    ConnectionLostError,
     ControlUnreachableError,
+    KumquatrunError,
     Outcome,
+    OutcomeUnknownError,
     StaleDispatchError,
 )
 from kumquatrun.messages import (
@@ -33,7 +38,7 @@
     HostRecord,
     Started,
 )
-from kumquatrun.peer import Address, PeerServer
+from kumquatrun.peer import SILENCE_LIMIT_S, Address, PeerServer
 
 KEY = 'key-a'
 ACCOUNT = 'a'
@@ -235,6 +240,10 @@
         self.open.clear()
 
 
+class EndAnswer(Exception):  # noqa: N818
+    """Lets a fault end an answer as if it were complete."""
+
+
 @dataclass
 class FakeAgent:
     """Agent on a real socket; records every execution."""
@@ -251,6 +260,7 @@
     cancelled: int = 0
     open: int = 0
     chunk_delay_s: float = 0
+    hook: Callable[..., Awaitable[None]] | None = None
 
     async def start(self, session) -> None:
         identity = Hello(node_id=self.host_id, incarnation=self.incarnation)
@@ -274,11 +284,11 @@
 
     async def handle(self, request, context):
         self.dispatches.append(request)
-        if request.agent_incarnation != self.incarnation:
-            raise StaleDispatchError('other incarnation')
         self.open += 1
         try:
             return await self.execute(request, context)
+        except EndAnswer:
+            return self.finished(request)
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
@@ -286,14 +296,27 @@
             self.open -= 1
 
     async def execute(self, request, context):
+        if request.agent_incarnation != self.incarnation:
+            raise StaleDispatchError('other incarnation')
+        context.outcome = Outcome.NOT_RUN
+        await self.reach('received', context)
         self.executions.append(request)
         context.outcome = Outcome.RAN
+        await self.reach('executed', context)
         await context.send_message(self.started(request))
-        for chunk in self.chunks:
+        await self.reach('started', context)
+        for number, chunk in enumerate(self.chunks):
             await asyncio.sleep(self.chunk_delay_s)
             await context.send_item(chunk)
+            if number == 0:
+                await self.reach('body', context)
+        await self.reach('end', context)
         return self.finished(request)
 
+    async def reach(self, step, context):
+        if self.hook is not None:
+            await self.hook(step, self, context)
+
     def started(self, request, **changes):
         fields = {
             'host_id': self.host_id,
@@ -310,3 +333,127 @@
             prompt_tokens=1 if request.adapter else 0,
             output_tokens=self.output_tokens if request.adapter else 0,
         )
+
+
+class FakeCall:
+    """One call in memory, with the semantics of ``PeerStream``."""
+
+    def __init__(self, agent, request) -> None:
+        self.reply = None
+        self.is_done = False
+        self.outcome = Outcome.UNKNOWN
+        self.is_silent = False
+        self._events = asyncio.Queue()
+        self.task = asyncio.create_task(self._serve(agent, request))
+
+    async def send_message(self, message):
+        await self.send_item(message)
+
+    async def send_item(self, item):
+        if not self.is_silent:
+            self._events.put_nowait(item)
+
+    def lose(self):
+        """Cut the connection; the agent notices and ends the call."""
+        self.is_silent = True
+        self._events.put_nowait(ConnectionLostError('lost'))
+        self.task.cancel()
+
+    async def fall_silent(self):
+        """Stop answering; the caller's heartbeat ends the call later."""
+        self.is_silent = True
+        await asyncio.sleep(SILENCE_LIMIT_S)
+        self.lose()
+
+    async def _serve(self, agent, request):
+        try:
+            end = await agent.handle(request, self)
+        except KumquatrunError as error:
+            end = error
+        except asyncio.CancelledError:
+            end = OutcomeUnknownError('cancelled', outcome=self.outcome)
+        if not self.is_silent:
+            self._events.put_nowait((end,))
+
+    def __aiter__(self):
+        return self
+
+    async def __anext__(self):
+        event = await self._events.get()
+        if not isinstance(event, tuple | ConnectionLostError):
+            return event
+        self.is_done = True
+        end = event[0] if isinstance(event, tuple) else event
+        if isinstance(end, KumquatrunError):
+            raise end
+        self.reply = end
+        raise StopAsyncIteration
+
+    async def cancel(self):
+        self.task.cancel()
+        try:
+            async with asyncio.timeout(1):
+                async for _ in self:
+                    pass
+        except KumquatrunError as error:
+            return error.outcome
+        except TimeoutError:
+            return Outcome.UNKNOWN
+        return Outcome.RAN
+
+
+class FakeNetwork:
+    """Connects to agents in memory, so that tests can pass time."""
+
+    def __init__(self, session) -> None:
+        self.session = session
+        self.agents: dict[str, FakeAgent] = {}
+        self.hook = None
+
+    def add(self, agent) -> FakeAgent:
+        address = f'10.0.0.{len(self.agents) + 1}:1'
+        self.agents[address] = agent
+        self.session.view.agents.append(agent.record(address))
+        return agent
+
+    def replace(self, agent, **changes) -> None:
+        agents = self.session.view.agents
+        self.session.view.agents = [
+            replace(each, **changes) if each.host_id == agent.host_id else each
+            for each in agents
+        ]
+
+    def connect(self, address, identity):
+        return FakeClient(self, address)
+
+
+class FakeClient:
+    def __init__(self, network, address) -> None:
+        self.address = address
+        self._network = network
+
+    async def connect(self):
+        if self._network.hook is not None:
+            await self._network.hook('connect', self.agent, None)
+
+    async def close(self):
+        """Nothing is open between calls."""
+
+    @property
+    def agent(self):
+        return self._network.agents[str(self.address)]
+
+    @asynccontextmanager
+    async def stream(self, request):
+        if self._network.hook is not None:
+            await self._network.hook('send', self.agent, None)
+        call = FakeCall(self.agent, request)
+        # The agent gets a request that was written, even when it is
+        # cancelled at once.
+        await asyncio.sleep(0)
+        try:
+            yield call
+        finally:
+            if not call.is_done:
+                call.task.cancel()
+            await asyncio.wait([call.task])
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,667 @@
+"""Relay: what one fault at one step may and may not do to a request.
+
+Each case injects one fault at one step and compares what the caller was told
+with what the fake agents recorded.
+"""
+
+import asyncio
+import random
+from dataclasses import dataclass, replace
+
+import pytest
+
+from entry_fakes import (
+    ACCOUNT,
+    KEY,
+    EndAnswer,
+    FakeAgent,
+    FakeNetwork,
+    FakeSession,
+    FakeWallet,
+)
+from kumquatrun.agent_pool import AgentPool
+from kumquatrun.budget_client import BudgetClient
+from kumquatrun.claim_client import ClaimClient
+from kumquatrun.clock import LoopClock
+from kumquatrun.errors import (
+    ConnectionLostError,
+    DrainingError,
+    InvalidRequestError,
+    KumquatrunError,
+    NoCapacityError,
+    Outcome,
+)
+from kumquatrun.execution import Execution, RelayRequest
+from kumquatrun.invariants import Invariants, InvariantViolationError
+from kumquatrun.messages import ClaimRequest, FinishClaim, GrantTokens
+from kumquatrun.placement import BoundedAffinity
+from kumquatrun.relay import Relay
+
+pytestmark = pytest.mark.looptime
+
+EVENTS = (b'data: {"a":1}\n\n', b'data: {"a":2}\n\n', b'data: [DONE]\n\n')
+BOOKED = (b'booked', b' it')
+TIMEOUT_S = 30
+
+
+class FakeSink:
+    def __init__(self):
+        self.body = b''
+        self.is_started = False
+        self.is_complete = False
+
+    async def start(self, status, content_type):
+        self.is_started = True
+
+    async def write(self, chunk):
+        await asyncio.sleep(0)
+        self.body += chunk
+
+    async def finish(self):
+        self.is_complete = True
+
+    async def send(self, answer):
+        self.body = answer.body
+        self.is_complete = True
+
+
+class Bench:
+    """A relay with two agents per service and everything it talks to."""
+
+    def __init__(self, relay_class=Relay):
+        self.session = FakeSession()
+        self.network = FakeNetwork(self.session)
+        self.wallet = FakeWallet()
+        clock = LoopClock()
+        rng = random.Random(1)
+        self.pool = AgentPool(
+            self.session, clock, BoundedAffinity(), self.network.connect
+        )
+        self.relay = relay_class(
+            self.session,
+            clock,
+            self.pool,
+            BudgetClient(self.wallet, self.session, clock),
+            ClaimClient(self.session, clock, rng),
+            rng=rng,
+            invariants=Invariants(is_strict=True),
+        )
+        self.session.on_change(self.relay.end_streams)
+        for service, chunks, kind in (
+            ('assistant', EVENTS, 'text/event-stream'),
+            ('ledger', BOOKED, 'text/plain'),
+        ):
+            for number in (1, 2):
+                self.network.add(
+                    FakeAgent(
+                        host_id=f'{service}-{number}',
+                        service=service,
+                        chunks=chunks,
+                        content_type=kind,
+                    )
+                )
+
+    @property
+    def agents(self):
+        return list(self.network.agents.values())
+
+    @property
+    def executions(self):
+        return [each for agent in self.agents for each in agent.executions]
+
+    def request(self, kind, **changes):
+        document = self.session.view.document
+        routes = {route.path: route for route in document.routes}
+        route = routes[kind.path]
+        fields = {
+            'request_id': 'r1',
+            'route': route,
+            'account': '' if kind.is_open else ACCOUNT,
+            'key': '' if kind.is_open else KEY,
+            'path': kind.path,
+            'method': 'POST',
+            'body': b'{}',
+            'content_type': 'application/json',
+            'fingerprint': 'f1',
+            'deadline_s': asyncio.get_running_loop().time() + TIMEOUT_S,
+            'prompt_tokens': 5,
+            'idempotency_key': 'k1' if kind.has_key else '',
+        }
+        if route.service == 'assistant':
+            fields |= {
+                'adapter': 'wheat',
+                'version': '2',
+                'output_tokens': 8,
+                'stream': True,
+            }
+        return RelayRequest(**fields | changes)
+
+    async def run(self, kind, **changes):
+        sink = FakeSink()
+        execution = Execution(self.request(kind, **changes))
+        result = await self.relay.run(execution, sink)
+        return result, sink
+
+
+@dataclass(frozen=True)
+class Kind:
+    """A kind of request."""
+
+    path: str
+    has_key: bool = False
+
+    @property
+    def is_plain(self):
+        return self.path in {'/ledger/', '/stock/'}
+
+    @property
+    def is_idempotent(self):
+        return self.path != '/ledger/'
+
+    @property
+    def is_open(self):
+        return self.path.startswith('/open')
+
+    def __str__(self):
+        return self.path.strip('/') + ('+key' if self.has_key else '')
+
+
+KINDS = [
+    Kind('/v1/'),
+    Kind('/v1/', has_key=True),
+    Kind('/open/v1/'),
+    Kind('/ledger/'),
+    Kind('/ledger/', has_key=True),
+    Kind('/stock/'),
+]
+
+# Faults: each is called when the request reaches the step it is injected at.
+
+
+async def refuse_draining(bench, agent, call):
+    raise DrainingError('leaving')
+
+
+async def refuse_full(bench, agent, call):
+    raise NoCapacityError('full')
+
+
+async def refuse_request(bench, agent, call):
+    raise InvalidRequestError('not for me')
+
+
+async def fail_falsely(bench, agent, call):
+    raise NoCapacityError('not run, says an agent that ran it')
+
+
+async def fail_unexpectedly(bench, agent, call):
+    raise KumquatrunError('unexpected', outcome=call.outcome)
+
+
+async def refuse_connection(bench, agent, call):
+    raise ConnectionLostError('refused', outcome=Outcome.NOT_RUN)
+
+
+async def lose_while_sending(bench, agent, call):
+    raise ConnectionLostError('write failed')
+
+
+async def lose_connection(bench, agent, call):
+    call.lose()
+    await asyncio.sleep(60)
+
+
+async def fall_silent(bench, agent, call):
+    await call.fall_silent()
+    await asyncio.sleep(60)
+
+
+async def restart_agent(bench, agent, call):
+    agent.incarnation = 'i2'
+    bench.network.replace(agent, incarnation='i2')
+    call.lose()
+    await asyncio.sleep(60)
+
+
+async def restart_unseen(bench, agent, call):
+    agent.incarnation = 'i2'
+
+
+async def hang(bench, agent, call):
+    await asyncio.sleep(1000)
+
+
+async def hang_unheard(bench, agent, call):
+    call.is_silent = True
+    await asyncio.sleep(1000)
+
+
+async def start_wrongly(agent, call, **changes):
+    request = agent.executions[-1]
+    await call.send_message(agent.started(request, **changes))
+    await call.send_item(b'answer to another request')
+    raise EndAnswer
+
+
+async def start_wrong_adapter(bench, agent, call):
+    await start_wrongly(agent, call, adapter='rice')
+
+
+async def start_wrong_version(bench, agent, call):
+    await start_wrongly(agent, call, version='0')
+
+
+async def answer_for_other_host(bench, agent, call):
+    await start_wrongly(agent, call, host_id='other')
+
+
+async def send_body_first(bench, agent, call):
+    await call.send_item(b'answer to another request')
+
+
+async def start_twice(bench, agent, call):
+    await call.send_message(agent.started(agent.executions[-1]))
+
+
+async def end_lease(bench, agent, call):
+    bench.session.is_leased = False
+    bench.session.changed()
+    await asyncio.sleep(0.1)
+
+
+async def revoke_key(bench, agent, call):
+    bench.session.view.keys.clear()
+    bench.session.changed()
+    await asyncio.sleep(0.1)
+
+
+async def caller_leaves(bench, agent, call):
+    bench.task.cancel()
+    await asyncio.sleep(0.1)
+
+
+CLIENT_STEPS = ('connect', 'send')
+BEFORE_RUN = ('received',)
+AFTER_RUN = ('executed', 'started', 'body', 'end')
+AGENT_STEPS = BEFORE_RUN + AFTER_RUN
+FAULTS = {
+    refuse_draining: BEFORE_RUN,
+    refuse_full: BEFORE_RUN,
+    refuse_request: BEFORE_RUN,
+    fail_falsely: ('started', 'body', 'end'),
+    fail_unexpectedly: AGENT_STEPS,
+    refuse_connection: ('connect',),
+    lose_while_sending: ('send',),
+    lose_connection: AGENT_STEPS,
+    fall_silent: AGENT_STEPS,
+    restart_agent: AGENT_STEPS,
+    restart_unseen: CLIENT_STEPS,
+    hang: (*CLIENT_STEPS, *AGENT_STEPS),
+    hang_unheard: AGENT_STEPS,
+    start_wrong_adapter: ('executed',),
+    start_wrong_version: ('executed',),
+    answer_for_other_host: ('executed',),
+    send_body_first: ('executed',),
+    start_twice: ('started', 'body', 'end'),
+    end_lease: CLIENT_STEPS + AGENT_STEPS,
+    revoke_key: CLIENT_STEPS + AGENT_STEPS,
+    caller_leaves: CLIENT_STEPS + AGENT_STEPS,
+}
+CASES = [
+    pytest.param(
+        fault,
+        step,
+        kind,
+        times,
+        id='-'.join((fault.__name__, step, str(kind), str(times))),
+    )
+    for fault, steps in FAULTS.items()
+    for step in steps
+    for kind in KINDS
+    for times in (1, 9)
+]
+
+
+def inject(bench, fault, at_step, times):
+    left = times
+
+    async def hook(step, agent, call):
+        nonlocal left
+        if step == at_step and left:
+            left -= 1
+            await fault(bench, agent, call)
+
+    bench.network.hook = hook
+    for agent in bench.agents:
+        agent.hook = hook
+
+
+async def run_case(bench, kind, **changes):
+    """Run one request in a task that a fault can cancel."""
+    bench.task = asyncio.create_task(bench.run(kind, **changes))
+    try:
+        result, sink = await bench.task
+    except asyncio.CancelledError:
+        result, sink = None, None
+    await bench.relay.idle()
+    # Agents hear of a cancelled call a moment later.
+    await asyncio.sleep(3)
+    return result, sink
+
+
+def check_guarantees(bench, kind, result, sink):
+    """Compare what was told with what happened."""
+    runs = len(bench.executions)
+    assert kind.is_idempotent or runs <= 1, 'ran more than once'
+    if result is not None:
+        if result.outcome is Outcome.NOT_RUN:
+            assert runs == 0, 'reported not_run, but it ran'
+            assert not bench.wallet.consumed.total(), 'charged, but not run'
+        if result.outcome is Outcome.RAN:
+            assert runs >= 1, 'reported ran, but it did not run'
+        assert (result.error is None) is sink.is_complete
+    if sink is not None and sink.is_complete:
+        expected = BOOKED if kind.is_plain else EVENTS
+        assert sink.body == b''.join(expected), 'not its own whole answer'
+    if kind.has_key:
+        check_claim(bench, result)
+    check_nothing_left(bench)
+
+
+def check_claim(bench, result):
+    """A claim is released only with proof, and never left in progress."""
+    states = [each['status'] for each in bench.session.control.claims.values()]
+    if bench.executions:
+        assert states in (['finished'], ['unknown'])
+    if result is not None:
+        assert states == CLAIM_STATES[result.outcome]
+
+
+CLAIM_STATES = {
+    Outcome.NOT_RUN: [],
+    Outcome.RAN: ['finished'],
+    Outcome.UNKNOWN: ['unknown'],
+}
+
+
+def check_nothing_left(bench):
+    assert bench.relay.open_requests == 0
+    assert bench.pool.open_dispatches() == 0
+    assert all(agent.open == 0 for agent in bench.agents)
+    assert not bench.wallet.open, 'a reservation was not settled'
+    granted = 1_000_000 - bench.session.control.tokens
+    known = bench.wallet.free.total() + bench.wallet.consumed.total()
+    assert granted == known, 'tokens were lost or made'
+
+
+@pytest.mark.parametrize(('fault', 'step', 'kind', 'times'), CASES)
+async def test_guarantees_hold_under_each_fault(fault, step, kind, times):
+    bench = Bench()
+    inject(bench, fault, step, times)
+    result, sink = await run_case(bench, kind)
+    check_guarantees(bench, kind, result, sink)
+
+
+# What a caller is told when the fault happens once and the request may not be
+# retried, by step; 'ok' is a complete answer.
+LOST = dict.fromkeys(
+    ('send', 'received', 'executed'), 'unknown'
+) | dict.fromkeys(('started', 'body', 'end'), 'ran')
+NOT_RUN = dict.fromkeys((*CLIENT_STEPS, 'received'), 'not_run')
+# The agent acknowledges a cancelled call with what it knows.
+ACKNOWLEDGED = (
+    LOST | {'connect': 'not_run', 'received': 'not_run'} | {'executed': 'ran'}
+)
+UNRETRIED = {
+    refuse_request: NOT_RUN,
+    refuse_draining: NOT_RUN,
+    refuse_full: NOT_RUN,
+    refuse_connection: NOT_RUN,
+    restart_unseen: NOT_RUN,
+    fail_falsely: LOST,
+    fail_unexpectedly: ACKNOWLEDGED,
+    lose_while_sending: LOST,
+    lose_connection: LOST,
+    fall_silent: LOST,
+    restart_agent: LOST,
+    hang: ACKNOWLEDGED,
+    hang_unheard: LOST,
+    start_wrong_adapter: ACKNOWLEDGED,
+    start_wrong_version: ACKNOWLEDGED,
+    answer_for_other_host: ACKNOWLEDGED,
+    send_body_first: ACKNOWLEDGED,
+    start_twice: LOST,
+    end_lease: ACKNOWLEDGED,
+    revoke_key: ACKNOWLEDGED,
+}
+NOT_RETRIED = {refuse_request, hang, hang_unheard, end_lease, revoke_key}
+IGNORED_ON_OPEN_ROUTES = {end_lease, revoke_key}
+
+
+def expected_result(fault, step, kind):
+    if kind.is_open and fault in IGNORED_ON_OPEN_ROUTES:
+        return 'ok'
+    told = UNRETRIED[fault][step]
+    if fault in NOT_RETRIED:
+        return told
+    is_sent = not kind.is_plain and step in {'body', 'end'}
+    if told == 'not_run' or (kind.is_idempotent and not is_sent):
+        return 'ok'
+    return told
+
+
+@pytest.mark.parametrize(
+    ('fault', 'step', 'kind'),
+    [
+        pytest.param(*case.values[:3], id=case.id)
+        for case in CASES
+        if case.values[3] == 1 and case.values[0] in UNRETRIED
+    ],
+)
+async def test_single_fault_has_the_stated_result(fault, step, kind):
+    # Guards against needless refusals and against vague outcomes.
+    bench = Bench()
+    inject(bench, fault, step, 1)
+    result, _ = await run_case(bench, kind)
+    told = 'ok' if result.error is None else result.outcome.value
+    assert told == expected_result(fault, step, kind)
+
+
+@pytest.mark.parametrize('kind', KINDS, ids=str)
+@pytest.mark.parametrize('fault', [end_lease, revoke_key])
+@pytest.mark.parametrize('step', AGENT_STEPS)
+async def test_keyed_requests_end_within_a_second(fault, step, kind):
+    # Guards against a revoked key that keeps working on an open stream.
+    bench = Bench()
+    loop = asyncio.get_running_loop()
+    began_s = None
+
+    async def then_hang(bench, agent, call):
+        nonlocal began_s
+        began_s = loop.time()
+        await fault(bench, agent, call)
+        call.is_silent = True
+        await asyncio.sleep(5)
+        call.is_silent = False
+
+    inject(bench, then_hang, step, 1)
+    result, _ = await bench.run(kind)
+    if not kind.is_open:
+        assert result.error is not None
+        assert loop.time() - began_s <= 1
+
+
+async def lose_reply(bench, request_class, times):
+    bench.session.control.lose_replies[request_class] = times
+
+
+async def lose_control(bench, request_class, times):
+    original = bench.session.control.call
+    left = times
+
+    async def call(request, timeout_s):
+        nonlocal left
+        if isinstance(request, request_class) and left:
+            left -= 1
+            bench.session.control.is_reachable = False
+        try:
+            return await original(request, timeout_s)
+        finally:
+            bench.session.control.is_reachable = True
+
+    bench.session.control.call = call
+
+
+CONTROL_RESULTS = {
+    (lose_control, GrantTokens): ('rate_limited', 'not_run'),
+    (lose_control, ClaimRequest): ('control_unreachable', 'unknown'),
+    (lose_control, FinishClaim): ('ok', 'ran'),
+    (lose_reply, ClaimRequest): ('control_unreachable', 'unknown'),
+    (lose_reply, FinishClaim): ('ok', 'ran'),
+}
+
+
+@pytest.mark.parametrize('kind', [kind for kind in KINDS if kind.has_key])
+@pytest.mark.parametrize('times', [1, 3])
+@pytest.mark.parametrize(('fault', 'request_class'), CONTROL_RESULTS)
+async def test_lost_control_calls(fault, request_class, times, kind):
+    # Guards against a claim that stays after a lost reply, and against a
+    # request that runs although its claim was not confirmed.
+    bench = Bench()
+    await fault(bench, request_class, times)
+    result, _ = await run_case(bench, kind)
+    code, outcome = CONTROL_RESULTS[fault, request_class]
+    assert result.outcome == outcome
+    assert (result.error.code if result.error else 'ok') == code
+    assert len(bench.executions) == (code == 'ok')
+    check_nothing_left(bench)
+    states = [each['status'] for each in bench.session.control.claims.values()]
+    assert states == (['finished'] if code == 'ok' else [])
+
+
+@pytest.mark.parametrize(
+    ('first', 'second', 'expected'),
+    [
+        ({}, {}, 'ok'),
+        ({}, {'body': b'other'}, 'idempotency_mismatch'),
+        ({}, {'path': '/ledger/?other'}, 'idempotency_mismatch'),
+        ({'chunks': (b'x' * 5000,)}, {}, 'already_ran'),
+        ({'hook': 'executed'}, {}, 'outcome_unknown'),
+        ({'hook': 'received'}, {}, 'ok'),
+    ],
+)
+async def test_repeat_under_one_key_never_runs_twice(first, second, expected):
+    bench = Bench()
+    kind = Kind('/ledger/', has_key=True)
+    for agent in bench.agents:
+        agent.chunks = first.get('chunks', agent.chunks)
+    if 'hook' in first:
+        inject(bench, lose_connection, first['hook'], 1)
+        if first['hook'] == 'received':
+            inject(bench, refuse_full, 'received', 9)
+    await bench.run(kind)
+    inject(bench, hang, 'never', 0)
+    await bench.relay.idle()
+    result, sink = await bench.run(kind, request_id='r2', **second)
+    assert (result.error.code if result.error else 'ok') == expected
+    assert len(bench.executions) == 1
+    if expected == 'ok':
+        assert sink.body == b''.join(BOOKED)
+    await bench.relay.idle()
+    check_nothing_left(bench)
+
+
+@pytest.mark.parametrize(
+    ('tokens', 'lease', 'cause'),
+    [(10, True, 'over_rate'), (1_000_000, False, '')],
+)
+async def test_refusal_names_its_cause(tokens, lease, cause):
+    bench = Bench()
+    bench.session.control.tokens = tokens
+    bench.session.is_leased = lease
+    result, _ = await bench.run(KINDS[0])
+    assert result.outcome is Outcome.NOT_RUN
+    assert result.error.cause == cause
+    assert not bench.executions
+
+
+@pytest.mark.parametrize(
+    ('state', 'alone', 'runs'),
+    [('clear', False, 1), ('suspect', True, 1), ('quarantined', None, 0)],
+)
+@pytest.mark.parametrize('kind', KINDS, ids=str)
+async def test_suspects_run_alone_and_quarantined_not(kind, state, alone, runs):
+    bench = Bench()
+    bench.session.view.fingerprints['f1'] = state
+    result, _ = await run_case(bench, kind)
+    assert [each.alone for each in bench.executions] == [alone] * runs
+    assert result.outcome == ('ran' if runs else 'not_run')
+
+
+class RepeatsUnknown(Relay):
+    def _may_retry(self, work, attempt, error):
+        return not work.writer.is_started
+
+
+class SkipsStartedCheck(Relay):
+    def _check_started(self, work, record, started):
+        """Believes whatever the agent started."""
+
+
+class ReportsNotRun(Relay):
+    def _result(self, work, error):
+        result = super()._result(work, error)
+        return replace(result, outcome=Outcome.NOT_RUN)
+
+
+class KeepsReservation(Relay):
+    async def _conclude(self, work):
+        work.charge = None
+        await super()._conclude(work)
+
+
+class LeavesDispatchOpen(Relay):
+    async def _cancel_call(self, attempt, call, stack):
+        self.kept = stack
+
+
+class ReleasesClaim(Relay):
+    async def _conclude(self, work):
+        for attempt in work.execution.attempts:
+            attempt.outcome = Outcome.NOT_RUN
+        await super()._conclude(work)
+
+
+class NeverFinishesClaim(Relay):
+    async def _conclude(self, work):
+        work.is_claimed = False
+        await super()._conclude(work)
+
+
+class TrustsLateRefusal(Relay):
+    def _close_call(self, work, attempt, call, stack, error):
+        super()._close_call(work, attempt, call, stack, error)
+        attempt.outcome = error.outcome
+
+
+BROKEN = [
+    (RepeatsUnknown, lose_connection, 'executed', Kind('/ledger/')),
+    (SkipsStartedCheck, start_wrong_adapter, 'executed', Kind('/v1/')),
+    (SkipsStartedCheck, start_wrong_version, 'executed', Kind('/open/v1/')),
+    (SkipsStartedCheck, answer_for_other_host, 'executed', Kind('/stock/')),
+    (ReportsNotRun, lose_connection, 'executed', Kind('/ledger/')),
+    (KeepsReservation, refuse_request, 'received', Kind('/v1/')),
+    (LeavesDispatchOpen, caller_leaves, 'body', Kind('/v1/')),
+    (ReleasesClaim, lose_connection, 'executed', Kind('/ledger/', True)),
+    (NeverFinishesClaim, refuse_request, 'received', Kind('/ledger/', True)),
+    (TrustsLateRefusal, fail_falsely, 'started', Kind('/ledger/')),
+]
+
+
+@pytest.mark.parametrize(('relay_class', 'fault', 'step', 'kind'), BROKEN)
+async def test_check_notices_a_broken_mechanism(relay_class, fault, step, kind):
+    bench = Bench(relay_class)
+    inject(bench, fault, step, 9)
+    with pytest.raises((AssertionError, InvariantViolationError)):
+        result, sink = await run_case(bench, kind)
+        check_guarantees(bench, kind, result, sink)
