Split single dispatches from the relay

dispatch.py runs one attempt, relay.py decides about the next one. A request that may have run is retried at most once, and alone in its batch unless its connection was lost. A caller whose key is revoked while its body arrives is refused. An error while connecting is always not_run, because nothing was sent. Repeats that get a stored answer are not charged.

--- a/src/kumquatrun/answer.py
+++ b/src/kumquatrun/answer.py
@@ -67,6 +67,7 @@
         self.is_started = False
         self.status = 0
         self.is_event_stream = False
+        self.body_bytes = 0
         self.counter = EventCounter()
         self._sink = sink
         self._content_type = ''
@@ -85,6 +86,7 @@
 
     async def write(self, chunk: bytes) -> None:
         """Send or hold a part of the body."""
+        self.body_bytes += len(chunk)
         self._keep(chunk)
         if self.is_event_stream:
             self.counter.add(chunk)
@@ -108,6 +110,12 @@
         self.is_started = True
         await self._sink.send(answer)
 
+    async def repeat(self, answer: StoredAnswer) -> None:
+        """Send a stored answer."""
+        self.status = answer.status
+        self.is_started = True
+        await self._sink.send(answer)
+
     def stored_answer(self) -> StoredAnswer | None:
         """Return the answer if it is small enough to be stored."""
         if self._kept is None:
--- /dev/null
+++ b/src/kumquatrun/dispatch.py
@@ -0,0 +1,263 @@
+"""Sends one request to one agent and passes its answer on."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Coroutine
+from contextlib import AsyncExitStack
+from typing import Any
+
+from kumquatrun.agent_pool import AgentPool
+from kumquatrun.answer import AnswerWriter
+from kumquatrun.budget_client import BudgetClient
+from kumquatrun.clock import Clock
+from kumquatrun.control_api import NodeSession
+from kumquatrun.errors import (
+    BackendError,
+    ConnectionLostError,
+    KumquatrunError,
+    Outcome,
+)
+from kumquatrun.execution import Attempt, Execution
+from kumquatrun.invariants import Invariants
+from kumquatrun.messages import Dispatch, HostRecord, Started
+from kumquatrun.retry import Deadline
+
+# Consumed tokens are recorded in steps: the wallet's reports leave twice a
+# second, so finer steps only cost time.
+CONSUME_STEP_TOKENS = 16
+
+Spawn = Callable[[Coroutine], asyncio.Task]
+
+
+class Dispatcher:
+    """Runs single attempts.
+
+    Attributes
+    ----------
+    remote_bytes
+        Body bytes exchanged with agents of other regions, by region.
+    """
+
+    def __init__(
+        self,
+        session: NodeSession,
+        clock: Clock,
+        pool: AgentPool,
+        budgets: BudgetClient,
+        *,
+        invariants: Invariants,
+        spawn: Spawn,
+    ) -> None:
+        self.remote_bytes: Counter[str] = Counter()
+        self._session = session
+        self._clock = clock
+        self._pool = pool
+        self._budgets = budgets
+        self._invariants = invariants
+        self._spawn = spawn
+
+    async def run(
+        self,
+        execution: Execution,
+        writer: AnswerWriter,
+        record: HostRecord,
+        *,
+        alone: bool,
+    ) -> None:
+        """Dispatch the request once and write the answer.
+
+        Raises
+        ------
+        KumquatrunError
+            If there is no complete answer; the last attempt of ``execution``
+            says what is known about its outcome.
+        """
+        attempt = Attempt(record.host_id)
+        execution.attempts.append(attempt)
+        try:
+            await self._run(execution, writer, record, alone=alone)
+        except KumquatrunError as error:
+            attempt.error_code = error.code
+            raise
+
+    def consume(self, execution: Execution, used_tokens: int) -> None:
+        """Raise the consumption of a request to ``used_tokens``.
+
+        A retried request is charged once, and never more than was reserved.
+        """
+        used_tokens = min(used_tokens, execution.request.cost_tokens)
+        tokens = used_tokens - execution.consumed_tokens
+        if execution.charge is not None and tokens > 0:
+            execution.consumed_tokens = used_tokens
+            self._budgets.consume(execution.charge, tokens)
+
+    async def _run(
+        self,
+        execution: Execution,
+        writer: AnswerWriter,
+        record: HostRecord,
+        *,
+        alone: bool,
+    ) -> None:
+        attempt = execution.attempts[-1]
+        name = (record, execution.request.adapter, execution.request.version)
+        async with AsyncExitStack() as stack:
+            self._pool.begin(*name)
+            stack.callback(self._pool.end, *name)
+            client = await self._connect(record)
+            dispatch = self._message(execution, record, alone=alone)
+            attempt.outcome = Outcome.UNKNOWN
+            try:
+                call = await stack.enter_async_context(client.stream(dispatch))
+            except ConnectionLostError as error:
+                attempt.outcome = error.outcome
+                raise
+            try:
+                await self._receive(execution, writer, record, call)
+            except BaseException as error:
+                # The agent's answer to the cancellation is awaited outside,
+                # because this task may itself be cancelled.
+                kept = stack.pop_all()
+                self._close_call(execution, call, kept, error)
+                raise
+
+    async def _connect(self, record: HostRecord) -> Any:
+        try:
+            client = self._pool.client(record)
+            await client.connect()
+        except (KumquatrunError, ValueError) as error:
+            raise ConnectionLostError(
+                f'cannot reach agent {record.host_id}: {error}',
+                outcome=Outcome.NOT_RUN,
+            ) from error
+        return client
+
+    def _message(
+        self,
+        execution: Execution,
+        record: HostRecord,
+        *,
+        alone: bool,
+    ) -> Dispatch:
+        request = execution.request
+        self._check_single_execution(execution)
+        self._count_remote(record, len(request.body))
+        now_s = self._clock.now_s()
+        return Dispatch(
+            request_id=request.request_id,
+            attempt=len(execution.attempts) - 1,
+            agent_incarnation=record.incarnation,
+            account=request.account,
+            service=request.route.service,
+            adapter=request.adapter,
+            version=request.version,
+            path=request.path,
+            method=request.method,
+            body=request.body,
+            content_type=request.content_type,
+            cost_tokens=request.cost_tokens,
+            weight=request.weight,
+            priority=request.priority,
+            deadline_s=Deadline(request.deadline_s).remaining_s(now_s),
+            repeatable=request.route.idempotent,
+            alone=alone,
+            fingerprint=request.fingerprint,
+            stream=request.stream,
+        )
+
+    def _check_single_execution(self, execution: Execution) -> None:
+        request = execution.request
+        earlier = execution.attempts[:-1]
+        self._invariants.check(
+            request.route.idempotent
+            or all(each.outcome is Outcome.NOT_RUN for each in earlier),
+            'single_execution',
+            request.request_id,
+        )
+
+    def _count_remote(self, record: HostRecord, size_bytes: int) -> None:
+        if record.region != self._session.record.region:
+            self.remote_bytes[record.region] += size_bytes
+
+    async def _receive(
+        self,
+        execution: Execution,
+        writer: AnswerWriter,
+        record: HostRecord,
+        call: Any,
+    ) -> None:
+        started = await anext(call, None)
+        if not isinstance(started, Started):
+            raise _unexpected_item(record)
+        self._check_started(execution, record, started)
+        execution.attempts[-1].outcome = Outcome.RAN
+        writer.begin(started.status, started.content_type)
+        self.consume(execution, execution.request.prompt_tokens)
+        next_report = CONSUME_STEP_TOKENS
+        async for item in call:
+            if not isinstance(item, bytes):
+                raise _unexpected_item(record)
+            if execution.first_byte_s is None:
+                execution.first_byte_s = self._clock.now_s()
+            await writer.write(item)
+            if writer.counter.events >= next_report:
+                next_report = writer.counter.events + CONSUME_STEP_TOKENS
+                self.consume(execution, streamed_tokens(execution, writer))
+        self._count_remote(record, writer.body_bytes)
+        execution.finished = call.reply
+        await writer.finish()
+
+    def _check_started(
+        self,
+        execution: Execution,
+        record: HostRecord,
+        started: Started,
+    ) -> None:
+        request = execution.request
+        expected = (record.host_id, request.adapter, request.version)
+        actual = (started.host_id, started.adapter, started.version)
+        if actual != expected:
+            raise BackendError(
+                f'agent started {actual} instead of {expected}',
+                outcome=Outcome.UNKNOWN,
+            )
+
+    def _close_call(
+        self,
+        execution: Execution,
+        call: Any,
+        stack: AsyncExitStack,
+        error: BaseException,
+    ) -> None:
+        attempt = execution.attempts[-1]
+        is_told = isinstance(error, KumquatrunError) and call.is_done
+        if is_told and attempt.outcome is not Outcome.RAN:
+            attempt.outcome = error.outcome
+        execution.closing = self._spawn(
+            self._cancel_call(attempt, call, stack),
+        )
+
+    async def _cancel_call(
+        self,
+        attempt: Attempt,
+        call: Any,
+        stack: AsyncExitStack,
+    ) -> None:
+        async with stack:
+            if call.is_done:
+                return
+            outcome = await call.cancel()
+            if attempt.outcome is not Outcome.RAN:
+                attempt.outcome = outcome
+
+
+def streamed_tokens(execution: Execution, writer: AnswerWriter) -> int:
+    """Return the tokens of the prompt and of what was streamed so far."""
+    return execution.request.prompt_tokens + writer.counter.events
+
+
+def _unexpected_item(record: HostRecord) -> BackendError:
+    return BackendError(
+        f'agent {record.host_id} sent an unexpected item',
+        outcome=Outcome.UNKNOWN,
+    )
--- a/src/kumquatrun/execution.py
+++ b/src/kumquatrun/execution.py
@@ -4,8 +4,10 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 
+from kumquatrun.budget_client import Charge
 from kumquatrun.document import RouteSpec
 from kumquatrun.errors import KumquatrunError, Outcome
+from kumquatrun.messages import Finished
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -53,30 +55,48 @@
 
     host_id: str
     outcome: Outcome = Outcome.NOT_RUN
+    error_code: str = ''
 
 
 class Execution:
     """State of one open request.
 
-    Parameters
+    Attributes
     ----------
-    request
-        The request.
+    charge
+        Reserved tokens; None on open routes and before the reservation.
+    is_claimed
+        Whether a claim must be ended when the request ends.
+    is_claim_pending
+        Whether the leader has not answered the claim.
+    is_repeat
+        Whether the answer is the stored one of an earlier request.
+    finished
+        How the agent ended the answer.
+    closing
+        Task that cancels the last dispatch and learns its outcome.
     """
 
     def __init__(self, request: RelayRequest) -> None:
         self.request = request
         self.attempts: list[Attempt] = []
         self.output_tokens = 0
-        self.prompt_tokens = 0
         self.first_byte_s: float | None = None
         self.interruption: KumquatrunError | None = None
+        self.charge: Charge | None = None
+        self.consumed_tokens = 0
+        self.is_claimed = False
+        self.is_claim_pending = False
+        self.is_repeat = False
+        self.finished: Finished | None = None
         self.closing: asyncio.Task | None = None
         self._timeout: asyncio.Timeout | None = None
 
     @property
     def outcome(self) -> Outcome:
         """Return what is known over all attempts."""
+        if self.is_repeat:
+            return Outcome.RAN
         outcomes = {attempt.outcome for attempt in self.attempts}
         for outcome in (Outcome.RAN, Outcome.UNKNOWN):
             if outcome in outcomes:
--- a/src/kumquatrun/openai_api.py
+++ b/src/kumquatrun/openai_api.py
@@ -28,7 +28,8 @@
 DEFAULT_RETRY_AFTER_S = 1
 HTTP_UNAVAILABLE = 503
 
-_SURROGATE_ESCAPE = rb'\ud'
+_BACKSLASH = 0x5C
+_SURROGATE_ESCAPE = bytes((_BACKSLASH,)) + b'ud'
 _ERROR_TYPES = {
     400: 'invalid_request_error',
     401: 'authentication_error',
--- a/src/kumquatrun/relay.py
+++ b/src/kumquatrun/relay.py
@@ -3,48 +3,36 @@
 import asyncio
 import logging
 import random
-from contextlib import AsyncExitStack
-from dataclasses import dataclass, field
-from typing import Any, Protocol
+from dataclasses import dataclass
 
 from kumquatrun.agent_pool import AgentPool
 from kumquatrun.answer import AnswerWriter, Sink
-from kumquatrun.budget_client import BudgetClient, Charge
+from kumquatrun.budget_client import BudgetClient
 from kumquatrun.claim_client import MAX_STORED_BYTES, ClaimClient
 from kumquatrun.clock import Clock
 from kumquatrun.control_api import NodeSession
+from kumquatrun.dispatch import Dispatcher, streamed_tokens
 from kumquatrun.document import Access
 from kumquatrun.errors import (
-    BackendError,
     ControlUnreachableError,
     DeadlineExceededError,
-    DrainingError,
     InvalidKeyError,
     KumquatrunError,
     NoCapacityError,
     Outcome,
     QuarantinedError,
-    StaleDispatchError,
     StreamCutError,
 )
-from kumquatrun.execution import Attempt, Execution, RelayRequest
-from kumquatrun.invariants import Invariants
-from kumquatrun.messages import (
-    Dispatch,
-    Finished,
-    HostRecord,
-    Started,
-    StoredAnswer,
-)
+from kumquatrun.execution import Execution, RelayRequest
+from kumquatrun.invariants import Invariants, InvariantViolationError
+from kumquatrun.messages import HostRecord, StoredAnswer
 from kumquatrun.retry import Backoff, Deadline, RetryBudget
 
 log = logging.getLogger(__name__)
 
 HTTP_SERVER_ERROR = 500
-# Consumed tokens are recorded in steps: the wallet's reports leave twice a
-# second, so finer steps only cost time.
-CONSUME_STEP_TOKENS = 16
-_AVOID_ERRORS = (DrainingError, StaleDispatchError)
+# After one of these errors other agents are preferred for a while.
+_AVOID_CODES = frozenset(('connection_lost', 'draining', 'stale_dispatch'))
 
 
 class CallerGoneError(KumquatrunError):
@@ -62,28 +50,6 @@
     error: KumquatrunError | None = None
 
 
-@dataclass
-class _Work:
-    """What must be given back when a request ends."""
-
-    execution: Execution
-    writer: AnswerWriter
-    charge: Charge | None = None
-    is_claimed: bool = False
-    is_claim_pending: bool = False
-    consumed_tokens: int = 0
-    finished: Finished | None = None
-    tried: list[str] = field(default_factory=list)
-
-
-class TrafficCounter(Protocol):
-    """Counts bytes that cross regions."""
-
-    def add_remote_bytes(self, region: str, count: int) -> None:
-        """Count bytes that are exchanged with an agent of ``region``."""
-        ...
-
-
 class Relay:
     """Runs requests on agents."""
 
@@ -97,8 +63,7 @@
         *,
         rng: random.Random,
         invariants: Invariants,
-        retry_budget: RetryBudget | None = None,
-        backoff: Backoff | None = None,
+        dispatcher_class: type[Dispatcher] = Dispatcher,
     ) -> None:
         self._session = session
         self._clock = clock
@@ -106,12 +71,18 @@
         self._budgets = budgets
         self._claims = claims
         self._rng = rng
-        self._invariants = invariants
-        self._retry_budget = retry_budget or RetryBudget()
-        self._backoff = backoff or Backoff()
+        self._retry_budget = RetryBudget()
+        self._backoff = Backoff()
         self._open: dict[str, Execution] = {}
         self._background: set[asyncio.Task] = set()
-        self.remote_bytes: dict[str, int] = {}
+        self.dispatcher = dispatcher_class(
+            session,
+            clock,
+            pool,
+            budgets,
+            invariants=invariants,
+            spawn=self._spawn,
+        )
 
     @property
     def open_requests(self) -> int:
@@ -127,358 +98,221 @@
         """
         request = execution.request
         keep_bytes = MAX_STORED_BYTES if request.idempotency_key else 0
-        work = _Work(execution, AnswerWriter(sink, keep_bytes))
+        writer = AnswerWriter(sink, keep_bytes)
         self._open[request.request_id] = execution
         self._retry_budget.record_request(self._clock.now_s())
-        error: KumquatrunError | None = None
         try:
-            async with execution.scope(self._clock.now_s()):
-                await self._process(work)
-        except TimeoutError:
-            error = execution.interruption or DeadlineExceededError(
-                'the request did not finish before its deadline',
-            )
-        except KumquatrunError as failure:
-            error = failure
-        except OSError as failure:
-            error = CallerGoneError(f'the caller disconnected: {failure}')
+            error = await self._try(execution, writer)
         finally:
-            conclusion = self._spawn(self._conclude(work))
+            conclusion = self._spawn(self._conclude(execution, writer))
         await asyncio.shield(conclusion)
-        return self._result(work, error)
+        return self._result(execution, writer, error)
 
     def end_streams(self) -> None:
         """End the keyed requests whose lease or key is gone."""
-        is_leased = self._session.lease_valid()
-        account_of_key = self._session.view.account_of_key
-        accounts: dict[str, str | None] = {}
         for execution in list(self._open.values()):
-            request = execution.request
-            if request.route.access is not Access.KEY:
-                continue
-            if not is_leased:
-                execution.interrupt(_lease_ended())
-                continue
-            if request.key not in accounts:
-                accounts[request.key] = account_of_key(request.key)
-            if accounts[request.key] != request.account:
-                execution.interrupt(InvalidKeyError('the key was revoked'))
+            try:
+                self._check_caller(execution.request)
+            except KumquatrunError as error:
+                execution.interrupt(error)
 
     async def idle(self) -> None:
         """Wait until all clean-up is done."""
         while self._background:
             await asyncio.wait(self._background)
 
-    async def _process(self, work: _Work) -> None:
-        request = work.execution.request
+    async def _try(
+        self,
+        execution: Execution,
+        writer: AnswerWriter,
+    ) -> KumquatrunError | None:
+        try:
+            async with execution.scope(self._clock.now_s()):
+                await self._process(execution, writer)
+        except TimeoutError:
+            return execution.interruption or DeadlineExceededError(
+                'the request did not finish before its deadline',
+                outcome=Outcome.NOT_RUN,
+            )
+        except KumquatrunError as error:
+            return error
+        except Exception as error:
+            return _unexpected(execution, error)
+        return None
+
+    async def _process(
+        self,
+        execution: Execution,
+        writer: AnswerWriter,
+    ) -> None:
+        request = execution.request
         self._check_admission(request)
         if request.account:
-            work.charge = await self._budgets.reserve(
+            execution.charge = await self._budgets.reserve(
                 request.account, request.cost_tokens
             )
         if request.idempotency_key:
-            answer = await self._claim(work)
+            answer = await self._claim(execution)
             if answer is not None:
-                await self._repeat_answer(work, answer)
+                execution.is_repeat = True
+                await writer.repeat(answer)
                 return
-        await self._dispatch(work)
+        await self._dispatch(execution, writer)
 
-    async def _claim(self, work: _Work) -> StoredAnswer | None:
+    async def _claim(self, execution: Execution) -> StoredAnswer | None:
         # Until an answer comes the claim may be granted, so that it is ended
         # when the request ends.
-        work.is_claimed = True
-        work.is_claim_pending = True
+        execution.is_claimed = True
+        execution.is_claim_pending = True
         try:
-            answer = await self._claims.claim(work.execution.request)
+            answer = await self._claims.claim(execution.request)
         except ControlUnreachableError:
             raise
         except KumquatrunError:
-            work.is_claimed = False
-            work.is_claim_pending = False
+            execution.is_claimed = False
+            execution.is_claim_pending = False
             raise
-        work.is_claimed = answer is None
-        work.is_claim_pending = False
+        execution.is_claimed = answer is None
+        execution.is_claim_pending = False
         return answer
 
+    def _check_caller(self, request: RelayRequest) -> None:
+        if request.route.access is not Access.KEY:
+            return
+        if not self._session.lease_valid():
+            raise ControlUnreachableError('this entry has no valid lease')
+        account = self._session.view.account_of_key(request.key)
+        if account != request.account:
+            raise InvalidKeyError('the key was revoked')
+
     def _check_admission(self, request: RelayRequest) -> str:
-        is_keyed = request.route.access is Access.KEY
-        if is_keyed and not self._session.lease_valid():
-            raise _lease_ended()
+        """Refuse a request that may not be dispatched now.
+
+        Returns
+        -------
+        str
+            State of the request's fingerprint.
+        """
+        self._check_caller(request)
         state = self._session.view.fingerprint_state(request.fingerprint)
         if state == 'quarantined':
             raise QuarantinedError('the request is quarantined')
         return state
 
-    async def _repeat_answer(self, work: _Work, answer: StoredAnswer) -> None:
-        work.execution.attempts.append(Attempt('', Outcome.RAN))
-        work.writer.begin(answer.status, answer.content_type)
-        await work.writer.write(answer.body)
-        await work.writer.finish()
-
-    async def _dispatch(self, work: _Work) -> None:
-        retry = 0
+    async def _dispatch(
+        self,
+        execution: Execution,
+        writer: AnswerWriter,
+    ) -> None:
+        request = execution.request
         while True:
-            record = self._choose(work)
-            attempt = Attempt(record.host_id)
-            work.execution.attempts.append(attempt)
+            state = self._check_admission(request)
+            alone = state == 'suspect' or _is_suspect(execution)
+            record = self._choose(execution)
             try:
-                await self._attempt(work, record, attempt)
+                await self.dispatcher.run(
+                    execution, writer, record, alone=alone
+                )
             except KumquatrunError as error:
-                self._note_failure(record, error)
-                await self._back_off(work, attempt, error, retry)
+                if error.code in _AVOID_CODES:
+                    self._pool.avoid(record)
+                if not self._may_retry(execution, writer, error):
+                    raise
+                await self._back_off(execution, error)
             else:
                 return
-            retry += 1
 
-    def _choose(self, work: _Work) -> HostRecord:
-        request = work.execution.request
-        name = (request.route.service, request.adapter, request.version)
-        tried = {attempt.host_id for attempt in work.execution.attempts}
-        record = self._pool.choose(*name, tried)
+    def _choose(self, execution: Execution) -> HostRecord:
+        request = execution.request
+        record = self._pool.choose(
+            request.route.service,
+            request.adapter,
+            request.version,
+            {attempt.host_id for attempt in execution.attempts},
+        )
         if record is None:
             raise NoCapacityError(f'no agent of {request.route.service}')
         return record
 
-    def _note_failure(self, record: HostRecord, error: KumquatrunError) -> None:
-        lost = error.code == 'connection_lost'
-        if lost or isinstance(error, _AVOID_ERRORS):
-            self._pool.avoid(record)
+    def _may_retry(
+        self,
+        execution: Execution,
+        writer: AnswerWriter,
+        error: KumquatrunError,
+    ) -> bool:
+        if writer.is_started or error.kind.http_status < HTTP_SERVER_ERROR:
+            return False
+        outcomes = [attempt.outcome for attempt in execution.attempts]
+        if outcomes[-1] is Outcome.NOT_RUN:
+            return True
+        # A request that may have run is repeated once: it may be the cause.
+        runs = len(outcomes) - outcomes.count(Outcome.NOT_RUN)
+        return execution.request.route.idempotent and runs == 1
 
     async def _back_off(
         self,
-        work: _Work,
-        attempt: Attempt,
+        execution: Execution,
         error: KumquatrunError,
-        retry: int,
     ) -> None:
-        if not self._may_retry(work, attempt, error):
-            raise error
+        retry = len(execution.attempts) - 1
         delay_s = self._backoff.delay_s(retry, self._rng)
         now_s = self._clock.now_s()
-        deadline = Deadline(work.execution.request.deadline_s)
+        deadline = Deadline(execution.request.deadline_s)
         if not deadline.allows(delay_s, now_s):
             raise error
         if not self._retry_budget.take(now_s):
             raise error
         await asyncio.sleep(delay_s)
-        self._check_admission(work.execution.request)
 
-    def _may_retry(
+    async def _conclude(
         self,
-        work: _Work,
-        attempt: Attempt,
-        error: KumquatrunError,
-    ) -> bool:
-        if work.writer.is_started:
-            return False
-        if error.kind.http_status < HTTP_SERVER_ERROR:
-            return False
-        if attempt.outcome is Outcome.NOT_RUN:
-            return True
-        return work.execution.request.route.idempotent
-
-    async def _attempt(
-        self,
-        work: _Work,
-        record: HostRecord,
-        attempt: Attempt,
+        execution: Execution,
+        writer: AnswerWriter,
     ) -> None:
-        request = work.execution.request
-        client = self._pool.client(record)
-        name = (record, request.adapter, request.version)
-        self._pool.begin(*name)
-        stack = AsyncExitStack()
-        stack.callback(self._pool.end, *name)
-        try:
-            await client.connect()
-            dispatch = self._message(work, record)
-            attempt.outcome = Outcome.UNKNOWN
-            call = await stack.enter_async_context(client.stream(dispatch))
-        except KumquatrunError as error:
-            attempt.outcome = error.outcome
-            await stack.aclose()
-            raise
-        except BaseException:
-            await stack.aclose()
-            raise
-        try:
-            await self._receive(work, record, attempt, call)
-        except BaseException as error:
-            self._close_call(work, attempt, call, stack, error)
-            raise
-        await stack.aclose()
-
-    def _message(self, work: _Work, record: HostRecord) -> Dispatch:
-        request = work.execution.request
-        state = self._check_admission(request)
-        self._check_single_execution(work)
-        now_s = self._clock.now_s()
-        return Dispatch(
-            request_id=request.request_id,
-            attempt=len(work.execution.attempts) - 1,
-            agent_incarnation=record.incarnation,
-            account=request.account,
-            service=request.route.service,
-            adapter=request.adapter,
-            version=request.version,
-            path=request.path,
-            method=request.method,
-            body=request.body,
-            content_type=request.content_type,
-            cost_tokens=request.cost_tokens,
-            weight=request.weight,
-            priority=request.priority,
-            deadline_s=Deadline(request.deadline_s).remaining_s(now_s),
-            repeatable=request.route.idempotent,
-            alone=state == 'suspect',
-            fingerprint=request.fingerprint,
-            stream=request.stream,
-        )
-
-    def _check_single_execution(self, work: _Work) -> None:
-        earlier = work.execution.attempts[:-1]
-        self._invariants.check(
-            work.execution.request.route.idempotent
-            or all(each.outcome is Outcome.NOT_RUN for each in earlier),
-            'single_execution',
-            work.execution.request.request_id,
-        )
-
-    async def _receive(
-        self,
-        work: _Work,
-        record: HostRecord,
-        attempt: Attempt,
-        call: Any,
-    ) -> None:
-        writer = work.writer
-        is_started = False
-        next_report = CONSUME_STEP_TOKENS
-        async for item in call:
-            if isinstance(item, Started) and not is_started:
-                is_started = True
-                self._check_started(work, record, item)
-                attempt.outcome = Outcome.RAN
-                writer.begin(item.status, item.content_type)
-                self._consume(work, self._streamed_tokens(work))
-                continue
-            if not is_started or not isinstance(item, bytes):
-                raise BackendError(
-                    f'agent {record.host_id} sent an unexpected item',
-                    outcome=Outcome.UNKNOWN,
-                )
-            if work.execution.first_byte_s is None:
-                work.execution.first_byte_s = self._clock.now_s()
-            await writer.write(item)
-            if writer.counter.events >= next_report:
-                next_report = writer.counter.events + CONSUME_STEP_TOKENS
-                self._consume(work, self._streamed_tokens(work))
-        work.finished = call.reply
-        await writer.finish()
-
-    def _check_started(
-        self,
-        work: _Work,
-        record: HostRecord,
-        started: Started,
-    ) -> None:
-        request = work.execution.request
-        expected = (record.host_id, request.adapter, request.version)
-        actual = (started.host_id, started.adapter, started.version)
-        if actual != expected:
-            raise BackendError(
-                f'agent started {actual} instead of {expected}',
-                outcome=Outcome.UNKNOWN,
-            )
-
-    def _streamed_tokens(self, work: _Work) -> int:
-        prompt_tokens = work.execution.request.prompt_tokens
-        return prompt_tokens + work.writer.counter.events
-
-    def _consume(self, work: _Work, used_tokens: int) -> None:
-        """Raise the consumption of a request to ``used_tokens``.
-
-        A retried request is charged once, and never more than was reserved.
-        """
-        used_tokens = min(used_tokens, work.execution.request.cost_tokens)
-        tokens = used_tokens - work.consumed_tokens
-        if work.charge is not None and tokens > 0:
-            work.consumed_tokens = used_tokens
-            self._budgets.consume(work.charge, tokens)
-
-    def _close_call(
-        self,
-        work: _Work,
-        attempt: Attempt,
-        call: Any,
-        stack: AsyncExitStack,
-        error: BaseException,
-    ) -> None:
-        is_told = isinstance(error, KumquatrunError) and call.is_done
-        if is_told and attempt.outcome is not Outcome.RAN:
-            attempt.outcome = error.outcome
-        work.execution.closing = self._spawn(
-            self._cancel_call(attempt, call, stack),
-        )
-
-    async def _cancel_call(
-        self,
-        attempt: Attempt,
-        call: Any,
-        stack: AsyncExitStack,
-    ) -> None:
-        async with stack:
-            if call.is_done:
-                return
-            outcome = await call.cancel()
-            if attempt.outcome is not Outcome.RAN:
-                attempt.outcome = outcome
-
-    async def _conclude(self, work: _Work) -> None:
-        execution = work.execution
         request = execution.request
         self._open.pop(request.request_id, None)
         if execution.closing is not None:
             await execution.closing
-        if work.charge is not None:
-            self._consume(work, self._used_tokens(work))
-            self._budgets.settle(work.charge)
-        if work.is_claimed:
+        execution.output_tokens = writer.counter.events
+        if execution.finished is not None and execution.finished.prompt_tokens:
+            execution.output_tokens = execution.finished.output_tokens
+        if execution.charge is not None:
+            used_tokens = self._used_tokens(execution, writer)
+            self.dispatcher.consume(execution, used_tokens)
+            self._budgets.settle(execution.charge)
+        if execution.is_claimed:
+            answer = writer.stored_answer() if execution.finished else None
             self._spawn(
-                self._claims.finish(
-                    request,
-                    execution.outcome,
-                    work.writer.stored_answer() if work.finished else None,
-                ),
+                self._claims.finish(request, execution.outcome, answer),
             )
 
-    def _used_tokens(self, work: _Work) -> int:
-        finished = work.finished
-        if work.execution.outcome is Outcome.NOT_RUN:
+    def _used_tokens(
+        self,
+        execution: Execution,
+        writer: AnswerWriter,
+    ) -> int:
+        finished = execution.finished
+        if execution.is_repeat or execution.outcome is Outcome.NOT_RUN:
             return 0
         if finished is None or not finished.prompt_tokens:
-            work.execution.output_tokens = work.writer.counter.events
-            return self._streamed_tokens(work)
-        work.execution.output_tokens = finished.output_tokens
+            return streamed_tokens(execution, writer)
         return finished.prompt_tokens + finished.output_tokens
 
     def _result(
         self,
-        work: _Work,
+        execution: Execution,
+        writer: AnswerWriter,
         error: KumquatrunError | None,
     ) -> RelayResult:
-        outcome = work.execution.outcome
         if error is None:
-            return RelayResult(outcome, work.writer.status)
-        if work.writer.is_started and not isinstance(error, CallerGoneError):
+            return RelayResult(execution.outcome, writer.status)
+        if writer.is_started and not isinstance(error, CallerGoneError):
             error = StreamCutError(f'the answer was cut: {error.detail}')
-        if work.execution.attempts:
-            error.outcome = outcome
-        elif work.is_claim_pending:
+        if execution.attempts:
+            error.outcome = execution.outcome
+        elif execution.is_claim_pending:
             # An earlier request under the same key may have run.
             error.outcome = Outcome.UNKNOWN
-        elif isinstance(error, DeadlineExceededError):
-            error.outcome = Outcome.NOT_RUN
         return RelayResult(error.outcome, error.kind.http_status, error)
 
     def _spawn(self, coroutine) -> asyncio.Task:
@@ -488,5 +322,24 @@
         return task
 
 
-def _lease_ended() -> KumquatrunError:
-    return ControlUnreachableError('this entry has no valid lease')
+def _is_suspect(execution: Execution) -> bool:
+    # The feed may not have brought the suspicion yet. A lost connection is a
+    # fault of the host and makes no request a suspect.
+    return any(
+        attempt.outcome is not Outcome.NOT_RUN
+        and attempt.error_code != 'connection_lost'
+        for attempt in execution.attempts
+    )
+
+
+def _unexpected(execution: Execution, error: Exception) -> KumquatrunError:
+    if isinstance(error, InvariantViolationError):
+        raise error
+    if isinstance(error, OSError):
+        return CallerGoneError(f'the caller disconnected: {error}')
+    log.error(
+        'event=relay_failed request_id=%s',
+        execution.request.request_id,
+        exc_info=error,
+    )
+    return KumquatrunError('unexpected error in the entry')
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -23,6 +23,7 @@
 from kumquatrun.budget_client import BudgetClient
 from kumquatrun.claim_client import ClaimClient
 from kumquatrun.clock import LoopClock
+from kumquatrun.dispatch import Dispatcher
 from kumquatrun.errors import (
     ConnectionLostError,
     DrainingError,
@@ -68,7 +69,10 @@
 class Bench:
     """A relay with two agents per service and everything it talks to."""
 
-    def __init__(self, relay_class=Relay):
+    def __init__(self, broken=None):
+        is_relay = broken is not None and issubclass(broken, Relay)
+        relay_class = broken if is_relay else Relay
+        dispatcher_class = Dispatcher if is_relay else broken or Dispatcher
         self.session = FakeSession()
         self.network = FakeNetwork(self.session)
         self.wallet = FakeWallet()
@@ -85,6 +89,7 @@
             ClaimClient(self.session, clock, rng),
             rng=rng,
             invariants=Invariants(is_strict=True),
+            dispatcher_class=dispatcher_class,
         )
         self.session.on_change(self.relay.end_streams)
         for service, chunks, kind in (
@@ -599,49 +604,49 @@
 
 
 class RepeatsUnknown(Relay):
-    def _may_retry(self, work, attempt, error):
-        return not work.writer.is_started
-
-
-class SkipsStartedCheck(Relay):
-    def _check_started(self, work, record, started):
-        """Believes whatever the agent started."""
+    def _may_retry(self, execution, writer, error):
+        return not writer.is_started
 
 
 class ReportsNotRun(Relay):
-    def _result(self, work, error):
-        result = super()._result(work, error)
+    def _result(self, execution, writer, error):
+        result = super()._result(execution, writer, error)
         return replace(result, outcome=Outcome.NOT_RUN)
 
 
 class KeepsReservation(Relay):
-    async def _conclude(self, work):
-        work.charge = None
-        await super()._conclude(work)
-
-
-class LeavesDispatchOpen(Relay):
-    async def _cancel_call(self, attempt, call, stack):
-        self.kept = stack
+    async def _conclude(self, execution, writer):
+        execution.charge = None
+        await super()._conclude(execution, writer)
 
 
 class ReleasesClaim(Relay):
-    async def _conclude(self, work):
-        for attempt in work.execution.attempts:
+    async def _conclude(self, execution, writer):
+        for attempt in execution.attempts:
             attempt.outcome = Outcome.NOT_RUN
-        await super()._conclude(work)
+        await super()._conclude(execution, writer)
 
 
 class NeverFinishesClaim(Relay):
-    async def _conclude(self, work):
-        work.is_claimed = False
-        await super()._conclude(work)
+    async def _conclude(self, execution, writer):
+        execution.is_claimed = False
+        await super()._conclude(execution, writer)
+
+
+class SkipsStartedCheck(Dispatcher):
+    def _check_started(self, execution, record, started):
+        """Believes whatever the agent started."""
+
+
+class LeavesDispatchOpen(Dispatcher):
+    async def _cancel_call(self, attempt, call, stack):
+        self.kept = stack
 
 
-class TrustsLateRefusal(Relay):
-    def _close_call(self, work, attempt, call, stack, error):
-        super()._close_call(work, attempt, call, stack, error)
-        attempt.outcome = error.outcome
+class TrustsLateRefusal(Dispatcher):
+    def _close_call(self, execution, call, stack, error):
+        super()._close_call(execution, call, stack, error)
+        execution.attempts[-1].outcome = error.outcome
 
 
 BROKEN = [
@@ -658,9 +663,9 @@
 ]
 
 
-@pytest.mark.parametrize(('relay_class', 'fault', 'step', 'kind'), BROKEN)
-async def test_check_notices_a_broken_mechanism(relay_class, fault, step, kind):
-    bench = Bench(relay_class)
+@pytest.mark.parametrize(('broken', 'fault', 'step', 'kind'), BROKEN)
+async def test_check_notices_a_broken_mechanism(broken, fault, step, kind):
+    bench = Bench(broken)
     inject(bench, fault, step, 9)
     with pytest.raises((AssertionError, InvariantViolationError)):
         result, sink = await run_case(bench, kind)
