--- a/src/kumquatrun/invariants.py
+++ b/src/kumquatrun/invariants.py
@@ -1,6 +1,8 @@
-"""Checks of the guarantees while the program runs.
+"""Invariants of the guarantees: counted and logged when violated.
 
-A violation is counted and logged in production and raised in tests.
+``require`` guards an operation that must not be carried out if the invariant
+does not hold. ``Invariants`` checks what has already happened; it raises only
+if it is strict, as in tests.
 """
 
 import logging
@@ -8,35 +10,62 @@
 
 log = logging.getLogger(__name__)
 
+violations: Counter[str] = Counter()
 
-class InvariantViolationError(AssertionError):
-    """Reports a broken guarantee; raised in tests only."""
+
+class InvariantError(AssertionError):
+    """Reports a violated invariant."""
+
+
+InvariantViolationError = InvariantError
+
+
+def require(holds: bool, invariant: str, detail: str = '') -> None:
+    """Check an invariant before the operation that depends on it.
+
+    Raises
+    ------
+    InvariantError
+        If the invariant does not hold.
+    """
+    if not holds:
+        _record(invariant, detail)
+        raise InvariantError(f'{invariant}: {detail}')
 
 
 class Invariants:
-    """Counts violations by name.
+    """Checks invariants after the fact.
 
     Parameters
     ----------
     is_strict
-        Whether a violation raises ``InvariantViolationError``.
+        Whether a violation raises ``InvariantError``.
     """
 
     def __init__(self, *, is_strict: bool = False) -> None:
         self.violations: Counter[str] = Counter()
         self._is_strict = is_strict
 
-    def check(self, is_kept: bool, name: str, detail: str = '') -> None:
-        """Count a violation of ``name`` unless ``is_kept``.
+    def check(self, holds: bool, invariant: str, detail: str = '') -> None:
+        """Count a violation of ``invariant`` unless ``holds``.
 
         Raises
         ------
-        InvariantViolationError
+        InvariantError
             If the checker is strict.
         """
-        if is_kept:
+        if holds:
             return
-        self.violations[name] += 1
-        log.error('event=invariant_violated name=%s detail=%r', name, detail)
+        self.violations[invariant] += 1
+        _record(invariant, detail)
         if self._is_strict:
-            raise InvariantViolationError(f'{name}: {detail}')
+            raise InvariantError(f'{invariant}: {detail}')
+
+
+def _record(invariant: str, detail: str) -> None:
+    violations[invariant] += 1
+    log.error(
+        'event=invariant_violated invariant=%s detail=%r',
+        invariant,
+        detail,
+    )
--- a/src/kumquatrun/messages.py
+++ b/src/kumquatrun/messages.py
@@ -124,11 +124,16 @@
 
 @message
 class BudgetReport:
-    """Tokens that an entry consumed and returned since its last report."""
+    """Tokens that an entry consumed and returned since its last report.
+
+    ``abandoned_grants`` has the numbers of grant requests whose replies the
+    entry will not use; their tokens go back to the account.
+    """
 
     account: str
     consumed_tokens: int = 0
     returned_tokens: int = 0
+    abandoned_grants: tuple[int, ...] = ()
 
 
 @message
@@ -171,8 +176,9 @@
 class FeedItem:
     """One change of shared state.
 
-    ``kind`` is ``snapshot``, ``document``, ``key``, ``host`` or
-    ``quarantine``; ``body`` is the record in msgpack, see ``cluster_view``.
+    ``kind`` is ``snapshot``, ``document``, ``key``, ``host``, ``quarantine``
+    or ``batch``, which holds several changes of one index; ``body`` is the
+    record in msgpack, see ``cluster_view``.
     """
 
     index: int
@@ -185,12 +191,21 @@
 
 @message
 class GrantTokens:
-    """Asks for tokens of an account; committed before it is answered."""
+    """Asks for tokens of an account; committed before it is answered.
+
+    ``needed_tokens`` is the part that requests wait for; the rest is fetched
+    in advance and granted from the upper half of the burst only, so that
+    idle tokens at one entry do not starve another. None means all.
+    ``number`` is unique within the incarnation, so that a resend is granted
+    once and a grant whose reply was lost can be abandoned; 0 means neither.
+    """
 
     host_id: str
     incarnation: str
     account: str
     wanted_tokens: int
+    needed_tokens: int | None = None
+    number: int = 0
 
 
 @message
@@ -279,11 +294,14 @@
     """Reports fingerprints that were running when a backend server died.
 
     ``alone`` is true if the fingerprint was the only one in the batch.
+    ``report_id`` makes a resend harmless: without it, a report that is sent
+    again counts as a second crash.
     """
 
     host_id: str
     fingerprints: tuple[str, ...]
     alone: bool = False
+    report_id: str = ''
 
 
 @message
