--- a/src/kumquatrun/adapter_slots.py
+++ b/src/kumquatrun/adapter_slots.py
@@ -2,30 +2,16 @@
 
 import math
 from collections.abc import Collection
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import NamedTuple
 
 from kumquatrun.invariants import require
+from kumquatrun.reload_costs import DEFAULT_LOAD_S, AdapterKey, ReloadCosts
 from kumquatrun.statechart import load_chart
 
-# A use counts half after this time; about the time in which the popularity
-# of an adapter shifts.
-USE_HALF_LIFE_S = 60.0
 # An adapter stays for at least four load times (0.25 s each) after it was
 # loaded, so that a slot spends at most a fifth of its time on loading.
 PROTECTION_S = 1.0
-DEFAULT_LOAD_S = 0.25
-FORGET_USES_BELOW = 0.01
-
-
-class AdapterKey(NamedTuple):
-    """An adapter at one version."""
-
-    adapter: str
-    version: str
-
-    def __str__(self) -> str:
-        return f'{self.adapter}@{self.version}'
 
 
 class Pin(NamedTuple):
@@ -55,30 +41,6 @@
     retired_for: AdapterKey | None = None
 
 
-@dataclass
-class UseRates:
-    """Recent use of adapters, decayed exponentially."""
-
-    _uses: dict[AdapterKey, tuple[float, float]] = field(default_factory=dict)
-
-    def record(self, key: AdapterKey, now_s: float) -> None:
-        """Count one use."""
-        self._uses[key] = (self.uses(key, now_s) + 1, now_s)
-
-    def uses(self, key: AdapterKey, now_s: float) -> float:
-        """Return the decayed number of uses."""
-        count, counted_s = self._uses.get(key, (0.0, now_s))
-        return count * 0.5 ** ((now_s - counted_s) / USE_HALF_LIFE_S)
-
-    def forget_unused(self, now_s: float) -> None:
-        """Drop adapters that were not used for a long time."""
-        self._uses = {
-            key: entry
-            for key, entry in self._uses.items()
-            if self.uses(key, now_s) >= FORGET_USES_BELOW
-        }
-
-
 class AdapterSlots:
     """What the engine holds and what may be loaded or unloaded.
 
@@ -99,8 +61,7 @@
         self._slots = [_Slot(self._chart.initial) for _ in range(capacity)]
         self._protection_s = protection_s
         self._epoch = 0
-        self._rates = UseRates()
-        self._load_times_s: dict[AdapterKey, float] = {}
+        self._costs = ReloadCosts()
         self._open_loads: set[AdapterKey] = set()
 
     @property
@@ -129,7 +90,7 @@
         index = self._find(key, 'loaded')
         require(index is not None, 'pin_of_loaded_adapter', str(key))
         self._slots[index].pins += 1
-        self._rates.record(key, now_s)
+        self._costs.record_use(key, now_s)
         return Pin(index, self._epoch, key)
 
     def unpin(self, pin: Pin) -> None:
@@ -227,7 +188,7 @@
         if not self._apply(ticket, 'loaded'):
             return False
         self._slots[ticket.slot].loaded_s = now_s
-        self._load_times_s[ticket.key] = load_s
+        self._costs.record_load(ticket.key, load_s, now_s)
         return True
 
     def load_failed(self, ticket: LoadTicket) -> bool:
@@ -379,11 +340,7 @@
         return slot.state == 'loaded' and not self._is_protected(slot, now_s)
 
     def _cheapest(self, indexes: list[int], now_s: float) -> int:
-        return min(indexes, key=lambda index: self._reload_cost(index, now_s))
-
-    def _reload_cost(self, index: int, now_s: float) -> float:
-        key = self._slots[index].key
-        if key is None:
-            return 0
-        load_s = self._load_times_s.get(key, DEFAULT_LOAD_S)
-        return self._rates.uses(key, now_s) * load_s
+        def cost(index: int) -> float:
+            return self._costs.cost_s(self._slots[index].key, now_s)
+
+        return min(indexes, key=cost)
--- /dev/null
+++ b/src/kumquatrun/completions.py
@@ -0,0 +1,102 @@
+"""Bodies of completions as the agent exchanges them with an engine."""
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from kumquatrun.adapter_slots import AdapterKey
+from kumquatrun.errors import InvalidRequestError
+
+
+@dataclass(frozen=True, kw_only=True)
+class ServedBy:
+    """What ran a request, from the engine's first event."""
+
+    adapter: str
+    version: str
+    incarnation: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Usage:
+    """Tokens that a request used."""
+
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class GenerateCall:
+    """A completion on one adapter; ``body`` is the caller's JSON."""
+
+    request_id: str
+    path: str
+    body: bytes
+    key: AdapterKey
+    priority: int = 0
+    stream: bool = False
+
+
+def json_object(text: bytes) -> dict[str, Any] | None:
+    """Return a JSON object, None if the text is anything else."""
+    try:
+        content = json.loads(text)
+    except ValueError:
+        return None
+    return content if isinstance(content, dict) else None
+
+
+def refusal_code(body: bytes) -> str:
+    """Return the ``code`` of an engine's refusal, empty if it has none."""
+    return str((json_object(body) or {}).get('code', ''))
+
+
+def engine_body(call: GenerateCall) -> tuple[bytes, bool]:
+    """Return the body for the engine, and whether the caller wants usage.
+
+    The model is replaced by adapter and version, so that the engine never
+    resolves a default version itself.
+
+    Raises
+    ------
+    InvalidRequestError
+        If the body is not a JSON object.
+    """
+    try:
+        content = json.loads(call.body)
+    except ValueError as error:
+        raise InvalidRequestError(f'body is not JSON: {error}') from error
+    if not isinstance(content, dict):
+        raise InvalidRequestError('body is not a JSON object')
+    content['model'] = str(call.key)
+    content['priority'] = call.priority
+    content['stream'] = call.stream
+    options = content.pop('stream_options', None)
+    options = dict(options) if isinstance(options, dict) else {}
+    wants_usage = bool(options.get('include_usage'))
+    if call.stream:
+        content['stream_options'] = options | {'include_usage': True}
+    return json.dumps(content).encode(), wants_usage
+
+
+def parse_served_by(content: dict[str, Any] | None) -> ServedBy | None:
+    """Return what ran a request, None if the answer does not say it."""
+    fields = (content or {}).get('served_by')
+    if not isinstance(fields, dict):
+        return None
+    return ServedBy(
+        adapter=str(fields.get('adapter')),
+        version=str(fields.get('version')),
+        incarnation=str(fields.get('incarnation')),
+    )
+
+
+def parse_usage(content: dict[str, Any] | None) -> Usage | None:
+    """Return the tokens in an answer or event, None if it has none."""
+    fields = (content or {}).get('usage')
+    if not isinstance(fields, dict):
+        return None
+    return Usage(
+        prompt_tokens=int(fields.get('prompt_tokens', 0)),
+        output_tokens=int(fields.get('completion_tokens', 0)),
+    )
--- a/src/kumquatrun/engine_client.py
+++ b/src/kumquatrun/engine_client.py
@@ -11,13 +11,20 @@
 
 from kumquatrun.adapter_slots import AdapterKey
 from kumquatrun.backend_http import BackendCall, BackendHttp, read_chunks
+from kumquatrun.completions import (
+    GenerateCall,
+    ServedBy,
+    Usage,
+    engine_body,
+    json_object,
+    parse_served_by,
+    parse_usage,
+)
 from kumquatrun.document import ServiceKind
 from kumquatrun.errors import (
     AdapterLoadError,
     BackendError,
     ConnectionLostError,
-    InvalidRequestError,
-    Outcome,
     StaleDispatchError,
 )
 from kumquatrun.sse import EventSplitter, event_json
@@ -42,35 +49,6 @@
     waiting: int = 0
 
 
-@dataclass(frozen=True, kw_only=True)
-class ServedBy:
-    """What ran a request, from the engine's first event."""
-
-    adapter: str
-    version: str
-    incarnation: str
-
-
-@dataclass(frozen=True, kw_only=True)
-class Usage:
-    """Tokens that a request used."""
-
-    prompt_tokens: int = 0
-    output_tokens: int = 0
-
-
-@dataclass(frozen=True, kw_only=True)
-class GenerateCall:
-    """A completion on one adapter; ``body`` is the caller's JSON."""
-
-    request_id: str
-    path: str
-    body: bytes
-    key: AdapterKey
-    priority: int = 0
-    stream: bool = False
-
-
 class Generation(Protocol):
     """The answer to one completion."""
 
@@ -134,55 +112,6 @@
         ...
 
 
-def engine_body(call: GenerateCall) -> tuple[bytes, bool]:
-    """Return the body for the engine, and whether the caller wants usage.
-
-    The model is replaced by adapter and version, so that the engine never
-    resolves a default version itself.
-
-    Raises
-    ------
-    InvalidRequestError
-        If the body is not a JSON object.
-    """
-    try:
-        content = json.loads(call.body)
-    except ValueError as error:
-        raise InvalidRequestError(f'body is not JSON: {error}') from error
-    if not isinstance(content, dict):
-        raise InvalidRequestError('body is not a JSON object')
-    content['model'] = str(call.key)
-    content['priority'] = call.priority
-    content['stream'] = call.stream
-    options = content.pop('stream_options', None)
-    options = dict(options) if isinstance(options, dict) else {}
-    wants_usage = bool(options.get('include_usage'))
-    if call.stream:
-        content['stream_options'] = options | {'include_usage': True}
-    return json.dumps(content).encode(), wants_usage
-
-
-def _served_by(content: dict[str, Any] | None) -> ServedBy | None:
-    fields = (content or {}).get('served_by')
-    if not isinstance(fields, dict):
-        return None
-    return ServedBy(
-        adapter=str(fields.get('adapter')),
-        version=str(fields.get('version')),
-        incarnation=str(fields.get('incarnation')),
-    )
-
-
-def _usage(content: dict[str, Any] | None) -> Usage | None:
-    fields = (content or {}).get('usage')
-    if not isinstance(fields, dict):
-        return None
-    return Usage(
-        prompt_tokens=int(fields.get('prompt_tokens', 0)),
-        output_tokens=int(fields.get('completion_tokens', 0)),
-    )
-
-
 def _is_done(event: bytes) -> bool:
     return event.strip() == b'data: [DONE]'
 
@@ -217,7 +146,7 @@
             events = splitter.feed(chunk)
             if events and is_first:
                 is_first = False
-                self.served_by = _served_by(event_json(events[0]))
+                self.served_by = parse_served_by(event_json(events[0]))
             is_done = is_done or any(map(_is_done, events))
             kept = b''.join(filter(self._keep, events))
             if kept:
@@ -229,7 +158,7 @@
         if b'"usage"' not in event:
             return True
         content = event_json(event)
-        self.usage = _usage(content) or self.usage
+        self.usage = parse_usage(content) or self.usage
         return self.wants_usage or bool((content or {}).get('choices'))
 
     async def _whole(self) -> AsyncIterator[bytes]:
@@ -238,13 +167,9 @@
             body += chunk
             if len(body) > MAX_WHOLE_ANSWER_BYTES:
                 raise BackendError('the answer of the engine is too large')
-        try:
-            content = json.loads(bytes(body))
-        except ValueError:
-            content = None
-        if isinstance(content, dict):
-            self.served_by = _served_by(content)
-            self.usage = _usage(content) or self.usage
+        content = json_object(bytes(body))
+        self.served_by = parse_served_by(content)
+        self.usage = parse_usage(content) or self.usage
         yield bytes(body)
 
 
@@ -342,26 +267,4 @@
         async with self._http.open(call, headers=headers) as response:
             chunks = [chunk async for chunk in read_chunks(response, None)]
             status = response.status
-        try:
-            content = json.loads(b''.join(chunks))
-        except ValueError:
-            content = None
-        return status, content if isinstance(content, dict) else {}
-
-
-def refusal_code(body: bytes) -> str:
-    """Return the ``code`` of an engine's refusal, empty if it has none."""
-    try:
-        content = json.loads(body)
-    except ValueError:
-        return ''
-    code = content.get('code', '') if isinstance(content, dict) else ''
-    return str(code)
-
-
-NOT_RUN_CODES = frozenset(('adapter_not_loaded',))
-
-
-def refused_outcome(code: str) -> Outcome:
-    """Return what a refusal of the engine says about the execution."""
-    return Outcome.NOT_RUN if code in NOT_RUN_CODES else Outcome.RAN
+        return status, json_object(b''.join(chunks)) or {}
--- a/src/kumquatrun/engine_runner.py
+++ b/src/kumquatrun/engine_runner.py
@@ -6,15 +6,13 @@
 
 from kumquatrun.adapter_slots import AdapterKey, AdapterSlots
 from kumquatrun.clock import Clock
+from kumquatrun.completions import GenerateCall, ServedBy, refusal_code
 from kumquatrun.control_api import NodeSession
 from kumquatrun.crash_reports import CrashReporter
 from kumquatrun.engine_client import (
     EngineApi,
     EngineHealth,
-    GenerateCall,
     Generation,
-    ServedBy,
-    refusal_code,
 )
 from kumquatrun.engine_loader import EngineLoader
 from kumquatrun.errors import (
--- /dev/null
+++ b/src/kumquatrun/reload_costs.py
@@ -0,0 +1,70 @@
+"""Expected cost of loading an adapter again after it was evicted."""
+
+from typing import NamedTuple
+
+# A use counts half after this time; about the time in which the popularity
+# of an adapter shifts.
+USE_HALF_LIFE_S = 60.0
+DEFAULT_LOAD_S = 0.25
+FORGET_USES_BELOW = 0.01
+FORGET_ABOVE_ENTRIES = 4096
+
+
+class AdapterKey(NamedTuple):
+    """An adapter at one version."""
+
+    adapter: str
+    version: str
+
+    def __str__(self) -> str:
+        return f'{self.adapter}@{self.version}'
+
+
+class _Entry(NamedTuple):
+    uses: float
+    counted_s: float
+    load_s: float
+
+
+class ReloadCosts:
+    """Recent use of adapters, decayed exponentially, times their load time."""
+
+    def __init__(self) -> None:
+        self._entries: dict[AdapterKey, _Entry] = {}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def record_use(self, key: AdapterKey, now_s: float) -> None:
+        """Count one use."""
+        load_s = self._entry(key, now_s).load_s
+        uses = self._uses(key, now_s) + 1
+        self._entries[key] = _Entry(uses, now_s, load_s)
+        if len(self._entries) > FORGET_ABOVE_ENTRIES:
+            self._forget_unused(now_s)
+
+    def record_load(self, key: AdapterKey, load_s: float, now_s: float) -> None:
+        """Record how long a load took."""
+        entry = self._entry(key, now_s)
+        self._entries[key] = entry._replace(load_s=load_s)
+
+    def cost_s(self, key: AdapterKey | None, now_s: float) -> float:
+        """Return decayed uses times load time; 0 for an unused adapter."""
+        if key is None:
+            return 0
+        return self._uses(key, now_s) * self._entry(key, now_s).load_s
+
+    def _entry(self, key: AdapterKey, now_s: float) -> _Entry:
+        return self._entries.get(key, _Entry(0, now_s, DEFAULT_LOAD_S))
+
+    def _uses(self, key: AdapterKey, now_s: float) -> float:
+        entry = self._entry(key, now_s)
+        age_s = now_s - entry.counted_s
+        return entry.uses * 0.5 ** (age_s / USE_HALF_LIFE_S)
+
+    def _forget_unused(self, now_s: float) -> None:
+        self._entries = {
+            key: entry
+            for key, entry in self._entries.items()
+            if self._uses(key, now_s) >= FORGET_USES_BELOW
+        }
--- a/src/kumquatrun/sse.py
+++ b/src/kumquatrun/sse.py
@@ -1,10 +1,10 @@
 """Server-sent events: splitting a byte stream into whole events."""
 
-import json
 import re
 from collections.abc import Iterable
 from typing import Any
 
+from kumquatrun.completions import json_object
 from kumquatrun.errors import BackendError
 
 MAX_EVENT_BYTES = 1024 * 1024
@@ -54,8 +54,4 @@
         for line in lines
         if line.startswith(b'data:')
     )
-    try:
-        content = json.loads(text)
-    except ValueError:
-        return None
-    return content if isinstance(content, dict) else None
+    return json_object(text)
--- /dev/null
+++ b/tests/test_suspects.py
@@ -0,0 +1,71 @@
+"""Suspects: what a crash is blamed on, and running a suspect alone."""
+
+import pytest
+
+from kumquatrun.suspects import BatchRecord, CrashReport, SoloGate
+
+# Requests received, requests ended, expected report.
+CRASH_CASES = {
+    'idle': ([], [], None),
+    'one': ([(1, 'p')], [], CrashReport(('p',), alone=True)),
+    'batch': (
+        [(1, 'p'), (2, 'q')],
+        [],
+        CrashReport(('p', 'q'), alone=False),
+    ),
+    'ended_is_not_blamed': (
+        [(1, 'p'), (2, 'q')],
+        [1],
+        CrashReport(('q',), alone=True),
+    ),
+    'same_fingerprint_twice': (
+        [(1, 'p'), (2, 'p')],
+        [],
+        CrashReport(('p',), alone=True),
+    ),
+    'nameless_request_prevents_alone': (
+        [(1, 'p'), (2, '')],
+        [],
+        CrashReport(('p',), alone=False),
+    ),
+    'only_nameless': ([(1, '')], [], None),
+}
+
+
+@pytest.mark.parametrize('name', CRASH_CASES)
+def test_crash_is_blamed_on_the_batch(name):
+    # Guards against quarantining a request that only shared the batch.
+    received, ended, expected = CRASH_CASES[name]
+    batch = BatchRecord()
+    for token, fingerprint in received:
+        batch.add(token, fingerprint)
+    for token in ended:
+        batch.discard(token)
+    assert batch.crashed() == expected
+    assert batch.crashed() is None
+
+
+def test_suspect_runs_after_the_batch_and_before_the_next_one():
+    # Guards against innocent requests that share the batch of a suspect.
+    gate = SoloGate()
+    gate.start('r1', alone=False)
+    assert not gate.may_start('s', alone=True)
+    gate.wait_alone('s')
+    assert not gate.may_start('r2', alone=False)
+    gate.finish('r1')
+    assert not gate.may_start('other', alone=True)
+    assert gate.may_start('s', alone=True)
+    gate.start('s', alone=True)
+    assert not gate.may_start('r2', alone=False)
+    assert not gate.may_start('s2', alone=True)
+    gate.finish('s')
+    assert gate.may_start('r2', alone=False)
+
+
+def test_withdrawn_suspect_reopens_the_gate():
+    # Guards against an agent that stays closed after a cancelled suspect.
+    gate = SoloGate()
+    gate.start('r1', alone=False)
+    gate.wait_alone('s')
+    gate.finish('s')
+    assert gate.may_start('r2', alone=False)
