Split the consensus core and the replica into modules of one job

A replica that is recorded as a member stores that fact, so that a later replacement learns from it that the group exists. A join request changes the address of a replica only after the leader has accepted it.

--- /dev/null
+++ b/src/kumquatrun/quorum_election.py
@@ -0,0 +1,230 @@
+"""Roles, terms and elections of one replica."""
+
+import logging
+import random
+from dataclasses import replace
+
+from kumquatrun.consensus_messages import VoteReply, VoteRequest
+from kumquatrun.quorum_entries import EntryLog, LogInvariantError
+from kumquatrun.quorum_types import Envelope, HardState, Identity, Timing
+from kumquatrun.quorum_votes import Campaign, candidate_key, may_grant
+from kumquatrun.statechart import load_chart
+
+log = logging.getLogger(__name__)
+
+
+class Election:
+    """Role of a replica, its durable vote and its campaigns.
+
+    Attributes
+    ----------
+    role
+        State of the chart ``replica``.
+    hard_state
+        Term and vote.
+    leader_id
+        Replica id of the leader of the current term, empty if not known.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        entries: EntryLog,
+        hard_state: HardState,
+        timing: Timing,
+        rng: random.Random,
+        now_s: float,
+    ) -> None:
+        self.hard_state = hard_state
+        self.leader_id = ''
+        self._chart = load_chart('replica')
+        self.role = self._chart.initial
+        self._identity = identity
+        self._log = entries
+        self._timing = timing
+        self._rng = rng
+        self._campaign: Campaign | None = None
+        self._messages: list[Envelope] = []
+        self._leader_heard_s = float('-inf')
+        self._due_s = now_s
+        self._postpone(now_s)
+
+    @property
+    def term(self) -> int:
+        """Return the current term."""
+        return self.hard_state.term
+
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this replica won the election of its term."""
+        return self.role == 'leader'
+
+    def take_messages(self) -> list[Envelope]:
+        """Return the messages to send and forget them."""
+        messages = self._messages
+        self._messages = []
+        return messages
+
+    def tick(self, now_s: float) -> None:
+        """Start a campaign if no leader was heard for too long."""
+        if now_s < self._due_s:
+            return
+        if self._chart.accepts(self.role, 'election_timeout'):
+            self._time_out(now_s)
+        else:
+            self._postpone(now_s)
+
+    def follow_membership(self, now_s: float) -> None:
+        """Match the role with the membership.
+
+        A replica that is removed by an entry that is not committed yet keeps
+        its role: its vote may be needed to commit that entry.
+        """
+        own = (self._identity.replica_id, self._identity.disk_id)
+        is_voter = self._log.membership.is_voter(
+            *own,
+        ) or self._log.committed_membership.is_voter(*own)
+        if is_voter and self._chart.accepts(self.role, 'became_voter'):
+            self._step('became_voter', now_s)
+            if len(self._log.membership.voters) == 1:
+                self._due_s = now_s
+        elif not is_voter and self.role != 'learner':
+            self._step('membership_lost', now_s)
+
+    def lose_majority(self, now_s: float) -> None:
+        """Step down from leadership without a majority."""
+        log.warning('event=majority_lost term=%s', self.term)
+        self._step('majority_lost', now_s)
+
+    def adopt_term(self, term: int, now_s: float) -> None:
+        """Follow a higher term; other terms have no effect."""
+        if term > self.term:
+            self.hard_state = HardState(term)
+            self.leader_id = ''
+            self._step('higher_term', now_s)
+
+    def hear_leader(self, term: int, sender: str, now_s: float) -> None:
+        """Record a message of the leader of ``term``, at least the own term.
+
+        Raises
+        ------
+        LogInvariantError
+            If the term has another leader.
+        """
+        self.adopt_term(term, now_s)
+        if self.is_leader or self.leader_id not in {'', sender}:
+            raise LogInvariantError(
+                f'{sender} is a second leader of term {term}',
+            )
+        self._step('leader_heard', now_s)
+        self.leader_id = sender
+        self._leader_heard_s = now_s
+        self._postpone(now_s)
+
+    def on_vote_request(
+        self,
+        request: VoteRequest,
+        confirmed_at_s: float,
+        now_s: float,
+    ) -> VoteReply:
+        """Grant or refuse a vote.
+
+        ``confirmed_at_s`` is the time of the newest round that a majority
+        confirmed to this replica as the leader.
+        """
+        granted = False
+        heard_s = max(self._leader_heard_s, confirmed_at_s)
+        if not self._must_refuse(request, heard_s, now_s):
+            if not request.pre_vote:
+                self.adopt_term(request.term, now_s)
+            granted = may_grant(request, self.hard_state, self._log)
+        if granted and not request.pre_vote:
+            self.hard_state = replace(
+                self.hard_state,
+                voted_for=candidate_key(request.sender, request.disk_id),
+            )
+            self._postpone(now_s)
+        return VoteReply(
+            term=request.term if granted else self.term,
+            sender=self._identity.replica_id,
+            disk_id=self._identity.disk_id,
+            granted=granted,
+            pre_vote=request.pre_vote,
+        )
+
+    def on_vote_reply(self, reply: VoteReply, now_s: float) -> None:
+        """Count a vote."""
+        if not reply.granted:
+            self.adopt_term(reply.term, now_s)
+        if self._campaign is not None:
+            self._campaign.record(reply)
+            self._check_campaign(now_s)
+
+    def _must_refuse(
+        self,
+        request: VoteRequest,
+        heard_s: float,
+        now_s: float,
+    ) -> bool:
+        return (
+            request.voter_disk_id != self._identity.disk_id
+            or now_s - heard_s < self._timing.election_min_s
+        )
+
+    def _time_out(self, now_s: float) -> None:
+        self.leader_id = ''
+        self._step('election_timeout', now_s)
+        self._campaign_for(self.term + 1, now_s, pre_vote=True)
+
+    def _stand(self, now_s: float) -> None:
+        """Start a real campaign after a won pre-vote."""
+        self._step('pre_votes_won', now_s)
+        own = self._identity
+        own_vote = candidate_key(own.replica_id, own.disk_id)
+        self.hard_state = HardState(self.term + 1, own_vote)
+        self._campaign_for(self.term, now_s, pre_vote=False)
+
+    def _campaign_for(self, term: int, now_s: float, *, pre_vote: bool) -> None:
+        self._postpone(now_s)
+        self._campaign = Campaign(
+            self._identity,
+            self._log.membership,
+            term,
+            pre_vote=pre_vote,
+        )
+        self._messages.extend(self._campaign.requests(self._log))
+        self._check_campaign(now_s)
+
+    def _check_campaign(self, now_s: float) -> None:
+        campaign = self._campaign
+        if campaign is None or not campaign.is_won:
+            return
+        if campaign.pre_vote:
+            self._stand(now_s)
+        else:
+            self._step('votes_won', now_s)
+            self.leader_id = self._identity.replica_id
+
+    def _step(self, event: str, now_s: float) -> None:
+        before = self.role
+        self.role = self._chart.next_state(before, event)
+        if self.role == before:
+            return
+        if before == 'leader':
+            self.leader_id = ''
+            self._postpone(now_s)
+        if self.role not in {'pre_candidate', 'candidate'}:
+            self._campaign = None
+        log.info(
+            'event=role_changed role=%s term=%s replica=%s',
+            self.role,
+            self.term,
+            self._identity.replica_id,
+        )
+
+    def _postpone(self, now_s: float) -> None:
+        timeout_s = self._rng.uniform(
+            self._timing.election_min_s,
+            self._timing.election_max_s,
+        )
+        self._due_s = now_s + timeout_s
--- a/src/kumquatrun/quorum_follower.py
+++ b/src/kumquatrun/quorum_follower.py
@@ -2,9 +2,15 @@
 
 from dataclasses import dataclass
 
-from kumquatrun.consensus_messages import AppendRequest, SnapshotChunk
+from kumquatrun.consensus_messages import (
+    AppendReply,
+    AppendRequest,
+    SnapshotChunk,
+    SnapshotReply,
+)
+from kumquatrun.quorum_election import Election
 from kumquatrun.quorum_entries import EntryLog
-from kumquatrun.quorum_types import Snapshot, SnapshotMeta
+from kumquatrun.quorum_types import Identity, Snapshot, SnapshotMeta
 
 
 @dataclass(frozen=True)
@@ -65,3 +71,79 @@
     def next_offset(self) -> int:
         """Return the offset of the next chunk."""
         return len(self._content)
+
+
+class Follower:
+    """Answers the messages of a leader."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        entries: EntryLog,
+        election: Election,
+    ) -> None:
+        self._identity = identity
+        self._log = entries
+        self._election = election
+        self._receiver = SnapshotReceiver()
+        self._installed: Snapshot | None = None
+
+    def take_snapshot(self) -> Snapshot | None:
+        """Return a completely received snapshot and forget it."""
+        snapshot = self._installed
+        self._installed = None
+        return snapshot
+
+    def on_append_request(
+        self,
+        request: AppendRequest,
+        now_s: float,
+    ) -> AppendReply:
+        """Append entries; an outdated leader is refused."""
+        accepted = AppendResult(success=False, match_index=0)
+        if request.term >= self._election.term:
+            self._election.hear_leader(request.term, request.sender, now_s)
+            accepted = accept_entries(self._log, request)
+        return AppendReply(
+            term=self._election.term,
+            sender=self._identity.replica_id,
+            disk_id=self._identity.disk_id,
+            success=accepted.success,
+            match_index=accepted.match_index,
+            round_number=request.round_number,
+        )
+
+    def on_snapshot_chunk(
+        self,
+        chunk: SnapshotChunk,
+        now_s: float,
+    ) -> SnapshotReply:
+        """Collect a snapshot; an outdated leader is refused."""
+        installed = False
+        if chunk.term >= self._election.term:
+            self._election.hear_leader(chunk.term, chunk.sender, now_s)
+            installed = self._accept_chunk(chunk)
+        return SnapshotReply(
+            term=self._election.term,
+            sender=self._identity.replica_id,
+            disk_id=self._identity.disk_id,
+            last_index=chunk.last_index,
+            next_offset=self._receiver.next_offset,
+            installed=installed,
+            round_number=chunk.round_number,
+        )
+
+    def _accept_chunk(self, chunk: SnapshotChunk) -> bool:
+        if self._log.commit_index >= chunk.last_index:
+            return True
+        if self._log.term_at(chunk.last_index) == chunk.last_term:
+            # The log holds all that the snapshot covers. Discarding it would
+            # lose later entries that this replica may have acknowledged.
+            self._log.commit_to(chunk.last_index)
+            return True
+        snapshot = self._receiver.accept(chunk)
+        if snapshot is None:
+            return False
+        self._log.reset(snapshot.meta)
+        self._installed = snapshot
+        return True
--- a/src/kumquatrun/quorum_leader.py
+++ b/src/kumquatrun/quorum_leader.py
@@ -1,7 +1,6 @@
 """The leader's part of the quorum log: replication, commit and rounds."""
 
 import logging
-from dataclasses import dataclass
 
 from kumquatrun.consensus_messages import (
     AppendReply,
@@ -11,21 +10,13 @@
 )
 from kumquatrun.quorum_entries import EntryLog
 from kumquatrun.quorum_progress import ChunkTransfer, Progress
-from kumquatrun.quorum_types import ChunkOrder, Envelope, Timing
+from kumquatrun.quorum_types import ChunkOrder, Envelope, Identity, Timing
 
 log = logging.getLogger(__name__)
 
 CHUNK_RETRY_S = 1.0
 
 
-@dataclass(frozen=True)
-class Identity:
-    """Replica id and disk identity of this replica."""
-
-    replica_id: str
-    disk_id: str
-
-
 class Leadership:
     """State of one term as leader.
 
@@ -36,6 +27,8 @@
         earlier terms are.
     progress
         Replication state by replica id.
+    membership
+        Membership that the progress was matched with.
     """
 
     def __init__(
@@ -58,6 +51,7 @@
         self._elected_s = now_s
         self._round_sent_s: dict[int, float] = {}
         self._outbox: list[Envelope | ChunkOrder] = []
+        self.follow_membership(now_s)
 
     def take_messages(self) -> list[Envelope | ChunkOrder]:
         """Return the messages to send and forget them."""
@@ -68,6 +62,7 @@
     def follow_membership(self, now_s: float) -> None:
         """Keep one progress per recorded replica and per joining disk."""
         membership = self._log.membership
+        self.membership = membership
         for replica_id in list(self.progress):
             known = self.progress[replica_id]
             if replica_id not in membership.by_id and not known.address:
@@ -107,6 +102,14 @@
         self._send(replica_id, now_s, heartbeat=True)
         return True
 
+    def joining_addresses(self) -> dict[str, str]:
+        """Return the addresses of disks that are not members yet."""
+        return {
+            replica_id: row.address
+            for replica_id, row in self.progress.items()
+            if row.address
+        }
+
     def start_round(self, now_s: float) -> int:
         """Send a heartbeat round; returns its number."""
         self.round_number += 1
--- a/src/kumquatrun/quorum_node.py
+++ b/src/kumquatrun/quorum_node.py
@@ -103,6 +103,8 @@
         Index of the last entry that the state machine has applied.
     """
 
+    core_type = QuorumLog
+
     def __init__(
         self,
         settings: NodeSettings,
@@ -127,7 +129,7 @@
             stored.meta,
             joining=settings.joining,
         )
-        self.core = QuorumLog(
+        self.core = self.core_type(
             settings.replica_id,
             stored,
             options.timing,
@@ -135,7 +137,6 @@
             now_s,
         )
         self.applied_index = 0
-        self._was_member = False
         self._contact_due_s = now_s
         self._contacts: list[Envelope] = []
         self._warned_of_conflict = False
@@ -271,10 +272,12 @@
     def _make_contacts(self, now_s: float) -> None:
         """Send formation states or join requests until they are not needed."""
         own_id = self._settings.replica_id
-        self._was_member = self._was_member or (
-            self.core.membership.includes(own_id, self.disk_id)
-        )
-        if self._formation.meta.formed or self._was_member:
+        if self._formation.meta.formed:
+            return
+        if self.core.membership.includes(own_id, self.disk_id):
+            # From now on it tells replacements that the group exists, and it
+            # does not join again after it is removed.
+            self._save_meta(self._formation.form())
             return
         self._contact_due_s = now_s + FORMATION_INTERVAL_S
         step = self._advance_formation(now_s)
@@ -283,6 +286,7 @@
             return
         if step is FormationStep.JOIN:
             self._contact_due_s = now_s + JOIN_INTERVAL_S
+            self._forget_agreement()
             msg = JoinRequest(
                 sender=own_id,
                 disk_id=self.disk_id,
@@ -291,6 +295,12 @@
         peers = self._formation.peers
         self._contacts = [Envelope(peer, msg) for peer in peers]
 
+    def _forget_agreement(self) -> None:
+        """Drop an agreed membership that never became that of a group."""
+        meta = self._formation.meta
+        if meta.initial:
+            self._save_meta(replace(meta, initial=()))
+
     def _advance_formation(self, now_s: float) -> FormationStep | None:
         if self._formation.meta.formed:
             return None
--- a/src/kumquatrun/quorum_types.py
+++ b/src/kumquatrun/quorum_types.py
@@ -4,7 +4,14 @@
 from typing import Any
 
 from kumquatrun.consensus_messages import LogEntry, Member
-from kumquatrun.quorum_membership import Membership
+
+
+@dataclass(frozen=True)
+class Identity:
+    """Replica id and disk identity of a replica."""
+
+    replica_id: str
+    disk_id: str
 
 
 @dataclass(frozen=True)
@@ -136,19 +143,3 @@
     replica_id: str
     disk_id: str = ''
     address: str = ''
-
-
-__all__ = (
-    'Barrier',
-    'ChunkOrder',
-    'Envelope',
-    'HardState',
-    'Membership',
-    'MembershipChange',
-    'Output',
-    'ReplicaMeta',
-    'Snapshot',
-    'SnapshotMeta',
-    'StoredState',
-    'Timing',
-)
--- a/src/kumquatrun/quorum_votes.py
+++ b/src/kumquatrun/quorum_votes.py
@@ -2,18 +2,17 @@
 
 from kumquatrun.consensus_messages import VoteReply, VoteRequest
 from kumquatrun.quorum_entries import EntryLog
-from kumquatrun.quorum_leader import Identity
 from kumquatrun.quorum_membership import Membership
-from kumquatrun.quorum_types import Envelope, HardState
+from kumquatrun.quorum_types import Envelope, HardState, Identity
 
 
-def candidate_key(request: VoteRequest) -> str:
+def candidate_key(replica_id: str, disk_id: str) -> str:
     """Return the durable name of a candidate.
 
     It contains the disk, so that a replacement in the same term does not use
     the vote that was given to the replica it replaces.
     """
-    return f'{request.sender}/{request.disk_id}'
+    return f'{replica_id}/{disk_id}'
 
 
 class Campaign:
@@ -86,7 +85,7 @@
     else:
         in_term = request.term == hard_state.term and hard_state.voted_for in {
             '',
-            candidate_key(request),
+            candidate_key(request.sender, request.disk_id),
         }
     candidate_log = (request.last_term, request.last_index)
     return in_term and candidate_log >= (log.last_term, log.last_index)
--- a/src/kumquatrun/replica.py
+++ b/src/kumquatrun/replica.py
@@ -26,7 +26,6 @@
 from kumquatrun.log_store import Storage
 from kumquatrun.messages import Ack
 from kumquatrun.peer import Address
-from kumquatrun.quorum_log import QuorumLog
 from kumquatrun.quorum_node import (
     LogNode,
     NodeOptions,
@@ -34,6 +33,7 @@
     StateMachine,
 )
 from kumquatrun.quorum_types import Envelope, MembershipChange, Output
+from kumquatrun.replica_status import ReplicaStatus
 from kumquatrun.replica_transport import Transport
 from kumquatrun.replica_work import ReplicaWork, Reply
 from kumquatrun.settings import ReplicaSettings
@@ -54,7 +54,7 @@
 )
 
 
-class Replica:
+class Replica(ReplicaStatus):
     """One replica of the replicated log.
 
     Parameters
@@ -85,82 +85,18 @@
         rng: random.Random,
         options: NodeOptions | None = None,
     ) -> None:
-        self.failure: Exception | None = None
-        self._settings = settings
+        super().__init__(settings)
         self._machine = state_machine
         self._transport = transport
         self._storage = storage
         self._clock = clock
         self._rng = rng
         self._options = options or NodeOptions()
-        self._node: LogNode | None = None
         self._work = ReplicaWork()
         self._flushing = False
-        self._role_listeners: list[Callable[[], None]] = []
-        self._seen_role: tuple = ()
-        self._seen_members: tuple = ()
+        self._seen_addresses: dict[str, str] = {}
         self._ticker: asyncio.Task | None = None
 
-    @property
-    def is_leader(self) -> bool:
-        """Return whether this replica is the leader of its term."""
-        return self._node is not None and self._node.core.is_leader
-
-    @property
-    def leader_id(self) -> str:
-        """Return the replica id of the known leader, else an empty string."""
-        return self._node.core.leader_id if self._node else ''
-
-    @property
-    def leader_address(self) -> Address | None:
-        """Return the address of the known leader."""
-        if self._node is None:
-            return None
-        member = self._node.core.membership.by_id.get(self.leader_id)
-        if member is not None and member.address:
-            return Address.parse(member.address)
-        return dict(self._settings.replicas).get(self.leader_id)
-
-    @property
-    def term(self) -> int:
-        """Return the current term."""
-        return self._node.core.term if self._node else 0
-
-    @property
-    def commit_index(self) -> int:
-        """Return the last index known to be committed."""
-        return self._node.core.entries.commit_index if self._node else 0
-
-    @property
-    def applied_index(self) -> int:
-        """Return the last index that the state machine has applied."""
-        return self._node.applied_index if self._node else 0
-
-    @property
-    def members(self):
-        """Return the members of the newest membership."""
-        return self._node.core.membership.members if self._node else ()
-
-    @property
-    def disk_id(self) -> str:
-        """Return the identity of the data folder, empty before the start."""
-        return self._node.disk_id if self._node else ''
-
-    @property
-    def quorum_confirmed_at_s(self) -> float:
-        """Return when the newest confirmed heartbeat round was sent.
-
-        Leases are counted from this clock time. Minus infinity if this
-        replica is not the leader or no round was confirmed yet.
-        """
-        if self._node is None or self._node.core.leadership is None:
-            return float('-inf')
-        return self._node.core.leadership.confirmed_at_s
-
-    def on_role_change(self, listener: Callable[[], None]) -> None:
-        """Call ``listener`` after each change of role, leader or term."""
-        self._role_listeners.append(listener)
-
     async def start(self) -> None:
         """Load the stored state and take part in the group.
 
@@ -224,8 +160,7 @@
             raise InvalidRequestError(f'unexpected {type(request).__name__}')
         self._require_running()
         if isinstance(request, JoinRequest):
-            address = Address.parse(request.address)
-            self._transport.set_addresses({request.sender: address})
+            _check_address(request.address)
         future = self._work.add_request(request)
         self._schedule_flush()
         return await future
@@ -330,11 +265,6 @@
                 f'no {what} in {timeout_s} s',
             ) from None
 
-    def _require_running(self) -> QuorumLog:
-        if self._node is None or self.failure is not None:
-            raise NotLeaderError('the replica does not run')
-        return self._node.core
-
     def _on_reply(self, msg: Any) -> None:
         if self._node is not None and not isinstance(msg, Ack):
             self._work.add_reply(msg)
@@ -360,7 +290,7 @@
         After a failed sync it is not known what is durable, and a violated
         invariant must not spread.
         """
-        if self._node is None or self.failure is not None:
+        if not self._is_running:
             return
         try:
             step(*arguments)
@@ -368,6 +298,7 @@
             log.exception('event=replica_failed')
             self.failure = error
             self._work.fail_all(NotLeaderError(f'the replica failed: {error}'))
+            self._notify_role()
 
     def _begin_flush(self) -> None:
         node = self._node
@@ -403,23 +334,27 @@
             self._transport.send(envelope.receiver, envelope.message)
 
     def _follow_addresses(self) -> None:
-        members = self._node.core.membership.members
-        if members is self._seen_members:
-            return
-        self._seen_members = members
-        self._transport.set_addresses(
-            {
-                member.replica_id: Address.parse(member.address)
-                for member in members
-                if member.address
-                and member.replica_id != self._settings.replica_id
-            },
-        )
-
-    def _notify_role(self) -> None:
+        """Pass the addresses of members and of joining disks on."""
         core = self._node.core
-        seen = (core.role, core.leader_id, core.term)
-        if seen != self._seen_role:
-            self._seen_role = seen
-            for listener in self._role_listeners:
-                listener()
+        addresses = {
+            member.replica_id: member.address
+            for member in core.membership.members
+        }
+        if core.leadership is not None:
+            addresses |= core.leadership.joining_addresses()
+        if addresses != self._seen_addresses:
+            self._seen_addresses = addresses
+            self._transport.set_addresses(
+                {
+                    replica_id: Address.parse(address)
+                    for replica_id, address in addresses.items()
+                    if address and replica_id != self._settings.replica_id
+                },
+            )
+
+
+def _check_address(text: str) -> None:
+    try:
+        Address.parse(text)
+    except ValueError as error:
+        raise InvalidRequestError(f'address of a replica: {error}') from None
--- /dev/null
+++ b/src/kumquatrun/replica_status.py
@@ -0,0 +1,109 @@
+"""Read-only view of a running replica."""
+
+from collections.abc import Callable
+
+from kumquatrun.consensus_messages import Member
+from kumquatrun.errors import NotLeaderError
+from kumquatrun.peer import Address
+from kumquatrun.quorum_log import QuorumLog
+from kumquatrun.quorum_node import LogNode
+from kumquatrun.settings import ReplicaSettings
+
+
+class ReplicaStatus:
+    """Role, positions and membership of a replica.
+
+    Attributes
+    ----------
+    failure
+        Error that stopped the replica, for example a failed sync or a
+        violated invariant; None while it is well.
+    """
+
+    def __init__(self, settings: ReplicaSettings) -> None:
+        self.failure: Exception | None = None
+        self._settings = settings
+        self._node: LogNode | None = None
+        self._role_listeners: list[Callable[[], None]] = []
+        self._seen_role: tuple = ()
+
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this replica is the leader of its term."""
+        return self._is_running and self._node.core.is_leader
+
+    @property
+    def leader_id(self) -> str:
+        """Return the replica id of the known leader, else an empty string."""
+        return self._node.core.election.leader_id if self._is_running else ''
+
+    @property
+    def leader_address(self) -> Address | None:
+        """Return the address of the known leader."""
+        member = self._member_of(self.leader_id)
+        if member is not None and member.address:
+            return Address.parse(member.address)
+        return dict(self._settings.replicas).get(self.leader_id)
+
+    @property
+    def term(self) -> int:
+        """Return the current term."""
+        return self._node.core.term if self._node else 0
+
+    @property
+    def commit_index(self) -> int:
+        """Return the last index known to be committed."""
+        return self._node.core.entries.commit_index if self._node else 0
+
+    @property
+    def applied_index(self) -> int:
+        """Return the last index that the state machine has applied."""
+        return self._node.applied_index if self._node else 0
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """Return the newest membership, committed or not."""
+        return self._node.core.membership.members if self._node else ()
+
+    @property
+    def disk_id(self) -> str:
+        """Return the identity of the data folder, empty before the start."""
+        return self._node.disk_id if self._node else ''
+
+    @property
+    def quorum_confirmed_at_s(self) -> float:
+        """Return when the newest confirmed heartbeat round was sent.
+
+        Leases are counted from this clock time. Minus infinity if this
+        replica is not the leader or no round was confirmed yet.
+        """
+        if not self.is_leader:
+            return float('-inf')
+        return self._node.core.require_leader().confirmed_at_s
+
+    def on_role_change(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after each change of role, leader or term."""
+        self._role_listeners.append(listener)
+
+    @property
+    def _is_running(self) -> bool:
+        return self._node is not None and self.failure is None
+
+    def _member_of(self, replica_id: str) -> Member | None:
+        for member in self.members:
+            if member.replica_id == replica_id:
+                return member
+        return None
+
+    def _require_running(self) -> QuorumLog:
+        if not self._is_running:
+            raise NotLeaderError('the replica does not run')
+        return self._node.core
+
+    def _notify_role(self) -> None:
+        election = self._node.core.election
+        seen = (election.role, self.leader_id, election.term)
+        if seen != self._seen_role:
+            self._seen_role = seen
+            for listener in self._role_listeners:
+                listener()
