--- a/src/kumquatrun/cli_daemons.py
+++ b/src/kumquatrun/cli_daemons.py
@@ -6,7 +6,6 @@
 
 import click
 
-from kumquatrun import daemons
 from kumquatrun.cli_output import ExitCode, exit_code_of
 from kumquatrun.errors import KumquatrunError
 from kumquatrun.logs import configure_logs
@@ -41,6 +40,10 @@
 
 def start_daemon(daemon: str, given: dict[str, Any]) -> None:
     """Check the settings and run the daemon until it is told to stop."""
+    # Imported late: the operator commands need none of the daemons' parts
+    # and start in half the time without them.
+    from kumquatrun import daemons
+
     try:
         settings = build_settings(daemon, given)
     except KumquatrunError as error:
--- a/src/kumquatrun/cli_output.py
+++ b/src/kumquatrun/cli_output.py
@@ -71,9 +71,24 @@
     operation_id: str = '',
     hint: str = '',
 ) -> NoReturn:
-    """Print an error and end the command with its exit code."""
+    """Print an error and end the command with its exit code.
+
+    Parameters
+    ----------
+    error
+        What went wrong.
+    as_json
+        Whether to print a JSON object.
+    operation_id
+        Id to repeat the command with.
+    hint
+        What to do if the outcome is unknown; by default, to repeat the
+        command with the operation id.
+    """
     code = exit_code_of(error)
-    if code is ExitCode.OUTCOME_UNKNOWN and operation_id and not hint:
+    if code is not ExitCode.OUTCOME_UNKNOWN:
+        hint = ''
+    elif operation_id and not hint:
         hint = (
             f'Repeat the command with --operation-id {operation_id}: it '
             'is then executed at most once.'
@@ -118,13 +133,25 @@
 def _text_lines(result: Mapping[str, Any]) -> list[str]:
     lines = []
     for name, value in result.items():
-        if _is_table(value):
-            lines.extend(_table_lines(value) or [f'{name}: none'])
-        else:
-            lines.append(f'{name}: {_cell(value)}')
+        lines.extend(_value_lines(name, value))
     return lines or ['done']
 
 
+def _value_lines(name: str, value: Any) -> list[str]:
+    if isinstance(value, Mapping):
+        named = [
+            {'name': key, **row}
+            for key, row in value.items()
+            if isinstance(row, Mapping)
+        ]
+        if named and len(named) == len(value):
+            return [f'{name}:', *_table_lines(named)]
+        return [f'{key}: {_cell(entry)}' for key, entry in value.items()]
+    if _is_table(value):
+        return _table_lines(value) or [f'{name}: none']
+    return [f'{name}: {_cell(value)}']
+
+
 def _is_table(value: Any) -> bool:
     return isinstance(value, (list, tuple)) and all(
         isinstance(row, Mapping) for row in value
@@ -147,6 +174,10 @@
 
 
 def _cell(value: Any) -> str:
-    if isinstance(value, (Mapping, list, tuple)):
-        return json.dumps(value, ensure_ascii=False, default=_plain)
+    if isinstance(value, Mapping):
+        return ', '.join(f'{key}={_cell(row)}' for key, row in value.items())
+    if isinstance(value, (list, tuple)):
+        return ', '.join(map(_cell, value))
+    if isinstance(value, bool):
+        return 'yes' if value else 'no'
     return str(_plain(value))
--- a/src/kumquatrun/relay.py
+++ b/src/kumquatrun/relay.py
@@ -41,11 +41,9 @@
 _AVOID_ERRORS = (DrainingError, StaleDispatchError)
 
 
-class CallerGoneError(KumquatrunError):
+class CallerGoneError(StreamCutError):
     """Ends a request whose caller disconnected or reads too slowly."""
 
-    kind = StreamCutError.kind
-
 
 @dataclass(frozen=True)
 class RelayResult:
--- /dev/null
+++ b/tests/test_errors.py
@@ -0,0 +1,35 @@
+"""Errors: codes that cross process borders and rebuild the same class."""
+
+import importlib
+import pkgutil
+
+import pytest
+
+import kumquatrun
+from kumquatrun import errors
+from kumquatrun.errors import Outcome, error_from_code, error_kinds
+from kumquatrun.peer import error_to_reply, reply_to_error
+
+for module in pkgutil.iter_modules(kumquatrun.__path__):
+    if module.name != '__main__':
+        importlib.import_module(f'kumquatrun.{module.name}')
+
+
+@pytest.mark.parametrize('code', sorted(error_kinds()))
+def test_code_stands_for_one_class(code):
+    # Guards against a class in another module that takes over a code: an
+    # entry then treated a stream cut by an agent as a caller that had gone,
+    # and sent no error event.
+    error_class = error_kinds()[code]
+    assert error_class.__module__ == errors.__name__
+    error = error_class('detail', outcome=Outcome.RAN, retry_after_s=2)
+    rebuilt = reply_to_error(error_to_reply(error))
+    assert type(rebuilt) is error_class
+    assert vars(rebuilt) == vars(error)
+    assert error_class.kind.remedy in str(rebuilt)
+
+
+def test_unknown_code_of_a_newer_peer_is_not_hidden():
+    error = error_from_code('from_the_future', 'detail', outcome=Outcome.RAN)
+    assert error.code == 'internal_error'
+    assert error.outcome is Outcome.RAN
--- /dev/null
+++ b/tests/test_reference_pages.py
@@ -0,0 +1,125 @@
+"""Reference pages: they list everything that exists, and nothing else."""
+
+import re
+from pathlib import Path
+
+import click
+import pytest
+
+from kumquatrun.cli import main
+from kumquatrun.cli_output import ExitCode, exit_code_of
+from kumquatrun.errors import error_kinds
+from kumquatrun.metrics import METRICS
+from kumquatrun.setting_table import ALL_DAEMONS, SETTINGS
+
+ROOT = Path(__file__).resolve().parent.parent
+DOCS = ROOT / 'docs'
+
+
+def page(name):
+    return (DOCS / name).read_text(encoding='utf-8')
+
+
+def default_text(row):
+    if row.required:
+        return 'required'
+    return 'not set' if row.default is None else f'`{row.default}`'
+
+
+def setting_rows():
+    for row in SETTINGS:
+        used = 'all' if row.daemons == ALL_DAEMONS else ', '.join(row.daemons)
+        yield (
+            f'| `{row.flag}` | `{row.env_name}` | {used} '
+            f'| {default_text(row)} | {row.text} |'
+        )
+
+
+def metric_rows():
+    for metric in METRICS:
+        kind = metric.kind.__name__.lower()
+        labels = ', '.join(metric.labels) or 'none'
+        yield (
+            f'| `kumquatrun_{metric.name}` | {kind} | {labels} '
+            f'| {metric.text} |'
+        )
+
+
+def error_rows():
+    for code, error_class in error_kinds().items():
+        kind = error_class.kind
+        exit_code = int(exit_code_of(error_class('x')))
+        text = error_class.__doc__.splitlines()[0]
+        yield (
+            f'| `{code}` | {kind.http_status} | `{kind.outcome}` '
+            f'| {exit_code} | {text} | {kind.remedy} |'
+        )
+
+
+def commands(group=main, path=()):
+    for name, command in group.commands.items():
+        if isinstance(command, click.Group):
+            yield from commands(command, (*path, name))
+        else:
+            yield ' '.join((*path, name)), command
+
+
+PAGES = (
+    ('settings.md', setting_rows, r'^\| `--'),
+    ('metrics-and-logs.md', metric_rows, r'^\| `kumquatrun_\w+` \|'),
+    ('errors.md', error_rows, r'^\| `\w+` \| \d+ \|'),
+)
+
+
+@pytest.mark.parametrize(('name', 'rows', 'pattern'), PAGES)
+def test_table_has_exactly_the_rows_that_exist(name, rows, pattern):
+    found = [
+        line for line in page(name).splitlines() if re.match(pattern, line)
+    ]
+    # Compared as sets first, because the difference names the wrong rows.
+    assert set(found) == set(rows())
+    assert len(found) == len(list(rows()))
+
+
+@pytest.mark.parametrize(('path', 'command'), list(commands()))
+def test_every_command_and_option_is_listed(path, command):
+    text = page('commands.md')
+    assert f'`kumquatrun {path}' in text
+    if path not in ALL_DAEMONS:
+        for parameter in command.params:
+            assert parameter.name != 'help'
+            for flag in parameter.opts if parameter.opts[0][0] == '-' else ():
+                assert flag in text, flag
+            if isinstance(parameter, click.Option) and parameter.envvar:
+                assert parameter.envvar in text, parameter.envvar
+
+
+def test_no_command_or_variable_is_invented():
+    known = {path for path, _ in commands()}
+    variables = {row.env_name for row in SETTINGS}
+    variables |= {
+        str(option.envvar)
+        for _, command in commands()
+        for option in command.params
+    }
+    for path in [*DOCS.glob('*.md'), ROOT / 'README.md']:
+        text = path.read_text(encoding='utf-8')
+        for words in re.findall(r'`?kumquatrun ((?:[a-z]+ ?)+)', text):
+            parts = words.split()
+            if path.name == 'design.md' or parts[0] in {'and'}:
+                continue
+            assert {' '.join(parts[:2]), parts[0]} & known, (path.name, words)
+        if path.name != 'design.md':
+            used = set(re.findall(r'KUMQUATRUN_[A-Z_]+[A-Z]', text))
+            assert used <= variables, path.name
+
+
+def test_exit_codes_are_listed():
+    found = re.findall(r'^\| (\d) \| `(\w+)` \|', page('commands.md'), re.M)
+    assert found == [(str(int(code)), code.name) for code in ExitCode]
+
+
+def test_links_lead_somewhere():
+    for path in [*DOCS.glob('*.md'), ROOT / 'README.md']:
+        for target in re.findall(r'\]\(([^)#]+)\)', path.read_text()):
+            assert (path.parent / target).exists(), (path.name, target)
