--- a/bench/local_cluster.py
+++ b/bench/local_cluster.py
@@ -151,6 +151,23 @@
             if code is not None:
                 raise ClusterError(f'{process.name} ended with code {code}')
 
+    async def wait_for_end(self, name: str) -> int:
+        """Wait until a process has ended by itself; returns its code.
+
+        Raises
+        ------
+        ClusterError
+            If it has not ended in time.
+        """
+        process = next(each for each in self.processes if each.name == name)
+        until_s = time.monotonic() + STOP_TIMEOUT_S
+        while time.monotonic() < until_s:
+            code = process.popen.poll()
+            if code is not None:
+                return code
+            await asyncio.sleep(POLL_S)
+        raise ClusterError(f'{name} has not ended in {STOP_TIMEOUT_S} s')
+
     async def operate(self, *arguments: str) -> dict[str, Any]:
         """Run an operator command and return its JSON result."""
         command = [sys.executable, *DAEMON, *arguments, '--json']
--- a/src/kumquatrun/relay.py
+++ b/src/kumquatrun/relay.py
@@ -35,11 +35,9 @@
 _AVOID_CODES = frozenset(('connection_lost', 'draining', 'stale_dispatch'))
 
 
-class CallerGoneError(KumquatrunError):
+class CallerGoneError(StreamCutError):
     """Ends a request whose caller disconnected or reads too slowly."""
 
-    kind = StreamCutError.kind
-
 
 @dataclass(frozen=True)
 class RelayResult:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -67,7 +67,8 @@
 
 SIMPLE = (
     (('status',), 'get_status', {}, 'leader: control-1'),
-    (('hosts',), 'list_hosts', {}, 'host_id  draining'),
+    (('status',), 'get_status', {}, 'name  rate'),
+    (('hosts',), 'list_hosts', {}, 'host_id  draining  loaded_on'),
     (('adapters',), 'list_adapters', {}, 'adapters: none'),
     (
         ('audit', '--after', '7', '--limit', '20'),
@@ -75,7 +76,7 @@
         {'after': 7, 'limit': 20},
         'number  operator',
     ),
-    (('drain', 'e1'), 'drain_host', {'host_id': 'e1'}, 'draining: True'),
+    (('drain', 'e1'), 'drain_host', {'host_id': 'e1'}, 'draining: yes'),
     (
         ('replica', 'add', 'd', '10.0.0.4:7400', 'disk-4'),
         'add_replica',
@@ -156,20 +157,26 @@
     assert control.revision == 1
 
 
+DRAIN = ('drain', 'e1')
 AFTER_A_LOST_REPLY = (
-    (INTERNAL, ExitCode.OUTCOME_UNKNOWN),
-    (InvalidKeyError('wrong operator token'), ExitCode.OUTCOME_UNKNOWN),
-    (NotFoundError('no host e1'), ExitCode.REFUSED),
+    (DRAIN, INTERNAL, ExitCode.OUTCOME_UNKNOWN),
+    (DRAIN, InvalidKeyError('wrong token'), ExitCode.OUTCOME_UNKNOWN),
+    (DRAIN, NotFoundError('no host e1'), ExitCode.REFUSED),
+    (
+        ('replica', 'remove', 'd'),
+        NotFoundError('no replica d'),
+        ExitCode.OUTCOME_UNKNOWN,
+    ),
 )
 
 
-@pytest.mark.parametrize(('error', 'code'), AFTER_A_LOST_REPLY)
-def test_refusal_of_a_resend(invoke, control, error, code):
+@pytest.mark.parametrize(('command', 'error', 'code'), AFTER_A_LOST_REPLY)
+def test_refusal_of_a_resend(invoke, control, command, error, code):
     # Only the state machine knows that the first attempt had no effect; a
     # check in front of it must not turn "unknown" into "not run".
     control.lose_replies = 1
     control.error_after_loss = error
-    assert invoke('drain', 'e1').exit_code == code
+    assert invoke(*command).exit_code == code
 
 
 def test_lost_replies_of_reads_are_unreachable(invoke, control):
@@ -337,6 +344,13 @@
     assert 'kq-' not in result.output
 
 
+def test_refused_key_gets_no_hint_about_a_lost_one(invoke, control):
+    control.errors = [NotFoundError('no account mill')]
+    result = invoke('key', 'issue', 'mill')
+    assert result.exit_code == ExitCode.REFUSED
+    assert 'key-' not in result.output
+
+
 def test_operation_id_is_not_taken_from_the_environment(invoke, control):
     # A variable that is left set would make later changes return the result
     # of the first one.
