Reserve tokens from the wallet of the control state

The budget client now uses TokenWallet. Requests of one account wait in order of arrival and one call asks for what all of them lack; before, 50 waiting requests with a leader that answers in 0.2 s needed 10 calls in a row, which is the whole 2 s bound. A lost grant is asked for again until the bound, so that a leader election refuses nobody. Tokens that were used beyond a reservation are taken from later grants.

--- a/src/kumquatrun/budget_client.py
+++ b/src/kumquatrun/budget_client.py
@@ -5,55 +5,62 @@
 """
 
 import asyncio
+from collections import Counter, defaultdict
 from dataclasses import dataclass
-from importlib import import_module
-from typing import Any
 
 from kumquatrun.clock import Clock
 from kumquatrun.control_api import NodeSession
-from kumquatrun.errors import KumquatrunError, RateLimitedError
-from kumquatrun.messages import BudgetReport, GrantReply, GrantTokens
+from kumquatrun.errors import (
+    KumquatrunError,
+    NotFoundError,
+    RateLimitedError,
+)
+from kumquatrun.messages import BudgetReport, GrantTokens
+from kumquatrun.token_wallet import Reservation, TokenWallet
 
 GRANT_TIMEOUT_S = 1.0
 # Bounds how long a request may wait for tokens before it is refused: long
 # enough for a grant across regions and one leader election of about 1 s.
 MAX_WAIT_S = 2.0
 MIN_ASK_INTERVAL_S = 0.02
+UNREACHABLE_INTERVAL_S = 0.1
 DEFAULT_RETRY_AFTER_S = 1.0
 
 
 @dataclass(frozen=True)
-class Charge:
-    """A reservation together with the wallet's incarnation."""
+class _Answer:
+    """How the leader answered a request for tokens."""
 
-    account: str
-    reservation: Any
-    incarnation: str
-
-
-def make_wallet() -> Any:
-    """Return an empty token wallet."""
-    return import_module('kumquatrun.token_wallet').TokenWallet()
+    retry_after_s: float
+    problem: str = ''
 
 
 class BudgetClient:
-    """Reserves, consumes and settles tokens of client accounts."""
+    """Reserves, consumes and settles tokens of client accounts.
+
+    Requests of one account wait for tokens in the order of their arrival, so
+    that small requests cannot starve a large one.
+    """
 
     def __init__(
         self,
-        wallet: Any,
         session: NodeSession,
         clock: Clock,
         max_wait_s: float = MAX_WAIT_S,
     ) -> None:
-        self._wallet = wallet
         self._session = session
         self._clock = clock
         self._max_wait_s = max_wait_s
-        self._incarnation = session.record.incarnation
-        self._asking: dict[str, asyncio.Task] = {}
-
-    async def reserve(self, account: str, tokens: int) -> Charge:
+        record = session.record
+        self.wallet = TokenWallet(record.host_id, record.incarnation)
+        self._had_lease = session.lease_valid()
+        # Tokens that were used beyond a reservation when none were idle.
+        self._debts: Counter[str] = Counter()
+        self._waiting: Counter[str] = Counter()
+        self._turns: defaultdict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
+        self._asking: dict[str, asyncio.Task[_Answer]] = {}
+
+    async def reserve(self, account: str, tokens: int) -> Reservation:
         """Reserve tokens; waits a bounded time for a grant.
 
         Raises
@@ -61,46 +68,95 @@
         RateLimitedError
             If the tokens are not available in time; ``cause`` names why.
         """
-        deadline_s = self._clock.now_s() + self._max_wait_s
-        while True:
-            charge = self._try_reserve(account, tokens)
-            if charge is not None:
-                return charge
-            retry_after_s = await self._ask(account)
-            wait_s = max(MIN_ASK_INTERVAL_S, retry_after_s)
-            charge = self._try_reserve(account, tokens)
-            if charge is not None:
-                return charge
-            if self._clock.now_s() + wait_s >= deadline_s:
-                raise RateLimitedError(
-                    f'account {account} has no {tokens} tokens left',
-                    retry_after_s=retry_after_s or DEFAULT_RETRY_AFTER_S,
-                    cause='over_rate',
-                )
-            await asyncio.sleep(wait_s)
+        turn = self._turns[account]
+        if not turn.locked():
+            reservation = self._try_reserve(account, tokens)
+            if reservation is not None:
+                self._ask_ahead(account)
+                return reservation
+        self._waiting[account] += tokens
+        try:
+            return await self._wait_for_turn(account, tokens)
+        finally:
+            self._waiting[account] -= tokens
 
-    def consume(self, charge: Charge, tokens: int) -> None:
-        """Record consumed tokens of a reservation."""
-        if tokens > 0 and charge.incarnation == self._incarnation:
-            self._wallet.consume(charge.reservation, tokens)
+    def consume(self, reservation: Reservation, tokens: int) -> None:
+        """Record consumed tokens of a reservation.
 
-    def settle(self, charge: Charge) -> None:
+        An estimate may have been too low; what exceeds the reservation is
+        taken from idle tokens, and from later grants if there are none.
+        """
+        outcome = self.wallet.consume(reservation, tokens)
+        if outcome.is_ok() or outcome.unwrap_err().cause != 'over_rate':
+            return
+        missing = outcome.unwrap_err().missing_tokens
+        self._debts[reservation.account] += missing
+        self.wallet.consume(reservation, tokens - missing)
+
+    def settle(self, reservation: Reservation) -> None:
         """Return the rest of a reservation."""
-        if charge.incarnation == self._incarnation:
-            self._wallet.settle(charge.reservation)
+        self.wallet.settle(reservation)
 
     def take_reports(self) -> tuple[BudgetReport, ...]:
         """Return what was consumed and returned since the last report."""
-        return tuple(self._wallet.take_reports(self._clock.now_s()))
+        return self.wallet.take_reports(self._clock.now_s())
 
     def follow_session(self) -> None:
-        """Empty the wallet when the host has a new incarnation."""
+        """Empty the wallet when the lease ends or the incarnation changes."""
         incarnation = self._session.record.incarnation
-        if incarnation != self._incarnation:
-            self._incarnation = incarnation
-            self._wallet.clear()
+        has_lease = self._session.lease_valid()
+        if incarnation != self.wallet.incarnation:
+            self.wallet.clear(incarnation)
+        elif self._had_lease and not has_lease:
+            self.wallet.clear()
+        self._had_lease = has_lease
+
+    async def _wait_for_turn(self, account: str, tokens: int) -> Reservation:
+        turn = self._turns[account]
+        deadline_s = self._clock.now_s() + self._max_wait_s
+        try:
+            async with asyncio.timeout(self._max_wait_s):
+                await turn.acquire()
+        except TimeoutError:
+            raise _over_rate(account, tokens, DEFAULT_RETRY_AFTER_S) from None
+        try:
+            return await self._wait(account, tokens, deadline_s)
+        finally:
+            turn.release()
+
+    async def _wait(
+        self,
+        account: str,
+        tokens: int,
+        deadline_s: float,
+    ) -> Reservation:
+        while True:
+            reservation = self._try_reserve(account, tokens)
+            if reservation is not None:
+                return reservation
+            answer = await self._ask(account)
+            reservation = self._try_reserve(account, tokens)
+            if reservation is not None:
+                return reservation
+            wait_s = self._expected_wait_s(account, tokens, answer)
+            if self._clock.now_s() + wait_s >= deadline_s:
+                raise _refusal(account, tokens, answer, wait_s)
+            await asyncio.sleep(wait_s)
 
-    def _try_reserve(self, account: str, tokens: int) -> Charge | None:
+    def _expected_wait_s(
+        self,
+        account: str,
+        tokens: int,
+        answer: _Answer,
+    ) -> float:
+        # The leader answers for all waiting requests; the first one needs
+        # only its own part.
+        idle_tokens = self.wallet.idle_tokens(account)
+        all_missing = max(1, self._waiting[account] - idle_tokens)
+        own_share = min(1, (tokens - idle_tokens) / all_missing)
+        return max(MIN_ASK_INTERVAL_S, answer.retry_after_s * own_share)
+
+    def _try_reserve(self, account: str, tokens: int) -> Reservation | None:
         self.follow_session()
         if not self._session.lease_valid():
             raise RateLimitedError(
@@ -108,46 +164,90 @@
                 retry_after_s=DEFAULT_RETRY_AFTER_S,
                 cause='lease_lost',
             )
-        outcome = self._wallet.reserve(account, tokens, self._clock.now_s())
-        if outcome.is_err():
-            return None
-        return Charge(account, outcome.ok_value, self._incarnation)
-
-    async def _ask(self, account: str) -> float:
-        """Ask for tokens; requests of one account share a call.
-
-        Returns
-        -------
-        float
-            Time after which more tokens are expected, in seconds.
-        """
+        self._pay_debt(account)
+        now_s = self._clock.now_s()
+        return self.wallet.reserve(account, tokens, now_s).unwrap_or(None)
+
+    def _pay_debt(self, account: str) -> None:
+        tokens = min(self._debts[account], self.wallet.idle_tokens(account))
+        if tokens > 0:
+            now_s = self._clock.now_s()
+            payment = self.wallet.reserve(account, tokens, now_s).unwrap()
+            self.wallet.consume(payment, tokens)
+            self.wallet.settle(payment)
+            self._debts[account] -= tokens
+
+    def _request_for_all(self, account: str) -> GrantTokens | None:
+        """Return a grant request for what all waiting requests lack."""
+        now_s = self._clock.now_s()
+        waiting_tokens = self._waiting[account]
+        if waiting_tokens > self.wallet.idle_tokens(account):
+            # A reservation that fails tells the wallet what is needed.
+            self.wallet.reserve(account, waiting_tokens, now_s)
+        return self.wallet.grant_request(account, now_s)
+
+    def _ask_ahead(self, account: str) -> None:
+        if account not in self._asking:
+            request = self.wallet.grant_request(account, self._clock.now_s())
+            if request is not None:
+                self._start_asking(request)
+
+    async def _ask(self, account: str) -> _Answer:
         task = self._asking.get(account)
         if task is None:
-            task = asyncio.create_task(self._ask_leader(account))
-            self._asking[account] = task
-            task.add_done_callback(lambda _: self._asking.pop(account))
-        return await asyncio.shield(task)
-
-    async def _ask_leader(self, account: str) -> float:
-        incarnation = self._incarnation
-        request = GrantTokens(
-            host_id=self._session.record.host_id,
-            incarnation=incarnation,
-            account=account,
-            wanted_tokens=self._wallet.wanted(account, self._clock.now_s()),
-        )
+            request = self._request_for_all(account)
+            if request is None:
+                return _Answer(MIN_ASK_INTERVAL_S)
+            task = self._start_asking(request)
+            return await asyncio.shield(task)
+        # The call under way was sized before this request needed tokens.
+        await asyncio.wait([task])
+        return _Answer(0)
+
+    def _start_asking(self, request: GrantTokens) -> asyncio.Task[_Answer]:
+        account = request.account
+        task = asyncio.create_task(self._ask_leader(request))
+        self._asking[account] = task
+        task.add_done_callback(lambda _: self._asking.pop(account, None))
+        return task
+
+    async def _ask_leader(self, request: GrantTokens) -> _Answer:
+        call = self._session.control.call
         try:
-            reply: GrantReply = await self._session.control.call(
-                request, GRANT_TIMEOUT_S
-            )
+            reply = await call(request, GRANT_TIMEOUT_S)
+        except NotFoundError as error:
+            self.wallet.abandon_grant(request)
+            return _Answer(self._max_wait_s, error.detail)
         except KumquatrunError as error:
-            raise RateLimitedError(
-                f'the control leader granted no tokens: {error.detail}',
-                retry_after_s=DEFAULT_RETRY_AFTER_S,
-                cause='budget_unreachable',
-            ) from error
+            self.wallet.abandon_grant(request)
+            return _Answer(UNREACHABLE_INTERVAL_S, error.detail)
         self.follow_session()
-        # A grant to an earlier incarnation already counts as consumed.
-        if reply.granted_tokens and incarnation == self._incarnation:
-            self._wallet.add_grant(account, reply.granted_tokens)
-        return reply.retry_after_s
+        self.wallet.add_grant(request.account, reply.granted_tokens, request)
+        return _Answer(reply.retry_after_s)
+
+
+def _refusal(
+    account: str,
+    tokens: int,
+    answer: _Answer,
+    wait_s: float,
+) -> RateLimitedError:
+    if not answer.problem:
+        return _over_rate(account, tokens, wait_s)
+    return RateLimitedError(
+        f'the control leader granted no tokens: {answer.problem}',
+        retry_after_s=DEFAULT_RETRY_AFTER_S,
+        cause='budget_unreachable',
+    )
+
+
+def _over_rate(
+    account: str,
+    tokens: int,
+    retry_after_s: float,
+) -> RateLimitedError:
+    return RateLimitedError(
+        f'account {account} has no {tokens} tokens left',
+        retry_after_s=retry_after_s,
+        cause='over_rate',
+    )
--- a/src/kumquatrun/dispatch.py
+++ b/src/kumquatrun/dispatch.py
@@ -83,13 +83,12 @@
     def consume(self, execution: Execution, used_tokens: int) -> None:
         """Raise the consumption of a request to ``used_tokens``.
 
-        A retried request is charged once, and never more than was reserved.
+        A retried request is charged once.
         """
-        used_tokens = min(used_tokens, execution.request.cost_tokens)
         tokens = used_tokens - execution.consumed_tokens
-        if execution.charge is not None and tokens > 0:
+        if execution.reservation is not None and tokens > 0:
             execution.consumed_tokens = used_tokens
-            self._budgets.consume(execution.charge, tokens)
+            self._budgets.consume(execution.reservation, tokens)
 
     async def _run(
         self,
@@ -252,8 +251,13 @@
 
 
 def streamed_tokens(execution: Execution, writer: AnswerWriter) -> int:
-    """Return the tokens of the prompt and of what was streamed so far."""
-    return execution.request.prompt_tokens + writer.counter.events
+    """Return the tokens of the prompt and of what was streamed so far.
+
+    Events are an estimate, so they never count for more than was reserved.
+    """
+    request = execution.request
+    used_tokens = request.prompt_tokens + writer.counter.events
+    return min(used_tokens, request.cost_tokens)
 
 
 def _unexpected_item(record: HostRecord) -> BackendError:
--- a/src/kumquatrun/entry.py
+++ b/src/kumquatrun/entry.py
@@ -5,13 +5,12 @@
 import random
 import uuid
 from collections.abc import Callable
-from typing import Any
 
 from aiohttp import web
 
 from kumquatrun.admission import Admission, HttpRequest
 from kumquatrun.agent_pool import AgentPool
-from kumquatrun.budget_client import BudgetClient, make_wallet
+from kumquatrun.budget_client import BudgetClient
 from kumquatrun.claim_client import ClaimClient
 from kumquatrun.clock import Clock
 from kumquatrun.control_api import NodeSession
@@ -56,8 +55,6 @@
         The host's membership; it must have registered.
     clock
         Time source.
-    wallet
-        Token wallet of this entry; a new ``TokenWallet`` by default.
     policy
         Selects agents.
     rng
@@ -74,7 +71,6 @@
         session: NodeSession,
         clock: Clock,
         *,
-        wallet: Any = None,
         policy: PlacementPolicy | None = None,
         rng: random.Random | None = None,
         invariants: Invariants | None = None,
@@ -93,7 +89,7 @@
             connect,
             settings.cluster_token,
         )
-        self._budgets = BudgetClient(wallet or make_wallet(), session, clock)
+        self._budgets = BudgetClient(session, clock)
         self._relay = Relay(
             session,
             clock,
--- a/src/kumquatrun/execution.py
+++ b/src/kumquatrun/execution.py
@@ -4,10 +4,10 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 
-from kumquatrun.budget_client import Charge
 from kumquatrun.document import RouteSpec
 from kumquatrun.errors import KumquatrunError, Outcome
 from kumquatrun.messages import Finished
+from kumquatrun.token_wallet import Reservation
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -63,7 +63,7 @@
 
     Attributes
     ----------
-    charge
+    reservation
         Reserved tokens; None on open routes and before the reservation.
     is_claimed
         Whether a claim must be ended when the request ends.
@@ -83,7 +83,7 @@
         self.output_tokens = 0
         self.first_byte_s: float | None = None
         self.interruption: KumquatrunError | None = None
-        self.charge: Charge | None = None
+        self.reservation: Reservation | None = None
         self.consumed_tokens = 0
         self.is_claimed = False
         self.is_claim_pending = False
--- a/src/kumquatrun/relay.py
+++ b/src/kumquatrun/relay.py
@@ -148,7 +148,7 @@
         request = execution.request
         self._check_admission(request)
         if request.account:
-            execution.charge = await self._budgets.reserve(
+            execution.reservation = await self._budgets.reserve(
                 request.account, request.cost_tokens
             )
         if request.idempotency_key:
@@ -276,10 +276,10 @@
         execution.output_tokens = writer.counter.events
         if execution.finished is not None and execution.finished.prompt_tokens:
             execution.output_tokens = execution.finished.output_tokens
-        if execution.charge is not None:
+        if execution.reservation is not None:
             used_tokens = self._used_tokens(execution, writer)
             self.dispatcher.consume(execution, used_tokens)
-            self._budgets.settle(execution.charge)
+            self._budgets.settle(execution.reservation)
         if execution.is_claimed:
             answer = writer.stored_answer() if execution.finished else None
             self._spawn(
