--- a/src/kumquatrun/agent_pool.py
+++ b/src/kumquatrun/agent_pool.py
@@ -63,7 +63,7 @@
             for record in records.values()
             if record.host_id not in excluded
         ]
-        usable = [each for each in others if not self._is_avoided(each)]
+        usable = [each for each in others if self._is_usable(each)]
         request = PlacementRequest(
             service=service,
             adapter=adapter,
@@ -116,16 +116,25 @@
         await asyncio.gather(*(client.close() for client in clients))
         await asyncio.gather(*self._closing)
 
-    def _is_avoided(self, record: HostRecord) -> bool:
+    def _is_usable(self, record: HostRecord) -> bool:
         estimate = self._estimate(record.host_id)
-        return (
+        is_avoided = (
             estimate.incarnation == record.incarnation
             and self._clock.now_s() < estimate.avoid_until_s
         )
+        report = self._report_of(record)
+        # An agent that cannot serve now reports no capacity.
+        return not is_avoided and (report is None or report.capacity > 0)
+
+    def _report_of(self, record: HostRecord) -> AgentReport | None:
+        report = self._session.view.report_of(record.host_id)
+        if report is not None and report.incarnation != record.incarnation:
+            return None
+        return report
 
     def _load_of(self, record: HostRecord) -> AgentLoad:
         estimate = self._estimate(record.host_id)
-        report = self._session.view.report_of(record.host_id)
+        report = self._report_of(record)
         if report is not estimate.report:
             estimate.report = report
             estimate.open_at_report = estimate.open_now
--- a/src/kumquatrun/entry.py
+++ b/src/kumquatrun/entry.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 import random
-import uuid
 from collections.abc import Callable
 
 from aiohttp import web
@@ -19,6 +18,7 @@
     DrainingError,
     InvalidRequestError,
     KumquatrunError,
+    NoCapacityError,
 )
 from kumquatrun.execution import Execution
 from kumquatrun.http_server import (
@@ -26,6 +26,7 @@
     SWEEPS_PER_TIMEOUT,
     HttpServer,
     ResponseSink,
+    new_request_id,
     read_body,
 )
 from kumquatrun.invariants import Invariants
@@ -213,21 +214,22 @@
             return web.Response(status=HTTP_OK if self.is_ready else 503)
         began_s = self._clock.now_s()
         http = HttpRequest(
-            request_id=uuid.uuid4().hex,
+            request_id=new_request_id(),
             method=request.method,
             path=request.raw_path,
             headers=request.headers,
         )
         sink = ResponseSink(request, http.request_id)
         try:
-            route, key, account = self._admit(http)
+            if request.protocol.is_surplus:
+                raise NoCapacityError('this entry has too many connections')
+            caller = self._admit(http)
         except KumquatrunError as error:
             _log_refused(http, '', error)
             return await self._fail(sink, error)
+        account = caller[-1]
         try:
-            return await self._serve(
-                request, sink, http, (route, key, account), began_s
-            )
+            return await self._serve(request, sink, http, caller, began_s)
         except KumquatrunError as error:
             _log_refused(http, account, error)
             return await self._fail(sink, error)
@@ -247,7 +249,7 @@
         caller: tuple[RouteSpec, str, str],
         began_s: float,
     ) -> web.StreamResponse:
-        route, key, account = caller
+        route = caller[0]
         if self._is_models_call(http, route):
             adapters = self._admission.table.adapters_of(route)
             await sink.send(_models_answer(render_models(adapters)))
@@ -264,7 +266,8 @@
             headers=http.headers,
             body=body,
         )
-        relayed = self._admission.build(http, route, key, account)
+        # The document or the key may have changed while the body arrived.
+        relayed = self._admission.build(http, *self._admit(http))
         execution = Execution(relayed)
         self._open[sink] = execution
         try:
@@ -289,7 +292,8 @@
         error: KumquatrunError,
     ) -> web.StreamResponse:
         response = await sink.fail(error)
-        if self._state == 'draining':
+        is_surplus = sink.connection.is_surplus
+        if is_surplus or self._state == 'draining':
             response.force_close()
         return response
 
--- a/src/kumquatrun/http_server.py
+++ b/src/kumquatrun/http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import uuid
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
@@ -31,6 +32,8 @@
 IDLE_TIMEOUT_S = 75.0
 LINGERING_S = 2.0
 SWEEPS_PER_TIMEOUT = 8
+# Connections over the limit that still get a typed refusal.
+MAX_SURPLUS_CONNECTIONS = 100
 JSON_TYPE = 'application/json'
 HTTP_BAD_REQUEST = 400
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -39,11 +42,16 @@
 
 
 class _Connection(RequestHandler):
-    """One caller's connection."""
+    """One caller's connection.
+
+    ``is_surplus`` is true for a connection over the limit; its first request
+    is refused.
+    """
 
     def __init__(self, *args, **kwargs) -> None:
         super().__init__(*args, **kwargs)
         self.is_busy = False
+        self.is_surplus = False
         self.idle_since_s = self._loop.time()
 
     def handle_error(
@@ -55,13 +63,24 @@
     ) -> web.StreamResponse:
         """Answer a malformed HTTP request with a typed error."""
         if status == HTTP_BAD_REQUEST:
+            # The rest of the message repeats what was sent, maybe a key.
+            problem = (message or '').partition(':')[0]
             error: KumquatrunError = InvalidRequestError(
-                f'malformed HTTP request: {message or exc}'[:200],
+                f'malformed HTTP request: {problem}',
             )
         else:
             log.error('event=handler_failed', exc_info=exc)
             error = KumquatrunError('unexpected error in the entry')
-        response = error_response(error, '')
+        request_id = new_request_id()
+        log.info(
+            'event=request_finished request_id=%s account= adapter= version= '
+            'host= outcome=%s status=%d code=%s ttft_ms= output_tokens=0',
+            request_id,
+            error.outcome,
+            error.kind.http_status,
+            error.code,
+        )
+        response = error_response(error, request_id)
         response.force_close()
         return response
 
@@ -99,9 +118,11 @@
         handler: RequestHandler,
         transport: asyncio.Transport,
     ) -> None:
-        """Close a connection over the limit at once."""
+        """Mark a connection over the limit; close one far over it."""
         super().connection_made(handler, transport)
-        if len(self._connections) > self._max_connections:
+        surplus = len(self._connections) - self._max_connections
+        handler.is_surplus = surplus > 0
+        if surplus > MAX_SURPLUS_CONNECTIONS:
             log.warning(
                 'event=connection_refused max_connections=%d',
                 self._max_connections,
@@ -141,6 +162,11 @@
         self._time = asyncio.get_running_loop().time
         self._is_event_stream = False
 
+    @property
+    def connection(self) -> _Connection:
+        """Return the caller's connection."""
+        return self._request.protocol
+
     async def start(self, status: int, content_type: str) -> None:
         """Send the head of an answer whose length is not known yet."""
         self._is_event_stream = content_type.startswith('text/event-stream')
@@ -202,6 +228,11 @@
         return headers
 
 
+def new_request_id() -> str:
+    """Return a unique request id."""
+    return uuid.uuid4().hex
+
+
 def error_response(error: KumquatrunError, request_id: str) -> web.Response:
     """Return the answer that carries ``error``."""
     return web.Response(
--- a/src/kumquatrun/relay.py
+++ b/src/kumquatrun/relay.py
@@ -32,7 +32,9 @@
 
 HTTP_SERVER_ERROR = 500
 # After one of these errors other agents are preferred for a while.
-_AVOID_CODES = frozenset(('connection_lost', 'draining', 'stale_dispatch'))
+_AVOID_CODES = frozenset(
+    ('connection_lost', 'control_unreachable', 'draining', 'stale_dispatch'),
+)
 
 
 class CallerGoneError(KumquatrunError):
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -65,6 +65,7 @@
                 access=Access.OPEN,
                 idempotent=True,
             ),
+            RouteSpec(path='/private/', service='ledger', accounts=('a',)),
             RouteSpec(path='/ledger/', service='ledger', cost_tokens=5),
             RouteSpec(
                 path='/stock/', service='ledger', cost_tokens=5, idempotent=True
@@ -207,6 +208,7 @@
     incarnation: str = 'i1'
     chunks: tuple[bytes, ...] = (b'{"choices":', b'[]}')
     content_type: str = 'application/json'
+    status: int = 200
     output_tokens: int = 2
     executions: list[Dispatch] = field(default_factory=list)
     dispatches: list[Dispatch] = field(default_factory=list)
@@ -275,7 +277,7 @@
             'host_id': self.host_id,
             'adapter': request.adapter,
             'version': request.version,
-            'status': 200,
+            'status': self.status,
             'content_type': self.content_type,
         }
         return Started(**fields | changes)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,17 +1,28 @@
 """Entry: HTTP requests in, dispatches out."""
 
+import asyncio
+import gzip
+import json
+import logging
+import re
+from contextlib import asynccontextmanager
+
 import aiohttp
 import pytest
 
 from entry_fakes import KEY, FakeAgent, FakeSession
 from kumquatrun.clock import LoopClock
 from kumquatrun.entry import Entry
+from kumquatrun.errors import BackendError
 from kumquatrun.invariants import Invariants
 from kumquatrun.peer import Address
 from kumquatrun.settings import EntrySettings
 
 AUTH = {'Authorization': f'Bearer {KEY}'}
 COMPLETION = {'model': 'wheat', 'prompt': 'hello', 'max_tokens': 8}
+EVENTS = tuple(b'data: {"n":%d}\n\n' % number for number in range(3))
+MAX_BODY_BYTES = 100_000
+WRITE_TIMEOUT_S = 0.4
 
 
 @pytest.fixture
@@ -19,25 +30,18 @@
     return FakeSession()
 
 
-@pytest.fixture
-async def agent(session):
-    agent = FakeAgent()
-    await agent.start(session)
-    yield agent
-    await agent.stop()
-
-
-@pytest.fixture
-async def entry(session):
-    settings = EntrySettings(
-        host_id='entry-1',
-        region='lahore',
-        http_listen=Address('127.0.0.1', 0),
-        write_timeout_s=1,
-        request_timeout_s=5,
-    )
+@asynccontextmanager
+async def running(session, **changes):
+    fields = {
+        'host_id': 'entry-1',
+        'region': 'lahore',
+        'http_listen': Address('127.0.0.1', 0),
+        'max_body_bytes': MAX_BODY_BYTES,
+        'write_timeout_s': WRITE_TIMEOUT_S,
+        'request_timeout_s': 5,
+    }
     entry = Entry(
-        settings,
+        EntrySettings(**fields | changes),
         session,
         LoopClock(),
         invariants=Invariants(is_strict=True),
@@ -47,12 +51,80 @@
     await entry.stop()
 
 
+@pytest.fixture
+async def entry(session):
+    async with running(session) as entry:
+        yield entry
+
+
+@asynccontextmanager
+async def agent_of(session, service):
+    agent = FakeAgent(host_id=f'{service}-agent', service=service)
+    await agent.start(session)
+    yield agent
+    await agent.stop()
+
+
+@pytest.fixture
+async def agent(session):
+    async with agent_of(session, 'assistant') as agent:
+        yield agent
+
+
+@pytest.fixture
+async def ledger(session):
+    async with agent_of(session, 'ledger') as agent:
+        agent.chunks = (b'book', b'ed')
+        yield agent
+
+
 @pytest.fixture
 async def client(entry):
     async with aiohttp.ClientSession(f'http://{entry.address}') as client:
         yield client
 
 
+async def raw(entry, sent, wait_s=2.0):
+    """Send bytes on a new connection and return the answer."""
+    address = entry.address
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    try:
+        writer.write(sent)
+        async with asyncio.timeout(wait_s):
+            received = b''
+            while chunk := await reader.read(65536):
+                received += chunk
+                if is_whole(received):
+                    break
+            return received
+    except (ConnectionResetError, TimeoutError):
+        return b''
+    finally:
+        writer.transport.abort()
+
+
+def is_whole(answer):
+    head, _, body = answer.partition(b'\r\n\r\n')
+    length = re.search(rb'(?i)content-length: (\d+)', head)
+    return length is not None and len(body) == int(length[1])
+
+
+async def until(condition, timeout_s=2.0):
+    async with asyncio.timeout(timeout_s):
+        while not condition():  # noqa: ASYNC110 - any state is awaited
+            await asyncio.sleep(0.005)
+
+
+async def check_serving(client, entry):
+    """The entry still answers others and holds nothing."""
+    async with client.post(
+        '/v1/completions', json=COMPLETION, headers=AUTH
+    ) as (answer):
+        assert answer.status == 200
+        await answer.read()
+    await until(lambda: entry.open_requests == 0)
+
+
 async def test_completion_reaches_the_agent(client, agent):
     async with client.post(
         '/v1/completions', json=COMPLETION, headers=AUTH
@@ -60,6 +132,379 @@
         assert answer.status == 200
         assert await answer.json() == {'choices': []}
         assert answer.headers['x-kumquatrun-outcome'] == 'ran'
+        assert len(answer.headers['x-request-id']) == 32
     [dispatch] = agent.executions
     assert (dispatch.adapter, dispatch.version) == ('wheat', '2')
+    assert (dispatch.account, dispatch.path) == ('a', '/v1/completions')
     assert KEY not in repr(dispatch)
+
+
+@pytest.mark.parametrize(
+    ('method', 'target', 'body', 'content_type'),
+    [
+        ('GET', '/ledger/accounts?from=1&to=%20x', b'', ''),
+        ('POST', '/ledger/book', b'\x00\xff', 'application/x-own'),
+        ('PUT', '/ledger/a/b', b'x' * 90_000, 'text/plain'),
+        ('DELETE', '/ledger/a%2Fb', b'', ''),
+        ('PATCH', '/ledger', b'{}', 'application/json'),
+    ],
+)
+@pytest.mark.parametrize('status', [200, 201, 404, 500])
+async def test_plain_call_is_passed_on(
+    client, ledger, method, target, body, content_type, status
+):
+    ledger.status = status
+    ledger.content_type = 'application/x-answer'
+    headers = AUTH | ({'Content-Type': content_type} if content_type else {})
+    url = f'{client._base_url}'.rstrip('/') + target
+    async with (
+        aiohttp.ClientSession() as plain,
+        plain.request(
+            method,
+            aiohttp.client.URL(url, encoded=True),
+            data=body or None,
+            headers=headers,
+            skip_auto_headers=['Content-Type'],
+        ) as answer,
+    ):
+        assert answer.status == status
+        assert answer.headers['Content-Type'] == 'application/x-answer'
+        assert await answer.read() == b'booked'
+    [dispatch] = ledger.executions
+    assert (dispatch.method, dispatch.path) == (method, target)
+    assert (dispatch.body, dispatch.content_type) == (body, content_type)
+
+
+def http(body=b'', path='/v1/completions', method='POST', **headers):
+    headers = {name.replace('_', '-'): text for name, text in headers.items()}
+    headers = AUTH | {'Host': 'x', 'Content-Length': len(body)} | headers
+    lines = [f'{method} {path} HTTP/1.1']
+    lines += [
+        f'{name}: {content}'
+        for name, content in headers.items()
+        if content is not None
+    ]
+    return '\r\n'.join([*lines, 'Connection: close', '', '']).encode() + body
+
+
+def completion(**changes):
+    return json.dumps(COMPLETION | changes).encode()
+
+
+CHUNK = b'%x\r\n%b\r\n' % (60_000, b'x' * 60_000)
+CHUNKED = {'Content_Length': None, 'Transfer_Encoding': 'chunked'}
+NOT_LISTED = {'Authorization': 'Bearer key-b'}
+BAD_REQUESTS = {
+    'malformed json': (http(b'{"model"'), 400, 'invalid_request'),
+    'json list': (http(b'[]'), 400, 'invalid_request'),
+    'empty body': (http(), 400, 'invalid_request'),
+    'wrong type': (http(completion(prompt=5)), 400, 'invalid_request'),
+    'deep json': (http(b'[' * 99_000), 400, 'invalid_request'),
+    'beyond burst': (
+        http(completion(max_tokens=99_999)),
+        400,
+        'invalid_request',
+    ),
+    'unknown adapter': (http(completion(model='no')), 404, 'model_not_found'),
+    'unknown version': (
+        http(completion(model='wheat@9')),
+        404,
+        'model_not_found',
+    ),
+    'no key': (http(completion(), Authorization=None), 401, 'invalid_key'),
+    'wrong key': (
+        http(completion(), Authorization='Bearer no'),
+        401,
+        'invalid_key',
+    ),
+    'basic auth': (
+        http(completion(), Authorization='Basic a2V5LWE='),
+        401,
+        'invalid_key',
+    ),
+    'huge key': (
+        http(completion(), Authorization='Bearer ' + 'x' * 5000),
+        401,
+        'invalid_key',
+    ),
+    'not listed': (
+        http(path='/private/', **NOT_LISTED),
+        403,
+        'not_permitted',
+    ),
+    'unknown path': (http(path='/nothing'), 404, 'route_not_found'),
+    'prefix only': (http(path='/v1x/completions'), 404, 'route_not_found'),
+    'other endpoint': (http(path='/v1/embeddings'), 404, 'route_not_found'),
+    'wrong method': (http(method='PUT'), 404, 'route_not_found'),
+    'dot segments': (
+        http(path='/ledger/../v1/completions'),
+        400,
+        'invalid_request',
+    ),
+    'encoded dots': (
+        http(path='/ledger/%2e%2E/v1/completions'),
+        400,
+        'invalid_request',
+    ),
+    'absolute form': (http(path='http://x/v1/completions'), 400, ''),
+    'long body': (
+        http(b'', Content_Length=MAX_BODY_BYTES + 1),
+        413,
+        'request_too_large',
+    ),
+    'long chunked body': (
+        http(CHUNK * 3 + b'0\r\n\r\n', **CHUNKED),
+        413,
+        'request_too_large',
+    ),
+    'broken chunk': (http(b'zz\r\nabc', **CHUNKED), 400, 'invalid_request'),
+    'compressed': (
+        http(gzip.compress(completion()), Content_Encoding='gzip'),
+        400,
+        'invalid_request',
+    ),
+    'slow body': (http(b'{', Content_Length=50), 504, 'deadline_exceeded'),
+    'long header': (http(X_Long='x' * 20_000), 400, 'invalid_request'),
+    'long path': (http(path='/v1/' + 'x' * 20_000), 400, 'invalid_request'),
+    'many headers': (
+        http(**{f'X_{number}': 'y' for number in range(500)}),
+        400,
+        'invalid_request',
+    ),
+    'long idempotency key': (
+        http(completion(), Idempotency_Key='k' * 300),
+        400,
+        'invalid_request',
+    ),
+    'not http': (b'\x16\x03\x01 hello\r\n\r\n', 400, 'invalid_request'),
+    'binary header': (
+        http(completion(), X_Odd='a\x00b'),
+        400,
+        'invalid_request',
+    ),
+    'two lengths': (
+        http(completion(), Transfer_Encoding='chunked'),
+        400,
+        'invalid_request',
+    ),
+}
+
+
+@pytest.mark.parametrize(
+    ('sent', 'status', 'code'), BAD_REQUESTS.values(), ids=BAD_REQUESTS
+)
+async def test_bad_request_gets_a_typed_error(
+    client, entry, agent, sent, status, code
+):
+    # Guards against untyped answers, and against one caller hurting others.
+    answer = await raw(entry, sent)
+    head, _, body = answer.partition(b'\r\n\r\n')
+    # aiohttp answers with version 1.0 when it could not parse the request.
+    assert re.match(rb'HTTP/1.[01] %d ' % status, head), answer[:300]
+    assert b'x-kumquatrun-outcome: not_run' in head
+    assert re.search(rb'x-request-id: \w{32}\r', head + b'\r')
+    error = json.loads(body)['error']
+    assert error['code'] == (code or error['code'])
+    assert error['outcome'] == 'not_run'
+    assert error['remedy']
+    assert not agent.executions
+    await check_serving(client, entry)
+
+
+@pytest.mark.parametrize('path', ['/v1/models', '/open/v1/models'])
+async def test_models_are_listed(client, path):
+    async with client.get(path, headers=AUTH) as answer:
+        models = (await answer.json())['data']
+    assert [model['id'] for model in models] == ['wheat', 'rice']
+
+
+async def test_missing_limit_is_put_into_the_body(client, agent):
+    body = {'model': 'wheat', 'prompt': 'hello'}
+    async with client.post(
+        '/v1/completions', json=body, headers=AUTH
+    ) as answer:
+        await answer.read()
+    [dispatch] = agent.executions
+    assert json.loads(dispatch.body)['max_tokens'] == 256
+    assert dispatch.cost_tokens == 256 + 2
+
+
+@asynccontextmanager
+async def stream(client, path='/v1/completions', **kwargs):
+    async with client.post(
+        path, json=COMPLETION | {'stream': True}, headers=AUTH, **kwargs
+    ) as answer:
+        yield answer
+
+
+def make_stream(agent, delay_s=0.0, chunks=EVENTS):
+    agent.content_type = 'text/event-stream'
+    agent.chunks = chunks
+    agent.chunk_delay_s = delay_s
+
+
+async def test_tokens_are_not_held_back(client, agent):
+    make_stream(agent, delay_s=0.2)
+    loop = asyncio.get_running_loop()
+    async with stream(client) as answer:
+        times = [loop.time() async for _ in answer.content.iter_any()]
+    assert len(times) == 3
+    assert times[-1] - times[0] > 0.3
+
+
+@pytest.mark.parametrize('path', ['/v1/completions', '/open/v1/completions'])
+@pytest.mark.parametrize('event', ['lease', 'key'])
+async def test_open_keyed_streams_end(client, session, agent, path, event):
+    # Guards against a revoked key or a lost lease that keeps being served.
+    make_stream(agent, delay_s=0.3)
+    async with stream(client, path) as answer:
+        first = await answer.content.readany()
+        session.is_leased = event != 'lease'
+        if event == 'key':
+            session.view.keys.clear()
+        session.changed()
+        async with asyncio.timeout(1):
+            rest = await answer.read()
+    if path.startswith('/open'):
+        assert first + rest == b''.join(EVENTS)
+        return
+    error = json.loads(rest.removeprefix(b'data: '))['error']
+    assert (error['code'], error['outcome']) == ('stream_cut', 'ran')
+    await until(lambda: agent.cancelled == 1)
+
+
+async def test_incomplete_plain_answer_is_not_ended(client, ledger):
+    # Guards against a cut answer that looks complete.
+    ledger.chunks = (b'x' * 200_000,)
+
+    async def fail(step, agent, context):
+        if step == 'end':
+            raise BackendError('lost the service')
+
+    ledger.hook = fail
+    with pytest.raises(aiohttp.ClientPayloadError):
+        async with client.post('/ledger/', headers=AUTH) as answer:
+            await answer.read()
+
+
+async def test_caller_that_leaves_cancels_its_dispatch(client, entry, agent):
+    make_stream(agent, delay_s=0.3)
+    async with stream(client) as answer:
+        await answer.content.readany()
+        answer.close()
+        await until(lambda: agent.cancelled == 1, 1)
+    await until(lambda: entry.open_requests == 0)
+
+
+async def test_caller_that_leaves_early_cancels_its_dispatch(
+    client, entry, agent
+):
+    make_stream(agent, delay_s=5)
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.1), stream(client):
+            pass
+    await until(lambda: agent.cancelled == 1)
+    await until(lambda: entry.open_requests == 0)
+
+
+async def test_slow_reader_is_cut(client, entry, agent):
+    # Guards against memory that a reader which never reads holds on to.
+    make_stream(agent, chunks=(b'x' * 100_000,) * 500)
+    address = entry.address
+    _, writer = await asyncio.open_connection(
+        address.host, address.port, limit=1024
+    )
+    writer.write(http(completion(stream=True)))
+    await until(lambda: agent.open == 1)
+    await asyncio.sleep(WRITE_TIMEOUT_S / 2)
+    assert agent.cancelled == 0
+    check_small_buffers(entry)
+    await until(lambda: agent.cancelled == 1, 4 * WRITE_TIMEOUT_S)
+    writer.transport.abort()
+    await until(lambda: entry.open_requests == 0)
+
+
+def check_small_buffers(entry):
+    transports = entry._http._connections.values()
+    sizes = [each.get_write_buffer_size() for each in transports]
+    assert 0 < sum(sizes) < 500_000
+
+
+@pytest.mark.parametrize('sent', [b'', b'POST /v1/comp', b'GET / HTTP/1.1\r\n'])
+async def test_idle_connection_is_closed(entry, monkeypatch, sent):
+    # Guards against connections that are held open and send nothing.
+    monkeypatch.setattr('kumquatrun.http_server.IDLE_TIMEOUT_S', 0.2)
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    await raw(entry, sent)
+    assert loop.time() - began_s < 1
+
+
+async def test_connections_are_limited(session, agent):
+    async with running(session, max_connections=3) as entry:
+        address = entry.address
+        held = [
+            await asyncio.open_connection(address.host, address.port)
+            for _ in range(3)
+        ]
+        answer = await raw(entry, http(completion()))
+        assert b'no_capacity' in answer
+        assert b'x-kumquatrun-outcome: not_run' in answer
+        for _, writer in held:
+            writer.transport.abort()
+        await asyncio.sleep(0.05)
+        answer = await raw(entry, http(completion()))
+        assert answer.startswith(b'HTTP/1.1 200')
+
+
+async def test_drain_finishes_open_requests(client, entry, agent, caplog):
+    # Guards against a planned shutdown that interrupts a request.
+    caplog.set_level(logging.INFO)
+    make_stream(agent, delay_s=0.2)
+    async with stream(client) as answer:
+        await answer.content.readany()
+        drain = asyncio.create_task(entry.drain(0.1))
+        await asyncio.sleep(0.05)
+        assert not entry.is_ready
+        async with client.get('/-/ready') as ready:
+            assert ready.status == 503
+        async with client.post(
+            '/v1/completions', json=COMPLETION, headers=AUTH
+        ) as refused:
+            error = (await refused.json())['error']
+            assert (refused.status, error['code']) == (503, 'draining')
+            assert refused.headers['Connection'] == 'close'
+        assert not drain.done()
+        assert (await answer.read()).endswith(EVENTS[-1])
+    await drain
+    assert 'event=stop_incomplete open_requests=1' in caplog.text
+
+
+FINISHED_LINE = re.compile(
+    r'event=request_finished request_id=\w{32} account=a adapter=wheat '
+    r'version=2 host=assistant-agent outcome=ran status=200 code= '
+    r'ttft_ms=\d+\.\d output_tokens=2$'
+)
+
+
+async def test_finished_request_is_logged_once(client, agent, caplog):
+    caplog.set_level(logging.DEBUG)
+    async with client.post(
+        '/v1/completions', json=COMPLETION, headers=AUTH
+    ) as answer:
+        await answer.read()
+    await until(lambda: 'request_finished' in caplog.text)
+    lines = [
+        record.getMessage()
+        for record in caplog.records
+        if 'request_finished' in record.getMessage()
+    ]
+    assert len(lines) == 1
+    assert FINISHED_LINE.match(lines[0]), lines[0]
+    assert KEY not in caplog.text
+
+
+@pytest.mark.parametrize('expect', ['100-continue'])
+async def test_expected_continue_is_sent(entry, agent, expect):
+    answer = await raw(entry, http(completion(), Expect=expect))
+    assert answer.startswith(b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200')
