--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -118,7 +118,7 @@
 
     def _start(self, name: str, *arguments: str) -> None:
         # The program is this interpreter with arguments from this file.
-        process = subprocess.Popen(  # noqa: S603
+        process = subprocess.Popen(
             [sys.executable, *arguments],
             stdout=subprocess.DEVNULL,
             env={**os.environ, 'PYTHONUNBUFFERED': '1'},
--- a/src/kumquatrun/entry.py
+++ b/src/kumquatrun/entry.py
@@ -82,7 +82,7 @@
         self._settings = settings
         self._session = session
         self._clock = clock
-        self._rng = rng or random.Random()  # noqa: S311
+        self._rng = rng or random.Random()
         self._pool = AgentPool(
             session,
             clock,
