--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -6,8 +6,6 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
 
-from result import Err, Ok
-
 from kumquatrun.document import (
     Access,
     AccountSpec,
@@ -67,6 +65,7 @@
                 access=Access.OPEN,
                 idempotent=True,
             ),
+            RouteSpec(path='/private/', service='ledger', accounts=('a',)),
             RouteSpec(path='/ledger/', service='ledger', cost_tokens=5),
             RouteSpec(
                 path='/stock/', service='ledger', cost_tokens=5, idempotent=True
@@ -108,6 +107,7 @@
         self.is_reachable = True
         self.lose_replies: Counter[type] = Counter()
         self.tokens = 1_000_000
+        self.grants: Counter[int] = Counter()
         self.claims: dict[str, dict] = {}
         self.calls = []
 
@@ -126,6 +126,7 @@
     def _grant(self, request):
         granted = min(self.tokens, request.wanted_tokens)
         self.tokens -= granted
+        self.grants[request.number] = granted
         return GrantReply(granted_tokens=granted, retry_after_s=0.5)
 
     def _claim(self, request):
@@ -193,61 +194,6 @@
             listener()
 
 
-@dataclass
-class _Reserved:
-    account: str
-    left: int
-
-
-class FakeWallet:
-    """Token wallet without time; counts what is open."""
-
-    def __init__(self) -> None:
-        self.free: Counter[str] = Counter()
-        self.consumed: Counter[str] = Counter()
-        self.open: list[_Reserved] = []
-        self.short: Counter[str] = Counter()
-
-    def reserve(self, account, tokens, now_s):
-        if self.free[account] < tokens:
-            self.short[account] = tokens - self.free[account]
-            return Err('shortage')
-        self.free[account] -= tokens
-        reserved = _Reserved(account, tokens)
-        self.open.append(reserved)
-        return Ok(reserved)
-
-    def consume(self, reservation, tokens):
-        assert 0 < tokens <= reservation.left
-        reservation.left -= tokens
-        self.consumed[reservation.account] += tokens
-
-    def settle(self, reservation):
-        self.open.remove(reservation)
-        self.free[reservation.account] += reservation.left
-
-    def add_grant(self, account, tokens, request=None):
-        self.free[account] += tokens
-
-    def grant_request(self, account, now_s):
-        return GrantTokens(
-            host_id='entry-1',
-            incarnation='1',
-            account=account,
-            wanted_tokens=self.short[account],
-        )
-
-    def abandon_grant(self, request):
-        """Nothing to do: the fake leader keeps no account."""
-
-    def take_reports(self, now_s):
-        return ()
-
-    def clear(self, incarnation=None):
-        self.free.clear()
-        self.open.clear()
-
-
 class EndAnswer(Exception):  # noqa: N818
     """Lets a fault end an answer as if it were complete."""
 
@@ -262,6 +208,7 @@
     incarnation: str = 'i1'
     chunks: tuple[bytes, ...] = (b'{"choices":', b'[]}')
     content_type: str = 'application/json'
+    status: int = 200
     output_tokens: int = 2
     executions: list[Dispatch] = field(default_factory=list)
     dispatches: list[Dispatch] = field(default_factory=list)
@@ -330,7 +277,7 @@
             'host_id': self.host_id,
             'adapter': request.adapter,
             'version': request.version,
-            'status': 200,
+            'status': self.status,
             'content_type': self.content_type,
         }
         return Started(**fields | changes)
