--- a/src/kumquatrun/agent.py
+++ b/src/kumquatrun/agent.py
@@ -104,7 +104,8 @@
         self._chart = load_chart('host')
         self._state = self._chart.initial
         self._server: PeerServer | None = None
-        self._ticker: asyncio.Task | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._forgot_s = clock.now_s()
         self._turns: dict[Job, asyncio.Future[None]] = {}
         self._open: set[Job] = set()
         self._idle = asyncio.Event()
@@ -134,7 +135,6 @@
         self._session.on_change(self._on_session_change)
         self._session.report_agent(self.report)
         self._on_session_change()
-        self._ticker = asyncio.create_task(self._tick())
 
     async def drain(self, timeout_s: float) -> None:
         """Refuse new work and wait until the accepted work has ended.
@@ -163,8 +163,8 @@
         self._begin_drain()
         if self._chart.accepts(self._state, 'cut'):
             self._step('cut')
-        if self._ticker is not None:
-            self._ticker.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
         if self._server is not None:
             await self._server.stop()
         await self._runner.stop()
@@ -190,9 +190,13 @@
         context.outcome = Outcome.NOT_RUN
         if not isinstance(request, Dispatch):
             raise InvalidRequestError(f'unexpected {type(request).__name__}')
-        self._check(request)
         now_s = self._clock.now_s()
+        # First of all checks: refusing a duplicate as ``not_run`` for another
+        # reason would be false if the first one ran.
+        self._seen.check(request)
+        self._check(request)
         self._seen.accept(request, context, now_s)
+        self._forget_old(now_s)
         job = self._runner.make_job(request, now_s)
         self._open.add(job)
         try:
@@ -279,16 +283,18 @@
                 turn.set_result(None)
             job = scheduler.next_start(now_s)
         self._runner.start_loads()
-
-    async def _tick(self) -> None:
-        forgot_s = self._clock.now_s()
-        while True:
-            await asyncio.sleep(TICK_S)
-            if self._runner.scheduler.queued:
-                self._pump()
-            if self._clock.now_s() - forgot_s >= FORGET_INTERVAL_S:
-                forgot_s = self._clock.now_s()
-                self._seen.forget_old(forgot_s)
+        if scheduler.queued and self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(TICK_S, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self._pump()
+
+    def _forget_old(self, now_s: float) -> None:
+        if now_s - self._forgot_s >= FORGET_INTERVAL_S:
+            self._forgot_s = now_s
+            self._seen.forget_old(now_s)
 
     def _on_session_change(self) -> None:
         if self._session.record.draining:
--- a/src/kumquatrun/engine_runner.py
+++ b/src/kumquatrun/engine_runner.py
@@ -233,6 +233,10 @@
             self._on_change()
 
     def _fail_waiting(self, key: AdapterKey, error: KumquatrunError) -> None:
+        # What is unknown is the result of the load. The requests that wait
+        # for it were certainly not run.
+        if error.outcome is not Outcome.NOT_RUN:
+            error = AdapterLoadError(f'load of {key}: {error.detail}')
         for job in self.scheduler.waiting_for(key):
             job.fail(error)
 
--- a/src/kumquatrun/seen_requests.py
+++ b/src/kumquatrun/seen_requests.py
@@ -76,24 +76,26 @@
     def __len__(self) -> int:
         return sum(len(attempts) for attempts in self._seen.values())
 
-    def accept(
-        self,
-        dispatch: Dispatch,
-        holder: OutcomeHolder,
-        now_s: float,
-    ) -> None:
-        """Record a dispatch; its outcome is read from ``holder`` later.
+    def check(self, dispatch: Dispatch) -> None:
+        """Refuse a dispatch that may not run because of an earlier one.
 
         Raises
         ------
         KumquatrunError
             If it may not run; the outcome is that of the earlier attempt.
         """
-        attempts = self._seen.get(dispatch.request_id, [])
-        for seen in attempts:
+        for seen in self._seen.get(dispatch.request_id, ()):
             refusal = seen.refusal(dispatch)
             if refusal is not None:
                 raise refusal
+
+    def accept(
+        self,
+        dispatch: Dispatch,
+        holder: OutcomeHolder,
+        now_s: float,
+    ) -> None:
+        """Record a checked dispatch; ``holder`` tells its outcome later."""
         deadline_s = now_s + dispatch.deadline_s
         accepted = _Seen(dispatch.attempt, holder, deadline_s)
         self._seen.setdefault(dispatch.request_id, []).append(accepted)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,5 +1,6 @@
 """Fakes that several test files share."""
 
+import asyncio
 import itertools
 
 from kumquatrun.document import Document, ServiceKind, ServiceSpec
@@ -86,3 +87,12 @@
 
     def report_budgets(self, source):
         """Not used by agents."""
+
+
+async def eventually(check, timeout_s=3):
+    """Wait until ``check`` holds; fails the test if it never does."""
+    for _ in range(int(timeout_s / 0.01)):
+        if check():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError('condition was never met')
