--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -15,8 +15,10 @@
 from kumquatrun.engine_runner import EngineRunner
 from kumquatrun.errors import KumquatrunError, Outcome
 from kumquatrun.messages import (
+    ClearSuspect,
     Dispatch,
     Finished,
+    ReportSuspects,
     Started,
 )
 from kumquatrun.peer import Address
@@ -333,3 +335,209 @@
     switch_off(monkeypatch)
     with pytest.raises(AssertionError, match=found):
         await run_case(fault, step)
+
+
+REFUSALS = {
+    'old_incarnation': ({'agent_incarnation': 'agent-0'}, None),
+    'other_service': ({'service': 'ledger'}, None),
+    'no_time_left': ({'deadline_s': 0}, None),
+    'no_lease': ({}, 'lose_the_lease'),
+    'draining': ({}, 'drain'),
+    'new_incarnation': ({}, 'register_again'),
+}
+
+
+@pytest.mark.parametrize('name', REFUSALS)
+async def test_refused_dispatch_is_not_run(name):
+    fields, event = REFUSALS[name]
+    async with Bench() as bench:
+        if event is not None:
+            await getattr(bench, event)()
+        result = await bench.run(dispatch(**fields))
+        assert result.error.outcome is Outcome.NOT_RUN
+        assert not bench.engine.executions
+        assert not bench.agent.open_requests
+
+
+async def test_open_route_is_served_without_a_lease():
+    # An open route carries no account; the page keeps it up in a partition.
+    async with Bench() as bench:
+        await bench.run(dispatch('warm-up'))
+        bench.session.set_lease(False)
+        result = await bench.run(dispatch(account=''))
+        assert isinstance(result.reply, Finished)
+
+
+# Outcome of the first attempt, whether the call is repeatable, second
+# attempt's number, whether the second one runs.
+REPEATS = {
+    'same_attempt': ('ran', True, 1, False),
+    'same_attempt_not_run': ('not_run', True, 1, False),
+    'next_attempt_after_ran': ('ran', False, 2, False),
+    'next_attempt_after_not_run': ('not_run', False, 2, True),
+    'next_attempt_if_repeatable': ('ran', True, 2, True),
+}
+
+
+@pytest.mark.parametrize('name', REPEATS)
+async def test_repeated_dispatch(name):
+    # Guards against a second execution, and against a refusal as not_run of
+    # a request that ran.
+    first_outcome, repeatable, attempt, runs = REPEATS[name]
+    async with Bench() as bench:
+        bench.engine.fail_loads = first_outcome == 'not_run'
+        message = dispatch(repeatable=repeatable)
+        first = await bench.run(message)
+        assert first.outcome == first_outcome
+        second = await bench.run(replace(message, attempt=attempt))
+        assert isinstance(second.reply, Finished) is runs
+        if not runs:
+            assert second.outcome == first_outcome
+
+
+async def test_remembered_requests_are_forgotten_at_last():
+    # Guards against memory that grows with every request.
+    async with Bench() as bench:
+        for number in range(20):
+            await bench.run(dispatch(f'r{number}'))
+        await asyncio.sleep(700)
+        await bench.run(dispatch('last'))
+        assert len(bench.agent._seen) == 1
+
+
+async def test_crash_reports_the_batch_and_clears_the_slots():
+    async with Bench(capacity=2) as bench:
+        await bench.run(dispatch('warm-up'))
+        bench.engine.faults['middle'] = bench.restart
+        results = await asyncio.gather(
+            *(bench.run(dispatch(name)) for name in ('r1', 'r2', 'r3')),
+        )
+        assert {result.outcome for result in results} == {Outcome.UNKNOWN}
+        [report] = bench.session.control.sent(ReportSuspects)
+        assert report.fingerprints == ('fp-r1', 'fp-r2', 'fp-r3')
+        assert not report.alone
+        assert bench.agent.report().adapters == ()
+
+
+@pytest.mark.parametrize('crashes', [False, True])
+async def test_suspect_runs_alone_and_its_end_is_reported(crashes):
+    # Guards against innocent requests in the batch of a suspect.
+    async with Bench() as bench:
+        await bench.run(dispatch('warm-up'))
+        others = [bench.send(dispatch(f'r{number}')) for number in range(3)]
+        await asyncio.sleep(0.02)
+        suspect = bench.send(dispatch('suspect', alone=True))
+        more = [bench.send(dispatch(f'm{number}')) for number in range(3)]
+        await asyncio.gather(*others)
+        assert not any(task.done() for task in more)
+        if crashes:
+            bench.engine.faults['middle'] = bench.restart
+        ended = await suspect
+        await asyncio.gather(*more)
+        order = [request_id for request_id, _ in bench.engine.executions]
+        assert order.index('suspect') == 4
+        control = bench.session.control
+        cleared = control.sent(ClearSuspect)
+        if crashes:
+            assert ended.outcome is Outcome.UNKNOWN
+            assert not cleared
+            [report] = control.sent(ReportSuspects)
+            assert report.alone
+            assert report.fingerprints == ('fp-suspect',)
+        else:
+            assert cleared[0].fingerprint == 'fp-suspect'
+
+
+async def test_single_lost_connection_blames_nobody():
+    # Guards against suspects that only lost their connection.
+    async with Bench() as bench:
+        await bench.run(dispatch('warm-up'))
+        bench.engine.faults['middle'] = bench.go_silent
+        result = await bench.run(dispatch())
+        assert result.outcome is Outcome.UNKNOWN
+        assert not bench.session.control.sent(ReportSuspects)
+
+
+async def test_drain_finishes_the_accepted_requests():
+    # Guards against a planned shutdown that interrupts requests.
+    async with Bench(max_running=1) as bench:
+        tasks = [bench.send(dispatch(f'r{number}')) for number in range(4)]
+        await asyncio.sleep(0.3)
+        draining = asyncio.create_task(bench.agent.drain(0.01))
+        await asyncio.sleep(0.001)
+        refused = await bench.run(dispatch('late'))
+        assert refused.error.code == 'draining'
+        await draining
+        assert bench.agent.state == 'stopped'
+        assert all(task.result().reply for task in tasks)
+
+
+async def test_drain_reports_what_is_still_open(caplog):
+    async with Bench() as bench:
+        task = bench.send(dispatch())
+        await asyncio.sleep(0.1)
+        await bench.agent.drain(0.1)
+        assert 'event=stop_incomplete open_requests=1' in caplog.text
+        assert (await task).reply
+
+
+async def test_batch_is_bounded_and_load_waits_take_no_place_in_it():
+    # Guards against requests that wait for a load blocking loaded ones.
+    async with Bench(max_running=2, capacity=2) as bench:
+        await bench.run(dispatch('warm-up'))
+        bench.engine.hang_loads = 1
+        waiting = bench.send(dispatch('w', AdapterKey('other', '1')))
+        await asyncio.sleep(0.1)
+        served = await asyncio.gather(
+            *(bench.run(dispatch(f'r{number}')) for number in range(6)),
+        )
+        assert all(result.reply for result in served)
+        assert bench.engine.most_running <= 2
+        assert not waiting.done()
+
+
+async def test_load_waits_for_a_load_slot_and_returns_it():
+    async with Bench() as bench:
+        bench.session.control.free_slots = 0
+        task = bench.send(dispatch())
+        await asyncio.sleep(1)
+        assert not bench.engine.held
+        bench.session.control.free_slots = 1
+        assert (await task).reply
+        await asyncio.sleep(0.1)
+        assert bench.session.control.free_slots == 1
+
+
+async def test_busy_adapter_gives_way_to_a_waiting_one():
+    # Guards against starvation of a rare adapter while a popular one always
+    # has a request in the batch.
+    async with Bench() as bench:
+        stop = asyncio.Event()
+
+        async def keep_busy(name):
+            number = 0
+            while not stop.is_set():
+                number += 1
+                await bench.run(dispatch(f'{name}-{number}'))
+
+        await bench.run(dispatch('warm-up'))
+        busy = [asyncio.create_task(keep_busy(name)) for name in 'xyz']
+        await asyncio.sleep(2)
+        rare = await bench.run(
+            dispatch('rare', AdapterKey('rare', '1'), deadline_s=5),
+        )
+        stop.set()
+        await asyncio.gather(*busy)
+        assert isinstance(rare.reply, Finished)
+
+
+async def test_report_shows_load_and_adapters():
+    async with Bench() as bench:
+        task = bench.send(dispatch())
+        await asyncio.sleep(0.28)
+        report = bench.session.agent_source()
+        assert (report.running, report.adapters) == (1, ('a@1',))
+        assert report.capacity == bench.settings.max_running
+        await task
+        bench.session.set_lease(False)
+        assert bench.session.agent_source().capacity == 0
