--- a/src/kumquatrun_standins/weight_store.py
+++ b/src/kumquatrun_standins/weight_store.py
@@ -31,7 +31,8 @@
         app.router.add_get('/weights/{adapter}/{version}', self._serve)
         return app
 
-    async def _serve(self, request: web.Request) -> web.Response:
+    async def fetch(self) -> None:
+        """Take the time of one load."""
         await asyncio.sleep(self._setup_s)
         self.in_flight += 1
         self.most_in_flight = max(self.most_in_flight, self.in_flight)
@@ -40,6 +41,9 @@
         finally:
             self.in_flight -= 1
         self.loads += 1
+
+    async def _serve(self, request: web.Request) -> web.Response:
+        await self.fetch()
         return web.json_response(dict(request.match_info))
 
     async def _transfer(self) -> None:
