Report suspects of plain services and watch silent connections

A request that crashes plain services was never reported, so it could crash one after the other. A service that refuses a new connection right after it lost an open one counts as crashed; the loss of one connection alone blames nobody.

An answer that has not begun gave no sign of a dead connection until the deadline of the request. The kernel now probes each connection and closes it after about 5 s without an answer. This finds hosts and paths that are gone; a backend server that is alive and does not answer is bounded by the deadline.

--- a/src/kumquatrun/agent.py
+++ b/src/kumquatrun/agent.py
@@ -70,7 +70,7 @@
 ) -> BackendRunner:
     if backend.kind is ServiceKind.ENGINE:
         return EngineRunner(settings, session, backend, clock)
-    return ServiceRunner(settings, backend)
+    return ServiceRunner(settings, session, backend)
 
 
 class Agent:
--- a/src/kumquatrun/backend_http.py
+++ b/src/kumquatrun/backend_http.py
@@ -1,9 +1,11 @@
 """HTTP calls to a backend server that are sent at most once each."""
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from types import MappingProxyType
 
 import aiohttp
 from yarl import URL
@@ -15,7 +17,13 @@
 )
 
 CONNECT_TIMEOUT_S = 2.0
-READ_CHUNK_BYTES = 64 * 1024
+KEEP_ALIVE = MappingProxyType(
+    {
+        socket.TCP_KEEPIDLE: 2,
+        socket.TCP_KEEPINTVL: 1,
+        socket.TCP_KEEPCNT: 3,
+    },
+)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -60,6 +68,18 @@
         ) from error
 
 
+def _open_socket(address_info) -> socket.socket:
+    # A connection whose peer is gone without a trace is closed by the kernel
+    # after about 5 s. It is the only sign of it while a backend server works
+    # on an answer that has not begun.
+    family, kind, protocol, _, _ = address_info
+    opened = socket.socket(family, kind, protocol)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, seconds_or_count in KEEP_ALIVE.items():
+        opened.setsockopt(socket.IPPROTO_TCP, option, seconds_or_count)
+    return opened
+
+
 class BackendHttp:
     """Client of one backend server.
 
@@ -76,6 +96,17 @@
         self._base_url = base_url.rstrip('/')
         self._session: aiohttp.ClientSession | None = None
 
+    async def is_reachable(self) -> bool:
+        """Return whether the backend server accepts a connection."""
+        url = URL(self._base_url)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(url.host, url.port)
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return True
+
     async def close(self) -> None:
         """Close all connections."""
         if self._session is not None:
@@ -137,7 +168,11 @@
             tracing = aiohttp.TraceConfig()
             tracing.on_connection_create_end.append(_mark_sent)
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(force_close=True, limit=0),
+                connector=aiohttp.TCPConnector(
+                    force_close=True,
+                    limit=0,
+                    socket_factory=_open_socket,
+                ),
                 # Cookies of one caller must not reach another one's call.
                 cookie_jar=aiohttp.DummyCookieJar(),
                 timeout=aiohttp.ClientTimeout(
--- a/src/kumquatrun/service_client.py
+++ b/src/kumquatrun/service_client.py
@@ -34,6 +34,10 @@
         """Send a call once; ``on_sent`` is called before the first byte."""
         ...
 
+    async def is_reachable(self) -> bool:
+        """Return whether the service accepts a connection."""
+        ...
+
     async def close(self) -> None:
         """Close all connections."""
         ...
@@ -60,6 +64,10 @@
     def __init__(self, base_url: str) -> None:
         self._http = BackendHttp(base_url)
 
+    async def is_reachable(self) -> bool:
+        """Return whether the service accepts a connection."""
+        return await self._http.is_reachable()
+
     async def close(self) -> None:
         """Close all connections."""
         await self._http.close()
--- a/src/kumquatrun/service_runner.py
+++ b/src/kumquatrun/service_runner.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 
 from kumquatrun.backend_http import BackendCall
+from kumquatrun.control_api import NodeSession
+from kumquatrun.crash_reports import CrashReporter
 from kumquatrun.errors import ConnectionLostError, Outcome
 from kumquatrun.messages import Dispatch, Finished, Started
 from kumquatrun.peer import CallContext
@@ -16,13 +18,19 @@
 
     is_up = True
 
-    def __init__(self, settings: AgentSettings, service: ServiceApi) -> None:
+    def __init__(
+        self,
+        settings: AgentSettings,
+        session: NodeSession,
+        service: ServiceApi,
+    ) -> None:
         self.scheduler = Scheduler(
             max_running=settings.max_running,
             max_queued=settings.max_queued,
         )
         self._host_id = settings.host_id
         self._service = service
+        self._crashes = CrashReporter(settings.host_id, session)
 
     def make_job(self, dispatch: Dispatch, now_s: float) -> Job:
         """Return the job of a dispatch."""
@@ -36,10 +44,27 @@
 
     async def stop(self) -> None:
         """Close the connections."""
+        await self._crashes.stop()
         await self._service.close()
 
     async def run(self, job: Job, context: CallContext) -> Finished:
         """Send the call once and relay the answer."""
+        try:
+            finished = await self._relay(job, context)
+        except ConnectionLostError as error:
+            context.outcome = error.outcome
+            # A plain service has no incarnation. One that refuses a new
+            # connection right after it lost an open one has crashed.
+            if not await self._service.is_reachable():
+                await self._crashes.report()
+            raise
+        finally:
+            self._crashes.batch.discard(job)
+        if job.dispatch.alone:
+            self._crashes.clear(job.dispatch.fingerprint)
+        return finished
+
+    async def _relay(self, job: Job, context: CallContext) -> Finished:
         dispatch = job.dispatch
         call = BackendCall(
             request_id=dispatch.request_id,
@@ -51,21 +76,18 @@
 
         def on_sent() -> None:
             context.outcome = Outcome.UNKNOWN
+            self._crashes.batch.add(job, dispatch.fingerprint)
 
-        try:
-            async with self._service.call(call, on_sent) as answer:
-                context.outcome = Outcome.RAN
-                started = Started(
-                    host_id=self._host_id,
-                    adapter='',
-                    version='',
-                    status=answer.status,
-                    content_type=answer.content_type,
-                )
-                await context.send_message(started)
-                async for item in answer:
-                    await context.send_item(item)
-        except ConnectionLostError as error:
-            context.outcome = error.outcome
-            raise
+        async with self._service.call(call, on_sent) as answer:
+            context.outcome = Outcome.RAN
+            started = Started(
+                host_id=self._host_id,
+                adapter='',
+                version='',
+                status=answer.status,
+                content_type=answer.content_type,
+            )
+            await context.send_message(started)
+            async for item in answer:
+                await context.send_item(item)
         return Finished(outcome=Outcome.RAN)
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -38,6 +38,7 @@
         self.hold = hold
         self.answers = answers
         self.requests = []
+        self._writers = []
         self.closed = asyncio.Event()
 
     async def start(self):
@@ -49,7 +50,12 @@
     async def stop(self):
         self._server.close()
 
+    def drop(self):
+        for writer in self._writers:
+            writer.transport.abort()
+
     async def _serve(self, reader, writer):
+        self._writers.append(writer)
         with suppress(EOFError, OSError):
             for _ in range(self.answers):
                 await self._read_request(reader)
--- a/tests/test_agent_streams.py
+++ b/tests/test_agent_streams.py
@@ -268,6 +268,27 @@
     await server.stop()
 
 
+@pytest.mark.parametrize('stays_up', [True, False])
+async def test_crash_of_a_plain_service_is_reported(stays_up):
+    # Guards against a call that crashes one service after the other, and
+    # against suspects after the loss of a single connection.
+    server = await RawServer(hold=True).start()
+    async with Node(server.url, ServiceKind.PLAIN) as node:
+        calls = [
+            asyncio.create_task(node.send(service_call(f'b{n}')))
+            for n in range(2)
+        ]
+        await eventually(lambda: len(server.requests) == 2)
+        if not stays_up:
+            await server.stop()
+        server.drop()
+        assert {(await call)[1].outcome for call in calls} == {'unknown'}
+        reports = node.session.control.sent(ReportSuspects)
+        blamed = [report.fingerprints for report in reports]
+        assert blamed == ([] if stays_up else [('fp-b0', 'fp-b1')])
+    await server.stop()
+
+
 async def test_plain_service_answer_is_relayed():
     service = await PlainService().start()
     async with Node(service.url, ServiceKind.PLAIN) as node:
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 
 import aiohttp
 import pytest
@@ -98,6 +99,19 @@
     await server.stop()
 
 
+async def test_kernel_watches_silent_connections():
+    # Guards against a call that waits for ever on a dead connection.
+    server = await RawServer([EVENTS], hold=True).start()
+    http = BackendHttp(server.url)
+    async with http.open(backend_call()) as response:
+        transport = response.connection.transport
+        opened = transport.get_extra_info('socket')
+        for option, expected in backend_http.KEEP_ALIVE.items():
+            assert opened.getsockopt(socket.IPPROTO_TCP, option) == expected
+    await http.close()
+    await server.stop()
+
+
 async def test_refused_connection_is_not_run():
     server = await RawServer().start()
     await server.stop()
