Empty busy adapter slots only after 2.5 s of waiting

Cause: a slot that retires takes no request until its longest one ends.

Ruled out: never retiring (1,000 s), which has the least waiting on average but lets a rare adapter starve; the test of the busy adapter fails then.

--- a/src/kumquatrun/scheduler.py
+++ b/src/kumquatrun/scheduler.py
@@ -15,9 +15,9 @@
 # Loads of one engine at the same time; more would only compete for the
 # fleet-wide load slots and empty more adapter slots at once.
 MAX_OPEN_LOADS = 2
-# Half of the 1.3 s bound of the 95th-percentile time to first token remains
-# for the load (0.25 s) and the prompt.
-URGENT_AFTER_S = 0.6
+# Emptying a busy slot keeps it idle until its longest request ends, so it is
+# done against starvation only: earlier, it made all requests wait longer.
+URGENT_AFTER_S = 2.5
 
 
 @dataclass(eq=False, kw_only=True)
