--- /dev/null
+++ b/tests/test_agent.py
@@ -0,0 +1,543 @@
+"""Agent: every fault at every step of a dispatch, drain, suspects."""
+
+import asyncio
+import json
+from dataclasses import replace
+
+import pytest
+from tests.fake_engine import PIECES, FakeEngine
+from tests.fakes import INCARNATION, FakeSession
+
+from kumquatrun import invariants
+from kumquatrun.adapter_slots import AdapterSlots
+from kumquatrun.agent import Agent
+from kumquatrun.clock import LoopClock
+from kumquatrun.engine_runner import EngineRunner
+from kumquatrun.errors import KumquatrunError, Outcome
+from kumquatrun.messages import (
+    ClearSuspect,
+    Dispatch,
+    Finished,
+    ReportSuspects,
+    Started,
+)
+from kumquatrun.peer import Address
+from kumquatrun.reload_costs import AdapterKey
+from kumquatrun.seen_requests import SeenRequests
+from kumquatrun.settings import AgentSettings
+
+A = AdapterKey('a', '1')
+OLD = AdapterKey('old', '1')
+
+pytestmark = pytest.mark.looptime
+
+
+@pytest.fixture(autouse=True)
+def clear_violations():
+    invariants.violations.clear()
+    yield
+    invariants.violations.clear()
+
+
+class FakeContext:
+    """Server side of a call that keeps what was sent."""
+
+    def __init__(self):
+        self.outcome = Outcome.UNKNOWN
+        self.started = None
+        self.body = b''
+
+    async def send_message(self, message):
+        assert isinstance(message, Started)
+        assert not self.body
+        self.started = message
+
+    async def send_item(self, item):
+        assert self.started is not None
+        self.body += item
+
+
+def dispatch(request_id='r1', key=A, **fields):
+    body = json.dumps({'prompt': 'hi', 'model': key.adapter}).encode()
+    defaults = {
+        'request_id': request_id,
+        'attempt': 1,
+        'agent_incarnation': INCARNATION,
+        'account': 'acme',
+        'service': 'assistant',
+        'adapter': key.adapter,
+        'version': key.version,
+        'path': '/v1/completions',
+        'method': 'POST',
+        'body': body,
+        'stream': True,
+        'deadline_s': 30,
+        'repeatable': False,
+        'fingerprint': f'fp-{request_id}',
+    }
+    return Dispatch(**(defaults | fields))
+
+
+class Result:
+    """How one dispatch ended."""
+
+    def __init__(self, context):
+        self.context = context
+        self.error = None
+        self.reply = None
+
+    @property
+    def outcome(self):
+        if self.reply is not None:
+            return self.reply.outcome
+        if self.error is not None:
+            return self.error.outcome
+        return self.context.outcome  # what the peer server answers with
+
+
+class Bench:
+    """An agent in front of a fake engine, driven without a connection."""
+
+    def __init__(self, capacity=1, **fields):
+        self.engine = FakeEngine(capacity)
+        self.session = FakeSession()
+        self.settings = AgentSettings(
+            host_id='host-a',
+            listen=Address('127.0.0.1', 0),
+            service='assistant',
+            backend_url='',
+            **fields,
+        )
+        self.agent = Agent(
+            self.settings,
+            self.session,
+            self.engine,
+            LoopClock(),
+        )
+        self.tasks = []
+        self.results = []
+
+    async def __aenter__(self):
+        await self.agent.start()
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self.agent.stop()
+
+    async def run(self, message):
+        context = FakeContext()
+        result = Result(context)
+        self.results.append((message, result))
+        try:
+            result.reply = await self.agent.handle(message, context)
+        except KumquatrunError as error:
+            result.error = error
+        except asyncio.CancelledError:
+            if self.agent.state == 'stopped':
+                raise
+        return result
+
+    def send(self, message):
+        task = asyncio.create_task(self.run(message))
+        self.tasks.append(task)
+        return task
+
+    # Faults.
+
+    async def restart(self):
+        self.engine.restart()
+
+    async def crash_for_a_while(self):
+        self.engine.is_down = True
+        self.engine.restart()
+        loop = asyncio.get_running_loop()
+        loop.call_later(1, setattr, self.engine, 'is_down', False)
+
+    async def lose_adapters(self):
+        # Another agent's order at an engine that ignores fencing numbers.
+        self.engine.held.clear()
+
+    async def go_silent(self):
+        self.engine.is_silent = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(1, setattr, self.engine, 'is_silent', False)
+
+    async def cancel(self):
+        self.tasks[-1].cancel()
+
+    async def pass_the_deadline(self):
+        await asyncio.sleep(31)
+
+    async def lose_the_lease(self):
+        self.session.set_lease(False)
+
+    async def drain(self):
+        self.session.record = replace(self.session.record, draining=True)
+        self.session.notify()
+
+    async def register_again(self):
+        record = replace(self.session.record, incarnation='agent-2')
+        self.session.record = record
+
+    async def lose_control(self):
+        self.session.control.is_reachable = False
+
+    async def fail_load(self):
+        self.engine.fail_loads = 1
+
+    async def hang_load(self):
+        self.engine.hang_loads = 1
+
+    async def run_the_wrong_version(self):
+        self.engine.mislabel = AdapterKey('a', '9')
+
+    async def fence(self):
+        self.engine.newest_number = 99
+
+    async def compete(self):
+        self.send(dispatch('rival', AdapterKey('rival', '1')))
+        await asyncio.sleep(3)
+
+    async def duplicate(self):
+        self.send(self.results[-1][0])
+        await asyncio.sleep(0.01)
+
+
+STEPS = ['unload', 'load', 'connect', 'sent', 'first', 'middle', 'last']
+BEFORE_SENDING = {'unload', 'load', 'connect'}
+FAULTS = [
+    'restart',
+    'crash_for_a_while',
+    'lose_adapters',
+    'go_silent',
+    'cancel',
+    'pass_the_deadline',
+    'lose_the_lease',
+    'drain',
+    'register_again',
+    'lose_control',
+    'fail_load',
+    'hang_load',
+    'run_the_wrong_version',
+    'fence',
+    'duplicate',
+    'compete',
+]
+CASES = [(fault, step) for fault in FAULTS for step in STEPS]
+# These act on the engine's answer only, wherever they are set.
+ACTS_AFTER_SENDING = {'go_silent', 'run_the_wrong_version'}
+# After these the agent rightly refuses further work.
+ENDS_SERVICE = {
+    'lose_the_lease',
+    'drain',
+    'register_again',
+    'lose_control',
+    'run_the_wrong_version',
+    'fence',
+}
+
+
+def check_result(message, result, executions):
+    """Check one dispatch against what the engine recorded."""
+    key = AdapterKey(message.adapter, message.version)
+    runs = [ran for ran in executions if ran[0] == message.request_id]
+    assert len(runs) <= 1, 'executed more than once'
+    assert all(ran[1] == key for ran in runs), 'executed on another adapter'
+    if result.outcome is Outcome.NOT_RUN:
+        assert not runs, 'reported not_run but was executed'
+    if result.context.started is not None:
+        assert result.context.started.adapter == key.adapter
+        assert result.context.started.version == key.version
+    for piece in result.context.body.decode().split():
+        assert piece.startswith(f'{key}:'), 'bytes of another adapter'
+    if isinstance(result.reply, Finished):
+        assert result.outcome is Outcome.RAN
+        assert len(result.context.body.split()) == PIECES, 'answer is cut'
+
+
+async def run_case(fault, step):
+    """Run one dispatch with a fault, a resend and a later request."""
+    async with Bench() as bench:
+        await bench.run(dispatch('warm-up', OLD))
+        await asyncio.sleep(2)
+        message = dispatch()
+        bench.engine.faults[step] = getattr(bench, fault)
+        result = await bench.send(message)
+        assert step not in bench.engine.faults, 'the step was not reached'
+        await asyncio.gather(*bench.tasks)
+        await bench.run(message)
+        await asyncio.sleep(6)
+        bench.engine.fail_loads = bench.engine.hang_loads = 0
+        later = await bench.run(dispatch('later', OLD, deadline_s=20))
+        for sent, ended in bench.results:
+            check_result(sent, ended, bench.engine.executions)
+        assert not bench.engine.evicted_in_use, 'evicted in use'
+        return result, later
+
+
+@pytest.mark.parametrize(('fault', 'step'), CASES)
+async def test_fault_at_each_step(fault, step):
+    result, later = await run_case(fault, step)
+    if step in BEFORE_SENDING and fault not in ACTS_AFTER_SENDING:
+        assert result.reply or result.outcome is Outcome.NOT_RUN
+    if fault not in ENDS_SERVICE:
+        assert isinstance(later.reply, Finished), later.error
+    if fault != 'run_the_wrong_version':
+        assert not invariants.violations
+
+
+def no_verification(patch):
+    patch.setattr(EngineRunner, '_verify', lambda *args: None)
+
+
+def no_memory_of_requests(patch):
+    patch.setattr(SeenRequests, 'check', lambda *args: None)
+
+
+def no_marks(patch):
+    original = FakeEngine.generate
+
+    def generate(engine, call, on_sent):
+        return original(engine, call, lambda: None)
+
+    patch.setattr(FakeEngine, 'generate', generate)
+
+
+def no_pins(patch):
+    original = AdapterSlots.pin
+
+    def pin(slots, key, now_s):
+        made = original(slots, key, now_s)
+        slots._slots[made.slot].pins = 0
+        return made
+
+    patch.setattr(AdapterSlots, 'pin', pin)
+    patch.setattr(AdapterSlots, 'unpin', lambda *args: None)
+
+
+# Mechanism, fault and step that need it, what the check then reports.
+MECHANISMS = [
+    (no_verification, 'run_the_wrong_version', 'connect', 'another adapter'),
+    (no_memory_of_requests, 'duplicate', 'first', 'more than once'),
+    (no_marks, 'cancel', 'first', 'reported not_run'),
+    (no_pins, 'compete', 'middle', 'evicted in use'),
+]
+
+
+@pytest.mark.parametrize(('switch_off', 'fault', 'step', 'found'), MECHANISMS)
+async def test_matrix_catches_a_mechanism_that_is_off(
+    switch_off,
+    fault,
+    step,
+    found,
+    monkeypatch,
+):
+    switch_off(monkeypatch)
+    with pytest.raises(AssertionError, match=found):
+        await run_case(fault, step)
+
+
+REFUSALS = {
+    'old_incarnation': ({'agent_incarnation': 'agent-0'}, None),
+    'other_service': ({'service': 'ledger'}, None),
+    'no_time_left': ({'deadline_s': 0}, None),
+    'no_lease': ({}, 'lose_the_lease'),
+    'draining': ({}, 'drain'),
+    'new_incarnation': ({}, 'register_again'),
+}
+
+
+@pytest.mark.parametrize('name', REFUSALS)
+async def test_refused_dispatch_is_not_run(name):
+    fields, event = REFUSALS[name]
+    async with Bench() as bench:
+        if event is not None:
+            await getattr(bench, event)()
+        result = await bench.run(dispatch(**fields))
+        assert result.error.outcome is Outcome.NOT_RUN
+        assert not bench.engine.executions
+        assert not bench.agent.open_requests
+
+
+async def test_open_route_is_served_without_a_lease():
+    # An open route carries no account; the page keeps it up in a partition.
+    async with Bench() as bench:
+        await bench.run(dispatch('warm-up'))
+        bench.session.set_lease(False)
+        result = await bench.run(dispatch(account=''))
+        assert isinstance(result.reply, Finished)
+
+
+# Outcome of the first attempt, whether the call is repeatable, second
+# attempt's number, whether the second one runs.
+REPEATS = {
+    'same_attempt': ('ran', True, 1, False),
+    'same_attempt_not_run': ('not_run', True, 1, False),
+    'next_attempt_after_ran': ('ran', False, 2, False),
+    'next_attempt_after_not_run': ('not_run', False, 2, True),
+    'next_attempt_if_repeatable': ('ran', True, 2, True),
+}
+
+
+@pytest.mark.parametrize('name', REPEATS)
+async def test_repeated_dispatch(name):
+    # Guards against a second execution, and against a refusal as not_run of
+    # a request that ran.
+    first_outcome, repeatable, attempt, runs = REPEATS[name]
+    async with Bench() as bench:
+        bench.engine.fail_loads = first_outcome == 'not_run'
+        message = dispatch(repeatable=repeatable)
+        first = await bench.run(message)
+        assert first.outcome == first_outcome
+        second = await bench.run(replace(message, attempt=attempt))
+        assert isinstance(second.reply, Finished) is runs
+        if not runs:
+            assert second.outcome == first_outcome
+
+
+async def test_remembered_requests_are_forgotten_at_last():
+    # Guards against memory that grows with every request.
+    async with Bench() as bench:
+        for number in range(20):
+            await bench.run(dispatch(f'r{number}'))
+        await asyncio.sleep(700)
+        await bench.run(dispatch('last'))
+        assert len(bench.agent._seen) == 1
+
+
+async def test_crash_reports_the_batch_and_clears_the_slots():
+    async with Bench(capacity=2) as bench:
+        await bench.run(dispatch('warm-up'))
+        bench.engine.faults['middle'] = bench.restart
+        results = await asyncio.gather(
+            *(bench.run(dispatch(name)) for name in ('r1', 'r2', 'r3')),
+        )
+        assert {result.outcome for result in results} == {Outcome.UNKNOWN}
+        [report] = bench.session.control.sent(ReportSuspects)
+        assert report.fingerprints == ('fp-r1', 'fp-r2', 'fp-r3')
+        assert not report.alone
+        assert bench.agent.report().adapters == ()
+
+
+@pytest.mark.parametrize('crashes', [False, True])
+async def test_suspect_runs_alone_and_its_end_is_reported(crashes):
+    # Guards against innocent requests in the batch of a suspect.
+    async with Bench() as bench:
+        await bench.run(dispatch('warm-up'))
+        others = [bench.send(dispatch(f'r{number}')) for number in range(3)]
+        await asyncio.sleep(0.02)
+        suspect = bench.send(dispatch('suspect', alone=True))
+        more = [bench.send(dispatch(f'm{number}')) for number in range(3)]
+        await asyncio.gather(*others)
+        assert not any(task.done() for task in more)
+        if crashes:
+            bench.engine.faults['middle'] = bench.restart
+        ended = await suspect
+        await asyncio.gather(*more)
+        order = [request_id for request_id, _ in bench.engine.executions]
+        assert order.index('suspect') == 4
+        control = bench.session.control
+        cleared = control.sent(ClearSuspect)
+        if crashes:
+            assert ended.outcome is Outcome.UNKNOWN
+            assert not cleared
+            [report] = control.sent(ReportSuspects)
+            assert report.alone
+            assert report.fingerprints == ('fp-suspect',)
+        else:
+            assert cleared[0].fingerprint == 'fp-suspect'
+
+
+async def test_single_lost_connection_blames_nobody():
+    # Guards against suspects that only lost their connection.
+    async with Bench() as bench:
+        await bench.run(dispatch('warm-up'))
+        bench.engine.faults['middle'] = bench.go_silent
+        result = await bench.run(dispatch())
+        assert result.outcome is Outcome.UNKNOWN
+        assert not bench.session.control.sent(ReportSuspects)
+
+
+async def test_drain_finishes_the_accepted_requests():
+    # Guards against a planned shutdown that interrupts requests.
+    async with Bench(max_running=1) as bench:
+        tasks = [bench.send(dispatch(f'r{number}')) for number in range(4)]
+        await asyncio.sleep(0.3)
+        draining = asyncio.create_task(bench.agent.drain(0.01))
+        await asyncio.sleep(0.001)
+        refused = await bench.run(dispatch('late'))
+        assert refused.error.code == 'draining'
+        await draining
+        assert bench.agent.state == 'stopped'
+        assert all(task.result().reply for task in tasks)
+
+
+async def test_drain_reports_what_is_still_open(caplog):
+    async with Bench() as bench:
+        task = bench.send(dispatch())
+        await asyncio.sleep(0.1)
+        await bench.agent.drain(0.1)
+        assert 'event=stop_incomplete open_requests=1' in caplog.text
+        assert (await task).reply
+
+
+async def test_batch_is_bounded_and_load_waits_take_no_place_in_it():
+    # Guards against requests that wait for a load blocking loaded ones.
+    async with Bench(max_running=2, capacity=2) as bench:
+        await bench.run(dispatch('warm-up'))
+        bench.engine.hang_loads = 1
+        waiting = bench.send(dispatch('w', AdapterKey('other', '1')))
+        await asyncio.sleep(0.1)
+        served = await asyncio.gather(
+            *(bench.run(dispatch(f'r{number}')) for number in range(6)),
+        )
+        assert all(result.reply for result in served)
+        assert bench.engine.most_running <= 2
+        assert not waiting.done()
+
+
+async def test_load_waits_for_a_load_slot_and_returns_it():
+    async with Bench() as bench:
+        bench.session.control.free_slots = 0
+        task = bench.send(dispatch())
+        await asyncio.sleep(1)
+        assert not bench.engine.held
+        bench.session.control.free_slots = 1
+        assert (await task).reply
+        await asyncio.sleep(0.1)
+        assert bench.session.control.free_slots == 1
+
+
+async def test_busy_adapter_gives_way_to_a_waiting_one():
+    # Guards against starvation of a rare adapter while a popular one always
+    # has a request in the batch.
+    async with Bench() as bench:
+        stop = asyncio.Event()
+
+        async def keep_busy(name):
+            number = 0
+            while not stop.is_set():
+                number += 1
+                await bench.run(dispatch(f'{name}-{number}'))
+
+        await bench.run(dispatch('warm-up'))
+        busy = [asyncio.create_task(keep_busy(name)) for name in 'xyz']
+        await asyncio.sleep(2)
+        rare = await bench.run(
+            dispatch('rare', AdapterKey('rare', '1'), deadline_s=5),
+        )
+        stop.set()
+        await asyncio.gather(*busy)
+        assert isinstance(rare.reply, Finished)
+
+
+async def test_report_shows_load_and_adapters():
+    async with Bench() as bench:
+        task = bench.send(dispatch())
+        await asyncio.sleep(0.28)
+        report = bench.session.agent_source()
+        assert (report.running, report.adapters) == (1, ('a@1',))
+        assert report.capacity == bench.settings.max_running
+        await task
+        bench.session.set_lease(False)
+        assert bench.session.agent_source().capacity == 0
