--- a/src/kumquatrun/replica.py
+++ b/src/kumquatrun/replica.py
@@ -21,7 +21,6 @@
     NotLeaderError,
     OutcomeUnknownError,
     RequestTooLargeError,
-    SettingError,
 )
 from kumquatrun.log_store import Storage
 from kumquatrun.messages import Ack
@@ -29,10 +28,15 @@
 from kumquatrun.quorum_node import (
     LogNode,
     NodeOptions,
-    NodeSettings,
     StateMachine,
 )
 from kumquatrun.quorum_types import Envelope, MembershipChange, Output
+from kumquatrun.replica_addresses import (
+    check_address,
+    initial_addresses,
+    known_addresses,
+    node_settings,
+)
 from kumquatrun.replica_status import ReplicaStatus
 from kumquatrun.replica_transport import Transport
 from kumquatrun.replica_work import ReplicaWork, Reply
@@ -107,25 +111,14 @@
         SettingError
             If the initial members do not include this replica.
         """
-        addresses = dict(self._settings.replicas)
         own_id = self._settings.replica_id
-        if not addresses and not self._settings.join:
-            addresses = {own_id: self._settings.listen}
-        if own_id not in addresses and not self._settings.join:
-            raise SettingError(f'replica {own_id} is not in its replica list')
+        addresses = initial_addresses(self._settings)
         self._transport.on_reply(self._on_reply)
         self._transport.set_addresses(
             {name: row for name, row in addresses.items() if name != own_id},
         )
         self._node = LogNode(
-            NodeSettings(
-                replica_id=own_id,
-                address=str(addresses.get(own_id, self._settings.listen)),
-                initial_addresses={
-                    name: str(row) for name, row in addresses.items()
-                },
-                joining=self._settings.join,
-            ),
+            node_settings(self._settings),
             self._machine,
             self._storage,
             self._rng,
@@ -160,7 +153,7 @@
             raise InvalidRequestError(f'unexpected {type(request).__name__}')
         self._require_running()
         if isinstance(request, JoinRequest):
-            _check_address(request.address)
+            check_address(request.address)
         future = self._work.add_request(request)
         self._schedule_flush()
         return await future
@@ -335,14 +328,7 @@
 
     def _follow_addresses(self) -> None:
         """Pass the addresses of members and of joining disks on."""
-        core = self._node.core
-        addresses = dict(self._node.told_addresses)
-        addresses |= {
-            member.replica_id: member.address
-            for member in core.membership.members
-        }
-        if core.leadership is not None:
-            addresses |= core.leadership.joining_addresses()
+        addresses = known_addresses(self._node)
         if addresses != self._seen_addresses:
             self._seen_addresses = addresses
             self._transport.set_addresses(
@@ -352,10 +338,3 @@
                     if address and replica_id != self._settings.replica_id
                 },
             )
-
-
-def _check_address(text: str) -> None:
-    try:
-        Address.parse(text)
-    except ValueError as error:
-        raise InvalidRequestError(f'address of a replica: {error}') from None
