Check the budget bound under faults, and add runtime invariants

A model with freezing, replaced and restarted entries, lost and repeated reports and leader changes checks every window. The same steps exceed the budget with each of eight mechanisms off, so the checker is not vacuous.

--- a/src/kumquatrun/account_budgets.py
+++ b/src/kumquatrun/account_budgets.py
@@ -17,6 +17,7 @@
 from kumquatrun.document import AccountSpec
 from kumquatrun.errors import NotFoundError
 from kumquatrun.hosts import Incarnation
+from kumquatrun.invariants import check_invariant
 from kumquatrun.messages import BudgetReport, GrantReply, GrantTokens
 
 _MICRO = 1_000_000
@@ -46,8 +47,14 @@
         """Add what the rate allows, up to the burst minus outstanding."""
         room = self.refill_room_micro()
         added = self.rate_micro_per_ms * (now_ms - self.refilled_ms)
-        self.level_micro += max(0, min(added, room))
+        added = max(0, min(added, room))
+        self.level_micro += added
         self.refilled_ms = now_ms
+        total = self.level_micro + self.outstanding_sum_micro
+        check_invariant(
+            not added or total <= self.burst_micro,
+            'budget_within_burst',
+        )
 
     def limit(self) -> None:
         """Cut the level to the burst minus outstanding."""
@@ -68,6 +75,7 @@
         """Change the outstanding amount of one entry."""
         amount = self.outstanding_micro.get(holder, 0) + amount_micro
         self.outstanding_sum_micro += amount_micro
+        check_invariant(amount >= 0, 'outstanding_not_negative')
         if amount:
             self.outstanding_micro[holder] = amount
         else:
@@ -214,8 +222,8 @@
             for name, budget in self._budgets.items()
         ]
         grants = [
-            [holder, list(numbers.items())]
-            for holder, numbers in self._grants.items()
+            [owner, list(numbers.items())]
+            for owner, numbers in self._grants.items()
         ]
         return [budgets, list(self._sequences.items()), grants]
 
@@ -230,8 +238,8 @@
             self._budgets[name] = budget
         self._sequences = {tuple(key): number for key, number in sequences}
         self._grants = {
-            tuple(holder): OrderedDict(map(tuple, numbers))
-            for holder, numbers in grants
+            tuple(owner): OrderedDict(map(tuple, numbers))
+            for owner, numbers in grants
         }
 
     def _remember_grant(
--- a/src/kumquatrun/claims.py
+++ b/src/kumquatrun/claims.py
@@ -17,6 +17,7 @@
     NoCapacityError,
     Outcome,
 )
+from kumquatrun.invariants import check_invariant
 from kumquatrun.messages import (
     ClaimReply,
     ClaimRequest,
@@ -174,6 +175,10 @@
             self._store_answer(key, self._claims[key], answer)
 
     def _add(self, command: ClaimRequest, now_ms: int) -> None:
+        check_invariant(
+            command.claim_key not in self._claims,
+            'claim_granted_once',
+        )
         if len(self._claims) >= self._max_claims:
             raise NoCapacityError(
                 f'{self._max_claims} claims are retained already',
--- a/src/kumquatrun/cluster_view.py
+++ b/src/kumquatrun/cluster_view.py
@@ -25,6 +25,7 @@
     parse_document,
 )
 from kumquatrun.errors import FeedGapError, WireError
+from kumquatrun.invariants import check_invariant
 from kumquatrun.keys import hash_key
 from kumquatrun.messages import AgentReport, FeedItem, HostRecord
 
@@ -146,6 +147,8 @@
         revision, digest, base_revision, delta = body
         if revision <= self._revision:
             return
+        # Guarantee 10: an accepted configuration is never reverted.
+        check_invariant(base_revision < revision, 'revision_increases')
         if base_revision != self._revision:
             raise FeedGapError(
                 f'document {revision} builds on revision {base_revision}, '
--- a/src/kumquatrun/token_wallet.py
+++ b/src/kumquatrun/token_wallet.py
@@ -14,6 +14,7 @@
 
 from result import Err, Ok, Result
 
+from kumquatrun.invariants import check_invariant
 from kumquatrun.messages import BudgetReport, GrantTokens
 
 # Tokens that were not needed during two such periods are returned, that is
@@ -182,6 +183,10 @@
             balance.take_idle(missing)
             reservation.reserved_tokens += missing
         reservation.consumed_tokens += tokens
+        check_invariant(
+            reservation.open_tokens >= 0 and balance.idle_tokens >= 0,
+            'consumed_within_reserved',
+        )
         balance.consumed_tokens += tokens
         return Ok(reservation.open_tokens)
 
--- /dev/null
+++ b/tests/test_account_budgets.py
@@ -0,0 +1,711 @@
+"""Account budgets: no window exceeds rate x time + burst.
+
+The model has several processes with wallets and one control state. Processes
+freeze, wake with old grants, are replaced while they still run, lose and
+repeat reports; leases end and leaders change. Each broken variant must be
+caught by the same checker, or the checker proves nothing.
+"""
+
+import random
+from dataclasses import dataclass, field, replace
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    rule,
+    run_state_machine_as_test,
+)
+from result import Err, Ok
+from tests.shared_state import ACCOUNT, Cluster, apply_document, host
+
+from kumquatrun.account_budgets import AccountBudget, BudgetRegister
+from kumquatrun.commands import ExpireHost, ReportBudgets
+from kumquatrun.invariants import set_fatal
+from kumquatrun.messages import (
+    BudgetReport,
+    GrantTokens,
+    RegisterHost,
+)
+from kumquatrun.token_wallet import TokenWallet
+
+RATE = ACCOUNT['rate_tokens_per_s']
+BURST = ACCOUNT['burst_tokens']
+LEASE_MS = 3000
+
+
+class WindowExceededError(AssertionError):
+    """Some window had more than rate x time + burst tokens."""
+
+
+class WindowChecker:
+    """Bucket whose level is never negative iff every window is in bounds."""
+
+    def __init__(self, rate, burst):
+        self.rate, self.burst = rate, burst
+        self.level = burst * 1000
+        self.at_ms = 0
+
+    def add(self, now_ms, tokens):
+        refill = self.rate * (now_ms - self.at_ms)
+        self.level = min(self.burst * 1000, self.level + refill)
+        self.at_ms = now_ms
+        self.level -= tokens * 1000
+        if self.level < 0:
+            raise WindowExceededError(f'{-self.level / 1000} tokens too many')
+
+
+@dataclass
+class Process:
+    """One run of an entry, with its lease by its own clock."""
+
+    wallet: TokenWallet
+    host_id: str
+    lease_end_ms: int
+    checks_lease: bool = True
+    frozen: bool = False
+    streams: list = field(default_factory=list)
+    late_grants: list = field(default_factory=list)
+    report: tuple | None = None
+    sequence: int = 0
+
+    def ready(self, now_ms):
+        lease = now_ms < self.lease_end_ms or not self.checks_lease
+        return lease and not self.frozen
+
+
+class Model:
+    """Processes, leader and real time; every step is one public method."""
+
+    def __init__(self, checks_lease=True, checks_request=True):
+        self.cluster = Cluster()
+        self.now_ms = self.batch_ms = 0
+        self.checks_lease = checks_lease
+        self.checks_request = checks_request
+        self.checker = WindowChecker(RATE, BURST)
+        self.processes = []
+        self.leases = {}
+        self.runs = 0
+        for host_id in ('entry-1', 'entry-2'):
+            self.start(host_id)
+
+    def commit(self, command):
+        elapsed_ms = self.now_ms - self.batch_ms
+        self.batch_ms = self.now_ms
+        return self.cluster.run(command, elapsed_ms=elapsed_ms)
+
+    def start(self, host_id):
+        self.runs += 1
+        run = f'run-{self.runs}'
+        self.commit(RegisterHost(record=host(host_id, run)))
+        self.leases[host_id, run] = self.now_ms + LEASE_MS
+        process = Process(
+            wallet=TokenWallet(host_id, run),
+            host_id=host_id,
+            lease_end_ms=self.now_ms + LEASE_MS,
+            checks_lease=self.checks_lease,
+        )
+        self.processes.append(process)
+        return process
+
+    def process(self, number):
+        return self.processes[number % len(self.processes)]
+
+    def advance(self, elapsed_ms):
+        self.now_ms += elapsed_ms
+
+    def admit(self, number, tokens, grant_fate):
+        process = self.process(number)
+        if not process.ready(self.now_ms):
+            return
+        wallet, now_s = process.wallet, self.now_ms / 1000
+        if isinstance(wallet.reserve('acme', tokens, now_s), Err):
+            request = wallet.grant_request('acme', now_s)
+            reply = self.commit(request)
+            granted = getattr(reply, 'granted_tokens', 0)
+            if grant_fate == 'late':
+                process.late_grants.append((request, granted))
+            elif grant_fate == 'lost':
+                wallet.abandon_grant(request)
+            else:
+                wallet.add_grant('acme', granted, request)
+        outcome = wallet.reserve('acme', tokens, now_s)
+        if isinstance(outcome, Ok):
+            process.streams.append(outcome.ok_value)
+
+    def stream(self, number, tokens=25):
+        process = self.process(number)
+        if not process.ready(self.now_ms) or not process.streams:
+            return
+        outcome = process.wallet.consume(process.streams[0], tokens)
+        if isinstance(outcome, Ok):
+            self.checker.add(self.now_ms, tokens)
+
+    def spend_all(self):
+        """Use every token that any process holds, the worst case."""
+        for process in self.processes:
+            if not process.ready(self.now_ms):
+                continue
+            idle = process.wallet.idle_tokens('acme')
+            outcome = process.wallet.reserve('acme', idle, self.now_ms / 1000)
+            for stream in (*process.streams, outcome.ok_value):
+                tokens = stream.open_tokens
+                if isinstance(process.wallet.consume(stream, tokens), Ok):
+                    self.checker.add(self.now_ms, tokens)
+                process.wallet.settle(stream)
+            process.streams.clear()
+
+    def settle(self, number):
+        process = self.process(number)
+        if process.streams and not process.frozen:
+            process.wallet.settle(process.streams.pop(0))
+
+    def deliver_late_grants(self, number):
+        process = self.process(number)
+        for request, granted in process.late_grants:
+            known = request if self.checks_request else None
+            process.wallet.add_grant('acme', granted, known)
+        process.late_grants.clear()
+
+    def renew(self, number, fate):
+        process = self.process(number)
+        if process.frozen:
+            return
+        if not process.ready(self.now_ms):
+            self.rejoin(process)
+            return
+        if process.report is None:
+            process.sequence += 1
+            reports = process.wallet.take_reports(self.now_ms / 1000)
+            process.report = (process.sequence, reports)
+        holder = (process.host_id, process.wallet.incarnation)
+        current = self.cluster.state.host(process.host_id)
+        if fate == 'lost' or current is None:
+            return
+        if current.incarnation != holder[1]:
+            return
+        for _ in range(2 if fate == 'repeated' else 1):
+            self.commit(
+                ReportBudgets(
+                    host_id=holder[0],
+                    incarnation=holder[1],
+                    sequence=process.report[0],
+                    reports=process.report[1],
+                ),
+            )
+        self.leases[holder] = self.now_ms + LEASE_MS
+        if fate != 'no_reply':
+            process.report = None
+            process.lease_end_ms = self.now_ms + LEASE_MS
+
+    def rejoin(self, process):
+        """Register a process whose lease ended under a new incarnation."""
+        self.processes.remove(process)
+        joined = self.start(process.host_id)
+        process.wallet.clear(joined.wallet.incarnation)
+        joined.wallet = process.wallet
+        joined.late_grants = process.late_grants
+        joined.streams = process.streams
+
+    def lose_report(self, number):
+        self.process(number).report = None
+
+    def expire(self):
+        for holder in self.cluster.state.incarnations():
+            if self.leases.get(holder, 0) <= self.now_ms:
+                self.commit(
+                    ExpireHost(host_id=holder[0], incarnation=holder[1])
+                )
+
+    def freeze(self, number):
+        self.process(number).frozen = True
+
+    def wake(self, number):
+        self.process(number).frozen = False
+
+    def replace(self, number):
+        """Start a process anew while the old one may still run."""
+        if len(self.processes) < 4:
+            self.start(self.process(number).host_id)
+
+    def change_leader(self):
+        self.batch_ms = self.now_ms
+        for holder in self.cluster.state.incarnations():
+            self.leases[holder] = self.now_ms + LEASE_MS
+
+    def replace_account(self):
+        for accounts in ([], [ACCOUNT]):
+            revision = self.cluster.state.revision
+            self.commit(apply_document(revision, accounts=accounts))
+
+    def restore(self):
+        self.cluster.state = self.cluster.restored()
+
+
+NUMBERS = st.integers(0, 2)
+
+
+class BudgetMachine(RuleBasedStateMachine):
+    def __init__(self, **options):
+        super().__init__()
+        self.model = Model(**options)
+
+    @rule(elapsed_ms=st.sampled_from([500, 2900, 5000]))
+    def advance(self, elapsed_ms):
+        self.model.advance(elapsed_ms)
+
+    @rule(
+        number=NUMBERS,
+        tokens=st.sampled_from([25, BURST]),
+        fate=st.sampled_from(['replied', 'replied', 'late', 'lost']),
+    )
+    def admit(self, number, tokens, fate):
+        self.model.admit(number, tokens, fate)
+
+    @rule()
+    def spend_all(self):
+        self.model.spend_all()
+
+    @rule(
+        number=NUMBERS,
+        fate=st.sampled_from(['replied', 'lost', 'no_reply', 'repeated']),
+    )
+    def renew(self, number, fate):
+        for other in range(len(self.model.processes)):
+            self.model.renew(other, fate if other == number else 'replied')
+
+    @rule()
+    def expire(self):
+        self.model.expire()
+
+    @rule(
+        number=NUMBERS,
+        step=st.sampled_from(
+            [
+                'freeze',
+                'wake',
+                'replace',
+                'stream',
+                'settle',
+                'deliver_late_grants',
+                'lose_report',
+            ],
+        ),
+    )
+    def disturb(self, number, step):
+        getattr(self.model, step)(number)
+
+    @rule(step=st.sampled_from(['change_leader', 'replace_account', 'restore']))
+    def control(self, step):
+        getattr(self.model, step)()
+
+
+MACHINE = settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=200,
+    stateful_step_count=60,
+    phases=[Phase.generate],
+    suppress_health_check=list(HealthCheck),
+    print_blob=False,
+    report_multiple_bugs=False,
+)
+
+
+RANDOM_STEPS = [
+    *[('advance', elapsed_ms) for elapsed_ms in (10, 400, 900, 2900, 5000)],
+    *[
+        ('admit', number, tokens, fate)
+        for number in range(3)
+        for tokens in (25, BURST)
+        for fate in ('replied', 'replied', 'late', 'lost')
+    ],
+    *[
+        ('renew', number, fate)
+        for number in range(3)
+        for fate in ['replied'] * 5 + ['lost', 'no_reply', 'repeated']
+    ],
+    *[('spend_all',)] * 4,
+    *[('expire',)] * 4,
+    *[
+        (step, number)
+        for number in range(3)
+        for step in ('freeze', 'wake', 'wake', 'stream', 'settle', 'replace')
+    ],
+    *[('deliver_late_grants', number) for number in range(3)],
+    *[('lose_report', 0), ('change_leader',), ('replace_account',)],
+    ('restore',),
+]
+
+
+def run_random(seed, steps, **options):
+    rows = random.Random(seed).choices(RANDOM_STEPS, k=steps)
+    run_steps(rows, **options)
+
+
+def test_no_window_exceeds_the_budget_under_faults():
+    run_state_machine_as_test(BudgetMachine, settings=MACHINE)
+
+
+def refill_ignoring_outstanding(patch):
+    patch.setattr(
+        AccountBudget,
+        'refill_room_micro',
+        lambda self: self.burst_micro - self.level_micro,
+    )
+
+
+def return_tokens_of_expired_host(patch):
+    original = BudgetRegister.expire
+
+    def expire(self, holder, now_ms):
+        for budget in self._budgets.values():
+            budget.level_micro += budget.outstanding_micro.get(holder, 0)
+        original(self, holder, now_ms)
+
+    patch.setattr(BudgetRegister, 'expire', expire)
+
+
+def count_repeated_reports(patch):
+    original = BudgetRegister.report
+
+    def report(self, holder, sequence, reports, now_ms):
+        self._sequences.pop(holder, None)
+        return original(self, holder, sequence, reports, now_ms)
+
+    patch.setattr(BudgetRegister, 'report', report)
+
+
+def expire_on_replacement(patch):
+    original = Model.start
+
+    def start(self, host_id):
+        process = original(self, host_id)
+        for holder in self.cluster.state.incarnations():
+            if holder == (host_id, process.wallet.incarnation):
+                continue
+            if holder[0] == host_id:
+                self.commit(
+                    ExpireHost(host_id=holder[0], incarnation=holder[1])
+                )
+        return process
+
+    patch.setattr(Model, 'start', start)
+
+
+def fresh_burst_for_returning_account(patch):
+    original = BudgetRegister.configure
+
+    def configure(self, specs, now_ms):
+        specs = list(specs)
+        if not specs:
+            self._budgets.clear()
+        original(self, specs, now_ms)
+
+    patch.setattr(BudgetRegister, 'configure', configure)
+
+
+RENEW_BOTH = [('renew', 0, 'replied'), ('renew', 1, 'replied')]
+FIVE_SECONDS = [('advance', 2500), *RENEW_BOTH, ('advance', 2500), *RENEW_BOTH]
+TAKE_ALL = ('admit', 0, BURST, 'replied')
+OTHER_TAKES_ALL = ('admit', 1, BURST, 'replied')
+OTHER_TAKES_HALF = [('admit', 1, BURST // 4, 'replied')] * 2
+SPEND = ('spend_all',)
+
+# Mechanism that is off, options of the model, steps. With the mechanism on,
+# the same steps stay within the budget.
+SCENARIOS = {
+    'refill ignores outstanding': (
+        refill_ignoring_outstanding,
+        {},
+        [TAKE_ALL, ('advance', 2900), *OTHER_TAKES_HALF, SPEND],
+    ),
+    'tokens of an expired host return': (
+        return_tokens_of_expired_host,
+        {},
+        [
+            TAKE_ALL,
+            SPEND,
+            ('advance', LEASE_MS),
+            ('renew', 1, 'replied'),
+            ('expire',),
+            OTHER_TAKES_ALL,
+            SPEND,
+        ],
+    ),
+    'a repeated report counts twice': (
+        count_repeated_reports,
+        {},
+        [
+            TAKE_ALL,
+            ('stream', 0),
+            ('renew', 0, 'repeated'),
+            ('advance', 2900),
+            *OTHER_TAKES_HALF,
+            SPEND,
+        ],
+    ),
+    'a replaced process expires at once': (
+        expire_on_replacement,
+        {},
+        [
+            TAKE_ALL,
+            ('replace', 0),
+            ('advance', 2900),
+            *OTHER_TAKES_HALF,
+            SPEND,
+        ],
+    ),
+    'a returning account has a new burst': (
+        fresh_burst_for_returning_account,
+        {},
+        [TAKE_ALL, ('replace_account',), OTHER_TAKES_ALL, SPEND],
+    ),
+    'a woken process ignores its lease': (
+        None,
+        {'checks_lease': False},
+        [
+            TAKE_ALL,
+            ('freeze', 0),
+            ('advance', LEASE_MS),
+            ('renew', 1, 'replied'),
+            ('expire',),
+            *FIVE_SECONDS,
+            OTHER_TAKES_ALL,
+            ('wake', 0),
+            SPEND,
+        ],
+    ),
+    'a new incarnation takes an old grant': (
+        None,
+        {'checks_request': False},
+        [
+            ('admit', 0, BURST, 'late'),
+            ('advance', LEASE_MS),
+            # Each rejoins as the last process of the list.
+            ('renew', 0, 'replied'),
+            ('renew', 0, 'replied'),
+            ('expire',),
+            *FIVE_SECONDS,
+            OTHER_TAKES_ALL,
+            ('deliver_late_grants', 0),
+            SPEND,
+        ],
+    ),
+    'an abandoned grant is used': (
+        None,
+        {'checks_request': False},
+        [
+            ('admit', 0, BURST, 'late'),
+            *FIVE_SECONDS,
+            OTHER_TAKES_ALL,
+            ('deliver_late_grants', 0),
+            SPEND,
+        ],
+    ),
+}
+
+
+def run_steps(steps, **options):
+    model = Model(**options)
+    for name, *arguments in steps:
+        getattr(model, name)(*arguments)
+
+
+@pytest.fixture
+def tolerant():
+    """Let the checker, not an invariant of the program, find the fault."""
+    set_fatal(False)
+    yield
+    set_fatal(True)
+
+
+@pytest.mark.parametrize('scenario', SCENARIOS)
+def test_checker_catches_a_broken_mechanism(monkeypatch, tolerant, scenario):
+    break_mechanism, options, steps = SCENARIOS[scenario]
+    run_steps(steps)
+    if break_mechanism:
+        break_mechanism(monkeypatch)
+    with pytest.raises(WindowExceededError):
+        run_steps(steps, **options)
+
+
+@pytest.mark.parametrize(
+    ('break_mechanism', 'options'),
+    [
+        (refill_ignoring_outstanding, {}),
+        (return_tokens_of_expired_host, {}),
+        (expire_on_replacement, {}),
+        (fresh_burst_for_returning_account, {}),
+        (None, {'checks_lease': False}),
+        (None, {'checks_request': False}),
+    ],
+)
+def test_random_run_catches_a_broken_mechanism(
+    monkeypatch,
+    tolerant,
+    break_mechanism,
+    options,
+):
+    # Guards against random runs that never reach the bounds.
+    if break_mechanism:
+        break_mechanism(monkeypatch)
+    with pytest.raises(WindowExceededError):
+        for seed in range(500):
+            run_random(seed, 100, **options)
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_no_window_exceeds_the_budget_in_a_long_run(seed):
+    run_random(seed, 300)
+
+
+def grant(wanted, number=0, needed=None, account='acme', incarnation='a'):
+    return GrantTokens(
+        host_id='entry-1',
+        incarnation=incarnation,
+        account=account,
+        wanted_tokens=wanted,
+        needed_tokens=needed,
+        number=number,
+    )
+
+
+def report(sequence, **fields):
+    return ReportBudgets(
+        host_id='entry-1',
+        incarnation='a',
+        sequence=sequence,
+        reports=(BudgetReport(account='acme', **fields),),
+    )
+
+
+EXPIRE = ExpireHost(host_id='entry-1', incarnation='a')
+
+
+@pytest.mark.parametrize(
+    ('commands', 'level', 'outstanding'),
+    [
+        pytest.param([grant(30)], 70, 30, id='a grant moves tokens'),
+        pytest.param([grant(130)], 0, 100, id='no more than the level'),
+        pytest.param([grant(90, needed=10)], 50, 50, id='half in advance'),
+        pytest.param([grant(-5)], 100, 0, id='a negative grant is nothing'),
+        pytest.param(
+            [grant(30, number=1), grant(30, number=1)],
+            70,
+            30,
+            id='a resent grant request counts once',
+        ),
+        pytest.param(
+            [grant(30, number=1), report(1, abandoned_grants=(1,))],
+            100,
+            0,
+            id='an abandoned grant returns',
+        ),
+        pytest.param(
+            [report(1, abandoned_grants=(1,)), grant(30, number=1)],
+            100,
+            0,
+            id='a grant that arrives after it was abandoned is nothing',
+        ),
+        pytest.param(
+            [grant(30), report(1, consumed_tokens=10, returned_tokens=5)],
+            75,
+            15,
+            id='consumed tokens do not return',
+        ),
+        pytest.param(
+            [grant(30), report(1, returned_tokens=5)] + [report(1)] * 2,
+            75,
+            25,
+            id='a repeated report counts once',
+        ),
+        pytest.param(
+            [grant(30), report(1, returned_tokens=500)],
+            100,
+            0,
+            id='a faulty report creates no tokens',
+        ),
+        pytest.param([grant(30), EXPIRE], 70, 0, id='an expired host'),
+        pytest.param(
+            [grant(30), EXPIRE, report(1, returned_tokens=30)],
+            70,
+            0,
+            id='a report after expiry is ignored',
+        ),
+        pytest.param(
+            [
+                grant(90),
+                apply_document(1, accounts=[{**ACCOUNT, 'burst_tokens': 50}]),
+                report(1, returned_tokens=90),
+            ],
+            50,
+            0,
+            id='a lower burst cuts the level',
+        ),
+        pytest.param(
+            [
+                grant(90),
+                apply_document(1, accounts=[{**ACCOUNT, 'burst_tokens': 900}]),
+            ],
+            10,
+            90,
+            id='a higher burst adds no tokens',
+        ),
+    ],
+)
+def test_tokens_move_between_level_and_outstanding(
+    commands,
+    level,
+    outstanding,
+):
+    cluster = Cluster(*commands)
+    for state in (cluster.state, cluster.restored()):
+        row = state.status()['accounts']['acme']
+        assert row['level_tokens'] == level
+        assert sum(row['outstanding_tokens'].values()) == outstanding
+
+
+@pytest.mark.parametrize(
+    ('command', 'code'),
+    [
+        (grant(1, account='nobody'), 'not_found'),
+        (grant(1, incarnation='old'), 'stale_incarnation'),
+    ],
+)
+def test_grant_is_refused(command, code):
+    assert Cluster().run(command).code == code
+
+
+def test_removed_account_gets_no_grants():
+    cluster = Cluster(grant(10))
+    cluster.run(apply_document(1, accounts=[]))
+    assert cluster.run(grant(1)).code == 'not_found'
+
+
+@pytest.mark.parametrize(
+    ('held_elsewhere', 'wait_s'),
+    [(0, 2.5), (100, 1.0)],
+)
+def test_short_grant_says_when_to_ask_again(held_elsewhere, wait_s):
+    # 50 of 100 tokens are missing at 20 tokens/s; tokens that another entry
+    # holds come back after they were idle for 1 s.
+    cluster = Cluster(RegisterHost(record=host('entry-2')))
+    other = replace(grant(held_elsewhere), host_id='entry-2')
+    cluster.run(grant(100 - held_elsewhere), report(1, consumed_tokens=100))
+    cluster.run(other)
+    reply = cluster.run(grant(50))
+    assert reply.granted_tokens == 0
+    assert reply.retry_after_s == wait_s
+
+
+def test_rate_refills_without_rounding():
+    # Guards against losing the fractions of many short batches.
+    slow = {**ACCOUNT, 'rate_tokens_per_s': 0.5}
+    cluster = Cluster(apply_document(1, accounts=[slow]), grant(100))
+    cluster.run(report(1, consumed_tokens=100))
+    for _ in range(2000):
+        cluster.run(elapsed_ms=1)
+    assert cluster.run(grant(100)).granted_tokens == 1
