Export the peer bytes of dedicated control hosts; measure control per host

Cause: the capacity page needs the cost of control per host, and the control daemon did not export its peer bytes and violations as the other daemons do.

--- a/src/kumquatrun/daemons.py
+++ b/src/kumquatrun/daemons.py
@@ -135,6 +135,7 @@
             return f'replica failed: {control.replica.failure}'
         return '' if control.replica.leader_id else 'no leader known'
 
+    metrics.before_render(lambda: _set_process_counts(metrics))
     admin = _admin_parts(settings, metrics, not_ready_reason)
     return Daemon(settings, [*admin, control])
 
@@ -171,14 +172,7 @@
         metrics.set_gauge('feed_index', session.view.applied_index)
         metrics.set_gauge('document_revision', session.view.revision)
         server.set_gauges(metrics)
-        for scope, sent in sent_bytes.items():
-            metrics.set_count('peer_bytes_total', sent, scope=scope)
-        for invariant, count in violations.items():
-            metrics.set_count(
-                'invariant_violations_total',
-                count,
-                invariant=invariant,
-            )
+        _set_process_counts(metrics)
 
     def not_ready_reason() -> str:
         if not session.lease_valid():
@@ -197,6 +191,17 @@
     return daemon
 
 
+def _set_process_counts(metrics: Metrics) -> None:
+    for scope, sent in sent_bytes.items():
+        metrics.set_count('peer_bytes_total', sent, scope=scope)
+    for invariant, count in violations.items():
+        metrics.set_count(
+            'invariant_violations_total',
+            count,
+            invariant=invariant,
+        )
+
+
 def _follow_drain(session: Session, daemon: Daemon) -> None:
     """Drain the daemon if an operator has drained this run of its host."""
     own = session.record
