Stop an entry although callers keep idle connections open

Cause: aiohttp takes a shutdown timeout of 0 for 'without a limit'. An entry with one idle keep-alive connection, such as that of a load balancer, never ended after SIGTERM. Found by the new test that runs an entry with the replica role and stops it while the client keeps its connection.

Ruled out: the admin server, whose runner closes idle connections.

Before: the stop waited until the caller closed the connection. After: it waits 0.1 s and closes it. The test fails without the change.

The demo also checks that no log contains a key or token.

Run: tests/test_daemons.py and tests/test_entry.py pass; bench.demo passes.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -81,6 +81,9 @@
         await self._revoked_key()
         await self._drained_agent()
         await self._metrics()
+        leaking = self._cluster.secrets_in_logs(list(self._keys.values()))
+        _check(not leaking, f'logs contain keys or tokens: {leaking}')
+        print('no log contains a key or token')
 
     async def _configure(self) -> None:
         applied = await self._cluster.operate(
--- a/bench/local_cluster.py
+++ b/bench/local_cluster.py
@@ -201,6 +201,21 @@
             faults.extend(filter(None, map(_wait_for_end, group)))
         return faults
 
+    def secrets_in_logs(self, keys: Sequence[str]) -> list[str]:
+        """Return the names of processes whose logs contain a secret."""
+        tokens = (
+            self._environment['KUMQUATRUN_CLUSTER_TOKEN'],
+            self._environment['KUMQUATRUN_OPERATOR_TOKEN'],
+        )
+        return [
+            process.name
+            for process in self.processes
+            if any(
+                secret in process.log_path.read_text(errors='replace')
+                for secret in (*tokens, *keys)
+            )
+        ]
+
     def log_tails(self) -> str:
         """Return the last log lines of every process that has any."""
         parts = []
--- a/src/kumquatrun/entry.py
+++ b/src/kumquatrun/entry.py
@@ -44,6 +44,9 @@
 READY_PATH = '/-/ready'
 HTTP_OK = 200
 MS_PER_S = 1000
+# aiohttp takes 0 for "without a limit" and then waits for callers to close
+# their idle connections.
+CLOSE_TIMEOUT_S = 0.1
 
 
 class Entry:
@@ -171,7 +174,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         if self._server is not None:
             self._server.close()
-            await self._http.shutdown(timeout=0)
+            await self._http.shutdown(CLOSE_TIMEOUT_S)
         await self._relay.idle()
         await self._pool.close()
 
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -3,10 +3,18 @@
 import asyncio
 import os
 import signal
+from functools import cache
+from unittest.mock import ANY
 
+import aiohttp
 import pytest
+from bench.local_cluster import free_ports
 
+from kumquatrun import daemons
+from kumquatrun.clock import LoopClock
 from kumquatrun.lifecycle import Daemon, run_daemon
+from kumquatrun.metrics import Metrics
+from kumquatrun.setting_builder import build_settings
 from kumquatrun.settings import DaemonSettings
 
 SETTINGS = DaemonSettings(host_id='h1', drain_timeout_s=7)
@@ -133,3 +141,49 @@
     daemon.terminate('SIGTERM')
     await task
     assert calls[-3:] == ['stop c', 'stop b', 'stop a']
+
+
+def free_addresses(count):
+    return [f'127.0.0.1:{port}' for port in free_ports(count)]
+
+
+async def test_entry_runs_the_replica_role(tmp_path, monkeypatch):
+    # Guards against a start that waits for a replica of the same process
+    # which is started later, and against a stop in the wrong order.
+    monkeypatch.setattr(daemons, 'process_metrics', cache(Metrics))
+    http, replica, admin = free_addresses(3)
+    settings = build_settings(
+        'entry',
+        {
+            'host_id': 'e1',
+            'http_listen': http,
+            'admin_listen': admin,
+            'control_data_dir': str(tmp_path / 'data'),
+            'replica_id': 'a',
+            'replica_listen': replica,
+            'replicas': f'a={replica}',
+            'cluster_token': 'cluster-token',
+        },
+    )
+    daemon = daemons.build_entry(settings, LoopClock())
+    task = asyncio.create_task(run_daemon(daemon))
+    async with asyncio.timeout(10), aiohttp.ClientSession() as session:
+        while daemon.state == 'starting':  # noqa: ASYNC110
+            await asyncio.sleep(0.02)
+        statuses = [
+            await fetch(session, f'http://{admin}/readyz'),
+            await fetch(session, f'http://{http}/v1/models'),
+        ]
+        page = await fetch(session, f'http://{admin}/metrics')
+        daemon.terminate('SIGTERM')
+        await task
+    assert statuses == [(200, 'ready\n'), ANY]
+    assert statuses[1][0] == 404
+    for line in ('lease_valid 1', 'replica_is_leader 1', 'open_requests 0'):
+        assert f'kumquatrun_{line}' in page[1]
+    assert daemon.state == 'stopped'
+
+
+async def fetch(session, url):
+    async with session.get(url) as answer:
+        return answer.status, await answer.text()
