Send large documents compressed; page the list of adapters

Cause: a document of the design size, 130,000 adapters with two versions, has more than 8 MiB and did not fit into a frame, so it could not be applied.

Before: refused by the command.

--- a/src/kumquatrun/cli_documents.py
+++ b/src/kumquatrun/cli_documents.py
@@ -14,6 +14,7 @@
 )
 from kumquatrun.cli_output import fail, print_result
 from kumquatrun.document import digest_document, parse_document
+from kumquatrun.document_transfer import pack_content, unpack_content
 from kumquatrun.errors import (
     DocumentError,
     KumquatrunError,
@@ -57,7 +58,10 @@
     expected_revision: int,
     target: ControlTarget | None = None,
 ) -> None:
-    arguments = {'expected_revision': expected_revision, 'content': content}
+    arguments = {
+        'expected_revision': expected_revision,
+        **pack_content(content),
+    }
     result = context.call('apply_document', arguments, target=target)
     context.print(result)
 
@@ -65,8 +69,8 @@
 def _read_checked(context: OperatorContext, file: str) -> bytes:
     content = Path(file).read_bytes()
     try:
-        _check_size(content)
         parse_document(content)
+        _check_size(content)
     except KumquatrunError as error:
         context.fail(error)
     return content
@@ -75,11 +79,12 @@
 def _check_size(content: bytes) -> None:
     # A document travels in one frame of the peer protocol.
     limit = MAX_FRAME_BYTES - FRAME_MARGIN_BYTES
-    if len(content) > limit:
-        raise DocumentError(
-            f'the document has {len(content)} bytes; at most {limit} can be '
-            'sent',
-        )
+    for sent in pack_content(content).values():
+        if len(sent) > limit:
+            raise DocumentError(
+                f'the document has {len(sent)} bytes when it is sent; the '
+                f'limit is {limit}',
+            )
 
 
 def _apply_document(
@@ -113,7 +118,7 @@
     content = _read_checked(context, file)
     target = _trial_target(context, trial)
     tried = context.call('get_document', {}, target=target)
-    tried_digest = digest_document(as_bytes(tried.get('content', b'')))
+    tried_digest = digest_document(unpack_content(tried))
     digest = digest_document(content)
     if digest != tried_digest:
         context.fail(
@@ -130,16 +135,22 @@
 
 def _show_document(context: OperatorContext) -> None:
     result = context.call('get_document', {})
+    content = unpack_content(result)
     if context.as_json:
-        print_result(result, as_json=True)
+        shown = {
+            'revision': result['revision'],
+            'digest': result['digest'],
+            'content': content,
+        }
+        print_result(shown, as_json=True)
         return
     # The content alone goes to standard output, so that it can be redirected
     # to a file byte for byte.
     click.echo(
-        f'revision: {result.get("revision")}\ndigest: {result.get("digest")}',
+        f'revision: {result["revision"]}\ndigest: {result["digest"]}',
         err=True,
     )
-    click.echo(as_bytes(result.get('content', b'')), nl=False)
+    click.echo(content, nl=False)
 
 
 def _issue_key(context: OperatorContext, account: str) -> None:
@@ -167,11 +178,6 @@
     context.print({'key_id': key_id, 'account': account, 'key': key})
 
 
-def as_bytes(content: bytes | str) -> bytes:
-    """Return the content of a document as bytes."""
-    return content.encode() if isinstance(content, str) else content
-
-
 def _trial_target(
     context: OperatorContext,
     trial: dict[str, Any],
--- a/src/kumquatrun/cli_operator.py
+++ b/src/kumquatrun/cli_operator.py
@@ -19,7 +19,7 @@
 )
 from kumquatrun.setting_table import ENVIRONMENT_PREFIX
 
-MAX_AUDIT_ROWS = 10_000
+MAX_ROWS = 10_000
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -189,6 +189,16 @@
     return click.Argument([name], type=kind)
 
 
+def _limit(unit: str) -> click.Option:
+    return option(
+        '--limit',
+        type=kinds.NumberKind(int, 1, MAX_ROWS, unit),
+        default=100,
+        allow_from_autoenv=False,
+        help=f'Most {unit} to list.',
+    )
+
+
 SIMPLE_ACTIONS: tuple[SimpleAction, ...] = (
     SimpleAction(
         'key revoke',
@@ -204,7 +214,20 @@
     SimpleAction('status', 'get_status', 'Show the state of the cluster.'),
     SimpleAction('hosts', 'list_hosts', 'List entry and agent hosts.'),
     SimpleAction(
-        'adapters', 'list_adapters', 'List adapters and where they are loaded.'
+        'adapters',
+        'list_adapters',
+        'List adapters and where they are loaded.',
+        (
+            option(
+                '--after',
+                type=click.STRING,
+                metavar='NAME',
+                default='',
+                allow_from_autoenv=False,
+                help='Name of the last adapter already seen.',
+            ),
+            _limit('adapters'),
+        ),
     ),
     SimpleAction(
         'audit',
@@ -218,13 +241,7 @@
                 allow_from_autoenv=False,
                 help='Number of the last record already seen.',
             ),
-            option(
-                '--limit',
-                type=kinds.NumberKind(int, 1, MAX_AUDIT_ROWS, 'records'),
-                default=100,
-                allow_from_autoenv=False,
-                help='Most records to list.',
-            ),
+            _limit('records'),
         ),
     ),
     SimpleAction(
--- a/src/kumquatrun/operator_actions.py
+++ b/src/kumquatrun/operator_actions.py
@@ -8,6 +8,7 @@
 from kumquatrun.command_batcher import CommandBatcher
 from kumquatrun.commands import ApplyDocument, DrainHost, IssueKey, RevokeKey
 from kumquatrun.control_state import ControlState
+from kumquatrun.document_transfer import pack_content, unpack_arguments
 from kumquatrun.errors import InvalidRequestError, UnauthorizedPeerError
 from kumquatrun.messages import AgentReport, OperatorCall, OperatorReply
 from kumquatrun.quorum_types import MembershipChange
@@ -89,10 +90,13 @@
         raise InvalidRequestError(f'unknown operator action {call.action!r}')
 
     async def _change(self, call: OperatorCall) -> Fields:
+        arguments = call.arguments
+        if call.action == 'apply_document':
+            arguments = unpack_arguments(arguments)
         command = self._changes[call.action](
             operator=call.operator,
             operation_id=call.operation_id,
-            **call.arguments,
+            **arguments,
         )
         return asdict(await self._batcher.commit(command))
 
@@ -142,7 +146,7 @@
         return {
             'revision': self._state.revision,
             'digest': self._state.digest,
-            'content': self._state.content(),
+            **pack_content(self._state.content()),
         }
 
     def _status(self) -> Fields:
