Set the request id of log lines; list all events

Cause: the context variable for the request id was never set, and an operator could not look up the events of the log.

Before: only lines that named the request id had it. After: entry and agent set it for the context of each request. Words outside of key=value pairs in a log message are kept in the field message; before, they were dropped. The page lists every event, and a test compares it with the source.

--- a/src/kumquatrun/agent.py
+++ b/src/kumquatrun/agent.py
@@ -21,6 +21,7 @@
     SettingError,
     StaleDispatchError,
 )
+from kumquatrun.logs import request_id_var
 from kumquatrun.messages import AgentReport, Dispatch, Finished, Hello
 from kumquatrun.peer import CallContext, PeerServer
 from kumquatrun.request_metrics import record_stall
@@ -192,6 +193,7 @@
         context.outcome = Outcome.NOT_RUN
         if not isinstance(request, Dispatch):
             raise InvalidRequestError(f'unexpected {type(request).__name__}')
+        request_id_var.set(request.request_id)
         now_s = self._clock.now_s()
         # First of all checks: refusing a duplicate as ``not_run`` for another
         # reason would be false if the first one ran.
--- a/src/kumquatrun/entry.py
+++ b/src/kumquatrun/entry.py
@@ -30,6 +30,7 @@
     read_body,
 )
 from kumquatrun.invariants import Invariants
+from kumquatrun.logs import request_id_var
 from kumquatrun.messages import Hello, StoredAnswer
 from kumquatrun.openai_api import Endpoint, endpoint_of, render_models
 from kumquatrun.peer import Address, PeerClient
@@ -223,6 +224,7 @@
             path=request.raw_path,
             headers=request.headers,
         )
+        request_id_var.set(http.request_id)
         sink = ResponseSink(request, http.request_id)
         try:
             if request.protocol.is_surplus:
--- a/src/kumquatrun/logs.py
+++ b/src/kumquatrun/logs.py
@@ -73,8 +73,11 @@
     text = record.getMessage()
     if not text.startswith('event='):
         return {'event': 'message', 'message': text}
-    pairs = _PAIR.findall(text)
-    return {name: _unquoted(value) for name, value in pairs}
+    fields = {name: _unquoted(value) for name, value in _PAIR.findall(text)}
+    if _PAIR.sub('', text).strip():
+        # Words outside of the pairs must not be lost.
+        fields['message'] = text
+    return fields
 
 
 def _unquoted(value: str) -> str:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -93,6 +93,11 @@
     assert fields['error'] == 'two words'
 
 
+def test_words_outside_of_pairs_are_kept(lines):
+    log.info('event=served by=%s', 'Engine(a, b)')
+    assert 'Engine(a, b)' in parsed(lines()[0])['message']
+
+
 def test_level_is_obeyed(lines):
     log_event(log, 'hidden', level=logging.DEBUG)
     assert not lines()
--- a/tests/test_reference_pages.py
+++ b/tests/test_reference_pages.py
@@ -11,6 +11,7 @@
 from kumquatrun.errors import error_kinds
 from kumquatrun.metrics import METRICS
 from kumquatrun.setting_table import ALL_DAEMONS, SETTINGS
+from kumquatrun.statechart import load_chart
 
 ROOT = Path(__file__).resolve().parent.parent
 DOCS = ROOT / 'docs'
@@ -119,6 +120,23 @@
     assert found == [(str(int(code)), code.name) for code in ExitCode]
 
 
+def test_every_event_is_listed():
+    # Guards against log lines that an operator cannot look up.
+    source = ''.join(
+        path.read_text(encoding='utf-8')
+        for path in (ROOT / 'src' / 'kumquatrun').glob('*.py')
+    )
+    events = set(re.findall(r"'event=([a-z_]+)", source))
+    events |= set(re.findall(r"log_event\(\s*log,\s*'([a-z_]+)'", source))
+    events |= {f'daemon_{state}' for state in load_chart('daemon').states}
+    # Nothing is logged before the first step of the chart.
+    events.discard(f'daemon_{load_chart("daemon").initial}')
+    text = page('metrics-and-logs.md').partition('### Events')[2]
+    listed = re.findall(r'^\| `([a-z_]+)` \|', text, re.M)
+    assert set(listed) == events
+    assert len(listed) == len(events)
+
+
 def test_links_lead_somewhere():
     for path in [*DOCS.glob('*.md'), ROOT / 'README.md']:
         for target in re.findall(r'\]\(([^)#]+)\)', path.read_text()):
