--- a/src/kumquatrun/entry.py
+++ b/src/kumquatrun/entry.py
@@ -30,6 +30,7 @@
     read_body,
 )
 from kumquatrun.invariants import Invariants
+from kumquatrun.logs import request_id_var
 from kumquatrun.messages import Hello, StoredAnswer
 from kumquatrun.openai_api import Endpoint, endpoint_of, render_models
 from kumquatrun.peer import Address, PeerClient
@@ -44,6 +45,9 @@
 READY_PATH = '/-/ready'
 HTTP_OK = 200
 MS_PER_S = 1000
+# aiohttp takes 0 for "without a limit" and then waits for callers to close
+# their idle connections.
+CLOSE_TIMEOUT_S = 0.1
 
 
 class Entry:
@@ -171,7 +175,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         if self._server is not None:
             self._server.close()
-            await self._http.shutdown(timeout=0)
+            await self._http.shutdown(CLOSE_TIMEOUT_S)
         await self._relay.idle()
         await self._pool.close()
 
@@ -220,6 +224,7 @@
             path=request.raw_path,
             headers=request.headers,
         )
+        request_id_var.set(http.request_id)
         sink = ResponseSink(request, http.request_id)
         try:
             if request.protocol.is_surplus:
