Read several peer frames with one read

Cause: each frame took two awaited reads of the stream and each item an asyncio.Queue. Now one read is split into all its frames and a stream keeps its items in a deque with one future.

--- a/src/kumquatrun/peer.py
+++ b/src/kumquatrun/peer.py
@@ -9,6 +9,7 @@
 import hmac
 import itertools
 import logging
+from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
@@ -31,10 +32,12 @@
     decode_message,
     encode_message,
 )
-from kumquatrun.wire import Frame, FrameKind, encode_frame, read_frame
+from kumquatrun.wire import Frame, FrameKind, FrameReader, encode_frame
 
 log = logging.getLogger(__name__)
 
+# asyncio pauses a writer at this size, so below it there is no need to wait.
+_FULL_BUFFER_BYTES = 64 * 1024
 PING_AFTER_S = 0.5
 SILENCE_LIMIT_S = 2.0
 CONNECT_TIMEOUT_S = 2.0
@@ -97,7 +100,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        self._reader = reader
+        self._frames = FrameReader(reader)
         self._writer = writer
         self._clock = asyncio.get_running_loop().time
         self._last_read_s = self._clock()
@@ -106,20 +109,26 @@
 
     async def send(self, kind: FrameKind, call_id: int, body: Any) -> None:
         """Write one frame; waits while the send buffer is full."""
+        self.send_now(kind, call_id, body)
+        if self._writer.transport.get_write_buffer_size() < _FULL_BUFFER_BYTES:
+            return
+        try:
+            await self._writer.drain()
+        except OSError as error:
+            raise ConnectionLostError(f'write failed: {error}') from error
+
+    def send_now(self, kind: FrameKind, call_id: int, body: Any) -> None:
+        """Write one frame without waiting; for small frames only."""
         encoded = encode_frame(Frame(kind, call_id, body))
         if self._writer.is_closing():
             raise ConnectionLostError('connection is closed')
         self._writer.write(encoded)
         self.bytes_sent += len(encoded)
         self._last_write_s = self._clock()
-        try:
-            await self._writer.drain()
-        except OSError as error:
-            raise ConnectionLostError(f'write failed: {error}') from error
 
     async def read(self) -> Frame:
         """Read one frame."""
-        frame = await read_frame(self._reader)
+        frame = await self._frames.read()
         self._last_read_s = self._clock()
         return frame
 
@@ -396,13 +405,16 @@
         self.reply: Any = None
         self._link = link
         self._call_id = call_id
-        self._events: asyncio.Queue[Frame | KumquatrunError] = asyncio.Queue()
+        self._events: deque[Frame | KumquatrunError] = deque()
+        self._waiter: asyncio.Future[None] | None = None
         self._unreported_items = 0
         self.is_done = False
 
     def push(self, event: Frame | KumquatrunError) -> None:
         """Hand over a frame or the loss of the connection."""
-        self._events.put_nowait(event)
+        self._events.append(event)
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
 
     def __aiter__(self) -> AsyncIterator[Any]:
         return self
@@ -410,12 +422,14 @@
     async def __anext__(self) -> Any:
         if self.is_done:
             raise StopAsyncIteration
-        event = await self._events.get()
+        while not self._events:
+            await self._wait()
+        event = self._events.popleft()
         if isinstance(event, KumquatrunError):
             self.is_done = True
             raise event
         if event.kind is FrameKind.ITEM:
-            await self._return_credit()
+            self._return_credit()
             body = event.body
             return body if isinstance(body, bytes) else decode_message(body)
         self.is_done = True
@@ -448,12 +462,19 @@
             return Outcome.UNKNOWN
         return Outcome.RAN
 
-    async def _return_credit(self) -> None:
+    async def _wait(self) -> None:
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+    def _return_credit(self) -> None:
         self._unreported_items += 1
         if self._unreported_items * 2 >= STREAM_CREDIT_ITEMS:
             items = self._unreported_items
             self._unreported_items = 0
-            await self._link.send(FrameKind.CREDIT, self._call_id, items)
+            self._link.send_now(FrameKind.CREDIT, self._call_id, items)
 
 
 class PeerClient:
--- a/src/kumquatrun/wire.py
+++ b/src/kumquatrun/wire.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import struct
+from collections import deque
 from enum import IntEnum
 from typing import Any, NamedTuple
 
@@ -10,6 +11,7 @@
 from kumquatrun.errors import WireError
 
 MAX_FRAME_BYTES = 8 * 1024 * 1024
+_READ_BYTES = 64 * 1024
 _LENGTH = struct.Struct('>I')
 
 
@@ -27,6 +29,15 @@
     PONG = 8
 
 
+_DECODE_ERRORS = (
+    LookupError,
+    ValueError,
+    TypeError,
+    msgpack.UnpackException,
+)
+_KINDS = {int(kind): kind for kind in FrameKind}
+
+
 class Frame(NamedTuple):
     """One frame; ``call_id`` is 0 for frames that belong to no call."""
 
@@ -52,23 +63,51 @@
     return _LENGTH.pack(len(content)) + content
 
 
-async def read_frame(reader: asyncio.StreamReader) -> Frame:
-    """Read the next frame.
-
-    Raises
-    ------
-    WireError
-        If the frame is too large or not a valid msgpack array.
-    asyncio.IncompleteReadError
-        If the connection ended.
-    """
-    header = await reader.readexactly(_LENGTH.size)
-    length = int.from_bytes(header, 'big')
-    if length > MAX_FRAME_BYTES:
-        raise WireError(f'frame of {length} bytes is too large')
-    content = await reader.readexactly(length)
+class FrameReader:
+    """Reads frames from a stream; one read may bring many of them."""
+
+    def __init__(self, reader: asyncio.StreamReader) -> None:
+        self._reader = reader
+        self._frames: deque[Frame] = deque()
+        self._buffer = bytearray()
+
+    async def read(self) -> Frame:
+        """Return the next frame.
+
+        Raises
+        ------
+        WireError
+            If the frame is too large or not a valid msgpack array.
+        asyncio.IncompleteReadError
+            If the connection ended.
+        """
+        while not self._frames:
+            received = await self._reader.read(_READ_BYTES)
+            if not received:
+                raise asyncio.IncompleteReadError(b'', None)
+            self._split(received)
+        return self._frames.popleft()
+
+    def _split(self, received: bytes) -> None:
+        buffer = self._buffer
+        buffer += received
+        start = 0
+        while len(buffer) - start >= _LENGTH.size:
+            length = _LENGTH.unpack_from(buffer, start)[0]
+            if length > MAX_FRAME_BYTES:
+                raise WireError(f'frame of {length} bytes is too large')
+            end = start + _LENGTH.size + length
+            if end > len(buffer):
+                break
+            content = buffer[start + _LENGTH.size : end]
+            self._frames.append(_decode(content))
+            start = end
+        del buffer[:start]
+
+
+def _decode(content: bytearray) -> Frame:
     try:
         kind, call_id, body = msgpack.unpackb(content, raw=False)
-        return Frame(FrameKind(kind), call_id, body)
-    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        return Frame(_KINDS[kind], call_id, body)
+    except _DECODE_ERRORS as error:
         raise WireError(f'cannot decode a frame: {error}') from error
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -1,5 +1,7 @@
 """Peer connections: calls, streams, cancellation and lost peers."""
 
+import asyncio
+
 import pytest
 
 from kumquatrun.errors import (
@@ -7,9 +9,11 @@
     InvalidRequestError,
     Outcome,
     UnauthorizedPeerError,
+    WireError,
 )
 from kumquatrun.messages import Ack, Finished, FollowFeed, Hello
 from kumquatrun.peer import Address, PeerClient, PeerServer
+from kumquatrun.wire import Frame, FrameKind, FrameReader, encode_frame
 
 LOOPBACK = Address('127.0.0.1', 0)
 
@@ -95,3 +99,46 @@
     with pytest.raises(UnauthorizedPeerError):
         await client.call(Ack(), 1)
     await client.close()
+
+
+FRAMES = [
+    Frame(FrameKind.ITEM, number, b'x' * size)
+    for number, size in enumerate((0, 1, 100, 200_000, 3, 70_000))
+]
+
+
+@pytest.mark.parametrize('step', [1, 7, 4096, 65_536, 1_000_000])
+async def test_frames_are_split_at_any_boundary(step):
+    # Guards against frames that are lost or joined when reads cut them.
+    reader = asyncio.StreamReader(limit=2**30)
+    encoded = b''.join(map(encode_frame, FRAMES))
+    frames = FrameReader(reader)
+
+    async def feed():
+        for start in range(0, len(encoded), step):
+            reader.feed_data(encoded[start : start + step])
+            await asyncio.sleep(0)
+        reader.feed_eof()
+
+    feeding = asyncio.create_task(feed())
+    assert [await frames.read() for _ in FRAMES] == FRAMES
+    with pytest.raises(EOFError):
+        await frames.read()
+    await feeding
+
+
+@pytest.mark.parametrize(
+    'sent',
+    [
+        b'\xff\xff\xff\xff',
+        b'\x00\x00\x00\x01\xc1',
+        b'\x00\x00\x00\x01\x01',
+        b'\x00\x00\x00\x04\x93\x63\x01\xc0',
+        b'\x00\x00\x00\x04\x93\xff\x01\xc0',
+    ],
+)
+async def test_malformed_frame_is_refused(sent):
+    reader = asyncio.StreamReader()
+    reader.feed_data(sent)
+    with pytest.raises(WireError):
+        await FrameReader(reader).read()
