Write the peer frames of one event loop turn together

Cause: tokens of many streams arrive together and each frame cost the agent a system call and the entry a wake-up.

--- a/src/kumquatrun/peer.py
+++ b/src/kumquatrun/peer.py
@@ -106,10 +106,14 @@
         self._last_read_s = self._clock()
         self._last_write_s = self._last_read_s
         self.bytes_sent = 0
+        self._unwritten: list[bytes] = []
+        self._unwritten_bytes = 0
 
     async def send(self, kind: FrameKind, call_id: int, body: Any) -> None:
-        """Write one frame; waits while the send buffer is full."""
+        """Send one frame; waits while the send buffer is full."""
         self.send_now(kind, call_id, body)
+        if self._unwritten_bytes >= _FULL_BUFFER_BYTES:
+            self._write()
         if self._writer.transport.get_write_buffer_size() < _FULL_BUFFER_BYTES:
             return
         try:
@@ -118,11 +122,19 @@
             raise ConnectionLostError(f'write failed: {error}') from error
 
     def send_now(self, kind: FrameKind, call_id: int, body: Any) -> None:
-        """Write one frame without waiting; for small frames only."""
+        """Send one frame without waiting; for small frames only.
+
+        Frames of one turn of the event loop are written together: tokens of
+        many streams arrive at once, and a system call per frame would cost
+        more than the frame itself.
+        """
         encoded = encode_frame(Frame(kind, call_id, body))
         if self._writer.is_closing():
             raise ConnectionLostError('connection is closed')
-        self._writer.write(encoded)
+        if not self._unwritten:
+            asyncio.get_running_loop().call_soon(self._write)
+        self._unwritten.append(encoded)
+        self._unwritten_bytes += len(encoded)
         self.bytes_sent += len(encoded)
         self._last_write_s = self._clock()
 
@@ -149,6 +161,7 @@
 
     async def flush(self) -> None:
         """Wait until the send buffer is empty."""
+        self._write()
         self._writer.transport.set_write_buffer_limits(high=0)
         await self._writer.drain()
 
@@ -156,6 +169,12 @@
         """Close the connection at once, without flushing."""
         self._writer.transport.abort()
 
+    def _write(self) -> None:
+        if self._unwritten and not self._writer.is_closing():
+            self._writer.write(b''.join(self._unwritten))
+        self._unwritten.clear()
+        self._unwritten_bytes = 0
+
 
 class CallContext:
     """Server side of one call.
@@ -317,6 +336,7 @@
         except KumquatrunError as error:
             reply = encode_message(error_to_reply(error))
             await self.link.send(FrameKind.ERROR, 0, reply)
+            await self.link.flush()
             raise
         identity = encode_message(self._server.identity)
         await self.link.send(FrameKind.HELLO, 0, identity)
