--- a/src/kumquatrun/peer.py
+++ b/src/kumquatrun/peer.py
@@ -9,7 +9,7 @@
 import hmac
 import itertools
 import logging
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
@@ -32,7 +32,7 @@
     decode_message,
     encode_message,
 )
-from kumquatrun.wire import Frame, FrameKind, encode_frame, read_frame
+from kumquatrun.wire import Frame, FrameKind, FrameReader, encode_frame
 
 log = logging.getLogger(__name__)
 
@@ -40,6 +40,8 @@
 # one, and in an unknown one (handshakes and operator commands).
 sent_bytes: Counter[str] = Counter()
 
+# asyncio pauses a writer at this size, so below it there is no need to wait.
+_FULL_BUFFER_BYTES = 64 * 1024
 PING_AFTER_S = 0.5
 SILENCE_LIMIT_S = 2.0
 CONNECT_TIMEOUT_S = 2.0
@@ -102,29 +104,49 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        self._reader = reader
+        self._frames = FrameReader(reader)
         self._writer = writer
         self._clock = asyncio.get_running_loop().time
         self._last_read_s = self._clock()
         self._last_write_s = self._last_read_s
         self._scope = 'unknown'
+        self.bytes_sent = 0
+        self._unwritten: list[bytes] = []
+        self._unwritten_bytes = 0
 
     async def send(self, kind: FrameKind, call_id: int, body: Any) -> None:
-        """Write one frame; waits while the send buffer is full."""
+        """Send one frame; waits while the send buffer is full."""
+        self.send_now(kind, call_id, body)
+        if self._unwritten_bytes >= _FULL_BUFFER_BYTES:
+            self._write()
+        if self._writer.transport.get_write_buffer_size() < _FULL_BUFFER_BYTES:
+            return
+        try:
+            await self._writer.drain()
+        except OSError as error:
+            raise ConnectionLostError(f'write failed: {error}') from error
+
+    def send_now(self, kind: FrameKind, call_id: int, body: Any) -> None:
+        """Send one frame without waiting; for small frames only.
+
+        Frames of one turn of the event loop are written together: tokens of
+        many streams arrive at once, and a system call per frame would cost
+        more than the frame itself.
+        """
         encoded = encode_frame(Frame(kind, call_id, body))
         if self._writer.is_closing():
             raise ConnectionLostError('connection is closed')
-        self._writer.write(encoded)
+        if not self._unwritten:
+            asyncio.get_running_loop().call_soon(self._write)
+        self._unwritten.append(encoded)
+        self._unwritten_bytes += len(encoded)
+        self.bytes_sent += len(encoded)
         sent_bytes[self._scope] += len(encoded)
         self._last_write_s = self._clock()
-        try:
-            await self._writer.drain()
-        except OSError as error:
-            raise ConnectionLostError(f'write failed: {error}') from error
 
     async def read(self) -> Frame:
         """Read one frame."""
-        frame = await read_frame(self._reader)
+        frame = await self._frames.read()
         self._last_read_s = self._clock()
         return frame
 
@@ -145,6 +167,7 @@
 
     async def flush(self) -> None:
         """Wait until the send buffer is empty."""
+        self._write()
         self._writer.transport.set_write_buffer_limits(high=0)
         await self._writer.drain()
 
@@ -157,6 +180,12 @@
         """Close the connection at once, without flushing."""
         self._writer.transport.abort()
 
+    def _write(self) -> None:
+        if self._unwritten and not self._writer.is_closing():
+            self._writer.write(b''.join(self._unwritten))
+        self._unwritten.clear()
+        self._unwritten_bytes = 0
+
 
 class CallContext:
     """Server side of one call.
@@ -318,6 +347,7 @@
         except KumquatrunError as error:
             reply = encode_message(error_to_reply(error))
             await self.link.send(FrameKind.ERROR, 0, reply)
+            await self.link.flush()
             raise
         identity = self._server.identity
         await self.link.send(FrameKind.HELLO, 0, encode_message(identity))
@@ -401,19 +431,33 @@
     """Client side of one call.
 
     Iterate over it for the stream items; ``reply`` is set after the last one.
+
+    Attributes
+    ----------
+    take_item
+        Called with each item of bytes as it arrives, if no earlier item
+        waits; returns whether it took the item. What it does not take, or
+        fails on, is left to the iteration. It saves a task switch per item.
     """
 
     def __init__(self, link: _Link, call_id: int) -> None:
         self.reply: Any = None
+        self.take_item: Callable[[bytes], bool] | None = None
         self._link = link
         self._call_id = call_id
-        self._events: asyncio.Queue[Frame | KumquatrunError] = asyncio.Queue()
+        self._events: deque[Frame | KumquatrunError] = deque()
+        self._waiter: asyncio.Future[None] | None = None
         self._unreported_items = 0
         self.is_done = False
 
     def push(self, event: Frame | KumquatrunError) -> None:
         """Hand over a frame or the loss of the connection."""
-        self._events.put_nowait(event)
+        if self.take_item is not None and self._is_taken(event):
+            self._return_credit()
+            return
+        self._events.append(event)
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
 
     def __aiter__(self) -> AsyncIterator[Any]:
         return self
@@ -421,12 +465,14 @@
     async def __anext__(self) -> Any:
         if self.is_done:
             raise StopAsyncIteration
-        event = await self._events.get()
+        while not self._events:
+            await self._wait()
+        event = self._events.popleft()
         if isinstance(event, KumquatrunError):
             self.is_done = True
             raise event
         if event.kind is FrameKind.ITEM:
-            await self._return_credit()
+            self._return_credit()
             body = event.body
             return body if isinstance(body, bytes) else decode_message(body)
         self.is_done = True
@@ -459,12 +505,35 @@
             return Outcome.UNKNOWN
         return Outcome.RAN
 
-    async def _return_credit(self) -> None:
+    def _is_taken(self, event: Frame | KumquatrunError) -> bool:
+        if self._events or isinstance(event, KumquatrunError):
+            return False
+        if event.kind is not FrameKind.ITEM or not isinstance(
+            event.body, bytes
+        ):
+            return False
+        try:
+            return self.take_item(event.body)
+        except Exception:
+            # Other calls share this connection. The iteration meets the same
+            # failure and reports it.
+            log.exception('event=item_not_taken')
+            self.take_item = None
+            return False
+
+    async def _wait(self) -> None:
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+    def _return_credit(self) -> None:
         self._unreported_items += 1
         if self._unreported_items * 2 >= STREAM_CREDIT_ITEMS:
             items = self._unreported_items
             self._unreported_items = 0
-            await self._link.send(FrameKind.CREDIT, self._call_id, items)
+            self._link.send_now(FrameKind.CREDIT, self._call_id, items)
 
 
 class PeerClient:
