--- a/src/kumquatrun/scheduler.py
+++ b/src/kumquatrun/scheduler.py
@@ -14,7 +14,7 @@
 
 # Loads of one engine at the same time; more would only compete for the
 # fleet-wide load slots and empty more adapter slots at once.
-MAX_OPEN_LOADS = 2
+MAX_OPEN_LOADS = 3
 # Emptying a busy slot keeps it idle until its longest request ends, so it is
 # done against starvation only: earlier, it made all requests wait longer.
 URGENT_AFTER_S = 2.5
