--- a/src/kumquatrun/engine_runner.py
+++ b/src/kumquatrun/engine_runner.py
@@ -228,6 +228,8 @@
         except KumquatrunError as error:
             log.warning('event=load_failed adapter=%s error=%s', key, error)
             self._fail_waiting(key, error)
+            if isinstance(error, ConnectionLostError):
+                await self._check_engine()
         finally:
             self.scheduler.slots.close_load(key)
             self._on_change()
--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -49,7 +49,7 @@
     """Model engine with scripted faults.
 
     ``faults`` maps a step to a coroutine function that runs once when the
-    step is reached. The steps are load, unload, connect, sent, first, middle
+    step is reached. The steps are unload, order, load, connect, sent, first, middle
     and last.
     """
 
@@ -61,6 +61,7 @@
         self.held = set()
         self.faults = {}
         self.executions = []
+        self.loads = []
         self.serving = Counter()
         self.evicted_in_use = []
         self.most_running = 0
@@ -80,10 +81,13 @@
         self.held.clear()
         self.serving.clear()
 
-    async def reach(self, step, epoch):
+    async def run_fault(self, step):
         fault = self.faults.pop(step, None)
         if fault is not None:
             await fault()
+
+    async def reach(self, step, epoch):
+        await self.run_fault(step)
         await sleep(0.01)
         if self.is_silent and step not in {'load', 'unload', 'connect'}:
             await sleep(SILENCE_S)
@@ -102,6 +106,8 @@
         )
 
     async def load(self, key, fencing_number):
+        await self.run_fault('order')
+        self.loads.append(key)
         await self.reach('load', self.epoch)
         self._check_number(fencing_number)
         if self.hang_loads:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -23,6 +23,7 @@
         self.free_slots = free_slots
         self.messages = []
         self.is_reachable = True
+        self.release_delay_s = 0
         self._ids = itertools.count(1)
 
     async def call(self, request, timeout_s):
@@ -35,6 +36,7 @@
             self.free_slots -= 1
             return LoadSlotReply(slot_id=f'slot-{next(self._ids)}')
         if isinstance(request, ReleaseLoadSlot):
+            await asyncio.sleep(self.release_delay_s)
             self.free_slots += 1
         return Ack()
 
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -8,7 +8,7 @@
 from tests.fake_engine import PIECES, FakeEngine
 from tests.fakes import INCARNATION, FakeSession
 
-from kumquatrun import invariants
+from kumquatrun import engine_runner, invariants
 from kumquatrun.adapter_slots import AdapterSlots
 from kumquatrun.agent import Agent
 from kumquatrun.clock import LoopClock
@@ -95,6 +95,13 @@
         return self.context.outcome  # what the peer server answers with
 
 
+class ShiftedClock(LoopClock):
+    shift_s = 0
+
+    def now_s(self):
+        return super().now_s() + self.shift_s
+
+
 class Bench:
     """An agent in front of a fake engine, driven without a connection."""
 
@@ -108,11 +115,12 @@
             backend_url='',
             **fields,
         )
+        self.clock = ShiftedClock()
         self.agent = Agent(
             self.settings,
             self.session,
             self.engine,
-            LoopClock(),
+            self.clock,
         )
         self.tasks = []
         self.results = []
@@ -203,8 +211,17 @@
         await asyncio.sleep(0.01)
 
 
-STEPS = ['unload', 'load', 'connect', 'sent', 'first', 'middle', 'last']
-BEFORE_SENDING = {'unload', 'load', 'connect'}
+STEPS = [
+    'unload',
+    'order',
+    'load',
+    'connect',
+    'sent',
+    'first',
+    'middle',
+    'last',
+]
+BEFORE_SENDING = {'unload', 'order', 'load', 'connect'}
 FAULTS = [
     'restart',
     'crash_for_a_while',
@@ -351,11 +368,12 @@
 async def test_refused_dispatch_is_not_run(name):
     fields, event = REFUSALS[name]
     async with Bench() as bench:
+        await bench.run(dispatch('warm-up'))
         if event is not None:
             await getattr(bench, event)()
         result = await bench.run(dispatch(**fields))
         assert result.error.outcome is Outcome.NOT_RUN
-        assert not bench.engine.executions
+        assert len(bench.engine.executions) == 1
         assert not bench.agent.open_requests
 
 
@@ -541,3 +559,82 @@
         await task
         bench.session.set_lease(False)
         assert bench.session.agent_source().capacity == 0
+
+
+async def test_departed_requester_gives_the_busy_adapter_back():
+    # Guards against an adapter that takes no requests any more because of a
+    # request that no longer waits for its slot.
+    async with Bench() as bench:
+        bench.engine.faults['middle'] = lambda: asyncio.sleep(20)
+        long = bench.send(dispatch('long'))
+        await asyncio.sleep(1)
+        rare = await bench.run(
+            dispatch('rare', AdapterKey('rare', '1'), deadline_s=4),
+        )
+        assert rare.outcome is Outcome.NOT_RUN
+        assert (await bench.run(dispatch('next', deadline_s=1))).reply
+        assert not long.done()
+
+
+async def test_request_that_expired_in_a_paused_process_is_not_run():
+    # The timers of a resumed process fire after the first end of a request.
+    async with Bench(max_running=1) as bench:
+        tasks = [bench.send(dispatch(name)) for name in ('r1', 'r2')]
+        await asyncio.sleep(0.28)
+        bench.clock.shift_s = 60
+        await asyncio.gather(*tasks)
+        assert tasks[0].result().reply
+        assert tasks[1].result().error.code == 'deadline_exceeded'
+        assert tasks[1].result().outcome is Outcome.NOT_RUN
+
+
+async def test_displaced_request_is_refused_at_once():
+    async with Bench(max_running=1, max_queued=2) as bench:
+        heavy = [bench.send(dispatch(f'h{n}')) for n in range(2)]
+        await asyncio.sleep(0.01)
+        other = bench.send(dispatch('other', account='small'))
+        await asyncio.sleep(0.01)
+        assert heavy[1].result().error.code == 'no_capacity'
+        assert (await other).reply
+
+
+# What the engine holds at first and later, what the agent reports.
+HELD = {'taken_over': ({A}, {A}, ('a@1',)), 'lost': ({A}, set(), ())}
+
+
+@pytest.mark.parametrize('name', HELD)
+async def test_slots_follow_what_the_engine_holds(name):
+    # Guards against needless loads beside a running engine, and against
+    # requests for adapters that another agent unloaded.
+    first, later, reported = HELD[name]
+    bench = Bench()
+    bench.engine.held = set(first)
+    async with bench:
+        bench.engine.held = set(later)
+        await asyncio.sleep(1)
+        assert bench.agent.report().adapters == reported
+        assert (await bench.run(dispatch())).reply
+        assert len(bench.engine.loads) == (not reported)
+
+
+async def test_waiting_requests_start_without_delay():
+    # Guards against waits for a timer or for the release of a load slot.
+    async with Bench(max_running=1) as bench:
+        bench.session.control.release_delay_s = 1
+        started_s = bench.clock.now_s()
+        for task in [bench.send(dispatch(f'r{n}')) for n in range(3)]:
+            assert (await task).reply
+        run_s = 0.01 * (2 + PIECES)
+        load_s = 0.25 + 0.01
+        waited_s = bench.clock.now_s() - started_s - load_s - 3 * run_s
+        assert waited_s < 0.02
+
+
+@pytest.mark.parametrize('step', STEPS)
+async def test_restart_is_noticed_without_a_health_check(step, monkeypatch):
+    # Guards against an engine that restarts empty between check and run.
+    monkeypatch.setattr(engine_runner, 'HEALTH_INTERVAL_S', 60)
+    result, later = await run_case('restart', step)
+    if step in BEFORE_SENDING:
+        assert result.reply or result.outcome is Outcome.NOT_RUN
+    assert isinstance(later.reply, Finished)
--- a/tests/test_agent_streams.py
+++ b/tests/test_agent_streams.py
@@ -13,6 +13,7 @@
 from kumquatrun.document import ServiceKind
 from kumquatrun.errors import KumquatrunError, Outcome, SettingError
 from kumquatrun.messages import (
+    ClearSuspect,
     Dispatch,
     Finished,
     Hello,
@@ -268,6 +269,27 @@
     await server.stop()
 
 
+async def test_plain_call_that_gets_no_answer_in_time_is_unknown():
+    # Guards against a repeated booking after a deadline or a cancellation.
+    server = await RawServer(hold=True).start()
+    async with Node(server.url, ServiceKind.PLAIN) as node:
+        _, error = await node.send(service_call(deadline_s=0.1))
+        assert error.code == 'deadline_exceeded'
+        assert error.outcome is Outcome.UNKNOWN
+        async with node.client.stream(service_call('b2')) as call:
+            await eventually(lambda: len(server.requests) == 2)
+            assert await call.cancel() is Outcome.UNKNOWN
+    await server.stop()
+
+
+async def test_plain_suspect_that_finishes_is_cleared():
+    service = await PlainService().start()
+    async with Node(service.url, ServiceKind.PLAIN) as node:
+        await node.send(service_call(alone=True))
+        await eventually(lambda: node.session.control.sent(ClearSuspect))
+    await service.stop()
+
+
 @pytest.mark.parametrize('stays_up', [True, False])
 async def test_crash_of_a_plain_service_is_reported(stays_up):
     # Guards against a call that crashes one service after the other, and
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -1,5 +1,7 @@
 """Peer connections: calls, streams, cancellation and lost peers."""
 
+import asyncio
+
 import pytest
 
 from kumquatrun.errors import (
@@ -8,8 +10,15 @@
     Outcome,
     UnauthorizedPeerError,
 )
-from kumquatrun.messages import Ack, Finished, FollowFeed, Hello
+from kumquatrun.messages import (
+    Ack,
+    Finished,
+    FollowFeed,
+    Hello,
+    encode_message,
+)
 from kumquatrun.peer import Address, PeerClient, PeerServer
+from kumquatrun.wire import Frame, FrameKind, encode_frame, read_frame
 
 LOOPBACK = Address('127.0.0.1', 0)
 
@@ -95,3 +104,37 @@
     with pytest.raises(UnauthorizedPeerError):
         await client.call(Ack(), 1)
     await client.close()
+
+
+class WideHandler:
+    """Sends more than the socket buffers hold, then replies."""
+
+    async def handle(self, request, context):
+        for _ in range(10):
+            await context.send_item(b'x' * 1_000_000)
+        return Finished(outcome=Outcome.RAN)
+
+
+async def test_wait_idle_delivers_all_replies_to_a_slow_reader():
+    # Guards against a planned stop that drops what is not sent yet.
+    identity = Hello(node_id='a', incarnation='1')
+    server = PeerServer(identity, WideHandler())
+    address = await server.start(LOOPBACK)
+    reader, writer = await asyncio.open_connection(
+        address.host,
+        address.port,
+        limit=4096,
+    )
+    frames = [(FrameKind.HELLO, 0, identity), (FrameKind.REQUEST, 1, Ack())]
+    for kind, call_id, message in frames:
+        frame = Frame(kind, call_id, encode_message(message))
+        writer.write(encode_frame(frame))
+    await asyncio.sleep(0.1)
+    idle = asyncio.create_task(server.wait_idle())
+    idle.add_done_callback(lambda _: asyncio.create_task(server.stop()))
+    await asyncio.sleep(0.1)
+    kinds = [(await read_frame(reader)).kind for _ in range(12)]
+    assert kinds.count(FrameKind.ITEM) == 10
+    assert kinds[-1] is FrameKind.REPLY
+    await idle
+    writer.close()
