--- a/src/kumquatrun/engine_runner.py
+++ b/src/kumquatrun/engine_runner.py
@@ -216,6 +216,10 @@
                 expected,
                 generation.served_by,
             )
+            # The engine is not in the state that the agent assumes: the
+            # adapter is loaded again before its next use.
+            self.scheduler.slots.mark_missing(job.key)
+            self._spawn(self._check_engine())
             raise OutcomeUnknownError(
                 f'expected {expected}, the engine ran {generation.served_by}',
             )
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -630,6 +630,17 @@
         assert waited_s < 0.02
 
 
+async def test_wrong_adapter_is_loaded_again_before_its_next_use():
+    async with Bench() as bench:
+        await bench.run(dispatch('warm-up'))
+        bench.engine.mislabel = AdapterKey('a', '9')
+        assert (await bench.run(dispatch())).outcome is Outcome.UNKNOWN
+        bench.engine.mislabel = None
+        assert (await bench.run(dispatch('next'))).reply
+        assert bench.engine.loads == [A, A]
+        assert invariants.violations == {'right_adapter': 1}
+
+
 @pytest.mark.parametrize('step', STEPS)
 async def test_restart_is_noticed_without_a_health_check(step, monkeypatch):
     # Guards against an engine that restarts empty between check and run.
