Flush replies of ended calls before a planned stop

Cause: wait_idle returned at once when no call was open, although up to the write limit of replies could still be buffered; stop then dropped them.

--- a/src/kumquatrun/peer.py
+++ b/src/kumquatrun/peer.py
@@ -219,9 +219,11 @@
         ``stop`` drops what is still buffered, so a planned shutdown waits
         here first.
         """
-        while any(session.has_calls for session in self._sessions):
+        while True:
             for session in list(self._sessions):
                 await session.wait_idle()
+            if not any(other.has_calls for other in self._sessions):
+                return
 
     async def stop(self) -> None:
         """Stop listening and close all connections."""
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -115,8 +115,10 @@
         return Finished(outcome=Outcome.RAN)
 
 
-async def test_wait_idle_delivers_all_replies_to_a_slow_reader():
-    # Guards against a planned stop that drops what is not sent yet.
+@pytest.mark.parametrize('buffer_bytes', [2**16, 2**30])
+async def test_wait_idle_delivers_all_to_a_slow_reader(buffer_bytes):
+    # Guards against a planned stop that drops what is not sent yet, while
+    # the call waits for the reader and after it has ended.
     identity = Hello(node_id='a', incarnation='1')
     server = PeerServer(identity, WideHandler())
     address = await server.start(LOOPBACK)
@@ -129,7 +131,9 @@
     for kind, call_id, message in frames:
         frame = Frame(kind, call_id, encode_message(message))
         writer.write(encode_frame(frame))
-    await asyncio.sleep(0.1)
+        await asyncio.sleep(0.1)
+        [link] = server._links
+        link._writer.transport.set_write_buffer_limits(high=buffer_bytes)
     idle = asyncio.create_task(server.wait_idle())
     idle.add_done_callback(lambda _: asyncio.create_task(server.stop()))
     await asyncio.sleep(0.1)
