--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -11,7 +11,13 @@
     UnauthorizedPeerError,
     WireError,
 )
-from kumquatrun.messages import Ack, Finished, FollowFeed, Hello
+from kumquatrun.messages import (
+    Ack,
+    Finished,
+    FollowFeed,
+    Hello,
+    encode_message,
+)
 from kumquatrun.peer import Address, PeerClient, PeerServer
 from kumquatrun.wire import Frame, FrameKind, FrameReader, encode_frame
 
@@ -142,3 +148,42 @@
     reader.feed_data(sent)
     with pytest.raises(WireError):
         await FrameReader(reader).read()
+
+
+class WideHandler:
+    """Sends more than the socket buffers hold, then replies."""
+
+    async def handle(self, request, context):
+        for _ in range(10):
+            await context.send_item(b'x' * 1_000_000)
+        return Finished(outcome=Outcome.RAN)
+
+
+@pytest.mark.parametrize('buffer_bytes', [2**16, 2**30])
+async def test_wait_idle_delivers_all_to_a_slow_reader(buffer_bytes):
+    # Guards against a planned stop that drops what is not sent yet, while
+    # the call waits for the reader and after it has ended.
+    identity = Hello(node_id='a', incarnation='1')
+    server = PeerServer(identity, WideHandler())
+    address = await server.start(LOOPBACK)
+    reader, writer = await asyncio.open_connection(
+        address.host,
+        address.port,
+        limit=4096,
+    )
+    frames = [(FrameKind.HELLO, 0, identity), (FrameKind.REQUEST, 1, Ack())]
+    for kind, call_id, message in frames:
+        frame = Frame(kind, call_id, encode_message(message))
+        writer.write(encode_frame(frame))
+        await asyncio.sleep(0.1)
+        [link] = server._links
+        link._writer.transport.set_write_buffer_limits(high=buffer_bytes)
+    idle = asyncio.create_task(server.wait_idle())
+    idle.add_done_callback(lambda _: asyncio.create_task(server.stop()))
+    await asyncio.sleep(0.1)
+    received = FrameReader(reader)
+    kinds = [(await received.read()).kind for _ in range(12)]
+    assert kinds.count(FrameKind.ITEM) == 10
+    assert kinds[-1] is FrameKind.REPLY
+    await idle
+    writer.close()
