--- a/src/kumquatrun/log_store.py
+++ b/src/kumquatrun/log_store.py
@@ -229,6 +229,8 @@
         paths = sorted(self._folder.glob(SNAPSHOT_PATTERN))
         if not paths:
             return None
+        for outdated in paths[:-1]:
+            outdated.unlink()
         self._snapshot = paths[-1]
         stored = self._snapshot.read_bytes()
         header = _read_header(self._snapshot, stored)
--- a/src/kumquatrun/quorum_changes.py
+++ b/src/kumquatrun/quorum_changes.py
@@ -8,7 +8,11 @@
 from collections.abc import Callable, Mapping
 
 from kumquatrun.consensus_messages import Member
-from kumquatrun.errors import InvalidRequestError, NotFoundError
+from kumquatrun.errors import (
+    InvalidRequestError,
+    NotFoundError,
+    NotLeaderError,
+)
 from kumquatrun.quorum_entries import EntryLog
 from kumquatrun.quorum_membership import Membership
 from kumquatrun.quorum_progress import Progress
@@ -57,9 +61,24 @@
 }
 
 
-def changed_membership(
-    membership: Membership,
+def has_caught_up(log: EntryLog, progress: Progress, timing: Timing) -> bool:
+    """Return whether a learner may be made a voter.
+
+    It must hold the newest membership and lag behind by few entries, so that
+    the group does not wait for it when another voter is lost next.
+    """
+    lag_entries = log.last_index - progress.match_index
+    return (
+        progress.match_index >= max(log.membership_index, 1)
+        and lag_entries <= timing.max_learner_lag_entries
+    )
+
+
+def requested_membership(
+    log: EntryLog,
+    progress: Mapping[str, Progress],
     change: MembershipChange,
+    timing: Timing,
 ) -> Membership:
     """Return the membership after a change that an operator asked for.
 
@@ -70,29 +89,27 @@
         voter would be removed.
     NotFoundError
         If the replica is not a member.
+    NotLeaderError
+        If the learner to promote has not caught up yet.
     """
     action = _ACTIONS.get(change.action)
     if action is None:
         raise InvalidRequestError(
             f'unknown action {change.action!r}; use {", ".join(_ACTIONS)}',
         )
-    is_known = change.replica_id in membership.by_id
-    if change.action != 'add_learner' and not is_known:
-        raise NotFoundError(f'replica {change.replica_id} is not a member')
-    return action(membership, change)
-
-
-def has_caught_up(log: EntryLog, progress: Progress, timing: Timing) -> bool:
-    """Return whether a learner may be made a voter.
-
-    It must hold the newest membership and lag behind by few entries, so that
-    the group does not wait for it when another voter is lost next.
-    """
-    lag_entries = log.last_index - progress.match_index
-    return (
-        progress.match_index >= log.membership_index
-        and lag_entries <= timing.max_learner_lag_entries
-    )
+    replica_id = change.replica_id
+    if change.action != 'add_learner' and (
+        replica_id not in log.membership.by_id
+    ):
+        raise NotFoundError(f'replica {replica_id} is not a member')
+    row = progress.get(replica_id)
+    is_ready = row is not None and has_caught_up(log, row, timing)
+    if change.action == 'promote' and not is_ready:
+        raise NotLeaderError(
+            f'learner {replica_id} has not caught up',
+            cause='learner_behind',
+        )
+    return action(log.membership, change)
 
 
 def next_repair(
--- a/src/kumquatrun/quorum_follower.py
+++ b/src/kumquatrun/quorum_follower.py
@@ -46,24 +46,29 @@
 
 
 class SnapshotReceiver:
-    """Collects the chunks of one snapshot in order."""
+    """Collects the chunks of one snapshot in order.
+
+    Chunks of different leaders are never combined: two replicas can encode the
+    same state differently.
+    """
 
     def __init__(self) -> None:
-        self._meta: SnapshotMeta | None = None
+        self._source: tuple[int, SnapshotMeta] | None = None
         self._content = bytearray()
 
     def accept(self, chunk: SnapshotChunk) -> Snapshot | None:
         """Add a chunk; returns the snapshot when it is complete."""
         meta = SnapshotMeta(chunk.last_index, chunk.last_term, chunk.members)
-        if meta != self._meta:
-            self._meta = meta
+        source = (chunk.term, meta)
+        if source != self._source:
+            self._source = source
             self._content = bytearray()
         if chunk.offset == len(self._content):
             self._content += chunk.data
         if len(self._content) < chunk.total_bytes:
             return None
         content = bytes(self._content)
-        self._meta = None
+        self._source = None
         self._content = bytearray()
         return Snapshot(meta, content)
 
--- a/src/kumquatrun/quorum_leader.py
+++ b/src/kumquatrun/quorum_leader.py
@@ -114,6 +114,7 @@
         """Send a heartbeat round; returns its number."""
         self.round_number += 1
         self._round_sent_s[self.round_number] = now_s
+        self._forget_silent_joiners(now_s)
         self.heartbeat_due_s = now_s + self._timing.heartbeat_s
         for replica_id in self.progress:
             self._send(replica_id, now_s, heartbeat=True)
@@ -194,6 +195,18 @@
         for number in newly:
             self.confirmed_at_s = self._round_sent_s.pop(number)
 
+    def _forget_silent_joiners(self, now_s: float) -> None:
+        silent = [
+            replica_id
+            for replica_id, row in self.progress.items()
+            if row.address
+            and now_s - row.last_reply_s > self._timing.join_silence_s
+        ]
+        for replica_id in silent:
+            self.progress.pop(replica_id)
+        if silent:
+            self.follow_membership(now_s)
+
     def _known_sender(
         self,
         reply: AppendReply | SnapshotReply,
--- a/src/kumquatrun/quorum_log.py
+++ b/src/kumquatrun/quorum_log.py
@@ -22,12 +22,8 @@
     VoteReply,
     VoteRequest,
 )
-from kumquatrun.errors import NotLeaderError
-from kumquatrun.quorum_changes import (
-    changed_membership,
-    has_caught_up,
-    next_repair,
-)
+from kumquatrun.errors import NoCapacityError, NotLeaderError
+from kumquatrun.quorum_changes import next_repair, requested_membership
 from kumquatrun.quorum_election import Election
 from kumquatrun.quorum_entries import EntryLog
 from kumquatrun.quorum_follower import Follower
@@ -152,9 +148,17 @@
         ------
         NotLeaderError
             If this replica is not the leader.
+        NoCapacityError
+            If too many entries wait for a majority.
         """
         leader = self.require_leader()
         first = self.entries.last_index + 1
+        waiting = first - self.entries.commit_index
+        if waiting > self._timing.max_uncommitted_entries:
+            raise NoCapacityError(
+                f'{waiting} entries wait for a majority of replicas',
+                cause='uncommitted_entries',
+            )
         self._append(EntryKind.COMMAND, commands)
         leader.replicate(now_s)
         return range(first, first + len(commands))
@@ -176,15 +180,12 @@
                 'an earlier entry must be committed before the change',
                 cause='change_pending',
             )
-        changed = changed_membership(self.membership, change)
-        row = leader.progress.get(change.replica_id)
-        if change.action == 'promote' and not (
-            row and has_caught_up(self.entries, row, self._timing)
-        ):
-            raise NotLeaderError(
-                f'learner {change.replica_id} has not caught up',
-                cause='learner_behind',
-            )
+        changed = requested_membership(
+            self.entries,
+            leader.progress,
+            change,
+            self._timing,
+        )
         return self._append_membership(changed, now_s)
 
     def start_barrier(self, now_s: float) -> Barrier:
@@ -318,10 +319,8 @@
         )
 
     def _append_membership(self, membership: Membership, now_s: float) -> int:
-        log.info(
-            'event=membership_appended voters=%s',
-            ','.join(sorted(membership.voters)),
-        )
+        voters = ','.join(sorted(membership.voters))
+        log.info('event=membership_appended voters=%s', voters)
         self._append(EntryKind.MEMBERS, [membership.encode()])
         self._follow(now_s)
         if self.leadership is not None:
@@ -342,8 +341,7 @@
                 self._append_membership(changed, now_s)
 
     def _not_leader_error(self) -> NotLeaderError:
-        leader_id = self.election.leader_id or 'unknown'
-        return NotLeaderError(f'the leader is {leader_id}')
+        return NotLeaderError(f'leader: {self.election.leader_id or "unknown"}')
 
 
 def _ignore(_msg: Any, _now_s: float) -> None:
--- a/src/kumquatrun/quorum_types.py
+++ b/src/kumquatrun/quorum_types.py
@@ -20,17 +20,20 @@
 
     ``election_min_s`` is also the time after hearing a leader during which
     votes are refused; ``election_max_s`` is the time after which a leader
-    without a majority steps down.
+    without a majority steps down. A joining disk that is silent for
+    ``join_silence_s`` is forgotten, so that the recorded disk of the same
+    replica id gets entries again if it returns.
     """
 
     heartbeat_s: float = 0.1
     election_min_s: float = 0.5
     election_max_s: float = 1
+    join_silence_s: float = 10
     # 64 KiB take 35 ms on the 15 Mbit/s link between the regions, so that a
     # chunk delays a heartbeat by less than one heartbeat interval.
     chunk_bytes: int = 64 * 1024
     append_bytes: int = 64 * 1024
-    max_unacknowledged_entries: int = 4096
+    max_uncommitted_entries: int = 16 * 1024
     max_learner_lag_entries: int = 1000
 
 
--- a/src/kumquatrun/replica.py
+++ b/src/kumquatrun/replica.py
@@ -169,6 +169,8 @@
             If leadership was lost before the command was committed.
         DeadlineExceededError
             If it was not committed in time; its outcome is unknown.
+        NoCapacityError
+            If too many commands wait for a majority; it was not run.
         RequestTooLargeError
             If the command exceeds ``MAX_COMMAND_BYTES``.
         """
--- a/src/kumquatrun/replica_work.py
+++ b/src/kumquatrun/replica_work.py
@@ -7,6 +7,7 @@
 
 from kumquatrun.errors import (
     KumquatrunError,
+    NoCapacityError,
     NotLeaderError,
     OutcomeUnknownError,
 )
@@ -125,7 +126,7 @@
             return
         try:
             indexes = node.core.propose([row[0] for row in waiting], now_s)
-        except NotLeaderError as error:
+        except (NotLeaderError, NoCapacityError) as error:
             for row in waiting:
                 _fail(row[1], error)
             return
--- a/tests/test_log_store.py
+++ b/tests/test_log_store.py
@@ -216,6 +216,20 @@
     storage.close()
 
 
+def test_outdated_snapshot_of_a_crash_is_deleted(tmp_path):
+    # Guards against a folder that grows with each crash.
+    storage = opened(tmp_path)
+    storage.save_meta(META)
+    storage.install_snapshot(snapshot(4))
+    path = next(tmp_path.glob('snapshot-*.bin'))
+    content = path.read_bytes()
+    storage.install_snapshot(snapshot(9))
+    storage.close()
+    path.write_bytes(content)
+    assert loaded(tmp_path).snapshot == snapshot(9)
+    assert not path.exists()
+
+
 class CrashError(Exception):
     """Ends the process in the middle of an operation."""
 
