--- a/src/kumquatrun/group_formation.py
+++ b/src/kumquatrun/group_formation.py
@@ -45,7 +45,7 @@
         self._replica_id = replica_id
         self._addresses = addresses
         self._joining = joining
-        self._heard: dict[str, FormationState] = {}
+        self._states: dict[str, FormationState] = {}
 
     @property
     def peers(self) -> list[str]:
@@ -62,21 +62,21 @@
             joining=self._joining,
         )
 
-    def hear(self, state: FormationState) -> None:
+    def record(self, state: FormationState) -> None:
         """Record what a peer told."""
         if state.sender in self._addresses:
-            self._heard[state.sender] = state
+            self._states[state.sender] = state
 
     def next_step(self) -> FormationStep:
         """Return what to do now; see ``FormationStep``."""
         if self._joining:
             return FormationStep.JOIN
-        formed = [state for state in self._heard.values() if state.formed]
+        formed = [state for state in self._states.values() if state.formed]
         if formed:
             agreed = formed[0].initial
             is_included = bool(agreed) and agreed == self.meta.initial
             return FormationStep.FORM if is_included else FormationStep.JOIN
-        if len(self._heard) < len(self.peers):
+        if len(self._states) < len(self.peers):
             return FormationStep.WAIT
         return self._step_after_all_answered()
 
@@ -91,7 +91,7 @@
         return self.meta
 
     def _proposal(self) -> tuple[Member, ...]:
-        disks = {name: state.disk_id for name, state in self._heard.items()}
+        disks = {name: state.disk_id for name, state in self._states.items()}
         disks[self._replica_id] = self.meta.disk_id
         return tuple(
             Member(
@@ -104,7 +104,7 @@
 
     def _step_after_all_answered(self) -> FormationStep:
         proposal = self._proposal()
-        answers = {state.initial for state in self._heard.values()}
+        answers = {state.initial for state in self._states.values()}
         if answers - {(), proposal} or self.meta.initial not in {(), proposal}:
             return FormationStep.CONFLICT
         if not self.meta.initial:
--- a/src/kumquatrun/quorum_election.py
+++ b/src/kumquatrun/quorum_election.py
@@ -72,7 +72,7 @@
         if now_s < self.due_s:
             return
         if self._chart.accepts(self.role, 'election_timeout'):
-            self._time_out(now_s)
+            self._start_pre_vote(now_s)
         else:
             self._postpone(now_s)
 
@@ -176,12 +176,12 @@
             or now_s - heard_s < self._timing.election_min_s
         )
 
-    def _time_out(self, now_s: float) -> None:
+    def _start_pre_vote(self, now_s: float) -> None:
         self.leader_id = ''
         self._step('election_timeout', now_s)
         self._campaign_for(self.term + 1, now_s, pre_vote=True)
 
-    def _stand(self, now_s: float) -> None:
+    def _start_election(self, now_s: float) -> None:
         """Start a real campaign after a won pre-vote."""
         self._step('pre_votes_won', now_s)
         own = self._identity
@@ -205,7 +205,7 @@
         if campaign is None or not campaign.is_won:
             return
         if campaign.pre_vote:
-            self._stand(now_s)
+            self._start_election(now_s)
         else:
             self._step('votes_won', now_s)
             self.leader_id = self._identity.replica_id
--- a/src/kumquatrun/quorum_leader.py
+++ b/src/kumquatrun/quorum_leader.py
@@ -6,6 +6,7 @@
     AppendReply,
     AppendRequest,
     JoinRequest,
+    LogEntry,
     SnapshotReply,
 )
 from kumquatrun.quorum_entries import EntryLog
@@ -250,7 +251,12 @@
         if heartbeat and not sent:
             self._send_append(receiver, known.next_index - 1, ())
 
-    def _send_append(self, receiver: str, prev_index: int, entries) -> None:
+    def _send_append(
+        self,
+        receiver: str,
+        prev_index: int,
+        entries: tuple[LogEntry, ...],
+    ) -> None:
         request = AppendRequest(
             term=self.term,
             sender=self._identity.replica_id,
--- a/src/kumquatrun/quorum_log.py
+++ b/src/kumquatrun/quorum_log.py
@@ -100,7 +100,7 @@
             SnapshotReply: self._on_snapshot_reply,
             JoinRequest: self._on_join_request,
         }
-        self._follow(now_s)
+        self._update_leadership(now_s)
 
     @property
     def term(self) -> int:
@@ -127,12 +127,12 @@
     def form(self, members: tuple[Member, ...], now_s: float) -> None:
         """Set the initial membership that all its members agreed to."""
         self.entries.set_base_members(Membership(members))
-        self._follow(now_s)
+        self._update_leadership(now_s)
 
     def receive(self, msg: Any, now_s: float) -> Any:
         """Process a message; returns the reply, to be sent after the sync."""
         reply = self._on_message[type(msg)](msg, now_s)
-        self._follow(now_s)
+        self._update_leadership(now_s)
         return reply
 
     def tick(self, now_s: float) -> None:
@@ -145,7 +145,7 @@
         elif now_s >= leader.heartbeat_due_s:
             leader.start_round(now_s)
             self._repair(now_s)
-        self._follow(now_s)
+        self._update_leadership(now_s)
 
     def propose(self, commands: Sequence[bytes], now_s: float) -> range:
         """Append commands to the log; returns their indexes.
@@ -248,7 +248,7 @@
         self.entries.mark_saved()
         if self.leadership is not None:
             self.leadership.advance_commit()
-            self._follow(now_s)
+            self._update_leadership(now_s)
 
     def compact(self, meta: SnapshotMeta, keep_entries: int) -> None:
         """Record a stored snapshot and drop entries that it covers."""
@@ -293,17 +293,17 @@
             leader_address=member.address if member else '',
         )
 
-    def _follow(self, now_s: float) -> None:
+    def _update_leadership(self, now_s: float) -> None:
         """Match leadership and progress with the role and the membership."""
         self.election.follow_membership(now_s)
         if not self.election.is_leader:
             self.leadership = None
         elif self.leadership is None:
-            self._lead(now_s)
+            self._take_leadership(now_s)
         elif self.leadership.membership is not self.membership:
             self.leadership.follow_membership(now_s)
 
-    def _lead(self, now_s: float) -> None:
+    def _take_leadership(self, now_s: float) -> None:
         self.leadership = self.leadership_type(
             self.identity,
             self.entries,
@@ -327,7 +327,7 @@
         voters = ','.join(sorted(membership.voters))
         log.info('event=membership_appended voters=%s', voters)
         self._append(EntryKind.MEMBERS, [membership.encode()])
-        self._follow(now_s)
+        self._update_leadership(now_s)
         if self.leadership is not None:
             self.leadership.replicate(now_s)
         return self.entries.last_index
--- a/src/kumquatrun/quorum_node.py
+++ b/src/kumquatrun/quorum_node.py
@@ -102,7 +102,7 @@
         The consensus core.
     applied_index
         Index of the last entry that the state machine has applied.
-    told_addresses
+    leader_addresses
         Addresses of leaders that other replicas named, by replica id.
     """
 
@@ -140,9 +140,9 @@
             now_s,
         )
         self.applied_index = 0
-        self.told_addresses: dict[str, str] = {}
-        self._contact_due_s = now_s
-        self._contacts: list[Envelope] = []
+        self.leader_addresses: dict[str, str] = {}
+        self._formation_due_s = now_s
+        self._formation_messages: list[Envelope] = []
         self._warned_of_conflict = False
         if stored.snapshot is not None:
             self._restore(stored.snapshot)
@@ -157,10 +157,10 @@
         if isinstance(msg, JoinReply):
             if msg.leader_address:
                 # The leader may not be among the initial members.
-                self.told_addresses[msg.leader_id] = msg.leader_address
+                self.leader_addresses[msg.leader_id] = msg.leader_address
             return None
         if isinstance(msg, FormationState):
-            self._formation.hear(msg)
+            self._formation.record(msg)
             self._advance_formation(now_s)
             return self._formation.state()
         return self.core.receive(msg, now_s)
@@ -170,12 +170,12 @@
         """Return the time at which ``tick`` has something to do next."""
         if self._formation.meta.formed:
             return self.core.next_due_s
-        return min(self.core.next_due_s, self._contact_due_s)
+        return min(self.core.next_due_s, self._formation_due_s)
 
     def tick(self, now_s: float) -> None:
         """Process the passage of time."""
-        if now_s >= self._contact_due_s:
-            self._make_contacts(now_s)
+        if now_s >= self._formation_due_s:
+            self._send_formation_messages(now_s)
         self.core.tick(now_s)
 
     def begin_flush(self) -> tuple[tuple[Envelope, ...], Output]:
@@ -187,9 +187,9 @@
         """Make an output durable and apply what is committed."""
         self._save(output)
         self.core.mark_saved(now_s)
-        contacts = self._contacts
-        self._contacts = []
-        messages = (*self._envelopes(output.late_messages), *contacts)
+        formation_messages = self._formation_messages
+        self._formation_messages = []
+        messages = (*self._envelopes(output.late_messages), *formation_messages)
         if output.snapshot is not None:
             self._restore(output.snapshot)
         applied = self._apply_committed()
@@ -285,7 +285,7 @@
             len(snapshot.content),
         )
 
-    def _make_contacts(self, now_s: float) -> None:
+    def _send_formation_messages(self, now_s: float) -> None:
         """Send formation states or join requests until they are not needed."""
         own_id = self._settings.replica_id
         if self._formation.meta.formed:
@@ -295,21 +295,23 @@
             # does not join again after it is removed.
             self._save_meta(self._formation.form())
             return
-        self._contact_due_s = now_s + FORMATION_INTERVAL_S
+        self._formation_due_s = now_s + FORMATION_INTERVAL_S
         step = self._advance_formation(now_s)
         msg: Any = self._formation.state()
         if step is FormationStep.FORM:
             return
         if step is FormationStep.JOIN:
-            self._contact_due_s = now_s + JOIN_INTERVAL_S
+            self._formation_due_s = now_s + JOIN_INTERVAL_S
             self._forget_agreement()
             msg = JoinRequest(
                 sender=own_id,
                 disk_id=self.disk_id,
                 address=self._settings.address,
             )
-        peers = {*self._formation.peers, *self.told_addresses} - {own_id}
-        self._contacts = [Envelope(peer, msg) for peer in sorted(peers)]
+        peers = {*self._formation.peers, *self.leader_addresses} - {own_id}
+        self._formation_messages = [
+            Envelope(peer, msg) for peer in sorted(peers)
+        ]
 
     def _forget_agreement(self) -> None:
         """Drop an agreed membership that never became that of a group."""
--- a/tests/test_quorum_log.py
+++ b/tests/test_quorum_log.py
@@ -108,7 +108,7 @@
     cluster.settle()
 
 
-def chaos(cluster, rounds):
+def random_faults(cluster, rounds):
     """Apply random faults to random hosts; at most one disk is lost at once."""
     for _ in range(rounds):
         for _ in range(cluster.rng.randrange(1, 4)):
@@ -129,7 +129,7 @@
 )
 def test_long_random_run_keeps_all_invariants(size, seed):
     cluster = SimCluster(seed, size=size)
-    chaos(cluster, rounds=16)
+    random_faults(cluster, rounds=16)
     cluster.settle()
     assert len(cluster.checker.acknowledged) > 100
 
@@ -200,7 +200,7 @@
         """Leave written entries to be lost."""
 
 
-class ForgetfulStorage(FaultyStorage):
+class UnstoredVoteStorage(FaultyStorage):
     def save_meta(self, meta):
         known = self.durable.meta
         if known is not None:
@@ -208,8 +208,8 @@
         super().save_meta(meta)
 
 
-def chaos_scenario(cluster):
-    chaos(cluster, rounds=15)
+def random_faults_scenario(cluster):
+    random_faults(cluster, rounds=15)
 
 
 def restart_scenario(cluster):
@@ -299,16 +299,16 @@
 MUTANTS = {
     'sync before acknowledging': (
         {'storage_type': UnsyncedStorage},
-        chaos_scenario,
+        random_faults_scenario,
     ),
     'stored term and vote': (
-        {'storage_type': ForgetfulStorage},
+        {'storage_type': UnstoredVoteStorage},
         restart_scenario,
     ),
     'disk identities': ({'disk_identities': False}, lost_disk_scenario),
     'vote only for a complete log': (
         {'node_type': mutant(election_type=VoteWithoutLogCheck)},
-        chaos_scenario,
+        random_faults_scenario,
     ),
     'commit rule of the current term': (
         {'node_type': mutant(leadership_type=CommitOfEarlierTerms)},
@@ -320,7 +320,7 @@
     ),
     'log matching': (
         {'node_type': mutant(follower_type=NoLogMatching)},
-        chaos_scenario,
+        random_faults_scenario,
     ),
     'confirmation round of a barrier': (
         {'node_type': mutant(UnconfirmedBarrier)},
@@ -332,7 +332,7 @@
     ),
     'one voter per change': (
         {'node_type': mutant(ReplaceInOneStep)},
-        chaos_scenario,
+        random_faults_scenario,
     ),
 }
 SCENARIO_OPTIONS = {
@@ -366,9 +366,9 @@
 
 
 class NoPreVote(Election):
-    def _time_out(self, now_s):
+    def _start_pre_vote(self, now_s):
         self._step('election_timeout', now_s)
-        self._stand(now_s)
+        self._start_election(now_s)
 
 
 class NoRefusalAfterHeartbeat(Election):
@@ -465,7 +465,7 @@
 
 
 def test_second_replica_is_lost_before_the_new_voter_knows_its_promotion():
-    # Guards against a group that waits for ever: the promotion is committed
+    # Guards against a group that never continues: the promotion is committed
     # by the two old replicas, and one of them is lost before the new one has
     # received it. The new one must vote although its own log does not name it.
     cluster = formed_cluster(3)
@@ -604,7 +604,7 @@
     cluster.run(3)
     assert removed not in cluster.leader().node.core.membership.by_id
     del cluster.hosts[removed]
-    chaos(cluster, rounds=3)
+    random_faults(cluster, rounds=3)
     cluster.settle()
 
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -178,7 +178,7 @@
 async def test_empty_replacement_gets_the_snapshot_and_votes(
     tmp_path, at_new_address
 ):
-    # Guards against a replacement that stays a learner for ever.
+    # Guards against a replacement that stays a learner for good.
     replicas = reserve_addresses(4)
     initial, spare = replicas[:3], replicas[3][1]
     options = NodeOptions(
@@ -382,7 +382,7 @@
         await (await leader_of(rest)).propose(b'z', 5)
 
 
-async def propose_for_ever(group, number, results):
+async def propose_repeatedly(group, number, results):
     """Propose unique commands anywhere and record what was reported."""
     rng = random.Random(number)
     for count in range(10_000):
@@ -402,7 +402,7 @@
     results = {}
     async with Group() as group:
         clients = [
-            asyncio.create_task(propose_for_ever(group, number, results))
+            asyncio.create_task(propose_repeatedly(group, number, results))
             for number in range(4)
         ]
         for _ in range(6):
