--- a/bench/replication.py
+++ b/bench/replication.py
@@ -304,6 +304,44 @@
     ]
 
 
+async def replacement_rows(folder: Path, entries: int) -> list[Row]:
+    """Measure how long an empty replacement takes to become a voter.
+
+    Includes the 1 s for which the lost disk must be silent.
+    """
+    replicas = free_addresses(3)
+    options = NodeOptions()
+    async with AsyncExitStack() as stack:
+        group = [
+            await stack.enter_async_context(
+                running_replica(folder / name, replicas, name, options),
+            )
+            for name, _ in replicas[:2]
+        ]
+        lost = running_replica(folder / 'lost', replicas, 'r2', options)
+        async with lost as third:
+            leader = await wait_for_leader([*group, third])
+            await leader.replica.read_barrier(PROPOSE_TIMEOUT_S)
+        leader = await wait_for_leader(group)
+        await measure_commits(leader.replica, min(entries, 500), entries)
+        start_s = time.perf_counter()
+        empty = running_replica(folder / 'new', replicas, 'r2', options)
+        async with empty as replacement:
+            async with asyncio.timeout(PROPOSE_TIMEOUT_S):
+                while not is_voter(replacement.replica):  # noqa: ASYNC110
+                    await asyncio.sleep(0.005)
+            elapsed_ms = (time.perf_counter() - start_s) * 1000
+    return [Row('replacement', 3, f'entries={entries}', elapsed_ms, 'ms')]
+
+
+def is_voter(replica: Replica) -> bool:
+    """Return whether the replica's disk is recorded as a voter."""
+    return any(
+        member.voter and member.disk_id == replica.disk_id
+        for member in replica.members
+    )
+
+
 def log_size_bytes(folder: Path) -> int:
     """Return the size of all segment files."""
     return sum(path.stat().st_size for path in folder.glob('log-*'))
@@ -354,6 +392,8 @@
         rows += await snapshot_rows(folder / f's{size_bytes}', size_bytes)
     for entries in log_lengths:
         rows += await recovery_rows(folder / f'log{entries}', entries)
+        if entries:
+            rows += await replacement_rows(folder / f'new{entries}', entries)
     return rows
 
 
@@ -408,6 +448,8 @@
             'command': f'{COMMAND_BYTES} bytes, {commands} per measurement',
             'recovery': 'single member, no snapshot; from start to the first '
             'read barrier',
+            'replacement': 'group of three; from the start of an empty '
+            'replacement until it is a voter',
             'failover': 'from the stop of the leader to the next commit',
             'load_average': ' '.join(f'{row:.1f}' for row in os.getloadavg()),
         }
