--- a/tests/quorum_sim.py
+++ b/tests/quorum_sim.py
@@ -3,7 +3,9 @@
 import hashlib
 import heapq
 import itertools
+import os
 import random
+import tempfile
 from dataclasses import dataclass, field
 
 import msgpack
@@ -14,6 +16,7 @@
     VoteReply,
 )
 from kumquatrun.errors import NotLeaderError
+from kumquatrun.log_store import FileStorage
 from kumquatrun.memory_store import MemoryStorage
 from kumquatrun.quorum_membership import Membership
 from kumquatrun.quorum_node import LogNode, NodeOptions, NodeSettings
@@ -72,6 +75,40 @@
     setattr(FaultyStorage, _name, _counted(_name))
 
 
+class TornFileStorage(FileStorage):
+    """Real files; a power loss cuts the last record off at any byte."""
+
+    def __init__(self, folder, rng):
+        super().__init__(tempfile.mkdtemp(dir=folder), segment_bytes=16 * 1024)
+        self._rng = rng
+        self._synced = (None, 0)
+        self.operations_left = None
+        self.torn_records = 0
+
+    def sync(self):
+        super().sync()
+        if self._segments:
+            last = self._segments[-1]
+            self._synced = (last.path, last.size_bytes)
+
+    def append(self, entries):
+        super().append(entries)
+        if self.operations_left is not None:
+            self.lose_power()
+            raise PowerLossError
+
+    def lose_power(self):
+        self.operations_left = None
+        last = self._segments[-1] if self._segments else None
+        written = last.size_bytes if last else 0
+        self.close()
+        if last and last.needs_sync:
+            path, kept = self._synced
+            synced = kept if path == last.path else 0
+            os.truncate(last.path, self._rng.randint(synced, written))
+            self.torn_records += 1
+
+
 class SimMachine:
     """List of commands with a running digest."""
 
--- a/tests/test_quorum_log.py
+++ b/tests/test_quorum_log.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import replace
+from functools import partial
 
 import pytest
 from hypothesis import settings, strategies
@@ -15,7 +16,12 @@
     rule,
     run_state_machine_as_test,
 )
-from tests.quorum_sim import OPTIONS, FaultyStorage, SimCluster
+from tests.quorum_sim import (
+    OPTIONS,
+    FaultyStorage,
+    SimCluster,
+    TornFileStorage,
+)
 
 from kumquatrun.consensus_messages import SnapshotChunk
 from kumquatrun.errors import (
@@ -134,6 +140,23 @@
     assert len(cluster.checker.acknowledged) > 100
 
 
+@pytest.mark.parametrize('seed', range(2))
+def test_group_on_files_survives_torn_records(tmp_path, seed):
+    # Guards against a difference between the simulated and the real store.
+    cluster = formed_cluster(
+        seed, storage_type=partial(TornFileStorage, tmp_path)
+    )
+    for _ in range(12):
+        name = cluster.rng.choice([*cluster.hosts, pick_leader(cluster)])
+        cluster.kill_in_storage(name)
+        cluster.run(cluster.rng.uniform(0.1, 1.5))
+        cluster.heal()
+        cluster.run(cluster.rng.uniform(0.1, 1.5))
+    cluster.settle()
+    storages = [host.storage for host in cluster.hosts.values()]
+    assert sum(storage.torn_records for storage in storages) > 5
+
+
 def mutant(core=None, **types):
     """Return a node type whose core has mechanisms replaced."""
     core_type = type('Core', (core or QuorumLog,), types)
