--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,85 @@
+"""Quarantine of requests that crash backend servers."""
+
+import pytest
+from tests.shared_state import Cluster
+
+from kumquatrun.cluster_view import ClusterView
+from kumquatrun.messages import ClearSuspect, ReportSuspects
+from kumquatrun.quarantine import (
+    QUARANTINE_MS,
+    SUSPECT_MS,
+    QuarantineRegister,
+)
+
+NUMBERS = iter(range(10**6))
+
+
+def crash(*fingerprints, alone=False, report_id=None):
+    return ReportSuspects(
+        host_id='agent-1',
+        fingerprints=fingerprints,
+        alone=alone,
+        report_id=report_id or f'report-{next(NUMBERS)}',
+    )
+
+
+FINISHED = ClearSuspect(host_id='agent-1', fingerprint='f')
+SHARED = crash('f', 'g')
+ALONE = crash('f', alone=True)
+
+
+@pytest.mark.parametrize(
+    ('steps', 'state'),
+    [
+        ([], 'clear'),
+        ([SHARED], 'suspect'),
+        ([ALONE], 'quarantined'),
+        ([SHARED, FINISHED], 'clear'),
+        ([SHARED, ALONE], 'quarantined'),
+        ([SHARED, crash('f', 'h')], 'quarantined'),
+        ([SHARED, FINISHED, crash('f', 'h')], 'suspect'),
+        # Two equal requests in one batch saw one crash.
+        ([crash('f', 'f')], 'suspect'),
+        # A report that is sent again is the same crash.
+        ([SHARED, SHARED], 'suspect'),
+        ([SHARED, SUSPECT_MS - 1], 'suspect'),
+        ([SHARED, SUSPECT_MS], 'clear'),
+        ([ALONE, QUARANTINE_MS - 1], 'quarantined'),
+        ([ALONE, QUARANTINE_MS], 'suspect'),
+        ([ALONE, FINISHED], 'quarantined'),
+        ([ALONE, FINISHED, QUARANTINE_MS], 'suspect'),
+        ([ALONE, 9, crash('f'), QUARANTINE_MS - 1], 'quarantined'),
+        ([ALONE, QUARANTINE_MS, FINISHED], 'clear'),
+        ([ALONE, QUARANTINE_MS, crash('f', 'h')], 'quarantined'),
+        ([ALONE, QUARANTINE_MS, SUSPECT_MS], 'clear'),
+    ],
+)
+def test_state_follows_from_crashes(steps, state):
+    cluster = Cluster()
+    for step in steps:
+        if isinstance(step, int):
+            cluster.run(elapsed_ms=step)
+        else:
+            cluster.run(step)
+    view, newcomer = ClusterView(), ClusterView()
+    for item in cluster.feed:
+        view.apply(item)
+    newcomer.apply(cluster.restored().snapshot_feed())
+    assert view.fingerprint_state('f') == state
+    assert newcomer.fingerprint_state('f') == state
+
+
+def test_innocent_request_is_cleared_and_the_culprit_is_not():
+    cluster = Cluster(SHARED, crash('g', alone=True), FINISHED)
+    assert cluster.state.status()['fingerprints'] == {'g': 'quarantined'}
+
+
+def test_flood_of_suspects_is_bounded_oldest_first():
+    register = QuarantineRegister(max_fingerprints=2)
+    for number in range(4):
+        register.handle(f'f{number}', 'crash_shared', number)
+    assert register.expire(5) == [
+        ('f0', 'suspect', 'clear'),
+        ('f1', 'suspect', 'clear'),
+    ]
+    assert register.states() == {'f2': 'suspect', 'f3': 'suspect'}
