--- a/src/kumquatrun/claims.py
+++ b/src/kumquatrun/claims.py
@@ -28,6 +28,8 @@
 
 RETENTION_MS = 24 * 60 * 60 * 1000
 MAX_ANSWER_BYTES = 4 * 1024
+# Account and route names and a key of the caller, which is not bounded.
+MAX_KEY_LENGTH = 1024
 # About 160 MB at the measured 317 bytes each. A claim that is still retained
 # cannot be dropped without allowing a second execution, so further claims are
 # refused instead.
@@ -96,7 +98,8 @@
         NoCapacityError
             If the register is full.
         InvalidRequestError
-            If the request released this claim before.
+            If the request released this claim before, or the key is too
+            long.
         """
         if (command.claim_key, command.request_id) in self._released:
             raise InvalidRequestError(
@@ -180,6 +183,10 @@
             command.claim_key not in self._claims,
             'claim_granted_once',
         )
+        if len(command.claim_key) > MAX_KEY_LENGTH:
+            raise InvalidRequestError(
+                f'a claim key has at most {MAX_KEY_LENGTH} characters',
+            )
         if len(self._claims) >= self._max_claims:
             raise NoCapacityError(
                 f'{self._max_claims} claims are retained already',
@@ -199,11 +206,11 @@
         claim: _Claim,
         answer: StoredAnswer | None,
     ) -> None:
-        if answer is not None and len(answer.body) <= MAX_ANSWER_BYTES:
+        if answer is not None and _answer_bytes(answer) <= MAX_ANSWER_BYTES:
             row = (answer.status, answer.content_type, answer.body)
             claim = claim._replace(answer=row)
-            self._answers[key] = len(answer.body)
-            self._answers_bytes += len(answer.body)
+            self._answers[key] = _answer_bytes(answer)
+            self._answers_bytes += self._answers[key]
         self._store(key, claim)
         while self._answers_bytes > self._max_answers_bytes:
             self._drop_answer(next(iter(self._answers)))
@@ -213,3 +220,7 @@
         self._answers_bytes -= self._answers.pop(key, 0)
         if claim is not None:
             self._store(key, claim._replace(answer=None))
+
+
+def _answer_bytes(answer: StoredAnswer) -> int:
+    return len(answer.content_type) + len(answer.body)
--- a/src/kumquatrun/control_registers.py
+++ b/src/kumquatrun/control_registers.py
@@ -1,7 +1,6 @@
 """Registers of the control state and the handlers of its commands."""
 
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import asdict
 from typing import Any
 
 from kumquatrun.account_budgets import BudgetRegister
@@ -24,8 +23,8 @@
     KumquatrunError,
     NotFoundError,
 )
-from kumquatrun.hosts import HostRegister
-from kumquatrun.keys import KeyRecord, KeyRegister
+from kumquatrun.hosts import HostRegister, host_fields, host_summary
+from kumquatrun.keys import KeyRecord, KeyRegister, key_summary
 from kumquatrun.messages import (
     Ack,
     ClaimReply,
@@ -182,12 +181,12 @@
         operation_id: str = '',
     ) -> None:
         host_id = (before or after).host_id
-        fields = asdict(after) if after else None
+        fields = host_fields(after) if after else None
         self._feed_rows.append(('host', [host_id, fields]))
         self._record(
             action,
             host_id,
-            (_host_text(before), _host_text(after)),
+            (host_summary(before), host_summary(after)),
             operator,
             operation_id,
         )
@@ -304,7 +303,7 @@
         self._record(
             action,
             after.key_id,
-            (_key_text(before), _key_text(after)),
+            (key_summary(before), key_summary(after)),
             command.operator,
             command.operation_id,
         )
@@ -339,20 +338,3 @@
     if report_id:
         return f'report:{report_id}'
     return getattr(command, 'operation_id', None)
-
-
-def _host_text(record: HostRecord | None) -> str:
-    if record is None:
-        return ''
-    state = 'draining' if record.draining else 'active'
-    return (
-        f'{record.role} {record.incarnation} at {record.address}, '
-        f'fencing number {record.fencing_number}, {state}'
-    )
-
-
-def _key_text(record: KeyRecord | None) -> str:
-    if record is None:
-        return ''
-    state = 'revoked' if record.revoked else 'active'
-    return f'key of {record.account}, {state}'
--- a/src/kumquatrun/control_state.py
+++ b/src/kumquatrun/control_state.py
@@ -5,7 +5,6 @@
 """
 
 from bisect import bisect_right
-from dataclasses import asdict
 from typing import Any
 
 import msgpack
@@ -14,7 +13,7 @@
 from kumquatrun.commands import decode_batch, encode_results
 from kumquatrun.control_registers import ControlRegisters
 from kumquatrun.document import AdapterSpec, Document
-from kumquatrun.hosts import Incarnation
+from kumquatrun.hosts import Incarnation, host_fields
 from kumquatrun.keys import KeyRecord
 from kumquatrun.messages import FeedItem, HostRecord
 
@@ -86,7 +85,8 @@
                 if not record.revoked
             ],
             'hosts': [
-                asdict(record) for record in registers.hosts.records.values()
+                host_fields(record)
+                for record in registers.hosts.records.values()
             ],
             'quarantine': registers.quarantine.states(),
         }
--- a/src/kumquatrun/document_types.py
+++ b/src/kumquatrun/document_types.py
@@ -10,8 +10,8 @@
 
 from pydantic import ConfigDict, Field, StringConstraints
 
-# Integers up to 2**53 are exact in JSON tools that store numbers as doubles.
-_MAX_TOKENS = 2**53
+# In millionths of a token this still fits into the 64 bits of a snapshot.
+_MAX_TOKENS = 10**12
 
 # ``@`` separates adapter and version in the ``model`` field of a request.
 NAME_PATTERN = r'^[A-Za-z0-9][A-Za-z0-9._\-]{0,127}$'
--- a/src/kumquatrun/hosts.py
+++ b/src/kumquatrun/hosts.py
@@ -7,11 +7,11 @@
 
 from collections import OrderedDict
 from collections.abc import Mapping
-from dataclasses import asdict, replace
+from dataclasses import replace
 from typing import Any
 
 from kumquatrun.errors import NotFoundError, StaleIncarnationError
-from kumquatrun.messages import HostRecord
+from kumquatrun.messages import HostRecord, encode_message
 
 # A late registration of an expired incarnation arrives within minutes; at 93
 # restarts a day the memory of this many covers months.
@@ -113,7 +113,7 @@
     def snapshot(self) -> Any:
         """Return the register as plain values for msgpack."""
         return [
-            [asdict(record) for record in self._records.values()],
+            [host_fields(record) for record in self._records.values()],
             list(self._live),
             list(self._expired),
             self._fencing_number,
@@ -133,3 +133,19 @@
                 f'incarnation {incarnation[1]!r} of host {incarnation[0]!r} '
                 'was replaced or has expired',
             )
+
+
+def host_fields(record: HostRecord) -> dict[str, Any]:
+    """Return the fields of a record for msgpack."""
+    return encode_message(record)[1]
+
+
+def host_summary(record: HostRecord | None) -> str:
+    """Return a short form for the audit trail."""
+    if record is None:
+        return ''
+    state = 'draining' if record.draining else 'active'
+    return (
+        f'{record.role} {record.incarnation} at {record.address}, '
+        f'fencing number {record.fencing_number}, {state}'
+    )
--- a/src/kumquatrun/keys.py
+++ b/src/kumquatrun/keys.py
@@ -96,3 +96,11 @@
         records = [KeyRecord(**row) for row in content]
         self._records = {record.key_id: record for record in records}
         self._ids = {record.key_hash: record.key_id for record in records}
+
+
+def key_summary(record: KeyRecord | None) -> str:
+    """Return a short form for the audit trail."""
+    if record is None:
+        return ''
+    state = 'revoked' if record.revoked else 'active'
+    return f'key of {record.account}, {state}'
--- a/src/kumquatrun/operations.py
+++ b/src/kumquatrun/operations.py
@@ -11,6 +11,7 @@
 
 MAX_OPERATIONS = 10_000
 _DIGEST_BYTES = 16
+_MAX_ID_LENGTH = 200
 
 
 class OperationRegister:
@@ -27,12 +28,14 @@
         Raises
         ------
         InvalidRequestError
-            If the id is empty or was used for another command. Returning the
+            If the id is empty, too long or was used for another command. Returning the
             result of the other command would report a change as made that
             was not made.
         """
-        if not operation_id:
-            raise InvalidRequestError('the operation id is empty')
+        if not 0 < len(operation_id) <= _MAX_ID_LENGTH:
+            raise InvalidRequestError(
+                f'the operation id must have 1 to {_MAX_ID_LENGTH} characters',
+            )
         entry = self._replies.get(operation_id)
         if entry is None:
             return None
--- a/tests/test_account_budgets.py
+++ b/tests/test_account_budgets.py
@@ -603,3 +603,10 @@
     for _ in range(2000):
         cluster.run(elapsed_ms=1)
     assert cluster.run(grant(100)).granted_tokens == 1
+
+
+def test_largest_account_fits_into_a_snapshot():
+    most = {**ACCOUNT, 'rate_tokens_per_s': 10**12, 'burst_tokens': 10**12}
+    cluster = Cluster(grant(10**12), accounts=[most])
+    cluster.run(elapsed_ms=10**12)
+    assert cluster.restored().status()['accounts']['acme']['level_tokens'] == 0
--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -178,6 +178,7 @@
         (drain('nobody'), 'not_found'),
         (Ack(), 'invalid_request'),
         (drain(operation_id=''), 'invalid_request'),
+        (drain(operation_id='x' * 201), 'invalid_request'),
         # Another change under a used id must not look as if it was made.
         (drain(operation_id='apply-0'), 'invalid_request'),
         (drain(operator='bilal', operation_id='d0'), 'invalid_request'),
