--- /dev/null
+++ b/src/kumquatrun/control.py
@@ -0,0 +1,274 @@
+"""Control service: answers nodes and operators on the leading replica."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+from kumquatrun.clock import Clock
+from kumquatrun.command_batcher import CommandBatcher
+from kumquatrun.commands import ExpireHost, ReportBudgets
+from kumquatrun.control_state import ControlState
+from kumquatrun.errors import (
+    KumquatrunError,
+    NotFoundError,
+    NotLeaderError,
+)
+from kumquatrun.feed_log import FeedLog
+from kumquatrun.leases import Incarnation, LeaseTable
+from kumquatrun.load_slot_queue import LoadSlotQueue
+from kumquatrun.messages import (
+    Ack,
+    AcquireLoadSlot,
+    ClaimRequest,
+    ClearSuspect,
+    FinishClaim,
+    Finished,
+    FollowFeed,
+    GrantTokens,
+    LeaseReply,
+    LoadSlotReply,
+    OperatorCall,
+    RegisterHost,
+    ReleaseLoadSlot,
+    RenewLease,
+    ReportSuspects,
+)
+from kumquatrun.operator_actions import OperatorActions
+from kumquatrun.peer import CallContext
+from kumquatrun.replica import Replica
+from kumquatrun.report_board import ReportBoard
+
+log = logging.getLogger(__name__)
+
+EXPIRY_CHECK_S = 0.25
+FEED_IDLE_S = 1.0
+BARRIER_TIMEOUT_S = 2.0
+ENTRY_ROLE = 'entry'
+
+
+class ControlService:
+    """Serves the control protocol on one replica.
+
+    Only the leader answers; the other replicas name it in ``not_leader``. All
+    soft state (leases, load slots, agent reports) belongs to one term of
+    leadership and starts empty with it.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        state: ControlState,
+        feed: FeedLog,
+        clock: Clock,
+        operator_token: str = '',
+    ) -> None:
+        self._replica = replica
+        self._state = state
+        self._feed = feed
+        self._clock = clock
+        self._batcher = CommandBatcher(replica, clock)
+        self._served_term = -1
+        self._leases = LeaseTable(0, 0)
+        self._slots = LoadSlotQueue('', clock)
+        self._reports = ReportBoard()
+        self._actions = OperatorActions(
+            replica,
+            state,
+            self._batcher,
+            operator_token,
+            lambda: self._reports.reports(),
+        )
+        self._tasks: list[asyncio.Task] = []
+        self._handlers: Mapping[type, Callable[..., Awaitable[Any]]] = {
+            RegisterHost: self._on_register,
+            RenewLease: self._on_renew,
+            FollowFeed: self._on_follow,
+            GrantTokens: self._on_command,
+            ClaimRequest: self._on_command,
+            FinishClaim: self._on_command,
+            ReportSuspects: self._on_command,
+            ClearSuspect: self._on_command,
+            AcquireLoadSlot: self._on_acquire_slot,
+            ReleaseLoadSlot: self._on_release_slot,
+            OperatorCall: self._on_operator,
+        }
+
+    async def start(self) -> None:
+        """Start the background work of the leader."""
+        self._tasks = [
+            asyncio.create_task(self._lead()),
+            asyncio.create_task(self._expire_hosts()),
+        ]
+
+    async def stop(self) -> None:
+        """Stop the background work; the replica is stopped by its owner."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._batcher.stop()
+
+    async def handle(self, request: Any, context: CallContext) -> Any:
+        """Answer a call; consensus messages go to the replica."""
+        handler = self._handlers.get(type(request))
+        if handler is None:
+            return await self._replica.handle(request, context)
+        self._check_leader()
+        return await handler(request, context)
+
+    @property
+    def serves(self) -> bool:
+        """Return whether this replica leads and has applied its log."""
+        replica = self._replica
+        return replica.is_leader and self._served_term == replica.term
+
+    def _check_leader(self) -> None:
+        if not self.serves:
+            raise NotLeaderError(
+                f'the leader is at {self._replica.leader_address}',
+            )
+
+    async def _lead(self) -> None:
+        """Begin to serve in each term that this replica leads."""
+        changed = asyncio.Event()
+        self._replica.on_role_change(changed.set)
+        while True:
+            if self._replica.is_leader and not self.serves:
+                await self._begin_term(self._replica.term)
+            else:
+                await changed.wait()
+            changed.clear()
+
+    async def _begin_term(self, term: int) -> None:
+        # A new leader may not have applied all committed entries yet. Without
+        # the barrier it would not know hosts that its predecessor registered.
+        try:
+            await self._replica.read_barrier(BARRIER_TIMEOUT_S)
+        except KumquatrunError as error:
+            log.info('event=leadership_not_confirmed error=%r', str(error))
+            return
+        self._leases = LeaseTable(self._clock.now_s(), self._feed.index)
+        self._slots = LoadSlotQueue(str(term), self._clock)
+        self._reports = ReportBoard()
+        self._served_term = term
+        log.info('event=leadership_started term=%s', term)
+
+    async def _on_command(self, request: Any, context: CallContext) -> Any:
+        return await self._batcher.commit(request)
+
+    async def _on_register(
+        self,
+        request: RegisterHost,
+        context: CallContext,
+    ) -> Any:
+        reply = await self._batcher.commit(request)
+        record = request.record
+        holder = (record.host_id, record.incarnation)
+        self._leases.start(holder, self._clock.now_s())
+        return reply
+
+    async def _on_renew(
+        self,
+        request: RenewLease,
+        context: CallContext,
+    ) -> LeaseReply:
+        received_at_s = self._clock.now_s()
+        record = self._state.host(request.host_id)
+        if record is None or record.incarnation != request.incarnation:
+            raise NotFoundError(
+                f'{request.host_id} is not registered as {request.incarnation}',
+            )
+        if request.budget_reports:
+            await self._commit_budget_reports(request)
+        if request.agent_report is not None:
+            self._reports.put(request.agent_report)
+        self._check_leader()
+        duration_s = self._leases.renew(
+            (request.host_id, request.incarnation),
+            applied_index=request.feed_index,
+            feed_index=self._feed.index,
+            confirmed_at_s=self._replica.quorum_confirmed_at_s,
+            now_s=received_at_s,
+        )
+        is_entry = record.role == ENTRY_ROLE
+        return LeaseReply(
+            duration_s=duration_s,
+            feed_index=self._feed.index,
+            agent_reports=(
+                self._reports.take_news(request.host_id) if is_entry else ()
+            ),
+        )
+
+    async def _commit_budget_reports(self, request: RenewLease) -> None:
+        await self._batcher.commit(
+            ReportBudgets(
+                host_id=request.host_id,
+                incarnation=request.incarnation,
+                sequence=request.sequence,
+                reports=request.budget_reports,
+            ),
+        )
+
+    async def _on_follow(
+        self,
+        request: FollowFeed,
+        context: CallContext,
+    ) -> Finished:
+        index = request.after_index
+        while True:
+            self._check_leader()
+            newer = self._feed.after(index)
+            if newer is None:
+                newer = [self._state.snapshot_feed()]
+            for feed_item in newer:
+                await context.send_message(feed_item)
+                index = feed_item.index
+            if not newer:
+                # Wakes up without an item too, to notice lost leadership.
+                await self._feed.wait(FEED_IDLE_S)
+
+    async def _on_acquire_slot(
+        self,
+        request: AcquireLoadSlot,
+        context: CallContext,
+    ) -> LoadSlotReply:
+        return await self._slots.acquire(request)
+
+    async def _on_release_slot(
+        self,
+        request: ReleaseLoadSlot,
+        context: CallContext,
+    ) -> Ack:
+        self._slots.release(request.slot_id)
+        return Ack()
+
+    async def _on_operator(
+        self,
+        request: OperatorCall,
+        context: CallContext,
+    ) -> Any:
+        return await self._actions.run(request)
+
+    async def _expire_hosts(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRY_CHECK_S)
+            if not self.serves:
+                continue
+            self._slots.grant_waiting()
+            for holder in self._state.incarnations():
+                if self._leases.surely_ended(holder, self._clock.now_s()):
+                    await self._expire(holder)
+
+    async def _expire(self, holder: Incarnation) -> None:
+        host_id, incarnation = holder
+        log.warning('event=host_expired host_id=%s', host_id)
+        try:
+            await self._batcher.commit(
+                ExpireHost(host_id=host_id, incarnation=incarnation),
+            )
+        except KumquatrunError as error:
+            log.info('event=expiry_failed error=%r', str(error))
+            return
+        self._leases.forget(holder)
+        if self._state.host(host_id) is None:
+            self._reports.remove(host_id)
--- /dev/null
+++ b/src/kumquatrun/daemons.py
@@ -0,0 +1,266 @@
+"""Daemons: build the parts of each daemon from its settings."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from kumquatrun.admin import AdminServer
+from kumquatrun.agent import BACKENDS, Agent
+from kumquatrun.clock import Clock, LoopClock
+from kumquatrun.control_client import Session
+from kumquatrun.entry import Entry
+from kumquatrun.invariants import violations
+from kumquatrun.lifecycle import Daemon, Part, run_daemon
+from kumquatrun.logs import log_event
+from kumquatrun.messages import HostRecord
+from kumquatrun.metrics import Metrics, process_metrics
+from kumquatrun.peer import sent_bytes
+from kumquatrun.settings import (
+    AgentSettings,
+    ControlSettings,
+    DaemonSettings,
+    EntrySettings,
+)
+
+log = logging.getLogger(__name__)
+
+REGISTRATION_LOG_S = 10.0
+
+
+class DeferredServer:
+    """Server that is built when it is started.
+
+    Entries and agents may be built only after their host has registered.
+    """
+
+    def __init__(self, build: Callable[[], Any]) -> None:
+        self._build = build
+        self._server: Any = None
+        self._is_draining = False
+
+    def not_ready_reason(self) -> str:
+        """Return why the server takes no requests, or an empty text."""
+        if self._is_draining:
+            return 'draining'
+        return '' if self._server else 'starting'
+
+    def set_gauges(self, metrics: Metrics) -> None:
+        """Set the gauges of open, running and queued requests."""
+        if self._server is None:
+            return
+        metrics.set_gauge('open_requests', self._server.open_requests)
+        if isinstance(self._server, Agent):
+            report = self._server.report()
+            metrics.set_gauge('running_requests', report.running)
+            metrics.set_gauge('queued_requests', report.queued)
+
+    async def start(self) -> None:
+        """Build and start the server."""
+        server = self._build()
+        self._server = server
+        await server.start()
+
+    async def drain(self, timeout_s: float) -> None:
+        """Refuse new requests and wait for the open ones."""
+        self._is_draining = True
+        await self._server.drain(timeout_s)
+
+    async def stop(self) -> None:
+        """Stop the server if it was built."""
+        if self._server is not None:
+            await self._server.stop()
+
+
+class Registration:
+    """Step of the start that waits until the host has a lease."""
+
+    def __init__(self, session: Session) -> None:
+        self._session = session
+
+    async def start(self) -> None:
+        """Wait without a limit; logs why the daemon does not serve yet."""
+        changed = asyncio.Event()
+        self._session.on_change(changed.set)
+        while not self._session.lease_valid():
+            changed.clear()
+            try:
+                async with asyncio.timeout(REGISTRATION_LOG_S):
+                    await changed.wait()
+            except TimeoutError:
+                log_event(
+                    log,
+                    'waiting_for_lease',
+                    level=logging.WARNING,
+                    remedy='check that a majority of control replicas is up',
+                )
+
+    async def stop(self) -> None:
+        """Nothing to do: the session ends the lease."""
+
+
+def build_entry(settings: EntrySettings, clock: Clock) -> Daemon:
+    """Build an entry, with the replica role if it is set."""
+    session = _build_session(
+        settings,
+        clock,
+        role='entry',
+        address=str(settings.http_listen),
+    )
+    server = DeferredServer(lambda: Entry(settings, session, clock))
+    return _build_node(settings, session, server, clock)
+
+
+def build_agent(settings: AgentSettings, clock: Clock) -> Daemon:
+    """Build an agent, with the replica role if it is set."""
+    session = _build_session(
+        settings,
+        clock,
+        role='agent',
+        address=str(settings.listen),
+        service=settings.service,
+    )
+    backend = BACKENDS[settings.backend_kind](settings.backend_url)
+    server = DeferredServer(lambda: Agent(settings, session, backend, clock))
+    return _build_node(settings, session, server, clock)
+
+
+def build_control(settings: ControlSettings, clock: Clock) -> Daemon:
+    """Build a dedicated control host."""
+    metrics = process_metrics()
+    control = _build_control_host(settings, clock, metrics)
+
+    def not_ready_reason() -> str:
+        if control.replica.failure is not None:
+            return f'replica failed: {control.replica.failure}'
+        return '' if control.replica.leader_id else 'no leader known'
+
+    metrics.before_render(lambda: _set_process_counts(metrics))
+    admin = _admin_parts(settings, metrics, not_ready_reason)
+    return Daemon(settings, [*admin, control])
+
+
+BUILDERS = {
+    'entry': build_entry,
+    'agent': build_agent,
+    'control': build_control,
+}
+
+
+async def run(daemon_name: str, settings: DaemonSettings) -> None:
+    """Build and run the daemon with the given name."""
+    if not settings.cluster_token:
+        log_event(
+            log,
+            'cluster_token_unset',
+            level=logging.WARNING,
+            remedy='set KUMQUATRUN_CLUSTER_TOKEN on all hosts',
+        )
+    await run_daemon(BUILDERS[daemon_name](settings, LoopClock()))
+
+
+def _build_node(
+    settings: DaemonSettings,
+    session: Session,
+    server: DeferredServer,
+    clock: Clock,
+) -> Daemon:
+    metrics = process_metrics()
+
+    def set_gauges() -> None:
+        metrics.set_gauge('lease_valid', int(session.lease_valid()))
+        metrics.set_gauge('feed_index', session.view.applied_index)
+        metrics.set_gauge('document_revision', session.view.revision)
+        server.set_gauges(metrics)
+        _set_process_counts(metrics)
+
+    def not_ready_reason() -> str:
+        if not session.lease_valid():
+            return 'no valid lease'
+        return server.not_ready_reason()
+
+    metrics.before_render(set_gauges)
+    parts = _admin_parts(settings, metrics, not_ready_reason)
+    if settings.replica is not None:
+        # The replica starts before the session, which may need it, and stops
+        # after it.
+        parts.append(_build_control_host(settings, clock, metrics))
+    parts.extend((session, Registration(session), server))
+    daemon = Daemon(settings, parts, server)
+    session.on_change(lambda: _follow_drain(session, daemon))
+    return daemon
+
+
+def _set_process_counts(metrics: Metrics) -> None:
+    for scope, sent in sent_bytes.items():
+        metrics.set_count('peer_bytes_total', sent, scope=scope)
+    for invariant, count in violations.items():
+        metrics.set_count(
+            'invariant_violations_total',
+            count,
+            invariant=invariant,
+        )
+
+
+def _follow_drain(session: Session, daemon: Daemon) -> None:
+    """Drain the daemon if an operator has drained this run of its host."""
+    own = session.record
+    record = session.view.host(own.host_id)
+    if record is None or record.incarnation != own.incarnation:
+        return
+    if record.draining:
+        daemon.request_drain('drain command')
+
+
+def _build_session(
+    settings: DaemonSettings,
+    clock: Clock,
+    *,
+    role: str,
+    address: str,
+    service: str = '',
+) -> Session:
+    record = HostRecord(
+        host_id=settings.host_id,
+        incarnation='',
+        role=role,
+        address=address,
+        region=settings.region,
+        failure_domain=settings.failure_domain,
+        service=service,
+    )
+    return Session(
+        record,
+        settings.control_addresses,
+        clock,
+        cluster_token=settings.cluster_token,
+    )
+
+
+def _build_control_host(
+    settings: DaemonSettings,
+    clock: Clock,
+    metrics: Metrics,
+) -> Any:
+    from kumquatrun.control_host import ControlHost
+
+    control = ControlHost(settings, clock)
+    replica = control.replica
+
+    def set_gauges() -> None:
+        metrics.set_gauge('replica_term', replica.term)
+        metrics.set_gauge('replica_commit_index', replica.commit_index)
+        metrics.set_gauge('replica_is_leader', int(replica.is_leader))
+
+    metrics.before_render(set_gauges)
+    return control
+
+
+def _admin_parts(
+    settings: DaemonSettings,
+    metrics: Metrics,
+    not_ready_reason: Callable[[], str],
+) -> list[Part]:
+    if settings.admin_listen is None:
+        return []
+    return [AdminServer(metrics, not_ready_reason, settings.admin_listen)]
--- a/src/kumquatrun/invariants.py
+++ b/src/kumquatrun/invariants.py
@@ -1,26 +1,46 @@
-"""Invariants that are checked while the program runs.
+"""Invariants of the guarantees: counted and logged when violated.
 
-A violation is counted for the metrics and the program continues; tests make
-it fatal.
+``require`` guards an operation that must not be carried out if the invariant
+does not hold. ``check_invariant`` checks what has already happened: the
+program continues, and tests make a violation fatal with ``set_fatal``.
 """
 
+import logging
 from collections import Counter
 
+log = logging.getLogger(__name__)
+
 violations: Counter[str] = Counter()
 _fatal = [False]
 
 
 class InvariantError(AssertionError):
-    """Reports a violated invariant in a test."""
+    """Reports a violated invariant."""
+
+
+InvariantViolationError = InvariantError
 
 
 def set_fatal(fatal: bool) -> None:
-    """Set whether a violation raises ``InvariantError``."""
+    """Set whether ``check_invariant`` raises."""
     _fatal[0] = fatal
 
 
-def check_invariant(holds: bool, name: str) -> None:
-    """Count a violation of the invariant ``name`` unless it holds.
+def require(holds: bool, invariant: str, detail: str = '') -> None:
+    """Check an invariant before the operation that depends on it.
+
+    Raises
+    ------
+    InvariantError
+        If the invariant does not hold.
+    """
+    if not holds:
+        _record(invariant, detail)
+        raise InvariantError(f'{invariant}: {detail}')
+
+
+def check_invariant(holds: bool, invariant: str, detail: str = '') -> None:
+    """Count a violation of ``invariant`` unless it holds.
 
     Raises
     ------
@@ -29,6 +49,44 @@
     """
     if holds:
         return
-    violations[name] += 1
+    _record(invariant, detail)
     if _fatal[0]:
-        raise InvariantError(name)
+        raise InvariantError(f'{invariant}: {detail}')
+
+
+class Invariants:
+    """Checks invariants after the fact.
+
+    Parameters
+    ----------
+    is_strict
+        Whether a violation raises ``InvariantError``.
+    """
+
+    def __init__(self, *, is_strict: bool = False) -> None:
+        self.violations: Counter[str] = Counter()
+        self._is_strict = is_strict
+
+    def check(self, holds: bool, invariant: str, detail: str = '') -> None:
+        """Count a violation of ``invariant`` unless ``holds``.
+
+        Raises
+        ------
+        InvariantError
+            If the checker is strict.
+        """
+        if holds:
+            return
+        self.violations[invariant] += 1
+        _record(invariant, detail)
+        if self._is_strict:
+            raise InvariantError(f'{invariant}: {detail}')
+
+
+def _record(invariant: str, detail: str) -> None:
+    violations[invariant] += 1
+    log.error(
+        'event=invariant_violated invariant=%s detail=%r',
+        invariant,
+        detail,
+    )
--- /dev/null
+++ b/src/kumquatrun/leases.py
@@ -0,0 +1,82 @@
+"""Leases of entry and agent hosts, as the leader keeps them."""
+
+from dataclasses import dataclass
+
+LEASE_S = 3.0
+RENEW_INTERVAL_S = 0.5
+# Covers the difference between the rates of two hosts' clocks over a lease.
+CLOCK_DRIFT_MARGIN_S = 0.1
+
+Incarnation = tuple[str, str]
+
+
+@dataclass(frozen=True)
+class _HostLease:
+    ends_at_s: float
+    required_index: int
+
+
+class LeaseTable:
+    """Leases that this leader granted or has to assume.
+
+    A lease is counted from the newest moment at which a majority confirmed
+    the leader, so that a deposed leader cannot extend one past the time in
+    which its successor must expect it.
+
+    Parameters
+    ----------
+    elected_at_s
+        When this leader began to serve; leases of earlier leaders have ended
+        ``LEASE_S`` after it.
+    feed_index
+        Index of the newest feed item at that time.
+    """
+
+    def __init__(self, elected_at_s: float, feed_index: int) -> None:
+        self._assumed = _HostLease(elected_at_s + LEASE_S, feed_index)
+        self._leases: dict[Incarnation, _HostLease] = {}
+
+    def renew(
+        self,
+        holder: Incarnation,
+        *,
+        applied_index: int,
+        feed_index: int,
+        confirmed_at_s: float,
+        now_s: float,
+    ) -> float:
+        """Return the duration of the new lease in seconds, 0 for none.
+
+        The lease is extended only if the host applied everything that was
+        committed before its previous renewal. A host that lags keeps the
+        lease it has.
+        """
+        known = self._leases.get(holder, self._assumed)
+        ends_at_s = known.ends_at_s
+        duration_s = 0.0
+        if applied_index >= known.required_index:
+            duration_s = max(0, min(now_s, confirmed_at_s) + LEASE_S - now_s)
+            ends_at_s = max(ends_at_s, now_s + duration_s)
+        self._leases[holder] = _HostLease(ends_at_s, feed_index)
+        return duration_s
+
+    def surely_ended(self, holder: Incarnation, now_s: float) -> bool:
+        """Return whether the holder's lease has ended by every clock.
+
+        Whatever this leader granted, a lease of its predecessor can last
+        until ``LEASE_S`` after the start of this leadership.
+        """
+        known = self._leases.get(holder, self._assumed)
+        ends_at_s = max(known.ends_at_s, self._assumed.ends_at_s)
+        return now_s > ends_at_s + CLOCK_DRIFT_MARGIN_S
+
+    def start(self, holder: Incarnation, now_s: float) -> None:
+        """Give a newly registered host time for its first renewal."""
+        self._leases[holder] = _HostLease(
+            now_s + LEASE_S,
+            self._assumed.required_index,
+        )
+
+    def forget(self, holder: Incarnation) -> None:
+        """Remove a holder that was expired."""
+        self._leases.pop(holder, None)
--- a/src/kumquatrun/peer.py
+++ b/src/kumquatrun/peer.py
@@ -9,6 +9,7 @@
 import hmac
 import itertools
 import logging
+from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
@@ -35,6 +36,10 @@
 
 log = logging.getLogger(__name__)
 
+# Bytes that this process has sent to peers in the same region, in another
+# one, and in an unknown one (handshakes and operator commands).
+sent_bytes: Counter[str] = Counter()
+
 PING_AFTER_S = 0.5
 SILENCE_LIMIT_S = 2.0
 CONNECT_TIMEOUT_S = 2.0
@@ -102,7 +107,7 @@
         self._clock = asyncio.get_running_loop().time
         self._last_read_s = self._clock()
         self._last_write_s = self._last_read_s
-        self.bytes_sent = 0
+        self._scope = 'unknown'
 
     async def send(self, kind: FrameKind, call_id: int, body: Any) -> None:
         """Write one frame; waits while the send buffer is full."""
@@ -110,7 +115,7 @@
         if self._writer.is_closing():
             raise ConnectionLostError('connection is closed')
         self._writer.write(encoded)
-        self.bytes_sent += len(encoded)
+        sent_bytes[self._scope] += len(encoded)
         self._last_write_s = self._clock()
         try:
             await self._writer.drain()
@@ -138,6 +143,16 @@
                 with suppress(ConnectionLostError):
                     await self.send(FrameKind.PING, 0, None)
 
+    async def flush(self) -> None:
+        """Wait until the send buffer is empty."""
+        self._writer.transport.set_write_buffer_limits(high=0)
+        await self._writer.drain()
+
+    def set_regions(self, own: str, other: str) -> None:
+        """Set where the two ends are, so that the bytes can be counted."""
+        if own and other:
+            self._scope = 'same_region' if own == other else 'other_region'
+
     def abort(self) -> None:
         """Close the connection at once, without flushing."""
         self._writer.transport.abort()
@@ -195,6 +210,7 @@
         self._handler = handler
         self._server: asyncio.Server | None = None
         self._links: set[_Link] = set()
+        self._sessions: set[_ServerSession] = set()
         self._tasks: set[asyncio.Task] = set()
 
     async def start(self, address: Address) -> Address:
@@ -207,6 +223,16 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return Address(host, port)
 
+    async def wait_idle(self) -> None:
+        """Wait until no call is open and all replies left the buffers.
+
+        ``stop`` drops what is still buffered, so a planned shutdown waits
+        here first.
+        """
+        while any(session.has_calls for session in self._sessions):
+            for session in list(self._sessions):
+                await session.wait_idle()
+
     async def stop(self) -> None:
         """Stop listening and close all connections."""
         if self._server is not None:
@@ -226,6 +252,7 @@
         task = asyncio.current_task()
         self._tasks.add(task)
         self._links.add(session.link)
+        self._sessions.add(session)
         try:
             await session.run()
         except (OSError, EOFError, KumquatrunError) as error:
@@ -236,6 +263,7 @@
         finally:
             session.close()
             self._links.discard(session.link)
+            self._sessions.discard(session)
             self._tasks.discard(task)
 
     def check_peer(self, peer: Hello) -> None:
@@ -269,6 +297,16 @@
         self._calls: dict[int, tuple[asyncio.Task, CallContext]] = {}
         self._keep_alive = asyncio.create_task(link.keep_alive())
 
+    @property
+    def has_calls(self) -> bool:
+        return bool(self._calls)
+
+    async def wait_idle(self) -> None:
+        tasks = [task for task, _ in self._calls.values()]
+        await asyncio.gather(*tasks, return_exceptions=True)
+        with suppress(OSError):
+            await self.link.flush()
+
     async def run(self) -> None:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             frame = await self.link.read()
@@ -281,8 +319,9 @@
             reply = encode_message(error_to_reply(error))
             await self.link.send(FrameKind.ERROR, 0, reply)
             raise
-        identity = encode_message(self._server.identity)
-        await self.link.send(FrameKind.HELLO, 0, identity)
+        identity = self._server.identity
+        await self.link.send(FrameKind.HELLO, 0, encode_message(identity))
+        self.link.set_regions(identity.region, self._peer.region)
         while True:
             await self._receive(await self.link.read())
 
@@ -538,6 +577,7 @@
         if frame.kind is not FrameKind.HELLO:
             link.abort()
             raise reply_to_error(answer)
+        link.set_regions(self._identity.region, answer.region)
         self.peer = answer
         self._link = link
         self._spawn(self._read(link))
--- /dev/null
+++ b/src/kumquatrun/quorum_log.py
@@ -0,0 +1,350 @@
+"""Consensus core of one replica: dispatch of messages and leader calls.
+
+The core does no I/O. Its driver passes in messages and the time, takes an
+``Output``, makes its content durable, and reports that with ``mark_saved``.
+"""
+
+import logging
+import random
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+from kumquatrun.consensus_messages import (
+    AppendReply,
+    AppendRequest,
+    EntryKind,
+    JoinReply,
+    JoinRequest,
+    LogEntry,
+    Member,
+    SnapshotChunk,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
+from kumquatrun.errors import NotLeaderError
+from kumquatrun.quorum_changes import (
+    changed_membership,
+    has_caught_up,
+    next_repair,
+)
+from kumquatrun.quorum_election import Election
+from kumquatrun.quorum_entries import EntryLog
+from kumquatrun.quorum_follower import Follower
+from kumquatrun.quorum_leader import Leadership
+from kumquatrun.quorum_membership import Membership
+from kumquatrun.quorum_types import (
+    Barrier,
+    Identity,
+    MembershipChange,
+    Output,
+    SnapshotMeta,
+    StoredState,
+    Timing,
+)
+
+log = logging.getLogger(__name__)
+
+
+class QuorumLog:
+    """One replica of the quorum log.
+
+    Attributes
+    ----------
+    identity
+        Replica id and disk identity.
+    entries
+        The log in memory.
+    election
+        Role, term and vote.
+    leadership
+        State as the leader; None in other roles.
+    """
+
+    election_type = Election
+    leadership_type = Leadership
+    follower_type = Follower
+
+    def __init__(
+        self,
+        replica_id: str,
+        stored: StoredState,
+        timing: Timing,
+        rng: random.Random,
+        now_s: float,
+    ) -> None:
+        meta = stored.meta
+        self.identity = Identity(replica_id, meta.disk_id)
+        base = SnapshotMeta(members=meta.initial if meta.formed else ())
+        if stored.snapshot is not None:
+            base = stored.snapshot.meta
+        self.entries = EntryLog(base, stored.entries)
+        self.election = self.election_type(
+            self.identity,
+            self.entries,
+            meta.hard_state,
+            timing,
+            rng,
+            now_s,
+        )
+        self.leadership: Leadership | None = None
+        self._timing = timing
+        self._saved_hard_state = meta.hard_state
+        self._follower = self.follower_type(
+            self.identity,
+            self.entries,
+            self.election,
+        )
+        self._on_message: Mapping[type, Callable[[Any, float], Any]] = {
+            VoteRequest: self._on_vote_request,
+            VoteReply: self.election.on_vote_reply,
+            AppendRequest: self._follower.on_append_request,
+            AppendReply: self._on_append_reply,
+            SnapshotChunk: self._follower.on_snapshot_chunk,
+            SnapshotReply: self._on_snapshot_reply,
+            JoinRequest: self._on_join_request,
+            JoinReply: _ignore,
+        }
+        self._follow(now_s)
+
+    @property
+    def term(self) -> int:
+        """Return the current term."""
+        return self.election.term
+
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this replica is the leader of its term."""
+        return self.leadership is not None
+
+    @property
+    def membership(self) -> Membership:
+        """Return the newest membership in the log."""
+        return self.entries.membership
+
+    def form(self, members: tuple[Member, ...], now_s: float) -> None:
+        """Set the initial membership that all its members agreed to."""
+        self.entries.set_base_members(Membership(members))
+        self._follow(now_s)
+
+    def receive(self, msg: Any, now_s: float) -> Any:
+        """Process a message; returns the reply, to be sent after the sync."""
+        reply = self._on_message[type(msg)](msg, now_s)
+        self._follow(now_s)
+        return reply
+
+    def tick(self, now_s: float) -> None:
+        """Process the passage of time."""
+        leader = self.leadership
+        if leader is None:
+            self.election.tick(now_s)
+        elif leader.majority_is_lost(now_s):
+            self.election.lose_majority(now_s)
+        elif now_s >= leader.heartbeat_due_s:
+            leader.start_round(now_s)
+            self._repair(now_s)
+        self._follow(now_s)
+
+    def propose(self, commands: Sequence[bytes], now_s: float) -> range:
+        """Append commands to the log; returns their indexes.
+
+        Raises
+        ------
+        NotLeaderError
+            If this replica is not the leader.
+        """
+        leader = self.require_leader()
+        first = self.entries.last_index + 1
+        self._append(EntryKind.COMMAND, commands)
+        leader.replicate(now_s)
+        return range(first, first + len(commands))
+
+    def change_membership(self, change: MembershipChange, now_s: float) -> int:
+        """Append a membership change; returns its index.
+
+        Raises
+        ------
+        NotLeaderError
+            If this replica is not the leader. The cause is not empty if the
+            leader cannot make the change yet; the caller tries again.
+        InvalidRequestError, NotFoundError
+            If the change does not apply to the membership.
+        """
+        leader = self.require_leader()
+        if not self._change_is_allowed(leader):
+            raise NotLeaderError(
+                'an earlier entry must be committed before the change',
+                cause='change_pending',
+            )
+        changed = changed_membership(self.membership, change)
+        row = leader.progress.get(change.replica_id)
+        if change.action == 'promote' and not (
+            row and has_caught_up(self.entries, row, self._timing)
+        ):
+            raise NotLeaderError(
+                f'learner {change.replica_id} has not caught up',
+                cause='learner_behind',
+            )
+        return self._append_membership(changed, now_s)
+
+    def start_barrier(self, now_s: float) -> Barrier:
+        """Start a heartbeat round that confirms leadership for a read.
+
+        Raises
+        ------
+        NotLeaderError
+            If this replica is not the leader.
+        """
+        leader = self.require_leader()
+        # The first entry of the term is applied after all that earlier
+        # leaders committed, which this leader may not know to be committed.
+        index = max(self.entries.commit_index, leader.first_index)
+        return Barrier(self.term, leader.start_round(now_s), index)
+
+    def is_confirmed(self, barrier: Barrier) -> bool:
+        """Return whether a majority confirmed the round of a barrier.
+
+        Raises
+        ------
+        NotLeaderError
+            If leadership was lost since the barrier was started.
+        """
+        leader = self.require_leader()
+        if leader.term != barrier.term:
+            raise self._not_leader_error()
+        return leader.confirmed_round() >= barrier.round_number
+
+    def take_output(self) -> Output:
+        """Return what must be sent and made durable since the last call."""
+        messages = list(self.election.take_messages())
+        if self.leadership is not None:
+            messages.extend(self.leadership.take_messages())
+        hard_state = None
+        if self.election.hard_state != self._saved_hard_state:
+            hard_state = self.election.hard_state
+            self._saved_hard_state = hard_state
+        # A leader may send entries before its own sync, but nothing may be
+        # sent in a term or after a vote that is not durable yet.
+        is_early = self.is_leader and hard_state is None
+        truncate_from, entries = self.entries.take_unsaved()
+        return Output(
+            early_messages=tuple(messages) if is_early else (),
+            hard_state=hard_state,
+            snapshot=self._follower.take_snapshot(),
+            truncate_from=truncate_from,
+            entries=entries,
+            late_messages=() if is_early else tuple(messages),
+        )
+
+    def mark_saved(self, now_s: float) -> None:
+        """Record that the content of the last output is durable."""
+        self.entries.mark_saved()
+        if self.leadership is not None:
+            self.leadership.advance_commit()
+            self._follow(now_s)
+
+    def compact(self, meta: SnapshotMeta, keep_entries: int) -> None:
+        """Record a stored snapshot and drop entries that it covers."""
+        self.entries.snapshot_meta = meta
+        self.entries.compact(max(0, meta.last_index - keep_entries))
+
+    def require_leader(self) -> Leadership:
+        """Return the state as the leader.
+
+        Raises
+        ------
+        NotLeaderError
+            If this replica is not the leader.
+        """
+        if self.leadership is None:
+            raise self._not_leader_error()
+        return self.leadership
+
+    def _on_vote_request(self, request: VoteRequest, now_s: float) -> VoteReply:
+        confirmed_at_s = float('-inf')
+        if self.leadership is not None:
+            confirmed_at_s = self.leadership.confirmed_at_s
+        return self.election.on_vote_request(request, confirmed_at_s, now_s)
+
+    def _on_append_reply(self, reply: AppendReply, now_s: float) -> None:
+        self.election.adopt_term(reply.term, now_s)
+        if self.leadership is not None and reply.term == self.leadership.term:
+            self.leadership.on_append_reply(reply, now_s)
+
+    def _on_snapshot_reply(self, reply: SnapshotReply, now_s: float) -> None:
+        self.election.adopt_term(reply.term, now_s)
+        if self.leadership is not None and reply.term == self.leadership.term:
+            self.leadership.on_snapshot_reply(reply, now_s)
+
+    def _on_join_request(self, request: JoinRequest, now_s: float) -> JoinReply:
+        leader = self.leadership
+        accepted = leader is not None and leader.admit(request, now_s)
+        leader_id = self.election.leader_id
+        member = self.membership.by_id.get(leader_id)
+        return JoinReply(
+            accepted=accepted,
+            leader_id=leader_id,
+            leader_address=member.address if member else '',
+        )
+
+    def _follow(self, now_s: float) -> None:
+        """Match leadership and progress with the role and the membership."""
+        self.election.follow_membership(now_s)
+        if not self.election.is_leader:
+            self.leadership = None
+        elif self.leadership is None:
+            self._lead(now_s)
+        elif self.leadership.membership is not self.membership:
+            self.leadership.follow_membership(now_s)
+
+    def _lead(self, now_s: float) -> None:
+        self.leadership = self.leadership_type(
+            self.identity,
+            self.entries,
+            self.term,
+            self._timing,
+            now_s,
+        )
+        self._append(EntryKind.NOOP, [b''])
+        self.leadership.start_round(now_s)
+
+    def _append(self, kind: EntryKind, rows: Sequence[bytes]) -> None:
+        first = self.entries.last_index + 1
+        self.entries.append(
+            [
+                LogEntry(index=index, term=self.term, kind=kind, data=row)
+                for index, row in enumerate(rows, first)
+            ],
+        )
+
+    def _append_membership(self, membership: Membership, now_s: float) -> int:
+        log.info(
+            'event=membership_appended voters=%s',
+            ','.join(sorted(membership.voters)),
+        )
+        self._append(EntryKind.MEMBERS, [membership.encode()])
+        self._follow(now_s)
+        if self.leadership is not None:
+            self.leadership.replicate(now_s)
+        return self.entries.last_index
+
+    def _change_is_allowed(self, leader: Leadership) -> bool:
+        return self.entries.commit_index >= max(
+            leader.first_index,
+            self.entries.membership_index,
+        )
+
+    def _repair(self, now_s: float) -> None:
+        leader = self.leadership
+        if leader is not None and self._change_is_allowed(leader):
+            changed = next_repair(self.entries, leader.progress, self._timing)
+            if changed is not None:
+                self._append_membership(changed, now_s)
+
+    def _not_leader_error(self) -> NotLeaderError:
+        leader_id = self.election.leader_id or 'unknown'
+        return NotLeaderError(f'the leader is {leader_id}')
+
+
+def _ignore(_msg: Any, _now_s: float) -> None:
+    """Accept a reply that needs no action."""
--- /dev/null
+++ b/src/kumquatrun/relay.py
@@ -0,0 +1,345 @@
+"""Takes one request through reserve, claim, dispatch, retry and settle."""
+
+import asyncio
+import logging
+import random
+from dataclasses import dataclass
+
+from kumquatrun.agent_pool import AgentPool
+from kumquatrun.answer import AnswerWriter, Sink
+from kumquatrun.budget_client import BudgetClient
+from kumquatrun.claim_client import MAX_STORED_BYTES, ClaimClient
+from kumquatrun.clock import Clock
+from kumquatrun.control_api import NodeSession
+from kumquatrun.dispatch import Dispatcher, streamed_tokens
+from kumquatrun.document import Access
+from kumquatrun.errors import (
+    ControlUnreachableError,
+    DeadlineExceededError,
+    InvalidKeyError,
+    KumquatrunError,
+    NoCapacityError,
+    Outcome,
+    QuarantinedError,
+    StreamCutError,
+)
+from kumquatrun.execution import Execution, RelayRequest
+from kumquatrun.invariants import Invariants, InvariantViolationError
+from kumquatrun.messages import HostRecord, StoredAnswer
+from kumquatrun.retry import Backoff, Deadline, RetryBudget
+
+log = logging.getLogger(__name__)
+
+HTTP_SERVER_ERROR = 500
+# After one of these errors other agents are preferred for a while.
+_AVOID_CODES = frozenset(
+    ('connection_lost', 'control_unreachable', 'draining', 'stale_dispatch'),
+)
+
+
+class CallerGoneError(StreamCutError):
+    """Ends a request whose caller disconnected or reads too slowly."""
+
+
+@dataclass(frozen=True)
+class RelayResult:
+    """How a request ended; ``error`` is None after a complete answer."""
+
+    outcome: Outcome
+    status: int
+    error: KumquatrunError | None = None
+
+
+class Relay:
+    """Runs requests on agents."""
+
+    def __init__(
+        self,
+        session: NodeSession,
+        clock: Clock,
+        pool: AgentPool,
+        budgets: BudgetClient,
+        claims: ClaimClient,
+        *,
+        rng: random.Random,
+        invariants: Invariants,
+        dispatcher_class: type[Dispatcher] = Dispatcher,
+    ) -> None:
+        self._session = session
+        self._clock = clock
+        self._pool = pool
+        self._budgets = budgets
+        self._claims = claims
+        self._rng = rng
+        self._retry_budget = RetryBudget()
+        self._backoff = Backoff()
+        self._open: dict[str, Execution] = {}
+        self._background: set[asyncio.Task] = set()
+        self.dispatcher = dispatcher_class(
+            session,
+            clock,
+            pool,
+            budgets,
+            invariants=invariants,
+            spawn=self._spawn,
+        )
+
+    @property
+    def open_requests(self) -> int:
+        """Return the number of requests that have not ended."""
+        return len(self._open)
+
+    async def run(self, execution: Execution, sink: Sink) -> RelayResult:
+        """Run a request and write its answer to ``sink``.
+
+        A failure is returned, not raised and not written: the caller of this
+        method renders it. A cancellation is passed on after the clean-up was
+        handed to a background task.
+        """
+        request = execution.request
+        keep_bytes = MAX_STORED_BYTES if request.idempotency_key else 0
+        writer = AnswerWriter(sink, keep_bytes)
+        self._open[request.request_id] = execution
+        self._retry_budget.record_request(self._clock.now_s())
+        try:
+            error = await self._try(execution, writer)
+        finally:
+            conclusion = self._spawn(self._conclude(execution, writer))
+        await asyncio.shield(conclusion)
+        return self._result(execution, writer, error)
+
+    def end_streams(self) -> None:
+        """End the keyed requests whose lease or key is gone."""
+        for execution in list(self._open.values()):
+            try:
+                self._check_caller(execution.request)
+            except KumquatrunError as error:
+                execution.interrupt(error)
+
+    async def idle(self) -> None:
+        """Wait until all clean-up is done."""
+        while self._background:
+            await asyncio.wait(self._background)
+
+    async def _try(
+        self,
+        execution: Execution,
+        writer: AnswerWriter,
+    ) -> KumquatrunError | None:
+        try:
+            async with execution.scope(self._clock.now_s()):
+                await self._process(execution, writer)
+        except TimeoutError:
+            return execution.interruption or DeadlineExceededError(
+                'the request did not finish before its deadline',
+                outcome=Outcome.NOT_RUN,
+            )
+        except KumquatrunError as error:
+            return error
+        except Exception as error:
+            return _unexpected(execution, error)
+        return None
+
+    async def _process(
+        self,
+        execution: Execution,
+        writer: AnswerWriter,
+    ) -> None:
+        request = execution.request
+        self._check_admission(request)
+        if request.account:
+            execution.reservation = await self._budgets.reserve(
+                request.account, request.cost_tokens
+            )
+        if request.idempotency_key:
+            answer = await self._claim(execution)
+            if answer is not None:
+                execution.is_repeat = True
+                await writer.repeat(answer)
+                return
+        await self._dispatch(execution, writer)
+
+    async def _claim(self, execution: Execution) -> StoredAnswer | None:
+        # Until an answer comes the claim may be granted, so that it is ended
+        # when the request ends.
+        execution.is_claimed = True
+        execution.is_claim_pending = True
+        try:
+            answer = await self._claims.claim(execution.request)
+        except ControlUnreachableError:
+            raise
+        except KumquatrunError:
+            execution.is_claimed = False
+            execution.is_claim_pending = False
+            raise
+        execution.is_claimed = answer is None
+        execution.is_claim_pending = False
+        return answer
+
+    def _check_caller(self, request: RelayRequest) -> None:
+        if request.route.access is not Access.KEY:
+            return
+        if not self._session.lease_valid():
+            raise ControlUnreachableError('this entry has no valid lease')
+        account = self._session.view.account_of_key(request.key)
+        if account != request.account:
+            raise InvalidKeyError('the key was revoked')
+
+    def _check_admission(self, request: RelayRequest) -> str:
+        """Refuse a request that may not be dispatched now.
+
+        Returns
+        -------
+        str
+            State of the request's fingerprint.
+        """
+        self._check_caller(request)
+        state = self._session.view.fingerprint_state(request.fingerprint)
+        if state == 'quarantined':
+            raise QuarantinedError('the request is quarantined')
+        return state
+
+    async def _dispatch(
+        self,
+        execution: Execution,
+        writer: AnswerWriter,
+    ) -> None:
+        request = execution.request
+        while True:
+            state = self._check_admission(request)
+            alone = state == 'suspect' or _is_suspect(execution)
+            record = self._choose(execution)
+            try:
+                await self.dispatcher.run(
+                    execution, writer, record, alone=alone
+                )
+            except KumquatrunError as error:
+                if error.code in _AVOID_CODES:
+                    self._pool.avoid(record)
+                if not self._may_retry(execution, writer, error):
+                    raise
+                await self._back_off(execution, error)
+            else:
+                return
+
+    def _choose(self, execution: Execution) -> HostRecord:
+        request = execution.request
+        record = self._pool.choose(
+            request.route.service,
+            request.adapter,
+            request.version,
+            {attempt.host_id for attempt in execution.attempts},
+        )
+        if record is None:
+            raise NoCapacityError(f'no agent of {request.route.service}')
+        return record
+
+    def _may_retry(
+        self,
+        execution: Execution,
+        writer: AnswerWriter,
+        error: KumquatrunError,
+    ) -> bool:
+        if writer.is_started or error.kind.http_status < HTTP_SERVER_ERROR:
+            return False
+        outcomes = [attempt.outcome for attempt in execution.attempts]
+        if outcomes[-1] is Outcome.NOT_RUN:
+            return True
+        # A request that may have run is repeated once: it may be the cause.
+        runs = len(outcomes) - outcomes.count(Outcome.NOT_RUN)
+        return execution.request.route.idempotent and runs == 1
+
+    async def _back_off(
+        self,
+        execution: Execution,
+        error: KumquatrunError,
+    ) -> None:
+        retry = len(execution.attempts) - 1
+        delay_s = self._backoff.delay_s(retry, self._rng)
+        now_s = self._clock.now_s()
+        deadline = Deadline(execution.request.deadline_s)
+        if not deadline.allows(delay_s, now_s):
+            raise error
+        if not self._retry_budget.take(now_s):
+            raise error
+        await asyncio.sleep(delay_s)
+
+    async def _conclude(
+        self,
+        execution: Execution,
+        writer: AnswerWriter,
+    ) -> None:
+        request = execution.request
+        self._open.pop(request.request_id, None)
+        if execution.closing is not None:
+            await execution.closing
+        execution.output_tokens = writer.counter.events
+        if execution.finished is not None and execution.finished.prompt_tokens:
+            execution.output_tokens = execution.finished.output_tokens
+        if execution.reservation is not None:
+            used_tokens = self._used_tokens(execution, writer)
+            self.dispatcher.consume(execution, used_tokens)
+            self._budgets.settle(execution.reservation)
+        if execution.is_claimed:
+            answer = writer.stored_answer() if execution.finished else None
+            self._spawn(
+                self._claims.finish(request, execution.outcome, answer),
+            )
+
+    def _used_tokens(
+        self,
+        execution: Execution,
+        writer: AnswerWriter,
+    ) -> int:
+        finished = execution.finished
+        if execution.is_repeat or execution.outcome is Outcome.NOT_RUN:
+            return 0
+        if finished is None or not finished.prompt_tokens:
+            return streamed_tokens(execution, writer)
+        return finished.prompt_tokens + finished.output_tokens
+
+    def _result(
+        self,
+        execution: Execution,
+        writer: AnswerWriter,
+        error: KumquatrunError | None,
+    ) -> RelayResult:
+        if error is None:
+            return RelayResult(execution.outcome, writer.status)
+        if writer.is_started and not isinstance(error, CallerGoneError):
+            error = StreamCutError(f'the answer was cut: {error.detail}')
+        if execution.attempts:
+            error.outcome = execution.outcome
+        elif execution.is_claim_pending:
+            # An earlier request under the same key may have run.
+            error.outcome = Outcome.UNKNOWN
+        return RelayResult(error.outcome, error.kind.http_status, error)
+
+    def _spawn(self, coroutine) -> asyncio.Task:
+        task = asyncio.create_task(coroutine)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+        return task
+
+
+def _is_suspect(execution: Execution) -> bool:
+    # The feed may not have brought the suspicion yet. A lost connection is a
+    # fault of the host and makes no request a suspect.
+    return any(
+        attempt.outcome is not Outcome.NOT_RUN
+        and attempt.error_code != 'connection_lost'
+        for attempt in execution.attempts
+    )
+
+
+def _unexpected(execution: Execution, error: Exception) -> KumquatrunError:
+    if isinstance(error, InvariantViolationError):
+        raise error
+    if isinstance(error, OSError):
+        return CallerGoneError(f'the caller disconnected: {error}')
+    log.error(
+        'event=relay_failed request_id=%s',
+        execution.request.request_id,
+        exc_info=error,
+    )
+    return KumquatrunError('unexpected error in the entry')
--- /dev/null
+++ b/tests/entry_fakes.py
@@ -0,0 +1,414 @@
+"""Fakes for the tests of the entry: session, wallet and agent."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field, replace
+
+from kumquatrun.document import (
+    Access,
+    AccountSpec,
+    AdapterSpec,
+    Document,
+    RouteSpec,
+    ServiceKind,
+    ServiceSpec,
+)
+from kumquatrun.errors import (
+    ConnectionLostError,
+    ControlUnreachableError,
+    KumquatrunError,
+    Outcome,
+    OutcomeUnknownError,
+    StaleDispatchError,
+)
+from kumquatrun.messages import (
+    Ack,
+    ClaimReply,
+    ClaimRequest,
+    Dispatch,
+    FinishClaim,
+    Finished,
+    GrantReply,
+    GrantTokens,
+    Hello,
+    HostRecord,
+    Started,
+)
+from kumquatrun.peer import SILENCE_LIMIT_S, Address, PeerServer
+
+KEY = 'key-a'
+ACCOUNT = 'a'
+
+
+def make_document(**changes) -> Document:
+    fields = {
+        'environment': 'trial',
+        'accounts': (
+            AccountSpec(name='a', rate_tokens_per_s=1000, burst_tokens=10_000),
+            AccountSpec(name='b', rate_tokens_per_s=1000, burst_tokens=10_000),
+        ),
+        'services': (
+            ServiceSpec(name='assistant', kind=ServiceKind.ENGINE),
+            ServiceSpec(name='ledger', kind=ServiceKind.PLAIN),
+        ),
+        'adapters': (
+            AdapterSpec(name='wheat', service='assistant', versions=('1', '2')),
+            AdapterSpec(name='rice', service='assistant', versions=('1',)),
+        ),
+        'routes': (
+            RouteSpec(path='/v1/', service='assistant', idempotent=True),
+            RouteSpec(
+                path='/open/v1/',
+                service='assistant',
+                access=Access.OPEN,
+                idempotent=True,
+            ),
+            RouteSpec(path='/private/', service='ledger', accounts=('a',)),
+            RouteSpec(path='/ledger/', service='ledger', cost_tokens=5),
+            RouteSpec(
+                path='/stock/', service='ledger', cost_tokens=5, idempotent=True
+            ),
+        ),
+    }
+    return Document(**fields | changes)
+
+
+class FakeView:
+    def __init__(self) -> None:
+        self.document = make_document()
+        self.keys = {KEY: ACCOUNT, 'key-b': 'b'}
+        self.agents: list[HostRecord] = []
+        self.reports = {}
+        self.fingerprints = {}
+
+    def account_of_key(self, key):
+        return self.keys.get(key)
+
+    def agents_of(self, service):
+        return [
+            agent
+            for agent in self.agents
+            if agent.service == service and not agent.draining
+        ]
+
+    def report_of(self, host_id):
+        return self.reports.get(host_id)
+
+    def fingerprint_state(self, fingerprint):
+        return self.fingerprints.get(fingerprint, 'clear')
+
+
+class FakeControl:
+    """Leader with claims and an unlimited or fixed number of tokens."""
+
+    def __init__(self) -> None:
+        self.is_reachable = True
+        self.lose_replies: Counter[type] = Counter()
+        self.tokens = 1_000_000
+        self.grants: Counter[int] = Counter()
+        self.claims: dict[str, dict] = {}
+        self.calls = []
+
+    async def call(self, request, timeout_s):
+        self.calls.append(request)
+        if not self.is_reachable:
+            await asyncio.sleep(timeout_s)
+            raise ControlUnreachableError('no leader')
+        reply = self._answers[type(request)](self, request)
+        if self.lose_replies[type(request)]:
+            self.lose_replies[type(request)] -= 1
+            await asyncio.sleep(timeout_s)
+            raise ControlUnreachableError('the reply was lost')
+        return reply
+
+    def _grant(self, request):
+        granted = min(self.tokens, request.wanted_tokens)
+        self.tokens -= granted
+        self.grants[request.number] = granted
+        return GrantReply(granted_tokens=granted, retry_after_s=0.5)
+
+    def _claim(self, request):
+        known = self.claims.get(request.claim_key)
+        if known is None or known['request_id'] == request.request_id:
+            self.claims[request.claim_key] = {
+                'request_id': request.request_id,
+                'digest': request.body_digest,
+                'status': 'in_progress',
+                'answer': None,
+            }
+            return ClaimReply(status='granted')
+        if known['digest'] != request.body_digest:
+            return ClaimReply(status='mismatch')
+        return ClaimReply(status=known['status'], answer=known['answer'])
+
+    def _finish(self, request):
+        known = self.claims.get(request.claim_key)
+        if known and known['request_id'] == request.request_id:
+            if request.outcome is Outcome.NOT_RUN:
+                del self.claims[request.claim_key]
+            else:
+                known['answer'] = request.answer
+                known['status'] = (
+                    'finished' if request.outcome is Outcome.RAN else 'unknown'
+                )
+        return Ack()
+
+    _answers = {
+        GrantTokens: _grant,
+        ClaimRequest: _claim,
+        FinishClaim: _finish,
+    }
+
+
+class FakeSession:
+    def __init__(self) -> None:
+        self.record = HostRecord(
+            host_id='entry-1',
+            incarnation='e1',
+            role='entry',
+            address='127.0.0.1:1',
+            region='lahore',
+            failure_domain='l1',
+        )
+        self.view = FakeView()
+        self.control = FakeControl()
+        self.is_leased = True
+        self._listeners = []
+
+    def lease_valid(self):
+        return self.is_leased
+
+    def on_change(self, listener):
+        self._listeners.append(listener)
+
+    def report_agent(self, source):
+        """Entries report no agent state."""
+
+    def report_budgets(self, source):
+        self.budget_source = source
+
+    def changed(self):
+        for listener in self._listeners:
+            listener()
+
+
+class EndAnswer(Exception):  # noqa: N818
+    """Lets a fault end an answer as if it were complete."""
+
+
+@dataclass
+class FakeAgent:
+    """Agent on a real socket; records every execution."""
+
+    host_id: str = 'agent-1'
+    service: str = 'assistant'
+    region: str = 'lahore'
+    incarnation: str = 'i1'
+    chunks: tuple[bytes, ...] = (b'{"choices":', b'[]}')
+    content_type: str = 'application/json'
+    status: int = 200
+    output_tokens: int = 2
+    executions: list[Dispatch] = field(default_factory=list)
+    dispatches: list[Dispatch] = field(default_factory=list)
+    cancelled: int = 0
+    open: int = 0
+    chunk_delay_s: float = 0
+    hook: Callable[..., Awaitable[None]] | None = None
+
+    async def start(self, session) -> None:
+        identity = Hello(node_id=self.host_id, incarnation=self.incarnation)
+        self.server = PeerServer(identity, self)
+        address = await self.server.start(Address('127.0.0.1', 0))
+        session.view.agents.append(self.record(str(address)))
+
+    def record(self, address: str) -> HostRecord:
+        return HostRecord(
+            host_id=self.host_id,
+            incarnation=self.incarnation,
+            role='agent',
+            address=address,
+            region=self.region,
+            failure_domain='d1',
+            service=self.service,
+        )
+
+    async def stop(self) -> None:
+        await self.server.stop()
+
+    async def handle(self, request, context):
+        self.dispatches.append(request)
+        self.open += 1
+        try:
+            return await self.execute(request, context)
+        except EndAnswer:
+            return self.finished(request)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        finally:
+            self.open -= 1
+
+    async def execute(self, request, context):
+        if request.agent_incarnation != self.incarnation:
+            raise StaleDispatchError('other incarnation')
+        context.outcome = Outcome.NOT_RUN
+        await self.reach('received', context)
+        self.executions.append(request)
+        context.outcome = Outcome.RAN
+        await self.reach('executed', context)
+        await context.send_message(self.started(request))
+        await self.reach('started', context)
+        for number, chunk in enumerate(self.chunks):
+            await asyncio.sleep(self.chunk_delay_s)
+            await context.send_item(chunk)
+            if number == 0:
+                await self.reach('body', context)
+        await self.reach('end', context)
+        return self.finished(request)
+
+    async def reach(self, step, context):
+        if self.hook is not None:
+            await self.hook(step, self, context)
+
+    def started(self, request, **changes):
+        fields = {
+            'host_id': self.host_id,
+            'adapter': request.adapter,
+            'version': request.version,
+            'status': self.status,
+            'content_type': self.content_type,
+        }
+        return Started(**fields | changes)
+
+    def finished(self, request):
+        return Finished(
+            outcome=Outcome.RAN,
+            prompt_tokens=1 if request.adapter else 0,
+            output_tokens=self.output_tokens if request.adapter else 0,
+        )
+
+
+class FakeCall:
+    """One call in memory, with the semantics of ``PeerStream``."""
+
+    def __init__(self, agent, request) -> None:
+        self.reply = None
+        self.is_done = False
+        self.outcome = Outcome.UNKNOWN
+        self.is_silent = False
+        self._events = asyncio.Queue()
+        self.task = asyncio.create_task(self._serve(agent, request))
+
+    async def send_message(self, message):
+        await self.send_item(message)
+
+    async def send_item(self, item):
+        if not self.is_silent:
+            self._events.put_nowait(item)
+
+    def lose(self):
+        """Cut the connection; the agent notices and ends the call."""
+        self.is_silent = True
+        self._events.put_nowait(ConnectionLostError('lost'))
+        self.task.cancel()
+
+    async def fall_silent(self):
+        """Stop answering; the caller's heartbeat ends the call later."""
+        self.is_silent = True
+        await asyncio.sleep(SILENCE_LIMIT_S)
+        self.lose()
+
+    async def _serve(self, agent, request):
+        try:
+            end = await agent.handle(request, self)
+        except KumquatrunError as error:
+            end = error
+        except asyncio.CancelledError:
+            end = OutcomeUnknownError('cancelled', outcome=self.outcome)
+        if not self.is_silent:
+            self._events.put_nowait((end,))
+
+    def __aiter__(self):
+        return self
+
+    async def __anext__(self):
+        event = await self._events.get()
+        if not isinstance(event, tuple | ConnectionLostError):
+            return event
+        self.is_done = True
+        end = event[0] if isinstance(event, tuple) else event
+        if isinstance(end, KumquatrunError):
+            raise end
+        self.reply = end
+        raise StopAsyncIteration
+
+    async def cancel(self):
+        self.task.cancel()
+        try:
+            async with asyncio.timeout(1):
+                async for _ in self:
+                    pass
+        except KumquatrunError as error:
+            return error.outcome
+        except TimeoutError:
+            return Outcome.UNKNOWN
+        return Outcome.RAN
+
+
+class FakeNetwork:
+    """Connects to agents in memory, so that tests can pass time."""
+
+    def __init__(self, session) -> None:
+        self.session = session
+        self.agents: dict[str, FakeAgent] = {}
+        self.hook = None
+
+    def add(self, agent) -> FakeAgent:
+        address = f'10.0.0.{len(self.agents) + 1}:1'
+        self.agents[address] = agent
+        self.session.view.agents.append(agent.record(address))
+        return agent
+
+    def replace(self, agent, **changes) -> None:
+        agents = self.session.view.agents
+        self.session.view.agents = [
+            replace(each, **changes) if each.host_id == agent.host_id else each
+            for each in agents
+        ]
+
+    def connect(self, address, identity):
+        return FakeClient(self, address)
+
+
+class FakeClient:
+    def __init__(self, network, address) -> None:
+        self.address = address
+        self._network = network
+
+    async def connect(self):
+        if self._network.hook is not None:
+            await self._network.hook('connect', self.agent, None)
+
+    async def close(self):
+        """Nothing is open between calls."""
+
+    @property
+    def agent(self):
+        return self._network.agents[str(self.address)]
+
+    @asynccontextmanager
+    async def stream(self, request):
+        if self._network.hook is not None:
+            await self._network.hook('send', self.agent, None)
+        call = FakeCall(self.agent, request)
+        # The agent gets a request that was written, even when it is
+        # cancelled at once.
+        await asyncio.sleep(0)
+        try:
+            yield call
+        finally:
+            if not call.is_done:
+                call.task.cancel()
+            await asyncio.wait([call.task])
--- /dev/null
+++ b/tests/test_daemons.py
@@ -0,0 +1,189 @@
+"""Daemons: order of start and stop, signals, drain."""
+
+import asyncio
+import os
+import signal
+from functools import cache
+from unittest.mock import ANY
+
+import aiohttp
+import pytest
+from bench.local_cluster import free_ports
+
+from kumquatrun import daemons
+from kumquatrun.clock import LoopClock
+from kumquatrun.lifecycle import Daemon, run_daemon
+from kumquatrun.metrics import Metrics
+from kumquatrun.setting_builder import build_settings
+from kumquatrun.settings import DaemonSettings
+
+SETTINGS = DaemonSettings(host_id='h1', drain_timeout_s=7)
+
+
+class Part:
+    def __init__(self, name, calls, fail=''):
+        self.name = name
+        self.calls = calls
+        self.fail = fail
+        self.drained = asyncio.Event()
+
+    def _call(self, what):
+        self.calls.append(f'{what} {self.name}')
+        if self.fail == what:
+            raise OSError(f'{what} {self.name} failed')
+
+    async def start(self):
+        self._call('start')
+        if self.fail == 'hang':
+            await asyncio.Event().wait()
+
+    async def drain(self, timeout_s):
+        self._call(f'drain {timeout_s}')
+        await self.drained.wait()
+
+    async def stop(self):
+        self._call('stop')
+
+
+def daemon_of(calls, **fail):
+    parts = [Part(name, calls, fail.get(name, '')) for name in 'abc']
+    return Daemon(SETTINGS, parts, parts[2]), parts[2]
+
+
+async def poll(condition):
+    for _ in range(2000):
+        if condition():
+            return
+        await asyncio.sleep(0.001)
+    raise AssertionError('condition not met in 2 s')
+
+
+async def until(daemon, state):
+    await poll(lambda: daemon.state == state)
+
+
+async def test_first_signal_drains_before_the_stop():
+    calls = []
+    daemon, server = daemon_of(calls)
+    task = asyncio.create_task(run_daemon(daemon))
+    await until(daemon, 'running')
+    os.kill(os.getpid(), signal.SIGTERM)
+    await until(daemon, 'draining')
+    await asyncio.sleep(0.02)
+    # Guards against a stop that interrupts open requests.
+    assert calls == ['start a', 'start b', 'start c', 'drain 7 c']
+    server.drained.set()
+    await task
+    assert calls[4:] == ['stop c', 'stop b', 'stop a']
+    assert daemon.state == 'stopped'
+
+
+async def test_second_signal_stops_at_once():
+    calls = []
+    daemon, _ = daemon_of(calls)
+    task = asyncio.create_task(run_daemon(daemon))
+    await until(daemon, 'running')
+    os.kill(os.getpid(), signal.SIGTERM)
+    await until(daemon, 'draining')
+    os.kill(os.getpid(), signal.SIGINT)
+    async with asyncio.timeout(2):
+        await task
+    assert calls[-3:] == ['stop c', 'stop b', 'stop a']
+
+
+async def test_operator_drain_does_not_count_as_a_signal():
+    # Guards against requests that are cut because the platform sends SIGTERM
+    # after an operator has drained the host.
+    calls = []
+    daemon, _ = daemon_of(calls)
+    task = asyncio.create_task(run_daemon(daemon))
+    await until(daemon, 'running')
+    for _ in range(3):
+        daemon.request_drain('drain command')
+    await until(daemon, 'draining')
+    daemon.terminate('SIGTERM')
+    daemon.request_drain('drain command')
+    await asyncio.sleep(0.02)
+    assert daemon.state == 'draining'
+    daemon.terminate('SIGTERM')
+    async with asyncio.timeout(2):
+        await task
+    assert calls[-3:] == ['stop c', 'stop b', 'stop a']
+
+
+async def test_signal_during_start_stops_the_started_parts():
+    calls = []
+    daemon, _ = daemon_of(calls, b='hang')
+    task = asyncio.create_task(run_daemon(daemon))
+    await poll(lambda: 'start b' in calls)
+    daemon.terminate('SIGTERM')
+    async with asyncio.timeout(2):
+        await task
+    assert calls == ['start a', 'start b', 'stop b', 'stop a']
+
+
+async def test_failed_start_stops_the_started_parts():
+    # Guards against a process that stays half started.
+    calls = []
+    daemon, _ = daemon_of(calls, b='start')
+    with pytest.raises(OSError, match='start b failed'):
+        await run_daemon(daemon)
+    assert calls == ['start a', 'start b', 'stop b', 'stop a']
+    assert daemon.state == 'stopped'
+
+
+async def test_failed_stop_does_not_skip_the_others():
+    calls = []
+    daemon, server = daemon_of(calls, c='stop')
+    server.drained.set()
+    task = asyncio.create_task(run_daemon(daemon))
+    await until(daemon, 'running')
+    daemon.terminate('SIGTERM')
+    await task
+    assert calls[-3:] == ['stop c', 'stop b', 'stop a']
+
+
+def free_addresses(count):
+    return [f'127.0.0.1:{port}' for port in free_ports(count)]
+
+
+async def test_entry_runs_the_replica_role(tmp_path, monkeypatch):
+    # Guards against a start that waits for a replica of the same process
+    # which is started later, and against a stop in the wrong order.
+    monkeypatch.setattr(daemons, 'process_metrics', cache(Metrics))
+    http, replica, admin = free_addresses(3)
+    settings = build_settings(
+        'entry',
+        {
+            'host_id': 'e1',
+            'http_listen': http,
+            'admin_listen': admin,
+            'control_data_dir': str(tmp_path / 'data'),
+            'replica_id': 'a',
+            'replica_listen': replica,
+            'replicas': f'a={replica}',
+            'cluster_token': 'cluster-token',
+        },
+    )
+    daemon = daemons.build_entry(settings, LoopClock())
+    task = asyncio.create_task(run_daemon(daemon))
+    async with asyncio.timeout(10), aiohttp.ClientSession() as session:
+        while daemon.state == 'starting':  # noqa: ASYNC110
+            await asyncio.sleep(0.02)
+        statuses = [
+            await fetch(session, f'http://{admin}/readyz'),
+            await fetch(session, f'http://{http}/v1/models'),
+        ]
+        page = await fetch(session, f'http://{admin}/metrics')
+        daemon.terminate('SIGTERM')
+        await task
+    assert statuses == [(200, 'ready\n'), ANY]
+    assert statuses[1][0] == 404
+    for line in ('lease_valid 1', 'replica_is_leader 1', 'open_requests 0'):
+        assert f'kumquatrun_{line}' in page[1]
+    assert daemon.state == 'stopped'
+
+
+async def fetch(session, url):
+    async with session.get(url) as answer:
+        return answer.status, await answer.text()
