--- a/bench/agent_overhead.py
+++ b/bench/agent_overhead.py
@@ -159,7 +159,7 @@
 def start(*arguments, **options):
     """Start a Python module as a process."""
     command = [sys.executable, *arguments]
-    return subprocess.Popen(command, text=True, **options)  # noqa: S603
+    return subprocess.Popen(command, text=True, **options)
 
 
 def cpu_s(agent):
