--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,42 @@
+"""Fixtures for all tests, and the list of tests that are known to fail.
+
+``KNOWN-RED.txt`` names tests that fail because of a fault that is not fixed
+yet, one ``test: <node id>`` line each. They are not run, and they are printed
+at the end of every run.
+"""
+
+from pathlib import Path
+
+import pytest
+
+from kumquatrun.invariants import set_fatal
+
+KNOWN_RED = Path(__file__).parent.parent / 'KNOWN-RED.txt'
+PREFIX = 'test:'
+
+
+def known_red_tests():
+    lines = KNOWN_RED.read_text().splitlines()
+    return [
+        line.removeprefix(PREFIX).strip()
+        for line in lines
+        if line.startswith(PREFIX)
+    ]
+
+
+def pytest_collection_modifyitems(config, items):
+    listed = set(known_red_tests())
+    passed_over = [item for item in items if item.nodeid in listed]
+    items[:] = [item for item in items if item.nodeid not in listed]
+    config.hook.pytest_deselected(items=passed_over)
+
+
+def pytest_terminal_summary(terminalreporter):
+    for test in known_red_tests():
+        terminalreporter.write_line(f'known red, not run: {test}')
+
+
+@pytest.fixture(autouse=True)
+def fatal_invariants():
+    """Make violated invariants fatal; tests may switch that off."""
+    set_fatal(True)
