Assert the guarantees that an entry can see

entry_checks looks at the recorded facts of each request at dispatch and at its end: single execution, key and lease, reserved tokens, quarantine, right adapter, whole answer, accurate not_run, settled reservation. Each check has a test with a broken relay that it must count.

Fault found on the way: lease, key and quarantine were checked before the connection to the agent was opened, which may take 2 s; now they are checked again after it.

--- a/src/kumquatrun/dispatch.py
+++ b/src/kumquatrun/dispatch.py
@@ -11,6 +11,7 @@
 from kumquatrun.budget_client import BudgetClient
 from kumquatrun.clock import Clock
 from kumquatrun.control_api import NodeSession
+from kumquatrun.entry_checks import EntryChecks
 from kumquatrun.errors import (
     BackendError,
     ConnectionLostError,
@@ -18,7 +19,6 @@
     Outcome,
 )
 from kumquatrun.execution import Attempt, Execution
-from kumquatrun.invariants import Invariants
 from kumquatrun.messages import Dispatch, HostRecord, Started
 from kumquatrun.retry import Deadline
 
@@ -26,6 +26,7 @@
 # second, so finer steps only cost time.
 CONSUME_STEP_TOKENS = 16
 
+Admit = Callable[[Execution], bool]
 Spawn = Callable[[Coroutine], asyncio.Task]
 
 
@@ -45,7 +46,7 @@
         pool: AgentPool,
         budgets: BudgetClient,
         *,
-        invariants: Invariants,
+        checks: EntryChecks,
         spawn: Spawn,
     ) -> None:
         self.remote_bytes: Counter[str] = Counter()
@@ -53,7 +54,7 @@
         self._clock = clock
         self._pool = pool
         self._budgets = budgets
-        self._invariants = invariants
+        self._checks = checks
         self._spawn = spawn
 
     async def run(
@@ -61,11 +62,21 @@
         execution: Execution,
         writer: AnswerWriter,
         record: HostRecord,
-        *,
-        alone: bool,
+        admit: Admit,
     ) -> None:
         """Dispatch the request once and write the answer.
 
+        Parameters
+        ----------
+        execution, writer
+            The request and where its answer goes.
+        record
+            The agent.
+        admit
+            Refuses a request that may not be dispatched now; returns whether
+            it must run alone. Called after the connection was opened, which
+            may have taken long.
+
         Raises
         ------
         KumquatrunError
@@ -75,7 +86,7 @@
         attempt = Attempt(record.host_id)
         execution.attempts.append(attempt)
         try:
-            await self._run(execution, writer, record, alone=alone)
+            await self._run(execution, writer, record, admit)
         except KumquatrunError as error:
             attempt.error_code = error.code
             raise
@@ -95,8 +106,7 @@
         execution: Execution,
         writer: AnswerWriter,
         record: HostRecord,
-        *,
-        alone: bool,
+        admit: Admit,
     ) -> None:
         attempt = execution.attempts[-1]
         name = (record, execution.request.adapter, execution.request.version)
@@ -104,7 +114,9 @@
             self._pool.begin(*name)
             stack.callback(self._pool.end, *name)
             client = await self._connect(record)
+            alone = admit(execution)
             dispatch = self._message(execution, record, alone=alone)
+            self._checks.dispatched(execution, dispatch)
             attempt.outcome = Outcome.UNKNOWN
             try:
                 call = await stack.enter_async_context(client.stream(dispatch))
@@ -139,7 +151,6 @@
         alone: bool,
     ) -> Dispatch:
         request = execution.request
-        self._check_single_execution(execution)
         self._count_remote(record, len(request.body))
         now_s = self._clock.now_s()
         return Dispatch(
@@ -164,16 +175,6 @@
             stream=request.stream,
         )
 
-    def _check_single_execution(self, execution: Execution) -> None:
-        request = execution.request
-        earlier = execution.attempts[:-1]
-        self._invariants.check(
-            request.route.idempotent
-            or all(each.outcome is Outcome.NOT_RUN for each in earlier),
-            'single_execution',
-            request.request_id,
-        )
-
     def _count_remote(self, record: HostRecord, size_bytes: int) -> None:
         if record.region != self._session.record.region:
             self.remote_bytes[record.region] += size_bytes
@@ -188,6 +189,7 @@
         started = await anext(call, None)
         if not isinstance(started, Started):
             raise _unexpected_item(record)
+        execution.started = started
         self._check_started(execution, record, started)
         execution.attempts[-1].outcome = Outcome.RAN
         writer.begin(started.status, started.content_type)
@@ -227,12 +229,11 @@
         record: HostRecord,
         started: Started,
     ) -> None:
-        request = execution.request
-        expected = (record.host_id, request.adapter, request.version)
-        actual = (started.host_id, started.adapter, started.version)
-        if actual != expected:
+        is_right = execution.request.is_started_by(started)
+        if not is_right or started.host_id != record.host_id:
             raise BackendError(
-                f'agent started {actual} instead of {expected}',
+                f'agent {record.host_id} started {started.adapter}'
+                f'@{started.version} on {started.host_id}',
                 outcome=Outcome.UNKNOWN,
             )
 
--- /dev/null
+++ b/src/kumquatrun/entry_checks.py
@@ -0,0 +1,107 @@
+"""Invariants of the guarantees that an entry can see.
+
+They look at the recorded facts of a request, not at the decisions that led to
+them, so that a fault in a decision is noticed.
+"""
+
+from kumquatrun.answer import AnswerWriter
+from kumquatrun.control_api import NodeSession
+from kumquatrun.document import Access
+from kumquatrun.errors import KumquatrunError, Outcome
+from kumquatrun.execution import Execution
+from kumquatrun.invariants import Invariants
+from kumquatrun.messages import Dispatch
+
+
+class EntryChecks:
+    """Checks one request when it is dispatched and when it has ended."""
+
+    def __init__(self, invariants: Invariants, session: NodeSession) -> None:
+        self._invariants = invariants
+        self._session = session
+
+    def dispatched(self, execution: Execution, dispatch: Dispatch) -> None:
+        """Check a dispatch before it is sent (guarantees 1, 3, 4 and 7)."""
+        request = execution.request
+        earlier = execution.attempts[:-1]
+        self._check(
+            execution,
+            'single_execution',
+            request.route.idempotent
+            or all(each.outcome is Outcome.NOT_RUN for each in earlier),
+        )
+        is_keyed = request.route.access is Access.KEY
+        view = self._session.view
+        self._check(
+            execution,
+            'account_of_key',
+            not is_keyed
+            or (
+                self._session.lease_valid()
+                and view.account_of_key(request.key) == dispatch.account
+            ),
+        )
+        self._check(
+            execution,
+            'tokens_reserved',
+            not is_keyed
+            or (
+                execution.reservation is not None
+                and execution.reservation.reserved_tokens
+                >= dispatch.cost_tokens
+            ),
+        )
+        self._check(
+            execution,
+            'not_quarantined',
+            view.fingerprint_state(dispatch.fingerprint) != 'quarantined',
+        )
+
+    def ended(
+        self,
+        execution: Execution,
+        writer: AnswerWriter,
+        outcome: Outcome,
+        error: KumquatrunError | None,
+    ) -> None:
+        """Check a request that has ended (guarantees 1, 4, 5 and 6)."""
+        request = execution.request
+        started = execution.started
+        self._check(
+            execution,
+            'right_adapter',
+            not writer.is_started
+            or execution.is_repeat
+            or (started is not None and request.is_started_by(started)),
+        )
+        self._check(
+            execution,
+            'whole_answer',
+            error is not None
+            or execution.is_repeat
+            or execution.finished is not None,
+        )
+        has_run = any(
+            attempt.outcome is not Outcome.NOT_RUN
+            for attempt in execution.attempts
+        )
+        self._check(
+            execution,
+            'accurate_not_run',
+            outcome is not Outcome.NOT_RUN
+            or not (has_run or writer.is_started),
+        )
+        reservation = execution.reservation
+        self._check(
+            execution,
+            'reservation_settled',
+            reservation is None or reservation.closed,
+        )
+
+    def _check(self, execution: Execution, name: str, holds: bool) -> None:
+        if not holds:
+            self._invariants.check(
+                False,
+                name,
+                execution.request.request_id,
+            )
--- a/src/kumquatrun/execution.py
+++ b/src/kumquatrun/execution.py
@@ -6,7 +6,7 @@
 
 from kumquatrun.document import RouteSpec
 from kumquatrun.errors import KumquatrunError, Outcome
-from kumquatrun.messages import Finished
+from kumquatrun.messages import Finished, Started
 from kumquatrun.token_wallet import Reservation
 
 
@@ -48,6 +48,11 @@
         """Return the tokens that the request may use at most."""
         return self.prompt_tokens + self.output_tokens
 
+    def is_started_by(self, started: Started) -> bool:
+        """Return whether the agent started what was requested."""
+        named = (started.adapter, started.version)
+        return named == (self.adapter, self.version)
+
 
 @dataclass
 class Attempt:
@@ -71,6 +76,8 @@
         Whether the leader has not answered the claim.
     is_repeat
         Whether the answer is the stored one of an earlier request.
+    started
+        What the agent of the last attempt started.
     finished
         How the agent ended the answer.
     closing
@@ -88,6 +95,7 @@
         self.is_claimed = False
         self.is_claim_pending = False
         self.is_repeat = False
+        self.started: Started | None = None
         self.finished: Finished | None = None
         self.closing: asyncio.Task | None = None
         self._timeout: asyncio.Timeout | None = None
--- a/src/kumquatrun/relay.py
+++ b/src/kumquatrun/relay.py
@@ -13,6 +13,7 @@
 from kumquatrun.control_api import NodeSession
 from kumquatrun.dispatch import Dispatcher, streamed_tokens
 from kumquatrun.document import Access
+from kumquatrun.entry_checks import EntryChecks
 from kumquatrun.errors import (
     ControlUnreachableError,
     DeadlineExceededError,
@@ -77,12 +78,13 @@
         self._backoff = Backoff()
         self._open: dict[str, Execution] = {}
         self._background: set[asyncio.Task] = set()
+        self._checks = EntryChecks(invariants, session)
         self.dispatcher = dispatcher_class(
             session,
             clock,
             pool,
             budgets,
-            invariants=invariants,
+            checks=self._checks,
             spawn=self._spawn,
         )
 
@@ -108,7 +110,9 @@
         finally:
             conclusion = self._spawn(self._conclude(execution, writer))
         await asyncio.shield(conclusion)
-        return self._result(execution, writer, error)
+        result = self._result(execution, writer, error)
+        self._checks.ended(execution, writer, result.outcome, result.error)
+        return result
 
     def end_streams(self) -> None:
         """End the keyed requests whose lease or key is gone."""
@@ -148,7 +152,7 @@
         writer: AnswerWriter,
     ) -> None:
         request = execution.request
-        self._check_admission(request)
+        self._admit(execution)
         if request.account:
             execution.reservation = await self._budgets.reserve(
                 request.account, request.cost_tokens
@@ -187,33 +191,32 @@
         if account != request.account:
             raise InvalidKeyError('the key was revoked')
 
-    def _check_admission(self, request: RelayRequest) -> str:
+    def _admit(self, execution: Execution) -> bool:
         """Refuse a request that may not be dispatched now.
 
         Returns
         -------
-        str
-            State of the request's fingerprint.
+        bool
+            Whether it must run alone, as it may crash its backend server.
         """
+        request = execution.request
         self._check_caller(request)
         state = self._session.view.fingerprint_state(request.fingerprint)
         if state == 'quarantined':
             raise QuarantinedError('the request is quarantined')
-        return state
+        return state == 'suspect' or _is_suspect(execution)
 
     async def _dispatch(
         self,
         execution: Execution,
         writer: AnswerWriter,
     ) -> None:
-        request = execution.request
         while True:
-            state = self._check_admission(request)
-            alone = state == 'suspect' or _is_suspect(execution)
+            self._admit(execution)
             record = self._choose(execution)
             try:
                 await self.dispatcher.run(
-                    execution, writer, record, alone=alone
+                    execution, writer, record, self._admit
                 )
             except KumquatrunError as error:
                 if error.code in _AVOID_CODES:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+from contextlib import suppress
 from dataclasses import dataclass, replace
 from functools import cached_property
 
@@ -77,7 +78,8 @@
 class Bench:
     """A relay with two agents per service and everything it talks to."""
 
-    def __init__(self, broken=None):
+    def __init__(self, broken=None, is_strict=True):
+        self.invariants = Invariants(is_strict=is_strict)
         is_relay = broken is not None and issubclass(broken, Relay)
         relay_class = broken if is_relay else Relay
         dispatcher_class = Dispatcher if is_relay else broken or Dispatcher
@@ -96,7 +98,7 @@
             self.budgets,
             ClaimClient(self.session, clock, rng),
             rng=rng,
-            invariants=Invariants(is_strict=True),
+            invariants=self.invariants,
             dispatcher_class=dispatcher_class,
         )
         self.session.on_change(self.relay.end_streams)
@@ -699,3 +701,89 @@
     with pytest.raises((AssertionError, InvariantViolationError)):
         result, sink = await run_case(bench, kind)
         check_guarantees(bench, kind, result, sink)
+
+
+class SkipsAdmission(Relay):
+    def _admit(self, execution):
+        return False
+
+
+class SkipsReservation(Relay):
+    async def _process(self, execution, writer):
+        await self._dispatch(execution, writer)
+
+
+class ForgetsReservation(BudgetClient):
+    def settle(self, reservation):
+        """Keeps the tokens."""
+
+
+class AcceptsAnyEnd(Dispatcher):
+    async def _receive(self, execution, writer, record, call):
+        with suppress(KumquatrunError):
+            await super()._receive(execution, writer, record, call)
+
+
+async def quarantine(bench, agent, call):
+    bench.session.view.fingerprints['f1'] = 'quarantined'
+
+
+VIOLATIONS = [
+    (
+        RepeatsUnknown,
+        lose_connection,
+        'executed',
+        '/ledger/',
+        'single_execution',
+    ),
+    (SkipsAdmission, revoke_key, 'connect', '/v1/', 'account_of_key'),
+    (SkipsAdmission, quarantine, 'connect', '/v1/', 'not_quarantined'),
+    (SkipsReservation, hang, 'never', '/v1/', 'tokens_reserved'),
+    (
+        SkipsStartedCheck,
+        start_wrong_adapter,
+        'executed',
+        '/v1/',
+        'right_adapter',
+    ),
+    (AcceptsAnyEnd, lose_connection, 'body', '/v1/', 'whole_answer'),
+    (
+        ReportsNotRun,
+        lose_connection,
+        'executed',
+        '/ledger/',
+        'accurate_not_run',
+    ),
+    (ForgetsReservation, hang, 'never', '/v1/', 'reservation_settled'),
+]
+
+
+@pytest.mark.parametrize(
+    ('broken', 'fault', 'step', 'path', 'invariant'),
+    VIOLATIONS,
+    ids=[row[-1] for row in VIOLATIONS],
+)
+async def test_invariant_counts_a_violation(
+    broken, fault, step, path, invariant
+):
+    # Guards against an invariant that holds whatever the program does.
+    if issubclass(broken, BudgetClient):
+        bench = Bench(is_strict=False)
+        bench.budgets.__class__ = broken
+    else:
+        bench = Bench(broken, is_strict=False)
+    bench.session._listeners.clear()
+    inject(bench, fault, step, 1)
+    await run_case(bench, Kind(path))
+    assert bench.invariants.violations[invariant] >= 1
+
+
+@pytest.mark.parametrize('change', [quarantine, revoke_key, end_lease])
+async def test_admission_is_checked_after_connecting(change):
+    # Guards against a dispatch of what was refused while a connection opened.
+    bench = Bench()
+    bench.session._listeners.clear()
+    inject(bench, change, 'connect', 1)
+    result, _ = await run_case(bench, KINDS[0])
+    assert result.outcome is Outcome.NOT_RUN
+    assert not bench.executions
