Bound the memory of request bodies and close unused connections

Connections to hosts that are gone are closed once their last dispatch has ended; a stopping entry waits at most 2 s for claims that it could not end.

--- a/src/kumquatrun/agent_pool.py
+++ b/src/kumquatrun/agent_pool.py
@@ -86,6 +86,21 @@
             self._clients[record.host_id] = client
         return client
 
+    def prune(self) -> None:
+        """Close the connections to hosts that are gone and unused."""
+        view = self._session.view
+        known = {
+            record.host_id
+            for service in view.document.services
+            for record in view.agents_of(service.name)
+        }
+        for host_id, estimate in list(self._estimates.items()):
+            if host_id not in known and not estimate.open_now:
+                del self._estimates[host_id]
+                client = self._clients.pop(host_id, None)
+                if client is not None:
+                    self._close(client)
+
     def begin(self, record: HostRecord, adapter: str, version: str) -> None:
         """Count a dispatch."""
         self._estimate(record.host_id).open_now += 1
--- a/src/kumquatrun/entry.py
+++ b/src/kumquatrun/entry.py
@@ -4,6 +4,7 @@
 import logging
 import random
 from collections.abc import Callable
+from dataclasses import replace
 
 from aiohttp import web
 
@@ -20,10 +21,11 @@
     KumquatrunError,
     NoCapacityError,
 )
-from kumquatrun.execution import Execution
+from kumquatrun.execution import Execution, RelayRequest
 from kumquatrun.http_server import (
     JSON_TYPE,
     SWEEPS_PER_TIMEOUT,
+    BodyMemory,
     HttpServer,
     ResponseSink,
     new_request_id,
@@ -108,6 +110,7 @@
         self._tasks: list[asyncio.Task] = []
         self._open: dict[ResponseSink, Execution] = {}
         self._open_requests = 0
+        self._memory = BodyMemory()
         self._idle = asyncio.Event()
 
     @property
@@ -171,7 +174,7 @@
         if self._server is not None:
             self._server.close()
             await self._http.shutdown(timeout=0)
-        await self._relay.idle()
+        await self._relay.stop()
         await self._pool.close()
 
     def _step(self, event: str) -> None:
@@ -183,6 +186,7 @@
         self._step('lease_gained' if has_lease else 'lease_lost')
         self._budgets.follow_session()
         self._relay.end_streams()
+        self._pool.prune()
 
     async def _cut_slow_callers(self) -> None:
         limit_s = self._settings.write_timeout_s
@@ -258,16 +262,23 @@
             request,
             self._settings.max_body_bytes,
             self._settings.write_timeout_s,
+            self._memory,
         )
-        http = HttpRequest(
-            request_id=http.request_id,
-            method=http.method,
-            path=http.path,
-            headers=http.headers,
-            body=body,
-        )
-        # The document or the key may have changed while the body arrived.
-        relayed = self._admission.build(http, *self._admit(http))
+        try:
+            # The document or key may have changed while the body arrived.
+            relayed = self._admission.build(
+                replace(http, body=body), *self._admit(http)
+            )
+            return await self._relay_answer(sink, relayed, began_s)
+        finally:
+            self._memory.free(len(body))
+
+    async def _relay_answer(
+        self,
+        sink: ResponseSink,
+        relayed: RelayRequest,
+        began_s: float,
+    ) -> web.StreamResponse:
         execution = Execution(relayed)
         self._open[sink] = execution
         try:
--- a/src/kumquatrun/openai_api.py
+++ b/src/kumquatrun/openai_api.py
@@ -249,11 +249,7 @@
 
 def _parse_object(body: bytes) -> dict[str, Any]:
     try:
-        fields = json.loads(
-            body,
-            object_pairs_hook=_unique_fields,
-            parse_constant=_refuse_constant,
-        )
+        fields = _DECODER.decode(body.decode())
     except (ValueError, RecursionError) as error:
         raise InvalidRequestError(f'body is not valid JSON: {error}') from None
     if not isinstance(fields, dict):
@@ -286,6 +282,12 @@
     raise ValueError(f'{name} is not a JSON number')
 
 
+_DECODER = json.JSONDecoder(
+    object_pairs_hook=_unique_fields,
+    parse_constant=_refuse_constant,
+)
+
+
 def _first_problem(error: ValidationError) -> str:
     problem = error.errors(include_input=False, include_url=False)[0]
     location = '.'.join(str(part) for part in problem['loc'])
--- a/src/kumquatrun/relay.py
+++ b/src/kumquatrun/relay.py
@@ -32,6 +32,8 @@
 log = logging.getLogger(__name__)
 
 HTTP_SERVER_ERROR = 500
+# Ending a claim is repeated for long; a stopping entry does not wait for it.
+STOP_TIMEOUT_S = 2.0
 # After one of these errors other agents are preferred for a while.
 _AVOID_CODES = frozenset(
     ('connection_lost', 'control_unreachable', 'draining', 'stale_dispatch'),
@@ -127,6 +129,14 @@
         while self._background:
             await asyncio.wait(self._background)
 
+    async def stop(self) -> None:
+        """Give the clean-up a short time and end what is left of it."""
+        if self._background:
+            await asyncio.wait(self._background, timeout=STOP_TIMEOUT_S)
+        for task in list(self._background):
+            task.cancel()
+        await asyncio.gather(*self._background, return_exceptions=True)
+
     async def _try(
         self,
         execution: Execution,
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -14,6 +14,7 @@
 from kumquatrun.clock import LoopClock
 from kumquatrun.entry import Entry
 from kumquatrun.errors import BackendError
+from kumquatrun.http_server import BodyMemory
 from kumquatrun.invariants import Invariants
 from kumquatrun.peer import Address
 from kumquatrun.settings import EntrySettings
@@ -419,6 +420,34 @@
             await answer.read()
 
 
+async def test_memory_of_all_bodies_is_bounded(client, entry, ledger):
+    # Guards against many large bodies that each stay under their own limit.
+    entry._memory = BodyMemory(250_000)
+    ledger.chunk_delay_s = 0.2
+    body = b'x' * 90_000
+
+    async def send():
+        async with client.post('/ledger/', data=body, headers=AUTH) as answer:
+            return answer.status, answer.headers['x-kumquatrun-outcome']
+
+    answers = await asyncio.gather(*(send() for _ in range(6)))
+    assert sorted(answers) == [(200, 'ran')] * 2 + [(503, 'not_run')] * 4
+    assert entry._memory.used_bytes == 0
+    assert await send() == (200, 'ran')
+
+
+async def test_connection_to_a_gone_host_is_closed(client, session, agent):
+    # Guards against a connection per replaced host that is never closed.
+    make_stream(agent, delay_s=0.1)
+    async with stream(client) as answer:
+        await answer.content.readany()
+        session.view.agents.clear()
+        session.changed()
+        assert (await answer.read()).endswith(EVENTS[-1])
+    session.changed()
+    await until(lambda: not agent.server._links)
+
+
 async def test_caller_that_leaves_cancels_its_dispatch(client, entry, agent):
     make_stream(agent, delay_s=0.3)
     async with stream(client) as answer:
