Use aiohttp's read timeout instead of one timeout per chunk

Cause: each chunk of a stream entered and left an asyncio.timeout block, about a fifth of the agent's time per token in the profile.

The timer stops while the caller is slow, so a slow caller is not mistaken for a silent engine.

--- a/src/kumquatrun/backend_http.py
+++ b/src/kumquatrun/backend_http.py
@@ -119,6 +119,7 @@
         *,
         headers: Mapping[str, str] | None = None,
         on_sent: Callable[[], None] = lambda: None,
+        silence_limit_s: float | None = None,
     ) -> AsyncIterator[aiohttp.ClientResponse]:
         """Send a call and yield the head of the answer.
 
@@ -133,6 +134,8 @@
             Additional headers of the project's own.
         on_sent
             Called before the first byte is sent.
+        silence_limit_s
+            Longest time between two reads of the answer.
 
         Raises
         ------
@@ -152,6 +155,11 @@
             # A redirect would run the call twice.
             allow_redirects=False,
             trace_request_ctx=_SendState(on_sent),
+            timeout=aiohttp.ClientTimeout(
+                total=None,
+                sock_connect=CONNECT_TIMEOUT_S,
+                sock_read=silence_limit_s,
+            ),
         )
         try:
             yield response
@@ -175,10 +183,6 @@
                 ),
                 # Cookies of one caller must not reach another one's call.
                 cookie_jar=aiohttp.DummyCookieJar(),
-                timeout=aiohttp.ClientTimeout(
-                    total=None,
-                    sock_connect=CONNECT_TIMEOUT_S,
-                ),
                 skip_auto_headers=('User-Agent', 'Accept', 'Content-Type'),
                 auto_decompress=False,
                 middlewares=(_send_once,),
@@ -189,7 +193,6 @@
 
 async def read_chunks(
     response: aiohttp.ClientResponse,
-    silence_limit_s: float | None,
 ) -> AsyncIterator[bytes]:
     """Yield the body as it arrives.
 
@@ -197,15 +200,14 @@
     ------
     ConnectionLostError
         If the connection ends before the body is complete, or is silent for
-        ``silence_limit_s``.
+        longer than the limit of the call.
     """
     while True:
         try:
-            async with asyncio.timeout(silence_limit_s):
-                chunk = await response.content.readany()
-        except TimeoutError:
+            chunk = await response.content.readany()
+        except aiohttp.SocketTimeoutError:
             raise ConnectionLostError(
-                f'no byte of the answer in {silence_limit_s} s',
+                'the backend server went silent within the answer',
                 cause='silent',
             ) from None
         except (aiohttp.ClientError, OSError) as error:
--- a/src/kumquatrun/engine_client.py
+++ b/src/kumquatrun/engine_client.py
@@ -123,7 +123,6 @@
     response: aiohttp.ClientResponse
     is_stream: bool
     wants_usage: bool
-    silence_limit_s: float
     served_by: ServedBy | None = None
     usage: Usage = field(default_factory=Usage)
 
@@ -142,7 +141,7 @@
         splitter = EventSplitter()
         is_first = True
         is_done = False
-        async for chunk in read_chunks(self.response, self.silence_limit_s):
+        async for chunk in read_chunks(self.response):
             events = splitter.feed(chunk)
             if events and is_first:
                 is_first = False
@@ -163,7 +162,7 @@
 
     async def _whole(self) -> AsyncIterator[bytes]:
         body = bytearray()
-        async for chunk in read_chunks(self.response, None):
+        async for chunk in read_chunks(self.response):
             body += chunk
             if len(body) > MAX_WHOLE_ANSWER_BYTES:
                 raise BackendError('the answer of the engine is too large')
@@ -231,12 +230,16 @@
             path=call.path,
             body=body,
         )
-        async with self._http.open(request, on_sent=on_sent) as response:
+        opened = self._http.open(
+            request,
+            on_sent=on_sent,
+            silence_limit_s=self._silence_limit_s if call.stream else None,
+        )
+        async with opened as response:
             yield _HttpGeneration(
                 response=response,
                 is_stream=response.content_type == 'text/event-stream',
                 wants_usage=wants_usage,
-                silence_limit_s=self._silence_limit_s,
             )
 
     async def _order(
@@ -265,6 +268,6 @@
         headers: dict[str, str],
     ) -> tuple[int, dict[str, Any]]:
         async with self._http.open(call, headers=headers) as response:
-            chunks = [chunk async for chunk in read_chunks(response, None)]
+            chunks = [chunk async for chunk in read_chunks(response)]
             status = response.status
         return status, json_object(b''.join(chunks)) or {}
--- a/src/kumquatrun/service_client.py
+++ b/src/kumquatrun/service_client.py
@@ -53,7 +53,7 @@
         )
 
     def __aiter__(self) -> AsyncIterator[bytes]:
-        return read_chunks(self._response, None)
+        return read_chunks(self._response)
 
 
 class ServiceClient:
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -53,7 +53,7 @@
     marks = []
     try:
         async with http.open(call, on_sent=lambda: marks.append(1)) as response:
-            async for _ in backend_http.read_chunks(response, 1):
+            async for _ in backend_http.read_chunks(response):
                 pass
     except KumquatrunError as error:
         return error, bool(marks)
