Reopen a retiring slot once its beneficiary is loaded elsewhere

Cause: a retiring adapter took no requests for as long as any request for its successor was queued, even after the successor had got another slot. A steady flow for the successor starved the retiring adapter. The new test failed before and passes now.

--- a/src/kumquatrun/scheduler.py
+++ b/src/kumquatrun/scheduler.py
@@ -132,7 +132,7 @@
             return None
         waiting = self._waiting()
         wanted = {job.key for job in waiting if job.key is not None}
-        slots.keep_retiring(wanted)
+        slots.keep_retiring({key for key in wanted if not slots.is_ready(key)})
         if len(slots.open_loads) >= MAX_OPEN_LOADS:
             return None
         for job in waiting:
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,62 @@
+"""Scheduler: starts, loads and retiring slots seen together."""
+
+from kumquatrun.adapter_slots import AdapterSlots
+from kumquatrun.messages import Dispatch
+from kumquatrun.reload_costs import AdapterKey
+from kumquatrun.scheduler import URGENT_AFTER_S, Job, Scheduler
+
+A, B, C = (AdapterKey(name, '1') for name in 'abc')
+
+
+def job(key, queued_s=0.0):
+    message = Dispatch(
+        request_id='r',
+        attempt=1,
+        agent_incarnation='i',
+        account='acme',
+        service='s',
+        adapter=key.adapter,
+        version=key.version,
+        path='/',
+        method='POST',
+        body=b'',
+    )
+    return Job(dispatch=message, key=key, queued_s=queued_s)
+
+
+def load(scheduler, now_s):
+    """Carry out the next load; returns its adapter, None without one."""
+    key = scheduler.next_load(now_s)
+    if key is None:
+        return None
+    ticket = scheduler.place(key, now_s)
+    if ticket.evict is not None:
+        scheduler.slots.evicted(ticket)
+    scheduler.slots.load_finished(ticket, now_s)
+    scheduler.slots.close_load(key)
+    return key
+
+
+def test_adapter_is_usable_again_once_its_successor_is_loaded_elsewhere():
+    # Guards against a busy adapter that takes no requests any more while
+    # another one, which got a different slot, always has requests waiting.
+    scheduler = Scheduler(
+        max_running=2,
+        max_queued=10,
+        slots=AdapterSlots(2),
+    )
+    for key in (A, B, B):
+        scheduler.push(job(key))
+    assert [load(scheduler, 0), load(scheduler, 0)] == [A, B]
+    running = [scheduler.next_start(0), scheduler.next_start(0)]
+    for _ in range(3):
+        scheduler.push(job(C))
+    assert load(scheduler, URGENT_AFTER_S) is None
+    assert not scheduler.slots.is_ready(A)
+    scheduler.finish(running[1])
+    scheduler.finish(scheduler.next_start(URGENT_AFTER_S))
+    assert load(scheduler, URGENT_AFTER_S) == C
+    assert scheduler.next_start(URGENT_AFTER_S).key == C
+    assert scheduler.demand() == {C: 2}
+    assert load(scheduler, URGENT_AFTER_S) is None
+    assert scheduler.slots.is_ready(A)
