--- a/src/kumquatrun/sse.py
+++ b/src/kumquatrun/sse.py
@@ -34,6 +34,8 @@
         BackendError
             If one event is larger than ``MAX_EVENT_BYTES``.
         """
+        if self._is_one_event(received):
+            return [received]
         buffer = self._buffer + received
         events = []
         start = 0
@@ -45,6 +47,15 @@
             raise BackendError(f'event above {MAX_EVENT_BYTES} bytes')
         return events
 
+    def _is_one_event(self, received: bytes) -> bool:
+        # A token usually arrives as one event in one read.
+        return (
+            not self._buffer
+            and b'\r' not in received
+            and received.find(b'\n\n') == len(received) - 2
+            and len(received) > 2
+        )
+
 
 def event_json(event: bytes) -> dict[str, Any] | None:
     """Return the JSON object in an event's data, None if it has none."""
