Report a full queue while an agent cannot start requests

Cause: an agent without a lease or with a crashed backend server reported a capacity of 0, which placement reads as unknown: the agent looked idle and was preferred. It now reports a full queue, also while a suspect runs alone. The tests ask for a full report in place of the capacity of 0.

A weight of 0 no longer divides by zero in the fair queue.

--- a/src/kumquatrun/agent.py
+++ b/src/kumquatrun/agent.py
@@ -115,6 +115,10 @@
         """Return the state of the host's chart."""
         return self._state
 
+    @property
+    def _is_serving(self) -> bool:
+        return self._state == 'active' and self._runner.is_up
+
     @property
     def open_requests(self) -> int:
         """Return the number of queued and running requests."""
@@ -170,18 +174,24 @@
         await self._runner.stop()
 
     def report(self) -> AgentReport:
-        """Return the soft state that lease renewals carry."""
+        """Return the soft state that lease renewals carry.
+
+        An agent that cannot start new requests now reports a full queue, so
+        that placement prefers the others. A capacity of 0 would not do: it
+        stands for an unknown one.
+        """
         scheduler = self._runner.scheduler
         record = self._session.record
-        serving = self._state == 'active' and self._runner.is_up
-        slots = scheduler.slots
+        has_room = self._is_serving and scheduler.is_open
+        slots = scheduler.slots if self._is_serving else None
         adapters = () if slots is None else slots.loaded()
+        queued = scheduler.queued if has_room else self._settings.max_queued
         return AgentReport(
             host_id=record.host_id,
             incarnation=record.incarnation,
             running=scheduler.running,
-            queued=scheduler.queued,
-            capacity=self._settings.max_running if serving else 0,
+            queued=queued,
+            capacity=self._settings.max_running,
             adapters=tuple(str(key) for key in adapters),
         )
 
--- a/src/kumquatrun/fair_queue.py
+++ b/src/kumquatrun/fair_queue.py
@@ -18,6 +18,8 @@
 
 Item = TypeVar('Item')
 
+MIN_WEIGHT = 0.001
+
 
 @dataclass(frozen=True, kw_only=True)
 class Share:
@@ -28,7 +30,8 @@
     cost_tokens
         Expected work; at least 1 is counted.
     weight
-        Share of the account relative to the others, above 0.
+        Share of the account relative to the others; at least ``MIN_WEIGHT``
+        is counted.
     priority
         Higher values are served first within the account.
     deadline_s
@@ -44,7 +47,7 @@
     @property
     def charge(self) -> float:
         """Return the amount by which the request advances its account."""
-        return max(1, self.cost_tokens) / self.weight
+        return max(1, self.cost_tokens) / max(MIN_WEIGHT, self.weight)
 
 
 @dataclass(order=True)
--- a/src/kumquatrun/scheduler.py
+++ b/src/kumquatrun/scheduler.py
@@ -85,6 +85,11 @@
         """Return the number of waiting jobs."""
         return len(self._queue) + (self._held is not None)
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether requests may start beside the running ones."""
+        return self._gate.is_open
+
     def push(self, job: Job) -> Result[Job | None, NoCapacityError]:
         """Queue a job; see ``FairQueue.push``."""
         return self._queue.push(job, job.share)
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -202,6 +202,12 @@
     async def fence(self):
         self.engine.newest_number = 99
 
+    async def hold_a_suspect(self):
+        self.engine.faults['middle'] = self.pass_the_deadline
+        self.send(dispatch('long'))
+        await asyncio.sleep(0.1)
+        self.send(dispatch('suspect', alone=True))
+
     async def compete(self):
         self.send(dispatch('rival', AdapterKey('rival', '1')))
         await asyncio.sleep(3)
@@ -549,6 +555,10 @@
         assert isinstance(rare.reply, Finished)
 
 
+def is_full(report):
+    return report.running + report.queued >= report.capacity
+
+
 async def test_report_shows_load_and_adapters():
     async with Bench() as bench:
         task = bench.send(dispatch())
@@ -556,9 +566,24 @@
         report = bench.session.agent_source()
         assert (report.running, report.adapters) == (1, ('a@1',))
         assert report.capacity == bench.settings.max_running
+        assert not is_full(report)
         await task
-        bench.session.set_lease(False)
-        assert bench.session.agent_source().capacity == 0
+
+
+# Events after which an agent cannot start requests.
+UNAVAILABLE = ['lose_the_lease', 'drain', 'crash_for_a_while', 'hold_a_suspect']
+
+
+@pytest.mark.parametrize('event', UNAVAILABLE)
+async def test_unavailable_agent_reports_that_it_is_full(event):
+    # Guards against placement that prefers an agent because it runs nothing.
+    async with Bench() as bench:
+        await bench.run(dispatch('warm-up'))
+        await getattr(bench, event)()
+        await asyncio.sleep(0.6)
+        report = bench.agent.report()
+        assert is_full(report)
+        assert report.capacity == bench.settings.max_running
 
 
 async def test_departed_requester_gives_the_busy_adapter_back():
--- a/tests/test_agent_streams.py
+++ b/tests/test_agent_streams.py
@@ -192,7 +192,7 @@
         assert error.outcome is Outcome.UNKNOWN
     [report] = node.session.control.sent(ReportSuspects)
     assert set(report.fingerprints) == {'fp-bad', 'fp-r0', 'fp-r1', 'fp-r2'}
-    await eventually(lambda: node.agent.report().capacity)
+    await eventually(lambda: node.agent.report().queued == 0)
     _, reply = await node.send(completion('after'))
     assert isinstance(reply, Finished)
     assert engine.core.incarnation != first_incarnation
@@ -206,7 +206,7 @@
     async with Node(engine.url, ServiceKind.ENGINE) as node:
         _, error = await node.send(completion())
         assert error.outcome is Outcome.NOT_RUN
-        assert node.agent.report().capacity == 0
+        assert node.agent.report().queued == node.settings.max_queued
 
 
 @pytest.mark.parametrize('checks', [True, False])
