Notice silent connections of whole answers within seconds

Cause: an answer that is not streamed has no sign of life until it is complete, so a silent connection was noticed at the request's deadline only. Requests whose answers have other parts than text (tools, logprobs and the like) are still rendered by the engine and bounded by the deadline.

Ruled out: health checks during the answer; they use a new connection and say nothing about the silent one.

Whole answers are passed on in items of at most 1 MiB, as one of nearly 8 MiB did not fit into a frame. An error status without a body reaches the caller.

--- a/src/kumquatrun/completions.py
+++ b/src/kumquatrun/completions.py
@@ -6,6 +6,7 @@
 
 from kumquatrun.adapter_slots import AdapterKey
 from kumquatrun.errors import InvalidRequestError
+from kumquatrun.merged_answer import can_merge
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -37,6 +38,26 @@
     stream: bool = False
 
 
+@dataclass(frozen=True)
+class EngineBody:
+    """What the engine gets, and how its answer is passed on.
+
+    Attributes
+    ----------
+    wants_usage
+        Whether the caller asked for the event with the usage.
+    is_streamed
+        Whether the engine is asked for events.
+    is_merged
+        Whether the events are merged, as the caller wants a whole answer.
+    """
+
+    encoded: bytes
+    wants_usage: bool
+    is_streamed: bool
+    is_merged: bool
+
+
 def json_object(text: bytes) -> dict[str, Any] | None:
     """Return a JSON object, None if the text is anything else."""
     try:
@@ -51,8 +72,8 @@
     return str((json_object(body) or {}).get('code', ''))
 
 
-def engine_body(call: GenerateCall) -> tuple[bytes, bool]:
-    """Return the body for the engine, and whether the caller wants usage.
+def engine_body(call: GenerateCall) -> EngineBody:
+    """Return the body for the engine.
 
     The model is replaced by adapter and version, so that the engine never
     resolves a default version itself.
@@ -70,13 +91,19 @@
         raise InvalidRequestError('body is not a JSON object')
     content['model'] = str(call.key)
     content['priority'] = call.priority
-    content['stream'] = call.stream
+    is_merged = not call.stream and can_merge(content)
+    content['stream'] = call.stream or is_merged
     options = content.pop('stream_options', None)
     options = dict(options) if isinstance(options, dict) else {}
     wants_usage = bool(options.get('include_usage'))
-    if call.stream:
+    if content['stream']:
         content['stream_options'] = options | {'include_usage': True}
-    return json.dumps(content).encode(), wants_usage
+    return EngineBody(
+        json.dumps(content).encode(),
+        wants_usage=wants_usage,
+        is_streamed=content['stream'],
+        is_merged=is_merged,
+    )
 
 
 def parse_served_by(content: dict[str, Any] | None) -> ServedBy | None:
--- a/src/kumquatrun/engine_client.py
+++ b/src/kumquatrun/engine_client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any, Protocol
@@ -12,6 +12,7 @@
 from kumquatrun.adapter_slots import AdapterKey
 from kumquatrun.backend_http import BackendCall, BackendHttp, read_chunks
 from kumquatrun.completions import (
+    EngineBody,
     GenerateCall,
     ServedBy,
     Usage,
@@ -27,6 +28,7 @@
     ConnectionLostError,
     StaleDispatchError,
 )
+from kumquatrun.merged_answer import MergedAnswer
 from kumquatrun.sse import EventSplitter, event_json
 
 FENCING_HEADER = 'X-Fencing-Number'
@@ -36,6 +38,7 @@
 # prompt.
 STREAM_SILENCE_S = 10.0
 MAX_WHOLE_ANSWER_BYTES = 8 * 1024 * 1024
+MAX_ITEM_BYTES = 1024 * 1024
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -116,13 +119,18 @@
     return event.strip() == b'data: [DONE]'
 
 
+def _pieces(body: bytes) -> Iterator[bytes]:
+    # One item must fit into a frame of the peer protocol.
+    for start in range(0, max(1, len(body)), MAX_ITEM_BYTES):
+        yield body[start : start + MAX_ITEM_BYTES]
+
+
 @dataclass
 class _HttpGeneration:
     """Reads the answer of an engine over HTTP."""
 
     response: aiohttp.ClientResponse
-    is_stream: bool
-    wants_usage: bool
+    asked: EngineBody
     served_by: ServedBy | None = None
     usage: Usage = field(default_factory=Usage)
 
@@ -130,14 +138,38 @@
     def status(self) -> int:
         return self.response.status
 
+    @property
+    def is_stream(self) -> bool:
+        return self.response.content_type == 'text/event-stream'
+
     @property
     def content_type(self) -> str:
+        if self.is_stream and self.asked.is_merged:
+            return 'application/json'
         return self.response.headers.get('Content-Type', 'application/json')
 
     def __aiter__(self) -> AsyncIterator[bytes]:
-        return self._events() if self.is_stream else self._whole()
+        if not self.is_stream:
+            return self._whole()
+        return self._merged() if self.asked.is_merged else self._kept()
+
+    async def _kept(self) -> AsyncIterator[bytes]:
+        async for events in self._events():
+            kept = b''.join(filter(self._keep, events))
+            if kept:
+                yield kept
 
-    async def _events(self) -> AsyncIterator[bytes]:
+    async def _merged(self) -> AsyncIterator[bytes]:
+        answer = MergedAnswer()
+        async for events in self._events():
+            for event in events:
+                answer.add(event_json(event) or {})
+        body = answer.render()
+        self.usage = parse_usage(json_object(body)) or self.usage
+        for piece in _pieces(body):
+            yield piece
+
+    async def _events(self) -> AsyncIterator[list[bytes]]:
         splitter = EventSplitter()
         is_first = True
         is_done = False
@@ -147,9 +179,7 @@
                 is_first = False
                 self.served_by = parse_served_by(event_json(events[0]))
             is_done = is_done or any(map(_is_done, events))
-            kept = b''.join(filter(self._keep, events))
-            if kept:
-                yield kept
+            yield events
         if not splitter.is_empty or not is_done:
             raise ConnectionLostError('the engine ended the stream early')
 
@@ -158,7 +188,7 @@
             return True
         content = event_json(event)
         self.usage = parse_usage(content) or self.usage
-        return self.wants_usage or bool((content or {}).get('choices'))
+        return self.asked.wants_usage or bool((content or {}).get('choices'))
 
     async def _whole(self) -> AsyncIterator[bytes]:
         body = bytearray()
@@ -169,7 +199,8 @@
         content = json_object(bytes(body))
         self.served_by = parse_served_by(content)
         self.usage = parse_usage(content) or self.usage
-        yield bytes(body)
+        for piece in _pieces(bytes(body)):
+            yield piece
 
 
 class EngineClient:
@@ -223,24 +254,22 @@
         on_sent: Callable[[], None],
     ) -> AsyncIterator[Generation]:
         """Run a completion; leaving the block cancels it."""
-        body, wants_usage = engine_body(call)
+        asked = engine_body(call)
         request = BackendCall(
             request_id=call.request_id,
             method='POST',
             path=call.path,
-            body=body,
+            body=asked.encoded,
         )
         opened = self._http.open(
             request,
             on_sent=on_sent,
-            silence_limit_s=self._silence_limit_s if call.stream else None,
+            silence_limit_s=self._silence_limit_s
+            if asked.is_streamed
+            else None,
         )
         async with opened as response:
-            yield _HttpGeneration(
-                response=response,
-                is_stream=response.content_type == 'text/event-stream',
-                wants_usage=wants_usage,
-            )
+            yield _HttpGeneration(response=response, asked=asked)
 
     async def _order(
         self,
--- a/src/kumquatrun/engine_runner.py
+++ b/src/kumquatrun/engine_runner.py
@@ -170,7 +170,8 @@
                     self._verify(job, generation, item, incarnation, context)
                     context.outcome = Outcome.RAN
                     await context.send_message(self._started(job, generation))
-                await context.send_item(item)
+                if item:
+                    await context.send_item(item)
             usage = generation.usage
         if is_first:
             raise ConnectionLostError('the engine sent no answer')
--- /dev/null
+++ b/src/kumquatrun/merged_answer.py
@@ -0,0 +1,84 @@
+"""Builds a whole completion from the events of a streamed one.
+
+The agent asks engines for streams also when the caller wants a whole answer:
+a connection that went silent is then noticed within seconds instead of at the
+deadline of the request.
+"""
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+from kumquatrun.errors import BackendError
+
+# Requests with these fields have answers whose parts are not merged here, so
+# the engine renders the whole answer itself.
+UNMERGED_FIELDS = frozenset(
+    ('audio', 'best_of', 'echo', 'functions', 'logprobs', 'tools'),
+)
+_CHUNK_SUFFIX = '.chunk'
+
+
+def can_merge(request: Mapping[str, Any]) -> bool:
+    """Return whether the answer to a request can be built from its events."""
+    return not any(request.get(name) for name in UNMERGED_FIELDS)
+
+
+class MergedAnswer:
+    """Collects the events of one completion."""
+
+    def __init__(self) -> None:
+        self._head: dict[str, Any] = {}
+        self._texts: dict[int, list[str]] = {}
+        self._reasons: dict[int, Any] = {}
+        self._is_chat = False
+
+    def add(self, event: Mapping[str, Any]) -> None:
+        """Add the content of one event.
+
+        Raises
+        ------
+        BackendError
+            If the event reports an error.
+        """
+        if 'error' in event:
+            raise BackendError(f'the engine reported {event["error"]}')
+        for name, content in event.items():
+            if name != 'choices' and content is not None:
+                self._head[name] = content
+        for choice in event.get('choices', ()):
+            self._add_choice(choice)
+
+    def render(self) -> bytes:
+        """Return the JSON of the whole answer."""
+        choices = [
+            self._choice(index, ''.join(texts))
+            for index, texts in sorted(self._texts.items())
+        ]
+        content = self._head | {'choices': choices}
+        kind = str(content.get('object', ''))
+        content['object'] = kind.removesuffix(_CHUNK_SUFFIX)
+        return json.dumps(content).encode()
+
+    def _add_choice(self, choice: Mapping[str, Any]) -> None:
+        index = int(choice.get('index', 0))
+        texts = self._texts.setdefault(index, [])
+        delta = choice.get('delta')
+        if delta is None:
+            texts.append(choice.get('text') or '')
+        else:
+            self._is_chat = True
+            texts.append(delta.get('content') or '')
+        if choice.get('finish_reason') is not None:
+            self._reasons[index] = choice['finish_reason']
+
+    def _choice(self, index: int, text: str) -> dict[str, Any]:
+        choice: dict[str, Any] = {
+            'index': index,
+            'finish_reason': self._reasons.get(index),
+        }
+        if self._is_chat:
+            choice['message'] = {'role': 'assistant', 'content': text}
+        else:
+            choice['text'] = text
+        return choice
--- a/src/kumquatrun_standins/engine.py
+++ b/src/kumquatrun_standins/engine.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import replace
 from typing import Any
 
@@ -18,6 +18,7 @@
 
 FENCING_HEADER = 'X-Fencing-Number'
 INCARNATION_HEADER = 'X-Engine-Incarnation'
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 CHAT_PATH = '/v1/chat/completions'
 
 
@@ -33,7 +34,10 @@
 
 
 class Engine(StandinServer):
-    """HTTP server of one engine stand-in."""
+    """HTTP server of one engine stand-in.
+
+    ``answer_with`` replaces the answer to completions, for error answers.
+    """
 
     def __init__(self, options: EngineOptions | None = None) -> None:
         super().__init__()
@@ -42,6 +46,7 @@
             on_crash=self.drop_connections,
         )
         self.headers_seen: list[dict[str, str]] = []
+        self.answer_with: Handler | None = None
         self._transports: set[asyncio.Transport] = set()
         self._batch: asyncio.Task | None = None
 
@@ -178,6 +183,8 @@
             return answer.status == 200
 
     async def _complete(self, request: web.Request) -> web.StreamResponse:
+        if self.answer_with is not None:
+            return await self.answer_with(request)
         body = await request.json()
         adapter, _, version = str(body['model']).partition('@')
         core = self.core
--- a/tests/test_agent_streams.py
+++ b/tests/test_agent_streams.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 import pytest
+from aiohttp import web
 from tests.fakes import INCARNATION, FakeSession, eventually
 from tests.raw_server import HEAD, RawServer, answer, chunk
 
@@ -123,6 +124,22 @@
     )
 
 
+@pytest.mark.parametrize('body', [b'', b'{"code": "busy"}'])
+async def test_error_status_of_the_engine_reaches_the_caller(
+    node, engine, body
+):
+    await node.send(completion())
+
+    async def refuse(request):
+        return web.Response(status=503, body=body)
+
+    engine.answer_with = refuse
+    items, reply = await node.send(completion('r2'))
+    assert items[0].status == 503
+    assert b''.join(items[1:]) == body
+    assert reply.outcome is Outcome.RAN
+
+
 async def test_body_that_is_not_json_is_not_run(node, engine):
     _, error = await node.send(completion(body=b'['))
     assert error.outcome is Outcome.NOT_RUN
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import socket
+from dataclasses import replace
 
 import aiohttp
 import pytest
@@ -234,6 +235,39 @@
     assert generation.usage.output_tokens == 9
 
 
+# Fields of the request, whether the engine is asked for a stream.
+WHOLE_ANSWERS = {'merged': ({}, True), 'tools': ({'tools': [{}]}, False)}
+
+
+@pytest.mark.parametrize('path', ['/v1/completions', '/v1/chat/completions'])
+@pytest.mark.parametrize('name', WHOLE_ANSWERS)
+async def test_merged_answer_equals_the_engine_s_own(engine, name, path):
+    # Guards against an answer that is lost or changed by the merge.
+    fields, is_streamed = WHOLE_ANSWERS[name]
+    client = EngineClient(engine.url)
+    await client.load(KEY, 1)
+    call = replace(generate_call(stream=False, **fields), path=path)
+    assert engine_body(call).is_streamed is is_streamed
+    async with client.generate(call, lambda: None) as generation:
+        merged = b''.join([item async for item in generation])
+    assert generation.content_type.startswith('application/json')
+    assert generation.usage.output_tokens == 3
+    plain = json.loads(engine_body(call).encoded) | {'stream': False}
+    headers = {'X-Request-Id': 'r1'}
+    async with (
+        aiohttp.ClientSession() as http,
+        http.post(engine.url + path, json=plain, headers=headers) as whole,
+    ):
+        assert json.loads(merged) == await whole.json()
+    await client.close()
+
+
+async def test_error_event_is_an_error():
+    pieces = [EVENTS, chunk(FIRST + b'data: {"error": "x"}\n\n' + DONE)]
+    with pytest.raises(BackendError):
+        await read_generation(pieces, stream=False)
+
+
 async def test_usage_event_reaches_a_caller_that_asked_for_it():
     pieces = [EVENTS, chunk(FIRST + USAGE + DONE), LAST_CHUNK]
     asked = {'stream_options': {'include_usage': True}}
@@ -253,11 +287,13 @@
 }
 
 
+@pytest.mark.parametrize('stream', [True, False])
 @pytest.mark.parametrize('name', CUT_STREAMS)
-async def test_incomplete_stream_is_never_complete(name):
-    # Guards against a cut answer that looks like a whole one.
+async def test_incomplete_stream_is_never_complete(name, stream):
+    # Guards against a cut answer that looks like a whole one, and against a
+    # wait until the deadline on a silent connection.
     with pytest.raises(ConnectionLostError) as caught:
-        await read_generation(*CUT_STREAMS[name])
+        await read_generation(*CUT_STREAMS[name], stream=stream)
     assert caught.value.outcome is Outcome.UNKNOWN
 
 
@@ -322,11 +358,11 @@
 
 def test_engine_gets_adapter_and_version_whatever_the_caller_names():
     call = generate_call(model='other', priority=99, stream=False)
-    body, wants_usage = engine_body(call)
-    content = json.loads(body)
+    asked = engine_body(call)
+    content = json.loads(asked.encoded)
     assert content['model'] == 'legal@3'
     assert content['priority'] == 0
-    assert not wants_usage
+    assert not asked.wants_usage
     with pytest.raises(InvalidRequestError):
         engine_body(
             GenerateCall(request_id='r', path='/', body=b'[]', key=KEY),
