--- a/src/kumquatrun/scheduler.py
+++ b/src/kumquatrun/scheduler.py
@@ -85,6 +85,11 @@
         """Return the number of waiting jobs."""
         return len(self._queue) + (self._held is not None)
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether requests may start beside the running ones."""
+        return self._gate.is_open
+
     def push(self, job: Job) -> Result[Job | None, NoCapacityError]:
         """Queue a job; see ``FairQueue.push``."""
         return self._queue.push(job, job.share)
@@ -132,7 +137,7 @@
             return None
         waiting = self._waiting()
         wanted = {job.key for job in waiting if job.key is not None}
-        slots.keep_retiring(wanted)
+        slots.keep_retiring({key for key in wanted if not slots.is_ready(key)})
         if len(slots.open_loads) >= MAX_OPEN_LOADS:
             return None
         for job in waiting:
--- a/tests/test_agent_streams.py
+++ b/tests/test_agent_streams.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 import pytest
+from aiohttp import web
 from tests.fakes import INCARNATION, FakeSession, eventually
 from tests.raw_server import HEAD, RawServer, answer, chunk
 
@@ -123,6 +124,22 @@
     )
 
 
+@pytest.mark.parametrize('body', [b'', b'{"code": "busy"}'])
+async def test_error_status_of_the_engine_reaches_the_caller(
+    node, engine, body
+):
+    await node.send(completion())
+
+    async def refuse(request):
+        return web.Response(status=503, body=body)
+
+    engine.answer_with = refuse
+    items, reply = await node.send(completion('r2'))
+    assert items[0].status == 503
+    assert b''.join(items[1:]) == body
+    assert reply.outcome is Outcome.RAN
+
+
 async def test_body_that_is_not_json_is_not_run(node, engine):
     _, error = await node.send(completion(body=b'['))
     assert error.outcome is Outcome.NOT_RUN
@@ -192,7 +209,7 @@
         assert error.outcome is Outcome.UNKNOWN
     [report] = node.session.control.sent(ReportSuspects)
     assert set(report.fingerprints) == {'fp-bad', 'fp-r0', 'fp-r1', 'fp-r2'}
-    await eventually(lambda: node.agent.report().capacity)
+    await eventually(lambda: node.agent.report().queued == 0)
     _, reply = await node.send(completion('after'))
     assert isinstance(reply, Finished)
     assert engine.core.incarnation != first_incarnation
@@ -206,7 +223,7 @@
     async with Node(engine.url, ServiceKind.ENGINE) as node:
         _, error = await node.send(completion())
         assert error.outcome is Outcome.NOT_RUN
-        assert node.agent.report().capacity == 0
+        assert node.agent.report().queued == node.settings.max_queued
 
 
 @pytest.mark.parametrize('checks', [True, False])
