--- a/src/kumquatrun/replica.py
+++ b/src/kumquatrun/replica.py
@@ -64,7 +64,8 @@
     settings
         Replica id, own address and initial members.
     state_machine
-        Gets the committed commands in order.
+        Empty; gets the snapshot and the committed commands in order. After a
+        stop, a new replica with an empty state machine is created.
     transport
         Sends messages to the other replicas; closed by ``stop``.
     storage
--- a/tests/test_quorum_log.py
+++ b/tests/test_quorum_log.py
@@ -476,6 +476,24 @@
     assert cluster.leader() is None
 
 
+def test_disk_lost_during_formation_leaves_one_group_or_none():
+    # Guards against members that start with different memberships. The whole
+    # formation takes about 20 ms here.
+    formed = []
+    for lost_after_ms in range(0, 40, 2):
+        cluster = SimCluster(lost_after_ms)
+        cluster.run(lost_after_ms / 1000)
+        cluster.lose_disk('r2')
+        cluster.heal()
+        cluster.run(3)
+        formed.append(cluster.is_repaired())
+        assert formed[-1] or cluster.leader() is None
+    # The disk is lost before the agreement, after it, and after the start.
+    assert formed[0]
+    assert formed[-1]
+    assert not all(formed)
+
+
 def test_all_replicas_are_replaced_one_after_the_other():
     # Guards against replacements that are not told that the group exists.
     cluster = formed_cluster(2)
