--- a/src/kumquatrun/token_wallet.py
+++ b/src/kumquatrun/token_wallet.py
@@ -162,8 +162,8 @@
     ) -> Result[Reservation, Shortage]:
         """Set tokens aside for a request.
 
-        After a shortage, send a ``grant_request`` with the missing tokens,
-        add the grant and reserve again; refuse the request if the grant is
+        After a shortage, send a ``grant_request``, add the grant and
+        reserve again; refuse the request if the grant is
         smaller. After a success, send a ``grant_request`` too, if there is
         one, so that later requests find their tokens here.
         """
@@ -173,6 +173,8 @@
         if missing > 0:
             balance.needed_tokens = missing
             return Err(Shortage(account=account, missing_tokens=missing))
+        # An earlier reservation that lacked tokens was refused or has asked.
+        balance.needed_tokens = 0
         balance.add_demand(tokens, now_s)
         balance.take_idle(tokens)
         reservation = Reservation(account=account, reserved_tokens=tokens)
@@ -239,13 +241,16 @@
         self,
         account: str,
         now_s: float,
-        needed_tokens: int = 0,
+        needed_tokens: int | None = None,
     ) -> GrantTokens | None:
         """Return the request for needed tokens and those in advance.
 
-        None if nothing is needed and enough tokens are at hand.
+        ``needed_tokens`` is what the last reservation lacked by default. None
+        if nothing is needed and enough tokens are at hand.
         """
         balance = self._balances.setdefault(account, _Balance())
+        if needed_tokens is None:
+            needed_tokens = balance.needed_tokens
         balance.needed_tokens = 0
         ahead = balance.take_ahead(needed_tokens, now_s)
         if needed_tokens + ahead == 0:
