--- a/tests/test_account_budgets.py
+++ b/tests/test_account_budgets.py
@@ -7,7 +7,10 @@
 """
 
 import random
+import tomllib
 from dataclasses import dataclass, field, replace
+from pathlib import Path
+from typing import ClassVar
 
 import pytest
 from hypothesis import HealthCheck, Phase, settings
@@ -30,6 +33,12 @@
 )
 from kumquatrun.token_wallet import TokenWallet
 
+CASES = tomllib.loads(
+    Path(__file__)
+    .with_name('cases')
+    .joinpath('account_budgets.toml')
+    .read_text(),
+)
 RATE = ACCOUNT['rate_tokens_per_s']
 BURST = ACCOUNT['burst_tokens']
 LEASE_MS = 3000
@@ -60,10 +69,11 @@
 class Process:
     """One run of an entry, with its lease by its own clock."""
 
+    checks_lease: ClassVar[bool] = True
+
     wallet: TokenWallet
     host_id: str
     lease_end_ms: int
-    checks_lease: bool = True
     frozen: bool = False
     streams: list = field(default_factory=list)
     late_grants: list = field(default_factory=list)
@@ -78,11 +88,11 @@
 class Model:
     """Processes, leader and real time; every step is one public method."""
 
-    def __init__(self, checks_lease=True, checks_request=True):
+    checks_request = True
+
+    def __init__(self):
         self.cluster = Cluster()
         self.now_ms = self.batch_ms = 0
-        self.checks_lease = checks_lease
-        self.checks_request = checks_request
         self.checker = WindowChecker(RATE, BURST)
         self.processes = []
         self.leases = {}
@@ -104,7 +114,6 @@
             wallet=TokenWallet(host_id, run),
             host_id=host_id,
             lease_end_ms=self.now_ms + LEASE_MS,
-            checks_lease=self.checks_lease,
         )
         self.processes.append(process)
         return process
@@ -245,37 +254,9 @@
         self.cluster.state = self.cluster.restored()
 
 
-# Steps of random runs with their weights.
-WEIGHTED_STEPS = {
-    'advance 10': 1,
-    'advance 400': 1,
-    'advance 900': 1,
-    'advance 2900': 1,
-    'advance 5000': 1,
-    'admit N 25 replied': 2,
-    'admit N 100 replied': 2,
-    'admit N 100 late': 1,
-    'admit N 100 lost': 1,
-    'renew N replied': 5,
-    'renew N lost': 1,
-    'renew N no_reply': 1,
-    'renew N repeated': 1,
-    'spend_all': 4,
-    'expire': 4,
-    'freeze N': 1,
-    'wake N': 2,
-    'stream N': 1,
-    'settle N': 1,
-    'replace N': 1,
-    'deliver_late_grants N': 1,
-    'lose_report 0': 1,
-    'change_leader': 1,
-    'replace_account': 1,
-    'restore': 1,
-}
 STEPS = [
     step.replace('N', str(number))
-    for step, weight in WEIGHTED_STEPS.items()
+    for step, weight in CASES['weights'].items()
     for number in (range(3) if 'N' in step else range(1))
     for _ in range(weight)
 ]
@@ -287,14 +268,14 @@
     getattr(model, name)(*arguments)
 
 
-def run_steps(steps, **options):
-    model = Model(**options)
+def run_steps(steps):
+    model = Model()
     for step in steps:
         run_step(model, step)
 
 
-def run_random(seed, count, **options):
-    run_steps(random.Random(seed).choices(STEPS, k=count), **options)
+def run_random(seed, count):
+    run_steps(random.Random(seed).choices(STEPS, k=count))
 
 
 class BudgetMachine(RuleBasedStateMachine):
@@ -382,67 +363,26 @@
     patch.setattr(BudgetRegister, 'configure', configure)
 
 
-FIVE_SECONDS = (
-    'advance 2500; renew 0 replied; renew 1 replied; '
-    'advance 2500; renew 0 replied; renew 1 replied'
-)
+def ignore_lease(patch):
+    patch.setattr(Process, 'checks_lease', False)
+
+
+def ignore_request(patch):
+    patch.setattr(Model, 'checks_request', False)
+
 
-# Mechanism that is off, options of the model, steps. With the mechanism on,
-# the same steps stay within the budget.
-SCENARIOS = [
-    (
+BROKEN = {
+    broken.__name__: broken
+    for broken in (
         refill_ignoring_outstanding,
-        {},
-        'admit 0 100 replied; advance 2900; admit 1 25 replied; '
-        'admit 1 25 replied; spend_all',
-    ),
-    (
         return_tokens_of_expired_host,
-        {},
-        'admit 0 100 replied; spend_all; advance 3000; renew 1 replied; '
-        'expire; admit 1 100 replied; spend_all',
-    ),
-    (
         count_repeated_reports,
-        {},
-        'admit 0 100 replied; stream 0; renew 0 repeated; advance 2900; '
-        'admit 1 25 replied; admit 1 25 replied; spend_all',
-    ),
-    (
         expire_on_replacement,
-        {},
-        'admit 0 100 replied; replace 0; advance 2900; admit 1 25 replied; '
-        'admit 1 25 replied; spend_all',
-    ),
-    (
         fresh_burst_for_returning_account,
-        {},
-        'admit 0 100 replied; replace_account; admit 1 100 replied; spend_all',
-    ),
-    # A woken process ignores that its lease has ended.
-    (
-        None,
-        {'checks_lease': False},
-        'admit 0 100 replied; freeze 0; advance 3000; renew 1 replied; '
-        f'expire; {FIVE_SECONDS}; admit 1 100 replied; wake 0; spend_all',
-    ),
-    # A new incarnation takes a grant of the old one. Both processes rejoin,
-    # each as the last one of the list.
-    (
-        None,
-        {'checks_request': False},
-        'admit 0 100 late; advance 3000; renew 0 replied; renew 0 replied; '
-        f'expire; {FIVE_SECONDS}; admit 1 100 replied; '
-        'deliver_late_grants 0; spend_all',
-    ),
-    # An abandoned grant, whose tokens were returned, is used.
-    (
-        None,
-        {'checks_request': False},
-        f'admit 0 100 late; {FIVE_SECONDS}; admit 1 100 replied; '
-        'deliver_late_grants 0; spend_all',
-    ),
-]
+        ignore_lease,
+        ignore_request,
+    )
+}
 
 
 @pytest.fixture
@@ -453,42 +393,38 @@
     set_fatal(True)
 
 
-@pytest.mark.parametrize(('break_mechanism', 'options', 'steps'), SCENARIOS)
+@pytest.mark.parametrize(
+    ('broken', 'steps'),
+    [(row['broken'], row['steps']) for row in CASES['scenario']],
+)
 def test_checker_catches_a_broken_mechanism(
     monkeypatch,
     tolerant,
-    break_mechanism,
-    options,
+    broken,
     steps,
 ):
-    run_steps(steps.split(';'))
-    if break_mechanism:
-        break_mechanism(monkeypatch)
+    rows = steps.strip().replace('\n', ';').split(';')
+    run_steps(rows)
+    BROKEN[broken](monkeypatch)
     with pytest.raises(WindowExceededError):
-        run_steps(steps.split(';'), **options)
+        run_steps(rows)
 
 
 @pytest.mark.parametrize(
-    ('break_mechanism', 'options'),
+    'broken',
     [
-        (refill_ignoring_outstanding, {}),
-        (expire_on_replacement, {}),
-        (fresh_burst_for_returning_account, {}),
-        (None, {'checks_lease': False}),
+        'refill_ignoring_outstanding',
+        'expire_on_replacement',
+        'fresh_burst_for_returning_account',
+        'ignore_lease',
     ],
 )
-def test_random_run_catches_a_broken_mechanism(
-    monkeypatch,
-    tolerant,
-    break_mechanism,
-    options,
-):
+def test_random_run_catches_a_broken_mechanism(monkeypatch, tolerant, broken):
     # Guards against random runs that never reach the bounds.
-    if break_mechanism:
-        break_mechanism(monkeypatch)
+    BROKEN[broken](monkeypatch)
     with pytest.raises(WindowExceededError):
         for seed in range(500):
-            run_random(seed, 100, **options)
+            run_random(seed, 100)
 
 
 @pytest.mark.parametrize('seed', range(20))
