--- a/src/kumquatrun/engine_runner.py
+++ b/src/kumquatrun/engine_runner.py
@@ -217,6 +217,10 @@
                 expected,
                 generation.served_by,
             )
+            # The engine is not in the state that the agent assumes: the
+            # adapter is loaded again before its next use.
+            self.scheduler.slots.mark_missing(job.key)
+            self._spawn(self._check_engine())
             raise OutcomeUnknownError(
                 f'expected {expected}, the engine ran {generation.served_by}',
             )
@@ -229,6 +233,8 @@
         except KumquatrunError as error:
             log.warning('event=load_failed adapter=%s error=%s', key, error)
             self._fail_waiting(key, error)
+            if isinstance(error, ConnectionLostError):
+                await self._check_engine()
         finally:
             self.scheduler.slots.close_load(key)
             self._on_change()
--- a/src/kumquatrun/quorum_leader.py
+++ b/src/kumquatrun/quorum_leader.py
@@ -6,6 +6,7 @@
     AppendReply,
     AppendRequest,
     JoinRequest,
+    LogEntry,
     SnapshotReply,
 )
 from kumquatrun.quorum_entries import EntryLog
@@ -114,6 +115,7 @@
         """Send a heartbeat round; returns its number."""
         self.round_number += 1
         self._round_sent_s[self.round_number] = now_s
+        self._forget_silent_joiners(now_s)
         self.heartbeat_due_s = now_s + self._timing.heartbeat_s
         for replica_id in self.progress:
             self._send(replica_id, now_s, heartbeat=True)
@@ -194,6 +196,18 @@
         for number in newly:
             self.confirmed_at_s = self._round_sent_s.pop(number)
 
+    def _forget_silent_joiners(self, now_s: float) -> None:
+        silent = [
+            replica_id
+            for replica_id, row in self.progress.items()
+            if row.address
+            and now_s - row.last_reply_s > self._timing.join_silence_s
+        ]
+        for replica_id in silent:
+            self.progress.pop(replica_id)
+        if silent:
+            self.follow_membership(now_s)
+
     def _known_sender(
         self,
         reply: AppendReply | SnapshotReply,
@@ -237,7 +251,12 @@
         if heartbeat and not sent:
             self._send_append(receiver, known.next_index - 1, ())
 
-    def _send_append(self, receiver: str, prev_index: int, entries) -> None:
+    def _send_append(
+        self,
+        receiver: str,
+        prev_index: int,
+        entries: tuple[LogEntry, ...],
+    ) -> None:
         request = AppendRequest(
             term=self.term,
             sender=self._identity.replica_id,
--- a/src/kumquatrun/quorum_log.py
+++ b/src/kumquatrun/quorum_log.py
@@ -22,12 +22,8 @@
     VoteReply,
     VoteRequest,
 )
-from kumquatrun.errors import NotLeaderError
-from kumquatrun.quorum_changes import (
-    changed_membership,
-    has_caught_up,
-    next_repair,
-)
+from kumquatrun.errors import NoCapacityError, NotLeaderError
+from kumquatrun.quorum_changes import next_repair, requested_membership
 from kumquatrun.quorum_election import Election
 from kumquatrun.quorum_entries import EntryLog
 from kumquatrun.quorum_follower import Follower
@@ -103,9 +99,8 @@
             SnapshotChunk: self._follower.on_snapshot_chunk,
             SnapshotReply: self._on_snapshot_reply,
             JoinRequest: self._on_join_request,
-            JoinReply: _ignore,
         }
-        self._follow(now_s)
+        self._update_leadership(now_s)
 
     @property
     def term(self) -> int:
@@ -117,6 +112,13 @@
         """Return whether this replica is the leader of its term."""
         return self.leadership is not None
 
+    @property
+    def next_due_s(self) -> float:
+        """Return the time at which ``tick`` has something to do next."""
+        if self.leadership is not None:
+            return self.leadership.heartbeat_due_s
+        return self.election.due_s
+
     @property
     def membership(self) -> Membership:
         """Return the newest membership in the log."""
@@ -125,12 +127,12 @@
     def form(self, members: tuple[Member, ...], now_s: float) -> None:
         """Set the initial membership that all its members agreed to."""
         self.entries.set_base_members(Membership(members))
-        self._follow(now_s)
+        self._update_leadership(now_s)
 
     def receive(self, msg: Any, now_s: float) -> Any:
         """Process a message; returns the reply, to be sent after the sync."""
         reply = self._on_message[type(msg)](msg, now_s)
-        self._follow(now_s)
+        self._update_leadership(now_s)
         return reply
 
     def tick(self, now_s: float) -> None:
@@ -143,7 +145,7 @@
         elif now_s >= leader.heartbeat_due_s:
             leader.start_round(now_s)
             self._repair(now_s)
-        self._follow(now_s)
+        self._update_leadership(now_s)
 
     def propose(self, commands: Sequence[bytes], now_s: float) -> range:
         """Append commands to the log; returns their indexes.
@@ -152,9 +154,17 @@
         ------
         NotLeaderError
             If this replica is not the leader.
+        NoCapacityError
+            If too many entries wait for a majority.
         """
         leader = self.require_leader()
         first = self.entries.last_index + 1
+        waiting = first - self.entries.commit_index
+        if waiting > self._timing.max_uncommitted_entries:
+            raise NoCapacityError(
+                f'{waiting} entries wait for a majority of replicas',
+                cause='uncommitted_entries',
+            )
         self._append(EntryKind.COMMAND, commands)
         leader.replicate(now_s)
         return range(first, first + len(commands))
@@ -176,15 +186,12 @@
                 'an earlier entry must be committed before the change',
                 cause='change_pending',
             )
-        changed = changed_membership(self.membership, change)
-        row = leader.progress.get(change.replica_id)
-        if change.action == 'promote' and not (
-            row and has_caught_up(self.entries, row, self._timing)
-        ):
-            raise NotLeaderError(
-                f'learner {change.replica_id} has not caught up',
-                cause='learner_behind',
-            )
+        changed = requested_membership(
+            self.entries,
+            leader.progress,
+            change,
+            self._timing,
+        )
         return self._append_membership(changed, now_s)
 
     def start_barrier(self, now_s: float) -> Barrier:
@@ -241,7 +248,7 @@
         self.entries.mark_saved()
         if self.leadership is not None:
             self.leadership.advance_commit()
-            self._follow(now_s)
+            self._update_leadership(now_s)
 
     def compact(self, meta: SnapshotMeta, keep_entries: int) -> None:
         """Record a stored snapshot and drop entries that it covers."""
@@ -261,9 +268,8 @@
         return self.leadership
 
     def _on_vote_request(self, request: VoteRequest, now_s: float) -> VoteReply:
-        confirmed_at_s = float('-inf')
-        if self.leadership is not None:
-            confirmed_at_s = self.leadership.confirmed_at_s
+        leader = self.leadership
+        confirmed_at_s = leader.confirmed_at_s if leader else float('-inf')
         return self.election.on_vote_request(request, confirmed_at_s, now_s)
 
     def _on_append_reply(self, reply: AppendReply, now_s: float) -> None:
@@ -287,17 +293,17 @@
             leader_address=member.address if member else '',
         )
 
-    def _follow(self, now_s: float) -> None:
+    def _update_leadership(self, now_s: float) -> None:
         """Match leadership and progress with the role and the membership."""
         self.election.follow_membership(now_s)
         if not self.election.is_leader:
             self.leadership = None
         elif self.leadership is None:
-            self._lead(now_s)
+            self._take_leadership(now_s)
         elif self.leadership.membership is not self.membership:
             self.leadership.follow_membership(now_s)
 
-    def _lead(self, now_s: float) -> None:
+    def _take_leadership(self, now_s: float) -> None:
         self.leadership = self.leadership_type(
             self.identity,
             self.entries,
@@ -318,12 +324,10 @@
         )
 
     def _append_membership(self, membership: Membership, now_s: float) -> int:
-        log.info(
-            'event=membership_appended voters=%s',
-            ','.join(sorted(membership.voters)),
-        )
+        voters = ','.join(sorted(membership.voters))
+        log.info('event=membership_appended voters=%s', voters)
         self._append(EntryKind.MEMBERS, [membership.encode()])
-        self._follow(now_s)
+        self._update_leadership(now_s)
         if self.leadership is not None:
             self.leadership.replicate(now_s)
         return self.entries.last_index
@@ -342,9 +346,4 @@
                 self._append_membership(changed, now_s)
 
     def _not_leader_error(self) -> NotLeaderError:
-        leader_id = self.election.leader_id or 'unknown'
-        return NotLeaderError(f'the leader is {leader_id}')
-
-
-def _ignore(_msg: Any, _now_s: float) -> None:
-    """Accept a reply that needs no action."""
+        return NotLeaderError(f'leader: {self.election.leader_id or "unknown"}')
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -1,5 +1,7 @@
 """Peer connections: calls, streams, cancellation and lost peers."""
 
+import asyncio
+
 import pytest
 
 from kumquatrun.errors import (
@@ -7,9 +9,17 @@
     InvalidRequestError,
     Outcome,
     UnauthorizedPeerError,
+    WireError,
+)
+from kumquatrun.messages import (
+    Ack,
+    Finished,
+    FollowFeed,
+    Hello,
+    encode_message,
 )
-from kumquatrun.messages import Ack, Finished, FollowFeed, Hello
 from kumquatrun.peer import Address, PeerClient, PeerServer
+from kumquatrun.wire import Frame, FrameKind, FrameReader, encode_frame
 
 LOOPBACK = Address('127.0.0.1', 0)
 
@@ -95,3 +105,85 @@
     with pytest.raises(UnauthorizedPeerError):
         await client.call(Ack(), 1)
     await client.close()
+
+
+FRAMES = [
+    Frame(FrameKind.ITEM, number, b'x' * size)
+    for number, size in enumerate((0, 1, 100, 200_000, 3, 70_000))
+]
+
+
+@pytest.mark.parametrize('step', [1, 7, 4096, 65_536, 1_000_000])
+async def test_frames_are_split_at_any_boundary(step):
+    # Guards against frames that are lost or joined when reads cut them.
+    reader = asyncio.StreamReader(limit=2**30)
+    encoded = b''.join(map(encode_frame, FRAMES))
+    frames = FrameReader(reader)
+
+    async def feed():
+        for start in range(0, len(encoded), step):
+            reader.feed_data(encoded[start : start + step])
+            await asyncio.sleep(0)
+        reader.feed_eof()
+
+    feeding = asyncio.create_task(feed())
+    assert [await frames.read() for _ in FRAMES] == FRAMES
+    with pytest.raises(EOFError):
+        await frames.read()
+    await feeding
+
+
+@pytest.mark.parametrize(
+    'sent',
+    [
+        b'\xff\xff\xff\xff',
+        b'\x00\x00\x00\x01\xc1',
+        b'\x00\x00\x00\x01\x01',
+        b'\x00\x00\x00\x04\x93\x63\x01\xc0',
+        b'\x00\x00\x00\x04\x93\xff\x01\xc0',
+    ],
+)
+async def test_malformed_frame_is_refused(sent):
+    reader = asyncio.StreamReader()
+    reader.feed_data(sent)
+    with pytest.raises(WireError):
+        await FrameReader(reader).read()
+
+
+class WideHandler:
+    """Sends more than the socket buffers hold, then replies."""
+
+    async def handle(self, request, context):
+        for _ in range(10):
+            await context.send_item(b'x' * 1_000_000)
+        return Finished(outcome=Outcome.RAN)
+
+
+@pytest.mark.parametrize('buffer_bytes', [2**16, 2**30])
+async def test_wait_idle_delivers_all_to_a_slow_reader(buffer_bytes):
+    # Guards against a planned stop that drops what is not sent yet, while
+    # the call waits for the reader and after it has ended.
+    identity = Hello(node_id='a', incarnation='1')
+    server = PeerServer(identity, WideHandler())
+    address = await server.start(LOOPBACK)
+    reader, writer = await asyncio.open_connection(
+        address.host,
+        address.port,
+        limit=4096,
+    )
+    frames = [(FrameKind.HELLO, 0, identity), (FrameKind.REQUEST, 1, Ack())]
+    for kind, call_id, message in frames:
+        frame = Frame(kind, call_id, encode_message(message))
+        writer.write(encode_frame(frame))
+        await asyncio.sleep(0.1)
+        [link] = server._links
+        link._writer.transport.set_write_buffer_limits(high=buffer_bytes)
+    idle = asyncio.create_task(server.wait_idle())
+    idle.add_done_callback(lambda _: asyncio.create_task(server.stop()))
+    await asyncio.sleep(0.1)
+    received = FrameReader(reader)
+    kinds = [(await received.read()).kind for _ in range(12)]
+    assert kinds.count(FrameKind.ITEM) == 10
+    assert kinds[-1] is FrameKind.REPLY
+    await idle
+    writer.close()
