--- a/bench/local_cluster.py
+++ b/bench/local_cluster.py
@@ -108,7 +108,10 @@
     async def start(self) -> None:
         """Start all processes and wait until every daemon is ready."""
         store = self._start_standin('weight-store', 'weight-store')
-        self._start_standin('host-list', 'host-list')
+        host_list = self._start_standin('host-list', 'host-list')
+        self._environment['KUMQUATRUN_HOST_LIST_URL'] = (
+            f'http://{host_list.address}'
+        )
         self._start_replicas()
         store_url = f'http://{store.address}'
         for number in (1, 2):
--- a/src/kumquatrun/daemons.py
+++ b/src/kumquatrun/daemons.py
@@ -10,6 +10,7 @@
 from kumquatrun.clock import Clock, LoopClock
 from kumquatrun.control_client import Session
 from kumquatrun.entry import Entry
+from kumquatrun.host_list import HostListWatcher
 from kumquatrun.invariants import violations
 from kumquatrun.lifecycle import Daemon, Part, run_daemon
 from kumquatrun.logs import log_event
@@ -160,7 +161,7 @@
 
 
 def _build_node(
-    settings: DaemonSettings,
+    settings: EntrySettings | AgentSettings,
     session: Session,
     server: DeferredServer,
     clock: Clock,
@@ -188,6 +189,13 @@
     parts.extend((session, Registration(session), server))
     daemon = Daemon(settings, parts, server)
     session.on_change(lambda: _follow_drain(session, daemon))
+    if settings.host_list_url:
+        watcher = HostListWatcher(
+            settings.host_list_url,
+            settings.host_id,
+            lambda: daemon.request_drain('host list'),
+        )
+        daemon.add_part(watcher)
     return daemon
 
 
--- /dev/null
+++ b/src/kumquatrun/host_list.py
@@ -0,0 +1,74 @@
+"""Follows the platform's list of live and leaving hosts."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+import aiohttp
+
+log = logging.getLogger(__name__)
+
+# Of the 4 s in which a leaving host must stop getting work, half is left for
+# the drain to reach the entries. The lag of the list itself comes on top.
+POLL_INTERVAL_S = 1.0
+POLL_TIMEOUT_S = 1.0
+HOSTS_PATH = '/hosts'
+LEAVING = 'leaving'
+
+
+class HostListWatcher:
+    """Asks for a drain once the list says that this host is leaving.
+
+    The list lags, so it never brings a host back and its absence from the
+    list means nothing: a host that just started is not on it yet.
+
+    Parameters
+    ----------
+    url
+        Base URL of the platform's list; ``/hosts`` is a JSON object of host id
+        and state.
+    host_id
+        This host.
+    on_leaving
+        Called once when the host is listed as leaving.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        host_id: str,
+        on_leaving: Callable[[], None],
+    ) -> None:
+        self._url = url + HOSTS_PATH
+        self._host_id = host_id
+        self._on_leaving = on_leaving
+        self._task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Poll the list in the background."""
+        self._task = asyncio.create_task(self._watch())
+
+    async def stop(self) -> None:
+        """Stop polling."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _watch(self) -> None:
+        timeout = aiohttp.ClientTimeout(total=POLL_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as http:
+            is_leaving = False
+            while not is_leaving:
+                await asyncio.sleep(POLL_INTERVAL_S)
+                is_leaving = await self._is_leaving(http)
+        log.info('event=host_listed_as_leaving host_id=%s', self._host_id)
+        self._on_leaving()
+
+    async def _is_leaving(self, http: aiohttp.ClientSession) -> bool:
+        try:
+            async with http.get(self._url) as answer:
+                listed = await answer.json()
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            log.warning('event=host_list_unreachable error=%r', str(error))
+            return False
+        return isinstance(listed, dict) and listed.get(self._host_id) == LEAVING
--- a/src/kumquatrun/lifecycle.py
+++ b/src/kumquatrun/lifecycle.py
@@ -68,6 +68,10 @@
         """Return the state of the chart ``daemon``."""
         return self._state
 
+    def add_part(self, part: Part) -> None:
+        """Add a component that starts after the others."""
+        self._parts += (part,)
+
     def terminate(self, signal_name: str) -> None:
         """Handle one signal: drain on the first, stop on the second."""
         is_first = not self._had_signal
--- a/src/kumquatrun/setting_table.py
+++ b/src/kumquatrun/setting_table.py
@@ -136,6 +136,13 @@
         _seconds(1),
         'Time after which an incomplete drain is logged.',
     ),
+    _setting(
+        'host_list_url',
+        kinds.URL,
+        "The platform's list of hosts; a host that it lists as leaving "
+        'drains itself. Not read if not set.',
+        daemons=('entry', 'agent'),
+    ),
     _setting(
         'http_listen',
         kinds.ADDRESS,
--- a/src/kumquatrun/settings.py
+++ b/src/kumquatrun/settings.py
@@ -50,6 +50,7 @@
     max_connections: int = 2000
     write_timeout_s: float = 20
     request_timeout_s: float = 120
+    host_list_url: str = ''
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -63,6 +64,7 @@
     max_running: int = 16
     max_queued: int = 256
     load_timeout_s: float = 5
+    host_list_url: str = ''
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -164,6 +164,7 @@
         'log_format': 'json',
         'log_level': 'error',
         'backend_kind': 'plain',
+        'host_list_url': 'http://10.0.0.2:80',
         'control_data_dir': directory,
         'join': 'true',
     }
