Record a replacement as a member only after the commit

Cause: a replacement stored that it is a member as soon as it received the entry that records it, and stopped asking to join. If the leader ended before the entry was committed, the next leader replaced the entry and the replacement stayed outside the group. Found by review; ruled out that the new leader finds it by itself, because it has no address for it. Conclusion: membership facts are stored from committed entries only.

--- a/src/kumquatrun/quorum_node.py
+++ b/src/kumquatrun/quorum_node.py
@@ -290,9 +290,11 @@
         own_id = self._settings.replica_id
         if self._formation.meta.formed:
             return
-        if self.core.membership.includes(own_id, self.disk_id):
+        recorded = self.core.entries.committed_membership
+        if recorded.includes(own_id, self.disk_id):
             # From now on it tells replacements that the group exists, and it
-            # does not join again after it is removed.
+            # does not join again after it is removed. An uncommitted entry is
+            # not enough: another leader may replace it.
             self._save_meta(self._formation.form())
             return
         self._formation_due_s = now_s + FORMATION_INTERVAL_S
--- a/tests/test_quorum_log.py
+++ b/tests/test_quorum_log.py
@@ -534,6 +534,31 @@
     cluster.settle()
 
 
+def test_replacement_joins_again_after_its_entry_is_lost():
+    # Guards against a replacement that takes an uncommitted membership for a
+    # fact: the entry that records it is lost with the old leader's term.
+    cluster = formed_cluster(10, size=5)
+    leader = pick_leader(cluster)
+    lost, *rest = others(cluster, leader)
+    cluster.lose_disk(lost)
+    cluster.start(lost)
+
+    def is_appended():
+        membership = cluster.hosts[leader].node.core.membership
+        return membership.includes(lost, f'{lost}-disk-1')
+
+    cluster.run_until(is_appended, step_s=0.0005)
+    cluster.partition([leader, lost], rest)
+    cluster.run(0.5)
+    assert cluster.hosts[lost].node.core.membership.includes(
+        lost, f'{lost}-disk-1'
+    )
+    cluster.kill(leader)
+    cluster.network.cuts.clear()
+    cluster.run(3)
+    cluster.settle()
+
+
 def test_recorded_disk_returns_after_a_failed_replacement():
     # Guards against a leader that keeps sending to a replacement that is
     # gone, so that the recorded disk never gets entries again.
