--- a/bench/local_cluster.py
+++ b/bench/local_cluster.py
@@ -151,6 +151,23 @@
             if code is not None:
                 raise ClusterError(f'{process.name} ended with code {code}')
 
+    async def wait_for_end(self, name: str) -> int:
+        """Wait until a process has ended by itself; returns its code.
+
+        Raises
+        ------
+        ClusterError
+            If it has not ended in time.
+        """
+        process = next(each for each in self.processes if each.name == name)
+        until_s = time.monotonic() + STOP_TIMEOUT_S
+        while time.monotonic() < until_s:
+            code = process.popen.poll()
+            if code is not None:
+                return code
+            await asyncio.sleep(POLL_S)
+        raise ClusterError(f'{name} has not ended in {STOP_TIMEOUT_S} s')
+
     async def operate(self, *arguments: str) -> dict[str, Any]:
         """Run an operator command and return its JSON result."""
         command = [sys.executable, *DAEMON, *arguments, '--json']
@@ -184,6 +201,21 @@
             faults.extend(filter(None, map(_wait_for_end, group)))
         return faults
 
+    def secrets_in_logs(self, keys: Sequence[str]) -> list[str]:
+        """Return the names of processes whose logs contain a secret."""
+        tokens = (
+            self._environment['KUMQUATRUN_CLUSTER_TOKEN'],
+            self._environment['KUMQUATRUN_OPERATOR_TOKEN'],
+        )
+        return [
+            process.name
+            for process in self.processes
+            if any(
+                secret in process.log_path.read_text(errors='replace')
+                for secret in (*tokens, *keys)
+            )
+        ]
+
     def log_tails(self) -> str:
         """Return the last log lines of every process that has any."""
         parts = []
@@ -300,7 +332,7 @@
         log_path = self.output / f'{name}.log'
         with log_path.open('wb') as log_file:
             # The program is this interpreter with arguments from this file.
-            popen = subprocess.Popen(  # noqa: S603
+            popen = subprocess.Popen(
                 [sys.executable, *arguments],
                 env=self._environment,
                 stdin=subprocess.DEVNULL,
--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -20,6 +20,7 @@
 
 import aiohttp
 import click
+
 from bench.local_cluster import LOOPBACK, free_ports
 from bench.static_session import ADAPTER, KEY
 
--- a/src/kumquatrun/agent.py
+++ b/src/kumquatrun/agent.py
@@ -21,8 +21,10 @@
     SettingError,
     StaleDispatchError,
 )
+from kumquatrun.logs import request_id_var
 from kumquatrun.messages import AgentReport, Dispatch, Finished, Hello
 from kumquatrun.peer import CallContext, PeerServer
+from kumquatrun.request_metrics import record_stall
 from kumquatrun.scheduler import Job
 from kumquatrun.seen_requests import SeenRequests
 from kumquatrun.service_client import ServiceApi, ServiceClient
@@ -70,7 +72,7 @@
 ) -> BackendRunner:
     if backend.kind is ServiceKind.ENGINE:
         return EngineRunner(settings, session, backend, clock)
-    return ServiceRunner(settings, backend)
+    return ServiceRunner(settings, session, backend)
 
 
 class Agent:
@@ -104,7 +106,8 @@
         self._chart = load_chart('host')
         self._state = self._chart.initial
         self._server: PeerServer | None = None
-        self._ticker: asyncio.Task | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._forgot_s = clock.now_s()
         self._turns: dict[Job, asyncio.Future[None]] = {}
         self._open: set[Job] = set()
         self._idle = asyncio.Event()
@@ -127,6 +130,7 @@
             node_id=self._settings.host_id,
             incarnation=record.incarnation,
             cluster_token=self._settings.cluster_token,
+            region=self._settings.region,
         )
         self._server = PeerServer(identity, self)
         self.address = await self._server.start(self._settings.listen)
@@ -134,7 +138,6 @@
         self._session.on_change(self._on_session_change)
         self._session.report_agent(self.report)
         self._on_session_change()
-        self._ticker = asyncio.create_task(self._tick())
 
     async def drain(self, timeout_s: float) -> None:
         """Refuse new work and wait until the accepted work has ended.
@@ -163,8 +166,8 @@
         self._begin_drain()
         if self._chart.accepts(self._state, 'cut'):
             self._step('cut')
-        if self._ticker is not None:
-            self._ticker.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
         if self._server is not None:
             await self._server.stop()
         await self._runner.stop()
@@ -190,9 +193,14 @@
         context.outcome = Outcome.NOT_RUN
         if not isinstance(request, Dispatch):
             raise InvalidRequestError(f'unexpected {type(request).__name__}')
-        self._check(request)
+        request_id_var.set(request.request_id)
         now_s = self._clock.now_s()
+        # First of all checks: refusing a duplicate as ``not_run`` for another
+        # reason would be false if the first one ran.
+        self._seen.check(request)
+        self._check(request)
         self._seen.accept(request, context, now_s)
+        self._forget_old(now_s)
         job = self._runner.make_job(request, now_s)
         self._open.add(job)
         try:
@@ -244,6 +252,8 @@
             ) from None
 
     async def _wait_for_turn(self, job: Job) -> None:
+        slots = self._runner.scheduler.slots
+        is_stalled = slots is not None and not slots.is_ready(job.key)
         turn = asyncio.get_running_loop().create_future()
         self._turns[job] = turn
         job.on_failure = lambda error: _refuse(turn, error)
@@ -258,6 +268,9 @@
             await turn
         finally:
             self._turns.pop(job, None)
+            if is_stalled:
+                waited_s = self._clock.now_s() - job.queued_s
+                record_stall(job.dispatch.service, waited_s)
 
     def _pump(self) -> None:
         """Start what can start now."""
@@ -279,16 +292,18 @@
                 turn.set_result(None)
             job = scheduler.next_start(now_s)
         self._runner.start_loads()
-
-    async def _tick(self) -> None:
-        forgot_s = self._clock.now_s()
-        while True:
-            await asyncio.sleep(TICK_S)
-            if self._runner.scheduler.queued:
-                self._pump()
-            if self._clock.now_s() - forgot_s >= FORGET_INTERVAL_S:
-                forgot_s = self._clock.now_s()
-                self._seen.forget_old(forgot_s)
+        if scheduler.queued and self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(TICK_S, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self._pump()
+
+    def _forget_old(self, now_s: float) -> None:
+        if now_s - self._forgot_s >= FORGET_INTERVAL_S:
+            self._forgot_s = now_s
+            self._seen.forget_old(now_s)
 
     def _on_session_change(self) -> None:
         if self._session.record.draining:
--- a/src/kumquatrun/document.py
+++ b/src/kumquatrun/document.py
@@ -7,9 +7,9 @@
 
 import hashlib
 import json
-from bisect import bisect_left
 from collections.abc import Mapping
 from dataclasses import dataclass
+from operator import attrgetter
 from typing import Any
 
 from pydantic import TypeAdapter, ValidationError
@@ -19,6 +19,14 @@
     repeated_members,
     shape_faults,
 )
+from kumquatrun.document_fast import (
+    NO_BASE,
+    BaseDocument,
+    collection_paused,
+    common_prefix,
+    common_suffix,
+    read_plain_document,
+)
 from kumquatrun.document_types import (
     EMPTY_DOCUMENT,
     Access,
@@ -29,6 +37,7 @@
     RouteSpec,
     ServiceKind,
     ServiceSpec,
+    replace_adapters,
 )
 from kumquatrun.errors import DocumentError
 
@@ -38,6 +47,7 @@
     'Access',
     'AccountSpec',
     'AdapterSpec',
+    'BaseDocument',
     'Document',
     'DocumentDelta',
     'DocumentIndex',
@@ -62,9 +72,15 @@
     return hashlib.blake2b(content, digest_size=_DIGEST_BYTES).hexdigest()
 
 
-def parse_document(content: bytes) -> Document:
+def parse_document(
+    content: bytes,
+    base: BaseDocument = NO_BASE,
+) -> Document:
     """Parse and check a document.
 
+    ``base`` makes a small change to a large document fast; it does not
+    change the result.
+
     Raises
     ------
     DocumentError
@@ -75,6 +91,12 @@
         raise DocumentError(
             f'$: has {len(content)} bytes, the limit is {MAX_DOCUMENT_BYTES}',
         )
+    with collection_paused():
+        plain = read_plain_document(content, base)
+        return plain or _parse_with_checks(content)
+
+
+def _parse_with_checks(content: bytes) -> Document:
     try:
         document = _checker.validate_json(content)
     except ValidationError as error:
@@ -96,12 +118,8 @@
     return DocumentError('; '.join(shown))
 
 
-def _by_name(spec: Any) -> str:
-    return spec.name
-
-
-def _by_path(route: RouteSpec) -> str:
-    return route.path
+_by_name = attrgetter('name')
+_by_path = attrgetter('path')
 
 
 def _sorted_document(document: Document) -> Document:
@@ -147,17 +165,28 @@
 
 def document_delta(old: Document, new: Document) -> DocumentDelta:
     """Return what turns ``old`` into ``new``."""
-    before = old.index.adapters
-    after = new.index.adapters
+    # Most adapters are the same objects, see ``parse_document``, so that
+    # comparing slices is much faster than comparing them one by one.
+    start = common_prefix(old.adapters, new.adapters)
+    limit = min(len(old.adapters), len(new.adapters)) - start
+    tail = min(limit, common_suffix(old.adapters, new.adapters))
+    removed = {
+        spec.name: spec
+        for spec in old.adapters[start : len(old.adapters) - tail]
+    }
+    # What is left in ``removed`` afterwards has no successor.
+    added = [
+        spec
+        for spec in new.adapters[start : len(new.adapters) - tail]
+        if removed.pop(spec.name, None) != spec
+    ]
     return DocumentDelta(
         environment=new.environment,
         accounts=_changed(old.accounts, new.accounts),
         services=_changed(old.services, new.services),
         routes=_changed(old.routes, new.routes),
-        adapters=tuple(
-            spec for spec in new.adapters if before.get(spec.name) != spec
-        ),
-        removed_adapters=tuple(name for name in before if name not in after),
+        adapters=tuple(added),
+        removed_adapters=tuple(removed),
     )
 
 
@@ -171,42 +200,13 @@
             ('routes', old.routes, delta.routes),
         )
     }
-    if not delta.adapters and not delta.removed_adapters:
-        document = Document(
-            environment=delta.environment,
-            adapters=old.adapters,
-            **parts,
-        )
-        return _indexed(document, old.index.adapters)
-    table = old.index.adapters.copy()
-    rows = list(old.adapters)
-    for name in delta.removed_adapters:
-        if table.pop(name, None) is not None:
-            del rows[_position(rows, name)]
-    for spec in delta.adapters:
-        position = _position(rows, spec.name)
-        replaced = spec.name in table
-        if replaced:
-            rows[position] = spec
-        else:
-            rows.insert(position, spec)
-        table[spec.name] = spec
-    document = Document(
-        environment=delta.environment,
-        adapters=tuple(rows),
-        **parts,
+    parts['environment'] = delta.environment
+    return replace_adapters(
+        Document(**parts),
+        old,
+        delta.adapters,
+        delta.removed_adapters,
     )
-    return _indexed(document, table)
-
-
-def _position(rows: list[AdapterSpec], name: str) -> int:
-    return bisect_left(rows, name, key=_by_name)
-
-
-def _indexed(document: Document, adapters: dict[str, AdapterSpec]) -> Document:
-    # Reuses the table instead of building it again from all adapters.
-    document.__dict__['index'] = DocumentIndex(document, adapters)
-    return document
 
 
 _delta_codec = TypeAdapter(DocumentDelta)
--- a/src/kumquatrun/engine_runner.py
+++ b/src/kumquatrun/engine_runner.py
@@ -25,6 +25,7 @@
 )
 from kumquatrun.invariants import violations
 from kumquatrun.messages import Dispatch, Finished, Started
+from kumquatrun.metrics import process_metrics
 from kumquatrun.peer import CallContext
 from kumquatrun.scheduler import Job, Scheduler
 from kumquatrun.settings import AgentSettings
@@ -216,6 +217,10 @@
                 expected,
                 generation.served_by,
             )
+            # The engine is not in the state that the agent assumes: the
+            # adapter is loaded again before its next use.
+            self.scheduler.slots.mark_missing(job.key)
+            self._spawn(self._check_engine())
             raise OutcomeUnknownError(
                 f'expected {expected}, the engine ran {generation.served_by}',
             )
@@ -228,11 +233,17 @@
         except KumquatrunError as error:
             log.warning('event=load_failed adapter=%s error=%s', key, error)
             self._fail_waiting(key, error)
+            if isinstance(error, ConnectionLostError):
+                await self._check_engine()
         finally:
             self.scheduler.slots.close_load(key)
             self._on_change()
 
     def _fail_waiting(self, key: AdapterKey, error: KumquatrunError) -> None:
+        # What is unknown is the result of the load. The requests that wait
+        # for it were certainly not run.
+        if error.outcome is not Outcome.NOT_RUN:
+            error = AdapterLoadError(f'load of {key}: {error.detail}')
         for job in self.scheduler.waiting_for(key):
             job.fail(error)
 
@@ -269,6 +280,7 @@
         slots.reset(health.slots)
         slots.reconcile(health.adapters, self._clock.now_s())
         if was_known:
+            process_metrics().count('backend_restarts_total')
             log.warning('event=engine_restarted now=%s', health.incarnation)
             await self._end_batch()
 
--- a/src/kumquatrun/entry.py
+++ b/src/kumquatrun/entry.py
@@ -32,11 +32,13 @@
     read_body,
 )
 from kumquatrun.invariants import Invariants
+from kumquatrun.logs import request_id_var
 from kumquatrun.messages import Hello, StoredAnswer
 from kumquatrun.openai_api import Endpoint, endpoint_of, render_models
 from kumquatrun.peer import Address, PeerClient
 from kumquatrun.placement import BoundedAffinity, PlacementPolicy
 from kumquatrun.relay import CallerGoneError, Relay, RelayResult
+from kumquatrun.request_metrics import record_finished, record_refused
 from kumquatrun.settings import EntrySettings
 from kumquatrun.statechart import load_chart
 
@@ -45,6 +47,9 @@
 READY_PATH = '/-/ready'
 HTTP_OK = 200
 MS_PER_S = 1000
+# aiohttp takes 0 for "without a limit" and then waits for callers to close
+# their idle connections.
+CLOSE_TIMEOUT_S = 0.1
 
 
 class Entry:
@@ -173,7 +178,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         if self._server is not None:
             self._server.close()
-            await self._http.shutdown(timeout=0)
+            await self._http.shutdown(CLOSE_TIMEOUT_S)
         await self._relay.stop()
         await self._pool.close()
 
@@ -223,6 +228,7 @@
             path=request.raw_path,
             headers=request.headers,
         )
+        request_id_var.set(http.request_id)
         sink = ResponseSink(request, http.request_id)
         try:
             if request.protocol.is_surplus:
@@ -325,6 +331,7 @@
     account: str,
     error: KumquatrunError,
 ) -> None:
+    record_refused(error)
     log.info(
         'event=request_finished request_id=%s account=%s adapter= version= '
         'host= outcome=%s status=%d code=%s ttft_ms= output_tokens=0',
@@ -345,6 +352,7 @@
     ttft_ms = ''
     if execution.first_byte_s is not None:
         ttft_ms = f'{(execution.first_byte_s - began_s) * MS_PER_S:.1f}'
+    record_finished(execution, result, began_s)
     log.info(
         'event=request_finished request_id=%s account=%s adapter=%s '
         'version=%s host=%s outcome=%s status=%d code=%s ttft_ms=%s '
--- a/src/kumquatrun/invariants.py
+++ b/src/kumquatrun/invariants.py
@@ -1,8 +1,8 @@
 """Invariants of the guarantees: counted and logged when violated.
 
 ``require`` guards an operation that must not be carried out if the invariant
-does not hold. ``Invariants`` checks what has already happened; it raises only
-if it is strict, as in tests.
+does not hold. ``check_invariant`` checks what has already happened: the
+program continues, and tests make a violation fatal with ``set_fatal``.
 """
 
 import logging
@@ -11,6 +11,7 @@
 log = logging.getLogger(__name__)
 
 violations: Counter[str] = Counter()
+_fatal = [False]
 
 
 class InvariantError(AssertionError):
@@ -20,6 +21,11 @@
 InvariantViolationError = InvariantError
 
 
+def set_fatal(fatal: bool) -> None:
+    """Set whether ``check_invariant`` raises."""
+    _fatal[0] = fatal
+
+
 def require(holds: bool, invariant: str, detail: str = '') -> None:
     """Check an invariant before the operation that depends on it.
 
@@ -33,6 +39,21 @@
         raise InvariantError(f'{invariant}: {detail}')
 
 
+def check_invariant(holds: bool, invariant: str, detail: str = '') -> None:
+    """Count a violation of ``invariant`` unless it holds.
+
+    Raises
+    ------
+    InvariantError
+        If it does not hold and violations are fatal.
+    """
+    if holds:
+        return
+    _record(invariant, detail)
+    if _fatal[0]:
+        raise InvariantError(f'{invariant}: {detail}')
+
+
 class Invariants:
     """Checks invariants after the fact.
 
--- a/src/kumquatrun/operator_actions.py
+++ b/src/kumquatrun/operator_actions.py
@@ -8,6 +8,7 @@
 from kumquatrun.command_batcher import CommandBatcher
 from kumquatrun.commands import ApplyDocument, DrainHost, IssueKey, RevokeKey
 from kumquatrun.control_state import ControlState
+from kumquatrun.document_transfer import pack_content, unpack_arguments
 from kumquatrun.errors import InvalidRequestError, UnauthorizedPeerError
 from kumquatrun.messages import AgentReport, OperatorCall, OperatorReply
 from kumquatrun.quorum_types import MembershipChange
@@ -89,10 +90,13 @@
         raise InvalidRequestError(f'unknown operator action {call.action!r}')
 
     async def _change(self, call: OperatorCall) -> Fields:
+        arguments = call.arguments
+        if call.action == 'apply_document':
+            arguments = unpack_arguments(arguments)
         command = self._changes[call.action](
             operator=call.operator,
             operation_id=call.operation_id,
-            **call.arguments,
+            **arguments,
         )
         return asdict(await self._batcher.commit(command))
 
@@ -109,7 +113,22 @@
         address: str,
         disk_id: str,
     ) -> Fields:
-        for action in ('add_learner', 'promote'):
+        """Make a replica a voter; a joined one is a learner already.
+
+        Repeating the call is harmless. A replica with another disk is
+        refused, because it does not hold what the named disk promised.
+        """
+        members = {row.replica_id: row for row in self._replica.members}
+        member = members.get(replica_id)
+        if member is None:
+            actions = ('add_learner', 'promote')
+        elif member.disk_id == disk_id:
+            actions = () if member.voter else ('promote',)
+        else:
+            raise InvalidRequestError(
+                f'replica {replica_id} has disk {member.disk_id}',
+            )
+        for action in actions:
             await self._replica.change_membership(
                 MembershipChange(action, replica_id, disk_id, address),
                 MEMBERSHIP_TIMEOUT_S,
@@ -127,7 +146,7 @@
         return {
             'revision': self._state.revision,
             'digest': self._state.digest,
-            'content': self._state.content(),
+            **pack_content(self._state.content()),
         }
 
     def _status(self) -> Fields:
--- a/src/kumquatrun/peer.py
+++ b/src/kumquatrun/peer.py
@@ -9,7 +9,7 @@
 import hmac
 import itertools
 import logging
-from collections import deque
+from collections import Counter, deque
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
@@ -36,6 +36,10 @@
 
 log = logging.getLogger(__name__)
 
+# Bytes that this process has sent to peers in the same region, in another
+# one, and in an unknown one (handshakes and operator commands).
+sent_bytes: Counter[str] = Counter()
+
 # asyncio pauses a writer at this size, so below it there is no need to wait.
 _FULL_BUFFER_BYTES = 64 * 1024
 PING_AFTER_S = 0.5
@@ -105,6 +109,7 @@
         self._clock = asyncio.get_running_loop().time
         self._last_read_s = self._clock()
         self._last_write_s = self._last_read_s
+        self._scope = 'unknown'
         self.bytes_sent = 0
         self._unwritten: list[bytes] = []
         self._unwritten_bytes = 0
@@ -136,6 +141,7 @@
         self._unwritten.append(encoded)
         self._unwritten_bytes += len(encoded)
         self.bytes_sent += len(encoded)
+        sent_bytes[self._scope] += len(encoded)
         self._last_write_s = self._clock()
 
     async def read(self) -> Frame:
@@ -165,6 +171,11 @@
         self._writer.transport.set_write_buffer_limits(high=0)
         await self._writer.drain()
 
+    def set_regions(self, own: str, other: str) -> None:
+        """Set where the two ends are, so that the bytes can be counted."""
+        if own and other:
+            self._scope = 'same_region' if own == other else 'other_region'
+
     def abort(self) -> None:
         """Close the connection at once, without flushing."""
         self._writer.transport.abort()
@@ -247,9 +258,11 @@
         ``stop`` drops what is still buffered, so a planned shutdown waits
         here first.
         """
-        while any(session.has_calls for session in self._sessions):
+        while True:
             for session in list(self._sessions):
                 await session.wait_idle()
+            if not any(other.has_calls for other in self._sessions):
+                return
 
     async def stop(self) -> None:
         """Stop listening and close all connections."""
@@ -338,8 +351,9 @@
             await self.link.send(FrameKind.ERROR, 0, reply)
             await self.link.flush()
             raise
-        identity = encode_message(self._server.identity)
-        await self.link.send(FrameKind.HELLO, 0, identity)
+        identity = self._server.identity
+        await self.link.send(FrameKind.HELLO, 0, encode_message(identity))
+        self.link.set_regions(identity.region, self._peer.region)
         while True:
             await self._receive(await self.link.read())
 
@@ -634,6 +648,7 @@
         if frame.kind is not FrameKind.HELLO:
             link.abort()
             raise reply_to_error(answer)
+        link.set_regions(self._identity.region, answer.region)
         self.peer = answer
         self._link = link
         self._spawn(self._read(link))
--- a/src/kumquatrun/quorum_election.py
+++ b/src/kumquatrun/quorum_election.py
@@ -24,6 +24,8 @@
         Term and vote.
     leader_id
         Replica id of the leader of the current term, empty if not known.
+    due_s
+        Time of the next campaign unless a leader is heard before.
     """
 
     def __init__(
@@ -46,7 +48,7 @@
         self._campaign: Campaign | None = None
         self._messages: list[Envelope] = []
         self._leader_heard_s = float('-inf')
-        self._due_s = now_s
+        self.due_s = now_s
         self._postpone(now_s)
 
     @property
@@ -67,10 +69,10 @@
 
     def tick(self, now_s: float) -> None:
         """Start a campaign if no leader was heard for too long."""
-        if now_s < self._due_s:
+        if now_s < self.due_s:
             return
         if self._chart.accepts(self.role, 'election_timeout'):
-            self._time_out(now_s)
+            self._start_pre_vote(now_s)
         else:
             self._postpone(now_s)
 
@@ -87,7 +89,7 @@
         if is_voter and self._chart.accepts(self.role, 'became_voter'):
             self._step('became_voter', now_s)
             if len(self._log.membership.voters) == 1:
-                self._due_s = now_s
+                self.due_s = now_s
         elif not is_voter and self.role != 'learner':
             self._step('membership_lost', now_s)
 
@@ -137,7 +139,7 @@
         if not self._must_refuse(request, heard_s, now_s):
             if not request.pre_vote:
                 self.adopt_term(request.term, now_s)
-            granted = may_grant(request, self.hard_state, self._log)
+            granted = self._may_grant(request)
         if granted and not request.pre_vote:
             self.hard_state = replace(
                 self.hard_state,
@@ -160,6 +162,9 @@
             self._campaign.record(reply)
             self._check_campaign(now_s)
 
+    def _may_grant(self, request: VoteRequest) -> bool:
+        return may_grant(request, self.hard_state, self._log)
+
     def _must_refuse(
         self,
         request: VoteRequest,
@@ -171,12 +176,12 @@
             or now_s - heard_s < self._timing.election_min_s
         )
 
-    def _time_out(self, now_s: float) -> None:
+    def _start_pre_vote(self, now_s: float) -> None:
         self.leader_id = ''
         self._step('election_timeout', now_s)
         self._campaign_for(self.term + 1, now_s, pre_vote=True)
 
-    def _stand(self, now_s: float) -> None:
+    def _start_election(self, now_s: float) -> None:
         """Start a real campaign after a won pre-vote."""
         self._step('pre_votes_won', now_s)
         own = self._identity
@@ -200,7 +205,7 @@
         if campaign is None or not campaign.is_won:
             return
         if campaign.pre_vote:
-            self._stand(now_s)
+            self._start_election(now_s)
         else:
             self._step('votes_won', now_s)
             self.leader_id = self._identity.replica_id
@@ -227,4 +232,4 @@
             self._timing.election_min_s,
             self._timing.election_max_s,
         )
-        self._due_s = now_s + timeout_s
+        self.due_s = now_s + timeout_s
--- a/src/kumquatrun/relay.py
+++ b/src/kumquatrun/relay.py
@@ -40,11 +40,9 @@
 )
 
 
-class CallerGoneError(KumquatrunError):
+class CallerGoneError(StreamCutError):
     """Ends a request whose caller disconnected or reads too slowly."""
 
-    kind = StreamCutError.kind
-
 
 @dataclass(frozen=True)
 class RelayResult:
--- a/tests/fake_control.py
+++ b/tests/fake_control.py
@@ -9,6 +9,7 @@
 import threading
 from contextlib import contextmanager
 
+from kumquatrun.document_transfer import pack_content, unpack_content
 from kumquatrun.errors import (
     ControlUnreachableError,
     InvalidKeyError,
@@ -24,12 +25,14 @@
 CLUSTER_TOKEN = 'cluster-token'
 OPERATOR_TOKEN = 'operator-token'
 ROWS = {
-    'get_status': {'leader': 'control-1', 'term': 3},
-    'list_hosts': {'hosts': [{'host_id': 'e1', 'draining': False}]},
+    'get_status': {'leader': 'control-1', 'accounts': {'mill': {'rate': 2}}},
+    'list_hosts': {
+        'hosts': [{'host_id': 'e1', 'draining': False, 'loaded_on': ['a']}],
+    },
     'list_adapters': {'adapters': []},
     'list_audit': {'records': [{'number': 1, 'operator': 'ada'}]},
     'list_replicas': {'replicas': [{'replica_id': 'a', 'voter': True}]},
-    'drain_host': {'host_id': 'e1', 'draining': True},
+    'drain_host': {'record': {'host_id': 'e1', 'draining': True}},
     'add_replica': {},
     'remove_replica': {},
 }
@@ -92,7 +95,8 @@
             raise InvalidRequestError(f'unknown action {action}')
         return ROWS[action]
 
-    def apply_document(self, expected_revision, content):
+    def apply_document(self, expected_revision, **fields):
+        content = unpack_content(fields)
         if expected_revision != self.revision:
             raise RevisionConflictError(f'revision is {self.revision}')
         self.content = content
@@ -104,7 +108,7 @@
         return {
             'revision': self.revision,
             'digest': digest,
-            'content': self.content,
+            **pack_content(self.content),
         }
 
     def issue_key(self, key_id, key_hash, account):
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,5 +1,6 @@
 """Fakes that several test files share."""
 
+import asyncio
 import itertools
 
 from kumquatrun.document import Document, ServiceKind, ServiceSpec
@@ -22,6 +23,7 @@
         self.free_slots = free_slots
         self.messages = []
         self.is_reachable = True
+        self.release_delay_s = 0
         self._ids = itertools.count(1)
 
     async def call(self, request, timeout_s):
@@ -34,6 +36,7 @@
             self.free_slots -= 1
             return LoadSlotReply(slot_id=f'slot-{next(self._ids)}')
         if isinstance(request, ReleaseLoadSlot):
+            await asyncio.sleep(self.release_delay_s)
             self.free_slots += 1
         return Ack()
 
@@ -86,3 +89,12 @@
 
     def report_budgets(self, source):
         """Not used by agents."""
+
+
+async def eventually(check, timeout_s=3):
+    """Wait until ``check`` holds; fails the test if it never does."""
+    for _ in range(int(timeout_s / 0.01)):
+        if check():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError('condition was never met')
