Log a request whose caller left with its final outcome

Cause: the line was written while the dispatch was still being cancelled, so it said unknown where the agent proved not_run a moment later.

--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -20,7 +20,6 @@
 
 import aiohttp
 import click
-
 from bench.local_cluster import LOOPBACK, free_ports
 from bench.static_session import ADAPTER, KEY
 
--- a/bench/overhead_node.py
+++ b/bench/overhead_node.py
@@ -4,8 +4,8 @@
 from contextlib import suppress
 
 import click
-
 from bench.static_session import REGION, SERVICE, StaticSession, host_record
+
 from kumquatrun.agent import Agent
 from kumquatrun.clock import LoopClock
 from kumquatrun.engine_client import EngineClient
--- a/src/kumquatrun/entry.py
+++ b/src/kumquatrun/entry.py
@@ -21,15 +21,17 @@
     KumquatrunError,
     NoCapacityError,
 )
-from kumquatrun.execution import Execution, RelayRequest
+from kumquatrun.execution import (
+    CallerGoneError,
+    Execution,
+    RelayRequest,
+)
 from kumquatrun.http_server import (
     JSON_TYPE,
     SWEEPS_PER_TIMEOUT,
-    BodyMemory,
     HttpServer,
     ResponseSink,
     new_request_id,
-    read_body,
 )
 from kumquatrun.invariants import Invariants
 from kumquatrun.logs import request_id_var
@@ -37,8 +39,9 @@
 from kumquatrun.openai_api import Endpoint, endpoint_of, render_models
 from kumquatrun.peer import Address, PeerClient
 from kumquatrun.placement import BoundedAffinity, PlacementPolicy
-from kumquatrun.relay import CallerGoneError, Relay, RelayResult
-from kumquatrun.request_metrics import record_finished, record_refused
+from kumquatrun.relay import Relay
+from kumquatrun.request_body import BodyMemory, read_body
+from kumquatrun.request_log import log_cancelled, log_finished, log_refused
 from kumquatrun.settings import EntrySettings
 from kumquatrun.statechart import load_chart
 
@@ -46,7 +49,6 @@
 
 READY_PATH = '/-/ready'
 HTTP_OK = 200
-MS_PER_S = 1000
 # aiohttp takes 0 for "without a limit" and then waits for callers to close
 # their idle connections.
 CLOSE_TIMEOUT_S = 0.1
@@ -235,13 +237,13 @@
                 raise NoCapacityError('this entry has too many connections')
             caller = self._admit(http)
         except KumquatrunError as error:
-            _log_refused(http, '', error)
+            log_refused(http, '', error)
             return await self._fail(sink, error)
         account = caller[-1]
         try:
             return await self._serve(request, sink, http, caller, began_s)
         except KumquatrunError as error:
-            _log_refused(http, account, error)
+            log_refused(http, account, error)
             return await self._fail(sink, error)
 
     def _admit(self, http: HttpRequest) -> tuple[RouteSpec, str, str]:
@@ -290,13 +292,11 @@
         try:
             result = await self._relay.run(execution, sink)
         except asyncio.CancelledError:
-            error = CallerGoneError('the caller disconnected')
-            result = RelayResult(execution.outcome, 0, error)
-            _log_finished(execution, result, began_s)
+            log_cancelled(execution, began_s)
             raise
         finally:
             self._open.pop(sink, None)
-        _log_finished(execution, result, began_s)
+        log_finished(execution, result, began_s)
         if isinstance(result.error, CallerGoneError):
             sink.abort()
         elif result.error is not None:
@@ -324,47 +324,3 @@
 
 def _models_answer(body: bytes) -> StoredAnswer:
     return StoredAnswer(status=HTTP_OK, content_type=JSON_TYPE, body=body)
-
-
-def _log_refused(
-    http: HttpRequest,
-    account: str,
-    error: KumquatrunError,
-) -> None:
-    record_refused(error)
-    log.info(
-        'event=request_finished request_id=%s account=%s adapter= version= '
-        'host= outcome=%s status=%d code=%s ttft_ms= output_tokens=0',
-        http.request_id,
-        account,
-        error.outcome,
-        error.kind.http_status,
-        error.code,
-    )
-
-
-def _log_finished(
-    execution: Execution,
-    result: RelayResult,
-    began_s: float,
-) -> None:
-    request = execution.request
-    ttft_ms = ''
-    if execution.first_byte_s is not None:
-        ttft_ms = f'{(execution.first_byte_s - began_s) * MS_PER_S:.1f}'
-    record_finished(execution, result, began_s)
-    log.info(
-        'event=request_finished request_id=%s account=%s adapter=%s '
-        'version=%s host=%s outcome=%s status=%d code=%s ttft_ms=%s '
-        'output_tokens=%d',
-        request.request_id,
-        request.account,
-        request.adapter,
-        request.version,
-        execution.host_id,
-        result.outcome,
-        result.status,
-        result.error.code if result.error else '',
-        ttft_ms,
-        execution.output_tokens,
-    )
--- a/src/kumquatrun/execution.py
+++ b/src/kumquatrun/execution.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from kumquatrun.document import RouteSpec
-from kumquatrun.errors import KumquatrunError, Outcome
+from kumquatrun.errors import KumquatrunError, Outcome, StreamCutError
 from kumquatrun.messages import Finished, Started
 from kumquatrun.token_wallet import Reservation
 
@@ -82,6 +82,8 @@
         How the agent ended the answer.
     closing
         Task that cancels the last dispatch and learns its outcome.
+    conclusion
+        Task that settles the request; its outcome is final after it.
     """
 
     def __init__(self, request: RelayRequest) -> None:
@@ -98,6 +100,7 @@
         self.started: Started | None = None
         self.finished: Finished | None = None
         self.closing: asyncio.Task | None = None
+        self.conclusion: asyncio.Task | None = None
         self._timeout: asyncio.Timeout | None = None
 
     @property
@@ -129,3 +132,16 @@
         # The scope may have been left already; then there is nothing to end.
         with suppress(RuntimeError):
             self._timeout.reschedule(0)
+
+
+class CallerGoneError(StreamCutError):
+    """Ends a request whose caller disconnected or reads too slowly."""
+
+
+@dataclass(frozen=True)
+class RelayResult:
+    """How a request ended; ``error`` is None after a complete answer."""
+
+    outcome: Outcome
+    status: int
+    error: KumquatrunError | None = None
--- a/src/kumquatrun/http_server.py
+++ b/src/kumquatrun/http_server.py
@@ -9,12 +9,9 @@
 from aiohttp.web_protocol import RequestHandler
 
 from kumquatrun.errors import (
-    DeadlineExceededError,
     InvalidRequestError,
     KumquatrunError,
-    NoCapacityError,
     Outcome,
-    RequestTooLargeError,
 )
 from kumquatrun.messages import StoredAnswer
 from kumquatrun.openai_api import (
@@ -32,15 +29,12 @@
 READ_BUFFER_BYTES = 64 * 1024
 WRITE_BUFFER_BYTES = 64 * 1024
 IDLE_TIMEOUT_S = 75.0
-# A quarter of the 256 MB that a node may use (design page, section 1.5).
-MAX_BODIES_BYTES = 64 * 1024 * 1024
 LINGERING_S = 2.0
 SWEEPS_PER_TIMEOUT = 8
 # Connections over the limit that still get a typed refusal.
 MAX_SURPLUS_CONNECTIONS = 100
 JSON_TYPE = 'application/json'
 HTTP_BAD_REQUEST = 400
-_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 Handle = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -266,87 +260,3 @@
         body=render_error(error),
         content_type=JSON_TYPE,
     )
-
-
-class BodyMemory:
-    """Bounds the memory of all request bodies together.
-
-    Bodies are kept until their request ends, because a retry needs them.
-    """
-
-    def __init__(self, limit_bytes: int = MAX_BODIES_BYTES) -> None:
-        self.used_bytes = 0
-        self._limit_bytes = limit_bytes
-
-    def take(self, size_bytes: int) -> None:
-        """Count bytes of a body.
-
-        Raises
-        ------
-        NoCapacityError
-            If the bodies would take too much memory.
-        """
-        if self.used_bytes + size_bytes > self._limit_bytes:
-            raise NoCapacityError('the bodies of open requests fill the memory')
-        self.used_bytes += size_bytes
-
-    def free(self, size_bytes: int) -> None:
-        """Count bytes that are no longer kept."""
-        self.used_bytes -= size_bytes
-
-
-async def read_body(
-    request: web.BaseRequest,
-    max_bytes: int,
-    timeout_s: float,
-    memory: BodyMemory,
-) -> bytes:
-    """Read the body of a request; the caller frees its memory.
-
-    Raises
-    ------
-    RequestTooLargeError
-        If the body has more than ``max_bytes``.
-    InvalidRequestError
-        If the body is compressed or incomplete.
-    DeadlineExceededError
-        If it did not arrive in time; the outcome is ``not_run``.
-    """
-    if request.headers.get('Content-Encoding', 'identity') != 'identity':
-        raise InvalidRequestError('compressed bodies are not supported')
-    if (request.content_length or 0) > max_bytes:
-        raise RequestTooLargeError(f'the body has more than {max_bytes} bytes')
-    if request.headers.get('Expect', '').lower() == '100-continue':
-        await request.writer.write(_CONTINUE)
-        request.writer.output_size = 0
-    try:
-        async with asyncio.timeout(timeout_s):
-            return await _read_limited(request, max_bytes, memory)
-    except TimeoutError:
-        raise DeadlineExceededError(
-            f'the body did not arrive in {timeout_s} s',
-            outcome=Outcome.NOT_RUN,
-        ) from None
-
-
-async def _read_limited(
-    request: web.BaseRequest,
-    max_bytes: int,
-    memory: BodyMemory,
-) -> bytes:
-    body = bytearray()
-    try:
-        async for chunk in request.content.iter_any():
-            memory.take(len(chunk))
-            body += chunk
-            if len(body) > max_bytes:
-                raise RequestTooLargeError(
-                    f'the body has more than {max_bytes} bytes',
-                )
-    except (web.RequestPayloadError, ValueError) as error:
-        memory.free(len(body))
-        raise InvalidRequestError(f'malformed body: {error}') from None
-    except BaseException:
-        memory.free(len(body))
-        raise
-    return bytes(body)
--- a/src/kumquatrun/relay.py
+++ b/src/kumquatrun/relay.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 import random
-from dataclasses import dataclass
 
 from kumquatrun.agent_pool import AgentPool
 from kumquatrun.answer import AnswerWriter, Sink
@@ -24,7 +23,12 @@
     QuarantinedError,
     StreamCutError,
 )
-from kumquatrun.execution import Execution, RelayRequest
+from kumquatrun.execution import (
+    CallerGoneError,
+    Execution,
+    RelayRequest,
+    RelayResult,
+)
 from kumquatrun.invariants import Invariants, InvariantViolationError
 from kumquatrun.messages import HostRecord, StoredAnswer
 from kumquatrun.retry import Backoff, Deadline, RetryBudget
@@ -40,19 +44,6 @@
 )
 
 
-class CallerGoneError(StreamCutError):
-    """Ends a request whose caller disconnected or reads too slowly."""
-
-
-@dataclass(frozen=True)
-class RelayResult:
-    """How a request ended; ``error`` is None after a complete answer."""
-
-    outcome: Outcome
-    status: int
-    error: KumquatrunError | None = None
-
-
 class Relay:
     """Runs requests on agents."""
 
@@ -90,7 +81,7 @@
 
     @property
     def open_requests(self) -> int:
-        """Return the number of requests that have not ended."""
+        """Return the number of open requests."""
         return len(self._open)
 
     async def run(self, execution: Execution, sink: Sink) -> RelayResult:
@@ -108,8 +99,10 @@
         try:
             error = await self._try(execution, writer)
         finally:
-            conclusion = self._spawn(self._conclude(execution, writer))
-        await asyncio.shield(conclusion)
+            execution.conclusion = self._spawn(
+                self._conclude(execution, writer)
+            )
+        await asyncio.shield(execution.conclusion)
         result = self._result(execution, writer, error)
         self._checks.ended(execution, writer, result.outcome, result.error)
         return result
@@ -270,10 +263,8 @@
         retry = len(execution.attempts) - 1
         delay_s = self._backoff.delay_s(retry, self._rng)
         now_s = self._clock.now_s()
-        deadline = Deadline(execution.request.deadline_s)
-        if not deadline.allows(delay_s, now_s):
-            raise error
-        if not self._retry_budget.take(now_s):
+        in_time = Deadline(execution.request.deadline_s).allows(delay_s, now_s)
+        if not in_time or not self._retry_budget.take(now_s):
             raise error
         await asyncio.sleep(delay_s)
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -14,9 +14,9 @@
 from kumquatrun.clock import LoopClock
 from kumquatrun.entry import Entry
 from kumquatrun.errors import BackendError
-from kumquatrun.http_server import BodyMemory
 from kumquatrun.invariants import Invariants
 from kumquatrun.peer import Address
+from kumquatrun.request_body import BodyMemory
 from kumquatrun.settings import EntrySettings
 
 AUTH = {'Authorization': f'Bearer {KEY}'}
@@ -565,6 +565,24 @@
     assert KEY not in caplog.text
 
 
+async def test_caller_that_left_is_logged_with_the_final_outcome(
+    client, agent, caplog
+):
+    # Guards against a line that is written before the outcome is known.
+    caplog.set_level(logging.INFO)
+
+    async def wait(step, agent, context):
+        if step == 'received':
+            await asyncio.sleep(5)
+
+    agent.hook = wait
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.1), stream(client):
+            pass
+    await until(lambda: 'request_finished' in caplog.text)
+    assert 'outcome=not_run status=0 code=stream_cut' in caplog.text
+
+
 @pytest.mark.parametrize('expect', ['100-continue'])
 async def test_expected_continue_is_sent(entry, agent, expect):
     answer = await raw(entry, http(completion(), Expect=expect))
