Split the peer connections into modules of one job

It is now the public face of peer_link, peer_server and peer_client; addresses and the two functions that carry errors have modules of their own, and the batch codec uses the latter instead of its own copy. No change of behaviour: the tests of peers, relay and control state pass unchanged but for one import.

--- a/src/kumquatrun/commands.py
+++ b/src/kumquatrun/commands.py
@@ -11,10 +11,9 @@
 
 import msgpack
 
-from kumquatrun.errors import KumquatrunError, WireError
+from kumquatrun.errors import WireError
 from kumquatrun.messages import (
     BudgetReport,
-    ErrorReply,
     decode_message,
     encode_message,
     message,
@@ -168,17 +167,6 @@
     return tuple(decode_message(row) for row in rows)
 
 
-def error_reply(error: KumquatrunError) -> ErrorReply:
-    """Return the message that carries an error to the caller."""
-    return ErrorReply(
-        code=error.code,
-        detail=error.detail,
-        outcome=error.outcome,
-        retry_after_s=error.retry_after_s,
-        cause=error.cause,
-    )
-
-
 def _pack(content: Any) -> bytes:
     packed = msgpack.packb(content)
     if len(packed) < _COMPRESS_FROM_BYTES:
--- a/src/kumquatrun/control_registers.py
+++ b/src/kumquatrun/control_registers.py
@@ -15,7 +15,6 @@
     KeyReply,
     ReportBudgets,
     RevokeKey,
-    error_reply,
 )
 from kumquatrun.document_register import DocumentRegister
 from kumquatrun.errors import (
@@ -39,6 +38,7 @@
     ReportSuspects,
 )
 from kumquatrun.operations import OperationRegister
+from kumquatrun.peer_errors import error_to_reply
 from kumquatrun.quarantine import Change, QuarantineRegister
 
 # Author of changes that follow from the passing of time.
@@ -86,7 +86,7 @@
         try:
             return self._run_once(command)
         except KumquatrunError as error:
-            return error_reply(error)
+            return error_to_reply(error)
 
     def take_feed_rows(self) -> list[tuple[str, Any]]:
         """Return kind and body of the changes since the last call."""
@@ -130,7 +130,7 @@
             try:
                 reply = self._handle(command)
             except KumquatrunError as error:
-                reply = error_reply(error)
+                reply = error_to_reply(error)
             self.operations.record(operation_id, command, reply)
         return reply
 
--- /dev/null
+++ b/src/kumquatrun/peer_server.py
@@ -0,0 +1,271 @@
+"""Server side of peer connections: one task for each call."""
+
+import asyncio
+import hmac
+import logging
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from typing import Any, Protocol
+
+from kumquatrun.address import Address
+from kumquatrun.errors import (
+    ConnectionLostError,
+    KumquatrunError,
+    Outcome,
+    OutcomeUnknownError,
+    UnauthorizedPeerError,
+    WireError,
+)
+from kumquatrun.messages import (
+    PROTOCOL_VERSION,
+    Hello,
+    decode_message,
+    encode_message,
+)
+from kumquatrun.peer_errors import error_to_reply
+from kumquatrun.peer_link import CONNECT_TIMEOUT_S, STREAM_CREDIT_ITEMS, Link
+from kumquatrun.wire import Frame, FrameKind
+
+log = logging.getLogger(__name__)
+
+
+class CallContext:
+    """Server side of one call.
+
+    Attributes
+    ----------
+    peer
+        Identity of the caller.
+    outcome
+        What is known about the execution; a cancelled call reports it.
+    """
+
+    def __init__(self, link: Link, call_id: int, peer: Hello) -> None:
+        self.peer = peer
+        self.outcome = Outcome.UNKNOWN
+        self._link = link
+        self._call_id = call_id
+        self._credit = asyncio.Semaphore(STREAM_CREDIT_ITEMS)
+
+    async def send_item(self, item: bytes) -> None:
+        """Send one stream item; waits until the caller granted credit."""
+        await self._credit.acquire()
+        await self._link.send(FrameKind.ITEM, self._call_id, item)
+
+    async def send_message(self, msg: Any) -> None:
+        """Send a message as a stream item."""
+        await self._credit.acquire()
+        await self._link.send(
+            FrameKind.ITEM, self._call_id, encode_message(msg)
+        )
+
+    def add_credit(self, items: int) -> None:
+        """Record that the caller consumed items."""
+        for _ in range(items):
+            self._credit.release()
+
+
+class PeerHandler(Protocol):
+    """Answers the calls that arrive at a ``PeerServer``."""
+
+    async def handle(self, request: Any, context: CallContext) -> Any:
+        """Return the reply message, or raise a ``KumquatrunError``."""
+        ...
+
+
+class PeerServer:
+    """Accepts peer connections and runs one task per call."""
+
+    def __init__(self, identity: Hello, handler: PeerHandler) -> None:
+        self.identity = identity
+        self._handler = handler
+        self._server: asyncio.Server | None = None
+        self._links: set[Link] = set()
+        self._sessions: set[_ServerSession] = set()
+        self._tasks: set[asyncio.Task] = set()
+
+    async def start(self, address: Address) -> Address:
+        """Listen; returns the bound address (port 0 picks a free one)."""
+        self._server = await asyncio.start_server(
+            self._serve,
+            address.host,
+            address.port,
+        )
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return Address(host, port)
+
+    async def wait_idle(self) -> None:
+        """Wait until no call is open and all replies left the buffers.
+
+        ``stop`` drops what is still buffered, so a planned shutdown waits
+        here first.
+        """
+        while True:
+            for session in list(self._sessions):
+                await session.wait_idle()
+            if not any(other.has_calls for other in self._sessions):
+                return
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        if self._server is not None:
+            self._server.close()
+        for link in list(self._links):
+            link.abort()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        session = _ServerSession(Link(reader, writer), self)
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        self._links.add(session.link)
+        self._sessions.add(session)
+        try:
+            await session.run()
+        except (OSError, EOFError, KumquatrunError) as error:
+            log.info('event=peer_closed error=%r', str(error))
+        except asyncio.CancelledError:
+            # asyncio logs a cancelled connection callback as an error.
+            log.debug('event=peer_cancelled')
+        finally:
+            session.close()
+            self._links.discard(session.link)
+            self._sessions.discard(session)
+            self._tasks.discard(task)
+
+    def check_peer(self, peer: Hello) -> None:
+        """Refuse a peer of another cluster or protocol version.
+
+        Raises
+        ------
+        UnauthorizedPeerError
+            If the cluster token differs.
+        WireError
+            If the protocol version differs.
+        """
+        expected = self.identity.cluster_token.encode()
+        if not hmac.compare_digest(expected, peer.cluster_token.encode()):
+            raise UnauthorizedPeerError(f'wrong token from {peer.node_id}')
+        if peer.protocol_version != PROTOCOL_VERSION:
+            raise WireError(f'protocol version {peer.protocol_version}')
+
+    async def answer(self, request: Any, context: CallContext) -> Any:
+        """Run the handler."""
+        return await self._handler.handle(request, context)
+
+
+class _ServerSession:
+    """Calls of one accepted connection."""
+
+    def __init__(self, link: Link, server: PeerServer) -> None:
+        self.link = link
+        self._server = server
+        self._peer: Hello | None = None
+        self._calls: dict[int, tuple[asyncio.Task, CallContext]] = {}
+        self._keep_alive = asyncio.create_task(link.keep_alive())
+
+    @property
+    def has_calls(self) -> bool:
+        return bool(self._calls)
+
+    async def wait_idle(self) -> None:
+        tasks = [task for task, _ in self._calls.values()]
+        await asyncio.gather(*tasks, return_exceptions=True)
+        with suppress(OSError):
+            await self.link.flush()
+
+    async def run(self) -> None:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            frame = await self.link.read()
+        if frame.kind is not FrameKind.HELLO:
+            raise WireError('the first frame is not a hello')
+        self._peer = decode_message(frame.body)
+        try:
+            self._server.check_peer(self._peer)
+        except KumquatrunError as error:
+            reply = encode_message(error_to_reply(error))
+            await self.link.send(FrameKind.ERROR, 0, reply)
+            await self.link.flush()
+            raise
+        identity = self._server.identity
+        await self.link.send(FrameKind.HELLO, 0, encode_message(identity))
+        self.link.set_regions(identity.region, self._peer.region)
+        while True:
+            await self._receive(await self.link.read())
+
+    def close(self) -> None:
+        self._keep_alive.cancel()
+        for task, _ in self._calls.values():
+            task.cancel()
+        self.link.abort()
+
+    async def _receive(self, frame: Frame) -> None:
+        handlers: dict[FrameKind, Callable[[Frame], Awaitable[None]]] = {
+            FrameKind.REQUEST: self._on_request,
+            FrameKind.CREDIT: self._on_credit,
+            FrameKind.CANCEL: self._on_cancel,
+            FrameKind.PING: self._on_ping,
+            FrameKind.PONG: self._on_pong,
+        }
+        handler = handlers.get(frame.kind)
+        if handler is None:
+            raise WireError(f'unexpected frame {frame.kind.name}')
+        await handler(frame)
+
+    async def _on_request(self, frame: Frame) -> None:
+        context = CallContext(self.link, frame.call_id, self._peer)
+        task = asyncio.create_task(self._run_call(frame, context))
+        self._calls[frame.call_id] = (task, context)
+        task.add_done_callback(lambda _: self._calls.pop(frame.call_id, None))
+
+    async def _on_credit(self, frame: Frame) -> None:
+        if frame.call_id in self._calls:
+            self._calls[frame.call_id][1].add_credit(int(frame.body))
+
+    async def _on_cancel(self, frame: Frame) -> None:
+        if frame.call_id in self._calls:
+            self._calls[frame.call_id][0].cancel()
+
+    async def _on_ping(self, frame: Frame) -> None:
+        await self.link.send(FrameKind.PONG, 0, None)
+
+    async def _on_pong(self, frame: Frame) -> None:
+        """Nothing to do: reading the frame already counts as a sign of life."""
+
+    async def _run_call(self, frame: Frame, context: CallContext) -> None:
+        kind, reply = await self._call_result(frame, context)
+        with suppress(ConnectionLostError, OSError):
+            await self.link.send(kind, frame.call_id, encode_message(reply))
+
+    async def _call_result(
+        self,
+        frame: Frame,
+        context: CallContext,
+    ) -> tuple[FrameKind, Any]:
+        try:
+            request = decode_message(frame.body)
+            reply = await self._server.answer(request, context)
+        except KumquatrunError as error:
+            return FrameKind.ERROR, error_to_reply(error)
+        except asyncio.CancelledError:
+            # Answers with what is known, so that the caller of a cancelled
+            # call learns whether it was run.
+            cancelled = OutcomeUnknownError(
+                'call was cancelled',
+                outcome=context.outcome,
+            )
+            return FrameKind.ERROR, error_to_reply(cancelled)
+        except Exception as error:
+            log.exception('event=call_failed')
+            unexpected = KumquatrunError(
+                f'unexpected {type(error).__name__}',
+                outcome=context.outcome,
+            )
+            return FrameKind.ERROR, error_to_reply(unexpected)
+        return FrameKind.REPLY, reply
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -38,12 +38,12 @@
     encode_message,
 )
 from kumquatrun.peer import (
-    SILENCE_LIMIT_S,
     Address,
     PeerServer,
     PeerStream,
     error_to_reply,
 )
+from kumquatrun.peer_link import SILENCE_LIMIT_S
 from kumquatrun.wire import Frame, FrameKind
 
 KEY = 'key-a'
