--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -80,6 +80,14 @@
         ({'environment': 1}, 'environment', 'string'),
         ({'extra': []}, 'extra', 'unknown field'),
         ({'services': [{'name': 's', 'kind': 'x'}]}, 'services[0].kind', ''),
+        (
+            {
+                'services': [{'name': 'assistant', 'kind': 'plain'}],
+                'routes': [],
+            },
+            'adapters[0].service',
+            'not an engine',
+        ),
         (adapter(name='sales'), 'adapters[1].name', 'used twice'),
         (adapter(service='none'), 'adapters[1].service', 'not in services'),
         (adapter(service='ledger'), 'adapters[1].service', 'not an engine'),
@@ -244,6 +252,30 @@
         assert fast == full_check(raw)
 
 
+def rows_text(rows):
+    """Return a document whose adapters are written as ``a, b``."""
+    text = '{"name": "%s", "service": "assistant", "versions": ["1"]}'
+    adapters = ''.join(text % row if row.isalpha() else row for row in rows)
+    whole = content(adapters='ROWS', routes=[]).decode()
+    return whole.replace('"ROWS"', f'[{adapters}]').encode()
+
+
+@pytest.mark.parametrize(
+    'rows',
+    # Doubled rows, and separators that are missing, doubled or wrong.
+    (
+        'x, b, b, y|a, b, b, c|x, b, cb|a, xc|xa|x, ba, c|a, b c|a,, b, c|'
+        ', a, b, c|a, b, c,|a; b, c|a, b, a'
+    ).split('|'),
+)
+def test_rows_are_not_accepted_by_the_text_of_others(rows):
+    base = BaseDocument(
+        parse_document(rows_text('a, b, c')), rows_text('a, b, c')
+    )
+    with pytest.raises(DocumentError):
+        parse_document(rows_text(rows), base)
+
+
 @pytest.mark.parametrize('seed', range(50))
 def test_plain_document_is_read_fast(seed):
     base, new = random_document(seed), random_document(seed + 1)
