--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -263,10 +263,20 @@
 @pytest.mark.parametrize(
     'rows',
     # Doubled rows, and separators that are missing, doubled or wrong.
-    (
-        'x, b, b, y|a, b, b, c|x, b, cb|a, xc|xa|x, ba, c|a, b c|a,, b, c|'
-        ', a, b, c|a, b, c,|a; b, c|a, b, a'
-    ).split('|'),
+    [
+        'x, b, b, y',
+        'a, b, b, c',
+        'x, b, cb',
+        'a, xc',
+        'xa',
+        'x, ba, c',
+        'a, b c',
+        'a,, b, c',
+        ', a, b, c',
+        'a, b, c,',
+        'a; b, c',
+        'a, b, a',
+    ],
 )
 def test_rows_are_not_accepted_by_the_text_of_others(rows):
     base = BaseDocument(
