--- a/src/kumquatrun/execution.py
+++ b/src/kumquatrun/execution.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass, field
 
 from kumquatrun.document import RouteSpec
-from kumquatrun.errors import KumquatrunError, Outcome
-from kumquatrun.messages import Finished
+from kumquatrun.errors import KumquatrunError, Outcome, StreamCutError
+from kumquatrun.messages import Finished, Started
 from kumquatrun.token_wallet import Reservation
 
 
@@ -48,6 +48,11 @@
         """Return the tokens that the request may use at most."""
         return self.prompt_tokens + self.output_tokens
 
+    def is_started_by(self, started: Started) -> bool:
+        """Return whether the agent started what was requested."""
+        named = (started.adapter, started.version)
+        return named == (self.adapter, self.version)
+
 
 @dataclass
 class Attempt:
@@ -71,10 +76,14 @@
         Whether the leader has not answered the claim.
     is_repeat
         Whether the answer is the stored one of an earlier request.
+    started
+        What the agent of the last attempt started.
     finished
         How the agent ended the answer.
     closing
         Task that cancels the last dispatch and learns its outcome.
+    conclusion
+        Task that settles the request; its outcome is final after it.
     """
 
     def __init__(self, request: RelayRequest) -> None:
@@ -88,8 +97,10 @@
         self.is_claimed = False
         self.is_claim_pending = False
         self.is_repeat = False
+        self.started: Started | None = None
         self.finished: Finished | None = None
         self.closing: asyncio.Task | None = None
+        self.conclusion: asyncio.Task | None = None
         self._timeout: asyncio.Timeout | None = None
 
     @property
@@ -121,3 +132,16 @@
         # The scope may have been left already; then there is nothing to end.
         with suppress(RuntimeError):
             self._timeout.reschedule(0)
+
+
+class CallerGoneError(StreamCutError):
+    """Ends a request whose caller disconnected or reads too slowly."""
+
+
+@dataclass(frozen=True)
+class RelayResult:
+    """How a request ended; ``error`` is None after a complete answer."""
+
+    outcome: Outcome
+    status: int
+    error: KumquatrunError | None = None
--- a/src/kumquatrun/http_server.py
+++ b/src/kumquatrun/http_server.py
@@ -9,11 +9,9 @@
 from aiohttp.web_protocol import RequestHandler
 
 from kumquatrun.errors import (
-    DeadlineExceededError,
     InvalidRequestError,
     KumquatrunError,
     Outcome,
-    RequestTooLargeError,
 )
 from kumquatrun.messages import StoredAnswer
 from kumquatrun.openai_api import (
@@ -37,7 +35,6 @@
 MAX_SURPLUS_CONNECTIONS = 100
 JSON_TYPE = 'application/json'
 HTTP_BAD_REQUEST = 400
-_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 Handle = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -263,50 +260,3 @@
         body=render_error(error),
         content_type=JSON_TYPE,
     )
-
-
-async def read_body(
-    request: web.BaseRequest,
-    max_bytes: int,
-    timeout_s: float,
-) -> bytes:
-    """Read the body of a request.
-
-    Raises
-    ------
-    RequestTooLargeError
-        If the body has more than ``max_bytes``.
-    InvalidRequestError
-        If the body is compressed or incomplete.
-    DeadlineExceededError
-        If it did not arrive in time; the outcome is ``not_run``.
-    """
-    if request.headers.get('Content-Encoding', 'identity') != 'identity':
-        raise InvalidRequestError('compressed bodies are not supported')
-    if (request.content_length or 0) > max_bytes:
-        raise RequestTooLargeError(f'the body has more than {max_bytes} bytes')
-    if request.headers.get('Expect', '').lower() == '100-continue':
-        await request.writer.write(_CONTINUE)
-        request.writer.output_size = 0
-    try:
-        async with asyncio.timeout(timeout_s):
-            return await _read_limited(request, max_bytes)
-    except TimeoutError:
-        raise DeadlineExceededError(
-            f'the body did not arrive in {timeout_s} s',
-            outcome=Outcome.NOT_RUN,
-        ) from None
-
-
-async def _read_limited(request: web.BaseRequest, max_bytes: int) -> bytes:
-    body = bytearray()
-    try:
-        async for chunk in request.content.iter_any():
-            body += chunk
-            if len(body) > max_bytes:
-                raise RequestTooLargeError(
-                    f'the body has more than {max_bytes} bytes',
-                )
-    except (web.RequestPayloadError, ValueError) as error:
-        raise InvalidRequestError(f'malformed body: {error}') from None
-    return bytes(body)
--- a/src/kumquatrun/relay.py
+++ b/src/kumquatrun/relay.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 import random
-from dataclasses import dataclass
 
 from kumquatrun.agent_pool import AgentPool
 from kumquatrun.answer import AnswerWriter, Sink
@@ -13,6 +12,7 @@
 from kumquatrun.control_api import NodeSession
 from kumquatrun.dispatch import Dispatcher, streamed_tokens
 from kumquatrun.document import Access
+from kumquatrun.entry_checks import EntryChecks
 from kumquatrun.errors import (
     ControlUnreachableError,
     DeadlineExceededError,
@@ -23,7 +23,12 @@
     QuarantinedError,
     StreamCutError,
 )
-from kumquatrun.execution import Execution, RelayRequest
+from kumquatrun.execution import (
+    CallerGoneError,
+    Execution,
+    RelayRequest,
+    RelayResult,
+)
 from kumquatrun.invariants import Invariants, InvariantViolationError
 from kumquatrun.messages import HostRecord, StoredAnswer
 from kumquatrun.retry import Backoff, Deadline, RetryBudget
@@ -31,25 +36,14 @@
 log = logging.getLogger(__name__)
 
 HTTP_SERVER_ERROR = 500
+# Ending a claim is repeated for long; a stopping entry does not wait for it.
+STOP_TIMEOUT_S = 2.0
 # After one of these errors other agents are preferred for a while.
 _AVOID_CODES = frozenset(
     ('connection_lost', 'control_unreachable', 'draining', 'stale_dispatch'),
 )
 
 
-class CallerGoneError(StreamCutError):
-    """Ends a request whose caller disconnected or reads too slowly."""
-
-
-@dataclass(frozen=True)
-class RelayResult:
-    """How a request ended; ``error`` is None after a complete answer."""
-
-    outcome: Outcome
-    status: int
-    error: KumquatrunError | None = None
-
-
 class Relay:
     """Runs requests on agents."""
 
@@ -75,18 +69,19 @@
         self._backoff = Backoff()
         self._open: dict[str, Execution] = {}
         self._background: set[asyncio.Task] = set()
+        self._checks = EntryChecks(invariants, session)
         self.dispatcher = dispatcher_class(
             session,
             clock,
             pool,
             budgets,
-            invariants=invariants,
+            checks=self._checks,
             spawn=self._spawn,
         )
 
     @property
     def open_requests(self) -> int:
-        """Return the number of requests that have not ended."""
+        """Return the number of open requests."""
         return len(self._open)
 
     async def run(self, execution: Execution, sink: Sink) -> RelayResult:
@@ -104,9 +99,13 @@
         try:
             error = await self._try(execution, writer)
         finally:
-            conclusion = self._spawn(self._conclude(execution, writer))
-        await asyncio.shield(conclusion)
-        return self._result(execution, writer, error)
+            execution.conclusion = self._spawn(
+                self._conclude(execution, writer)
+            )
+        await asyncio.shield(execution.conclusion)
+        result = self._result(execution, writer, error)
+        self._checks.ended(execution, writer, result.outcome, result.error)
+        return result
 
     def end_streams(self) -> None:
         """End the keyed requests whose lease or key is gone."""
@@ -121,6 +120,14 @@
         while self._background:
             await asyncio.wait(self._background)
 
+    async def stop(self) -> None:
+        """Give the clean-up a short time and end what is left of it."""
+        if self._background:
+            await asyncio.wait(self._background, timeout=STOP_TIMEOUT_S)
+        for task in list(self._background):
+            task.cancel()
+        await asyncio.gather(*self._background, return_exceptions=True)
+
     async def _try(
         self,
         execution: Execution,
@@ -146,7 +153,7 @@
         writer: AnswerWriter,
     ) -> None:
         request = execution.request
-        self._check_admission(request)
+        self._admit(execution)
         if request.account:
             execution.reservation = await self._budgets.reserve(
                 request.account, request.cost_tokens
@@ -185,33 +192,32 @@
         if account != request.account:
             raise InvalidKeyError('the key was revoked')
 
-    def _check_admission(self, request: RelayRequest) -> str:
+    def _admit(self, execution: Execution) -> bool:
         """Refuse a request that may not be dispatched now.
 
         Returns
         -------
-        str
-            State of the request's fingerprint.
+        bool
+            Whether it must run alone, as it may crash its backend server.
         """
+        request = execution.request
         self._check_caller(request)
         state = self._session.view.fingerprint_state(request.fingerprint)
         if state == 'quarantined':
             raise QuarantinedError('the request is quarantined')
-        return state
+        return state == 'suspect' or _is_suspect(execution)
 
     async def _dispatch(
         self,
         execution: Execution,
         writer: AnswerWriter,
     ) -> None:
-        request = execution.request
         while True:
-            state = self._check_admission(request)
-            alone = state == 'suspect' or _is_suspect(execution)
+            self._admit(execution)
             record = self._choose(execution)
             try:
                 await self.dispatcher.run(
-                    execution, writer, record, alone=alone
+                    execution, writer, record, self._admit
                 )
             except KumquatrunError as error:
                 if error.code in _AVOID_CODES:
@@ -257,10 +263,8 @@
         retry = len(execution.attempts) - 1
         delay_s = self._backoff.delay_s(retry, self._rng)
         now_s = self._clock.now_s()
-        deadline = Deadline(execution.request.deadline_s)
-        if not deadline.allows(delay_s, now_s):
-            raise error
-        if not self._retry_budget.take(now_s):
+        in_time = Deadline(execution.request.deadline_s).allows(delay_s, now_s)
+        if not in_time or not self._retry_budget.take(now_s):
             raise error
         await asyncio.sleep(delay_s)
 
