Ask for the tokens that waiting requests lack through the wallet's argument

Cause: the wallet takes the needed tokens as an argument and forgets what a failed reservation lacked; the budget client still announced them by a reservation, so it asked for nothing and refused every waiting request.

Before: 13 tests of tests/test_budget_client.py fail. After: all pass.

--- a/src/kumquatrun/budget_client.py
+++ b/src/kumquatrun/budget_client.py
@@ -186,11 +186,8 @@
     def _request_for_all(self, account: str) -> GrantTokens | None:
         """Return a grant request for what all waiting requests lack."""
         now_s = self._clock.now_s()
-        waiting_tokens = self._waiting[account]
-        if waiting_tokens > self.wallet.idle_tokens(account):
-            # A reservation that fails tells the wallet what is needed.
-            self.wallet.reserve(account, waiting_tokens, now_s)
-        return self.wallet.grant_request(account, now_s)
+        needed = self._waiting[account] - self.wallet.idle_tokens(account)
+        return self.wallet.grant_request(account, now_s, max(0, needed))
 
     def _ask_ahead(self, account: str) -> None:
         if account not in self._asking:
