--- a/Makefile
+++ b/Makefile
@@ -30,4 +30,4 @@
 	$(BIN)/pytest
 
 bench: env
-	$(BIN)/python -m bench.overhead
+	$(BIN)/python -m bench.policy
