Count an adapter as loaded where its requests are in flight

Cause: reports of loaded adapters lag by about a second, so that requests for one adapter were spread over several agents and each of them loaded it.

--- a/src/kumquatrun/agent_pool.py
+++ b/src/kumquatrun/agent_pool.py
@@ -2,8 +2,8 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Collection
-from dataclasses import dataclass
+from collections.abc import Callable, Collection, Hashable
+from dataclasses import dataclass, field
 
 from kumquatrun.clock import Clock
 from kumquatrun.control_api import NodeSession
@@ -23,6 +23,8 @@
     open_now: int = 0
     avoid_until_s: float = 0
     incarnation: str = ''
+    # Dispatches that have not ended, by ``adapter@version``.
+    open_by_adapter: Counter[str] = field(default_factory=Counter)
 
 
 class AgentPool:
@@ -88,16 +90,17 @@
 
     def begin(self, record: HostRecord, adapter: str, version: str) -> None:
         """Count a dispatch."""
-        self._estimate(record.host_id).open_now += 1
+        estimate = self._estimate(record.host_id)
+        estimate.open_now += 1
+        estimate.open_by_adapter[f'{adapter}@{version}'] += 1
         self._demand[record.service, adapter, version] += 1
 
     def end(self, record: HostRecord, adapter: str, version: str) -> None:
         """Count the end of a dispatch."""
-        self._estimate(record.host_id).open_now -= 1
-        name = record.service, adapter, version
-        self._demand[name] -= 1
-        if not self._demand[name]:
-            del self._demand[name]
+        estimate = self._estimate(record.host_id)
+        estimate.open_now -= 1
+        _count_down(estimate.open_by_adapter, f'{adapter}@{version}')
+        _count_down(self._demand, (record.service, adapter, version))
 
     def avoid(self, record: HostRecord) -> None:
         """Select other agents until the host record may have changed."""
@@ -139,11 +142,15 @@
             estimate.report = report
             estimate.open_at_report = estimate.open_now
         load = estimate.open_now
+        # An adapter that this entry sent requests for is loaded there or soon
+        # will be; reports say so only after about a second.
+        loaded = frozenset(estimate.open_by_adapter)
         if report is None:
             return AgentLoad(
                 host_id=record.host_id,
                 is_local=self._is_local(record),
                 load=load,
+                loaded=loaded,
             )
         # Reports lag; what this entry began and ended since is added.
         reported = report.running + report.queued
@@ -153,7 +160,7 @@
             is_local=self._is_local(record),
             load=load,
             capacity=report.capacity,
-            loaded=frozenset(report.adapters),
+            loaded=loaded.union(report.adapters),
         )
 
     def _is_local(self, record: HostRecord) -> bool:
@@ -175,3 +182,9 @@
         task = asyncio.create_task(client.close())
         self._closing.add(task)
         task.add_done_callback(self._closing.discard)
+
+
+def _count_down(counter: Counter, name: Hashable) -> None:
+    counter[name] -= 1
+    if not counter[name]:
+        del counter[name]
