Load an adapter that no agent holds at the least loaded agent

Cause: the first agent of the hash order below 1.25 times the mean load was taken, although no affinity is lost elsewhere while nobody holds the adapter; its slots were often all in use.

--- a/src/kumquatrun/placement.py
+++ b/src/kumquatrun/placement.py
@@ -139,7 +139,8 @@
                 return agent.host_id
         if loaded and not _needs_copy(request, loaded, mean):
             return _least_loaded(loaded)
-        return below[0].host_id
+        # No affinity is lost by loading where requests wait least for a slot.
+        return _least_loaded(ordered) if not loaded else below[0].host_id
 
 
 class LeastLoaded:
