--- a/bench/control_slopes.py
+++ b/bench/control_slopes.py
@@ -30,6 +30,7 @@
 
 REPLICAS = 3
 WORKERS = 4
+CLUSTER_TOKEN = 'bench-token-of-the-cluster'  # noqa: S105
 SETTLE_S = 6.0
 ENTRY_EVERY = 3
 TICKS_PER_S = os.sysconf('SC_CLK_TCK')
@@ -70,6 +71,7 @@
         self.admins = [f'{LOOPBACK}:{port}' for port in ports[REPLICAS:]]
         self._folder = Path(folder)
         self.processes: list[subprocess.Popen] = []
+        self.operator_token = secrets.token_urlsafe(24)
 
     def start(self) -> None:
         """Start all replicas."""
@@ -78,8 +80,8 @@
         members = ','.join(f'{name}={address}' for name, address in pairs)
         environment = {
             **os.environ,
-            'KUMQUATRUN_CLUSTER_TOKEN': 'bench-token-of-the-cluster',
-            'KUMQUATRUN_OPERATOR_TOKEN': secrets.token_urlsafe(24),
+            'KUMQUATRUN_CLUSTER_TOKEN': CLUSTER_TOKEN,
+            'KUMQUATRUN_OPERATOR_TOKEN': self.operator_token,
             'KUMQUATRUN_LOG_LEVEL': 'error',
         }
         for name, address, admin in zip(
@@ -146,7 +148,7 @@
             ),
             peers,
             LoopClock(),
-            cluster_token='bench-token-of-the-cluster',
+            cluster_token=CLUSTER_TOKEN,
         )
         if not is_entry:
             session.report_agent(_changing_report(session))
--- a/src/kumquatrun/command_batcher.py
+++ b/src/kumquatrun/command_batcher.py
@@ -61,6 +61,18 @@
             raise reply_to_error(reply)
         return reply
 
+    async def advance_time(self, max_lag_s: float) -> None:
+        """Commit an empty batch if the last one is older than ``max_lag_s``.
+
+        Raises
+        ------
+        KumquatrunError
+            If the batch was not committed.
+        """
+        is_first = self._term != self._replica.term
+        if is_first or self._clock.now_s() - self._last_batch_s > max_lag_s:
+            await self._propose([])
+
     async def stop(self) -> None:
         """Fail the commands that wait and stop."""
         if self._task is not None:
--- a/src/kumquatrun/control.py
+++ b/src/kumquatrun/control.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Mapping
+from contextlib import suppress
 from typing import Any
 
 from kumquatrun.clock import Clock
@@ -42,6 +43,7 @@
 log = logging.getLogger(__name__)
 
 EXPIRY_CHECK_S = 0.25
+MAX_TIME_LAG_S = 10.0
 FEED_IDLE_S = 1.0
 BARRIER_TIMEOUT_S = 2.0
 ENTRY_ROLE = 'entry'
@@ -164,7 +166,7 @@
         reply = await self._batcher.commit(request)
         record = request.record
         holder = (record.host_id, record.incarnation)
-        self._leases.start(holder, self._clock.now_s())
+        self._leases.start(holder, self._feed.index, self._clock.now_s())
         return reply
 
     async def _on_renew(
@@ -255,10 +257,17 @@
             if not self.serves:
                 continue
             self._slots.grant_waiting()
+            await self._advance_time()
             for holder in self._state.incarnations():
                 if self._leases.surely_ended(holder, self._clock.now_s()):
                     await self._expire(holder)
 
+    async def _advance_time(self) -> None:
+        # The state machine's time stands still without batches, and with it
+        # the ends of quarantines and claims.
+        with suppress(KumquatrunError):
+            await self._batcher.advance_time(MAX_TIME_LAG_S)
+
     async def _expire(self, holder: Incarnation) -> None:
         host_id, incarnation = holder
         log.warning('event=host_expired host_id=%s', host_id)
--- a/src/kumquatrun/leases.py
+++ b/src/kumquatrun/leases.py
@@ -70,12 +70,18 @@
         ends_at_s = max(known.ends_at_s, self._assumed.ends_at_s)
         return now_s > ends_at_s + CLOCK_DRIFT_MARGIN_S
 
-    def start(self, holder: Incarnation, now_s: float) -> None:
-        """Give a newly registered host time for its first renewal."""
-        self._leases[holder] = _HostLease(
-            now_s + LEASE_S,
-            self._assumed.required_index,
-        )
+    def start(
+        self,
+        holder: Incarnation,
+        feed_index: int,
+        now_s: float,
+    ) -> None:
+        """Give a newly registered host time for its first renewal.
+
+        It gets its first lease only once it has applied what was committed
+        before it registered: its view may be as old as its last connection.
+        """
+        self._leases[holder] = _HostLease(now_s + LEASE_S, feed_index)
 
     def forget(self, holder: Incarnation) -> None:
         """Remove a holder that was expired."""
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -36,6 +36,15 @@
     assert renew(table, 1.0, applied_index=8, feed_index=9) == 0
 
 
+def test_registered_host_must_first_catch_up():
+    # Guards against a host that registers again with an old view and serves
+    # by it for a lease.
+    table = LeaseTable(0, 5)
+    table.start(HOLDER, 9, 10.0)
+    assert renew(table, 10.1, applied_index=8, feed_index=9) == 0
+    assert renew(table, 10.6, applied_index=9, feed_index=9) == LEASE_S
+
+
 class UnconfirmedLeaseTable(LeaseTable):
     """Counts a lease from the renewal, whoever the leader is by then."""
 
