--- a/bench/policy.py
+++ b/bench/policy.py
@@ -16,7 +16,6 @@
 
 import click
 import looptime
-
 from bench.policy_cluster import Cluster, EngineNode, seeded
 from bench.policy_figures import (
     GOALS,
@@ -37,6 +36,7 @@
     make_trace,
     run_faults,
 )
+
 from kumquatrun.clock import LoopClock
 from kumquatrun.commands import ApplyDocument, IssueKey
 from kumquatrun.control_state import ControlState
--- a/bench/policy_cluster.py
+++ b/bench/policy_cluster.py
@@ -12,6 +12,7 @@
 from contextlib import asynccontextmanager
 
 from bench.agent_scheduling import LeastRecentlyUsed
+
 from kumquatrun.agent import Agent
 from kumquatrun.agent_pool import AgentPool
 from kumquatrun.budget_client import BudgetClient
