--- a/src/kumquatrun/__init__.py
+++ b/src/kumquatrun/__init__.py
@@ -1,19 +1,63 @@
 """Coordination parts of a serving layer for many LoRA adapters.
 
 The public API is what this module re-exports; all other names may change
-between minor versions.
+between minor versions. Parts marked "no I/O" take the time as an argument and
+can be driven by any program:
+
+- replicated log: ``Replica`` over ``QuorumLog`` (no I/O), with ``FileStorage``
+  or ``MemoryStorage``
+- leases and membership: ``LeaseTable`` (no I/O), ``Session``
+- token budgets: ``BudgetRegister`` and ``TokenWallet`` (no I/O)
+- claims for requests that may not be repeated: ``ClaimRegister`` (no I/O)
+- adapter placement: ``BoundedAffinity`` and ``AdapterSlots`` (no I/O)
+- fair queue: ``FairQueue`` (no I/O)
+- peer connections: ``PeerServer`` and ``PeerClient``
 """
 
+from kumquatrun.account_budgets import BudgetRegister
+from kumquatrun.adapter_slots import AdapterSlots
+from kumquatrun.claims import ClaimRegister
 from kumquatrun.clock import Clock, LoopClock
+from kumquatrun.control_client import Session
 from kumquatrun.errors import KumquatrunError, Outcome
+from kumquatrun.fair_queue import FairQueue
+from kumquatrun.leases import LeaseTable
+from kumquatrun.log_store import FileStorage, Storage
+from kumquatrun.memory_store import MemoryStorage
+from kumquatrun.peer import Address, PeerClient, PeerServer
+from kumquatrun.placement import BoundedAffinity, PlacementPolicy
+from kumquatrun.quorum_log import QuorumLog
+from kumquatrun.quorum_node import StateMachine
+from kumquatrun.replica import Replica
+from kumquatrun.replica_transport import Transport
 from kumquatrun.statechart import StateChart, load_chart
+from kumquatrun.token_wallet import TokenWallet
 
 __all__ = (
+    'AdapterSlots',
+    'Address',
+    'BoundedAffinity',
+    'BudgetRegister',
+    'ClaimRegister',
     'Clock',
+    'FairQueue',
+    'FileStorage',
     'KumquatrunError',
+    'LeaseTable',
     'LoopClock',
+    'MemoryStorage',
     'Outcome',
+    'PeerClient',
+    'PeerServer',
+    'PlacementPolicy',
+    'QuorumLog',
+    'Replica',
+    'Session',
     'StateChart',
+    'StateMachine',
+    'Storage',
+    'TokenWallet',
+    'Transport',
     'load_chart',
 )
 
