--- a/bench/policy_cluster.py
+++ b/bench/policy_cluster.py
@@ -44,11 +44,10 @@
     ReleaseLoadSlot,
 )
 from kumquatrun.peer import (
-    CONNECT_TIMEOUT_S,
-    SILENCE_LIMIT_S,
     Address,
     reply_to_error,
 )
+from kumquatrun.peer_link import CONNECT_TIMEOUT_S, SILENCE_LIMIT_S
 from kumquatrun.relay import Relay
 from kumquatrun.reload_costs import AdapterKey
 from kumquatrun.report_board import ReportBoard
