--- a/src/kumquatrun/invariants.py
+++ b/src/kumquatrun/invariants.py
@@ -18,9 +18,6 @@
     """Reports a violated invariant."""
 
 
-InvariantViolationError = InvariantError
-
-
 def set_fatal(fatal: bool) -> None:
     """Set whether ``check_invariant`` raises."""
     _fatal[0] = fatal
--- a/src/kumquatrun/relay.py
+++ b/src/kumquatrun/relay.py
@@ -29,7 +29,7 @@
     RelayRequest,
     RelayResult,
 )
-from kumquatrun.invariants import Invariants, InvariantViolationError
+from kumquatrun.invariants import InvariantError, Invariants
 from kumquatrun.messages import HostRecord, StoredAnswer
 from kumquatrun.retry import Backoff, Deadline, RetryBudget
 
@@ -337,7 +337,7 @@
 
 
 def _unexpected(execution: Execution, error: Exception) -> KumquatrunError:
-    if isinstance(error, InvariantViolationError):
+    if isinstance(error, InvariantError):
         raise error
     if isinstance(error, OSError):
         return CallerGoneError(f'the caller disconnected: {error}')
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -34,7 +34,7 @@
     Outcome,
 )
 from kumquatrun.execution import Execution, RelayRequest
-from kumquatrun.invariants import Invariants, InvariantViolationError
+from kumquatrun.invariants import InvariantError, Invariants
 from kumquatrun.messages import ClaimRequest, FinishClaim, GrantTokens
 from kumquatrun.placement import BoundedAffinity
 from kumquatrun.relay import Relay
@@ -698,7 +698,7 @@
 async def test_check_notices_a_broken_mechanism(broken, fault, step, kind):
     bench = Bench(broken)
     inject(bench, fault, step, 9)
-    with pytest.raises((AssertionError, InvariantViolationError)):
+    with pytest.raises((AssertionError, InvariantError)):
         result, sink = await run_case(bench, kind)
         check_guarantees(bench, kind, result, sink)
 
