Send agent reports only to an entry that can keep them

Cause: nine cases of the whole path with one engine failed in the full check, all while they waited for the first reports. The leader noted a report as sent to an entry whose view did not list the agent yet; the view ignores it and it was repeated only after 10 s. Since a new host must catch up before its first lease, renewals and registrations meet in that order. Found with it: what was sent was kept by host id, so a restarted entry would have waited 10 s as well. It is kept by incarnation now. Ruled out: a longer wait in the tests; an entry without reports places blindly. Before: the first reports after up to 10 s. After: with the next renewal.

--- a/src/kumquatrun/control.py
+++ b/src/kumquatrun/control.py
@@ -192,12 +192,17 @@
             confirmed_at_s=self._replica.quorum_confirmed_at_s,
             now_s=received_at_s,
         )
-        is_entry = record.role == ENTRY_ROLE
+        # An entry ignores reports of agents that its view does not list yet.
+        takes_reports = (
+            record.role == ENTRY_ROLE and request.feed_index >= self._feed.index
+        )
         return LeaseReply(
             duration_s=duration_s,
             feed_index=self._feed.index,
             agent_reports=(
-                self._reports.take_news(request.host_id) if is_entry else ()
+                self._reports.take_news(request.incarnation)
+                if takes_reports
+                else ()
             ),
         )
 
@@ -279,5 +284,4 @@
             log.info('event=expiry_failed error=%r', str(error))
             return
         self._leases.forget(holder)
-        if self._state.host(host_id) is None:
-            self._reports.remove(host_id)
+        self._reports.remove(host_id, incarnation)
--- a/src/kumquatrun/report_board.py
+++ b/src/kumquatrun/report_board.py
@@ -46,21 +46,25 @@
         if known is None:
             self._order = tuple(self._reports)
 
-    def remove(self, host_id: str) -> None:
-        """Remove an expired host."""
-        self._followers.pop(host_id, None)
-        if self._reports.pop(host_id, None) is not None:
-            self._order = tuple(self._reports)
-            for follower in self._followers.values():
-                follower.sent.pop(host_id, None)
+    def remove(self, host_id: str, incarnation: str) -> None:
+        """Remove an expired incarnation of a host."""
+        self._followers.pop(incarnation, None)
+        known = self._reports.get(host_id)
+        if known is None or known[1].incarnation != incarnation:
+            return
+        del self._reports[host_id]
+        self._order = tuple(self._reports)
+        for follower in self._followers.values():
+            follower.sent.pop(host_id, None)
 
-    def take_news(self, entry_id: str) -> tuple[AgentReport, ...]:
+    def take_news(self, incarnation: str) -> tuple[AgentReport, ...]:
         """Return some reports that changed since they were last sent.
 
-        Goes round the agents, so that those whose load changes all the time
+        What was sent is kept for each incarnation of an entry, because a
+        restarted one knows nothing. Goes round the agents, so that those whose load changes all the time
         cannot keep the reports of the others back.
         """
-        follower = self._followers.setdefault(entry_id, _Follower())
+        follower = self._followers.setdefault(incarnation, _Follower())
         follower.replies += 1
         news: list[AgentReport] = []
         count = len(self._order)
--- a/tests/test_report_board.py
+++ b/tests/test_report_board.py
@@ -38,5 +38,16 @@
     board = ReportBoard()
     board.put(report(1))
     board.put(report(2))
-    board.remove('a1')
+    board.remove('a1', 'old')
+    board.remove('a1', '1')
     assert [row.host_id for row in board.take_news('entry-1')] == ['a2']
+
+
+def test_restarted_entry_gets_all_reports():
+    # Guards against a new process that waits 10 s for what its predecessor
+    # was sent.
+    board = ReportBoard()
+    board.put(report(1))
+    assert len(board.take_news('first')) == 1
+    assert len(board.take_news('first')) == 0
+    assert len(board.take_news('second')) == 1
