Let requests in line wait for a new leader; close idle connections to agents

Requests of an account take turns; the one at the head waits up to 3.5 s for a new leader, but those behind it gave up after 2 s and were counted as over the rate. A request that waited for the call of another one did not learn that it failed, either. Ruled out: a shorter wait at the head, which refuses accounts within their rate during an election. Before: 20 requests in line during 2.4 s without a leader: refused, all three new cases fail. After: none refused, and a longer loss is called budget_unreachable.

Connections of an entry to agents are closed after 30 s without a dispatch: the heartbeats of 730 of them would cost 47 KB/s of the 18 that control may cost a node (computed).

--- a/bench/policy_cluster.py
+++ b/bench/policy_cluster.py
@@ -244,7 +244,9 @@
             self._board.put(session.agent_source())
         if session.budget_source is not None:
             self._take_budgets(session)
-            session.view.update_reports(self._board.take_news(session.host_id))
+            session.view.update_reports(
+                self._board.take_news(session.record.incarnation)
+            )
         session.lease_until_s = self._clock.now_s() + LEASE_S
 
     def expire(self):
@@ -252,7 +254,7 @@
         for session in list(self.sessions.values()):
             if not session.lease_valid():
                 record = session.record
-                self._board.remove(record.host_id)
+                self._board.remove(record.host_id, record.incarnation)
                 del self.sessions[record.host_id]
                 self.commit(
                     ExpireHost(
--- a/src/kumquatrun/agent_pool.py
+++ b/src/kumquatrun/agent_pool.py
@@ -14,6 +14,7 @@
 # An agent that refused a dispatch or a connection is not selected for as long
 # as its host record may lag behind (page 6: a lease lasts 3 s).
 AVOID_S = 3.0
+IDLE_CONNECTION_S = 30.0
 
 
 @dataclass
@@ -23,6 +24,7 @@
     open_now: int = 0
     avoid_until_s: float = 0
     incarnation: str = ''
+    used_at_s: float = 0
     # Dispatches that have not ended, by ``adapter@version``.
     open_by_adapter: Counter[str] = field(default_factory=Counter)
 
@@ -86,10 +88,16 @@
                 self._close(client)
             client = self._connect(address, self._identity())
             self._clients[record.host_id] = client
+        self._estimate(record.host_id).used_at_s = self._clock.now_s()
         return client
 
     def prune(self) -> None:
-        """Close the connections to hosts that are gone and unused."""
+        """Close the connections that are idle and forget hosts that are gone.
+
+        Each open connection costs heartbeats in both directions; to 730
+        agents they would exceed what control may cost a node.
+        """
+        idle_since_s = self._clock.now_s() - IDLE_CONNECTION_S
         view = self._session.view
         known = {
             record.host_id
@@ -97,8 +105,12 @@
             for record in view.agents_of(service.name)
         }
         for host_id, estimate in list(self._estimates.items()):
-            if host_id not in known and not estimate.open_now:
+            if estimate.open_now:
+                continue
+            is_gone = host_id not in known
+            if is_gone:
                 del self._estimates[host_id]
+            if is_gone or estimate.used_at_s < idle_since_s:
                 client = self._clients.pop(host_id, None)
                 if client is not None:
                     self._close(client)
@@ -114,6 +126,7 @@
         """Count the end of a dispatch."""
         estimate = self._estimate(record.host_id)
         estimate.open_now -= 1
+        estimate.used_at_s = self._clock.now_s()
         _count_down(estimate.open_by_adapter, f'{adapter}@{version}')
         _count_down(self._demand, (record.service, adapter, version))
 
--- a/src/kumquatrun/budget_client.py
+++ b/src/kumquatrun/budget_client.py
@@ -60,6 +60,8 @@
         # Tokens that were used beyond a reservation when none were idle.
         self._debts: Counter[str] = Counter()
         self._waiting: Counter[str] = Counter()
+        # Why the leader gave no answer to the last request, by account.
+        self._problems: dict[str, str] = {}
         self._turns: defaultdict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
         self._asking: dict[str, asyncio.Task[_Answer]] = {}
 
@@ -115,23 +117,35 @@
         self._had_lease = has_lease
 
     async def _wait_for_turn(self, account: str, tokens: int) -> Reservation:
-        turn = self._turns[account]
-        deadline_s = self._clock.now_s() + self._max_wait_s
-        try:
-            async with asyncio.timeout(self._max_wait_s):
-                await turn.acquire()
-        except TimeoutError:
-            raise _over_rate(account, tokens, DEFAULT_RETRY_AFTER_S) from None
+        began_s = self._clock.now_s()
+        await self._take_turn(account, tokens)
         try:
-            return await self._wait(account, tokens, deadline_s)
+            return await self._wait(account, tokens, began_s)
         finally:
-            turn.release()
+            self._turns[account].release()
+
+    async def _take_turn(self, account: str, tokens: int) -> None:
+        turn = self._turns[account]
+        waits_s = (self._max_wait_s, MAX_UNREACHABLE_WAIT_S - self._max_wait_s)
+        for wait_s in waits_s:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await turn.acquire()
+            except TimeoutError:
+                # The request at the head of the line waits for a leader, not
+                # for tokens.
+                if not self._problems.get(account):
+                    break
+            else:
+                return
+        answer = _Answer(DEFAULT_RETRY_AFTER_S, self._problems.get(account, ''))
+        raise _refusal(account, tokens, answer, DEFAULT_RETRY_AFTER_S)
 
     async def _wait(
         self,
         account: str,
         tokens: int,
-        deadline_s: float,
+        began_s: float,
     ) -> Reservation:
         while True:
             reservation = self._try_reserve(account, tokens)
@@ -142,10 +156,10 @@
             if reservation is not None:
                 return reservation
             wait_s = self._expected_wait_s(account, tokens, answer)
-            limit_s = deadline_s
+            limit_s = self._max_wait_s
             if answer.problem:
-                limit_s += MAX_UNREACHABLE_WAIT_S - MAX_WAIT_S
-            if self._clock.now_s() + wait_s >= limit_s:
+                limit_s = MAX_UNREACHABLE_WAIT_S
+            if self._clock.now_s() + wait_s >= began_s + limit_s:
                 raise _refusal(account, tokens, answer, wait_s)
             await asyncio.sleep(wait_s)
 
@@ -205,7 +219,7 @@
             return await asyncio.shield(task)
         # The call under way was sized before this request needed tokens.
         await asyncio.wait([task])
-        return _Answer(0)
+        return _Answer(0, self._problems.get(account, ''))
 
     def _start_asking(self, request: GrantTokens) -> asyncio.Task[_Answer]:
         account = request.account
@@ -220,10 +234,12 @@
             reply = await call(request, GRANT_TIMEOUT_S)
         except NotFoundError as error:
             self.wallet.abandon_grant(request)
-            return _Answer(self._max_wait_s, error.detail)
+            return _Answer(MAX_UNREACHABLE_WAIT_S, error.detail)
         except KumquatrunError as error:
             self.wallet.abandon_grant(request)
+            self._problems[request.account] = error.detail
             return _Answer(UNREACHABLE_INTERVAL_S, error.detail)
+        self._problems.pop(request.account, None)
         self.follow_session()
         self.wallet.add_grant(request.account, reply.granted_tokens, request)
         return _Answer(reply.retry_after_s)
--- a/src/kumquatrun/entry.py
+++ b/src/kumquatrun/entry.py
@@ -148,7 +148,7 @@
         self._session.on_change(self._follow_session)
         self._tasks = [
             asyncio.create_task(self._http.sweep()),
-            asyncio.create_task(self._cut_slow_callers()),
+            asyncio.create_task(self._sweep()),
         ]
         self._step('registered')
         self._follow_session()
@@ -195,11 +195,12 @@
         self._relay.end_streams()
         self._pool.prune()
 
-    async def _cut_slow_callers(self) -> None:
+    async def _sweep(self) -> None:
         limit_s = self._settings.write_timeout_s
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(limit_s / SWEEPS_PER_TIMEOUT)
+            self._pool.prune()
             oldest_s = loop.time() - limit_s
             for sink, execution in list(self._open.items()):
                 since_s = sink.blocked_since_s
--- a/tests/test_budget_client.py
+++ b/tests/test_budget_client.py
@@ -7,7 +7,11 @@
 from entry_fakes import ACCOUNT, FakeSession
 from kumquatrun.budget_client import MAX_WAIT_S, BudgetClient
 from kumquatrun.clock import LoopClock
-from kumquatrun.errors import NotFoundError, RateLimitedError
+from kumquatrun.errors import (
+    ControlUnreachableError,
+    NotFoundError,
+    RateLimitedError,
+)
 from kumquatrun.messages import GrantReply
 
 pytestmark = pytest.mark.looptime
@@ -187,3 +191,33 @@
     [report] = budgets.take_reports()
     assert report.consumed_tokens == 50
     assert budgets.wallet.idle_tokens(ACCOUNT) == 0
+
+
+@pytest.mark.parametrize('failure', ['error', 'silence'])
+async def test_leader_change_refuses_no_request_in_the_line(
+    session, budgets, failure
+):
+    # Guards against requests that wait behind another one for a new leader
+    # and are refused as if the account were over its rate.
+    leader = session.control
+    leader.level = 10_000
+    answer = leader.call
+
+    async def call(request, timeout_s):
+        if asyncio.get_running_loop().time() < ends_s:
+            await asyncio.sleep(timeout_s if failure == 'silence' else 0.01)
+            raise ControlUnreachableError('no leader')
+        return await answer(request, timeout_s)
+
+    leader.call = call
+    ends_s = asyncio.get_running_loop().time() + 2.4
+    results = await reserve_all(budgets, [100] * 20)
+    assert granted(results) == [True] * 20
+
+
+async def test_long_loss_of_the_leader_is_not_called_over_rate(
+    session, budgets
+):
+    session.control.error = ControlUnreachableError('no leader')
+    results = await reserve_all(budgets, [100] * 5)
+    assert {result.cause for result in results} == {'budget_unreachable'}
