Ask for a request's own tokens before it is refused

Cause: with three runs of the whole path at the same time, one request was refused as over its rate after the leader was killed. It had waited for a new leader, took its turn while a call for other requests was under way, and was refused when that call returned, although nobody had asked for its tokens. A request now waits for such calls and then sends its own; only the answer to its own call can refuse it. Ruled out: a longer wait, which only makes the case rarer.

--- a/src/kumquatrun/budget_client.py
+++ b/src/kumquatrun/budget_client.py
@@ -210,16 +210,14 @@
                 self._start_asking(request)
 
     async def _ask(self, account: str) -> _Answer:
-        task = self._asking.get(account)
-        if task is None:
-            request = self._request_for_all(account)
-            if request is None:
-                return _Answer(MIN_ASK_INTERVAL_S)
-            task = self._start_asking(request)
-            return await asyncio.shield(task)
-        # The call under way was sized before this request needed tokens.
-        await asyncio.wait([task])
-        return _Answer(0, self._problems.get(account, ''))
+        # A call under way was sized before this request needed tokens, so
+        # its answer says nothing about them.
+        while account in self._asking:
+            await asyncio.wait([self._asking[account]])
+        request = self._request_for_all(account)
+        if request is None:
+            return _Answer(MIN_ASK_INTERVAL_S)
+        return await asyncio.shield(self._start_asking(request))
 
     def _start_asking(self, request: GrantTokens) -> asyncio.Task[_Answer]:
         account = request.account
--- a/tests/test_budget_client.py
+++ b/tests/test_budget_client.py
@@ -221,3 +221,19 @@
     session.control.error = ControlUnreachableError('no leader')
     results = await reserve_all(budgets, [100] * 5)
     assert {result.cause for result in results} == {'budget_unreachable'}
+
+
+async def test_call_for_others_does_not_refuse_the_next_in_line(
+    session, budgets
+):
+    # Guards against a request that waited for a new leader and is refused
+    # because a call under way had not asked for its tokens.
+    leader = session.control
+    leader.error = ControlUnreachableError('no leader')
+    waiting = asyncio.create_task(reserve_all(budgets, [100]))
+    await asyncio.sleep(MAX_WAIT_S + 0.2)
+    leader.error, leader.level, leader.delay_s = None, 10_000, 0.3
+    await asyncio.gather(*budgets._asking.values())
+    now_s = asyncio.get_running_loop().time()
+    budgets._start_asking(budgets.wallet.grant_request(ACCOUNT, now_s, 1))
+    assert granted(await waiting) == [True]
