--- /dev/null
+++ b/deploy/start.py
@@ -0,0 +1,10 @@
+"""Starts a daemon from the source tree, without an installed package."""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / 'src'))
+
+from kumquatrun.cli import main  # noqa: E402
+
+main()
--- /dev/null
+++ b/src/kumquatrun/backend_listing.py
@@ -0,0 +1,76 @@
+"""The platform's list of backend servers, read by the control leader.
+
+One reader for the fleet keeps the number of calls to the platform independent
+of the number of hosts. Leases carry a changed list to the entries.
+"""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from hashlib import blake2b
+
+from kumquatrun.clock import Clock
+from kumquatrun.errors import KumquatrunError
+
+log = logging.getLogger(__name__)
+
+READ_INTERVAL_S = 0.5
+
+
+class BackendListing:
+    """Newest encoded list, with its version and the time of its reading.
+
+    Parameters
+    ----------
+    read
+        Returns the encoded list; raises ``KumquatrunError`` if the platform
+        does not answer.
+    clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        read: Callable[[], Awaitable[bytes]],
+        clock: Clock,
+    ) -> None:
+        self.version = ''
+        self.encoded = b''
+        self._read = read
+        self._clock = clock
+        self._read_at_s: float | None = None
+        self._is_lost = False
+
+    def age_s(self, now_s: float) -> float | None:
+        """Return the time since the list was read; None before that."""
+        return None if self._read_at_s is None else now_s - self._read_at_s
+
+    async def follow(self, is_needed: Callable[[], bool]) -> None:
+        """Read the list again and again while it is needed."""
+        while True:
+            if is_needed():
+                await self.refresh()
+            await asyncio.sleep(READ_INTERVAL_S)
+
+    async def refresh(self) -> None:
+        """Read the list once; keeps the last one if that fails."""
+        asked_at_s = self._clock.now_s()
+        try:
+            encoded = await self._read()
+        except KumquatrunError as error:
+            if not self._is_lost:
+                self._is_lost = True
+                log.warning('event=listing_lost error=%r', str(error))
+            return
+        if self._is_lost:
+            self._is_lost = False
+            log.info('event=listing_regained')
+        self._read_at_s = asked_at_s
+        if encoded != self.encoded:
+            self.encoded = encoded
+            self.version = blake2b(encoded, digest_size=8).hexdigest()
+            log.info(
+                'event=listing_changed version=%s size_bytes=%d',
+                self.version,
+                len(encoded),
+            )
--- a/src/kumquatrun/cluster_view.py
+++ b/src/kumquatrun/cluster_view.py
@@ -8,6 +8,8 @@
 - ``host``: ``[host_id, fields of the record, or None if it was removed]``
 - ``quarantine``: ``[fingerprint, state]``
 - ``batch``: ``[[kind, body], ...]``, all changes of one log entry
+- ``configuration``: ``[version, compressed content]``
+- ``adapter_version``: ``[model, adapter, version]``
 - ``snapshot``: a map of all of these, with the compressed document
 """
 
@@ -46,7 +48,11 @@
         self._agents: dict[str, tuple[HostRecord, ...]] = {}
         self._fingerprints: dict[str, str] = {}
         self._reports: dict[str, AgentReport] = {}
+        self._configuration = (0, b'')
+        self._adapter_versions: dict[tuple[str, str], int] = {}
         self._handlers = {
+            'adapter_version': self._apply_adapter_version,
+            'configuration': self._apply_configuration,
             'batch': self._apply_batch,
             'document': self._apply_document,
             'host': self._apply_host,
@@ -80,6 +86,26 @@
         """Return the records of all registered hosts."""
         return tuple(self._hosts.values())
 
+    @property
+    def configuration(self) -> tuple[int, bytes]:
+        """Return version and content of the routing configuration.
+
+        The version is 0 before the first one.
+        """
+        version, compressed = self._configuration
+        if not version:
+            return 0, b''
+        return version, inflate(compressed, MAX_DOCUMENT_BYTES)
+
+    @property
+    def configuration_version(self) -> int:
+        """Return the version of the routing configuration; 0 for none."""
+        return self._configuration[0]
+
+    def adapter_version(self, model: str, adapter: str) -> int:
+        """Return the newest named version of an adapter; 0 for none."""
+        return self._adapter_versions.get((model, adapter), 0)
+
     def apply(self, item: FeedItem) -> bool:
         """Apply a feed item; False if its index is not above the own one.
 
@@ -188,7 +214,21 @@
         else:
             self._fingerprints[fingerprint] = state
 
+    def _apply_configuration(self, body: Any) -> None:
+        version, compressed = body
+        if version > self._configuration[0]:
+            self._configuration = (version, compressed)
+
+    def _apply_adapter_version(self, body: Any) -> None:
+        model, adapter, version = body
+        name = (model, adapter)
+        known = self._adapter_versions.get(name, 0)
+        self._adapter_versions[name] = max(known, version)
+
     def _apply_snapshot(self, body: Any) -> None:
+        self._apply_configuration(body['configuration'])
+        for row in body['adapter_versions']:
+            self._apply_adapter_version(row)
         if body['revision'] > self._revision:
             self._document = _read_compressed(body['document'])
             self._revision = body['revision']
--- a/src/kumquatrun/control.py
+++ b/src/kumquatrun/control.py
@@ -6,9 +6,16 @@
 from contextlib import suppress
 from typing import Any
 
+from kumquatrun.backend_listing import BackendListing
 from kumquatrun.clock import Clock
 from kumquatrun.command_batcher import CommandBatcher
 from kumquatrun.commands import ExpireHost, ReportBudgets
+from kumquatrun.configuration_register import (
+    ConfigurationReply,
+    NameAdapterVersion,
+    PutConfiguration,
+    ReadConfiguration,
+)
 from kumquatrun.control_state import ControlState
 from kumquatrun.errors import (
     KumquatrunError,
@@ -27,6 +34,7 @@
     Finished,
     FollowFeed,
     GrantTokens,
+    HostRecord,
     LeaseReply,
     LoadSlotReply,
     OperatorCall,
@@ -64,7 +72,9 @@
         feed: FeedLog,
         clock: Clock,
         operator_token: str = '',
+        listing: BackendListing | None = None,
     ) -> None:
+        self._listing = listing
         self._replica = replica
         self._state = state
         self._feed = feed
@@ -94,6 +104,9 @@
             AcquireLoadSlot: self._on_acquire_slot,
             ReleaseLoadSlot: self._on_release_slot,
             OperatorCall: self._on_operator,
+            PutConfiguration: self._on_command,
+            NameAdapterVersion: self._on_command,
+            ReadConfiguration: self._on_read_configuration,
         }
 
     async def start(self) -> None:
@@ -204,8 +217,25 @@
                 if takes_reports
                 else ()
             ),
+            **self._listing_news(record, request),
         )
 
+    def _listing_news(
+        self,
+        record: HostRecord,
+        request: RenewLease,
+    ) -> dict[str, Any]:
+        listing = self._listing
+        if listing is None or record.role != ENTRY_ROLE:
+            return {}
+        news: dict[str, Any] = {
+            'listing_version': listing.version,
+            'listing_age_s': listing.age_s(self._clock.now_s()),
+        }
+        if listing.version != request.listing_version:
+            news['listing'] = listing.encoded
+        return news
+
     async def _commit_budget_reports(self, request: RenewLease) -> None:
         await self._batcher.commit(
             ReportBudgets(
@@ -249,6 +279,14 @@
         self._slots.release(request.slot_id)
         return Ack()
 
+    async def _on_read_configuration(
+        self,
+        request: ReadConfiguration,
+        context: CallContext,
+    ) -> ConfigurationReply:
+        await self._replica.read_barrier(BARRIER_TIMEOUT_S)
+        return self._state.configuration()
+
     async def _on_operator(
         self,
         request: OperatorCall,
--- a/src/kumquatrun/control_client.py
+++ b/src/kumquatrun/control_client.py
@@ -75,6 +75,8 @@
         self._budget_reports: tuple[BudgetReport, ...] = ()
         self._sequence = 0
         self._tasks: list[asyncio.Task] = []
+        self._listing_version = ''
+        self._listing_sink: Callable[[bytes | None, float], None] | None = None
 
     @property
     def record(self) -> HostRecord:
@@ -110,6 +112,16 @@
         """Set where renewals take consumed and returned tokens from."""
         self._budget_source = source
 
+    def follow_listing(
+        self,
+        sink: Callable[[bytes | None, float], None],
+    ) -> None:
+        """Set what takes the list of backend servers and its age.
+
+        It gets None instead of a list that has not changed.
+        """
+        self._listing_sink = sink
+
     async def start(self) -> None:
         """Register and keep the lease and the feed in the background."""
         self._tasks = [
@@ -178,13 +190,21 @@
                 sequence=self._sequence,
                 agent_report=self._agent_source and self._agent_source(),
                 budget_reports=self._budget_reports,
+                listing_version=self._listing_version,
             ),
             CALL_TIMEOUT_S,
         )
         self._budget_reports = ()
         self._view.update_reports(reply.agent_reports)
+        self._take_listing(reply)
         self._extend_lease(sent_at_s + min(reply.duration_s, LEASE_S), reply)
 
+    def _take_listing(self, reply: LeaseReply) -> None:
+        if self._listing_sink is None or reply.listing_age_s is None:
+            return
+        self._listing_version = reply.listing_version
+        self._listing_sink(reply.listing, reply.listing_age_s)
+
     def _extend_lease(self, ends_at_s: float, reply: LeaseReply) -> None:
         if reply.duration_s > 0:
             self._lease_ends_at_s = max(self._lease_ends_at_s, ends_at_s)
--- a/src/kumquatrun/control_host.py
+++ b/src/kumquatrun/control_host.py
@@ -3,6 +3,7 @@
 import random
 import uuid
 
+from kumquatrun.backend_listing import BackendListing
 from kumquatrun.clock import Clock
 from kumquatrun.control import ControlService
 from kumquatrun.control_state import ControlState
@@ -58,6 +59,7 @@
         *,
         storage: Storage | None = None,
         rng: random.Random | None = None,
+        listing: BackendListing | None = None,
     ) -> None:
         replica_settings = settings.replica
         if replica_settings is None:
@@ -86,6 +88,7 @@
             feed,
             clock,
             settings.operator_token,
+            listing,
         )
         self._server = PeerServer(identity, self.service)
         self.address: Address | None = None
--- a/src/kumquatrun/control_registers.py
+++ b/src/kumquatrun/control_registers.py
@@ -16,6 +16,12 @@
     ReportBudgets,
     RevokeKey,
 )
+from kumquatrun.configuration_register import (
+    ConfigurationRegister,
+    ConfigurationReply,
+    NameAdapterVersion,
+    PutConfiguration,
+)
 from kumquatrun.document_register import DocumentRegister
 from kumquatrun.errors import (
     InvalidRequestError,
@@ -43,6 +49,8 @@
 
 # Author of changes that follow from the passing of time.
 _CONTROL = 'control'
+# The platform's operator calls carry no name of a person.
+_OPERATOR = 'operator'
 
 
 class ControlRegisters:
@@ -58,6 +66,7 @@
         self.quarantine = QuarantineRegister()
         self.audit = AuditTrail()
         self.operations = OperationRegister()
+        self.configurations = ConfigurationRegister()
         self._feed_rows: list[tuple[str, Any]] = []
         self._handlers: Mapping[type, Callable[[Any], Any]] = {
             RegisterHost: self._register_host,
@@ -72,6 +81,8 @@
             ApplyDocument: self._apply_document,
             IssueKey: self._issue_key,
             RevokeKey: self._revoke_key,
+            PutConfiguration: self._put_configuration,
+            NameAdapterVersion: self._name_adapter_version,
         }
 
     def advance(self, elapsed_ms: int) -> None:
@@ -119,6 +130,7 @@
             'quarantine': self.quarantine,
             'audit': self.audit,
             'operations': self.operations,
+            'configurations': self.configurations,
         }
 
     def _run_once(self, command: Any) -> Any:
@@ -313,6 +325,43 @@
             revoked=after.revoked,
         )
 
+    # Routing configuration of gateways.
+
+    def _put_configuration(
+        self,
+        command: PutConfiguration,
+    ) -> ConfigurationReply:
+        register = self.configurations
+        before = register.version
+        if register.put(command):
+            self.budgets.configure(command.allowances, self.now_ms)
+            self._feed_rows.append(
+                ('configuration', [register.version, register.compressed]),
+            )
+            self._record(
+                'put_configuration',
+                f'version {register.version}',
+                (f'version {before}', f'version {register.version}'),
+                _OPERATOR,
+            )
+        return ConfigurationReply(version=register.version)
+
+    def _name_adapter_version(self, command: NameAdapterVersion) -> Ack:
+        register = self.configurations
+        name = (command.model, command.adapter)
+        before = register.adapter_versions.get(name, 0)
+        if register.name_version(command):
+            self._feed_rows.append(
+                ('adapter_version', [*name, command.version]),
+            )
+            self._record(
+                'name_adapter_version',
+                '/'.join(name),
+                (str(before), str(command.version)),
+                _OPERATOR,
+            )
+        return Ack()
+
     def _record(
         self,
         action: str,
--- a/src/kumquatrun/control_state.py
+++ b/src/kumquatrun/control_state.py
@@ -11,13 +11,14 @@
 
 from kumquatrun.audit import AuditEntry
 from kumquatrun.commands import decode_batch, encode_results
+from kumquatrun.configuration_register import ConfigurationReply
 from kumquatrun.control_registers import ControlRegisters
 from kumquatrun.document import AdapterSpec, Document
 from kumquatrun.hosts import Incarnation, host_fields
 from kumquatrun.keys import KeyRecord
 from kumquatrun.messages import FeedItem, HostRecord
 
-_FORMAT = 1
+_FORMAT = 2
 
 
 class ControlState:
@@ -89,6 +90,11 @@
                 for record in registers.hosts.records.values()
             ],
             'quarantine': registers.quarantine.states(),
+            'configuration': [
+                registers.configurations.version,
+                registers.configurations.compressed,
+            ],
+            'adapter_versions': registers.configurations.snapshot()[-1],
         }
         return FeedItem(
             index=self._feed_index,
@@ -136,6 +142,14 @@
         """Return the bytes of the document in force."""
         return self._registers.documents.content()
 
+    def configuration(self) -> ConfigurationReply:
+        """Return the routing configuration in force."""
+        register = self._registers.configurations
+        return ConfigurationReply(
+            version=register.version,
+            content=register.content(),
+        )
+
     def incarnations(self) -> tuple[Incarnation, ...]:
         """Return every ``(host_id, incarnation)`` that may hold a lease.
 
--- /dev/null
+++ b/src/kumquatrun/gateway/__init__.py
@@ -0,0 +1,6 @@
+"""Gateway: forwards HTTP requests of callers to backend servers.
+
+Owns routing, allowances, the choice of a backend server, retries and the
+agent beside an engine. May import the coordination parts of ``kumquatrun``;
+knows no names of a platform, which ``kumquatrun.platform`` translates.
+"""
--- /dev/null
+++ b/src/kumquatrun/gateway/agent.py
@@ -0,0 +1,90 @@
+"""Agent daemon part: peer server of the engine agent with its drain."""
+
+from kumquatrun.clock import Clock
+from kumquatrun.control_client import Session
+from kumquatrun.errors import DocumentError
+from kumquatrun.gateway.configuration import Configuration, EngineSpec
+from kumquatrun.gateway.engine_agent import EngineAgent
+from kumquatrun.gateway.engine_api import OrderedEngine
+from kumquatrun.gateway.settings import GatewayAgentSettings
+from kumquatrun.gateway.wire_format import WireFormat
+from kumquatrun.messages import AgentReport, Hello
+from kumquatrun.peer import PeerServer
+
+
+class GatewayAgent:
+    """Serves entries with the adapters of one engine."""
+
+    def __init__(
+        self,
+        settings: GatewayAgentSettings,
+        session: Session,
+        wire: WireFormat,
+        engine: OrderedEngine,
+        clock: Clock,
+    ) -> None:
+        self._settings = settings
+        self._session = session
+        self._wire = wire
+        self._clock = clock
+        self._configuration: Configuration | None = None
+        self._engine_agent = EngineAgent(
+            settings.host_id,
+            engine,
+            self._spec,
+            session.view.adapter_version,
+            clock,
+        )
+        record = session.record
+        self._server = PeerServer(
+            Hello(
+                node_id=record.host_id,
+                incarnation=record.incarnation,
+                cluster_token=settings.cluster_token,
+                region=record.region,
+            ),
+            self._engine_agent,
+        )
+        session.on_change(self._follow_session)
+        session.report_agent(self._report)
+
+    async def start(self) -> None:
+        """Follow the engine and listen for entries."""
+        await self._engine_agent.start()
+        await self._server.start(self._settings.listen)
+
+    async def drain(self, timeout_s: float) -> None:
+        """Return at once: what an engine runs does not need its agent."""
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        await self._server.stop()
+        await self._engine_agent.stop()
+
+    def _spec(self) -> EngineSpec | None:
+        if self._configuration is None:
+            return None
+        service = self._configuration.service(self._settings.service)
+        return service.engine if service else None
+
+    def _follow_session(self) -> None:
+        view = self._session.view
+        known = self._configuration.version if self._configuration else 0
+        if view.configuration_version > known:
+            try:
+                self._configuration = self._wire.read_configuration(
+                    view.configuration[1],
+                )
+            except DocumentError:
+                # The entries log a configuration that cannot be read.
+                return
+
+    def _report(self) -> AgentReport:
+        report = self._engine_agent.report
+        record = self._session.record
+        return AgentReport(
+            host_id=record.host_id,
+            incarnation=record.incarnation,
+            running=report.running if report else 0,
+            queued=report.waiting if report else 0,
+        )
--- /dev/null
+++ b/src/kumquatrun/gateway/backend_connection.py
@@ -0,0 +1,246 @@
+"""HTTP/1.1 connections to backend servers, each used for one request at a time.
+
+Parsing is aiohttp's. Its client is not used here, because it sends idempotent
+requests again by itself and takes a late answer to an earlier request for the
+answer to the next one.
+"""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from aiohttp.base_protocol import BaseProtocol
+from aiohttp.http_parser import HttpResponseParser
+from aiohttp.streams import StreamReader
+
+from kumquatrun.address import Address
+from kumquatrun.errors import ConnectionLostError, Outcome
+
+CONNECT_TIMEOUT_S = 0.4
+# A peer that acknowledges nothing for this time is taken for unreachable.
+UNACKNOWLEDGED_LIMIT_MS = 3000
+KEEP_ALIVE_OPTIONS = (
+    (socket.TCP_KEEPIDLE, 2),
+    (socket.TCP_KEEPINTVL, 1),
+    (socket.TCP_KEEPCNT, 3),
+)
+READ_BUFFER_BYTES = 64 * 1024
+MAX_HEADER_BYTES = 32 * 1024
+INFORMATIONAL = range(100, 200)
+
+RawHeaders = tuple[tuple[bytes, bytes], ...]
+
+
+class BrokenAnswerError(ConnectionLostError):
+    """Reports an answer that ended early or was not HTTP."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class AnswerHead:
+    """Status and headers of an answer, with the stream of its body."""
+
+    status: int
+    reason: str
+    headers: RawHeaders
+    body: StreamReader
+    keeps_alive: bool
+
+    def header(self, name: bytes) -> str:
+        """Return the first value of a header, or an empty text."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value.decode('latin-1')
+        return ''
+
+
+class BackendConnection(BaseProtocol):
+    """One TCP connection to a backend server.
+
+    Attributes
+    ----------
+    is_clean
+        Whether another request may follow: the last answer was read to its
+        end and nothing came after it.
+    idle_since_s
+        When the last answer ended.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.is_clean = True
+        self.idle_since_s = loop.time()
+        self._is_lost = False
+        self._accepts: Callable[[Any], bool] | None = None
+        self._head: asyncio.Future[AnswerHead] | None = None
+        self._body: StreamReader | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether the connection can carry a request."""
+        return (
+            not self._is_lost
+            and self.transport is not None
+            and not self.transport.is_closing()
+        )
+
+    def send(
+        self,
+        head: bytes,
+        body: bytes,
+        accepts: Callable[[AnswerHead], bool],
+        *,
+        has_answer_body: bool = True,
+    ) -> None:
+        """Write one request.
+
+        ``accepts`` tells the answer to this request from a late answer to an
+        earlier one, which is dropped.
+
+        Raises
+        ------
+        ConnectionLostError
+            ``not_run`` if the connection had ended before.
+        """
+        if not self.is_open:
+            raise ConnectionLostError(
+                'the connection ended before the request was sent',
+                outcome=Outcome.NOT_RUN,
+            )
+        self.is_clean = False
+        self._accepts = accepts
+        self._head = self._loop.create_future()
+        self._body = None
+        self._parser = HttpResponseParser(
+            self,
+            self._loop,
+            READ_BUFFER_BYTES,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            payload_exception=BrokenAnswerError,
+            response_with_body=has_answer_body,
+            read_until_eof=True,
+            auto_decompress=False,
+        )
+        self.transport.write(head + body)
+
+    async def read_head(self) -> AnswerHead:
+        """Wait for the head of the answer.
+
+        Raises
+        ------
+        BrokenAnswerError
+            If the connection ended or the answer is not HTTP.
+        """
+        return await self._head
+
+    def mark_finished(self, head: AnswerHead) -> None:
+        """Record that the answer was read to its end."""
+        self.idle_since_s = self._loop.time()
+        self.is_clean = head.keeps_alive and self.is_open and head.body.is_eof()
+
+    def abort(self) -> None:
+        """Close at once, which cancels the request at the backend server."""
+        self.is_clean = False
+        if self.transport is not None:
+            self.transport.abort()
+
+    # Callbacks of the transport.
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived."""
+        if self._parser is None or (self.is_clean and data):
+            # Bytes without a request belong to nothing.
+            self.abort()
+            return
+        try:
+            messages, is_upgraded, _ = self._parser.feed_data(data)
+        except Exception as error:
+            self._fail(BrokenAnswerError(f'malformed answer: {error!r}'))
+            self.abort()
+            return
+        for message, body in messages:
+            self._on_message(message, body)
+        if is_upgraded:
+            self._fail(BrokenAnswerError('unexpected upgrade'))
+            self.abort()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End the answer; without a length, a clean end completes it."""
+        self._is_lost = True
+        self.is_clean = False
+        parser = self._parser
+        self._parser = None
+        error = BrokenAnswerError(f'the connection ended: {exc!r}')
+        if parser is not None and exc is None:
+            try:
+                parser.feed_eof()
+            except Exception as incomplete:
+                error = BrokenAnswerError(f'incomplete answer: {incomplete!r}')
+        self._fail(error)
+        super().connection_lost(exc)
+
+    def _on_message(self, message: Any, body: StreamReader) -> None:
+        if message.code in INFORMATIONAL or self._body is not None:
+            return
+        head = AnswerHead(
+            status=message.code,
+            reason=message.reason or '',
+            headers=message.raw_headers,
+            body=body,
+            keeps_alive=not message.should_close,
+        )
+        if self._head.done() or not self._accepts(head):
+            return
+        self._body = body
+        self._head.set_result(head)
+
+    def _fail(self, error: Exception) -> None:
+        if self._head is not None and not self._head.done():
+            self._head.set_exception(error)
+            # The waiter may have been cancelled before.
+            self._head.exception()
+        if self._body is not None and not self._body.is_eof():
+            self._body.set_exception(error)
+
+
+async def open_connection(
+    address: Address,
+    timeout_s: float = CONNECT_TIMEOUT_S,
+) -> BackendConnection:
+    """Connect to a backend server.
+
+    Raises
+    ------
+    ConnectionLostError
+        ``not_run`` if it cannot be reached in time.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            transport, connection = await loop.create_connection(
+                lambda: BackendConnection(loop),
+                address.host,
+                address.port,
+            )
+    except (OSError, TimeoutError) as error:
+        raise ConnectionLostError(
+            f'cannot connect to {address}: {error!r}',
+            outcome=Outcome.NOT_RUN,
+        ) from error
+    _set_options(transport.get_extra_info('socket'))
+    return connection
+
+
+def _set_options(opened: socket.socket | None) -> None:
+    if opened is None:
+        return
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, seconds_or_count in KEEP_ALIVE_OPTIONS:
+        opened.setsockopt(socket.IPPROTO_TCP, option, seconds_or_count)
+    opened.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        UNACKNOWLEDGED_LIMIT_MS,
+    )
--- /dev/null
+++ b/src/kumquatrun/gateway/backends.py
@@ -0,0 +1,133 @@
+"""Backend servers as the gateway knows them: listing, load and health."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from kumquatrun.address import Address
+from kumquatrun.gateway.connection_pool import ConnectionPool
+
+# After a failed connection a backend server is passed over for this time,
+# doubled with each further failure.
+FIRST_PAUSE_S = 0.5
+MAX_PAUSE_S = 4.0
+# Weight of the newest answer in the failure rate.
+FAILURE_WEIGHT = 0.15
+# The failure rate is forgotten at this rate, so that a backend server that
+# gets no requests is tried again.
+FAILURE_HALF_LIFE_S = 4.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HeldAdapter:
+    """An adapter that an engine holds."""
+
+    model: str
+    adapter: str
+    version: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BackendRecord:
+    """A backend server as the platform lists it."""
+
+    backend_id: str
+    service: str
+    address: Address
+    failure_domain: str
+    is_draining: bool = False
+    adapters: frozenset[HeldAdapter] = frozenset()
+
+
+@dataclass
+class Backend:
+    """A listed backend server with what this process learned about it."""
+
+    record: BackendRecord
+    pool: ConnectionPool
+    open_requests: int = 0
+    failures_in_row: int = 0
+    paused_until_s: float = 0.0
+    failure_rate: float = 0.0
+    judged_at_s: float = 0.0
+    # Load that the agent told, and requests started here since then.
+    reported_load: int = 0
+    reported_at_s: float = float('-inf')
+    started_since_report: int = 0
+    held: set[HeldAdapter] = field(default_factory=set)
+
+    @property
+    def backend_id(self) -> str:
+        """Return the id of this run of the backend server."""
+        return self.record.backend_id
+
+    @property
+    def load(self) -> int:
+        """Return the estimated number of requests at the backend server."""
+        told = self.reported_load + self.started_since_report
+        return max(told, self.open_requests)
+
+    def take_report(self, load: int, now_s: float) -> None:
+        """Record the load that the agent of the backend server told."""
+        self.reported_load = load
+        self.reported_at_s = now_s
+        self.started_since_report = 0
+
+    def current_failure_rate(self, now_s: float) -> float:
+        """Return the share of failed answers, decayed since the last one."""
+        age_s = max(0.0, now_s - self.judged_at_s)
+        return self.failure_rate * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
+
+    def record_answer(self, *, failed: bool, now_s: float) -> None:
+        """Count an answer, or its failure."""
+        rate = self.current_failure_rate(now_s)
+        self.failure_rate = rate + FAILURE_WEIGHT * (int(failed) - rate)
+        self.judged_at_s = now_s
+        if not failed:
+            self.failures_in_row = 0
+
+    def record_unreachable(self, now_s: float) -> None:
+        """Pass the backend server over for a while."""
+        self.failures_in_row += 1
+        pause_s = FIRST_PAUSE_S * 2 ** (self.failures_in_row - 1)
+        self.paused_until_s = now_s + min(MAX_PAUSE_S, pause_s)
+
+
+class BackendTable:
+    """All listed backend servers, by service."""
+
+    def __init__(self) -> None:
+        self._backends: dict[str, Backend] = {}
+        self._services: dict[str, tuple[Backend, ...]] = {}
+        self.updated_at_s = float('-inf')
+
+    def update(self, records: Iterable[BackendRecord], now_s: float) -> None:
+        """Take a new listing; keeps what is known of those that remain."""
+        known = self._backends
+        self._backends = {}
+        for record in records:
+            backend = known.pop(record.backend_id, None)
+            if backend is None or backend.record.address != record.address:
+                backend = Backend(record, ConnectionPool(record.address))
+            backend.record = record
+            self._backends[record.backend_id] = backend
+        for gone in known.values():
+            gone.pool.close()
+        self.updated_at_s = now_s
+        services: dict[str, list[Backend]] = {}
+        for backend in self._backends.values():
+            if not backend.record.is_draining:
+                services.setdefault(backend.record.service, []).append(backend)
+        self._services = {name: tuple(rows) for name, rows in services.items()}
+
+    def of_service(self, service: str) -> tuple[Backend, ...]:
+        """Return the backend servers of a service that are not leaving."""
+        return self._services.get(service, ())
+
+    def by_id(self) -> Mapping[str, Backend]:
+        """Return all backend servers, leaving ones too, by id."""
+        return self._backends
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for backend in self._backends.values():
+            backend.pool.close()
--- /dev/null
+++ b/src/kumquatrun/gateway/balancer.py
@@ -0,0 +1,117 @@
+"""Choice of the backend server for a request."""
+
+import hashlib
+import random
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass
+
+from kumquatrun.gateway.backends import Backend
+
+# A failure rate above this makes a backend server a last resort.
+MAX_FAILURE_RATE = 0.35
+# An adapter's first backend server is passed over when its load is above both
+# bounds: a further copy of the adapter costs a load from the weight store.
+SPILL_LOAD = 28
+SPILL_RATIO = 1.25
+# Requests that a nearer backend server may have more than one in the next
+# failure domain, and in the next region.
+OTHER_DOMAIN_LOAD = 1.0
+OTHER_REGION_LOAD = 2.0
+FAILURE_LOAD = 20.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Place:
+    """Where a process runs, with the region of each failure domain."""
+
+    failure_domain: str
+    regions: dict[str, str]
+
+    def distance(self, failure_domain: str) -> float:
+        """Return the distance to a failure domain in units of load."""
+        if failure_domain == self.failure_domain:
+            return 0.0
+        own = self.regions.get(self.failure_domain)
+        if self.regions.get(failure_domain) == own:
+            return OTHER_DOMAIN_LOAD
+        return OTHER_REGION_LOAD
+
+
+class Balancer:
+    """Chooses backend servers by adapter, load, health and distance."""
+
+    def __init__(self, place: Place, rng: random.Random) -> None:
+        self._place = place
+        self._rng = rng
+
+    def choose(
+        self,
+        backends: Sequence[Backend],
+        now_s: float,
+        *,
+        affinity: str = '',
+        excluded: Collection[str] = (),
+    ) -> Backend | None:
+        """Return the backend server to try next, None if there is none.
+
+        Parameters
+        ----------
+        backends
+            Backend servers of the service that are not leaving.
+        now_s
+            Clock time in seconds.
+        affinity
+            Key whose requests should meet, such as an adapter; empty for
+            requests that any backend server answers equally well.
+        excluded
+            Ids of the backend servers that were tried already.
+        """
+        usable = [row for row in backends if row.backend_id not in excluded]
+        if not usable:
+            return None
+        awake = [row for row in usable if row.paused_until_s <= now_s]
+        well = [
+            row
+            for row in awake
+            if row.current_failure_rate(now_s) < MAX_FAILURE_RATE
+        ]
+        candidates = well or awake or usable
+        if affinity:
+            return self._by_affinity(candidates, affinity)
+        return min(candidates, key=lambda row: self._cost(row, now_s))
+
+    def _by_affinity(
+        self,
+        candidates: Sequence[Backend],
+        affinity: str,
+    ) -> Backend:
+        ranked = sorted(
+            candidates,
+            key=lambda row: _rank(affinity, row.backend_id),
+        )
+        mean = sum(row.load for row in ranked) / len(ranked)
+        bound = max(SPILL_LOAD, SPILL_RATIO * mean)
+        for backend in ranked:
+            if backend.load <= bound:
+                return backend
+        return min(ranked, key=lambda row: row.load)
+
+    def _cost(self, backend: Backend, now_s: float) -> float:
+        return (
+            backend.load
+            + self._place.distance(backend.record.failure_domain)
+            + FAILURE_LOAD * backend.current_failure_rate(now_s)
+            + self._rng.random() / 2
+        )
+
+
+def _rank(affinity: str, backend_id: str) -> bytes:
+    """Return the place of a backend server in the order of a key.
+
+    Each key has an order of its own, so that only the keys of a backend
+    server that leaves or joins move.
+    """
+    return hashlib.blake2b(
+        f'{affinity}\0{backend_id}'.encode(),
+        digest_size=8,
+    ).digest()
--- /dev/null
+++ b/src/kumquatrun/gateway/caller_channel.py
@@ -0,0 +1,88 @@
+"""Writes one answer to the caller's connection."""
+
+import asyncio
+
+from aiohttp import web
+
+
+class CallerChannel:
+    """The caller's side of one request.
+
+    Attributes
+    ----------
+    status
+        Status that was sent; 0 before the head.
+    first_byte_at_s
+        When the first part of the body was sent.
+    """
+
+    def __init__(self, request: web.BaseRequest) -> None:
+        self.status = 0
+        self.first_byte_at_s: float | None = None
+        self.closes_after = False
+        self._request = request
+        self._response: web.StreamResponse | None = None
+        self._time = asyncio.get_running_loop().time
+
+    @property
+    def response(self) -> web.StreamResponse:
+        """Return the answer that was begun; an empty one if none was."""
+        return self._response or web.Response(status=500)
+
+    @property
+    def has_begun(self) -> bool:
+        """Return whether the head of the answer was sent."""
+        return self._response is not None
+
+    async def begin(
+        self,
+        status: int,
+        reason: str,
+        headers: list[tuple[str, str]],
+    ) -> None:
+        """Send the head of an answer."""
+        response = web.StreamResponse(status=status, reason=reason or None)
+        for name, value in headers:
+            response.headers.add(name, value)
+        if self.closes_after:
+            response.force_close()
+        self._response = response
+        self.status = status
+        await response.prepare(self._request)
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a part of the body; waits while the caller reads slowly."""
+        if self.first_byte_at_s is None:
+            self.first_byte_at_s = self._time()
+        await self._response.write(chunk)
+
+    async def finish(self) -> None:
+        """End the body."""
+        await self._response.write_eof()
+
+    async def refuse(
+        self,
+        status: int,
+        text: str,
+        retry_after_s: float | None = None,
+    ) -> None:
+        """Answer with a failure of the gateway's own."""
+        headers = {}
+        if retry_after_s is not None:
+            headers['Retry-After'] = f'{retry_after_s:.2f}'
+        response = web.Response(
+            status=status,
+            headers=headers,
+            text=f'{text}\n',
+        )
+        if self.closes_after:
+            response.force_close()
+        self._response = response
+        self.status = status
+        await response.prepare(self._request)
+        await response.write_eof()
+
+    def abort(self) -> None:
+        """Close the connection, the only sign of an incomplete answer."""
+        if self._request.transport is not None:
+            self._request.transport.abort()
--- /dev/null
+++ b/src/kumquatrun/gateway/checks.py
@@ -0,0 +1,87 @@
+"""Checks of a routing configuration, one table row per rule."""
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+
+from kumquatrun.errors import DocumentError
+from kumquatrun.gateway.configuration import Configuration
+
+
+def check_configuration(configuration: Configuration) -> None:
+    """Refuse a configuration that breaks a rule.
+
+    Raises
+    ------
+    DocumentError
+        Names the first rule that is broken, and where.
+    """
+    for check in _CHECKS:
+        for problem in check(configuration):
+            raise DocumentError(problem)
+
+
+def _unknown_services(configuration: Configuration) -> Iterator[str]:
+    for route in configuration.routes:
+        for target in route.targets:
+            if configuration.service(target.service) is None:
+                yield (
+                    f'route {route.name!r} names the service '
+                    f'{target.service!r}, which is not listed'
+                )
+
+
+def _weights(configuration: Configuration) -> Iterator[str]:
+    for route in configuration.routes:
+        if any(target.weight < 0 for target in route.targets):
+            yield f'route {route.name!r} has a negative weight'
+        if sum(target.weight for target in route.targets) <= 0:
+            yield f'the weights of route {route.name!r} add up to 0'
+
+
+def _timeouts(configuration: Configuration) -> Iterator[str]:
+    for route in configuration.routes:
+        if route.timeout_ms <= 0:
+            yield f'the timeout of route {route.name!r} is not above 0'
+
+
+def _prefixes(configuration: Configuration) -> Iterator[str]:
+    for route in configuration.routes:
+        prefix = route.path_prefix
+        if not (prefix.startswith('/') and prefix.endswith('/')):
+            yield (
+                f'the prefix {prefix!r} of route {route.name!r} does not '
+                'begin and end with a slash'
+            )
+    places = Counter(
+        (route.host.lower(), route.path_prefix)
+        for route in configuration.routes
+    )
+    for (host, prefix), count in places.items():
+        if count > 1:
+            yield f'{count} routes share host {host!r} and prefix {prefix!r}'
+
+
+def _names(configuration: Configuration) -> Iterator[str]:
+    names = Counter(service.name for service in configuration.services)
+    for name, count in names.items():
+        if count > 1:
+            yield f'{count} services are named {name!r}'
+
+
+def _keys(configuration: Configuration) -> Iterator[str]:
+    owners: dict[str, str] = {}
+    for account in configuration.accounts:
+        for key in account.keys:
+            owner = owners.setdefault(key, account.name)
+            if owner != account.name:
+                yield f'accounts {owner!r} and {account.name!r} share a key'
+
+
+_CHECKS: tuple[Callable[[Configuration], Iterator[str]], ...] = (
+    _unknown_services,
+    _weights,
+    _timeouts,
+    _prefixes,
+    _names,
+    _keys,
+)
--- /dev/null
+++ b/src/kumquatrun/gateway/configuration.py
@@ -0,0 +1,186 @@
+"""Routing configuration of a gateway: routes, services, accounts, limits.
+
+A configuration is one checked, immutable value with its lookup tables. The
+operator numbers versions; the highest accepted version is in force.
+"""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from enum import StrEnum
+from functools import cached_property
+
+
+class RouteKind(StrEnum):
+    """What may be repeated on a route."""
+
+    IDEMPOTENT = 'idempotent'
+    NON_IDEMPOTENT = 'non_idempotent'
+    STREAMING = 'streaming'
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WeightedService:
+    """One target of a route with its share of the requests."""
+
+    service: str
+    weight: float = 1
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GatewayRoute:
+    """A host name and path prefix that callers use.
+
+    Attributes
+    ----------
+    targets
+        Services that answer, with their weights.
+    timeout_ms
+        Longest time that a request may be kept waiting.
+    target_latency_ms
+        Time in which an answer, or the first event of a stream, is on time.
+    gap_target_ms
+        Longest pause between two events of a stream that is on time.
+    priority
+        Rank of the route, 0 first.
+    max_attempts
+        Number of backend servers that may run one attempt of a caller.
+    is_resumable
+        Whether a stream may continue on another backend server.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    targets: tuple[WeightedService, ...]
+    timeout_ms: int
+    target_latency_ms: float = 1000
+    gap_target_ms: float = 0
+    priority: int = 0
+    max_attempts: int = 1
+    is_public: bool = False
+    is_resumable: bool = False
+
+    @property
+    def may_repeat(self) -> bool:
+        """Return whether a request may run more than once."""
+        return self.kind is RouteKind.IDEMPOTENT or (
+            self.kind is RouteKind.STREAMING and self.is_resumable
+        )
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BaseModelSpec:
+    """A base model of an engine service; sizes in MB, times in seconds."""
+
+    name: str
+    weights_mb: float = 0
+    adapter_mb: float = 0
+    adapters: int = 0
+    load_s: float = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EngineSpec:
+    """Capacity of one engine of a service."""
+
+    batch_slots: int = 0
+    cache_tokens: int = 0
+    weights_mb: float = 0
+    adapter_slots: int = 0
+    base_models: tuple[BaseModelSpec, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BackendService:
+    """A set of backend servers that answer the same requests."""
+
+    name: str
+    max_connections: int = 0
+    health_path: str = ''
+    engine: EngineSpec | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GatewayAccount:
+    """A client account with its keys and its allowance.
+
+    ``rate_per_s`` and ``burst`` count tokens where ``counts_tokens`` is true,
+    else requests; a rate of 0 means no limit. A request that states no tokens
+    counts as ``plain_tokens``.
+    """
+
+    name: str
+    keys: tuple[str, ...] = ()
+    priority: int | None = None
+    counts_tokens: bool = False
+    plain_tokens: int = 1
+    rate_per_s: float = 0
+    burst: float = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallerLimits:
+    """What a caller may send and how long a connection may stay idle."""
+
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_ms: int = 3000
+    idle_timeout_ms: int = 15_000
+
+
+@dataclass(frozen=True, kw_only=True)
+class Configuration:
+    """A checked routing configuration."""
+
+    version: int
+    routes: tuple[GatewayRoute, ...] = ()
+    services: tuple[BackendService, ...] = ()
+    accounts: tuple[GatewayAccount, ...] = ()
+    requires_keys: bool = False
+    limits: CallerLimits = field(default_factory=CallerLimits)
+
+    def route_for(self, host: str, path: str) -> GatewayRoute | None:
+        """Return the route with the longest prefix of ``path``.
+
+        Prefixes end with a slash, so only the parts of the path up to each
+        slash can match.
+        """
+        routes = self._routes_by_host.get(host.lower())
+        if not routes:
+            return None
+        for prefix in _prefixes(path):
+            route = routes.get(prefix)
+            if route is not None:
+                return route
+        return None
+
+    def account_for(self, key: str) -> GatewayAccount | None:
+        """Return the account that holds ``key``."""
+        return self._accounts_by_key.get(key)
+
+    def service(self, name: str) -> BackendService | None:
+        """Return a service by name."""
+        return self._services_by_name.get(name)
+
+    @cached_property
+    def _routes_by_host(self) -> Mapping[str, Mapping[str, GatewayRoute]]:
+        hosts: dict[str, dict[str, GatewayRoute]] = {}
+        for route in self.routes:
+            hosts.setdefault(route.host.lower(), {})[route.path_prefix] = route
+        return hosts
+
+    @cached_property
+    def _accounts_by_key(self) -> Mapping[str, GatewayAccount]:
+        return {key: row for row in self.accounts for key in row.keys}
+
+    @cached_property
+    def _services_by_name(self) -> Mapping[str, BackendService]:
+        return {row.name: row for row in self.services}
+
+
+def _prefixes(path: str) -> Iterator[str]:
+    end = path.rfind('/')
+    while end >= 0:
+        yield path[: end + 1]
+        end = path.rfind('/', 0, end)
--- /dev/null
+++ b/src/kumquatrun/gateway/connection_pool.py
@@ -0,0 +1,80 @@
+"""Idle connections to one backend server, kept for later requests."""
+
+import asyncio
+import re
+
+from kumquatrun.address import Address
+from kumquatrun.gateway.backend_connection import (
+    AnswerHead,
+    BackendConnection,
+    open_connection,
+)
+
+# Idle time after which a connection is not used again, where the backend
+# server states no limit of its own.
+DEFAULT_IDLE_S = 4.0
+# A request that may not be repeated is lost when the backend server closes
+# the idle connection meanwhile, so it takes only connections used just now.
+UNREPEATABLE_IDLE_S = 1.0
+# The backend server's own limit is missed by about the time of one request.
+IDLE_MARGIN_S = 1.0
+MAX_IDLE = 64
+
+_TIMEOUT = re.compile(r'timeout=(\d+)')
+
+
+class ConnectionPool:
+    """Opens connections to one backend server and keeps the idle ones."""
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._idle: list[BackendConnection] = []
+        self._idle_limit_s = DEFAULT_IDLE_S
+        self.opened = 0
+
+    async def take(self, *, may_repeat: bool) -> BackendConnection:
+        """Return an idle connection, or open one.
+
+        Raises
+        ------
+        ConnectionLostError
+            ``not_run`` if the backend server cannot be reached.
+        """
+        now_s = asyncio.get_running_loop().time()
+        limit_s = self._idle_limit_s
+        if not may_repeat:
+            limit_s = min(limit_s, UNREPEATABLE_IDLE_S)
+        self._drop_old(now_s)
+        if self._idle and now_s - self._idle[-1].idle_since_s < limit_s:
+            return self._idle.pop()
+        self.opened += 1
+        return await open_connection(self._address)
+
+    def give_back(
+        self, connection: BackendConnection, head: AnswerHead
+    ) -> None:
+        """Keep a connection whose answer was read to its end."""
+        connection.mark_finished(head)
+        stated = _TIMEOUT.search(head.header(b'keep-alive'))
+        if stated:
+            self._idle_limit_s = max(0.0, int(stated[1]) - IDLE_MARGIN_S)
+        if connection.is_clean and len(self._idle) < MAX_IDLE:
+            self._idle.append(connection)
+        else:
+            connection.abort()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for connection in self._idle:
+            connection.abort()
+        self._idle.clear()
+
+    def _drop_old(self, now_s: float) -> None:
+        kept = []
+        for connection in self._idle:
+            is_fresh = now_s - connection.idle_since_s < self._idle_limit_s
+            if connection.is_clean and connection.is_open and is_fresh:
+                kept.append(connection)
+            else:
+                connection.abort()
+        self._idle = kept
--- /dev/null
+++ b/src/kumquatrun/gateway/control.py
@@ -0,0 +1,71 @@
+"""Control daemon part: replica, list of backend servers, membership."""
+
+import asyncio
+import random
+
+from kumquatrun.backend_listing import BackendListing
+from kumquatrun.clock import Clock
+from kumquatrun.control_host import ControlHost
+from kumquatrun.gateway.settings import GatewayControlSettings
+from kumquatrun.leader_client import LeaderClient
+from kumquatrun.membership_keeper import MembershipKeeper
+from kumquatrun.messages import Hello
+
+
+class GatewayControl:
+    """Runs one control replica with its background work.
+
+    Attributes
+    ----------
+    leader
+        Connection to the leader, wherever it is.
+    """
+
+    def __init__(
+        self,
+        settings: GatewayControlSettings,
+        listing: BackendListing,
+        clock: Clock,
+    ) -> None:
+        self._listing = listing
+        self._host = ControlHost(settings, clock, listing=listing)
+        self._keeper = MembershipKeeper(
+            self._host.replica,
+            clock,
+            settings.max_lost_replicas,
+        )
+        self.leader = LeaderClient(
+            settings.control_addresses,
+            Hello(
+                node_id=settings.host_id,
+                incarnation='operator',
+                cluster_token=settings.cluster_token,
+                region=settings.region,
+            ),
+            clock,
+            random.Random(),
+        )
+        self._tasks: list[asyncio.Task] = []
+
+    @property
+    def replica(self):
+        """Return the control replica."""
+        return self._host.replica
+
+    async def start(self) -> None:
+        """Start the replica and follow the platform's list while it leads."""
+        await self._host.start()
+        self._tasks = [
+            asyncio.create_task(self._keeper.run()),
+            asyncio.create_task(
+                self._listing.follow(lambda: self._host.service.serves),
+            ),
+        ]
+
+    async def stop(self) -> None:
+        """Stop the background work and the replica."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.leader.close()
+        await self._host.stop()
--- /dev/null
+++ b/src/kumquatrun/gateway/crash_watch.py
@@ -0,0 +1,98 @@
+"""Keeps requests that crash backend servers from reaching more of them."""
+
+import asyncio
+import hashlib
+import logging
+import uuid
+from contextlib import suppress
+
+from kumquatrun.clock import Clock
+from kumquatrun.control_client import Session
+from kumquatrun.errors import KumquatrunError, QuarantinedError
+from kumquatrun.gateway.wire_format import CallerRequest
+from kumquatrun.logs import log_event
+from kumquatrun.messages import ReportSuspects
+
+log = logging.getLogger(__name__)
+
+REPORT_TIMEOUT_S = 2.0
+# Broken answers to equal requests after which a request is refused here,
+# also without a leader that counts them for the fleet.
+LOCAL_LIMIT = 2
+LOCAL_MEMORY_S = 60.0
+MAX_LOCAL = 2000
+
+
+def fingerprint_of(request: CallerRequest) -> str:
+    """Return what equal requests of one caller have in common."""
+    digest = hashlib.blake2b(digest_size=12)
+    for part in (request.method, request.target, request.key):
+        digest.update(part.encode('utf-8', 'surrogateescape'))
+        digest.update(b'\0')
+    digest.update(request.body)
+    return digest.hexdigest()
+
+
+class CrashWatch:
+    """Counts broken answers by fingerprint, here and for the whole fleet."""
+
+    def __init__(self, session: Session, clock: Clock) -> None:
+        self._session = session
+        self._clock = clock
+        self._broken: dict[str, list[float]] = {}
+        self._reports: set[asyncio.Task] = set()
+
+    def check(self, request: CallerRequest) -> None:
+        """Refuse a request that broke its answers before.
+
+        Raises
+        ------
+        QuarantinedError
+            If equal requests were broken off too often.
+        """
+        if not request.body:
+            return
+        fingerprint = fingerprint_of(request)
+        state = self._session.view.fingerprint_state(fingerprint)
+        here = self._recent(fingerprint)
+        if state == 'quarantined' or len(here) > LOCAL_LIMIT:
+            raise QuarantinedError(
+                f'equal requests broke off {len(here)} times here; the fleet '
+                f'says {state}',
+            )
+
+    def report(self, request: CallerRequest) -> None:
+        """Record that the backend server broke off a request."""
+        if not request.body:
+            return
+        fingerprint = fingerprint_of(request)
+        times = self._recent(fingerprint)
+        times.append(self._clock.now_s())
+        self._broken[fingerprint] = times
+        if len(self._broken) > MAX_LOCAL:
+            self._broken.pop(next(iter(self._broken)))
+        log_event(
+            log,
+            'request_suspected',
+            request_id=request.request_id,
+            fingerprint=fingerprint,
+            broken_here=len(times),
+        )
+        if len(times) > 1:
+            task = asyncio.create_task(self._tell(fingerprint))
+            self._reports.add(task)
+            task.add_done_callback(self._reports.discard)
+
+    def _recent(self, fingerprint: str) -> list[float]:
+        oldest_s = self._clock.now_s() - LOCAL_MEMORY_S
+        times = self._broken.get(fingerprint, ())
+        return [time_s for time_s in times if time_s > oldest_s]
+
+    async def _tell(self, fingerprint: str) -> None:
+        report = ReportSuspects(
+            host_id=self._session.record.host_id,
+            fingerprints=(fingerprint,),
+            report_id=uuid.uuid4().hex,
+        )
+        with suppress(KumquatrunError):
+            await self._session.control.call(report, REPORT_TIMEOUT_S)
--- /dev/null
+++ b/src/kumquatrun/gateway/listing_follower.py
@@ -0,0 +1,131 @@
+"""Keeps an entry's table of backend servers up to date."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable, Iterable
+
+import msgpack
+
+from kumquatrun.address import Address
+from kumquatrun.clock import Clock
+from kumquatrun.errors import KumquatrunError
+from kumquatrun.gateway.backends import (
+    BackendRecord,
+    BackendTable,
+    HeldAdapter,
+)
+from kumquatrun.logs import log_event
+
+log = logging.getLogger(__name__)
+
+# A list that the leader read longer ago is read here. A leaving backend
+# server must get no work 3 s after the list shows it.
+MAX_AGE_S = 1.6
+CHECK_INTERVAL_S = 0.25
+
+
+def encode_records(records: Iterable[BackendRecord]) -> bytes:
+    """Return a list in msgpack, equal for equal lists."""
+    rows = [
+        (
+            record.backend_id,
+            record.service,
+            str(record.address),
+            record.failure_domain,
+            record.is_draining,
+            sorted(
+                (held.model, held.adapter, held.version)
+                for held in record.adapters
+            ),
+        )
+        for record in sorted(records, key=lambda row: row.backend_id)
+    ]
+    return msgpack.packb(rows)
+
+
+def decode_records(encoded: bytes) -> tuple[BackendRecord, ...]:
+    """Rebuild a list."""
+    return tuple(
+        BackendRecord(
+            backend_id=backend_id,
+            service=service,
+            address=Address.parse(address),
+            failure_domain=failure_domain,
+            is_draining=is_draining,
+            adapters=frozenset(
+                HeldAdapter(model=model, adapter=adapter, version=version)
+                for model, adapter, version in held
+            ),
+        )
+        for backend_id, service, address, failure_domain, is_draining, held in (
+            msgpack.unpackb(encoded)
+        )
+    )
+
+
+class ListingFollower:
+    """Takes the leader's list, or reads it where the leader's is too old.
+
+    Parameters
+    ----------
+    table
+        Table to update.
+    read
+        Reads the list from the platform.
+    clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        table: BackendTable,
+        read: Callable[[], Awaitable[bytes]],
+        clock: Clock,
+    ) -> None:
+        self._table = table
+        self._read = read
+        self._clock = clock
+        self._listed_at_s = float('-inf')
+        self._reads_itself = False
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no backend server is known."""
+        return not self._table.by_id()
+
+    def age_s(self, now_s: float) -> float:
+        """Return how old the table is."""
+        return now_s - self._listed_at_s
+
+    def take(self, encoded: bytes | None, age_s: float) -> None:
+        """Take the leader's list; None if it has not changed."""
+        now_s = self._clock.now_s()
+        if encoded is not None:
+            self._table.update(decode_records(encoded), now_s)
+        self._listed_at_s = max(self._listed_at_s, now_s - age_s)
+        self._note_source(reads_itself=False)
+
+    async def run(self) -> None:
+        """Read the list whenever it is too old; never returns."""
+        while True:
+            if self.age_s(self._clock.now_s()) > MAX_AGE_S:
+                await self._refresh()
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
+    async def _refresh(self) -> None:
+        asked_at_s = self._clock.now_s()
+        try:
+            encoded = await self._read()
+        except KumquatrunError as error:
+            log_event(log, 'listing_unreadable', error=str(error))
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            return
+        self._table.update(decode_records(encoded), asked_at_s)
+        self._listed_at_s = asked_at_s
+        self._note_source(reads_itself=True)
+
+    def _note_source(self, *, reads_itself: bool) -> None:
+        if reads_itself != self._reads_itself:
+            self._reads_itself = reads_itself
+            source = 'platform' if reads_itself else 'leader'
+            log_event(log, 'listing_source', source=source)
--- /dev/null
+++ b/src/kumquatrun/gateway/messages.py
@@ -0,0 +1,36 @@
+"""Messages between a gateway entry and the agent beside an engine."""
+
+from kumquatrun.messages import message
+
+
+@message
+class UseAdapter:
+    """Asks for an adapter and keeps it loaded while the call is open.
+
+    An empty ``adapter`` asks for the base model. ``version`` is the oldest
+    version that will do; 0 means any.
+    """
+
+    request_id: str
+    model: str
+    adapter: str
+    version: int = 0
+    priority: int = 0
+
+
+@message
+class AdapterReady:
+    """First stream item: the engine holds the adapter.
+
+    ``load`` counts the requests at the engine; ``waited_s`` is the time that
+    the load took.
+    """
+
+    version: int
+    load: int
+    waited_s: float = 0.0
+
+
+@message
+class AdapterReleased:
+    """Ends a call whose caller has stopped using the adapter."""
--- /dev/null
+++ b/src/kumquatrun/gateway/residency.py
@@ -0,0 +1,133 @@
+"""Which adapters an engine holds, and which one makes way for another.
+
+The engine's report says what it holds. This module keeps what the report
+cannot know: who uses an adapter, when it was last used, and which orders are
+not visible in a report yet.
+"""
+
+from dataclasses import dataclass
+
+from kumquatrun.gateway.engine_api import EngineReport
+
+AdapterName = tuple[str, str]
+
+# An adapter stays for this time after its last use, so that a request that
+# was told of it still finds it.
+PROTECTION_S = 0.3
+# An order whose effect is not in the report after this time is forgotten.
+FORGET_ORDER_S = 15.0
+
+
+@dataclass
+class _Use:
+    pins: int = 0
+    last_used_s: float = float('-inf')
+
+
+class Residency:
+    """Slots of one engine.
+
+    Parameters
+    ----------
+    adapter_slots
+        Number of adapters that the engine may hold, those on their way
+        included.
+    """
+
+    def __init__(self, adapter_slots: int) -> None:
+        self.adapter_slots = adapter_slots
+        self._uses: dict[AdapterName, _Use] = {}
+        self._held: dict[AdapterName, int] = {}
+        self._loading: dict[AdapterName, int] = {}
+        # Orders that may have been accepted and are not in a report yet.
+        self._ordered: dict[AdapterName, tuple[int, float]] = {}
+
+    def take_report(self, report: EngineReport, now_s: float) -> None:
+        """Take what the engine holds and loads."""
+        self._held = {
+            (model.name, adapter): version
+            for model in report.models
+            for adapter, version in model.adapters.items()
+        }
+        self._loading = {
+            (model, adapter): version
+            for model, adapter, version in report.loading
+        }
+        for name, (_, ordered_s) in list(self._ordered.items()):
+            is_visible = name in self._held or name in self._loading
+            if is_visible or now_s - ordered_s > FORGET_ORDER_S:
+                del self._ordered[name]
+
+    def reset(self) -> None:
+        """Forget orders after a restart of the engine."""
+        self._ordered.clear()
+        self._held.clear()
+        self._loading.clear()
+
+    def version_of(self, name: AdapterName) -> int | None:
+        """Return the version that the engine holds, None if it lacks it."""
+        return self._held.get(name)
+
+    def is_loading(self, name: AdapterName) -> bool:
+        """Return whether the adapter is on its way."""
+        return name in self._loading or name in self._ordered
+
+    @property
+    def loads_under_way(self) -> int:
+        """Return the number of adapters on their way."""
+        return len({*self._loading, *self._ordered})
+
+    @property
+    def used_slots(self) -> int:
+        """Return the number of slots that are taken, or may be."""
+        return len({*self._held, *self._loading, *self._ordered})
+
+    def pin(self, name: AdapterName, now_s: float) -> None:
+        """Keep an adapter, held or not, until ``unpin``."""
+        use = self._uses.setdefault(name, _Use())
+        use.pins += 1
+        use.last_used_s = now_s
+
+    def unpin(self, name: AdapterName, now_s: float) -> None:
+        """Release a pin."""
+        use = self._uses[name]
+        use.pins -= 1
+        use.last_used_s = now_s
+
+    def record_load(
+        self, name: AdapterName, version: int, now_s: float
+    ) -> None:
+        """Record a load order that may have been accepted."""
+        self._ordered[name] = (version, now_s)
+
+    def record_unload(self, name: AdapterName) -> None:
+        """Record an unload that took effect."""
+        self._held.pop(name, None)
+
+    def forget_order(self, name: AdapterName) -> None:
+        """Forget an order that the engine refused."""
+        self._ordered.pop(name, None)
+
+    def victim(self, now_s: float) -> AdapterName | None:
+        """Return the held adapter that was not used for the longest time.
+
+        None if every adapter is in use or was used just now.
+        """
+        candidates = [
+            name
+            for name in self._held
+            if name not in self._loading and self._may_leave(name, now_s)
+        ]
+        if not candidates:
+            return None
+        return min(candidates, key=self._last_used_s)
+
+    def _may_leave(self, name: AdapterName, now_s: float) -> bool:
+        use = self._uses.get(name)
+        if use is None:
+            return True
+        return not use.pins and now_s - use.last_used_s >= PROTECTION_S
+
+    def _last_used_s(self, name: AdapterName) -> float:
+        use = self._uses.get(name)
+        return use.last_used_s if use else float('-inf')
--- /dev/null
+++ b/src/kumquatrun/gateway/settings.py
@@ -0,0 +1,60 @@
+"""Settings of the gateway daemons."""
+
+from dataclasses import dataclass
+
+from kumquatrun.peer import Address
+from kumquatrun.settings import DaemonSettings
+
+
+@dataclass(frozen=True, kw_only=True)
+class GatewaySettings(DaemonSettings):
+    """Settings that all gateway daemons share.
+
+    Attributes
+    ----------
+    regions
+        Region of each failure domain.
+    listing_address
+        Where the platform lists the backend servers.
+    """
+
+    listing_address: Address
+    regions: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True)
+class GatewayEntrySettings(GatewaySettings):
+    """Settings of an entry.
+
+    ``retry_ratio`` and ``retry_allowance`` bound the retries of the whole
+    fleet to one service within ``retry_window_s``.
+    """
+
+    http_listen: Address
+    ready_listen: Address
+    max_header_bytes: int = 32 * 1024
+    retry_ratio: float = 0.1
+    retry_allowance: int = 50
+    retry_window_s: float = 10.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class GatewayAgentSettings(GatewaySettings):
+    """Settings of the agent beside an engine."""
+
+    listen: Address
+    service: str
+    engine_address: Address
+
+
+@dataclass(frozen=True, kw_only=True)
+class GatewayControlSettings(GatewaySettings):
+    """Settings of a control host.
+
+    ``extra_burst_tokens`` are added to the burst of each account, so that a
+    request larger than the burst can be admitted.
+    """
+
+    operator_listen: Address
+    max_lost_replicas: int = 1
+    extra_burst_tokens: int = 0
--- a/src/kumquatrun/http_server.py
+++ b/src/kumquatrun/http_server.py
@@ -91,14 +91,16 @@
         handle: Handle,
         max_connections: int,
         write_timeout_s: float,
+        *,
+        max_line_bytes: int = MAX_LINE_BYTES,
     ) -> None:
         super().__init__(
             handle,
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=IDLE_TIMEOUT_S,
-            max_line_size=MAX_LINE_BYTES,
-            max_field_size=MAX_LINE_BYTES,
+            max_line_size=max_line_bytes,
+            max_field_size=max_line_bytes,
             max_headers=MAX_HEADERS,
             read_bufsize=READ_BUFFER_BYTES,
             lingering_time=LINGERING_S,
@@ -106,6 +108,12 @@
         )
         self._max_connections = max_connections
         self._write_timeout_s = write_timeout_s
+        self._idle_timeout_s = IDLE_TIMEOUT_S
+
+    def set_idle_timeout(self, idle_timeout_s: float) -> None:
+        """Change how long connections accepted from now on may stay idle."""
+        self._idle_timeout_s = idle_timeout_s
+        self._kwargs['keepalive_timeout'] = idle_timeout_s
 
     def __call__(self) -> RequestHandler:
         """Return the protocol object of a new connection."""
@@ -142,7 +150,7 @@
         transport: asyncio.Transport,
         now_s: float,
     ) -> None:
-        limit_s = IDLE_TIMEOUT_S
+        limit_s = self._idle_timeout_s
         if transport.get_write_buffer_size():
             limit_s = self._write_timeout_s
         if now_s - connection.idle_since_s > limit_s:
--- a/src/kumquatrun/leader_client.py
+++ b/src/kumquatrun/leader_client.py
@@ -102,6 +102,11 @@
         if failed.address == self._leader:
             self._choose_other()
 
+    def set_addresses(self, addresses: tuple[Address, ...]) -> None:
+        """Replace the addresses that are tried without a hint."""
+        if addresses:
+            self._addresses = list(addresses)
+
     async def close(self) -> None:
         """Close all connections."""
         for client in self._clients.values():
--- /dev/null
+++ b/src/kumquatrun/membership_keeper.py
@@ -0,0 +1,95 @@
+"""Keeps the group of control replicas complete without an operator.
+
+On a platform that replaces hosts by itself, a new replica joins as a learner,
+is made a voter once it has caught up, and a voter that stays silent leaves
+when the others are enough without it.
+"""
+
+import asyncio
+import logging
+
+from kumquatrun.clock import Clock
+from kumquatrun.errors import KumquatrunError
+from kumquatrun.quorum_types import MembershipChange
+from kumquatrun.replica import Replica
+
+log = logging.getLogger(__name__)
+
+CHECK_INTERVAL_S = 0.5
+CHANGE_TIMEOUT_S = 3.0
+# A replica that is frozen or restarts is back within this time.
+SILENT_LIMIT_S = 6.0
+# Hosts that may be set aside for control.
+MAX_VOTERS = 7
+
+
+class MembershipKeeper:
+    """Promotes learners and removes voters that are gone.
+
+    Parameters
+    ----------
+    replica
+        The replica of this host; only the leader's keeper acts.
+    clock
+        Source of time.
+    max_lost_replicas
+        Replicas whose loss at the same time must be survived.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        clock: Clock,
+        max_lost_replicas: int,
+    ) -> None:
+        self._replica = replica
+        self._clock = clock
+        self._least_voters = 2 * max_lost_replicas + 1
+
+    async def run(self) -> None:
+        """Check the membership again and again; never returns."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            change = self.next_change()
+            if change is not None:
+                await self._apply(change)
+
+    def next_change(self) -> MembershipChange | None:
+        """Return the change to make now, None if the group is complete."""
+        silence_s = self._replica.silence_s(self._clock.now_s())
+        if not silence_s:
+            return None
+        members = self._replica.members
+        voters = [member for member in members if member.voter]
+        silent = [
+            member.replica_id
+            for member in members
+            if silence_s.get(member.replica_id, 0.0) > SILENT_LIMIT_S
+        ]
+        for member in members:
+            is_waiting = not member.voter and member.replica_id not in silent
+            if is_waiting and len(voters) < MAX_VOTERS:
+                return MembershipChange('promote', member.replica_id)
+        voter_ids = {member.replica_id for member in voters}
+        for replica_id in silent:
+            is_spare = len(voters) > self._least_voters
+            if replica_id not in voter_ids or is_spare:
+                return MembershipChange('remove', replica_id)
+        return None
+
+    async def _apply(self, change: MembershipChange) -> None:
+        try:
+            await self._replica.change_membership(change, CHANGE_TIMEOUT_S)
+        except KumquatrunError as error:
+            log.info(
+                'event=membership_change_failed action=%s replica=%s error=%r',
+                change.action,
+                change.replica_id,
+                str(error),
+            )
+            return
+        log.info(
+            'event=membership_changed action=%s replica=%s',
+            change.action,
+            change.replica_id,
+        )
--- a/src/kumquatrun/messages.py
+++ b/src/kumquatrun/messages.py
@@ -154,6 +154,7 @@
     sequence: int = 0
     agent_report: AgentReport | None = None
     budget_reports: tuple[BudgetReport, ...] = ()
+    listing_version: str = ''
 
 
 @message
@@ -161,11 +162,17 @@
     """Grants a lease, counted from the send time of the renewal.
 
     ``duration_s`` is 0 if the host must first catch up with the feed.
+    ``listing`` is the platform's list of backend servers, see
+    ``backend_listing``; None if the host has this version already.
+    ``listing_age_s`` is the time since the leader read it.
     """
 
     duration_s: float
     feed_index: int
     agent_reports: tuple[AgentReport, ...] = ()
+    listing_version: str = ''
+    listing_age_s: float | None = None
+    listing: bytes | None = None
 
 
 @message
--- /dev/null
+++ b/src/kumquatrun/platform/client.py
@@ -0,0 +1,91 @@
+"""The one HTTP client for calls to the platform and to engines."""
+
+import asyncio
+import json
+from typing import Any
+
+import aiohttp
+
+from kumquatrun.address import Address
+from kumquatrun.errors import ConnectionLostError
+
+CALL_TIMEOUT_S = 0.8
+OK = 200
+
+
+class PlatformClient:
+    """Sends JSON calls; one session for all addresses."""
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    async def get(
+        self,
+        address: Address,
+        path: str,
+        query: dict[str, str] | None = None,
+    ) -> Any:
+        """Return the JSON body of a 200 answer.
+
+        Raises
+        ------
+        ConnectionLostError
+            If there is no such answer in time.
+        """
+        status, body = await self._call('GET', address, path, query=query)
+        if status != OK:
+            raise ConnectionLostError(f'{address}{path} answered {status}')
+        return _parse(body, f'{address}{path}')
+
+    async def post(self, address: Address, path: str, fields: Any) -> int:
+        """Send a JSON body and return the status of the answer.
+
+        Raises
+        ------
+        ConnectionLostError
+            If there is no answer in time.
+        """
+        status, _ = await self._call('POST', address, path, fields=fields)
+        return status
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def _call(
+        self,
+        method: str,
+        address: Address,
+        path: str,
+        *,
+        query: dict[str, str] | None = None,
+        fields: Any = None,
+    ) -> tuple[int, bytes]:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0),
+                cookie_jar=aiohttp.DummyCookieJar(),
+            )
+        try:
+            async with (
+                asyncio.timeout(CALL_TIMEOUT_S),
+                self._session.request(
+                    method,
+                    f'http://{address}{path}',
+                    params=query,
+                    json=fields,
+                ) as answer,
+            ):
+                return answer.status, await answer.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise ConnectionLostError(
+                f'{method} {address}{path}: {error!r}',
+            ) from error
+
+
+def _parse(body: bytes, place: str) -> Any:
+    try:
+        return json.loads(body)
+    except ValueError as error:
+        raise ConnectionLostError(f'{place} sent no JSON: {error}') from None
--- /dev/null
+++ b/src/kumquatrun/platform/engine.py
@@ -0,0 +1,107 @@
+"""State and orders of an engine in the platform's format."""
+
+from kumquatrun.address import Address
+from kumquatrun.errors import (
+    ConnectionLostError,
+    DocumentError,
+    KumquatrunError,
+)
+from kumquatrun.gateway.engine_api import (
+    EngineOrder,
+    EngineReport,
+    HeldModel,
+    OrderVerdict,
+)
+from kumquatrun.platform import decoding as read
+from kumquatrun.platform.client import PlatformClient
+from kumquatrun.platform.listing import split_adapter
+
+REPORT_PATH = '/report'
+ORDER_PATH = '/order'
+LOAD = 'model_load'
+UNLOAD = 'model_unload'
+DRAINING_STATE = 'draining'
+VERDICTS = {
+    200: OrderVerdict.HOLDS,
+    202: OrderVerdict.ACCEPTED,
+    409: OrderVerdict.CONFLICT,
+    412: OrderVerdict.STALE_HOLDER,
+}
+
+
+class PlatformEngine:
+    """Implements ``OrderedEngine``."""
+
+    def __init__(self, client: PlatformClient, address: Address) -> None:
+        self._client = client
+        self._address = address
+
+    async def report(self) -> EngineReport:
+        """Return the state of the engine."""
+        fields = await self._client.get(self._address, REPORT_PATH)
+        try:
+            return decode_report(fields)
+        except (AttributeError, DocumentError, TypeError, ValueError) as error:
+            raise ConnectionLostError(f'unreadable report: {error}') from None
+
+    async def order(self, order: EngineOrder) -> OrderVerdict:
+        """Give an order."""
+        try:
+            status = await self._client.post(
+                self._address,
+                ORDER_PATH,
+                encode_order(order),
+            )
+        except KumquatrunError:
+            return OrderVerdict.NO_ANSWER
+        return VERDICTS.get(status, OrderVerdict.REFUSED)
+
+
+def encode_order(order: EngineOrder) -> dict[str, object]:
+    """Return the body of an order."""
+    fields: dict[str, object] = {
+        'operation': LOAD if order.is_load else UNLOAD,
+        'model': order.model,
+        'expected': order.expected_count,
+        'holder': order.holder,
+        'fence': order.fencing_number,
+    }
+    if order.adapter:
+        fields['adapter'] = order.adapter
+    if order.version:
+        fields['version'] = order.version
+    return fields
+
+
+def decode_report(fields: read.Fields) -> EngineReport:
+    """Return the state of an engine.
+
+    ``sequence`` counts the accepted orders, ``kv_used`` is the memory that
+    cannot yield, ``incoming`` lists adapters on their way.
+    """
+    return EngineReport(
+        started_ms=read.whole(fields, 'born', 0),
+        order_count=read.whole(fields, 'sequence', 0),
+        is_draining=fields.get('state') == DRAINING_STATE
+        or fields.get('remaining_ms') is not None,
+        is_changing_model=read.flag(fields, 'busy'),
+        waiting=read.whole(fields, 'waiting', 0),
+        running=read.whole(fields, 'running', 0),
+        cache_used_tokens=read.whole(fields, 'kv_used', 0),
+        cache_tokens=read.whole(fields, 'kv_total', 0),
+        models=tuple(
+            HeldModel(
+                name=read.text(model, 'name'),
+                version=read.whole(model, 'version', 0),
+                adapters=dict(map(split_adapter, model.get('adapters') or [])),
+            )
+            for model in read.rows(fields, 'models', [])
+        ),
+        loading=tuple(map(_loading, fields.get('incoming') or [])),
+    )
+
+
+def _loading(listed: str) -> tuple[str, str, int]:
+    """Split ``MODEL/NAME@VERSION``."""
+    model, _, adapter = listed.partition('/')
+    return (model, *split_adapter(adapter))
--- /dev/null
+++ b/src/kumquatrun/platform/operator.py
@@ -0,0 +1,104 @@
+"""The operator's HTTP calls in the platform's format."""
+
+import logging
+
+from aiohttp import web
+
+from kumquatrun.address import Address
+from kumquatrun.configuration_register import NameAdapterVersion
+from kumquatrun.errors import DocumentError, KumquatrunError
+from kumquatrun.gateway.operator_gate import OperatorGate
+from kumquatrun.logs import log_event
+from kumquatrun.platform import decoding as read
+from kumquatrun.platform.configuration import decode_configuration
+
+log = logging.getLogger(__name__)
+
+PUT_PATH = '/Config.Put'
+READ_PATH = '/Config.Get'
+NAME_VERSION_PATH = '/version-put'
+MAX_BODY_BYTES = 16 * 1024 * 1024
+BAD_REQUEST = 400
+UNAVAILABLE = 503
+
+
+class OperatorApi:
+    """Serves the operator on one address."""
+
+    def __init__(self, gate: OperatorGate, listen: Address) -> None:
+        self._gate = gate
+        self._listen = listen
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Listen for the operator."""
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app.router.add_post(PUT_PATH, self._put)
+        app.router.add_get(READ_PATH, self._read)
+        app.router.add_post(NAME_VERSION_PATH, self._name_version)
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        site = web.TCPSite(
+            self._runner,
+            self._listen.host,
+            self._listen.port,
+        )
+        await site.start()
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _put(self, request: web.Request) -> web.Response:
+        content = await request.read()
+        try:
+            configuration = decode_configuration(content)
+        except DocumentError as error:
+            log_event(log, 'configuration_refused', reason=error.detail)
+            return web.Response(status=BAD_REQUEST, text=f'{error}\n')
+        try:
+            version = await self._gate.put(configuration, content)
+        except KumquatrunError as error:
+            return _unavailable('configuration_not_committed', error)
+        log_event(
+            log,
+            'configuration_confirmed',
+            version=configuration.version,
+            in_force=version,
+        )
+        return web.json_response({'version': version})
+
+    async def _read(self, request: web.Request) -> web.Response:
+        try:
+            content = await self._gate.read()
+        except KumquatrunError as error:
+            return _unavailable('configuration_not_read', error)
+        return web.Response(body=content, content_type='application/json')
+
+    async def _name_version(self, request: web.Request) -> web.Response:
+        try:
+            fields = read.parse_object(await request.read())
+            command = NameAdapterVersion(
+                model=read.text(fields, 'model'),
+                adapter=read.text(fields, 'adapter', ''),
+                version=read.whole(fields, 'version'),
+            )
+        except DocumentError as error:
+            return web.Response(status=BAD_REQUEST, text=f'{error}\n')
+        try:
+            await self._gate.name_version(command)
+        except KumquatrunError as error:
+            return _unavailable('adapter_version_not_committed', error)
+        log_event(
+            log,
+            'adapter_version_confirmed',
+            adapter=command.adapter,
+            version=command.version,
+        )
+        return web.json_response({})
+
+
+def _unavailable(event: str, error: KumquatrunError) -> web.Response:
+    log_event(log, event, error=str(error))
+    return web.Response(status=UNAVAILABLE, text=f'{error}\n')
--- /dev/null
+++ b/src/kumquatrun/platform/requests.py
@@ -0,0 +1,189 @@
+"""Headers of requests and answers in the platform's format."""
+
+from kumquatrun.errors import InvalidRequestError
+from kumquatrun.gateway.backend_connection import AnswerHead, RawHeaders
+from kumquatrun.gateway.configuration import Configuration
+from kumquatrun.gateway.wire_format import (
+    AnswerFacts,
+    CallerRequest,
+    Forwarding,
+)
+from kumquatrun.platform.configuration import decode_configuration
+
+REQUEST_ID = 'x-kumquatrun-attempt-id'
+DEADLINE_MS = 'x-kumquatrun-deadline-ms'
+KEY = 'api-key'
+ACCOUNT = 'x-kumquatrun-tenant'
+EXPECTED_BACKEND = 'x-kumquatrun-expect-instance'
+EXPECTED_VERSION = 'x-kumquatrun-expect-version'
+PRIORITY = 'x-kumquatrun-request-priority'
+# Base model, or base model and adapter with a slash between them.
+MODEL = 'x-kumquatrun-model'
+# Prompt tokens and largest number of output tokens, with a comma.
+TOKENS = 'x-kumquatrun-token-usage'
+LAST_EVENT_ID = 'last-event-id'
+NOT_RUN = 'x-kumquatrun-not-executed'
+MISDIRECTED = 421
+
+# Headers that concern one connection only.
+HOP_HEADERS = frozenset(
+    {
+        'connection',
+        'expect',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+# Headers that only the gateway sets; a caller's own are dropped.
+OWN_HEADERS = frozenset(
+    {
+        KEY,
+        ACCOUNT,
+        DEADLINE_MS,
+        EXPECTED_BACKEND,
+        EXPECTED_VERSION,
+        PRIORITY,
+        'content-length',
+        'kv-fetch',
+        'kv-from',
+        'x-kumquatrun-hold',
+        'x-kumquatrun-kv-backup',
+        'x-kumquatrun-pin-ms',
+    }
+)
+
+
+class PlatformFormat:
+    """Implements ``WireFormat``."""
+
+    def read_request(
+        self,
+        method: str,
+        target: str,
+        headers: RawHeaders,
+    ) -> CallerRequest:
+        """Return the request without its body.
+
+        Raises
+        ------
+        InvalidRequestError
+            If the deadline or the token counts cannot be read.
+        """
+        found = _by_name(headers)
+        model, _, adapter = found.get(MODEL, '').partition('/')
+        prompt_tokens, output_tokens = _token_counts(found.get(TOKENS))
+        return CallerRequest(
+            request_id=found.get(REQUEST_ID, ''),
+            method=method,
+            host=found.get('host', '').rpartition(':')[0]
+            or found.get('host', ''),
+            target=target,
+            headers=headers,
+            patience_ms=_milliseconds(found.get(DEADLINE_MS)),
+            key=found.get(KEY, ''),
+            model=model,
+            adapter=adapter,
+            prompt_tokens=prompt_tokens,
+            output_tokens=output_tokens,
+            last_event_id=found.get(LAST_EVENT_ID, ''),
+        )
+
+    def write_request(
+        self,
+        request: CallerRequest,
+        forwarding: Forwarding,
+    ) -> bytes:
+        """Return the head of the request to a backend server."""
+        lines = [
+            f'{request.method} {request.target} HTTP/1.1'.encode('latin-1')
+        ]
+        dropped = _connection_headers(request.headers) | OWN_HEADERS
+        if forwarding.last_event_id:
+            dropped |= {LAST_EVENT_ID}
+        lines.extend(
+            name + b': ' + value
+            for name, value in request.headers
+            if name.decode('latin-1').lower() not in dropped
+        )
+        added = {
+            DEADLINE_MS: str(forwarding.remaining_ms),
+            EXPECTED_BACKEND: forwarding.backend_id,
+            ACCOUNT: forwarding.account,
+            LAST_EVENT_ID: forwarding.last_event_id,
+        }
+        if forwarding.priority is not None:
+            added[PRIORITY] = str(forwarding.priority)
+        if forwarding.adapter_version:
+            added[EXPECTED_VERSION] = str(forwarding.adapter_version)
+        if request.body or request.method not in {'GET', 'HEAD', 'DELETE'}:
+            added['content-length'] = str(len(request.body))
+        lines.extend(
+            f'{name}: {value}'.encode('latin-1')
+            for name, value in added.items()
+            if value
+        )
+        return b'\r\n'.join((*lines, b'', b''))
+
+    def read_answer(self, head: AnswerHead) -> AnswerFacts:
+        """Return what the head of an answer says."""
+        is_not_run = bool(head.header(NOT_RUN.encode()))
+        return AnswerFacts(
+            answered_id=head.header(REQUEST_ID.encode()),
+            is_not_run=is_not_run or head.status == MISDIRECTED,
+        )
+
+    def answer_headers(self, head: AnswerHead) -> list[tuple[str, str]]:
+        """Return the headers that go back to the caller."""
+        dropped = _connection_headers(head.headers)
+        return [
+            (name.decode('latin-1'), value.decode('latin-1'))
+            for name, value in head.headers
+            if name.decode('latin-1').lower() not in dropped
+        ]
+
+    def read_configuration(self, content: bytes) -> Configuration:
+        """Return a checked configuration."""
+        return decode_configuration(content)
+
+
+def _by_name(headers: RawHeaders) -> dict[str, str]:
+    return {
+        name.decode('latin-1').lower(): value.decode('latin-1').strip()
+        for name, value in headers
+    }
+
+
+def _connection_headers(headers: RawHeaders) -> frozenset[str]:
+    """Return the headers that are not passed on, those named included."""
+    named = {
+        part.strip().lower()
+        for name, value in headers
+        if name.lower() == b'connection'
+        for part in value.decode('latin-1').split(',')
+    }
+    return HOP_HEADERS | (named - {REQUEST_ID, MODEL, TOKENS})
+
+
+def _milliseconds(value: str | None) -> float | None:
+    if value is None:
+        return None
+    try:
+        return max(0.0, float(value))
+    except ValueError:
+        raise InvalidRequestError(f'{DEADLINE_MS} is {value!r}') from None
+
+
+def _token_counts(value: str | None) -> tuple[int | None, int | None]:
+    if value is None:
+        return None, None
+    try:
+        prompt, output = (int(part) for part in value.split(','))
+    except ValueError:
+        raise InvalidRequestError(f'{TOKENS} is {value!r}') from None
+    return prompt, output
--- /dev/null
+++ b/src/kumquatrun/platform/settings.py
@@ -0,0 +1,160 @@
+"""The platform's settings file of a process."""
+
+import os
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+from kumquatrun.address import Address
+from kumquatrun.errors import DocumentError, SettingError
+from kumquatrun.gateway.settings import (
+    GatewayAgentSettings,
+    GatewayControlSettings,
+    GatewayEntrySettings,
+)
+from kumquatrun.platform import decoding as read
+from kumquatrun.settings import ReplicaSettings
+
+# Environment variable with the path of the settings file.
+PATH_VARIABLE = 'KUMQUATRUN_BOOT'
+# Of the ports between hosts, which one each kind of process listens on.
+CONTROL_PORT = 0
+AGENT_PORT = 1
+METRICS_PORTS = {'entry': 10, 'control': 11, 'agent': 12}
+MS_PER_S = 1000
+# Part of the slack of allowances that requests above the burst may use.
+BURST_SLACK_PART = 0.6
+
+
+class SettingsFile:
+    """The settings of this process, read anew when the file changes."""
+
+    def __init__(self, environment: Mapping[str, str] = os.environ) -> None:
+        path = environment.get(PATH_VARIABLE)
+        if not path:
+            raise SettingError(
+                f'{PATH_VARIABLE} is not set; the platform sets it to the '
+                'path of the settings file',
+            )
+        self._path = Path(path)
+        self._content = b''
+
+    def read(self) -> read.Fields:
+        """Return the fields of the file.
+
+        Raises
+        ------
+        SettingError
+            If the file cannot be read.
+        """
+        try:
+            self._content = self._path.read_bytes()
+            return read.parse_object(self._content)
+        except (OSError, DocumentError) as error:
+            raise SettingError(f'{self._path}: {error}') from None
+
+    def has_changed(self) -> bool:
+        """Return whether the file differs from what was read last."""
+        try:
+            return self._path.read_bytes() != self._content
+        except OSError:
+            return False
+
+
+def entry_settings(fields: read.Fields) -> GatewayEntrySettings:
+    """Return the settings of an entry."""
+    bounds = _object(fields, 'bounds')
+    listen = _object(fields, 'listen')
+    return GatewayEntrySettings(
+        **_shared(fields, 'entry'),
+        http_listen=_address(listen, 'front'),
+        ready_listen=_address(listen, 'ready'),
+        retry_ratio=read.number(bounds, 'budget_ratio', 0.1),
+        retry_allowance=read.whole(bounds, 'budget_extra', 50),
+        retry_window_s=read.number(bounds, 'budget_window_s', 10.0),
+        drain_timeout_s=read.number(bounds, 'grace_s', 8.0),
+    )
+
+
+def agent_settings(fields: read.Fields) -> GatewayAgentSettings:
+    """Return the settings of an agent."""
+    return GatewayAgentSettings(
+        **_shared(fields, 'agent'),
+        listen=Address(read.text(fields, 'ip'), _port(fields, AGENT_PORT)),
+        service=read.text(fields, 'service'),
+        engine_address=_address(fields, 'app'),
+    )
+
+
+def control_settings(fields: read.Fields) -> GatewayControlSettings:
+    """Return the settings of a control host.
+
+    A replica is named by its IP address, since the seeds name no hosts.
+    """
+    own_ip = read.text(fields, 'ip')
+    members = tuple(
+        (address.host, address) for address in seed_addresses(fields)
+    )
+    founds = read.flag(fields, 'bootstrap') and own_ip in dict(members)
+    tolerated = _object(fields, 'tolerate')
+    bounds = _object(fields, 'bounds')
+    slack = read.number(bounds, 'quota_slack', 0.0)
+    return GatewayControlSettings(
+        **_shared(fields, 'control'),
+        operator_listen=_address(_object(fields, 'listen'), 'control'),
+        max_lost_replicas=read.whole(tolerated, 'machines', 1),
+        extra_burst_tokens=int(slack * BURST_SLACK_PART),
+        replica=ReplicaSettings(
+            replica_id=own_ip,
+            data_dir=read.text(fields, 'data_dir'),
+            listen=Address(own_ip, _port(fields, CONTROL_PORT)),
+            replicas=members,
+            join=not founds,
+        ),
+    )
+
+
+def seed_addresses(fields: read.Fields) -> tuple[Address, ...]:
+    """Return the peer addresses of the control hosts that are named."""
+    port = _port(fields, CONTROL_PORT)
+    return tuple(
+        Address(Address.parse(seed).host, port)
+        for seed in fields.get('seeds') or ()
+    )
+
+
+def _shared(fields: read.Fields, role: str) -> dict[str, Any]:
+    ip = read.text(fields, 'ip')
+    try:
+        return {
+            'host_id': f'{role}-{read.text(fields, "node_name")}',
+            'region': read.text(fields, 'region'),
+            'failure_domain': read.text(fields, 'zone'),
+            'regions': tuple(_object(fields, 'zones').items()),
+            'control_addresses': seed_addresses(fields),
+            'admin_listen': Address(ip, _port(fields, METRICS_PORTS[role])),
+            'listing_address': _address(_object(fields, 'cloud'), 'address'),
+        }
+    except DocumentError as error:
+        raise SettingError(f'settings file: {error.detail}') from None
+
+
+def _object(fields: read.Fields, name: str) -> read.Fields:
+    found = fields.get(name)
+    if not isinstance(found, dict):
+        raise SettingError(f'settings file: {name!r} is not a table')
+    return found
+
+
+def _address(fields: read.Fields, name: str) -> Address:
+    try:
+        return Address.parse(read.text(fields, name))
+    except (DocumentError, ValueError) as error:
+        raise SettingError(f'settings file: {name!r}: {error}') from None
+
+
+def _port(fields: read.Fields, offset: int) -> int:
+    ports = fields.get('internal_ports')
+    if not isinstance(ports, list) or not ports:
+        raise SettingError("settings file: 'internal_ports' is empty")
+    return int(ports[0]) + offset
--- a/src/kumquatrun/replica_status.py
+++ b/src/kumquatrun/replica_status.py
@@ -81,6 +81,19 @@
             return float('-inf')
         return self._node.core.require_leader().confirmed_at_s
 
+    def silence_s(self, now_s: float) -> dict[str, float]:
+        """Return how long each other member has not answered this leader.
+
+        Empty if this replica is not the leader.
+        """
+        if not self.is_leader:
+            return {}
+        progress = self._node.core.require_leader().progress
+        return {
+            replica_id: now_s - row.last_reply_s
+            for replica_id, row in progress.items()
+        }
+
     def on_role_change(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after each change of role, leader or term."""
         self._role_listeners.append(listener)
--- a/src/kumquatrun/retry.py
+++ b/src/kumquatrun/retry.py
@@ -23,7 +23,7 @@
     ) -> None:
         self._ratio = ratio
         self._window_s = window_s
-        self._floor = floor
+        self.floor = floor
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
 
@@ -35,7 +35,7 @@
     def take(self, now_s: float) -> bool:
         """Count a retry and return True, or return False if none is left."""
         self._expire(now_s)
-        limit = max(self._floor, self._ratio * len(self._requests))
+        limit = max(self.floor, self._ratio * len(self._requests))
         if len(self._retries) + 1 > limit:
             return False
         self._retries.append(now_s)
--- a/src/kumquatrun/sse.py
+++ b/src/kumquatrun/sse.py
@@ -26,6 +26,12 @@
         """Return whether no part of an event is left."""
         return not self._buffer.strip()
 
+    def take_rest(self) -> bytes:
+        """Return the part of an event that is left, and forget it."""
+        rest = self._buffer
+        self._buffer = b''
+        return rest
+
     def feed(self, received: bytes) -> list[bytes]:
         """Add bytes; returns the events that are complete, with their end.
 
