Gate prompts at the agent; pool allowances at the leader

Cause: 129 of 596 long streams were late although their first event came after 205 ms: prompts that arrive together are read in the steps of one event and pause every stream of the batch. 36 requests were refused because grants were dealt out to entries that could not use them. Ruled out: relay delay (longest pause equals the engine's), adapter loads.

--- /dev/null
+++ b/src/kumquatrun/allowance_pool.py
@@ -0,0 +1,109 @@
+"""Allowances of all accounts in the memory of the control leader.
+
+Every request of a limited account takes its tokens here, so the fleet shares
+one bucket without dealing it out. The pool belongs to one term of leadership;
+a new leader starts with part of each burst.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from kumquatrun.configuration_register import AccountAllowance
+from kumquatrun.messages import message
+
+# Part of the burst that a new leader starts with: its predecessor may have
+# granted a whole burst just before.
+START_PART = 0.5
+
+
+@message
+class TakeAllowance:
+    """Asks for the amounts of requests of one account, in their order."""
+
+    account: str
+    amounts: tuple[int, ...]
+
+
+@message
+class AllowanceReply:
+    """Grants the first ``granted`` requests.
+
+    ``retry_after_s`` is the time after which the next one can be granted.
+    """
+
+    granted: int
+    retry_after_s: float = 0.0
+
+
+@dataclass
+class _Bucket:
+    rate_per_s: float
+    burst: float
+    level: float
+    filled_at_s: float
+
+    def fill(self, now_s: float) -> None:
+        gained = self.rate_per_s * max(0.0, now_s - self.filled_at_s)
+        self.level = min(self.burst, self.level + gained)
+        self.filled_at_s = now_s
+
+    def missing(self, amount: int) -> float:
+        """Return what the bucket lacks to admit a request.
+
+        A request above the burst is admitted by a full bucket, which then
+        owes the rest.
+        """
+        return min(float(amount), self.burst) - self.level
+
+
+class AllowancePool:
+    """Token buckets of the limited accounts."""
+
+    def __init__(self) -> None:
+        self._buckets: dict[str, _Bucket] = {}
+        self._version = -1
+
+    def configure(
+        self,
+        version: int,
+        allowances: Iterable[AccountAllowance],
+        now_s: float,
+    ) -> None:
+        """Take the limits of a configuration; keeps the levels."""
+        if version == self._version:
+            return
+        self._version = version
+        known = self._buckets
+        self._buckets = {}
+        for row in allowances:
+            burst = float(row.burst_tokens)
+            bucket = known.get(row.name)
+            if bucket is None:
+                level = burst * START_PART
+            else:
+                bucket.fill(now_s)
+                level = min(bucket.level, burst)
+            self._buckets[row.name] = _Bucket(
+                row.rate_tokens_per_s,
+                burst,
+                level,
+                now_s,
+            )
+
+    def take(self, request: TakeAllowance, now_s: float) -> AllowanceReply:
+        """Grant as many requests as the account's bucket admits.
+
+        An account without a limit, or one that is not known yet, is granted
+        everything: whether its key is valid is not decided here.
+        """
+        bucket = self._buckets.get(request.account)
+        if bucket is None:
+            return AllowanceReply(granted=len(request.amounts))
+        bucket.fill(now_s)
+        for granted, amount in enumerate(request.amounts):
+            missing = bucket.missing(amount)
+            if missing > 0:
+                wait_s = missing / max(1.0, bucket.rate_per_s)
+                return AllowanceReply(granted=granted, retry_after_s=wait_s)
+            bucket.level -= amount
+        return AllowanceReply(granted=len(request.amounts))
--- a/src/kumquatrun/configuration_register.py
+++ b/src/kumquatrun/configuration_register.py
@@ -28,7 +28,7 @@
     """Puts a checked configuration into force if its version is the highest.
 
     ``content`` is what the operator sent, byte for byte; ``allowances`` are
-    the limits in it, which the state machine applies without parsing it.
+    the limits in it, which the leader applies without parsing it.
     """
 
     version: int
@@ -64,6 +64,7 @@
     def __init__(self) -> None:
         self.version = 0
         self.compressed = b''
+        self.allowances: tuple[AccountAllowance, ...] = ()
         self.adapter_versions: dict[AdapterName, int] = {}
 
     def put(self, command: PutConfiguration) -> bool:
@@ -72,6 +73,7 @@
             return False
         self.version = command.version
         self.compressed = zlib.compress(command.content)
+        self.allowances = command.allowances
         return True
 
     def content(self) -> bytes:
@@ -91,11 +93,23 @@
         versions = [
             [*name, version] for name, version in self.adapter_versions.items()
         ]
-        return [self.version, self.compressed, versions]
+        allowances = [
+            [row.name, row.rate_tokens_per_s, row.burst_tokens]
+            for row in self.allowances
+        ]
+        return [self.version, self.compressed, allowances, versions]
 
     def restore(self, content: Any) -> None:
         """Replace the register with a snapshot."""
-        self.version, self.compressed, versions = content
+        self.version, self.compressed, allowances, versions = content
+        self.allowances = tuple(
+            AccountAllowance(
+                name=name,
+                rate_tokens_per_s=rate_tokens_per_s,
+                burst_tokens=burst_tokens,
+            )
+            for name, rate_tokens_per_s, burst_tokens in allowances
+        )
         self.adapter_versions = {
             (model, adapter): version for model, adapter, version in versions
         }
--- a/src/kumquatrun/control.py
+++ b/src/kumquatrun/control.py
@@ -6,6 +6,11 @@
 from contextlib import suppress
 from typing import Any
 
+from kumquatrun.allowance_pool import (
+    AllowancePool,
+    AllowanceReply,
+    TakeAllowance,
+)
 from kumquatrun.backend_listing import BackendListing
 from kumquatrun.clock import Clock
 from kumquatrun.command_batcher import CommandBatcher
@@ -84,6 +89,7 @@
         self._leases = LeaseTable(0, 0)
         self._slots = LoadSlotQueue('', clock)
         self._reports = ReportBoard()
+        self._allowances = AllowancePool()
         self._actions = OperatorActions(
             replica,
             state,
@@ -106,6 +112,7 @@
             OperatorCall: self._on_operator,
             PutConfiguration: self._on_command,
             NameAdapterVersion: self._on_command,
+            TakeAllowance: self._on_take_allowance,
             ReadConfiguration: self._on_read_configuration,
         }
 
@@ -165,6 +172,7 @@
         self._leases = LeaseTable(self._clock.now_s(), self._feed.index)
         self._slots = LoadSlotQueue(str(term), self._clock)
         self._reports = ReportBoard()
+        self._allowances = AllowancePool()
         self._served_term = term
         log.info('event=leadership_started term=%s', term)
 
@@ -279,6 +287,15 @@
         self._slots.release(request.slot_id)
         return Ack()
 
+    async def _on_take_allowance(
+        self,
+        request: TakeAllowance,
+        context: CallContext,
+    ) -> AllowanceReply:
+        now_s = self._clock.now_s()
+        self._allowances.configure(*self._state.allowances(), now_s)
+        return self._allowances.take(request, now_s)
+
     async def _on_read_configuration(
         self,
         request: ReadConfiguration,
--- a/src/kumquatrun/control_registers.py
+++ b/src/kumquatrun/control_registers.py
@@ -334,7 +334,6 @@
         register = self.configurations
         before = register.version
         if register.put(command):
-            self.budgets.configure(command.allowances, self.now_ms)
             self._feed_rows.append(
                 ('configuration', [register.version, register.compressed]),
             )
--- a/src/kumquatrun/control_state.py
+++ b/src/kumquatrun/control_state.py
@@ -11,7 +11,10 @@
 
 from kumquatrun.audit import AuditEntry
 from kumquatrun.commands import decode_batch, encode_results
-from kumquatrun.configuration_register import ConfigurationReply
+from kumquatrun.configuration_register import (
+    AccountAllowance,
+    ConfigurationReply,
+)
 from kumquatrun.control_registers import ControlRegisters
 from kumquatrun.document import AdapterSpec, Document
 from kumquatrun.hosts import Incarnation, host_fields
@@ -150,6 +153,11 @@
             content=register.content(),
         )
 
+    def allowances(self) -> tuple[int, tuple[AccountAllowance, ...]]:
+        """Return the limits of the accounts, with their version."""
+        register = self._registers.configurations
+        return register.version, register.allowances
+
     def incarnations(self) -> tuple[Incarnation, ...]:
         """Return every ``(host_id, incarnation)`` that may hold a lease.
 
--- a/src/kumquatrun/gateway/agent_calls.py
+++ b/src/kumquatrun/gateway/agent_calls.py
@@ -2,8 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from contextlib import asynccontextmanager, suppress
 
 from kumquatrun.cluster_view import ClusterView
 from kumquatrun.errors import (
@@ -13,23 +12,35 @@
     NoCapacityError,
 )
 from kumquatrun.gateway.backends import Backend
-from kumquatrun.gateway.messages import AdapterReady, UseAdapter
+from kumquatrun.gateway.messages import AdapterReady, PromptRead, UseAdapter
 from kumquatrun.messages import Hello
 from kumquatrun.peer import Address, PeerClient
 
 # An agent that does not take a connection in this time is passed over.
 CONNECT_LIMIT_S = 0.5
+TELL_TIMEOUT_S = 1.0
 
 
 class AgentUnreachableError(ConnectionLostError):
     """Reports that the agent beside an engine did not answer."""
 
 
-@dataclass(frozen=True)
 class AgentHold:
     """An adapter that an agent keeps loaded for a request."""
 
-    ready: AdapterReady
+    def __init__(
+        self,
+        ready: AdapterReady,
+        tell: Callable[[PromptRead], None],
+        request_id: str,
+    ) -> None:
+        self.ready = ready
+        self._tell = tell
+        self._request_id = request_id
+
+    def tell_prompt_read(self) -> None:
+        """Tell the agent that the engine has read the prompt."""
+        self._tell(PromptRead(request_id=self._request_id))
 
 
 class AgentCalls:
@@ -51,6 +62,7 @@
         self._view = view
         self._identity = identity
         self._clients: dict[Address, PeerClient] = {}
+        self._told: set[asyncio.Task] = set()
 
     def has_agent(self, backend: Backend) -> bool:
         """Return whether an agent is registered beside a backend server."""
@@ -79,7 +91,16 @@
             )
         client = await self._connected(address)
         async with client.stream(request) as call:
-            yield AgentHold(await _first_item(call, backend, timeout_s))
+            yield AgentHold(
+                await _first_item(call, backend, timeout_s),
+                lambda told: self._tell(client, told),
+                request.request_id,
+            )
+
+    def _tell(self, client: PeerClient, told: PromptRead) -> None:
+        task = asyncio.create_task(_send(client, told))
+        self._told.add(task)
+        task.add_done_callback(self._told.discard)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -109,6 +130,12 @@
         return client
 
 
+async def _send(client: PeerClient, told: PromptRead) -> None:
+    # The agent forgets a prompt by itself if this is lost.
+    with suppress(KumquatrunError):
+        await client.call(told, TELL_TIMEOUT_S)
+
+
 async def _first_item(call, backend: Backend, timeout_s: float) -> AdapterReady:
     try:
         async with asyncio.timeout(timeout_s):
--- a/src/kumquatrun/gateway/allowances.py
+++ b/src/kumquatrun/gateway/allowances.py
@@ -1,27 +1,43 @@
 """Takes the tokens of a request from its account's allowance.
 
-The tokens come from the fleet-wide budget that the control leader keeps. While
-no leader answers, an entry admits its equal share of the rate, so that a
-change of leader refuses no account that is within its rate.
+The allowance is kept by the control leader. While no leader answers, an entry
+admits part of its equal share of the rate, so that a change of leader refuses
+no account that is within its rate.
 """
 
+import asyncio
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from kumquatrun.budget_client import BudgetClient
+from kumquatrun.allowance_pool import AllowanceReply, TakeAllowance
 from kumquatrun.clock import Clock
-from kumquatrun.errors import RateLimitedError
+from kumquatrun.errors import KumquatrunError, RateLimitedError
 from kumquatrun.gateway.configuration import GatewayAccount
+from kumquatrun.leader_client import LeaderClient
 
+# Longest wait for tokens that the rate brings; a longer one is a refusal.
+MAX_TOKEN_WAIT_S = 0.3
+# A leader that does not answer in this time is done without.
+CALL_TIMEOUT_S = 0.3
+# Requests are admitted without asking for this time after a failed call.
+UNLED_S = 0.5
 # Part of the equal share that an entry admits without a leader. The others
-# may still get grants for the whole rate if only this entry is cut off.
+# may still get the whole rate if only this entry is cut off.
 UNLED_PART = 0.6
-OVER_RATE = 'over_rate'
+MIN_WAIT_S = 0.01
+
+
+@dataclass(eq=False)
+class _Asked:
+    amount: int
+    give_up_s: float
+    future: asyncio.Future
 
 
 @dataclass
 class _UnledBucket:
-    level_tokens: float
+    level: float
     filled_at_s: float
 
 
@@ -30,8 +46,8 @@
 
     Parameters
     ----------
-    budgets
-        Client of the fleet-wide budgets.
+    leader
+        Connection to the control leader.
     clock
         Source of time.
     entries
@@ -40,14 +56,17 @@
 
     def __init__(
         self,
-        budgets: BudgetClient,
+        leader: LeaderClient,
         clock: Clock,
         entries: Callable[[], int],
     ) -> None:
-        self._budgets = budgets
+        self._leader = leader
         self._clock = clock
         self._entries = entries
+        self._asked: dict[str, deque[_Asked]] = {}
+        self._askers: dict[str, asyncio.Task] = {}
         self._unled: dict[str, _UnledBucket] = {}
+        self._unled_until_s = float('-inf')
 
     async def charge(self, account: GatewayAccount, amount: int) -> None:
         """Take ``amount`` from the account's allowance.
@@ -59,22 +78,79 @@
         """
         if account.rate_per_s <= 0:
             return
+        now_s = self._clock.now_s()
+        if now_s < self._unled_until_s:
+            self._charge_unled(account, amount)
+            return
+        asked = _Asked(
+            amount,
+            now_s + MAX_TOKEN_WAIT_S,
+            asyncio.get_running_loop().create_future(),
+        )
+        self._asked.setdefault(account.name, deque()).append(asked)
+        self._start_asking(account.name)
+        refusal: RateLimitedError | None = await asked.future
+        if refusal is None:
+            return
+        if refusal.cause == 'no_leader':
+            self._charge_unled(account, amount)
+            return
+        raise refusal
+
+    def close(self) -> None:
+        """Stop asking."""
+        for task in self._askers.values():
+            task.cancel()
+
+    def _start_asking(self, account: str) -> None:
+        if account not in self._askers:
+            task = asyncio.create_task(self._ask(account))
+            self._askers[account] = task
+
+    async def _ask(self, account: str) -> None:
+        """Ask for all waiting requests together until none is left."""
+        queue = self._asked[account]
+        try:
+            while queue:
+                await self._ask_once(account, queue)
+        finally:
+            del self._askers[account]
+
+    async def _ask_once(self, account: str, queue: deque[_Asked]) -> None:
+        while queue and queue[0].future.done():
+            queue.popleft()
+        batch = tuple(queue)
+        if not batch:
+            return
+        request = TakeAllowance(
+            account=account,
+            amounts=tuple(row.amount for row in batch),
+        )
         try:
-            reservation = await self._budgets.reserve(account.name, amount)
-        except RateLimitedError as error:
-            if error.cause == OVER_RATE:
-                raise
-            self._charge_unled(account, amount, error)
+            reply = await self._leader.call(request, CALL_TIMEOUT_S)
+        except KumquatrunError as error:
+            self._unled_until_s = self._clock.now_s() + UNLED_S
+            _refuse(queue, len(batch), error.detail, 'no_leader', None)
             return
-        self._budgets.consume(reservation, amount)
-        self._budgets.settle(reservation)
+        for _ in range(reply.granted):
+            _settle(queue.popleft(), None)
+        if reply.granted < len(batch):
+            await self._wait_or_refuse(account, queue, reply)
 
-    def _charge_unled(
+    async def _wait_or_refuse(
         self,
-        account: GatewayAccount,
-        amount: int,
-        error: RateLimitedError,
+        account: str,
+        queue: deque[_Asked],
+        reply: AllowanceReply,
     ) -> None:
+        ready_s = self._clock.now_s() + reply.retry_after_s
+        while queue and queue[0].give_up_s < ready_s:
+            detail = f'account {account} has no {queue[0].amount} tokens left'
+            _refuse(queue, 1, detail, 'over_rate', reply.retry_after_s)
+        if queue:
+            await asyncio.sleep(max(MIN_WAIT_S, reply.retry_after_s))
+
+    def _charge_unled(self, account: GatewayAccount, amount: int) -> None:
         now_s = self._clock.now_s()
         rate_per_s = account.rate_per_s * UNLED_PART / max(1, self._entries())
         # One request of any size fits into a full bucket.
@@ -84,14 +160,34 @@
             _UnledBucket(size, now_s),
         )
         gained = rate_per_s * (now_s - bucket.filled_at_s)
-        bucket.level_tokens = min(size, bucket.level_tokens + gained)
+        bucket.level = min(size, bucket.level + gained)
         bucket.filled_at_s = now_s
-        if bucket.level_tokens < amount:
-            missing = amount - bucket.level_tokens
+        if bucket.level < amount:
             raise RateLimitedError(
-                f'account {account.name} has used its share of the rate '
-                f'without a leader: {error.detail}',
-                retry_after_s=missing / rate_per_s,
-                cause=error.cause,
+                f'account {account.name} has used its share of the rate of '
+                'this host while no control leader answers',
+                retry_after_s=(amount - bucket.level) / rate_per_s,
+                cause='no_leader',
             )
-        bucket.level_tokens -= amount
+        bucket.level -= amount
+
+
+def _refuse(
+    queue: deque[_Asked],
+    count: int,
+    detail: str,
+    cause: str,
+    retry_after_s: float | None,
+) -> None:
+    for _ in range(count):
+        error = RateLimitedError(
+            detail,
+            retry_after_s=retry_after_s,
+            cause=cause,
+        )
+        _settle(queue.popleft(), error)
+
+
+def _settle(asked: _Asked, refusal: RateLimitedError | None) -> None:
+    if not asked.future.done():
+        asked.future.set_result(refusal)
--- a/src/kumquatrun/gateway/engine_agent.py
+++ b/src/kumquatrun/gateway/engine_agent.py
@@ -30,10 +30,13 @@
 from kumquatrun.gateway.messages import (
     AdapterReady,
     AdapterReleased,
+    PromptRead,
     UseAdapter,
 )
+from kumquatrun.gateway.prompt_gate import PromptGate
 from kumquatrun.gateway.residency import AdapterName, Residency
 from kumquatrun.logs import log_event
+from kumquatrun.messages import Ack
 from kumquatrun.metrics import process_metrics
 from kumquatrun.peer import CallContext
 
@@ -100,6 +103,7 @@
         self._waiters: list[_Waiter] = []
         self._wake = asyncio.Event()
         self._is_stopping = False
+        self._gate = PromptGate(clock)
         self._task: asyncio.Task | None = None
         self._users = 0
 
@@ -133,6 +137,9 @@
         AdapterLoadError
             If the engine is lost or about to leave.
         """
+        if isinstance(request, PromptRead):
+            self._gate.leave(request.request_id)
+            return Ack()
         if not isinstance(request, UseAdapter):
             raise InvalidRequestError(f'unexpected {type(request).__name__}')
         began_s = self._clock.now_s()
@@ -141,6 +148,11 @@
         self._users += 1
         try:
             version = await self._provide(name, request)
+            await self._gate.enter(
+                request.request_id,
+                request.prompt_tokens,
+                request.priority,
+            )
             waited_s = self._clock.now_s() - began_s
             log_event(
                 log,
@@ -165,6 +177,7 @@
             await asyncio.Event().wait()
         finally:
             self._users -= 1
+            self._gate.leave(request.request_id)
             self._residency.unpin(name, self._clock.now_s())
             self._wake.set()
         return AdapterReleased()
@@ -237,6 +250,7 @@
         while True:
             await self._refresh()
             self._answer_waiters()
+            self._gate.admit()
             if self._report is not None and not self._is_lost():
                 await self._give_orders()
             interval_s = REPORT_INTERVAL_S
--- a/src/kumquatrun/gateway/entry.py
+++ b/src/kumquatrun/gateway/entry.py
@@ -8,7 +8,6 @@
 
 from aiohttp import web
 
-from kumquatrun.budget_client import BudgetClient
 from kumquatrun.clock import Clock
 from kumquatrun.control_client import Session
 from kumquatrun.errors import (
@@ -46,8 +45,6 @@
 
 MAX_CONNECTIONS = 3000
 WRITE_TIMEOUT_S = 20.0
-# Waits for tokens that are on their way; a longer wait is a refusal.
-MAX_TOKEN_WAIT_S = 0.4
 # The platform's balancer takes two missed questions, one a second, to notice
 # that this host takes no new connections.
 MIN_DRAIN_S = 3.2
@@ -103,8 +100,11 @@
         self._open = 0
         self._backends = BackendTable()
         self._listing = listing(self._backends)
-        self._budgets = BudgetClient(session, clock, MAX_TOKEN_WAIT_S)
-        self._allowances = Allowances(self._budgets, clock, self._entry_count)
+        self._allowances = Allowances(
+            session.control,
+            clock,
+            self._entry_count,
+        )
         self._retries = RetryShares(
             settings.retry_ratio,
             settings.retry_allowance,
@@ -136,7 +136,6 @@
         self._server: asyncio.Server | None = None
         self._tasks: list[asyncio.Task] = []
         session.on_change(self._follow_session)
-        session.report_budgets(self._budgets.take_reports)
 
     @property
     def open_requests(self) -> int:
@@ -193,6 +192,7 @@
         if self._server is not None:
             self._server.close()
         await self._http.shutdown(0)
+        self._allowances.close()
         await self._agents.close()
         self._backends.close()
 
@@ -212,7 +212,6 @@
         return max(1, sum(host.role == 'entry' for host in hosts))
 
     def _follow_session(self) -> None:
-        self._budgets.follow_session()
         self._retries.share_among(self._entry_count())
         view = self._session.view
         known = self._configuration.version if self._configuration else 0
@@ -401,6 +400,10 @@
             first_byte_ms=round((first_s - received_s) * 1000)
             if first_s
             else '',
+            longest_pause_ms=(
+                round(course.longest_pause_s * 1000) if course else 0
+            ),
+            tokens=(caller.prompt_tokens or 0) if caller else 0,
             total_ms=round((now_s - received_s) * 1000),
             status=channel.status,
             cause=cause or '',
--- a/src/kumquatrun/gateway/forwarder.py
+++ b/src/kumquatrun/gateway/forwarder.py
@@ -103,6 +103,8 @@
     adapter_wait_s: float = 0.0
     failure: str = ''
     kept_failure: tuple[AnswerHead, bytes] | None = None
+    longest_pause_s: float = 0.0
+    on_first_event: Callable[[], None] | None = None
 
     @property
     def may_have_run(self) -> bool:
@@ -226,6 +228,7 @@
                     adapter=course.request.adapter,
                     version=version,
                     priority=course.priority or 0,
+                    prompt_tokens=course.request.prompt_tokens or 0,
                 ),
                 self._adapter_wait_s(course),
             )
@@ -242,6 +245,7 @@
                 now_s = self._clock.now_s()
                 backend.take_report(held.ready.load, now_s)
                 course.adapter_wait_s += now_s - began_s
+                course.on_first_event = held.tell_prompt_read
                 try:
                     yield backend, held.ready.version if version else 0
                 finally:
@@ -485,11 +489,19 @@
                 head.reason,
                 self._stream_headers(course, head),
             )
+        read_at_s: float | None = None
         while True:
             async with asyncio.timeout(self._gap_limit_s(course)):
                 chunk = await head.body.readany()
             if not chunk and head.body.is_eof():
                 break
+            now_s = self._clock.now_s()
+            if read_at_s is None:
+                self._note_first_event(course)
+            else:
+                pause_s = now_s - read_at_s
+                course.longest_pause_s = max(course.longest_pause_s, pause_s)
+            read_at_s = now_s
             if course.stream is not None:
                 chunk = course.stream.feed(chunk)
             if chunk:
@@ -500,6 +512,11 @@
                 await channel.write(rest)
         await channel.finish()
 
+    def _note_first_event(self, course: Course) -> None:
+        if course.on_first_event is not None:
+            course.on_first_event()
+            course.on_first_event = None
+
     def _stream_headers(
         self,
         course: Course,
--- a/src/kumquatrun/gateway/messages.py
+++ b/src/kumquatrun/gateway/messages.py
@@ -16,6 +16,7 @@
     adapter: str
     version: int = 0
     priority: int = 0
+    prompt_tokens: int = 0
 
 
 @message
@@ -34,3 +35,10 @@
 @message
 class AdapterReleased:
     """Ends a call whose caller has stopped using the adapter."""
+
+
+@message
+class PromptRead:
+    """Tells that the first event of a request has arrived."""
+
+    request_id: str
--- a/src/kumquatrun/gateway/operator_gate.py
+++ b/src/kumquatrun/gateway/operator_gate.py
@@ -23,13 +23,10 @@
     ----------
     leader
         Finds and calls the leader.
-    extra_burst_tokens
-        Added to the burst of each account.
     """
 
-    def __init__(self, leader: LeaderClient, extra_burst_tokens: int) -> None:
+    def __init__(self, leader: LeaderClient) -> None:
         self._leader = leader
-        self._extra_burst_tokens = extra_burst_tokens
 
     async def put(self, configuration: Configuration, content: bytes) -> int:
         """Commit a checked configuration; return the version in force.
@@ -43,7 +40,7 @@
             PutConfiguration(
                 version=configuration.version,
                 content=content,
-                allowances=self._allowances(configuration),
+                allowances=_allowances(configuration),
             ),
             COMMIT_TIMEOUT_S,
         )
@@ -75,17 +72,14 @@
         """
         await self._leader.call(command, COMMIT_TIMEOUT_S)
 
-    def _allowances(
-        self,
-        configuration: Configuration,
-    ) -> tuple[AccountAllowance, ...]:
-        return tuple(
-            AccountAllowance(
-                name=account.name,
-                rate_tokens_per_s=account.rate_per_s,
-                burst_tokens=int(account.burst)
-                + (self._extra_burst_tokens if account.counts_tokens else 0),
-            )
-            for account in configuration.accounts
-            if account.rate_per_s > 0
+
+def _allowances(configuration: Configuration) -> tuple[AccountAllowance, ...]:
+    return tuple(
+        AccountAllowance(
+            name=account.name,
+            rate_tokens_per_s=account.rate_per_s,
+            burst_tokens=int(account.burst),
         )
+        for account in configuration.accounts
+        if account.rate_per_s > 0
+    )
--- a/src/kumquatrun/gateway/settings.py
+++ b/src/kumquatrun/gateway/settings.py
@@ -51,10 +51,8 @@
 class GatewayControlSettings(GatewaySettings):
     """Settings of a control host.
 
-    ``extra_burst_tokens`` are added to the burst of each account, so that a
-    request larger than the burst can be admitted.
+    ``max_lost_replicas`` replicas may be lost at the same time.
     """
 
     operator_listen: Address
     max_lost_replicas: int = 1
-    extra_burst_tokens: int = 0
--- a/src/kumquatrun/platform/daemons.py
+++ b/src/kumquatrun/platform/daemons.py
@@ -174,7 +174,7 @@
         BackendListing(lister.read, clock),
         clock,
     )
-    gate = OperatorGate(control.leader, settings.extra_burst_tokens)
+    gate = OperatorGate(control.leader)
     parts = [
         ClosingClient(client),
         AdminServer(process_metrics(), str, settings.admin_listen),
--- a/src/kumquatrun/platform/settings.py
+++ b/src/kumquatrun/platform/settings.py
@@ -21,9 +21,6 @@
 CONTROL_PORT = 0
 AGENT_PORT = 1
 METRICS_PORTS = {'entry': 10, 'control': 11, 'agent': 12}
-MS_PER_S = 1000
-# Part of the slack of allowances that requests above the burst may use.
-BURST_SLACK_PART = 0.6
 
 
 class SettingsFile:
@@ -97,13 +94,10 @@
     )
     founds = read.flag(fields, 'bootstrap') and own_ip in dict(members)
     tolerated = _object(fields, 'tolerate')
-    bounds = _object(fields, 'bounds')
-    slack = read.number(bounds, 'quota_slack', 0.0)
     return GatewayControlSettings(
         **_shared(fields, 'control'),
         operator_listen=_address(_object(fields, 'listen'), 'control'),
         max_lost_replicas=read.whole(tolerated, 'machines', 1),
-        extra_burst_tokens=int(slack * BURST_SLACK_PART),
         replica=ReplicaSettings(
             replica_id=own_ip,
             data_dir=read.text(fields, 'data_dir'),
