Drain entries in time; load a named version elsewhere while the old one runs

The entry took requests until its end, and aiohttp's shutdown(0) waits without a limit. Ruled out: the balancer sending new connections (they stopped after 2 s).

--- a/src/kumquatrun/gateway/engine_agent.py
+++ b/src/kumquatrun/gateway/engine_agent.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -106,6 +107,7 @@
         self._gate = PromptGate(clock)
         self._task: asyncio.Task | None = None
         self._users = 0
+        self._running: Counter[AdapterName] = Counter()
 
     @property
     def report(self) -> EngineReport | None:
@@ -146,6 +148,7 @@
         name = (request.model, request.adapter)
         self._residency.pin(name, began_s)
         self._users += 1
+        is_provided = False
         try:
             version = await self._provide(name, request)
             await self._gate.enter(
@@ -153,6 +156,8 @@
                 request.prompt_tokens,
                 request.priority,
             )
+            self._running[name] += 1
+            is_provided = True
             waited_s = self._clock.now_s() - began_s
             log_event(
                 log,
@@ -177,6 +182,7 @@
             await asyncio.Event().wait()
         finally:
             self._users -= 1
+            self._running[name] -= is_provided
             self._gate.leave(request.request_id)
             self._residency.unpin(name, self._clock.now_s())
             self._wake.set()
@@ -190,6 +196,14 @@
         held = self._held_version(name, wanted)
         if held is not None:
             return held
+        if self._running[name]:
+            # The engine replaces a version once its runs have ended, and
+            # takes no other order meanwhile.
+            raise NoCapacityError(
+                f'an older version of {name[1]} is in use; this host cannot '
+                f'load version {wanted} yet',
+                cause='version_in_use',
+            )
         waiter = _Waiter(
             name=name,
             version=wanted,
--- a/src/kumquatrun/gateway/entry.py
+++ b/src/kumquatrun/gateway/entry.py
@@ -14,6 +14,7 @@
     BackendError,
     ControlUnreachableError,
     DocumentError,
+    DrainingError,
     InvalidKeyError,
     KumquatrunError,
     Outcome,
@@ -46,10 +47,13 @@
 MAX_CONNECTIONS = 3000
 WRITE_TIMEOUT_S = 20.0
 # The platform's balancer takes two missed questions, one a second, to notice
-# that this host takes no new connections.
-MIN_DRAIN_S = 3.2
-# Time that the processes need to end before the platform kills them.
-DRAIN_MARGIN_S = 0.8
+# that this host takes no new connections. A request that arrives later than
+# this might not end before the process has to.
+TAKE_NEW_S = 2.8
+# Time that the process needs to end before the platform kills it.
+DRAIN_MARGIN_S = 0.7
+# aiohttp waits without a limit for 0.
+SHUTDOWN_S = 0.1
 DRAIN_CHECK_S = 0.05
 # Longest time that a caller waits who does not say how long.
 DEFAULT_PATIENCE_MS = 60_000
@@ -97,6 +101,7 @@
         self._metrics = process_metrics()
         self._configuration: Configuration | None = None
         self._is_draining = False
+        self._refuses_new = False
         self._open = 0
         self._backends = BackendTable()
         self._listing = listing(self._backends)
@@ -166,23 +171,23 @@
         ]
 
     async def drain(self, timeout_s: float) -> None:
-        """Answer what is open and what still arrives, then return."""
+        """Answer what is open, then refuse what still arrives, and return."""
         self._is_draining = True
         began_s = self._clock.now_s()
-        limit_s = timeout_s - DRAIN_MARGIN_S
-        while True:
-            passed_s = self._clock.now_s() - began_s
-            if passed_s >= limit_s:
-                log_event(
-                    log,
-                    'stop_incomplete',
-                    level=logging.WARNING,
-                    open_requests=self._open,
-                )
-                return
-            if passed_s >= MIN_DRAIN_S and not self._open:
-                return
+        await asyncio.sleep(min(TAKE_NEW_S, timeout_s))
+        self._refuses_new = True
+        self._server.close()
+        self._http.close_idle()
+        limit_s = began_s + timeout_s - DRAIN_MARGIN_S
+        while self._open and self._clock.now_s() < limit_s:
             await asyncio.sleep(DRAIN_CHECK_S)
+        if self._open:
+            log_event(
+                log,
+                'stop_incomplete',
+                level=logging.WARNING,
+                open_requests=self._open,
+            )
 
     async def stop(self) -> None:
         """Close all connections."""
@@ -191,7 +196,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         if self._server is not None:
             self._server.close()
-        await self._http.shutdown(0)
+        await self._http.shutdown(SHUTDOWN_S)
         self._allowances.close()
         await self._agents.close()
         self._backends.close()
@@ -302,6 +307,8 @@
             If it must not be forwarded; it was not run.
         """
         configuration = self._configuration
+        if self._refuses_new:
+            raise DrainingError('this host is about to stop')
         if configuration is None:
             raise ControlUnreachableError('no configuration is known yet')
         route = configuration.route_for(caller.host, caller.path)
--- a/src/kumquatrun/gateway/forwarder.py
+++ b/src/kumquatrun/gateway/forwarder.py
@@ -21,7 +21,7 @@
     BackendConnection,
     BrokenAnswerError,
 )
-from kumquatrun.gateway.backends import Backend, BackendTable, HeldAdapter
+from kumquatrun.gateway.backends import Backend, BackendTable
 from kumquatrun.gateway.balancer import Balancer
 from kumquatrun.gateway.caller_channel import CallerChannel
 from kumquatrun.gateway.configuration import GatewayRoute, RouteKind
--- a/src/kumquatrun/gateway/residency.py
+++ b/src/kumquatrun/gateway/residency.py
@@ -53,8 +53,9 @@
             (model, adapter): version
             for model, adapter, version in report.loading
         }
-        for name, (_, ordered_s) in list(self._ordered.items()):
-            is_visible = name in self._held or name in self._loading
+        for name, (version, ordered_s) in list(self._ordered.items()):
+            is_held = self._held.get(name, -1) >= version
+            is_visible = is_held or name in self._loading
             if is_visible or now_s - ordered_s > FORGET_ORDER_S:
                 del self._ordered[name]
 
--- a/src/kumquatrun/http_server.py
+++ b/src/kumquatrun/http_server.py
@@ -135,6 +135,12 @@
             )
             transport.abort()
 
+    def close_idle(self) -> None:
+        """Close the connections that carry no request at the moment."""
+        for connection, transport in list(self._connections.items()):
+            if not connection.is_busy:
+                transport.close()
+
     async def sweep(self) -> None:
         """Close connections that stay idle or unread; never returns."""
         while True:
--- a/src/kumquatrun/platform/daemons.py
+++ b/src/kumquatrun/platform/daemons.py
@@ -11,13 +11,13 @@
 from kumquatrun.backend_listing import BackendListing
 from kumquatrun.clock import Clock, LoopClock
 from kumquatrun.control_client import Session
+from kumquatrun.errors import SettingError
 from kumquatrun.gateway.agent import GatewayAgent
 from kumquatrun.gateway.control import GatewayControl
 from kumquatrun.gateway.entry import GatewayEntry
 from kumquatrun.gateway.listing_follower import ListingFollower
 from kumquatrun.gateway.operator_gate import OperatorGate
 from kumquatrun.gateway.settings import GatewaySettings
-from kumquatrun.errors import SettingError
 from kumquatrun.lifecycle import Daemon, run_daemon
 from kumquatrun.logs import log_event
 from kumquatrun.messages import HostRecord
