--- a/src/kumquatrun/configuration_register.py
+++ b/src/kumquatrun/configuration_register.py
@@ -101,7 +101,9 @@
 
     def restore(self, content: Any) -> None:
         """Replace the register with a snapshot."""
-        self.version, self.compressed, allowances, versions = content
+        version, compressed, allowances, versions = content
+        self.version = version
+        self.compressed = compressed
         self.allowances = tuple(
             AccountAllowance(
                 name=name,
--- /dev/null
+++ b/src/kumquatrun/gateway/admission.py
@@ -0,0 +1,132 @@
+"""Checks a request against the configuration and charges it."""
+
+import random
+from collections.abc import Callable
+from dataclasses import replace
+
+from aiohttp import web
+
+from kumquatrun.errors import (
+    ControlUnreachableError,
+    InvalidKeyError,
+    RequestTooLargeError,
+    RouteNotFoundError,
+)
+from kumquatrun.gateway.allowances import Allowances
+from kumquatrun.gateway.configuration import (
+    Configuration,
+    GatewayAccount,
+    GatewayRoute,
+)
+from kumquatrun.gateway.course import Course
+from kumquatrun.gateway.crash_watch import CrashWatch
+from kumquatrun.gateway.wire_format import CallerRequest
+
+# Longest time that a caller waits who does not say how long.
+DEFAULT_PATIENCE_MS = 60_000
+MAX_PRIORITY = 9
+# Route priorities run from 0 to 2; an account's priority goes before them.
+ACCOUNT_PRIORITY_STEP = 3
+
+
+class Admission:
+    """Turns a request of a caller into a course, or refuses it."""
+
+    def __init__(
+        self,
+        configuration: Callable[[], Configuration | None],
+        allowances: Allowances,
+        crashes: CrashWatch,
+        rng: random.Random,
+    ) -> None:
+        self._configuration = configuration
+        self._allowances = allowances
+        self._crashes = crashes
+        self._rng = rng
+
+    async def admit(
+        self,
+        request: web.BaseRequest,
+        caller: CallerRequest,
+        received_s: float,
+    ) -> Course:
+        """Check a request and charge it to its account.
+
+        Raises
+        ------
+        KumquatrunError
+            If it must not be forwarded; it was not run.
+        """
+        configuration = self._configuration()
+        if configuration is None:
+            raise ControlUnreachableError('no configuration is known yet')
+        route = configuration.route_for(caller.host, caller.path)
+        if route is None:
+            raise RouteNotFoundError(f'no route for {caller.path!r}')
+        account = _account_of(configuration, route, caller)
+        body = await _read_body(request, configuration.limits.max_body_bytes)
+        caller = replace(caller, body=body)
+        self._crashes.check(caller)
+        if account is not None:
+            await self._allowances.charge(account, _amount(account, caller))
+        patience_ms = min(
+            caller.patience_ms or DEFAULT_PATIENCE_MS,
+            route.timeout_ms,
+        )
+        return Course(
+            request=caller,
+            route=route,
+            service=self._choose_service(route),
+            account=account.name if account else '',
+            priority=_priority(route, account),
+            ends_at_s=received_s + patience_ms / 1000,
+        )
+
+    def _choose_service(self, route: GatewayRoute) -> str:
+        if len(route.targets) == 1:
+            return route.targets[0].service
+        weights = [target.weight for target in route.targets]
+        return self._rng.choices(route.targets, weights)[0].service
+
+
+def _account_of(
+    configuration: Configuration,
+    route: GatewayRoute,
+    caller: CallerRequest,
+) -> GatewayAccount | None:
+    if route.is_public or not configuration.requires_keys:
+        return None
+    account = configuration.account_for(caller.key)
+    if account is None:
+        raise InvalidKeyError('the key is missing, unknown or withdrawn')
+    return account
+
+
+def _amount(account: GatewayAccount, caller: CallerRequest) -> int:
+    if not account.counts_tokens:
+        return 1
+    if caller.prompt_tokens is None:
+        return account.plain_tokens
+    return caller.prompt_tokens + (caller.output_tokens or 0)
+
+
+def _priority(route: GatewayRoute, account: GatewayAccount | None) -> int:
+    rank = route.priority
+    if account is not None and account.priority is not None:
+        rank += ACCOUNT_PRIORITY_STEP * account.priority
+    return min(MAX_PRIORITY, max(0, rank))
+
+
+async def _read_body(request: web.BaseRequest, limit_bytes: int) -> bytes:
+    if not request.can_read_body:
+        return b''
+    chunks = []
+    size_bytes = 0
+    while True:
+        chunk = await request.content.readany()
+        if not chunk and request.content.is_eof():
+            return b''.join(chunks)
+        size_bytes += len(chunk)
+        if size_bytes > limit_bytes:
+            raise RequestTooLargeError(f'body above {limit_bytes} bytes')
+        chunks.append(chunk)
--- a/src/kumquatrun/gateway/agent_calls.py
+++ b/src/kumquatrun/gateway/agent_calls.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
+from functools import partial
 
 from kumquatrun.cluster_view import ClusterView
 from kumquatrun.errors import (
@@ -93,7 +94,7 @@
         async with client.stream(request) as call:
             yield AgentHold(
                 await _first_item(call, backend, timeout_s),
-                lambda told: self._tell(client, told),
+                partial(self._tell, client),
                 request.request_id,
             )
 
--- a/src/kumquatrun/gateway/backend_connection.py
+++ b/src/kumquatrun/gateway/backend_connection.py
@@ -72,6 +72,7 @@
         self.is_clean = True
         self.idle_since_s = loop.time()
         self._is_lost = False
+        self._has_extra = False
         self._accepts: Callable[[Any], bool] | None = None
         self._head: asyncio.Future[AnswerHead] | None = None
         self._body: StreamReader | None = None
@@ -138,7 +139,12 @@
     def mark_finished(self, head: AnswerHead) -> None:
         """Record that the answer was read to its end."""
         self.idle_since_s = self._loop.time()
-        self.is_clean = head.keeps_alive and self.is_open and head.body.is_eof()
+        self.is_clean = (
+            head.keeps_alive
+            and self.is_open
+            and head.body.is_eof()
+            and not self._has_extra
+        )
 
     def abort(self) -> None:
         """Close at once, which cancels the request at the backend server."""
@@ -182,7 +188,11 @@
         super().connection_lost(exc)
 
     def _on_message(self, message: Any, body: StreamReader) -> None:
-        if message.code in INFORMATIONAL or self._body is not None:
+        if message.code in INFORMATIONAL:
+            return
+        if self._body is not None:
+            # A second answer belongs to no request.
+            self._has_extra = True
             return
         head = AnswerHead(
             status=message.code,
--- a/src/kumquatrun/gateway/backends.py
+++ b/src/kumquatrun/gateway/backends.py
@@ -1,5 +1,6 @@
 """Backend servers as the gateway knows them: listing, load and health."""
 
+import asyncio
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -99,6 +100,7 @@
         self._backends: dict[str, Backend] = {}
         self._services: dict[str, tuple[Backend, ...]] = {}
         self.updated_at_s = float('-inf')
+        self._changed = asyncio.Event()
 
     def update(self, records: Iterable[BackendRecord], now_s: float) -> None:
         """Take a new listing; keeps what is known of those that remain."""
@@ -118,6 +120,16 @@
             if not backend.record.is_draining:
                 services.setdefault(backend.record.service, []).append(backend)
         self._services = {name: tuple(rows) for name, rows in services.items()}
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def wait_for_change(self, timeout_s: float) -> None:
+        """Wait until the listing is updated, at most ``timeout_s``."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._changed.wait()
+        except TimeoutError:
+            return
 
     def of_service(self, service: str) -> tuple[Backend, ...]:
         """Return the backend servers of a service that are not leaving."""
--- a/src/kumquatrun/gateway/checks.py
+++ b/src/kumquatrun/gateway/checks.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterator
 
 from kumquatrun.errors import DocumentError
-from kumquatrun.gateway.configuration import Configuration
+from kumquatrun.gateway.configuration import Configuration, GatewayRoute
 
 
 def check_configuration(configuration: Configuration) -> None:
@@ -52,15 +52,16 @@
                 f'the prefix {prefix!r} of route {route.name!r} does not '
                 'begin and end with a slash'
             )
-    places = Counter(
-        (route.host.lower(), route.path_prefix)
-        for route in configuration.routes
-    )
+    places = Counter(map(_place_of, configuration.routes))
     for (host, prefix), count in places.items():
         if count > 1:
             yield f'{count} routes share host {host!r} and prefix {prefix!r}'
 
 
+def _place_of(route: GatewayRoute) -> tuple[str, str]:
+    return route.host.lower(), route.path_prefix
+
+
 def _names(configuration: Configuration) -> Iterator[str]:
     names = Counter(service.name for service in configuration.services)
     for name, count in names.items():
--- /dev/null
+++ b/src/kumquatrun/gateway/course.py
@@ -0,0 +1,67 @@
+"""What happened to one request so far."""
+
+from dataclasses import dataclass, field
+
+from kumquatrun.gateway.backend_connection import AnswerHead
+from kumquatrun.gateway.configuration import GatewayRoute
+from kumquatrun.gateway.event_stream import ResumableStream
+from kumquatrun.gateway.wire_format import CallerRequest
+
+# Sends of one request, those included that a backend server refused unrun.
+MAX_SENDS = 4
+
+
+@dataclass
+class Course:
+    """One request on its way through the gateway.
+
+    Attributes
+    ----------
+    ends_at_s
+        When the caller, or the route's timeout, gives the request up.
+    sends
+        Times that the request was sent to a backend server.
+    runs
+        Sends that ran, or may have run, at a backend server.
+    tried
+        Backend servers that are not asked again.
+    failure
+        Why the last send did not answer the request.
+    kept_failure
+        A failed answer of a backend server, to be delivered if no other
+        backend server does better.
+    """
+
+    request: CallerRequest
+    route: GatewayRoute
+    service: str
+    account: str
+    priority: int
+    ends_at_s: float
+    sends: int = 0
+    runs: int = 0
+    tried: set[str] = field(default_factory=set)
+    stream: ResumableStream | None = None
+    last_backend: str = ''
+    adapter_wait_s: float = 0.0
+    longest_pause_s: float = 0.0
+    failure: str = ''
+    kept_failure: tuple[AnswerHead, bytes] | None = None
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether a backend server may have run the request."""
+        return self.runs > 0
+
+    @property
+    def may_send_again(self) -> bool:
+        """Return whether another backend server may get the request."""
+        if self.sends >= MAX_SENDS:
+            return False
+        if not self.runs:
+            return True
+        return self.route.may_repeat and self.runs < self.route.max_attempts
+
+    def left_s(self, now_s: float) -> float:
+        """Return the time that is left."""
+        return max(0.0, self.ends_at_s - now_s)
--- a/src/kumquatrun/gateway/engine_agent.py
+++ b/src/kumquatrun/gateway/engine_agent.py
@@ -53,6 +53,8 @@
 # Wait after an order that the engine refused or did not answer.
 ORDER_PAUSE_S = 0.1
 DEFAULT_ADAPTER_SLOTS = 8
+# A request that waited longer is logged at the usual level.
+LONG_WAIT_S = 0.1
 # One host gives all orders to its engine, so its number never has to rise.
 FENCING_NUMBER = 1
 
@@ -144,49 +146,68 @@
             return Ack()
         if not isinstance(request, UseAdapter):
             raise InvalidRequestError(f'unexpected {type(request).__name__}')
-        began_s = self._clock.now_s()
+        await self._use(request, context)
+        return AdapterReleased()
+
+    async def _use(self, request: UseAdapter, context: CallContext) -> None:
         name = (request.model, request.adapter)
-        self._residency.pin(name, began_s)
+        self._residency.pin(name, self._clock.now_s())
         self._users += 1
-        is_provided = False
         try:
-            version = await self._provide(name, request)
-            await self._gate.enter(
-                request.request_id,
-                request.prompt_tokens,
-                request.priority,
-            )
-            self._running[name] += 1
-            is_provided = True
-            waited_s = self._clock.now_s() - began_s
-            log_event(
-                log,
-                'adapter_provided',
-                level=logging.DEBUG
-                if waited_s < ORDER_PAUSE_S
-                else logging.INFO,
-                request_id=request.request_id,
-                adapter=request.adapter,
-                version=version,
-                waited_ms=round(waited_s * 1000),
-                load=self._load(),
-                report_age_ms=self._report_age_ms(),
-            )
-            await context.send_message(
-                AdapterReady(
-                    version=version,
-                    load=self._load(),
-                    waited_s=waited_s,
-                ),
-            )
-            await asyncio.Event().wait()
+            ready = await self._prepare(name, request)
+            await self._keep(name, ready, context)
         finally:
             self._users -= 1
-            self._running[name] -= is_provided
             self._gate.leave(request.request_id)
             self._residency.unpin(name, self._clock.now_s())
             self._wake.set()
-        return AdapterReleased()
+
+    async def _keep(
+        self,
+        name: AdapterName,
+        ready: AdapterReady,
+        context: CallContext,
+    ) -> None:
+        """Tell the caller, and keep the adapter until the call ends."""
+        self._running[name] += 1
+        try:
+            await context.send_message(ready)
+            await asyncio.Event().wait()
+        finally:
+            self._running[name] -= 1
+
+    async def _prepare(
+        self,
+        name: AdapterName,
+        request: UseAdapter,
+    ) -> AdapterReady:
+        began_s = self._clock.now_s()
+        version = await self._provide(name, request)
+        provided_s = self._clock.now_s()
+        await self._gate.enter(
+            request.request_id,
+            request.prompt_tokens,
+            request.priority,
+        )
+        waited_s = self._clock.now_s() - began_s
+        log_event(
+            log,
+            'adapter_provided',
+            level=logging.INFO if waited_s > LONG_WAIT_S else logging.DEBUG,
+            request_id=request.request_id,
+            adapter=request.adapter,
+            version=version,
+            load_wait_ms=round((provided_s - began_s) * 1000),
+            gate_wait_ms=round((began_s + waited_s - provided_s) * 1000),
+            load=self._load(),
+            gate_waiting=self._gate.waiting,
+            report_age_ms=self._report_age_ms(),
+        )
+        return AdapterReady(
+            version=version,
+            load=self._load(),
+            waited_s=waited_s,
+        )
 
     # Waiting calls.
 
@@ -354,10 +375,7 @@
 
     def _by_urgency(self) -> list[_Waiter]:
         first: dict[AdapterName, _Waiter] = {}
-        for waiter in sorted(
-            self._waiters,
-            key=lambda row: (row.priority, row.since_s),
-        ):
+        for waiter in sorted(self._waiters, key=_urgency):
             first.setdefault(waiter.name, waiter)
         return list(first.values())
 
@@ -457,6 +475,10 @@
         return False
 
 
+def _urgency(waiter: _Waiter) -> tuple[int, float]:
+    return waiter.priority, waiter.since_s
+
+
 def _adapter_slots(spec: EngineSpec, report: EngineReport) -> int:
     """Return how many adapters fit, by slots and by memory."""
     slots = spec.adapter_slots or DEFAULT_ADAPTER_SLOTS
--- a/src/kumquatrun/gateway/forwarder.py
+++ b/src/kumquatrun/gateway/forwarder.py
@@ -1,32 +1,31 @@
-"""Takes one request of a caller through the choice of backend servers."""
+"""Sends one request of a caller to backend servers and relays the answer."""
 
 import asyncio
 import logging
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from enum import StrEnum
 
 from kumquatrun.clock import Clock
 from kumquatrun.errors import (
     BackendError,
     ConnectionLostError,
-    KumquatrunError,
     NoCapacityError,
     Outcome,
 )
-from kumquatrun.gateway.agent_calls import AgentCalls, AgentUnreachableError
 from kumquatrun.gateway.backend_connection import (
     AnswerHead,
     BackendConnection,
     BrokenAnswerError,
 )
-from kumquatrun.gateway.backends import Backend, BackendTable
-from kumquatrun.gateway.balancer import Balancer
 from kumquatrun.gateway.caller_channel import CallerChannel
-from kumquatrun.gateway.configuration import GatewayRoute, RouteKind
+from kumquatrun.gateway.configuration import RouteKind
+from kumquatrun.gateway.course import Course
 from kumquatrun.gateway.event_stream import ResumableStream
-from kumquatrun.gateway.messages import UseAdapter
+from kumquatrun.gateway.reservations import (
+    BUSY_RETRY_AFTER_S,
+    Reservation,
+    Reservations,
+)
 from kumquatrun.gateway.retry_shares import RetryShares
 from kumquatrun.gateway.wire_format import (
     CallerRequest,
@@ -37,31 +36,20 @@
 
 log = logging.getLogger(__name__)
 
-# Sends of one request, those included that a backend server refused unrun.
-MAX_SENDS = 4
-# Backend servers whose agents are asked for an adapter before a refusal.
-MAX_HOLD_ATTEMPTS = 3
-# Longest wait for an adapter, as a part of the time that the caller has.
-ADAPTER_WAIT_PART = 0.3
-MAX_ADAPTER_WAIT_S = 2.5
 # A repeatable request whose answer does not begin in this many target
 # latencies is tried elsewhere.
 SILENT_TARGETS = 1.5
 SILENT_STREAM_TARGETS = 2.0
 # A resumable stream that pauses for this many gap targets continues elsewhere.
 SILENT_GAPS = 6.0
-# Longest wait for a backend server where none is listed, and between looks.
-MAX_BACKEND_WAIT_S = 1.0
-BACKEND_WAIT_STEP_S = 0.1
 # The backend server gets a little less time than is left, so that its answer
 # still reaches the caller.
 ANSWER_MARGIN_MS = 15
-BUSY_RETRY_AFTER_S = 0.5
 MAX_BUFFERED_BODY_BYTES = 256 * 1024
 SERVER_ERROR = 500
-# Statuses that promise a caller that its request was not run.
-PROMISING_STATUSES = frozenset({408, 421, 429, 503})
 SUCCESS = range(200, 300)
+# Statuses that promise a caller that its request was not run.
+PROMISING_STATUSES = frozenset((408, 421, 429, 503))
 
 
 class Result(StrEnum):
@@ -74,72 +62,22 @@
     SILENT = 'silent'
 
 
-@dataclass
-class Course:
-    """What happened to one request so far.
-
-    Attributes
-    ----------
-    ends_at_s
-        When the caller, or the route's timeout, gives the request up.
-    runs
-        Sends that ran, or may have run, at a backend server.
-    tried
-        Backend servers that are not asked again.
-    """
-
-    request: CallerRequest
-    route: GatewayRoute
-    service: str
-    account: str
-    priority: int | None
-    received_at_s: float
-    ends_at_s: float
-    sends: int = 0
-    runs: int = 0
-    tried: set[str] = field(default_factory=set)
-    stream: ResumableStream | None = None
-    last_backend: str = ''
-    adapter_wait_s: float = 0.0
-    failure: str = ''
-    kept_failure: tuple[AnswerHead, bytes] | None = None
-    longest_pause_s: float = 0.0
-    on_first_event: Callable[[], None] | None = None
-
-    @property
-    def may_have_run(self) -> bool:
-        """Return whether a backend server may have run the request."""
-        return self.runs > 0
-
-    @property
-    def may_send_again(self) -> bool:
-        """Return whether another backend server may get the request."""
-        if self.sends >= MAX_SENDS:
-            return False
-        if not self.runs:
-            return True
-        return self.route.may_repeat and self.runs < self.route.max_attempts
+FAILURES = frozenset((Result.FAILED, Result.BROKEN, Result.SILENT))
 
 
 class Forwarder:
-    """Sends requests to backend servers and relays their answers."""
+    """Tries backend servers until one answers or none may be tried."""
 
     def __init__(
         self,
         wire: WireFormat,
-        backends: BackendTable,
-        balancer: Balancer,
-        agents: AgentCalls,
+        reservations: Reservations,
         retries: RetryShares,
-        adapter_version: Callable[[str, str], int],
         clock: Clock,
     ) -> None:
         self._wire = wire
-        self._backends = backends
-        self._balancer = balancer
-        self._agents = agents
+        self._reservations = reservations
         self._retries = retries
-        self._adapter_version = adapter_version
         self._clock = clock
 
     async def run(self, course: Course, channel: CallerChannel) -> None:
@@ -153,13 +91,12 @@
             has begun.
         """
         self._retries.record_request(course.service, self._clock.now_s())
-        problem: KumquatrunError | None = None
+        problem: NoCapacityError | None = None
         while course.may_send_again:
             if course.sends and not self._take_retry(course):
                 break
             try:
-                async with self._reserved(course) as place:
-                    result = await self._send(course, channel, place)
+                result = await self._try_once(course, channel)
             except NoCapacityError as error:
                 problem = error
                 break
@@ -180,11 +117,15 @@
     def _take_retry(self, course: Course) -> bool:
         return self._retries.take(course.service, self._clock.now_s())
 
+    async def _try_once(self, course: Course, channel: CallerChannel) -> Result:
+        async with self._reservations.reserve(course) as reservation:
+            return await self._send(course, channel, reservation)
+
     async def _give_up(
         self,
         course: Course,
         channel: CallerChannel,
-        problem: KumquatrunError | None,
+        problem: NoCapacityError | None,
     ) -> None:
         if course.kept_failure is not None and not channel.has_begun:
             head, body = course.kept_failure
@@ -202,128 +143,15 @@
             cause='refused_by_backends',
         )
 
-    # Choice of the backend server.
-
-    @asynccontextmanager
-    async def _reserved(
-        self,
-        course: Course,
-    ) -> AsyncIterator[tuple[Backend, int]]:
-        """Yield a backend server that holds what the request needs."""
-        problem: KumquatrunError | None = None
-        for _ in range(MAX_HOLD_ATTEMPTS):
-            backend = await self._choose(course)
-            if backend is None:
-                break
-            version = self._needed_version(course.request)
-            if not course.request.model:
-                yield backend, 0
-                return
-            began_s = self._clock.now_s()
-            hold = self._agents.hold(
-                backend,
-                UseAdapter(
-                    request_id=course.request.request_id,
-                    model=course.request.model,
-                    adapter=course.request.adapter,
-                    version=version,
-                    priority=course.priority or 0,
-                    prompt_tokens=course.request.prompt_tokens or 0,
-                ),
-                self._adapter_wait_s(course),
-            )
-            try:
-                held = await hold.__aenter__()
-            except AgentUnreachableError as error:
-                if self._is_listed_with(backend, course.request, version):
-                    yield backend, version
-                    return
-                problem = error
-            except KumquatrunError as error:
-                problem = error
-            else:
-                now_s = self._clock.now_s()
-                backend.take_report(held.ready.load, now_s)
-                course.adapter_wait_s += now_s - began_s
-                course.on_first_event = held.tell_prompt_read
-                try:
-                    yield backend, held.ready.version if version else 0
-                finally:
-                    await hold.__aexit__(None, None, None)
-                return
-            course.tried.add(backend.backend_id)
-            log_event(
-                log,
-                'adapter_not_provided',
-                request_id=course.request.request_id,
-                backend=backend.backend_id,
-                adapter=course.request.adapter,
-                version=version,
-                reason=str(problem),
-            )
-        raise NoCapacityError(
-            f'no backend server can take the request: {problem or "none left"}',
-            retry_after_s=BUSY_RETRY_AFTER_S,
-            cause='no_backend',
-        )
-
-    async def _choose(self, course: Course) -> Backend | None:
-        request = course.request
-        affinity = (
-            f'{request.model}/{request.adapter}' if request.adapter else ''
-        )
-        give_up_s = self._clock.now_s() + min(
-            MAX_BACKEND_WAIT_S,
-            ADAPTER_WAIT_PART * self._left_s(course),
-        )
-        while True:
-            backend = self._balancer.choose(
-                self._backends.of_service(course.service),
-                self._clock.now_s(),
-                affinity=affinity,
-                excluded=course.tried,
-            )
-            if backend is not None or course.tried:
-                return backend
-            if self._clock.now_s() >= give_up_s:
-                return None
-            await asyncio.sleep(BACKEND_WAIT_STEP_S)
-
-    def _needed_version(self, request: CallerRequest) -> int:
-        if not request.adapter:
-            return 0
-        return self._adapter_version(request.model, request.adapter)
-
-    def _is_listed_with(
-        self,
-        backend: Backend,
-        request: CallerRequest,
-        version: int,
-    ) -> bool:
-        if not request.adapter:
-            return True
-        return any(
-            held.model == request.model
-            and held.adapter == request.adapter
-            and version in {0, held.version}
-            for held in backend.record.adapters
-        )
-
-    def _adapter_wait_s(self, course: Course) -> float:
-        return min(MAX_ADAPTER_WAIT_S, ADAPTER_WAIT_PART * self._left_s(course))
-
-    def _left_s(self, course: Course) -> float:
-        return max(0.0, course.ends_at_s - self._clock.now_s())
-
     # One send.
 
     async def _send(
         self,
         course: Course,
         channel: CallerChannel,
-        place: tuple[Backend, int],
+        reservation: Reservation,
     ) -> Result:
-        backend, version = place
+        backend = reservation.backend
         course.last_backend = backend.backend_id
         course.tried.add(backend.backend_id)
         try:
@@ -336,71 +164,54 @@
             return Result.NOT_RUN
         backend.open_requests += 1
         backend.started_since_report += 1
-        is_returned = False
+        head: AnswerHead | None = None
         try:
             result, head = await self._exchange(
                 course,
                 channel,
                 connection,
-                (backend, version),
+                reservation,
             )
-            if head is not None and connection.is_open:
-                backend.pool.give_back(connection, head)
-                is_returned = True
         finally:
             backend.open_requests -= 1
-            if not is_returned:
+            if head is None:
                 connection.abort()
-        self._judge(backend, result)
+            else:
+                backend.pool.give_back(connection, head)
+        backend.record_answer(
+            failed=result in FAILURES,
+            now_s=self._clock.now_s(),
+        )
         return result
 
-    def _judge(self, backend: Backend, result: Result) -> None:
-        failed = result in {Result.FAILED, Result.BROKEN, Result.SILENT}
-        backend.record_answer(failed=failed, now_s=self._clock.now_s())
-
     async def _exchange(
         self,
         course: Course,
         channel: CallerChannel,
         connection: BackendConnection,
-        place: tuple[Backend, int],
+        reservation: Reservation,
     ) -> tuple[Result, AnswerHead | None]:
         """Send the request once; the head is set after a complete answer."""
         request = course.request
-        if course.stream is not None and course.stream.last_event_id:
-            request = replace(
-                request,
-                last_event_id=course.stream.last_event_id,
-            )
-        head_bytes = self._wire.write_request(
-            request,
-            Forwarding(
-                backend_id=place[0].backend_id,
-                remaining_ms=max(
-                    1,
-                    int(self._left_s(course) * 1000) - ANSWER_MARGIN_MS,
-                ),
-                account=course.account,
-                priority=course.priority,
-                adapter_version=place[1],
-                last_event_id=request.last_event_id,
-            ),
-        )
-        course.sends += 1
-        course.runs += 1
         try:
             connection.send(
-                head_bytes,
+                self._head_bytes(course, reservation),
                 request.body,
                 lambda head: self._answers(request, head),
                 has_answer_body=request.method != 'HEAD',
             )
         except ConnectionLostError as error:
-            course.runs -= 1
             course.failure = error.detail
             return Result.NOT_RUN, None
+        course.sends += 1
+        course.runs += 1
         try:
-            return await self._receive(course, channel, connection)
+            return await self._receive(
+                course,
+                channel,
+                connection,
+                reservation,
+            )
         except BrokenAnswerError as error:
             course.failure = error.detail
             return Result.BROKEN, None
@@ -408,15 +219,38 @@
             course.failure = 'silent for too long'
             return Result.SILENT, None
 
+    def _head_bytes(self, course: Course, reservation: Reservation) -> bytes:
+        request = course.request
+        if course.stream is not None and course.stream.last_event_id:
+            request = replace(
+                request,
+                last_event_id=course.stream.last_event_id,
+            )
+        left_ms = int(course.left_s(self._clock.now_s()) * 1000)
+        return self._wire.write_request(
+            request,
+            Forwarding(
+                backend_id=reservation.backend.backend_id,
+                remaining_ms=max(1, left_ms - ANSWER_MARGIN_MS),
+                account=course.account,
+                priority=course.priority,
+                adapter_version=reservation.adapter_version,
+                last_event_id=request.last_event_id,
+            ),
+        )
+
     def _answers(self, request: CallerRequest, head: AnswerHead) -> bool:
         answered = self._wire.read_answer(head).answered_id
         return not answered or answered == request.request_id
 
+    # The answer.
+
     async def _receive(
         self,
         course: Course,
         channel: CallerChannel,
         connection: BackendConnection,
+        reservation: Reservation,
     ) -> tuple[Result, AnswerHead | None]:
         async with asyncio.timeout(self._head_limit_s(course)):
             head = await connection.read_head()
@@ -427,22 +261,28 @@
             return Result.NOT_RUN, head
         is_stream = course.route.kind is RouteKind.STREAMING
         if is_stream and head.status in SUCCESS:
-            await self._relay_stream(course, channel, head)
+            await self._relay_stream(course, channel, head, reservation)
             return Result.DELIVERED, head
         body = await _read_whole(head)
-        if head.status >= SERVER_ERROR:
+        if channel.has_begun or self._is_worth_another(course, head, body):
             course.failure = f'answered {head.status}'
-            if channel.has_begun:
-                return Result.FAILED, head
-            course.kept_failure = (head, body)
-            if course.may_send_again:
-                return Result.FAILED, head
-        course.kept_failure = None
-        if channel.has_begun:
             return Result.FAILED, head
+        course.kept_failure = None
         await self._deliver_whole(channel, head, body)
         return Result.DELIVERED, head
 
+    def _is_worth_another(
+        self,
+        course: Course,
+        head: AnswerHead,
+        body: bytes,
+    ) -> bool:
+        """Return whether another backend server may do better."""
+        if head.status < SERVER_ERROR:
+            return False
+        course.kept_failure = (head, body)
+        return course.may_send_again
+
     def _head_limit_s(self, course: Course) -> float | None:
         """Return how long an answer may take to begin; None for no limit."""
         if not course.route.may_repeat or not course.may_send_again:
@@ -478,44 +318,49 @@
         course: Course,
         channel: CallerChannel,
         head: AnswerHead,
+        reservation: Reservation,
     ) -> None:
         if course.route.may_repeat and course.stream is None:
             course.stream = ResumableStream(course.request.last_event_id)
-        if course.stream is not None:
-            course.stream.restart()
+        stream = course.stream
+        if stream is not None:
+            stream.restart()
         if not channel.has_begun:
             await channel.begin(
                 head.status,
                 head.reason,
                 self._stream_headers(course, head),
             )
+        await self._relay_events(course, channel, head, reservation)
+        rest = stream.take_rest() if stream is not None else b''
+        if rest:
+            await channel.write(rest)
+        await channel.finish()
+
+    async def _relay_events(
+        self,
+        course: Course,
+        channel: CallerChannel,
+        head: AnswerHead,
+        reservation: Reservation,
+    ) -> None:
         read_at_s: float | None = None
         while True:
             async with asyncio.timeout(self._gap_limit_s(course)):
                 chunk = await head.body.readany()
             if not chunk and head.body.is_eof():
-                break
+                return
             now_s = self._clock.now_s()
-            if read_at_s is None:
-                self._note_first_event(course)
-            else:
+            if read_at_s is not None:
                 pause_s = now_s - read_at_s
                 course.longest_pause_s = max(course.longest_pause_s, pause_s)
+            elif reservation.hold is not None:
+                reservation.hold.tell_prompt_read()
             read_at_s = now_s
             if course.stream is not None:
                 chunk = course.stream.feed(chunk)
             if chunk:
                 await channel.write(chunk)
-        if course.stream is not None:
-            rest = course.stream.take_rest()
-            if rest:
-                await channel.write(rest)
-        await channel.finish()
-
-    def _note_first_event(self, course: Course) -> None:
-        if course.on_first_event is not None:
-            course.on_first_event()
-            course.on_first_event = None
 
     def _stream_headers(
         self,
@@ -541,13 +386,13 @@
 
 async def _read_whole(head: AnswerHead) -> bytes:
     chunks = []
-    size = 0
+    size_bytes = 0
     while True:
         chunk = await head.body.readany()
         if not chunk and head.body.is_eof():
             return b''.join(chunks)
-        size += len(chunk)
-        if size > MAX_BUFFERED_BODY_BYTES:
+        size_bytes += len(chunk)
+        if size_bytes > MAX_BUFFERED_BODY_BYTES:
             raise BrokenAnswerError(
                 f'answer above {MAX_BUFFERED_BODY_BYTES} bytes',
             )
--- /dev/null
+++ b/src/kumquatrun/gateway/reservations.py
@@ -0,0 +1,189 @@
+"""Finds the backend server for a request and has its adapter provided."""
+
+import logging
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass
+
+from kumquatrun.clock import Clock
+from kumquatrun.errors import KumquatrunError, NoCapacityError
+from kumquatrun.gateway.agent_calls import (
+    AgentCalls,
+    AgentHold,
+    AgentUnreachableError,
+)
+from kumquatrun.gateway.backends import Backend, BackendTable
+from kumquatrun.gateway.balancer import Balancer
+from kumquatrun.gateway.course import Course
+from kumquatrun.gateway.messages import UseAdapter
+from kumquatrun.gateway.wire_format import CallerRequest
+from kumquatrun.logs import log_event
+
+log = logging.getLogger(__name__)
+
+# Backend servers whose agents are asked for an adapter before a refusal.
+MAX_HOLD_ATTEMPTS = 3
+# Longest wait for an adapter, as a part of the time that the caller has.
+ADAPTER_WAIT_PART = 0.3
+MAX_ADAPTER_WAIT_S = 2.5
+# Longest wait for a backend server where none is listed, and between looks.
+MAX_BACKEND_WAIT_S = 1.0
+BACKEND_WAIT_STEP_S = 0.1
+BUSY_RETRY_AFTER_S = 0.5
+
+
+@dataclass(frozen=True)
+class Reservation:
+    """A backend server for one send.
+
+    ``adapter_version`` is the only version that will do, 0 for any;
+    ``hold`` is None where no agent answers for the backend server.
+    """
+
+    backend: Backend
+    adapter_version: int = 0
+    hold: AgentHold | None = None
+
+
+class Reservations:
+    """Chooses backend servers and asks their agents for adapters."""
+
+    def __init__(
+        self,
+        backends: BackendTable,
+        balancer: Balancer,
+        agents: AgentCalls,
+        adapter_version: Callable[[str, str], int],
+        clock: Clock,
+    ) -> None:
+        self._backends = backends
+        self._balancer = balancer
+        self._agents = agents
+        self._adapter_version = adapter_version
+        self._clock = clock
+
+    @asynccontextmanager
+    async def reserve(self, course: Course) -> AsyncIterator[Reservation]:
+        """Yield a backend server that holds what the request needs.
+
+        Raises
+        ------
+        NoCapacityError
+            If there is none; the request was not sent.
+        """
+        problem = 'none is left'
+        for _ in range(MAX_HOLD_ATTEMPTS):
+            backend = await self._choose(course)
+            if backend is None:
+                break
+            async with AsyncExitStack() as stack:
+                try:
+                    reservation = await self._hold(course, backend, stack)
+                except KumquatrunError as error:
+                    problem = str(error)
+                    self._pass_over(course, backend, problem)
+                    continue
+                yield reservation
+                return
+        raise NoCapacityError(
+            f'no backend server can take the request: {problem}',
+            retry_after_s=BUSY_RETRY_AFTER_S,
+            cause='no_backend',
+        )
+
+    async def _choose(self, course: Course) -> Backend | None:
+        request = course.request
+        affinity = ''
+        if request.adapter:
+            affinity = f'{request.model}/{request.adapter}'
+        give_up_s = self._clock.now_s() + min(
+            MAX_BACKEND_WAIT_S,
+            ADAPTER_WAIT_PART * course.left_s(self._clock.now_s()),
+        )
+        while True:
+            backend = self._balancer.choose(
+                self._backends.of_service(course.service),
+                self._clock.now_s(),
+                affinity=affinity,
+                excluded=course.tried,
+            )
+            if backend is not None or course.tried:
+                return backend
+            if self._clock.now_s() >= give_up_s:
+                return None
+            await self._backends.wait_for_change(BACKEND_WAIT_STEP_S)
+
+    async def _hold(
+        self,
+        course: Course,
+        backend: Backend,
+        stack: AsyncExitStack,
+    ) -> Reservation:
+        request = course.request
+        if not request.model:
+            return Reservation(backend)
+        version = self._needed_version(request)
+        asked = UseAdapter(
+            request_id=request.request_id,
+            model=request.model,
+            adapter=request.adapter,
+            version=version,
+            priority=course.priority,
+            prompt_tokens=request.prompt_tokens or 0,
+        )
+        began_s = self._clock.now_s()
+        wait_s = min(
+            MAX_ADAPTER_WAIT_S,
+            ADAPTER_WAIT_PART * course.left_s(began_s),
+        )
+        try:
+            hold = await stack.enter_async_context(
+                self._agents.hold(backend, asked, wait_s),
+            )
+        except AgentUnreachableError:
+            if _is_listed_with(backend, request, version):
+                return Reservation(backend, version)
+            raise
+        now_s = self._clock.now_s()
+        backend.take_report(hold.ready.load, now_s)
+        course.adapter_wait_s += now_s - began_s
+        held_version = hold.ready.version if version else 0
+        return Reservation(backend, held_version, hold)
+
+    def _pass_over(
+        self,
+        course: Course,
+        backend: Backend,
+        problem: str,
+    ) -> None:
+        course.tried.add(backend.backend_id)
+        log_event(
+            log,
+            'adapter_not_provided',
+            request_id=course.request.request_id,
+            backend=backend.backend_id,
+            adapter=course.request.adapter,
+            load=backend.load,
+            reason=problem,
+        )
+
+    def _needed_version(self, request: CallerRequest) -> int:
+        if not request.adapter:
+            return 0
+        return self._adapter_version(request.model, request.adapter)
+
+
+def _is_listed_with(
+    backend: Backend,
+    request: CallerRequest,
+    version: int,
+) -> bool:
+    """Return whether the platform lists the adapter at the backend server."""
+    if not request.adapter:
+        return True
+    return any(
+        held.model == request.model
+        and held.adapter == request.adapter
+        and version in {0, held.version}
+        for held in backend.record.adapters
+    )
--- a/src/kumquatrun/gateway/retry_shares.py
+++ b/src/kumquatrun/gateway/retry_shares.py
@@ -1,4 +1,4 @@
-"""This entry's share of the retry budget that all entries keep together."""
+"""Share of one entry in the retry budget that all entries keep together."""
 
 from kumquatrun.retry import RetryBudget
 
--- a/src/kumquatrun/membership_keeper.py
+++ b/src/kumquatrun/membership_keeper.py
@@ -66,11 +66,12 @@
             for member in members
             if silence_s.get(member.replica_id, 0.0) > SILENT_LIMIT_S
         ]
-        for member in members:
-            is_waiting = not member.voter and member.replica_id not in silent
-            if is_waiting and len(voters) < MAX_VOTERS:
-                return MembershipChange('promote', member.replica_id)
         voter_ids = {member.replica_id for member in voters}
+        for learner in members:
+            name = learner.replica_id
+            is_waiting = name not in voter_ids and name not in silent
+            if is_waiting and len(voters) < MAX_VOTERS:
+                return MembershipChange('promote', name)
         for replica_id in silent:
             is_spare = len(voters) > self._least_voters
             if replica_id not in voter_ids or is_spare:
--- a/src/kumquatrun/platform/configuration.py
+++ b/src/kumquatrun/platform/configuration.py
@@ -15,11 +15,11 @@
     RouteKind,
     WeightedService,
 )
-from kumquatrun.platform import decoding as read
+from kumquatrun.platform import decoding
 
-Fields = read.Fields
-# Unit of allowances that are counted in tokens.
-TOKEN_UNIT = 'token_route'
+Fields = decoding.Fields
+# The other unit counts requests.
+COUNTS_TOKENS = {'token_route': True}
 DEFAULT_LIMITS = CallerLimits()
 
 
@@ -31,13 +31,13 @@
     DocumentError
         If it cannot be read in full or breaks a rule.
     """
-    fields = read.parse_object(content)
+    fields = decoding.parse_object(content)
     try:
         configuration = Configuration(
-            version=read.whole(fields, 'version'),
-            routes=tuple(map(_route, read.rows(fields, 'routes'))),
-            services=tuple(map(_service, read.rows(fields, 'services'))),
-            accounts=tuple(map(_account, read.rows(fields, 'tenants', []))),
+            version=decoding.whole(fields, 'version'),
+            routes=tuple(map(_route, decoding.rows(fields, 'routes'))),
+            services=tuple(map(_service, decoding.rows(fields, 'services'))),
+            accounts=tuple(map(_account, decoding.rows(fields, 'tenants', []))),
             requires_keys='tenants' in fields,
             limits=_limits(fields.get('limits') or {}),
         )
@@ -51,18 +51,18 @@
 
 def _route(fields: Fields) -> GatewayRoute:
     return GatewayRoute(
-        name=read.text(fields, 'name'),
-        host=read.text(fields, 'host'),
-        path_prefix=read.text(fields, 'path_prefix'),
-        kind=_kind(read.text(fields, 'kind')),
+        name=decoding.text(fields, 'name'),
+        host=decoding.text(fields, 'host'),
+        path_prefix=decoding.text(fields, 'path_prefix'),
+        kind=_kind(decoding.text(fields, 'kind')),
         targets=_targets(fields),
-        timeout_ms=read.whole(fields, 'timeout_ms'),
-        target_latency_ms=read.number(fields, 'target_latency_ms', 1000.0),
-        gap_target_ms=read.number(fields, 'gap_target_ms', 0.0),
-        priority=read.whole(fields, 'priority', 0),
-        max_attempts=max(1, read.whole(fields, 'max_attempts', 1)),
-        is_public=read.flag(fields, 'public'),
-        is_resumable=read.flag(fields, 'resumable'),
+        timeout_ms=decoding.whole(fields, 'timeout_ms'),
+        target_latency_ms=decoding.number(fields, 'target_latency_ms', 1000.0),
+        gap_target_ms=decoding.number(fields, 'gap_target_ms', 0.0),
+        priority=decoding.whole(fields, 'priority', 0),
+        max_attempts=max(1, decoding.whole(fields, 'max_attempts', 1)),
+        is_public=decoding.flag(fields, 'public'),
+        is_resumable=decoding.flag(fields, 'resumable'),
     )
 
 
@@ -75,43 +75,43 @@
 
 def _targets(fields: Fields) -> tuple[WeightedService, ...]:
     if fields.get('split') is None:
-        return (WeightedService(service=read.text(fields, 'service')),)
+        return (WeightedService(service=decoding.text(fields, 'service')),)
     return tuple(
         WeightedService(
-            service=read.text(row, 'service'),
-            weight=read.number(row, 'weight'),
+            service=decoding.text(row, 'service'),
+            weight=decoding.number(row, 'weight'),
         )
-        for row in read.rows(fields, 'split')
+        for row in decoding.rows(fields, 'split')
     )
 
 
 def _service(fields: Fields) -> BackendService:
     engine = fields.get('engine')
     return BackendService(
-        name=read.text(fields, 'name'),
-        max_connections=read.whole(fields, 'max_connections', 0),
-        health_path=read.text(fields, 'health_path', ''),
+        name=decoding.text(fields, 'name'),
+        max_connections=decoding.whole(fields, 'max_connections', 0),
+        health_path=decoding.text(fields, 'health_path', ''),
         engine=_engine(engine) if isinstance(engine, dict) else None,
     )
 
 
 def _engine(fields: Fields) -> EngineSpec:
     return EngineSpec(
-        batch_slots=read.whole(fields, 'slots', 0),
-        cache_tokens=read.whole(fields, 'kv_tokens', 0),
-        weights_mb=read.number(fields, 'weights_mb', 0.0),
-        adapter_slots=read.whole(fields, 'adapter_slots', 0),
-        base_models=tuple(map(_model, read.rows(fields, 'models', []))),
+        batch_slots=decoding.whole(fields, 'slots', 0),
+        cache_tokens=decoding.whole(fields, 'kv_tokens', 0),
+        weights_mb=decoding.number(fields, 'weights_mb', 0.0),
+        adapter_slots=decoding.whole(fields, 'adapter_slots', 0),
+        base_models=tuple(map(_model, decoding.rows(fields, 'models', []))),
     )
 
 
 def _model(fields: Fields) -> BaseModelSpec:
     return BaseModelSpec(
-        name=read.text(fields, 'name'),
-        weights_mb=read.number(fields, 'weights_mb', 0.0),
-        adapter_mb=read.number(fields, 'adapter_mb', 0.0),
-        adapters=read.whole(fields, 'adapters', 0),
-        load_s=read.number(fields, 'load_s', 0.0),
+        name=decoding.text(fields, 'name'),
+        weights_mb=decoding.number(fields, 'weights_mb', 0.0),
+        adapter_mb=decoding.number(fields, 'adapter_mb', 0.0),
+        adapters=decoding.whole(fields, 'adapters', 0),
+        load_s=decoding.number(fields, 'load_s', 0.0),
     )
 
 
@@ -120,32 +120,32 @@
     if not all(isinstance(key, str) for key in keys):
         raise DocumentError("'api_keys' has an entry that is no text")
     return GatewayAccount(
-        name=read.text(fields, 'name'),
+        name=decoding.text(fields, 'name'),
         keys=tuple(keys),
         priority=_optional_whole(fields, 'priority'),
-        counts_tokens=fields.get('unit') == TOKEN_UNIT,
-        plain_tokens=read.whole(fields, 'plain_tokens', 1),
-        rate_per_s=read.number(fields, 'rate_per_s', 0.0),
-        burst=read.number(fields, 'burst', 0.0),
+        counts_tokens=COUNTS_TOKENS.get(fields.get('unit'), False),
+        plain_tokens=decoding.whole(fields, 'plain_tokens', 1),
+        rate_per_s=decoding.number(fields, 'rate_per_s', 0.0),
+        burst=decoding.number(fields, 'burst', 0.0),
     )
 
 
 def _optional_whole(fields: Fields, name: str) -> int | None:
-    return None if fields.get(name) is None else read.whole(fields, name)
+    return None if fields.get(name) is None else decoding.whole(fields, name)
 
 
 def _limits(fields: Any) -> CallerLimits:
     return CallerLimits(
-        max_header_bytes=read.whole(
+        max_header_bytes=decoding.whole(
             fields, 'max_header_bytes', DEFAULT_LIMITS.max_header_bytes
         ),
-        max_body_bytes=read.whole(
+        max_body_bytes=decoding.whole(
             fields, 'max_body_bytes', DEFAULT_LIMITS.max_body_bytes
         ),
-        header_timeout_ms=read.whole(
+        header_timeout_ms=decoding.whole(
             fields, 'header_timeout_ms', DEFAULT_LIMITS.header_timeout_ms
         ),
-        idle_timeout_ms=read.whole(
+        idle_timeout_ms=decoding.whole(
             fields, 'idle_timeout_ms', DEFAULT_LIMITS.idle_timeout_ms
         ),
     )
--- a/src/kumquatrun/platform/engine.py
+++ b/src/kumquatrun/platform/engine.py
@@ -3,7 +3,6 @@
 from kumquatrun.address import Address
 from kumquatrun.errors import (
     ConnectionLostError,
-    DocumentError,
     KumquatrunError,
 )
 from kumquatrun.gateway.engine_api import (
@@ -12,9 +11,9 @@
     HeldModel,
     OrderVerdict,
 )
-from kumquatrun.platform import decoding as read
+from kumquatrun.platform import decoding
 from kumquatrun.platform.client import PlatformClient
-from kumquatrun.platform.listing import split_adapter
+from kumquatrun.platform.listing import UNREADABLE, split_adapter
 
 REPORT_PATH = '/report'
 ORDER_PATH = '/order'
@@ -41,7 +40,7 @@
         fields = await self._client.get(self._address, REPORT_PATH)
         try:
             return decode_report(fields)
-        except (AttributeError, DocumentError, TypeError, ValueError) as error:
+        except UNREADABLE as error:
             raise ConnectionLostError(f'unreadable report: {error}') from None
 
     async def order(self, order: EngineOrder) -> OrderVerdict:
@@ -73,29 +72,29 @@
     return fields
 
 
-def decode_report(fields: read.Fields) -> EngineReport:
+def decode_report(fields: decoding.Fields) -> EngineReport:
     """Return the state of an engine.
 
     ``sequence`` counts the accepted orders, ``kv_used`` is the memory that
     cannot yield, ``incoming`` lists adapters on their way.
     """
     return EngineReport(
-        started_ms=read.whole(fields, 'born', 0),
-        order_count=read.whole(fields, 'sequence', 0),
+        started_ms=decoding.whole(fields, 'born', 0),
+        order_count=decoding.whole(fields, 'sequence', 0),
         is_draining=fields.get('state') == DRAINING_STATE
         or fields.get('remaining_ms') is not None,
-        is_changing_model=read.flag(fields, 'busy'),
-        waiting=read.whole(fields, 'waiting', 0),
-        running=read.whole(fields, 'running', 0),
-        cache_used_tokens=read.whole(fields, 'kv_used', 0),
-        cache_tokens=read.whole(fields, 'kv_total', 0),
+        is_changing_model=decoding.flag(fields, 'busy'),
+        waiting=decoding.whole(fields, 'waiting', 0),
+        running=decoding.whole(fields, 'running', 0),
+        cache_used_tokens=decoding.whole(fields, 'kv_used', 0),
+        cache_tokens=decoding.whole(fields, 'kv_total', 0),
         models=tuple(
             HeldModel(
-                name=read.text(model, 'name'),
-                version=read.whole(model, 'version', 0),
+                name=decoding.text(model, 'name'),
+                version=decoding.whole(model, 'version', 0),
                 adapters=dict(map(split_adapter, model.get('adapters') or [])),
             )
-            for model in read.rows(fields, 'models', [])
+            for model in decoding.rows(fields, 'models', [])
         ),
         loading=tuple(map(_loading, fields.get('incoming') or [])),
     )
--- a/src/kumquatrun/platform/listing.py
+++ b/src/kumquatrun/platform/listing.py
@@ -4,12 +4,14 @@
 from kumquatrun.errors import ConnectionLostError, DocumentError
 from kumquatrun.gateway.backends import BackendRecord, HeldAdapter
 from kumquatrun.gateway.listing_follower import encode_records
-from kumquatrun.platform import decoding as read
+from kumquatrun.platform import decoding
 from kumquatrun.platform.client import PlatformClient
 
 LIST_PATH = '/instances'
 PAGE_QUERY = 'page_token'
 DRAINING = {'ready': False, 'draining': True}
+# What reading fields of an unexpected form raises.
+UNREADABLE = (AttributeError, DocumentError, TypeError, ValueError)
 # A list that never ends is broken.
 MAX_PAGES = 200
 
@@ -49,24 +51,27 @@
     Entries of other writers may lack fields or have other types; they name no
     backend server.
     """
-    records = []
-    for entry in entries if isinstance(entries, list) else ():
-        try:
-            records.append(_record(entry))
-        except (AttributeError, DocumentError, TypeError, ValueError):
-            continue
-    return records
+    found = entries if isinstance(entries, list) else ()
+    records = map(_record_or_none, found)
+    return [record for record in records if record is not None]
 
 
-def _record(fields: read.Fields) -> BackendRecord:
-    state = read.text(fields, 'state')
+def _record_or_none(entry: object) -> BackendRecord | None:
+    try:
+        return _record(entry)
+    except UNREADABLE:
+        return None
+
+
+def _record(fields: decoding.Fields) -> BackendRecord:
+    state = decoding.text(fields, 'state')
     if state not in DRAINING:
         raise DocumentError(f'unknown state {state!r}')
     return BackendRecord(
-        backend_id=read.text(fields, 'id'),
-        service=read.text(fields, 'service'),
-        address=Address.parse(read.text(fields, 'address')),
-        failure_domain=read.text(fields, 'zone', ''),
+        backend_id=decoding.text(fields, 'id'),
+        service=decoding.text(fields, 'service'),
+        address=Address.parse(decoding.text(fields, 'address')),
+        failure_domain=decoding.text(fields, 'zone', ''),
         is_draining=DRAINING[state] or fields.get('remaining_ms') is not None,
         adapters=frozenset(
             HeldAdapter(model=model, adapter=adapter, version=version)
@@ -75,13 +80,13 @@
     )
 
 
-def held_adapters(fields: read.Fields) -> list[tuple[str, str, int]]:
+def held_adapters(fields: decoding.Fields) -> list[tuple[str, str, int]]:
     """Return model, adapter and version of what an engine holds."""
     found = []
-    for model in read.rows(fields, 'models', []):
-        name = read.text(model, 'name')
-        for adapter in model.get('adapters') or []:
-            found.append((name, *split_adapter(adapter)))
+    for model in decoding.rows(fields, 'models', []):
+        name = decoding.text(model, 'name')
+        listed = map(split_adapter, model.get('adapters') or [])
+        found.extend((name, adapter, version) for adapter, version in listed)
     return found
 
 
--- a/src/kumquatrun/platform/operator.py
+++ b/src/kumquatrun/platform/operator.py
@@ -9,7 +9,7 @@
 from kumquatrun.errors import DocumentError, KumquatrunError
 from kumquatrun.gateway.operator_gate import OperatorGate
 from kumquatrun.logs import log_event
-from kumquatrun.platform import decoding as read
+from kumquatrun.platform import decoding
 from kumquatrun.platform.configuration import decode_configuration
 
 log = logging.getLogger(__name__)
@@ -78,11 +78,11 @@
 
     async def _name_version(self, request: web.Request) -> web.Response:
         try:
-            fields = read.parse_object(await request.read())
+            fields = decoding.parse_object(await request.read())
             command = NameAdapterVersion(
-                model=read.text(fields, 'model'),
-                adapter=read.text(fields, 'adapter', ''),
-                version=read.whole(fields, 'version'),
+                model=decoding.text(fields, 'model'),
+                adapter=decoding.text(fields, 'adapter', ''),
+                version=decoding.whole(fields, 'version'),
             )
         except DocumentError as error:
             return web.Response(status=BAD_REQUEST, text=f'{error}\n')
--- a/src/kumquatrun/platform/requests.py
+++ b/src/kumquatrun/platform/requests.py
@@ -24,10 +24,12 @@
 LAST_EVENT_ID = 'last-event-id'
 NOT_RUN = 'x-kumquatrun-not-executed'
 MISDIRECTED = 421
+# Encoding of HTTP headers, which passes every byte through.
+LATIN = 'latin-1'
 
 # Headers that concern one connection only.
 HOP_HEADERS = frozenset(
-    {
+    (
         'connection',
         'expect',
         'keep-alive',
@@ -38,11 +40,11 @@
         'trailer',
         'transfer-encoding',
         'upgrade',
-    }
+    )
 )
 # Headers that only the gateway sets; a caller's own are dropped.
 OWN_HEADERS = frozenset(
-    {
+    (
         KEY,
         ACCOUNT,
         DEADLINE_MS,
@@ -55,7 +57,7 @@
         'x-kumquatrun-hold',
         'x-kumquatrun-kv-backup',
         'x-kumquatrun-pin-ms',
-    }
+    )
 )
 
 
@@ -100,16 +102,14 @@
         forwarding: Forwarding,
     ) -> bytes:
         """Return the head of the request to a backend server."""
-        lines = [
-            f'{request.method} {request.target} HTTP/1.1'.encode('latin-1')
-        ]
+        lines = [f'{request.method} {request.target} HTTP/1.1'.encode(LATIN)]
         dropped = _connection_headers(request.headers) | OWN_HEADERS
         if forwarding.last_event_id:
             dropped |= {LAST_EVENT_ID}
         lines.extend(
             name + b': ' + value
             for name, value in request.headers
-            if name.decode('latin-1').lower() not in dropped
+            if name.decode(LATIN).lower() not in dropped
         )
         added = {
             DEADLINE_MS: str(forwarding.remaining_ms),
@@ -124,7 +124,7 @@
         if request.body or request.method not in {'GET', 'HEAD', 'DELETE'}:
             added['content-length'] = str(len(request.body))
         lines.extend(
-            f'{name}: {value}'.encode('latin-1')
+            f'{name}: {value}'.encode(LATIN)
             for name, value in added.items()
             if value
         )
@@ -142,9 +142,9 @@
         """Return the headers that go back to the caller."""
         dropped = _connection_headers(head.headers)
         return [
-            (name.decode('latin-1'), value.decode('latin-1'))
+            (name.decode(LATIN), value.decode(LATIN))
             for name, value in head.headers
-            if name.decode('latin-1').lower() not in dropped
+            if name.decode(LATIN).lower() not in dropped
         ]
 
     def read_configuration(self, content: bytes) -> Configuration:
@@ -154,7 +154,7 @@
 
 def _by_name(headers: RawHeaders) -> dict[str, str]:
     return {
-        name.decode('latin-1').lower(): value.decode('latin-1').strip()
+        name.decode(LATIN).lower(): value.decode(LATIN).strip()
         for name, value in headers
     }
 
@@ -165,7 +165,7 @@
         part.strip().lower()
         for name, value in headers
         if name.lower() == b'connection'
-        for part in value.decode('latin-1').split(',')
+        for part in value.decode(LATIN).split(',')
     }
     return HOP_HEADERS | (named - {REQUEST_ID, MODEL, TOKENS})
 
--- a/src/kumquatrun/platform/settings.py
+++ b/src/kumquatrun/platform/settings.py
@@ -12,7 +12,7 @@
     GatewayControlSettings,
     GatewayEntrySettings,
 )
-from kumquatrun.platform import decoding as read
+from kumquatrun.platform import decoding
 from kumquatrun.settings import ReplicaSettings
 
 # Environment variable with the path of the settings file.
@@ -36,7 +36,7 @@
         self._path = Path(path)
         self._content = b''
 
-    def read(self) -> read.Fields:
+    def read(self) -> decoding.Fields:
         """Return the fields of the file.
 
         Raises
@@ -46,7 +46,7 @@
         """
         try:
             self._content = self._path.read_bytes()
-            return read.parse_object(self._content)
+            return decoding.parse_object(self._content)
         except (OSError, DocumentError) as error:
             raise SettingError(f'{self._path}: {error}') from None
 
@@ -58,7 +58,7 @@
             return False
 
 
-def entry_settings(fields: read.Fields) -> GatewayEntrySettings:
+def entry_settings(fields: decoding.Fields) -> GatewayEntrySettings:
     """Return the settings of an entry."""
     bounds = _object(fields, 'bounds')
     listen = _object(fields, 'listen')
@@ -66,41 +66,41 @@
         **_shared(fields, 'entry'),
         http_listen=_address(listen, 'front'),
         ready_listen=_address(listen, 'ready'),
-        retry_ratio=read.number(bounds, 'budget_ratio', 0.1),
-        retry_allowance=read.whole(bounds, 'budget_extra', 50),
-        retry_window_s=read.number(bounds, 'budget_window_s', 10.0),
-        drain_timeout_s=read.number(bounds, 'grace_s', 8.0),
+        retry_ratio=decoding.number(bounds, 'budget_ratio', 0.1),
+        retry_allowance=decoding.whole(bounds, 'budget_extra', 50),
+        retry_window_s=decoding.number(bounds, 'budget_window_s', 10.0),
+        drain_timeout_s=decoding.number(bounds, 'grace_s', 8.0),
     )
 
 
-def agent_settings(fields: read.Fields) -> GatewayAgentSettings:
+def agent_settings(fields: decoding.Fields) -> GatewayAgentSettings:
     """Return the settings of an agent."""
     return GatewayAgentSettings(
         **_shared(fields, 'agent'),
-        listen=Address(read.text(fields, 'ip'), _port(fields, AGENT_PORT)),
-        service=read.text(fields, 'service'),
+        listen=Address(decoding.text(fields, 'ip'), _port(fields, AGENT_PORT)),
+        service=decoding.text(fields, 'service'),
         engine_address=_address(fields, 'app'),
     )
 
 
-def control_settings(fields: read.Fields) -> GatewayControlSettings:
+def control_settings(fields: decoding.Fields) -> GatewayControlSettings:
     """Return the settings of a control host.
 
     A replica is named by its IP address, since the seeds name no hosts.
     """
-    own_ip = read.text(fields, 'ip')
+    own_ip = decoding.text(fields, 'ip')
     members = tuple(
         (address.host, address) for address in seed_addresses(fields)
     )
-    founds = read.flag(fields, 'bootstrap') and own_ip in dict(members)
+    founds = decoding.flag(fields, 'bootstrap') and own_ip in dict(members)
     tolerated = _object(fields, 'tolerate')
     return GatewayControlSettings(
         **_shared(fields, 'control'),
         operator_listen=_address(_object(fields, 'listen'), 'control'),
-        max_lost_replicas=read.whole(tolerated, 'machines', 1),
+        max_lost_replicas=decoding.whole(tolerated, 'machines', 1),
         replica=ReplicaSettings(
             replica_id=own_ip,
-            data_dir=read.text(fields, 'data_dir'),
+            data_dir=decoding.text(fields, 'data_dir'),
             listen=Address(own_ip, _port(fields, CONTROL_PORT)),
             replicas=members,
             join=not founds,
@@ -108,7 +108,7 @@
     )
 
 
-def seed_addresses(fields: read.Fields) -> tuple[Address, ...]:
+def seed_addresses(fields: decoding.Fields) -> tuple[Address, ...]:
     """Return the peer addresses of the control hosts that are named."""
     port = _port(fields, CONTROL_PORT)
     return tuple(
@@ -117,13 +117,13 @@
     )
 
 
-def _shared(fields: read.Fields, role: str) -> dict[str, Any]:
-    ip = read.text(fields, 'ip')
+def _shared(fields: decoding.Fields, role: str) -> dict[str, Any]:
+    ip = decoding.text(fields, 'ip')
     try:
         return {
-            'host_id': f'{role}-{read.text(fields, "node_name")}',
-            'region': read.text(fields, 'region'),
-            'failure_domain': read.text(fields, 'zone'),
+            'host_id': f'{role}-{decoding.text(fields, "node_name")}',
+            'region': decoding.text(fields, 'region'),
+            'failure_domain': decoding.text(fields, 'zone'),
             'regions': tuple(_object(fields, 'zones').items()),
             'control_addresses': seed_addresses(fields),
             'admin_listen': Address(ip, _port(fields, METRICS_PORTS[role])),
@@ -133,21 +133,21 @@
         raise SettingError(f'settings file: {error.detail}') from None
 
 
-def _object(fields: read.Fields, name: str) -> read.Fields:
+def _object(fields: decoding.Fields, name: str) -> decoding.Fields:
     found = fields.get(name)
     if not isinstance(found, dict):
         raise SettingError(f'settings file: {name!r} is not a table')
     return found
 
 
-def _address(fields: read.Fields, name: str) -> Address:
+def _address(fields: decoding.Fields, name: str) -> Address:
     try:
-        return Address.parse(read.text(fields, name))
+        return Address.parse(decoding.text(fields, name))
     except (DocumentError, ValueError) as error:
         raise SettingError(f'settings file: {name!r}: {error}') from None
 
 
-def _port(fields: read.Fields, offset: int) -> int:
+def _port(fields: decoding.Fields, offset: int) -> int:
     ports = fields.get('internal_ports')
     if not isinstance(ports, list) or not ports:
         raise SettingError("settings file: 'internal_ports' is empty")
--- /dev/null
+++ b/tests/gateway_fakes.py
@@ -0,0 +1,352 @@
+"""Stand-ins of the platform, written from its pages, for the gateway tests."""
+
+import asyncio
+import json
+import socket
+import struct
+from contextlib import asynccontextmanager, suppress
+
+from kumquatrun.address import Address
+from kumquatrun.errors import ConnectionLostError, NoCapacityError
+from kumquatrun.gateway.backends import Backend, BackendRecord
+from kumquatrun.gateway.configuration import (
+    GatewayRoute,
+    RouteKind,
+    WeightedService,
+)
+from kumquatrun.gateway.connection_pool import ConnectionPool
+from kumquatrun.gateway.course import Course
+from kumquatrun.gateway.engine_api import (
+    EngineReport,
+    HeldModel,
+    OrderVerdict,
+)
+from kumquatrun.gateway.reservations import Reservation
+from kumquatrun.platform.requests import PlatformFormat
+
+CONFIGURATION = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'stream',
+            'host': 'shop.example',
+            'path_prefix': '/draft/',
+            'kind': 'streaming',
+            'timeout_ms': 20000,
+            'target_latency_ms': 1000,
+            'priority': 1,
+            'service': 'assistant',
+            'max_attempts': 2,
+            'public': False,
+            'sticky': True,
+            'resumable': True,
+            'gap_target_ms': 250,
+        },
+        {
+            'name': 'split',
+            'host': 'shop.example',
+            'path_prefix': '/draft/long/',
+            'kind': 'non_idempotent',
+            'timeout_ms': 1000,
+            'target_latency_ms': 300,
+            'priority': 2,
+            'split': [
+                {'service': 'assistant', 'weight': 90},
+                {'service': 'ledger', 'weight': 10},
+            ],
+            'max_attempts': 1,
+            'public': True,
+        },
+    ],
+    'services': [
+        {
+            'name': 'assistant',
+            'health_path': '/health',
+            'max_connections': 390,
+            'engine': {
+                'slots': 64,
+                'kv_tokens': 140098,
+                'weights_mb': 75500.0,
+                'adapter_slots': 20,
+                'models': [
+                    {
+                        'name': 'm',
+                        'weights_mb': 72700.0,
+                        'load_s': 3.2,
+                        'adapters': 3000,
+                        'adapter_mb': 66.0,
+                    },
+                ],
+            },
+        },
+        {'name': 'ledger', 'health_path': '/health', 'max_connections': 130},
+    ],
+    'limits': {'idle_timeout_ms': 15000},
+    'tenants': [
+        {
+            'name': 'lamps',
+            'api_keys': ['key-1', 'key-2'],
+            'priority': 1,
+            'unit': 'token_route',
+            'plain_tokens': 200,
+            'rate_per_s': 1000,
+            'burst': 1000,
+        },
+    ],
+}
+
+
+def configuration(**changes):
+    """Return the configuration as the operator sends it, with changes."""
+    return json.dumps({**CONFIGURATION, **changes}).encode()
+
+
+class Runner:
+    """Backend server with scripted answers to its requests, in order.
+
+    Each script is a list of byte strings; ``'close'`` ends the connection,
+    ``'reset'`` aborts it, a number waits so many seconds. ``{id}`` stands for
+    the id of the request.
+    """
+
+    def __init__(self, *scripts):
+        self.scripts = list(scripts)
+        self.requests = []
+        self.connections = 0
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = Address(host, port)
+        return self
+
+    async def stop(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        with suppress(EOFError, OSError, asyncio.CancelledError):
+            while True:
+                await self._answer(reader, writer)
+
+    async def _answer(self, reader, writer):
+        head = (await reader.readuntil(b'\r\n\r\n')).decode()
+        headers = dict(
+            line.lower().split(': ', 1)
+            for line in head.split('\r\n')[1:]
+            if line
+        )
+        body = await reader.readexactly(int(headers.get('content-length', 0)))
+        self.requests.append((head, body))
+        request_id = headers.get('x-kumquatrun-attempt-id', '')
+        for step in self.scripts.pop(0):
+            if step == 'reset':
+                reset(writer)
+                return
+            if step == 'close':
+                writer.close()
+                return
+            if isinstance(step, (int, float)):
+                await asyncio.sleep(step)
+                continue
+            writer.write(step.replace(b'{id}', request_id.encode()))
+            await writer.drain()
+
+
+def reset(writer):
+    """Close a connection so that its peer sees a reset."""
+    opened = writer.get_extra_info('socket')
+    opened.setsockopt(
+        socket.SOL_SOCKET,
+        socket.SO_LINGER,
+        struct.pack('ii', 1, 0),
+    )
+    writer.transport.abort()
+
+
+def answer(body=b'done', status='200 OK', headers='', request_id='{id}'):
+    """Return one whole answer."""
+    return (
+        f'HTTP/1.1 {status}\r\nX-Kumquatrun-Attempt-Id: {request_id}\r\n'
+        f'{headers}Content-Length: {len(body)}\r\n\r\n'
+    ).encode() + body
+
+
+NOT_RUN = answer(
+    b'',
+    '503 Service Unavailable',
+    'X-Kumquatrun-Not-Executed: 1\r\n',
+)
+STREAM_HEAD = (
+    b'HTTP/1.1 200 OK\r\nX-Kumquatrun-Attempt-Id: {id}\r\n'
+    b'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n'
+)
+
+
+def chunk(body):
+    """Return one chunk of a body."""
+    return b'%x\r\n%s\r\n' % (len(body), body)
+
+
+LAST_CHUNK = chunk(b'')
+
+
+def event(number):
+    """Return one event of a stream."""
+    return b'id: %d\ndata: token\n\n' % number
+
+
+class Caller:
+    """Stands in for ``CallerChannel``."""
+
+    def __init__(self):
+        self.status = 0
+        self.headers = []
+        self.body = b''
+        self.is_finished = False
+
+    @property
+    def has_begun(self):
+        return self.status != 0
+
+    async def begin(self, status, reason, headers):
+        assert not self.has_begun
+        self.status = status
+        self.headers = headers
+
+    async def write(self, part):
+        self.body += part
+
+    async def finish(self):
+        self.is_finished = True
+
+
+class RunnerReservations:
+    """Stands in for ``Reservations`` with runners in a fixed order."""
+
+    def __init__(self, *runners):
+        self.backends = [
+            Backend(
+                BackendRecord(
+                    backend_id=f'runner-{number}',
+                    service='assistant',
+                    address=runner.address,
+                    failure_domain='a',
+                ),
+                ConnectionPool(runner.address),
+            )
+            for number, runner in enumerate(runners)
+        ]
+
+    @asynccontextmanager
+    async def reserve(self, course):
+        for backend in self.backends:
+            if backend.backend_id not in course.tried:
+                yield Reservation(backend)
+                return
+        raise NoCapacityError('none is left', cause='no_backend')
+
+
+def course_of(kind, *, max_attempts=1, is_resumable=False, body=b'x'):
+    """Return the course of a request that the gateway has admitted."""
+    wire = PlatformFormat()
+    caller = wire.read_request(
+        'POST',
+        '/draft/%2e/a?b=%20c',
+        (
+            (b'Host', b'shop.example'),
+            (b'X-Kumquatrun-Attempt-Id', b'attempt-1'),
+        ),
+    )
+    route = GatewayRoute(
+        name='r',
+        host='shop.example',
+        path_prefix='/draft/',
+        kind=RouteKind(kind),
+        targets=(WeightedService(service='assistant'),),
+        timeout_ms=5000,
+        target_latency_ms=200,
+        gap_target_ms=50,
+        max_attempts=max_attempts,
+        is_resumable=is_resumable,
+    )
+    now_s = asyncio.get_running_loop().time()
+    return Course(
+        request=type(caller)(**{**vars(caller), 'body': body}),
+        route=route,
+        service='assistant',
+        account='lamps',
+        priority=1,
+        ends_at_s=now_s + 5,
+    )
+
+
+class Engine:
+    """Engine that loads adapters in ``load_s`` and refuses too many."""
+
+    def __init__(self, slots=4, load_s=0.25):
+        self.slots = slots
+        self.load_s = load_s
+        self.held = {}
+        self.loading = {}
+        self.count = 0
+        self.started_ms = 1
+        self.orders = []
+        self.most_held = 0
+        self.models = ('m',)
+        self.is_draining = False
+        self.is_silent = False
+        self.unanswered = 0
+
+    async def report(self):
+        if self.is_silent:
+            raise ConnectionLostError('no report')
+        self._finish_loads()
+        return EngineReport(
+            started_ms=self.started_ms,
+            order_count=self.count,
+            is_draining=self.is_draining,
+            models=tuple(
+                HeldModel(name=name, version=1, adapters=dict(self.held))
+                for name in self.models
+            ),
+            loading=tuple(
+                ('m', adapter, version)
+                for adapter, (version, _) in self.loading.items()
+            ),
+        )
+
+    async def order(self, order):
+        self.orders.append(order)
+        if order.expected_count != self.count:
+            return OrderVerdict.CONFLICT
+        self._finish_loads()
+        self.count += 1
+        if not order.adapter:
+            self.models = (order.model,) if order.is_load else ()
+        elif order.is_load:
+            version = order.version or 1
+            ready_s = asyncio.get_running_loop().time() + self.load_s
+            self.loading[order.adapter] = (version, ready_s)
+            taken = {*self.held, *self.loading}
+            self.most_held = max(self.most_held, len(taken))
+        else:
+            self.held.pop(order.adapter, None)
+        if self.unanswered:
+            self.unanswered -= 1
+            return OrderVerdict.NO_ANSWER
+        return OrderVerdict.ACCEPTED
+
+    def restart(self):
+        self.started_ms += 1
+        self.count = 0
+        self.held.clear()
+        self.loading.clear()
+        self.models = ()
+
+    def _finish_loads(self):
+        now_s = asyncio.get_running_loop().time()
+        for adapter, (version, ready_s) in list(self.loading.items()):
+            if ready_s <= now_s:
+                self.held[adapter] = version
+                del self.loading[adapter]
--- /dev/null
+++ b/tests/test_allowances.py
@@ -0,0 +1,161 @@
+"""Allowances: the leader's pool, waiting, and entries without a leader."""
+
+import asyncio
+
+import pytest
+
+from kumquatrun.allowance_pool import AllowancePool, TakeAllowance
+from kumquatrun.clock import LoopClock
+from kumquatrun.configuration_register import AccountAllowance
+from kumquatrun.errors import ControlUnreachableError, RateLimitedError
+from kumquatrun.gateway.allowances import Allowances
+from kumquatrun.gateway.configuration import GatewayAccount
+
+pytestmark = pytest.mark.looptime
+
+ACCOUNT = GatewayAccount(name='lamps', rate_per_s=1000, burst=1000)
+LIMIT = AccountAllowance(
+    name='lamps',
+    rate_tokens_per_s=1000,
+    burst_tokens=1000,
+)
+
+
+def full_pool():
+    pool = AllowancePool()
+    pool.configure(1, [LIMIT], 0)
+    pool.take(TakeAllowance(account='lamps', amounts=()), 10)
+    return pool
+
+
+def take(pool, now_s, *amounts):
+    return pool.take(TakeAllowance(account='lamps', amounts=amounts), now_s)
+
+
+def test_requests_are_granted_whole_or_not_at_all():
+    # Guards against grants that are split among entries until no request
+    # fits: it refused 36 requests within the rate on a calm day.
+    pool = full_pool()
+    reply = take(pool, 10, 700, 700)
+    assert reply.granted == 1
+    assert reply.retry_after_s == pytest.approx(0.4)
+    assert take(pool, 10, 300).granted == 1
+
+
+@pytest.mark.parametrize('seconds', [8, 60])
+def test_account_gets_at_most_rate_and_burst(seconds):
+    pool = full_pool()
+    granted = sum(
+        take(pool, 10 + step / 100, 90).granted * 90
+        for step in range(seconds * 100)
+    )
+    assert granted <= 1000 * seconds + 1000
+
+
+def test_request_above_the_burst_is_admitted_by_a_full_bucket():
+    # Guards against large requests that are never served.
+    pool = full_pool()
+    assert take(pool, 10, 4000).granted == 1
+    assert take(pool, 12, 1).granted == 0
+    assert take(pool, 13.1, 1).granted == 1
+
+
+def test_lower_limit_cuts_the_level():
+    pool = full_pool()
+    lower = AccountAllowance(
+        name='lamps',
+        rate_tokens_per_s=10,
+        burst_tokens=10,
+    )
+    pool.configure(2, [lower], 10)
+    assert take(pool, 10, 10, 10).granted == 1
+
+
+def test_account_without_a_limit_is_not_limited():
+    assert (
+        AllowancePool()
+        .take(
+            TakeAllowance(account='other', amounts=(10**9,)),
+            0,
+        )
+        .granted
+    )
+
+
+class Leader:
+    """Stands in for ``LeaderClient`` with a pool of its own."""
+
+    def __init__(self):
+        self.pool = AllowancePool()
+        self.is_reachable = True
+        self.calls = 0
+
+    async def call(self, request, timeout_s):
+        self.calls += 1
+        await asyncio.sleep(0.01)
+        if not self.is_reachable:
+            await asyncio.sleep(timeout_s)
+            raise ControlUnreachableError('no leader')
+        now_s = asyncio.get_running_loop().time()
+        self.pool.configure(1, [LIMIT], now_s)
+        return self.pool.take(request, now_s)
+
+
+def allowances(leader, entries=4):
+    return Allowances(leader, LoopClock(), lambda: entries)
+
+
+async def test_request_waits_for_tokens_that_come_soon():
+    charged = allowances(Leader())
+    await charged.charge(ACCOUNT, 500)
+    await charged.charge(ACCOUNT, 100)
+
+
+async def test_request_over_the_rate_is_refused_at_once():
+    # Guards against a refusal that is held back.
+    charged = allowances(Leader())
+    await charged.charge(ACCOUNT, 500)
+    began_s = asyncio.get_running_loop().time()
+    with pytest.raises(RateLimitedError) as raised:
+        await charged.charge(ACCOUNT, 900)
+    assert asyncio.get_running_loop().time() - began_s < 0.1
+    assert raised.value.retry_after_s > 0.3
+
+
+async def test_requests_that_wait_together_ask_together():
+    leader = Leader()
+    charged = allowances(leader)
+    await asyncio.gather(*(charged.charge(ACCOUNT, 10) for _ in range(20)))
+    assert leader.calls <= 2
+
+
+async def test_entry_without_a_leader_admits_its_share():
+    # Guards against refusals while a leader is elected, and against entries
+    # that together admit more than the rate.
+    leader = Leader()
+    leader.is_reachable = False
+    charged = allowances(leader)
+    admitted = 0
+    for _ in range(300):
+        try:
+            await charged.charge(ACCOUNT, 10)
+        except RateLimitedError:
+            await asyncio.sleep(0.02)
+        else:
+            admitted += 10
+    passed_s = asyncio.get_running_loop().time()
+    assert 0 < admitted <= (passed_s + 1) * 1000 / 4
+
+
+async def test_cancelled_request_does_not_block_the_next():
+    charged = allowances(Leader())
+    first = asyncio.create_task(charged.charge(ACCOUNT, 10))
+    await asyncio.sleep(0)
+    first.cancel()
+    await charged.charge(ACCOUNT, 10)
+
+
+async def test_unlimited_account_asks_nobody():
+    leader = Leader()
+    await allowances(leader).charge(GatewayAccount(name='free'), 10**9)
+    assert not leader.calls
--- /dev/null
+++ b/tests/test_engine_agent.py
@@ -0,0 +1,184 @@
+"""Agent beside an engine: loads, slots, versions, restarts and late orders."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+
+from gateway_fakes import Engine
+from kumquatrun.clock import LoopClock
+from kumquatrun.errors import AdapterLoadError, NoCapacityError
+from kumquatrun.gateway.configuration import BaseModelSpec, EngineSpec
+from kumquatrun.gateway.engine_agent import EngineAgent
+from kumquatrun.gateway.messages import PromptRead, UseAdapter
+
+pytestmark = pytest.mark.looptime
+
+
+class Call:
+    """Stands in for ``CallContext``."""
+
+    def __init__(self):
+        self.ready = asyncio.get_running_loop().create_future()
+
+    async def send_message(self, msg):
+        self.ready.set_result(msg)
+
+
+@asynccontextmanager
+async def agent_of(engine, versions=None):
+    spec = EngineSpec(
+        adapter_slots=engine.slots,
+        base_models=(BaseModelSpec(name='m'),),
+    )
+    agent = EngineAgent(
+        'host',
+        engine,
+        lambda: spec,
+        lambda model, adapter: (versions or {}).get(adapter, 0),
+        LoopClock(),
+    )
+    await agent.start()
+    await asyncio.sleep(0.01)
+    yield agent
+    await agent.stop()
+
+
+class Use:
+    """One open call that uses an adapter."""
+
+    def __init__(self, agent, adapter, request_id='r', **more):
+        self.call = Call()
+        request = UseAdapter(
+            request_id=request_id,
+            model='m',
+            adapter=adapter,
+            **more,
+        )
+        self.task = asyncio.create_task(agent.handle(request, self.call))
+
+    async def ready(self):
+        await asyncio.wait(
+            {self.task, self.call.ready},
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if self.task.done():
+            await self.task
+        return self.call.ready.result()
+
+    async def end(self):
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+
+async def test_missing_adapter_is_loaded_once():
+    engine = Engine()
+    async with agent_of(engine) as agent:
+        uses = [Use(agent, 'a1', str(number)) for number in range(3)]
+        for use in uses:
+            await use.ready()
+    assert [order.adapter for order in engine.orders] == ['a1']
+
+
+async def test_engine_never_gets_more_adapters_than_it_has_slots():
+    # Guards against the crash of an engine that is ordered too much.
+    engine = Engine(slots=4)
+    async with agent_of(engine) as agent:
+        for number in range(30):
+            use = Use(agent, f'a{number}', str(number))
+            await use.ready()
+            await use.end()
+    assert engine.most_held <= 4
+
+
+async def test_adapter_in_use_is_not_evicted():
+    engine = Engine(slots=2)
+    async with agent_of(engine) as agent:
+        kept = Use(agent, 'kept', 'k')
+        await kept.ready()
+        for number in range(5):
+            use = Use(agent, f'a{number}', str(number))
+            await use.ready()
+            await use.end()
+            await asyncio.sleep(1)
+        assert 'kept' in engine.held
+
+
+async def test_least_recently_used_adapter_makes_way():
+    engine = Engine(slots=2)
+    async with agent_of(engine) as agent:
+        for adapter in ('a1', 'a2', 'a1', 'a3'):
+            use = Use(agent, adapter, adapter)
+            await use.ready()
+            await use.end()
+            await asyncio.sleep(1)
+        assert set(engine.held) == {'a1', 'a3'}
+
+
+async def test_older_version_in_use_sends_the_request_elsewhere():
+    # Guards against requests that wait for the end of long streams: the
+    # engine replaces a version once its runs have ended.
+    versions = {}
+    engine = Engine()
+    async with agent_of(engine, versions) as agent:
+        old = Use(agent, 'a1', 'old')
+        assert (await old.ready()).version == 1
+        versions['a1'] = 2
+        with pytest.raises(NoCapacityError, match='older version'):
+            await Use(agent, 'a1', 'new').ready()
+        await old.end()
+        assert (await Use(agent, 'a1', 'newer').ready()).version == 2
+
+
+async def test_restarted_engine_gets_its_model_back():
+    engine = Engine()
+    async with agent_of(engine) as agent:
+        await Use(agent, 'a1', 'r1').ready()
+        engine.restart()
+        await asyncio.sleep(0.5)
+        assert engine.models == ('m',)
+        await Use(agent, 'a2', 'r2').ready()
+        assert 'a2' in engine.held
+
+
+async def test_order_without_an_answer_takes_a_slot_until_it_is_seen():
+    # Guards against orders that are carried out late beside newer ones.
+    engine = Engine(slots=2)
+    engine.unanswered = 1
+    async with agent_of(engine) as agent:
+        await Use(agent, 'a1', 'r1').ready()
+        await Use(agent, 'a2', 'r2').ready()
+    assert engine.most_held <= 2
+    assert [order.expected_count for order in engine.orders] == [0, 1]
+
+
+@pytest.mark.parametrize('state', ['is_silent', 'is_draining'])
+async def test_lost_or_leaving_engine_refuses(state):
+    engine = Engine()
+    async with agent_of(engine) as agent:
+        setattr(engine, state, True)
+        await asyncio.sleep(1.5)
+        with pytest.raises(AdapterLoadError):
+            await Use(agent, 'a1').ready()
+
+
+async def test_waiting_request_is_refused_when_the_engine_is_lost():
+    engine = Engine(load_s=100)
+    async with agent_of(engine) as agent:
+        use = Use(agent, 'a1')
+        await asyncio.sleep(0.2)
+        engine.is_silent = True
+        with pytest.raises(AdapterLoadError):
+            await use.ready()
+
+
+async def test_prompts_wait_for_the_end_of_earlier_ones():
+    engine = Engine()
+    async with agent_of(engine) as agent:
+        first = Use(agent, 'a1', 'first', prompt_tokens=5000)
+        await first.ready()
+        second = Use(agent, 'a1', 'second', prompt_tokens=500)
+        await asyncio.sleep(0.2)
+        assert not second.call.ready.done()
+        await agent.handle(PromptRead(request_id='first'), None)
+        await second.ready()
--- /dev/null
+++ b/tests/test_forwarder.py
@@ -0,0 +1,190 @@
+"""Forwarding: at most once, retries, refusals, streams and their resumption."""
+
+import pytest
+
+from gateway_fakes import (
+    LAST_CHUNK,
+    NOT_RUN,
+    STREAM_HEAD,
+    Caller,
+    Runner,
+    RunnerReservations,
+    answer,
+    chunk,
+    course_of,
+    event,
+)
+from kumquatrun.clock import LoopClock
+from kumquatrun.errors import BackendError, NoCapacityError, Outcome
+from kumquatrun.gateway.forwarder import Forwarder
+from kumquatrun.gateway.retry_shares import RetryShares
+from kumquatrun.platform.requests import PlatformFormat
+
+REPEATABLE = ('idempotent', 'resumable')
+ONCE = ('non_idempotent', 'streaming')
+FAILURE = answer(b'failed', '500 Internal Server Error')
+
+
+async def forward(course, *runners, allowance=100):
+    started = [await runner.start() for runner in runners]
+    caller = Caller()
+    forwarder = Forwarder(
+        PlatformFormat(),
+        RunnerReservations(*started),
+        RetryShares(0.2, allowance, 10),
+        LoopClock(),
+    )
+    await forwarder.run(course, caller)
+    return caller
+
+
+def course(kind, max_attempts=2, **more):
+    if kind == 'resumable':
+        return course_of(
+            'streaming',
+            max_attempts=max_attempts,
+            is_resumable=True,
+            **more,
+        )
+    return course_of(kind, max_attempts=max_attempts, **more)
+
+
+@pytest.mark.parametrize('kind', ONCE)
+@pytest.mark.parametrize('end', ['close', 'reset'])
+async def test_request_that_may_have_run_is_not_sent_again(kind, end):
+    # Guards against a booking that runs twice after a lost answer.
+    spare = Runner([answer()])
+    with pytest.raises(BackendError) as raised:
+        await forward(course(kind), Runner([end]), spare)
+    assert raised.value.outcome is Outcome.UNKNOWN
+    assert not spare.requests
+
+
+@pytest.mark.parametrize('kind', (*ONCE, 'idempotent'))
+async def test_request_that_was_refused_unrun_goes_elsewhere(kind):
+    spare = Runner([answer(b'ok')])
+    caller = await forward(course(kind, 1), Runner([NOT_RUN]), spare)
+    assert caller.body == b'ok'
+
+
+@pytest.mark.parametrize('status', ['421 Misdirected Request'])
+async def test_misdirected_request_was_not_run(status):
+    spare = Runner([answer(b'ok')])
+    refusal = answer(b'', status)
+    caller = await forward(course('non_idempotent'), Runner([refusal]), spare)
+    assert caller.body == b'ok'
+
+
+async def test_refusal_by_all_is_a_true_not_run():
+    runners = [Runner([NOT_RUN]) for _ in range(3)]
+    with pytest.raises(NoCapacityError) as raised:
+        await forward(course('non_idempotent'), *runners)
+    assert raised.value.outcome is Outcome.NOT_RUN
+
+
+async def test_idempotent_request_is_repeated_after_a_failure():
+    caller = await forward(
+        course('idempotent'),
+        Runner([FAILURE]),
+        Runner([answer(b'ok')]),
+    )
+    assert (caller.status, caller.body) == (200, b'ok')
+
+
+async def test_attempts_of_the_route_are_kept():
+    # Guards against more backend servers than the operator allows.
+    third = Runner([answer()])
+    caller = await forward(
+        course('idempotent'),
+        Runner([FAILURE]),
+        Runner([FAILURE]),
+        third,
+    )
+    assert (caller.status, caller.body) == (500, b'failed')
+    assert not third.requests
+
+
+async def test_failure_is_passed_on_when_no_retry_is_left():
+    # Guards against an answer of a backend server that is thrown away.
+    spare = Runner([answer()])
+    caller = await forward(
+        course('idempotent'),
+        Runner([FAILURE]),
+        spare,
+        allowance=0,
+    )
+    assert (caller.status, caller.body) == (500, b'failed')
+    assert not spare.requests
+
+
+async def test_silent_backend_server_is_passed_over_for_repeatable_requests():
+    spare = Runner([answer(b'ok')])
+    caller = await forward(course('idempotent'), Runner([1]), spare)
+    assert caller.body == b'ok'
+
+
+async def test_signature_and_body_are_returned_unchanged():
+    whole = answer(
+        b'\x00\xff', headers='X-Kumquatrun-Response-Signature: s\r\n'
+    )
+    caller = await forward(course('non_idempotent'), Runner([whole]))
+    assert caller.body == b'\x00\xff'
+    assert ('X-Kumquatrun-Response-Signature', 's') in caller.headers
+
+
+async def test_promise_of_a_backend_server_that_ran_is_not_passed_on():
+    # Guards against a caller that is told that its request was not run.
+    busy = answer(b'', '503 Service Unavailable')
+    with pytest.raises(BackendError) as raised:
+        await forward(course('non_idempotent', 1), Runner([busy]))
+    assert raised.value.outcome is Outcome.UNKNOWN
+
+
+async def test_stream_is_relayed_whole():
+    script = [STREAM_HEAD, chunk(event(1)), chunk(event(2)), LAST_CHUNK]
+    caller = await forward(course('streaming'), Runner(script))
+    assert caller.body == event(1) + event(2)
+    assert caller.is_finished
+
+
+async def test_stream_that_breaks_does_not_look_complete():
+    script = [STREAM_HEAD, chunk(event(1)), 0.02, 'reset']
+    caller = Caller()
+    runner = await Runner(script).start()
+    forwarder = Forwarder(
+        PlatformFormat(),
+        RunnerReservations(runner),
+        RetryShares(0.2, 100, 10),
+        LoopClock(),
+    )
+    with pytest.raises(BackendError):
+        await forwarder.run(course('streaming'), caller)
+    assert caller.body == event(1)
+    assert not caller.is_finished
+
+
+@pytest.mark.parametrize('end', ['reset', 1])
+async def test_resumable_stream_goes_on_after_the_last_whole_event(end):
+    # Guards against a piece that is missing or sent twice.
+    first = Runner(
+        [
+            STREAM_HEAD,
+            chunk(event(1)),
+            chunk(event(2) + b'id: 3\nda'),
+            0.02,
+            end,
+        ],
+    )
+    second = Runner([STREAM_HEAD, chunk(event(3)), LAST_CHUNK])
+    caller = await forward(course('resumable'), first, second)
+    assert caller.body == event(1) + event(2) + event(3)
+    assert caller.is_finished
+    assert 'last-event-id: 2' in second.requests[0][0]
+
+
+async def test_body_reaches_the_backend_server_unchanged():
+    runner = Runner([answer()])
+    await forward(course('non_idempotent', body=b'\r\n\x00POST'), runner)
+    head, body = runner.requests[0]
+    assert body == b'\r\n\x00POST'
+    assert head.startswith('POST /draft/%2e/a?b=%20c HTTP/1.1')
--- /dev/null
+++ b/tests/test_gateway_configuration.py
@@ -0,0 +1,97 @@
+"""Operator configurations of the platform: reading, checks and lookups."""
+
+import copy
+import json
+
+import pytest
+
+from gateway_fakes import CONFIGURATION, configuration
+from kumquatrun.errors import DocumentError
+from kumquatrun.platform.configuration import decode_configuration
+
+
+def changed(change):
+    fields = copy.deepcopy(CONFIGURATION)
+    change(fields)
+    return json.dumps(fields).encode()
+
+
+def add_same_place(fields):
+    fields['routes'].append({**fields['routes'][0], 'name': 'again'})
+
+
+def share_key(fields):
+    fields['tenants'].append({'name': 'other', 'api_keys': ['key-2']})
+
+
+INVALID = {
+    'unknown service': lambda row: row['routes'][0].update(service='none'),
+    'same place': add_same_place,
+    'no weight': lambda row: [
+        target.update(weight=0) for target in row['routes'][1]['split']
+    ],
+    'no timeout': lambda row: row['routes'][0].update(timeout_ms=0),
+    'shared key': share_key,
+    'no version': lambda row: row.pop('version'),
+    'version is a text': lambda row: row.update(version='7'),
+    'routes are no list': lambda row: row.update(routes={}),
+    'unknown kind': lambda row: row['routes'][0].update(kind='odd'),
+    'prefix without slash': lambda row: row['routes'][0].update(
+        path_prefix='/draft',
+    ),
+}
+
+
+@pytest.mark.parametrize('name', INVALID)
+def test_invalid_configuration_is_refused(name):
+    # Guards against an invalid configuration that is acknowledged.
+    with pytest.raises(DocumentError):
+        decode_configuration(changed(INVALID[name]))
+
+
+@pytest.mark.parametrize('length', [1, 40, -1])
+def test_cut_configuration_is_refused(length):
+    with pytest.raises(DocumentError):
+        decode_configuration(configuration()[:length])
+
+
+def test_unknown_fields_are_ignored():
+    found = decode_configuration(configuration(new_field={'a': 1}))
+    assert found.version == 7
+
+
+@pytest.mark.parametrize(
+    ('host', 'path', 'route'),
+    [
+        ('shop.example', '/draft/a', 'stream'),
+        ('SHOP.example', '/draft/', 'stream'),
+        ('shop.example', '/draft/long/a/b', 'split'),
+        ('shop.example', '/draft', None),
+        ('shop.example', '/drafts/a', None),
+        ('other.example', '/draft/a', None),
+    ],
+)
+def test_longest_prefix_of_the_host_selects_the_route(host, path, route):
+    found = decode_configuration(configuration()).route_for(host, path)
+    assert (found.name if found else None) == route
+
+
+def test_keys_select_the_account():
+    found = decode_configuration(configuration())
+    assert found.account_for('key-2').name == 'lamps'
+    assert found.account_for('key-3') is None
+    assert found.account_for('') is None
+    assert found.account_for('key-1').counts_tokens
+
+
+def test_configuration_without_accounts_needs_no_keys():
+    fields = copy.deepcopy(CONFIGURATION)
+    del fields['tenants']
+    found = decode_configuration(json.dumps(fields).encode())
+    assert not found.requires_keys
+
+
+def test_engine_capacity_is_read():
+    engine = decode_configuration(configuration()).service('assistant').engine
+    assert engine.adapter_slots == 20
+    assert engine.base_models[0].adapter_mb == 66
--- /dev/null
+++ b/tests/test_gateway_parts.py
@@ -0,0 +1,221 @@
+"""Balancer, retry shares, listing, configuration register, membership."""
+
+import random
+from dataclasses import dataclass, field
+
+import pytest
+
+from kumquatrun.address import Address
+from kumquatrun.cluster_view import ClusterView
+from kumquatrun.commands import decode_results, encode_batch
+from kumquatrun.configuration_register import (
+    AccountAllowance,
+    ConfigurationRegister,
+    NameAdapterVersion,
+    PutConfiguration,
+)
+from kumquatrun.consensus_messages import Member
+from kumquatrun.control_state import ControlState
+from kumquatrun.gateway.backends import BackendRecord, BackendTable
+from kumquatrun.gateway.balancer import SPILL_LOAD, Balancer, Place
+from kumquatrun.gateway.retry_shares import RetryShares
+from kumquatrun.membership_keeper import SILENT_LIMIT_S, MembershipKeeper
+
+
+def record(number, **more):
+    return BackendRecord(
+        backend_id=f'i-{number}',
+        service='assistant',
+        address=Address('10.0.0.1', 8000 + number),
+        failure_domain='abc'[number % 3],
+        **more,
+    )
+
+
+def table_of(count):
+    table = BackendTable()
+    table.update([record(number) for number in range(count)], 0)
+    return table
+
+
+def balancer():
+    place = Place(failure_domain='a', regions={'a': 'r', 'b': 'r', 'c': 's'})
+    return Balancer(place, random.Random(1))
+
+
+def test_requests_of_one_adapter_meet():
+    rows = table_of(6).of_service('assistant')
+    chosen = {
+        balancer().choose(rows, 0, affinity='m/a1').backend_id
+        for _ in range(20)
+    }
+    assert len(chosen) == 1
+
+
+def test_only_the_adapters_of_a_lost_backend_server_move():
+    rows = table_of(6).of_service('assistant')
+    moved = 0
+    for number in range(200):
+        key = f'm/a{number}'
+        before = balancer().choose(rows, 0, affinity=key).backend_id
+        after = balancer().choose(rows[1:], 0, affinity=key).backend_id
+        moved += before != after
+        assert before == after or before == rows[0].backend_id
+    assert moved < 80
+
+
+def test_busy_adapter_gets_a_second_backend_server():
+    rows = table_of(3).of_service('assistant')
+    first = balancer().choose(rows, 0, affinity='m/a1')
+    first.take_report(SPILL_LOAD * 2, 0)
+    assert balancer().choose(rows, 0, affinity='m/a1') is not first
+
+
+def test_failing_backend_server_is_avoided_and_tried_again():
+    rows = table_of(2).of_service('assistant')
+    bad = rows[0]
+    for _ in range(10):
+        bad.record_answer(failed=True, now_s=0)
+    chosen = {balancer().choose(rows, 0).backend_id for _ in range(9)}
+    assert chosen == {rows[1].backend_id}
+    assert bad.current_failure_rate(20) < 0.1
+
+
+def test_unreachable_backend_server_pauses():
+    rows = table_of(2).of_service('assistant')
+    rows[0].record_unreachable(0)
+    assert balancer().choose(rows, 0.1) is rows[1]
+
+
+def test_leaving_backend_server_gets_no_requests():
+    table = BackendTable()
+    table.update([record(0, is_draining=True), record(1)], 0)
+    rows = table.of_service('assistant')
+    assert [row.backend_id for row in rows] == ['i-1']
+
+
+@pytest.mark.parametrize('entries', [1, 8, 30])
+def test_retries_of_all_entries_stay_within_the_allowance(entries):
+    # Guards against a fleet whose entries each use the whole budget.
+    total = 0
+    for _ in range(entries):
+        shares = RetryShares(0.2, 64, 10)
+        shares.share_among(entries)
+        for step in range(100):
+            shares.record_request('s', step / 10)
+            total += shares.take('s', step / 10)
+    assert total <= 0.2 * 100 * entries + 64
+
+
+def put(version, content=b'{}'):
+    limit = AccountAllowance(
+        name='lamps',
+        rate_tokens_per_s=5,
+        burst_tokens=7,
+    )
+    return PutConfiguration(
+        version=version,
+        content=content,
+        allowances=(limit,),
+    )
+
+
+def test_highest_version_is_in_force():
+    # Guards against other content under the version held, and older ones.
+    register = ConfigurationRegister()
+    assert register.put(put(3, b'three'))
+    assert not register.put(put(3, b'other'))
+    assert not register.put(put(2, b'two'))
+    assert (register.version, register.content()) == (3, b'three')
+
+
+def test_register_survives_a_snapshot():
+    register = ConfigurationRegister()
+    register.put(put(3, b'three'))
+    register.name_version(NameAdapterVersion(model='m', adapter='a', version=2))
+    restored = ConfigurationRegister()
+    restored.restore(register.snapshot())
+    assert restored.content() == b'three'
+    assert restored.allowances == register.allowances
+    assert restored.adapter_versions == {('m', 'a'): 2}
+
+
+def test_named_version_never_goes_back():
+    register = ConfigurationRegister()
+    for version in (2, 1):
+        register.name_version(
+            NameAdapterVersion(model='m', adapter='a', version=version),
+        )
+    assert register.adapter_versions == {('m', 'a'): 2}
+
+
+def test_view_follows_configurations_and_versions():
+    state = ControlState()
+    batch = encode_batch(
+        0,
+        [
+            put(4, b'four'),
+            NameAdapterVersion(model='m', adapter='a', version=2),
+        ],
+    )
+    assert decode_results(state.apply(1, batch))[0].version == 4
+    followed, restored = ClusterView(), ClusterView()
+    for item in state.drain_changes():
+        followed.apply(item)
+    restored.apply(state.snapshot_feed())
+    for view in (followed, restored):
+        assert view.configuration == (4, b'four')
+        assert view.adapter_version('m', 'a') == 2
+
+
+@dataclass
+class Group:
+    """Stands in for ``Replica`` as the leader."""
+
+    voters: str
+    learners: str = ''
+    silent: str = ''
+    changes: list = field(default_factory=list)
+
+    @property
+    def members(self):
+        return [
+            Member(
+                replica_id=name,
+                disk_id=name,
+                address='',
+                voter=name in self.voters,
+            )
+            for name in self.voters + self.learners
+        ]
+
+    def silence_s(self, now_s):
+        limit_s = SILENT_LIMIT_S
+        return {
+            name: limit_s + 1 if name in self.silent else 0
+            for name in self.voters + self.learners
+        }
+
+
+class Now:
+    def now_s(self):
+        return 100
+
+
+@pytest.mark.parametrize(
+    ('group', 'change'),
+    [
+        (Group('abc'), None),
+        (Group('abc', silent='c'), None),
+        (Group('abc', learners='d'), ('promote', 'd')),
+        (Group('abc', learners='d', silent='c'), ('promote', 'd')),
+        (Group('abcd', silent='c'), ('remove', 'c')),
+        (Group('abc', learners='d', silent='d'), ('remove', 'd')),
+        (Group('abcdefg', learners='h'), None),
+    ],
+)
+def test_group_is_kept_complete(group, change):
+    # Guards against a group that never replaces a lost host, and against one
+    # that gives up a host that is only away for a moment.
+    found = MembershipKeeper(group, Now(), 1).next_change()
+    assert (found and (found.action, found.replica_id)) == change
--- /dev/null
+++ b/tests/test_platform_formats.py
@@ -0,0 +1,255 @@
+"""Headers, lists, reports, orders and settings in the platform's format."""
+
+import json
+
+import pytest
+
+from kumquatrun.errors import InvalidRequestError, SettingError
+from kumquatrun.gateway.engine_api import EngineOrder
+from kumquatrun.gateway.listing_follower import decode_records, encode_records
+from kumquatrun.gateway.wire_format import Forwarding
+from kumquatrun.platform.engine import decode_report, encode_order
+from kumquatrun.platform.listing import decode_entries
+from kumquatrun.platform.requests import PlatformFormat
+from kumquatrun.platform.settings import (
+    SettingsFile,
+    agent_settings,
+    control_settings,
+    entry_settings,
+)
+
+HEADERS = (
+    (b'Host', b'shop.example:80'),
+    (b'X-Kumquatrun-Attempt-Id', b'attempt-1'),
+    (b'X-Kumquatrun-Model', b'm/a3'),
+    (b'X-Kumquatrun-Token-Usage', b'1460,80'),
+    (b'X-Kumquatrun-Prompt-Prefix', b'5c:800,91:410'),
+    (b'X-Kumquatrun-Deadline-Ms', b'15000'),
+    (b'Api-Key', b'key-1'),
+    (b'X-Other', b'stays'),
+)
+# Headers that a caller must not be able to set.
+FORGED = (
+    (b'X-Kumquatrun-Tenant', b'other'),
+    (b'X-Kumquatrun-Hold', b'h'),
+    (b'X-Kumquatrun-Pin-Ms', b'9'),
+    (b'X-Kumquatrun-Kv-Backup', b'10.0.0.1:1'),
+    (b'Kv-From', b'10.0.0.1:1/x'),
+    (b'Kv-Fetch', b'10.0.0.1:1'),
+    (b'X-Kumquatrun-Request-Priority', b'0'),
+    (b'X-Kumquatrun-Expect-Instance', b'i-forged'),
+    (b'X-Kumquatrun-Expect-Version', b'9'),
+    (b'Connection', b'X-Hop, X-Kumquatrun-Model'),
+    (b'X-Hop', b'dropped'),
+    (b'Transfer-Encoding', b'chunked'),
+)
+
+
+def forwarded(headers, **more):
+    wire = PlatformFormat()
+    caller = wire.read_request('POST', '/a/%2e?q=%20', headers)
+    head = wire.write_request(
+        caller,
+        Forwarding(
+            backend_id='i-1',
+            remaining_ms=900,
+            account='lamps',
+            priority=4,
+            **more,
+        ),
+    )
+    first, *rest = head.decode().rstrip().split('\r\n')
+    fields = [line.lower().split(': ', 1) for line in rest]
+    assert len(dict(fields)) == len(fields), 'a header is sent twice'
+    return first, dict(fields)
+
+
+def test_request_is_read():
+    caller = PlatformFormat().read_request('POST', '/a/b?c', HEADERS)
+    assert (caller.host, caller.path) == ('shop.example', '/a/b')
+    assert (caller.model, caller.adapter) == ('m', 'a3')
+    assert (caller.prompt_tokens, caller.output_tokens) == (1460, 80)
+    assert (caller.key, caller.patience_ms) == ('key-1', 15000)
+
+
+def test_path_and_query_are_forwarded_byte_for_byte():
+    first, _ = forwarded(HEADERS)
+    assert first == 'POST /a/%2e?q=%20 HTTP/1.1'
+
+
+def test_key_and_forged_headers_do_not_reach_the_backend_server():
+    # Guards against a caller that sets what only the system may set: the
+    # first trial passed such headers on.
+    _, found = forwarded(HEADERS + FORGED, adapter_version=3)
+    assert 'api-key' not in found
+    assert 'x-hop' not in found
+    assert 'transfer-encoding' not in found
+    for name in ('hold', 'pin-ms', 'kv-backup'):
+        assert f'x-kumquatrun-{name}' not in found
+    assert 'kv-from' not in found
+    assert 'kv-fetch' not in found
+    assert found['x-kumquatrun-tenant'] == 'lamps'
+    assert found['x-kumquatrun-expect-instance'] == 'i-1'
+    assert found['x-kumquatrun-expect-version'] == '3'
+    assert found['x-kumquatrun-request-priority'] == '4'
+    assert found['x-kumquatrun-deadline-ms'] == '900'
+
+
+def test_headers_of_the_caller_are_kept():
+    _, found = forwarded(HEADERS + FORGED)
+    assert found['x-kumquatrun-model'] == 'm/a3'
+    assert found['x-kumquatrun-token-usage'] == '1460,80'
+    assert found['x-kumquatrun-prompt-prefix'] == '5c:800,91:410'
+    assert found['x-other'] == 'stays'
+
+
+def test_resumed_stream_names_the_last_event_once():
+    own = (*HEADERS, (b'Last-Event-Id', b'2'))
+    assert forwarded(own)[1]['last-event-id'] == '2'
+    assert forwarded(own, last_event_id='7')[1]['last-event-id'] == '7'
+
+
+@pytest.mark.parametrize(
+    ('name', 'value'),
+    [
+        (b'X-Kumquatrun-Deadline-Ms', b'soon'),
+        (b'X-Kumquatrun-Token-Usage', b'1'),
+    ],
+)
+def test_unreadable_header_is_refused(name, value):
+    with pytest.raises(InvalidRequestError):
+        PlatformFormat().read_request('GET', '/', ((name, value),))
+
+
+ENTRY = {
+    'id': 'i-1',
+    'service': 'assistant',
+    'address': '10.0.0.9:8080',
+    'zone': 'a',
+    'state': 'ready',
+    'models': [{'name': 'm', 'version': 1, 'adapters': ['a3@2']}],
+}
+
+
+@pytest.mark.parametrize(
+    'damage',
+    [
+        {'id': 7},
+        {'address': 'nowhere'},
+        {'state': 'odd'},
+        {'service': None},
+        {'models': 'm'},
+    ],
+)
+def test_unreadable_entry_names_no_backend_server(damage):
+    # Guards against one damaged entry that hides the others.
+    records = decode_entries([{**ENTRY, **damage}, 'text', None, ENTRY])
+    assert [record.backend_id for record in records] == ['i-1']
+
+
+def test_list_survives_its_own_encoding():
+    records = decode_entries([ENTRY, {**ENTRY, 'id': 'i-0', 'remaining_ms': 5}])
+    assert set(decode_records(encode_records(records))) == set(records)
+    assert encode_records(records) == encode_records(records[::-1])
+    assert records[1].is_draining
+
+
+def test_report_of_an_engine_is_read():
+    report = decode_report(
+        {
+            'born': 12,
+            'sequence': 3,
+            'busy': False,
+            'running': 2,
+            'waiting': 1,
+            'models': ENTRY['models'],
+            'incoming': ['m/a9@1'],
+        },
+    )
+    assert report.model('m').adapters == {'a3': 2}
+    assert report.loading == (('m', 'a9', 1),)
+    assert (report.load, report.order_count) == (3, 3)
+
+
+def test_order_names_holder_and_expected_count():
+    order = EngineOrder(
+        holder='side-1',
+        fencing_number=1,
+        is_load=True,
+        model='m',
+        adapter='a3',
+        version=2,
+        expected_count=5,
+    )
+    assert encode_order(order) == {
+        'operation': 'model_load',
+        'model': 'm',
+        'adapter': 'a3',
+        'version': 2,
+        'expected': 5,
+        'holder': 'side-1',
+        'fence': 1,
+    }
+
+
+SETTINGS = {
+    'node_name': 'front-1',
+    'ip': '10.1.0.14',
+    'zone': 'a',
+    'region': 'r',
+    'zones': {'a': 'r'},
+    'listen': {
+        'front': '10.1.0.14:8221',
+        'ready': '10.1.0.14:8224',
+        'control': '10.1.0.14:8229',
+    },
+    'internal_ports': [7600, 7615],
+    'seeds': ['10.1.0.14:8229', '10.2.0.4:8229'],
+    'bootstrap': True,
+    'data_dir': '/data/x',
+    'tolerate': {'machines': 1},
+    'bounds': {'budget_ratio': 0.2, 'budget_extra': 64, 'grace_s': 8},
+    'cloud': {'address': '10.200.0.35:8225'},
+    'app': '10.1.0.14:8228',
+    'service': 'assistant',
+}
+
+
+def test_settings_of_each_role_are_read():
+    assert entry_settings(SETTINGS).retry_allowance == 64
+    assert str(agent_settings(SETTINGS).engine_address) == '10.1.0.14:8228'
+    control = control_settings(SETTINGS)
+    assert not control.replica.join
+    assert str(control.control_addresses[1]) == '10.2.0.4:7600'
+
+
+@pytest.mark.parametrize(
+    'change',
+    [{'bootstrap': False}, {'ip': '10.9.0.1'}],
+)
+def test_control_host_that_founds_nothing_joins(change):
+    # Guards against a replaced host that founds a second group.
+    assert control_settings({**SETTINGS, **change}).replica.join
+
+
+@pytest.mark.parametrize('name', ['listen', 'cloud', 'internal_ports', 'zones'])
+def test_missing_setting_is_named(name):
+    fields = {key: row for key, row in SETTINGS.items() if key != name}
+    with pytest.raises(SettingError, match=name):
+        entry_settings(fields)
+
+
+def test_settings_file_is_read_again_when_it_changes(tmp_path):
+    path = tmp_path / 'local.json'
+    path.write_text(json.dumps(SETTINGS))
+    file = SettingsFile({'KUMQUATRUN_BOOT': str(path)})
+    assert file.read() == SETTINGS
+    assert not file.has_changed()
+    path.write_text(json.dumps({**SETTINGS, 'seeds': []}))
+    assert file.has_changed()
+
+
+@pytest.mark.parametrize('environment', [{}, {'KUMQUATRUN_BOOT': '/no/file'}])
+def test_missing_settings_file_is_an_error(environment):
+    with pytest.raises(SettingError):
+        SettingsFile(environment).read()
