--- a/src/kumquatrun/cli_platform.py
+++ b/src/kumquatrun/cli_platform.py
@@ -5,6 +5,7 @@
 
 import click
 
+from kumquatrun.bounded_log import BoundedLogHandler
 from kumquatrun.cli_output import ExitCode, exit_code_of
 from kumquatrun.errors import KumquatrunError
 from kumquatrun.logs import configure_logs
@@ -21,7 +22,11 @@
     # Imported late: the operator commands need none of the daemons' parts.
     from kumquatrun.platform import daemons
 
-    configure_logs(log_format, log_level, stream=sys.stdout)
+    configure_logs(
+        log_format,
+        log_level,
+        handler=BoundedLogHandler(sys.stdout.fileno()),
+    )
     try:
         asyncio.run(daemons.run(role))
     except KumquatrunError as error:
--- a/src/kumquatrun/gateway/entry.py
+++ b/src/kumquatrun/gateway/entry.py
@@ -16,6 +16,7 @@
     DrainingError,
     KumquatrunError,
     Outcome,
+    QuarantinedError,
 )
 from kumquatrun.gateway.admission import Admission
 from kumquatrun.gateway.agent_calls import AgentCalls
@@ -53,6 +54,7 @@
 DEFAULT_RETRY_AFTER_S = 0.5
 NO_ANSWER_STATUS = 502
 TIMEOUT_STATUS = 504
+UNAVAILABLE_STATUS = 503
 TIMEOUT_CAUSE = 'timeout'
 
 
@@ -343,6 +345,9 @@
 
 def _status_of(problem: KumquatrunError) -> int:
     """Return the status of a failure; some statuses promise ``not_run``."""
+    if isinstance(problem, QuarantinedError):
+        # An equal request may be proper, so this is no fault of the caller.
+        return UNAVAILABLE_STATUS
     if problem.outcome is Outcome.NOT_RUN:
         return problem.kind.http_status
     if problem.cause == TIMEOUT_CAUSE:
--- a/src/kumquatrun/logs.py
+++ b/src/kumquatrun/logs.py
@@ -185,13 +185,16 @@
     log_level: str,
     secrets: tuple[str, ...] = (),
     stream: TextIO | None = None,
+    handler: logging.Handler | None = None,
 ) -> logging.Handler:
     """Send the logs of the process to ``stream``, standard error by default.
 
-    Returns the handler, which replaces all earlier ones.
+    Returns the handler, which replaces all earlier ones; ``handler`` is one
+    to use in place of a handler for ``stream``.
     """
     formatters = {'text': KeyValueFormatter, 'json': JsonLineFormatter}
-    handler = logging.StreamHandler(stream or sys.stderr)
+    if handler is None:
+        handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(formatters[log_format]())
     handler.addFilter(SecretFilter(secrets))
     root = logging.getLogger()
