--- a/src/kumquatrun/cli.py
+++ b/src/kumquatrun/cli.py
@@ -5,6 +5,7 @@
 from kumquatrun import __version__
 from kumquatrun.cli_daemons import daemon_command
 from kumquatrun.cli_documents import document_commands, key_commands
+from kumquatrun.cli_explain import explain_command
 from kumquatrun.cli_operator import SIMPLE_ACTIONS
 from kumquatrun.cli_platform import platform_command
 from kumquatrun.setting_table import ALL_DAEMONS, ENVIRONMENT_PREFIX
@@ -42,6 +43,7 @@
     for daemon in ALL_DAEMONS:
         main.add_command(daemon_command(daemon))
     main.add_command(platform_command)
+    main.add_command(explain_command)
     for command in document_commands():
         document_group.add_command(command)
     for command in key_commands():
--- a/src/kumquatrun/gateway/backends.py
+++ b/src/kumquatrun/gateway/backends.py
@@ -86,11 +86,13 @@
         if not failed:
             self.failures_in_row = 0
 
-    def record_unreachable(self, now_s: float) -> None:
-        """Pass the backend server over for a while."""
+    def record_unreachable(self, now_s: float) -> float:
+        """Pass the backend server over; return for how many seconds."""
         self.failures_in_row += 1
-        pause_s = FIRST_PAUSE_S * 2 ** (self.failures_in_row - 1)
-        self.paused_until_s = now_s + min(MAX_PAUSE_S, pause_s)
+        doubled_s = FIRST_PAUSE_S * 2 ** min(8, self.failures_in_row - 1)
+        pause_s = min(MAX_PAUSE_S, doubled_s)
+        self.paused_until_s = now_s + pause_s
+        return pause_s
 
 
 class BackendTable:
--- a/src/kumquatrun/gateway/forwarder.py
+++ b/src/kumquatrun/gateway/forwarder.py
@@ -159,8 +159,17 @@
                 may_repeat=course.route.may_repeat,
             )
         except ConnectionLostError as error:
-            backend.record_unreachable(self._clock.now_s())
+            pause_s = backend.record_unreachable(self._clock.now_s())
             course.failure = error.detail
+            log_event(
+                log,
+                'backend_paused',
+                request_id=course.request.request_id,
+                backend=backend.backend_id,
+                failures_in_row=backend.failures_in_row,
+                pause_s=pause_s,
+                reason=error.detail,
+            )
             return Result.NOT_RUN
         backend.open_requests += 1
         backend.started_since_report += 1
--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -335,7 +335,7 @@
 
 def test_snapshot_of_another_format_is_refused():
     state = Cluster().state
-    snapshot = state.snapshot().replace(b'\xa6format\x01', b'\xa6format\x09')
+    snapshot = state.snapshot().replace(b'\xa6format\x02', b'\xa6format\x09')
     with pytest.raises(ValueError, match='format 9'):
         ControlState().restore(snapshot)
 
--- a/tests/test_reference_pages.py
+++ b/tests/test_reference_pages.py
@@ -124,10 +124,12 @@
     # Guards against log lines that an operator cannot look up.
     source = ''.join(
         path.read_text(encoding='utf-8')
-        for path in (ROOT / 'src' / 'kumquatrun').glob('*.py')
+        for path in (ROOT / 'src' / 'kumquatrun').rglob('*.py')
     )
     events = set(re.findall(r"'event=([a-z_]+)", source))
     events |= set(re.findall(r"log_event\(\s*log,\s*'([a-z_]+)'", source))
+    events |= set(re.findall(r'event=(log_[a-z_]+) count', source))
+    events |= set(re.findall(r"_unavailable\('([a-z_]+)'", source))
     events |= {f'daemon_{state}' for state in load_chart('daemon').states}
     # Nothing is logged before the first step of the chart.
     events.discard(f'daemon_{load_chart("daemon").initial}')
