--- a/src/kumquatrun/gateway/backends.py
+++ b/src/kumquatrun/gateway/backends.py
@@ -1,5 +1,6 @@
 """Backend servers as the gateway knows them: listing, load and health."""
 
+import asyncio
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -85,11 +86,13 @@
         if not failed:
             self.failures_in_row = 0
 
-    def record_unreachable(self, now_s: float) -> None:
-        """Pass the backend server over for a while."""
+    def record_unreachable(self, now_s: float) -> float:
+        """Pass the backend server over; return for how many seconds."""
         self.failures_in_row += 1
-        pause_s = FIRST_PAUSE_S * 2 ** (self.failures_in_row - 1)
-        self.paused_until_s = now_s + min(MAX_PAUSE_S, pause_s)
+        doubled_s = FIRST_PAUSE_S * 2 ** min(8, self.failures_in_row - 1)
+        pause_s = min(MAX_PAUSE_S, doubled_s)
+        self.paused_until_s = now_s + pause_s
+        return pause_s
 
 
 class BackendTable:
@@ -99,6 +102,7 @@
         self._backends: dict[str, Backend] = {}
         self._services: dict[str, tuple[Backend, ...]] = {}
         self.updated_at_s = float('-inf')
+        self._changed = asyncio.Event()
 
     def update(self, records: Iterable[BackendRecord], now_s: float) -> None:
         """Take a new listing; keeps what is known of those that remain."""
@@ -118,6 +122,16 @@
             if not backend.record.is_draining:
                 services.setdefault(backend.record.service, []).append(backend)
         self._services = {name: tuple(rows) for name, rows in services.items()}
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def wait_for_change(self, timeout_s: float) -> None:
+        """Wait until the listing is updated, at most ``timeout_s``."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._changed.wait()
+        except TimeoutError:
+            return
 
     def of_service(self, service: str) -> tuple[Backend, ...]:
         """Return the backend servers of a service that are not leaving."""
