Pass over frozen agents; give unanswered orders again

A frozen agent was waited for like one that loads, and an order without an answer blocked its adapter for up to 15 s. Ruled out: the weight store; the requests have no line of the agents. An order that may still be carried out expects the same number of accepted orders as the next one, so the engine carries out only one of them.

--- a/src/kumquatrun/gateway/agent_calls.py
+++ b/src/kumquatrun/gateway/agent_calls.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
 from functools import partial
+from typing import Any
 
 from kumquatrun.cluster_view import ClusterView
 from kumquatrun.errors import (
@@ -15,10 +16,14 @@
 from kumquatrun.gateway.backends import Backend
 from kumquatrun.gateway.messages import AdapterReady, PromptRead, UseAdapter
 from kumquatrun.messages import Hello
-from kumquatrun.peer import Address, PeerClient
+from kumquatrun.peer import Address, PeerClient, PeerStream
 
-# An agent that does not take a connection in this time is passed over.
+# An agent that takes no connection, or says nothing, in this time is passed
+# over. It covers the round trip between regions and a busy loop.
 CONNECT_LIMIT_S = 0.5
+SIGN_LIMIT_S = 0.25
+# An agent that was passed over is not asked again for this time.
+SILENT_PAUSE_S = 0.5
 TELL_TIMEOUT_S = 1.0
 
 
@@ -64,6 +69,7 @@
         self._identity = identity
         self._clients: dict[Address, PeerClient] = {}
         self._told: set[asyncio.Task] = set()
+        self._silent_until_s: dict[Address, float] = {}
 
     def has_agent(self, backend: Backend) -> bool:
         """Return whether an agent is registered beside a backend server."""
@@ -90,10 +96,12 @@
             raise AgentUnreachableError(
                 f'no agent is registered beside {backend.backend_id}',
             )
+        self._check_silence(address)
         client = await self._connected(address)
         async with client.stream(request) as call:
+            await self._await_sign(call, address)
             yield AgentHold(
-                await _first_item(call, backend, timeout_s),
+                await _adapter_ready(call, backend, timeout_s),
                 partial(self._tell, client),
                 request.request_id,
             )
@@ -115,6 +123,20 @@
                 return address
         return None
 
+    def _check_silence(self, address: Address) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if now_s < self._silent_until_s.get(address, now_s):
+            raise AgentUnreachableError(f'agent {address} was silent just now')
+
+    async def _await_sign(self, call: PeerStream, address: Address) -> None:
+        """Wait until the agent says that it has the request."""
+        try:
+            await _next_item(call, address, SIGN_LIMIT_S)
+        except AgentUnreachableError:
+            now_s = asyncio.get_running_loop().time()
+            self._silent_until_s[address] = now_s + SILENT_PAUSE_S
+            raise
+
     async def _connected(self, address: Address) -> PeerClient:
         client = self._clients.get(address)
         if client is None:
@@ -125,6 +147,8 @@
                 async with asyncio.timeout(CONNECT_LIMIT_S):
                     await client.connect()
             except (KumquatrunError, TimeoutError) as error:
+                now_s = asyncio.get_running_loop().time()
+                self._silent_until_s[address] = now_s + SILENT_PAUSE_S
                 raise AgentUnreachableError(
                     f'agent {address} cannot be reached: {error!r}',
                 ) from error
@@ -137,21 +161,39 @@
         await client.call(told, TELL_TIMEOUT_S)
 
 
-async def _first_item(call, backend: Backend, timeout_s: float) -> AdapterReady:
+async def _adapter_ready(
+    call: PeerStream,
+    backend: Backend,
+    timeout_s: float,
+) -> AdapterReady:
+    try:
+        return await _next_item(call, backend.backend_id, timeout_s)
+    except AgentUnreachableError as error:
+        raise NoCapacityError(error.detail, cause='adapter_wait') from error
+
+
+async def _next_item(
+    call: PeerStream,
+    agent: Address | str,
+    timeout_s: float,
+) -> Any:
+    """Return the next item that an agent sends.
+
+    Raises
+    ------
+    AgentUnreachableError
+        If there is none in time.
+    AdapterLoadError, NoCapacityError
+        If the agent refuses the request.
+    """
     try:
         async with asyncio.timeout(timeout_s):
-            async for ready in call:
-                return ready
-    except TimeoutError:
-        raise NoCapacityError(
-            f'{backend.backend_id} did not provide the adapter in '
-            f'{timeout_s:.2f} s',
-            cause='adapter_wait',
+            return await anext(call)
+    except (TimeoutError, StopAsyncIteration):
+        raise AgentUnreachableError(
+            f'no word of {agent} in {timeout_s:.2f} s',
         ) from None
     except (AdapterLoadError, NoCapacityError):
         raise
     except KumquatrunError as error:
-        raise AgentUnreachableError(
-            f'agent of {backend.backend_id} failed: {error}',
-        ) from error
-    raise AgentUnreachableError(f'agent of {backend.backend_id} ended the call')
+        raise AgentUnreachableError(f'{agent} failed: {error}') from error
--- a/src/kumquatrun/gateway/engine_agent.py
+++ b/src/kumquatrun/gateway/engine_agent.py
@@ -29,6 +29,7 @@
     OrderVerdict,
 )
 from kumquatrun.gateway.messages import (
+    AdapterQueued,
     AdapterReady,
     AdapterReleased,
     PromptRead,
@@ -47,7 +48,7 @@
 REPORT_INTERVAL_S = 0.1
 BUSY_REPORT_INTERVAL_S = 0.02
 # An engine that gave no report for this time is taken for lost.
-LOST_AFTER_S = 1.0
+LOST_AFTER_S = 0.7
 # Adapters that may be on their way to one engine at the same time.
 MAX_LOADS_UNDER_WAY = 4
 # Wait after an order that the engine refused or did not answer.
@@ -154,6 +155,7 @@
         self._residency.pin(name, self._clock.now_s())
         self._users += 1
         try:
+            await context.send_message(AdapterQueued())
             ready = await self._prepare(name, request)
             await self._keep(name, ready, context)
         finally:
@@ -470,10 +472,12 @@
         if verdict in {OrderVerdict.ACCEPTED, OrderVerdict.HOLDS}:
             await self._refresh()
             return True
+        # An order without an answer may still be carried out, but only until
+        # another one is: all of them expect the same number of accepted
+        # orders. So the next one needs no more room than this one had.
+        self._residency.forget_order(name)
         if verdict is not OrderVerdict.NO_ANSWER:
-            # The engine did not take the order and never will.
-            self._residency.forget_order(name)
-        await asyncio.sleep(ORDER_PAUSE_S)
+            await asyncio.sleep(ORDER_PAUSE_S)
         await self._refresh()
         return False
 
--- a/src/kumquatrun/gateway/messages.py
+++ b/src/kumquatrun/gateway/messages.py
@@ -19,9 +19,17 @@
     prompt_tokens: int = 0
 
 
+@message
+class AdapterQueued:
+    """First stream item: the agent has the request and works on it.
+
+    It tells an agent that loads from one that is frozen or cut off.
+    """
+
+
 @message
 class AdapterReady:
-    """First stream item: the engine holds the adapter.
+    """Second stream item: the engine holds the adapter.
 
     ``load`` counts the requests at the engine; ``waited_s`` is the time that
     the load took.
--- a/src/kumquatrun/platform/client.py
+++ b/src/kumquatrun/platform/client.py
@@ -24,6 +24,7 @@
         address: Address,
         path: str,
         query: dict[str, str] | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> Any:
         """Return the JSON body of a 200 answer.
 
@@ -32,12 +33,24 @@
         ConnectionLostError
             If there is no such answer in time.
         """
-        status, body = await self._call('GET', address, path, query=query)
+        status, body = await self._call(
+            'GET',
+            address,
+            path,
+            query=query,
+            timeout_s=timeout_s,
+        )
         if status != OK:
             raise ConnectionLostError(f'{address}{path} answered {status}')
         return _parse(body, f'{address}{path}')
 
-    async def post(self, address: Address, path: str, fields: Any) -> int:
+    async def post(
+        self,
+        address: Address,
+        path: str,
+        fields: Any,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> int:
         """Send a JSON body and return the status of the answer.
 
         Raises
@@ -45,7 +58,13 @@
         ConnectionLostError
             If there is no answer in time.
         """
-        status, _ = await self._call('POST', address, path, fields=fields)
+        status, _ = await self._call(
+            'POST',
+            address,
+            path,
+            fields=fields,
+            timeout_s=timeout_s,
+        )
         return status
 
     async def close(self) -> None:
@@ -61,6 +80,7 @@
         *,
         query: dict[str, str] | None = None,
         fields: Any = None,
+        timeout_s: float,
     ) -> tuple[int, bytes]:
         if self._session is None:
             self._session = aiohttp.ClientSession(
@@ -69,7 +89,7 @@
             )
         try:
             async with (
-                asyncio.timeout(CALL_TIMEOUT_S),
+                asyncio.timeout(timeout_s),
                 self._session.request(
                     method,
                     f'http://{address}{path}',
--- a/src/kumquatrun/platform/engine.py
+++ b/src/kumquatrun/platform/engine.py
@@ -19,6 +19,8 @@
 ORDER_PATH = '/order'
 LOAD = 'model_load'
 UNLOAD = 'model_unload'
+# The engine is on the same machine, so a late answer is a lost one.
+ENGINE_TIMEOUT_S = 0.3
 DRAINING_STATE = 'draining'
 VERDICTS = {
     200: OrderVerdict.HOLDS,
@@ -37,7 +39,11 @@
 
     async def report(self) -> EngineReport:
         """Return the state of the engine."""
-        fields = await self._client.get(self._address, REPORT_PATH)
+        fields = await self._client.get(
+            self._address,
+            REPORT_PATH,
+            timeout_s=ENGINE_TIMEOUT_S,
+        )
         try:
             return decode_report(fields)
         except UNREADABLE as error:
@@ -50,6 +56,7 @@
                 self._address,
                 ORDER_PATH,
                 encode_order(order),
+                ENGINE_TIMEOUT_S,
             )
         except KumquatrunError:
             return OrderVerdict.NO_ANSWER
