Split the agent, the forwarder and the entry by job; load rare models

A waiter whose caller had left could end the agent's background work; a model that no engine held was never loaded.

--- a/src/kumquatrun/cli_daemons.py
+++ b/src/kumquatrun/cli_daemons.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import sys
+from collections.abc import Coroutine
 from typing import Any
 
 import click
@@ -54,15 +55,31 @@
         settings.log_level,
         secrets=(settings.cluster_token, settings.operator_token),
     )
+    run_until_stopped(daemons.run(daemon, settings), 'settings')
+
+
+def run_until_stopped(
+    running: Coroutine[Any, Any, None],
+    source: str,
+) -> None:
+    """Run a daemon and end the process with an error that names the remedy.
+
+    Parameters
+    ----------
+    running
+        Runs the daemon.
+    source
+        Where its addresses come from.
+    """
     try:
-        asyncio.run(daemons.run(daemon, settings))
+        asyncio.run(running)
     except KumquatrunError as error:
         click.echo(f'error: {error}', err=True)
         sys.exit(int(exit_code_of(error)))
     except OSError as error:
         click.echo(
             f'error: cannot start: {error}. Check that the addresses of the '
-            'settings belong to this host and are free.',
+            f'{source} belong to this host and are free.',
             err=True,
         )
         sys.exit(int(ExitCode.UNEXPECTED))
--- a/src/kumquatrun/cli_platform.py
+++ b/src/kumquatrun/cli_platform.py
@@ -1,13 +1,11 @@
 """Commands that start a daemon on the users' platform."""
 
-import asyncio
 import sys
 
 import click
 
 from kumquatrun.bounded_log import BoundedLogHandler
-from kumquatrun.cli_output import ExitCode, exit_code_of
-from kumquatrun.errors import KumquatrunError
+from kumquatrun.cli_daemons import run_until_stopped
 from kumquatrun.logs import configure_logs
 
 ROLES = ('entry', 'agent', 'control')
@@ -27,15 +25,4 @@
         log_level,
         handler=BoundedLogHandler(sys.stdout.fileno()),
     )
-    try:
-        asyncio.run(daemons.run(role))
-    except KumquatrunError as error:
-        click.echo(f'error: {error}', err=True)
-        sys.exit(int(exit_code_of(error)))
-    except OSError as error:
-        click.echo(
-            f'error: cannot start: {error}. Check that the addresses of the '
-            'settings file belong to this host and are free.',
-            err=True,
-        )
-        sys.exit(int(ExitCode.UNEXPECTED))
+    run_until_stopped(daemons.run(role), 'settings file')
--- a/src/kumquatrun/gateway/admission.py
+++ b/src/kumquatrun/gateway/admission.py
@@ -13,6 +13,7 @@
     RouteNotFoundError,
 )
 from kumquatrun.gateway.allowances import Allowances
+from kumquatrun.gateway.body_reader import BodyTooLargeError, read_body
 from kumquatrun.gateway.configuration import (
     Configuration,
     GatewayAccount,
@@ -120,13 +121,7 @@
 async def _read_body(request: web.BaseRequest, limit_bytes: int) -> bytes:
     if not request.can_read_body:
         return b''
-    chunks = []
-    size_bytes = 0
-    while True:
-        chunk = await request.content.readany()
-        if not chunk and request.content.is_eof():
-            return b''.join(chunks)
-        size_bytes += len(chunk)
-        if size_bytes > limit_bytes:
-            raise RequestTooLargeError(f'body above {limit_bytes} bytes')
-        chunks.append(chunk)
+    try:
+        return await read_body(request.content, limit_bytes)
+    except BodyTooLargeError as error:
+        raise RequestTooLargeError(str(error)) from error
--- a/src/kumquatrun/gateway/backends.py
+++ b/src/kumquatrun/gateway/backends.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from kumquatrun.address import Address
 from kumquatrun.gateway.connection_pool import ConnectionPool
@@ -53,9 +53,7 @@
     judged_at_s: float = 0.0
     # Load that the agent told, and requests started here since then.
     reported_load: int = 0
-    reported_at_s: float = float('-inf')
     started_since_report: int = 0
-    held: set[HeldAdapter] = field(default_factory=set)
 
     @property
     def backend_id(self) -> str:
@@ -68,10 +66,9 @@
         told = self.reported_load + self.started_since_report
         return max(told, self.open_requests)
 
-    def take_report(self, load: int, now_s: float) -> None:
+    def take_report(self, load: int) -> None:
         """Record the load that the agent of the backend server told."""
         self.reported_load = load
-        self.reported_at_s = now_s
         self.started_since_report = 0
 
     def current_failure_rate(self, now_s: float) -> float:
@@ -102,10 +99,9 @@
     def __init__(self) -> None:
         self._backends: dict[str, Backend] = {}
         self._services: dict[str, tuple[Backend, ...]] = {}
-        self.updated_at_s = float('-inf')
         self._changed = asyncio.Event()
 
-    def update(self, records: Iterable[BackendRecord], now_s: float) -> None:
+    def update(self, records: Iterable[BackendRecord]) -> None:
         """Take a new listing; keeps what is known of those that remain."""
         known = self._backends
         self._backends = {}
@@ -117,7 +113,6 @@
             self._backends[record.backend_id] = backend
         for gone in known.values():
             gone.pool.close()
-        self.updated_at_s = now_s
         services: dict[str, list[Backend]] = {}
         for backend in self._backends.values():
             if not backend.record.is_draining:
--- /dev/null
+++ b/src/kumquatrun/gateway/body_reader.py
@@ -0,0 +1,27 @@
+"""Reads a whole HTTP body up to a limit."""
+
+from aiohttp.streams import StreamReader
+
+
+class BodyTooLargeError(ValueError):
+    """Reports a body above the limit of its reader."""
+
+
+async def read_body(stream: StreamReader, limit_bytes: int) -> bytes:
+    """Return the whole body.
+
+    Raises
+    ------
+    BodyTooLargeError
+        If it is above ``limit_bytes``.
+    """
+    chunks = []
+    size_bytes = 0
+    while True:
+        chunk = await stream.readany()
+        if not chunk and stream.is_eof():
+            return b''.join(chunks)
+        size_bytes += len(chunk)
+        if size_bytes > limit_bytes:
+            raise BodyTooLargeError(f'body above {limit_bytes} bytes')
+        chunks.append(chunk)
--- /dev/null
+++ b/src/kumquatrun/gateway/engine_orders.py
@@ -0,0 +1,190 @@
+"""Orders of an agent to its engine: which to give, and what they came to."""
+
+import asyncio
+import logging
+
+from kumquatrun.clock import Clock
+from kumquatrun.gateway.configuration import BaseModelSpec
+from kumquatrun.gateway.engine_api import (
+    EngineOrder,
+    OrderedEngine,
+    OrderVerdict,
+)
+from kumquatrun.gateway.engine_watch import EngineWatch
+from kumquatrun.gateway.residency import AdapterName
+from kumquatrun.logs import log_event
+from kumquatrun.metrics import process_metrics
+
+log = logging.getLogger(__name__)
+
+# Adapters that may be on their way to one engine at the same time.
+MAX_LOADS_UNDER_WAY = 4
+# Wait after an order that the engine refused.
+ORDER_PAUSE_S = 0.1
+# A base model that nobody used for this time makes way for another.
+MODEL_IDLE_S = 5.0
+# One host gives all orders to its engine, so its number never has to rise.
+FENCING_NUMBER = 1
+
+
+class EngineOrders:
+    """Gives orders to one engine, one after the other.
+
+    Parameters
+    ----------
+    holder
+        Name of this host.
+    engine
+        The engine.
+    watch
+        What is known of the engine.
+    clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        holder: str,
+        engine: OrderedEngine,
+        watch: EngineWatch,
+        clock: Clock,
+    ) -> None:
+        self._holder = holder
+        self._engine = engine
+        self._watch = watch
+        self._clock = clock
+        self._model_used_at_s: dict[str, float] = {}
+
+    @property
+    def may_order(self) -> bool:
+        """Return whether the engine would take an order now."""
+        report = self._watch.report
+        return (
+            report is not None
+            and not self._watch.is_lost
+            and not report.is_draining
+            and not report.is_changing_model
+        )
+
+    @property
+    def may_load_adapter(self) -> bool:
+        """Return whether another adapter may be on its way."""
+        under_way = self._watch.residency.loads_under_way
+        return self.may_order and under_way < MAX_LOADS_UNDER_WAY
+
+    def record_use(self, model: str) -> None:
+        """Record that a base model is in use."""
+        self._model_used_at_s[model] = self._clock.now_s()
+
+    async def restore_model(self) -> None:
+        """Load a base model into an engine that holds none."""
+        name = self._model_to_restore()
+        if name:
+            await self._order((name, ''), 0, is_load=True)
+
+    async def load_adapter(self, name: AdapterName, version: int) -> bool:
+        """Order an adapter; False if no further order is of use now."""
+        residency = self._watch.residency
+        if residency.is_loading(name):
+            return True
+        is_replacement = residency.version_of(name) is not None
+        if not is_replacement and not await self._make_room():
+            return False
+        return await self._order(name, version, is_load=True)
+
+    async def load_model(self, model: str) -> bool:
+        """Order a base model; False if the engine has no room for it."""
+        spec = self._watch.spec
+        rows = {row.name: row for row in spec.base_models} if spec else {}
+        if model not in rows:
+            return False
+        held = [
+            rows[row.name]
+            for row in self._watch.report.models
+            if row.name in rows
+        ]
+        free_mb = spec.weights_mb - sum(row.weights_mb for row in held)
+        if free_mb >= rows[model].weights_mb:
+            await self._order((model, ''), 0, is_load=True)
+            return True
+        idle = self._idle_model(held)
+        if idle is None:
+            return False
+        await self._order((idle.name, ''), 0, is_load=False)
+        return True
+
+    def _idle_model(self, held: list[BaseModelSpec]) -> BaseModelSpec | None:
+        oldest_s = self._clock.now_s() - MODEL_IDLE_S
+        for row in held:
+            if self._model_used_at_s.get(row.name, 0.0) < oldest_s:
+                return row
+        return None
+
+    def _model_to_restore(self) -> str:
+        if self._watch.last_models:
+            return self._watch.last_models[0]
+        spec = self._watch.spec
+        if spec is not None and len(spec.base_models) == 1:
+            return spec.base_models[0].name
+        return ''
+
+    async def _make_room(self) -> bool:
+        residency = self._watch.residency
+        if residency.used_slots < residency.adapter_slots:
+            return True
+        victim = residency.victim(self._clock.now_s())
+        if victim is None:
+            return False
+        done = await self._order(victim, 0, is_load=False)
+        if done:
+            residency.record_unload(victim)
+            process_metrics().count('adapter_evictions_total')
+        return done
+
+    async def _order(
+        self,
+        name: AdapterName,
+        version: int,
+        *,
+        is_load: bool,
+    ) -> bool:
+        """Give one order; False if the state must be read again first."""
+        model, adapter = name
+        order = EngineOrder(
+            holder=self._holder,
+            fencing_number=FENCING_NUMBER,
+            is_load=is_load,
+            model=model,
+            adapter=adapter,
+            version=version,
+            expected_count=self._watch.report.order_count,
+        )
+        if is_load and adapter:
+            now_s = self._clock.now_s()
+            self._watch.residency.record_load(name, version, now_s)
+        verdict = await self._engine.order(order)
+        self._report(order, verdict)
+        if verdict in {OrderVerdict.ACCEPTED, OrderVerdict.HOLDS}:
+            await self._watch.refresh()
+            return True
+        # An order without an answer may still be carried out, but only until
+        # another one is: all of them expect the same number of accepted
+        # orders. So the next one needs no more room than this one had.
+        self._watch.residency.forget_order(name)
+        if verdict is not OrderVerdict.NO_ANSWER:
+            await asyncio.sleep(ORDER_PAUSE_S)
+        await self._watch.refresh()
+        return False
+
+    def _report(self, order: EngineOrder, verdict: OrderVerdict) -> None:
+        log_event(
+            log,
+            'engine_order',
+            operation='load' if order.is_load else 'unload',
+            adapter=order.adapter or order.model,
+            version=order.version,
+            expected_count=order.expected_count,
+            verdict=verdict,
+            report_age_ms=self._watch.age_ms,
+        )
+        process_metrics().count('adapter_loads_total', result=verdict.value)
--- /dev/null
+++ b/src/kumquatrun/gateway/engine_watch.py
@@ -0,0 +1,153 @@
+"""What an agent knows of its engine: newest report, restarts and losses."""
+
+import logging
+from collections.abc import Callable
+
+from kumquatrun.clock import Clock
+from kumquatrun.errors import (
+    AdapterLoadError,
+    KumquatrunError,
+)
+from kumquatrun.gateway.configuration import EngineSpec
+from kumquatrun.gateway.engine_api import EngineReport, OrderedEngine
+from kumquatrun.gateway.residency import AdapterName, Residency
+from kumquatrun.logs import log_event
+from kumquatrun.metrics import process_metrics
+
+log = logging.getLogger(__name__)
+
+# An engine that gave no report for this time is taken for lost.
+LOST_AFTER_S = 0.7
+DEFAULT_ADAPTER_SLOTS = 8
+MAX_AGE_S = 1e6
+
+
+class EngineWatch:
+    """Follows one engine by its reports.
+
+    Parameters
+    ----------
+    engine
+        The engine.
+    spec
+        Returns the capacity of the engine; None before it is known.
+    clock
+        Source of time.
+
+    Attributes
+    ----------
+    report
+        Newest report; None before the first.
+    residency
+        Adapters of the engine.
+    last_models
+        Base models that the engine held last.
+    """
+
+    def __init__(
+        self,
+        engine: OrderedEngine,
+        spec: Callable[[], EngineSpec | None],
+        clock: Clock,
+    ) -> None:
+        self.report: EngineReport | None = None
+        self.residency = Residency(DEFAULT_ADAPTER_SLOTS)
+        self.last_models: tuple[str, ...] = ()
+        self._engine = engine
+        self._spec = spec
+        self._clock = clock
+        self._reported_at_s = float('-inf')
+
+    @property
+    def spec(self) -> EngineSpec | None:
+        """Return the capacity of the engine; None before it is known."""
+        return self._spec()
+
+    @property
+    def age_ms(self) -> int:
+        """Return the age of the newest report."""
+        age_s = self._clock.now_s() - self._reported_at_s
+        return round(min(age_s, MAX_AGE_S) * 1000)
+
+    @property
+    def is_lost(self) -> bool:
+        """Return whether the engine stopped to give reports."""
+        return self._clock.now_s() - self._reported_at_s > LOST_AFTER_S
+
+    def problem(self) -> AdapterLoadError | None:
+        """Return why the engine can take no request; None if it can."""
+        report = self.report
+        if report is None or self.is_lost:
+            return AdapterLoadError(
+                f'the engine gave no report for {self.age_ms} ms',
+                cause='engine_lost',
+            )
+        if report.is_draining:
+            return AdapterLoadError('the engine leaves', cause='engine_leaves')
+        if not report.models:
+            return AdapterLoadError(
+                'the engine holds no model yet',
+                cause='engine_empty',
+            )
+        return None
+
+    def held_version(self, name: AdapterName, wanted: int) -> int | None:
+        """Return the held version if it is ``wanted`` or newer."""
+        model = self.report.model(name[0]) if self.report else None
+        if model is None:
+            return None
+        if not name[1]:
+            return model.version
+        version = self.residency.version_of(name)
+        return version if version is not None and version >= wanted else None
+
+    async def refresh(self) -> None:
+        """Take a new report; a silent engine keeps its last one."""
+        was_lost = self.is_lost
+        try:
+            report = await self._engine.report()
+        except KumquatrunError as error:
+            if self.is_lost and not was_lost:
+                log_event(log, 'engine_lost', error=str(error))
+            return
+        self._take(report)
+        if was_lost:
+            log_event(
+                log,
+                'engine_regained',
+                started_ms=report.started_ms,
+                order_count=report.order_count,
+            )
+
+    def _take(self, report: EngineReport) -> None:
+        known = self.report
+        if known is not None and known.started_ms != report.started_ms:
+            log_event(
+                log,
+                'engine_restarted',
+                level=logging.WARNING,
+                started_ms=report.started_ms,
+            )
+            process_metrics().count('backend_restarts_total')
+            self.residency.reset()
+        if report.is_draining and not (known and known.is_draining):
+            log_event(log, 'engine_leaves', load=report.load)
+        self.report = report
+        self._reported_at_s = self._clock.now_s()
+        self.residency.take_report(report, self._reported_at_s)
+        if report.models:
+            self.last_models = tuple(held.name for held in report.models)
+        if self.spec is not None:
+            self.residency.adapter_slots = _adapter_slots(self.spec, report)
+
+
+def _adapter_slots(spec: EngineSpec, report: EngineReport) -> int:
+    """Return how many adapters fit, by slots and by memory."""
+    slots = spec.adapter_slots or DEFAULT_ADAPTER_SLOTS
+    held = {model.name for model in report.models}
+    models = [row for row in spec.base_models if row.name in held]
+    adapter_mb = max((row.adapter_mb for row in models), default=0)
+    if not spec.weights_mb or not adapter_mb:
+        return slots
+    free_mb = spec.weights_mb - sum(row.weights_mb for row in models)
+    return max(0, min(slots, int(free_mb // adapter_mb)))
--- a/src/kumquatrun/gateway/entry.py
+++ b/src/kumquatrun/gateway/entry.py
@@ -11,12 +11,9 @@
 from kumquatrun.control_client import Session
 from kumquatrun.errors import (
     BackendError,
-    ControlUnreachableError,
     DocumentError,
     DrainingError,
     KumquatrunError,
-    Outcome,
-    QuarantinedError,
 )
 from kumquatrun.gateway.admission import Admission
 from kumquatrun.gateway.agent_calls import AgentCalls
@@ -25,10 +22,10 @@
 from kumquatrun.gateway.balancer import Balancer, Place
 from kumquatrun.gateway.caller_channel import CallerChannel
 from kumquatrun.gateway.configuration import Configuration
-from kumquatrun.gateway.course import Course
 from kumquatrun.gateway.crash_watch import CrashWatch
-from kumquatrun.gateway.forwarder import PROMISING_STATUSES, Forwarder
+from kumquatrun.gateway.forwarder import Forwarder
 from kumquatrun.gateway.listing_follower import ListingFollower
+from kumquatrun.gateway.refusals import refuse, timed_out
 from kumquatrun.gateway.request_report import KnownState, RequestReport
 from kumquatrun.gateway.reservations import Reservations
 from kumquatrun.gateway.retry_shares import RetryShares
@@ -51,11 +48,6 @@
 DRAIN_CHECK_S = 0.05
 # aiohttp waits without a limit for 0.
 SHUTDOWN_S = 0.1
-DEFAULT_RETRY_AFTER_S = 0.5
-NO_ANSWER_STATUS = 502
-TIMEOUT_STATUS = 504
-UNAVAILABLE_STATUS = 503
-TIMEOUT_CAUSE = 'timeout'
 
 
 class GatewayEntry:
@@ -272,11 +264,11 @@
         try:
             await self._admit_and_forward(request, report)
         except TimeoutError:
-            problem = _timed_out(report.course)
+            problem = timed_out(report.course)
         except KumquatrunError as error:
             problem = error
         if problem is not None:
-            await _refuse(report.channel, problem)
+            await refuse(report.channel, problem)
         self._finish(report, problem)
 
     async def _admit_and_forward(
@@ -317,39 +309,3 @@
             self._listing.age_s(now_s),
         )
         report.finish(now_s, known, problem, caller_left=caller_left)
-
-
-def _timed_out(course: Course | None) -> KumquatrunError:
-    if course is not None and course.may_have_run:
-        return BackendError(
-            f'{course.last_backend} gave no answer in time',
-            outcome=Outcome.UNKNOWN,
-            cause=TIMEOUT_CAUSE,
-        )
-    return ControlUnreachableError(
-        'the request was not sent in time',
-        cause='not_sent_in_time',
-    )
-
-
-async def _refuse(channel: CallerChannel, problem: KumquatrunError) -> None:
-    if channel.has_begun:
-        channel.abort()
-        return
-    status = _status_of(problem)
-    retry_after_s = problem.retry_after_s
-    if status in PROMISING_STATUSES and retry_after_s is None:
-        retry_after_s = DEFAULT_RETRY_AFTER_S
-    await channel.refuse(status, str(problem), retry_after_s)
-
-
-def _status_of(problem: KumquatrunError) -> int:
-    """Return the status of a failure; some statuses promise ``not_run``."""
-    if isinstance(problem, QuarantinedError):
-        # An equal request may be proper, so this is no fault of the caller.
-        return UNAVAILABLE_STATUS
-    if problem.outcome is Outcome.NOT_RUN:
-        return problem.kind.http_status
-    if problem.cause == TIMEOUT_CAUSE:
-        return TIMEOUT_STATUS
-    return NO_ANSWER_STATUS
--- a/src/kumquatrun/gateway/listing_follower.py
+++ b/src/kumquatrun/gateway/listing_follower.py
@@ -110,7 +110,7 @@
         """Take the leader's list; None if it has not changed."""
         now_s = self._clock.now_s()
         if encoded is not None:
-            self._table.update(decode_records(encoded), now_s)
+            self._table.update(decode_records(encoded))
         self._listed_at_s = max(self._listed_at_s, now_s - age_s)
         self._note_source(reads_itself=False)
 
@@ -129,7 +129,7 @@
             log_event(log, 'listing_unreadable', error=str(error))
             await asyncio.sleep(CHECK_INTERVAL_S)
             return
-        self._table.update(decode_records(encoded), asked_at_s)
+        self._table.update(decode_records(encoded))
         self._listed_at_s = asked_at_s
         self._note_source(reads_itself=True)
 
--- /dev/null
+++ b/src/kumquatrun/gateway/refusals.py
@@ -0,0 +1,56 @@
+"""Failures of the gateway's own, as callers see them."""
+
+from kumquatrun.errors import (
+    BackendError,
+    ControlUnreachableError,
+    KumquatrunError,
+    Outcome,
+    QuarantinedError,
+)
+from kumquatrun.gateway.answer_relay import PROMISING_STATUSES
+from kumquatrun.gateway.caller_channel import CallerChannel
+from kumquatrun.gateway.course import Course
+
+DEFAULT_RETRY_AFTER_S = 0.5
+NO_ANSWER_STATUS = 502
+UNAVAILABLE_STATUS = 503
+TIMEOUT_STATUS = 504
+TIMEOUT_CAUSE = 'timeout'
+
+
+def timed_out(course: Course | None) -> KumquatrunError:
+    """Return the failure of a request whose time is over."""
+    if course is not None and course.may_have_run:
+        return BackendError(
+            f'{course.last_backend} gave no answer in time',
+            outcome=Outcome.UNKNOWN,
+            cause=TIMEOUT_CAUSE,
+        )
+    return ControlUnreachableError(
+        'the request was not sent in time',
+        cause='not_sent_in_time',
+    )
+
+
+async def refuse(channel: CallerChannel, problem: KumquatrunError) -> None:
+    """Answer with a failure, or cut an answer that was begun."""
+    if channel.has_begun:
+        channel.abort()
+        return
+    status = _status_of(problem)
+    retry_after_s = problem.retry_after_s
+    if status in PROMISING_STATUSES and retry_after_s is None:
+        retry_after_s = DEFAULT_RETRY_AFTER_S
+    await channel.refuse(status, str(problem), retry_after_s)
+
+
+def _status_of(problem: KumquatrunError) -> int:
+    """Return the status of a failure; some statuses promise ``not_run``."""
+    if isinstance(problem, QuarantinedError):
+        # An equal request may be proper, so this is no fault of the caller.
+        return UNAVAILABLE_STATUS
+    if problem.outcome is Outcome.NOT_RUN:
+        return problem.kind.http_status
+    if problem.cause == TIMEOUT_CAUSE:
+        return TIMEOUT_STATUS
+    return NO_ANSWER_STATUS
--- a/src/kumquatrun/gateway/reservations.py
+++ b/src/kumquatrun/gateway/reservations.py
@@ -94,17 +94,14 @@
         )
 
     async def _choose(self, course: Course) -> Backend | None:
-        request = course.request
-        affinity = ''
-        if request.adapter:
-            affinity = f'{request.model}/{request.adapter}'
         give_up_s = self._clock.now_s() + min(
             MAX_BACKEND_WAIT_S,
             ADAPTER_WAIT_PART * course.left_s(self._clock.now_s()),
         )
         while True:
+            backends, affinity = self._candidates(course)
             backend = self._balancer.choose(
-                self._candidates(course),
+                backends,
                 self._clock.now_s(),
                 affinity=affinity,
                 excluded=course.tried,
@@ -115,18 +112,23 @@
                 return None
             await self._backends.wait_for_change(BACKEND_WAIT_STEP_S)
 
-    def _candidates(self, course: Course) -> Sequence[Backend]:
-        """Return the backend servers that hold the model of a request.
+    def _candidates(self, course: Course) -> tuple[Sequence[Backend], str]:
+        """Return the backend servers to choose from, and the affinity.
 
-        An engine that starts empty takes seconds to load its model. All are
-        returned if none is listed with it, since the list lags.
+        An engine takes seconds to load a model that it does not hold. All are
+        returned if none is listed with it; the requests for such a model meet
+        on one of them, which then loads it.
         """
         backends = self._backends.of_service(course.service)
-        model = course.request.model
-        if not model:
-            return backends
-        holders = [row for row in backends if model in row.record.models]
-        return holders or backends
+        request = course.request
+        if not request.model:
+            return backends, ''
+        holders = [
+            row for row in backends if request.model in row.record.models
+        ]
+        if request.adapter or not holders:
+            return holders or backends, f'{request.model}/{request.adapter}'
+        return holders, ''
 
     async def _hold(
         self,
@@ -161,7 +163,7 @@
             raise
         finally:
             course.adapter_wait_s += self._clock.now_s() - began_s
-        backend.take_report(hold.ready.load, self._clock.now_s())
+        backend.take_report(hold.ready.load)
         held_version = hold.ready.version if version else 0
         return Reservation(backend, held_version, hold)
 
--- a/tests/test_engine_agent.py
+++ b/tests/test_engine_agent.py
@@ -57,11 +57,11 @@
 
     def __init__(self, agent, adapter, request_id='r', **more):
         self.call = Call()
+        fields = {'model': 'm', **more}
         request = UseAdapter(
             request_id=request_id,
-            model='m',
             adapter=adapter,
-            **more,
+            **fields,
         )
         self.task = asyncio.create_task(agent.handle(request, self.call))
 
@@ -222,3 +222,47 @@
         assert not second.call.ready.done()
         await agent.handle(PromptRead(request_id='first'), None)
         await second.ready()
+
+
+async def test_caller_that_leaves_does_not_stop_the_agent():
+    # Guards against an agent that gives no orders after it has refused a
+    # request whose caller had left meanwhile.
+    engine = Engine()
+    async with agent_of(engine) as agent:
+        lost = Use(agent, 'a1', 'r1')
+        lost.task.cancel()
+        other = Use(agent, 'a1', 'r2', model='unknown')
+        other.task.cancel()
+        await asyncio.sleep(0.3)
+        await Use(agent, 'a2', 'r3').ready()
+
+
+async def test_model_that_is_not_held_is_loaded_if_there_is_room():
+    # Guards against a model that no engine ever loads.
+    engine = Engine()
+    models = (
+        BaseModelSpec(name='m', weights_mb=40),
+        BaseModelSpec(name='rare', weights_mb=40),
+    )
+    agent = EngineAgent(
+        'host',
+        engine,
+        lambda: EngineSpec(
+            adapter_slots=4,
+            weights_mb=60,
+            base_models=models,
+        ),
+        lambda model, adapter: 0,
+        LoopClock(),
+    )
+    await agent.start()
+    await asyncio.sleep(0.01)
+    used = Use(agent, '', 'r1')
+    await used.ready()
+    with pytest.raises(NoCapacityError, match='no room'):
+        await Use(agent, '', 'r2', model='rare').ready()
+    await used.end()
+    await asyncio.sleep(6)
+    await Use(agent, '', 'r3', model='rare').ready()
+    assert engine.models == ('rare',)
+    await agent.stop()
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -34,7 +34,7 @@
 
 def table_of(count):
     table = BackendTable()
-    table.update([record(number) for number in range(count)], 0)
+    table.update([record(number) for number in range(count)])
     return table
 
 
@@ -67,7 +67,7 @@
 def test_busy_adapter_gets_a_second_backend_server():
     rows = table_of(3).of_service('assistant')
     first = balancer().choose(rows, 0, affinity='m/a1')
-    first.take_report(SPILL_LOAD * 2, 0)
+    first.take_report(SPILL_LOAD * 2)
     assert balancer().choose(rows, 0, affinity='m/a1') is not first
 
 
@@ -89,7 +89,7 @@
 
 def test_leaving_backend_server_gets_no_requests():
     table = BackendTable()
-    table.update([record(0, is_draining=True), record(1)], 0)
+    table.update([record(0, is_draining=True), record(1)])
     rows = table.of_service('assistant')
     assert [row.backend_id for row in rows] == ['i-1']
 
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -57,7 +57,6 @@
             )
             for number in range(count)
         ],
-        0,
     )
     place = Place(failure_domain='a', regions={'a': 'r'})
     return Reservations(
