Load the wanted model after another made way; reuse connections for 2.5 s

Cause: an engine whose idle model was unloaded for another one got the old one back. Ruled out: idle limits of the backend servers, which state their own.

--- a/src/kumquatrun/gateway/connection_pool.py
+++ b/src/kumquatrun/gateway/connection_pool.py
@@ -15,7 +15,7 @@
 DEFAULT_IDLE_S = 4.0
 # A request that may not be repeated is lost when the backend server closes
 # the idle connection meanwhile, so it takes only connections used just now.
-UNREPEATABLE_IDLE_S = 1.0
+UNREPEATABLE_IDLE_S = 2.5
 # The backend server's own limit is missed by about the time of one request.
 IDLE_MARGIN_S = 1.0
 MAX_IDLE = 64
--- a/src/kumquatrun/gateway/engine_orders.py
+++ b/src/kumquatrun/gateway/engine_orders.py
@@ -54,6 +54,8 @@
         self._watch = watch
         self._clock = clock
         self._model_used_at_s: dict[str, float] = {}
+        # A base model that another one was unloaded for.
+        self._wanted_model = ''
 
     @property
     def may_order(self) -> bool:
@@ -79,8 +81,8 @@
     async def restore_model(self) -> None:
         """Load a base model into an engine that holds none."""
         name = self._model_to_restore()
-        if name:
-            await self._order((name, ''), 0, is_load=True)
+        if name and await self._order((name, ''), 0, is_load=True):
+            self._wanted_model = ''
 
     async def load_adapter(self, name: AdapterName, version: int) -> bool:
         """Order an adapter; False if no further order is of use now."""
@@ -110,6 +112,7 @@
         idle = self._idle_model(held)
         if idle is None:
             return False
+        self._wanted_model = model
         await self._order((idle.name, ''), 0, is_load=False)
         return True
 
@@ -121,6 +124,8 @@
         return None
 
     def _model_to_restore(self) -> str:
+        if self._wanted_model:
+            return self._wanted_model
         if self._watch.last_models:
             return self._watch.last_models[0]
         spec = self._watch.spec
--- a/tests/test_engine_agent.py
+++ b/tests/test_engine_agent.py
@@ -263,6 +263,9 @@
         await Use(agent, '', 'r2', model='rare').ready()
     await used.end()
     await asyncio.sleep(6)
-    await Use(agent, '', 'r3', model='rare').ready()
+    with pytest.raises(AdapterLoadError, match='no model'):
+        await Use(agent, '', 'r3', model='rare').ready()
+    await asyncio.sleep(1)
+    await Use(agent, '', 'r4', model='rare').ready()
     assert engine.models == ('rare',)
     await agent.stop()
