--- a/tests/test_backend_connection.py
+++ b/tests/test_backend_connection.py
@@ -3,8 +3,8 @@
 import asyncio
 
 import pytest
+from tests.gateway_fakes import Runner, answer
 
-from gateway_fakes import Runner, answer
 from kumquatrun.errors import ConnectionLostError, Outcome
 from kumquatrun.gateway.backend_connection import (
     BrokenAnswerError,
--- a/tests/test_engine_agent.py
+++ b/tests/test_engine_agent.py
@@ -4,8 +4,8 @@
 from contextlib import asynccontextmanager
 
 import pytest
+from tests.gateway_fakes import Engine
 
-from gateway_fakes import Engine
 from kumquatrun.clock import LoopClock
 from kumquatrun.errors import AdapterLoadError, NoCapacityError
 from kumquatrun.gateway.configuration import BaseModelSpec, EngineSpec
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -1,8 +1,7 @@
 """Forwarding: at most once, retries, refusals, streams and their resumption."""
 
 import pytest
-
-from gateway_fakes import (
+from tests.gateway_fakes import (
     LAST_CHUNK,
     NOT_RUN,
     STREAM_HEAD,
@@ -14,6 +13,7 @@
     course_of,
     event,
 )
+
 from kumquatrun.clock import LoopClock
 from kumquatrun.errors import BackendError, NoCapacityError, Outcome
 from kumquatrun.gateway.forwarder import Forwarder
--- a/tests/test_gateway_configuration.py
+++ b/tests/test_gateway_configuration.py
@@ -4,8 +4,8 @@
 import json
 
 import pytest
+from tests.gateway_fakes import CONFIGURATION, configuration
 
-from gateway_fakes import CONFIGURATION, configuration
 from kumquatrun.errors import DocumentError
 from kumquatrun.platform.configuration import decode_configuration
 
--- a/tests/test_gateway_entry.py
+++ b/tests/test_gateway_entry.py
@@ -9,8 +9,7 @@
 import aiohttp
 import msgpack
 import pytest
-
-from gateway_fakes import (
+from tests.gateway_fakes import (
     CONFIGURATION,
     LAST_CHUNK,
     STREAM_HEAD,
@@ -20,6 +19,7 @@
     configuration,
     event,
 )
+
 from kumquatrun.allowance_pool import AllowanceReply
 from kumquatrun.clock import LoopClock
 from kumquatrun.cluster_view import ClusterView
--- /dev/null
+++ b/tests/test_listings.py
@@ -0,0 +1,92 @@
+"""The list of backend servers at the leader and at an entry."""
+
+import asyncio
+
+import pytest
+
+from kumquatrun.address import Address
+from kumquatrun.backend_listing import BackendListing
+from kumquatrun.clock import LoopClock
+from kumquatrun.errors import ConnectionLostError
+from kumquatrun.gateway.backends import BackendRecord, BackendTable
+from kumquatrun.gateway.listing_follower import (
+    MAX_AGE_S,
+    ListingFollower,
+    encode_records,
+)
+
+pytestmark = pytest.mark.looptime
+
+RECORD = BackendRecord(
+    backend_id='i-1',
+    service='s',
+    address=Address('10.0.0.1', 80),
+    failure_domain='a',
+)
+
+
+class Platform:
+    def __init__(self):
+        self.records = [RECORD]
+        self.is_up = True
+        self.calls = 0
+
+    async def read(self):
+        self.calls += 1
+        if not self.is_up:
+            raise ConnectionLostError('down')
+        return encode_records(self.records)
+
+
+async def test_leader_keeps_the_last_list_while_the_platform_is_down():
+    platform = Platform()
+    listing = BackendListing(platform.read, LoopClock())
+    await listing.refresh()
+    version = listing.version
+    platform.is_up = False
+    await asyncio.sleep(3)
+    await listing.refresh()
+    assert listing.version == version
+    assert listing.age_s(LoopClock().now_s()) == pytest.approx(3)
+
+
+async def test_only_the_leader_reads():
+    platform = Platform()
+    listing = BackendListing(platform.read, LoopClock())
+    leads = []
+    task = asyncio.create_task(listing.follow(lambda: bool(leads)))
+    await asyncio.sleep(5)
+    assert platform.calls == 0
+    leads.append(True)
+    await asyncio.sleep(5)
+    assert 8 <= platform.calls <= 12
+    task.cancel()
+
+
+async def test_entry_does_not_read_while_the_leader_tells():
+    platform = Platform()
+    table = BackendTable()
+    follower = ListingFollower(table, platform.read, LoopClock())
+    follower.take(encode_records([RECORD]), 0.1)
+    task = asyncio.create_task(follower.run())
+    for _ in range(10):
+        await asyncio.sleep(0.5)
+        follower.take(None, 0.3)
+    assert platform.calls == 0
+    assert list(table.by_id()) == ['i-1']
+    task.cancel()
+
+
+async def test_entry_without_a_leader_reads_itself():
+    # Guards against a leaving backend server that still gets work because no
+    # leader tells of it: 3 s are allowed.
+    platform = Platform()
+    table = BackendTable()
+    follower = ListingFollower(table, platform.read, LoopClock())
+    follower.take(encode_records([RECORD]), 0)
+    task = asyncio.create_task(follower.run())
+    platform.records = []
+    await asyncio.sleep(MAX_AGE_S + 0.5)
+    assert not table.by_id()
+    assert follower.is_empty
+    task.cancel()
--- /dev/null
+++ b/tests/test_platform_operator.py
@@ -0,0 +1,195 @@
+"""Operator calls of the platform against three control replicas."""
+
+import asyncio
+import json
+import random
+import socket
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pytest
+from tests.control_cluster import control_cluster, eventually
+from tests.gateway_fakes import configuration
+
+from kumquatrun.address import Address
+from kumquatrun.allowance_pool import TakeAllowance
+from kumquatrun.clock import LoopClock
+from kumquatrun.gateway.operator_gate import OperatorGate
+from kumquatrun.leader_client import LeaderClient
+from kumquatrun.messages import Hello
+from kumquatrun.platform.operator import OperatorApi
+
+CONFIG_APPLY_S = 2.5
+
+
+def free_port():
+    with socket.socket() as opened:
+        opened.bind(('127.0.0.1', 0))
+        return opened.getsockname()[1]
+
+
+class Operator:
+    """Calls one control host over HTTP."""
+
+    def __init__(self, port, http, leader):
+        self.url = f'http://127.0.0.1:{port}'
+        self.http = http
+        self.leader = leader
+
+    async def put(self, content):
+        async with self.http.post(
+            f'{self.url}/Config.Put', data=content
+        ) as answer:
+            return answer.status
+
+    async def read(self):
+        async with self.http.get(f'{self.url}/Config.Get') as answer:
+            return answer.status, await answer.read()
+
+    async def name_version(self, **fields):
+        async with self.http.post(
+            f'{self.url}/version-put', json=fields
+        ) as answer:
+            return answer.status
+
+
+@asynccontextmanager
+async def operator_of(cluster):
+    leader = LeaderClient(
+        cluster.addresses(),
+        Hello(node_id='control', incarnation='i'),
+        LoopClock(),
+        random.Random(1),
+    )
+    port = free_port()
+    api = OperatorApi(OperatorGate(leader), Address('127.0.0.1', port))
+    await api.start()
+    async with aiohttp.ClientSession() as http:
+        yield Operator(port, http, leader)
+    await api.stop()
+    await leader.close()
+
+
+async def test_configuration_is_read_back_byte_for_byte():
+    async with control_cluster() as cluster, operator_of(cluster) as operator:
+        content = configuration(version=3)
+        assert await operator.put(content) == 200
+        assert await operator.read() == (200, content)
+
+
+async def test_accepted_configuration_is_never_refused_and_never_reverted():
+    # Guards against a resent change that is refused, and against other
+    # content under a version that is held.
+    async with control_cluster() as cluster, operator_of(cluster) as operator:
+        newest = configuration(version=5)
+        for content in (
+            configuration(version=3),
+            newest,
+            configuration(version=3),
+            configuration(version=5, tenants=[]),
+            newest,
+        ):
+            assert await operator.put(content) == 200
+        assert await operator.read() == (200, newest)
+
+
+@pytest.mark.parametrize(
+    'content',
+    [b'', b'{', configuration(version=9)[:-20], configuration(version=0)],
+)
+async def test_invalid_configuration_changes_nothing(content):
+    async with control_cluster() as cluster, operator_of(cluster) as operator:
+        valid = configuration(version=3)
+        await operator.put(valid)
+        assert await operator.put(content) == 400
+        assert await operator.read() == (200, valid)
+
+
+async def test_reader_that_cannot_be_sure_says_so():
+    # Guards against an older configuration that is shown without a majority.
+    async with control_cluster() as cluster, operator_of(cluster) as operator:
+        assert (await operator.read())[0] == 503
+        await operator.put(configuration(version=3))
+        for name in list(cluster.hosts)[:2]:
+            await cluster.kill_replica(name)
+        assert (await operator.read())[0] == 503
+        assert await operator.put(configuration(version=4)) == 503
+
+
+async def test_configuration_survives_the_loss_of_its_leader():
+    async with control_cluster() as cluster, operator_of(cluster) as operator:
+        content = configuration(version=3)
+        await operator.put(content)
+        await cluster.kill_replica(cluster.leader())
+        await cluster.wait_leader()
+        assert await operator.read() == (200, content)
+
+
+async def test_change_reaches_the_hosts_in_time():
+    async with control_cluster() as cluster, operator_of(cluster) as operator:
+        entry = await cluster.join('entry-1')
+        await eventually(entry.lease_valid, 5)
+        content = configuration(version=3)
+        await operator.put(content)
+        assert (
+            await operator.name_version(model='m', adapter='a1', version=2)
+            == 200
+        )
+        await eventually(
+            lambda: entry.view.adapter_version('m', 'a1') == 2,
+            CONFIG_APPLY_S,
+        )
+        assert entry.view.configuration == (3, content)
+
+
+@pytest.mark.parametrize('fields', [{}, {'model': 'm', 'version': 'new'}])
+async def test_unreadable_version_is_refused(fields):
+    async with control_cluster() as cluster, operator_of(cluster) as operator:
+        assert await operator.name_version(**fields) == 400
+
+
+async def test_leader_grants_by_the_newest_configuration():
+    async with control_cluster() as cluster, operator_of(cluster) as operator:
+        await operator.put(configuration(version=3))
+        asked = TakeAllowance(account='lamps', amounts=(400, 400, 400))
+        reply = await operator.leader.call(asked, 2)
+        assert reply.granted == 1
+        account = json.loads(configuration())['tenants'][0]
+        account['rate_per_s'] = account['burst'] = 0
+        await operator.put(configuration(version=4, tenants=[account]))
+        assert (await operator.leader.call(asked, 2)).granted == 3
+
+
+async def test_list_of_backend_servers_reaches_an_entry():
+    async with control_cluster() as cluster:
+        for host in cluster.hosts.values():
+            host.service._listing = Listing()
+        entry = await cluster.join('entry-1')
+        taken = []
+        entry.follow_listing(lambda encoded, age_s: taken.append(encoded))
+        await eventually(lambda: len(taken) >= 3, 8)
+        assert taken[0] == b'list'
+        assert set(taken[1:]) == {None}
+
+
+class Listing:
+    version = 'one'
+    encoded = b'list'
+
+    def age_s(self, now_s):
+        return 0.1
+
+
+async def test_settings_that_change_lead_to_other_control_hosts():
+    async with control_cluster() as cluster:
+        leader = LeaderClient(
+            (Address('127.0.0.1', 1),),
+            Hello(node_id='n', incarnation='i'),
+            LoopClock(),
+            random.Random(1),
+        )
+        leader.set_addresses(cluster.addresses())
+        reply = await leader.call(TakeAllowance(account='a', amounts=(1,)), 3)
+        assert reply.granted == 1
+        await asyncio.sleep(0)
+        await leader.close()
--- a/tests/test_reference_pages.py
+++ b/tests/test_reference_pages.py
@@ -143,3 +143,27 @@
     for path in [*DOCS.glob('*.md'), ROOT / 'README.md']:
         for target in re.findall(r'\]\(([^)#]+)\)', path.read_text()):
             assert (path.parent / target).exists(), (path.name, target)
+
+
+PLATFORM_NAMES = re.compile(
+    'X-Kumquatrun|Config\\.Put|model_load|/instances|api_keys|/version-put',
+)
+
+
+def test_only_the_platform_folder_knows_names_of_the_platform():
+    # Guards against names of the users' platform in the product.
+    package = ROOT / 'src' / 'kumquatrun'
+    for path in package.rglob('*.py'):
+        if 'platform' in path.relative_to(package).parts[:-1]:
+            continue
+        assert not PLATFORM_NAMES.search(path.read_text()), path
+
+
+def test_only_the_command_line_imports_the_platform_folder():
+    package = ROOT / 'src' / 'kumquatrun'
+    for path in package.rglob('*.py'):
+        if 'platform' in path.relative_to(package).parts[:-1]:
+            continue
+        if path.name != 'cli_platform.py':
+            text = path.read_text()
+            assert not re.search(r'(from|import) kumquatrun.platform', text)
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -6,8 +6,8 @@
 from dataclasses import replace
 
 import pytest
+from tests.gateway_fakes import course_of
 
-from gateway_fakes import course_of
 from kumquatrun.address import Address
 from kumquatrun.clock import LoopClock
 from kumquatrun.errors import NoCapacityError
