--- a/src/kumquatrun/http_server.py
+++ b/src/kumquatrun/http_server.py
@@ -108,7 +108,7 @@
         )
         self._max_connections = max_connections
         self._write_timeout_s = write_timeout_s
-        self._idle_timeout_s = IDLE_TIMEOUT_S
+        self._idle_timeout_s: float | None = None
 
     def set_idle_timeout(self, idle_timeout_s: float) -> None:
         """Change how long connections accepted from now on may stay idle."""
@@ -156,7 +156,7 @@
         transport: asyncio.Transport,
         now_s: float,
     ) -> None:
-        limit_s = self._idle_timeout_s
+        limit_s = self._idle_timeout_s or IDLE_TIMEOUT_S
         if transport.get_write_buffer_size():
             limit_s = self._write_timeout_s
         if now_s - connection.idle_since_s > limit_s:
