--- a/src/kumquatrun/gateway/agent_calls.py
+++ b/src/kumquatrun/gateway/agent_calls.py
@@ -71,10 +71,6 @@
         self._told: set[asyncio.Task] = set()
         self._silent_until_s: dict[Address, float] = {}
 
-    def has_agent(self, backend: Backend) -> bool:
-        """Return whether an agent is registered beside a backend server."""
-        return self._address_of(backend) is not None
-
     @asynccontextmanager
     async def hold(
         self,
--- a/src/kumquatrun/gateway/configuration.py
+++ b/src/kumquatrun/gateway/configuration.py
@@ -71,21 +71,17 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class BaseModelSpec:
-    """A base model of an engine service; sizes in MB, times in seconds."""
+    """A base model of an engine service, with the size of its adapters."""
 
     name: str
     weights_mb: float = 0
     adapter_mb: float = 0
-    adapters: int = 0
-    load_s: float = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EngineSpec:
-    """Capacity of one engine of a service."""
+    """What one engine of a service can hold."""
 
-    batch_slots: int = 0
-    cache_tokens: int = 0
     weights_mb: float = 0
     adapter_slots: int = 0
     base_models: tuple[BaseModelSpec, ...] = ()
@@ -96,8 +92,6 @@
     """A set of backend servers that answer the same requests."""
 
     name: str
-    max_connections: int = 0
-    health_path: str = ''
     engine: EngineSpec | None = None
 
 
@@ -123,9 +117,7 @@
 class CallerLimits:
     """What a caller may send and how long a connection may stay idle."""
 
-    max_header_bytes: int = 16 * 1024
     max_body_bytes: int = 4 * 1024 * 1024
-    header_timeout_ms: int = 3000
     idle_timeout_ms: int = 15_000
 
 
--- a/src/kumquatrun/gateway/connection_pool.py
+++ b/src/kumquatrun/gateway/connection_pool.py
@@ -30,7 +30,6 @@
         self._address = address
         self._idle: list[BackendConnection] = []
         self._idle_limit_s = DEFAULT_IDLE_S
-        self.opened = 0
 
     async def take(self, *, may_repeat: bool) -> BackendConnection:
         """Return an idle connection, or open one.
@@ -47,7 +46,6 @@
         self._drop_old(now_s)
         if self._idle and now_s - self._idle[-1].idle_since_s < limit_s:
             return self._idle.pop()
-        self.opened += 1
         return await open_connection(self._address)
 
     def give_back(
--- a/src/kumquatrun/gateway/control.py
+++ b/src/kumquatrun/gateway/control.py
@@ -47,11 +47,6 @@
         )
         self._tasks: list[asyncio.Task] = []
 
-    @property
-    def replica(self):
-        """Return the control replica."""
-        return self._host.replica
-
     async def start(self) -> None:
         """Start the replica and follow the platform's list while it leads."""
         await self._host.start()
--- a/src/kumquatrun/gateway/engine_agent.py
+++ b/src/kumquatrun/gateway/engine_agent.py
@@ -178,11 +178,7 @@
             gate_waiting=self._gate.waiting,
             report_age_ms=self._watch.age_ms,
         )
-        return AdapterReady(
-            version=version,
-            load=self._load(),
-            waited_s=waited_s,
-        )
+        return AdapterReady(version=version, load=self._load())
 
     async def _keep(
         self,
--- a/src/kumquatrun/gateway/engine_api.py
+++ b/src/kumquatrun/gateway/engine_api.py
@@ -36,8 +36,6 @@
     is_changing_model: bool = False
     waiting: int = 0
     running: int = 0
-    cache_used_tokens: int = 0
-    cache_tokens: int = 0
     models: tuple[HeldModel, ...] = ()
     loading: tuple[tuple[str, str, int], ...] = ()
 
--- a/src/kumquatrun/gateway/messages.py
+++ b/src/kumquatrun/gateway/messages.py
@@ -31,13 +31,11 @@
 class AdapterReady:
     """Second stream item: the engine holds the adapter.
 
-    ``load`` counts the requests at the engine; ``waited_s`` is the time that
-    the load took.
+    ``load`` counts the requests at the engine.
     """
 
     version: int
     load: int
-    waited_s: float = 0.0
 
 
 @message
--- a/src/kumquatrun/platform/configuration.py
+++ b/src/kumquatrun/platform/configuration.py
@@ -89,16 +89,12 @@
     engine = fields.get('engine')
     return BackendService(
         name=decoding.text(fields, 'name'),
-        max_connections=decoding.whole(fields, 'max_connections', 0),
-        health_path=decoding.text(fields, 'health_path', ''),
         engine=_engine(engine) if isinstance(engine, dict) else None,
     )
 
 
 def _engine(fields: Fields) -> EngineSpec:
     return EngineSpec(
-        batch_slots=decoding.whole(fields, 'slots', 0),
-        cache_tokens=decoding.whole(fields, 'kv_tokens', 0),
         weights_mb=decoding.number(fields, 'weights_mb', 0.0),
         adapter_slots=decoding.whole(fields, 'adapter_slots', 0),
         base_models=tuple(map(_model, decoding.rows(fields, 'models', []))),
@@ -110,8 +106,6 @@
         name=decoding.text(fields, 'name'),
         weights_mb=decoding.number(fields, 'weights_mb', 0.0),
         adapter_mb=decoding.number(fields, 'adapter_mb', 0.0),
-        adapters=decoding.whole(fields, 'adapters', 0),
-        load_s=decoding.number(fields, 'load_s', 0.0),
     )
 
 
@@ -136,16 +130,14 @@
 
 def _limits(fields: Any) -> CallerLimits:
     return CallerLimits(
-        max_header_bytes=decoding.whole(
-            fields, 'max_header_bytes', DEFAULT_LIMITS.max_header_bytes
-        ),
         max_body_bytes=decoding.whole(
-            fields, 'max_body_bytes', DEFAULT_LIMITS.max_body_bytes
-        ),
-        header_timeout_ms=decoding.whole(
-            fields, 'header_timeout_ms', DEFAULT_LIMITS.header_timeout_ms
+            fields,
+            'max_body_bytes',
+            DEFAULT_LIMITS.max_body_bytes,
         ),
         idle_timeout_ms=decoding.whole(
-            fields, 'idle_timeout_ms', DEFAULT_LIMITS.idle_timeout_ms
+            fields,
+            'idle_timeout_ms',
+            DEFAULT_LIMITS.idle_timeout_ms,
         ),
     )
--- a/src/kumquatrun/platform/engine.py
+++ b/src/kumquatrun/platform/engine.py
@@ -82,8 +82,8 @@
 def decode_report(fields: decoding.Fields) -> EngineReport:
     """Return the state of an engine.
 
-    ``sequence`` counts the accepted orders, ``kv_used`` is the memory that
-    cannot yield, ``incoming`` lists adapters on their way.
+    ``sequence`` counts the accepted orders, ``incoming`` lists adapters on
+    their way.
     """
     return EngineReport(
         started_ms=decoding.whole(fields, 'born', 0),
@@ -93,8 +93,6 @@
         is_changing_model=decoding.flag(fields, 'busy'),
         waiting=decoding.whole(fields, 'waiting', 0),
         running=decoding.whole(fields, 'running', 0),
-        cache_used_tokens=decoding.whole(fields, 'kv_used', 0),
-        cache_tokens=decoding.whole(fields, 'kv_total', 0),
         models=tuple(
             HeldModel(
                 name=decoding.text(model, 'name'),
