--- a/src/kumquatrun/gateway/control.py
+++ b/src/kumquatrun/gateway/control.py
@@ -9,6 +9,7 @@
 from kumquatrun.gateway.settings import GatewayControlSettings
 from kumquatrun.leader_client import LeaderClient
 from kumquatrun.membership_keeper import MembershipKeeper
+from kumquatrun.memory_store import MemoryStorage
 from kumquatrun.messages import Hello
 
 
@@ -28,7 +29,13 @@
         clock: Clock,
     ) -> None:
         self._listing = listing
-        self._host = ControlHost(settings, clock, listing=listing)
+        storage = None if settings.replica.data_dir else MemoryStorage()
+        self._host = ControlHost(
+            settings,
+            clock,
+            storage=storage,
+            listing=listing,
+        )
         self._keeper = MembershipKeeper(
             self._host.replica,
             clock,
--- a/src/kumquatrun/gateway/settings.py
+++ b/src/kumquatrun/gateway/settings.py
@@ -51,7 +51,9 @@
 class GatewayControlSettings(GatewaySettings):
     """Settings of a control host.
 
-    ``max_lost_replicas`` replicas may be lost at the same time.
+    ``max_lost_replicas`` replicas may be lost at the same time. Without a
+    data directory the replica keeps its log in memory, and a restart is the
+    loss of a disk.
     """
 
     operator_listen: Address
--- a/src/kumquatrun/memory_store.py
+++ b/src/kumquatrun/memory_store.py
@@ -1,4 +1,4 @@
-"""``Storage`` in memory, for tests: models what a crash loses."""
+"""``Storage`` in memory, for tests and for hosts without a disk."""
 
 from collections.abc import Sequence
 from dataclasses import replace
--- a/src/kumquatrun/platform/settings.py
+++ b/src/kumquatrun/platform/settings.py
@@ -20,7 +20,8 @@
 # Of the ports between hosts, which one each kind of process listens on.
 CONTROL_PORT = 0
 AGENT_PORT = 1
-METRICS_PORTS = {'entry': 10, 'control': 11, 'agent': 12}
+# Fixed, because the deploy file states them; the other ports change each day.
+METRICS_PORTS = {'entry': 9610, 'control': 9611, 'agent': 9612}
 
 
 class SettingsFile:
@@ -100,7 +101,7 @@
         max_lost_replicas=decoding.whole(tolerated, 'machines', 1),
         replica=ReplicaSettings(
             replica_id=own_ip,
-            data_dir=decoding.text(fields, 'data_dir'),
+            data_dir=decoding.text(fields, 'data_dir', ''),
             listen=Address(own_ip, _port(fields, CONTROL_PORT)),
             replicas=members,
             join=not founds,
@@ -126,7 +127,7 @@
             'failure_domain': decoding.text(fields, 'zone'),
             'regions': tuple(_object(fields, 'zones').items()),
             'control_addresses': seed_addresses(fields),
-            'admin_listen': Address(ip, _port(fields, METRICS_PORTS[role])),
+            'admin_listen': Address(ip, METRICS_PORTS[role]),
             'listing_address': _address(_object(fields, 'cloud'), 'address'),
         }
     except DocumentError as error:
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -1,6 +1,8 @@
 """Headers, lists, reports, orders and settings in the platform's format."""
 
 import json
+import tomllib
+from pathlib import Path
 
 import pytest
 
@@ -253,3 +255,23 @@
 def test_missing_settings_file_is_an_error(environment):
     with pytest.raises(SettingError):
         SettingsFile(environment).read()
+
+
+def test_control_host_without_a_disk_keeps_its_log_in_memory():
+    # Guards against a host without a disk that ends at its start.
+    control = control_settings({**SETTINGS, 'data_dir': None})
+    assert control.replica.data_dir == ''
+
+
+def test_metrics_are_where_the_deploy_file_says():
+    # Guards against metrics on a port that changes each day.
+    deploy = Path(__file__).parent.parent / 'deploy' / 'system.toml'
+    roles = tomllib.loads(deploy.read_text())['roles']
+    builders = {
+        'entry': entry_settings,
+        'agent': agent_settings,
+        'control': control_settings,
+    }
+    for name, build in builders.items():
+        port = build(SETTINGS).admin_listen.port
+        assert roles[name]['metrics'] == f'{port}/metrics'
