Choose the idle time of connections by what backend servers do

Requests that may not be repeated took none that was idle for 2.5 s, which only matters where backend servers drop idle connections without notice.

--- a/src/kumquatrun/gateway/backends.py
+++ b/src/kumquatrun/gateway/backends.py
@@ -5,7 +5,10 @@
 from dataclasses import dataclass
 
 from kumquatrun.address import Address
-from kumquatrun.gateway.connection_pool import ConnectionPool
+from kumquatrun.gateway.connection_pool import (
+    DEFAULT_IDLE_S,
+    ConnectionPool,
+)
 
 # After a failed connection a backend server is passed over for this time,
 # doubled with each further failure.
@@ -94,9 +97,16 @@
 
 
 class BackendTable:
-    """All listed backend servers, by service."""
+    """All listed backend servers, by service.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    unrepeatable_idle_s
+        See ``ConnectionPool``.
+    """
+
+    def __init__(self, unrepeatable_idle_s: float = DEFAULT_IDLE_S) -> None:
+        self._unrepeatable_idle_s = unrepeatable_idle_s
         self._backends: dict[str, Backend] = {}
         self._services: dict[str, tuple[Backend, ...]] = {}
         self._changed = asyncio.Event()
@@ -108,7 +118,11 @@
         for record in records:
             backend = known.pop(record.backend_id, None)
             if backend is None or backend.record.address != record.address:
-                backend = Backend(record, ConnectionPool(record.address))
+                pool = ConnectionPool(
+                    record.address,
+                    self._unrepeatable_idle_s,
+                )
+                backend = Backend(record, pool)
             backend.record = record
             self._backends[record.backend_id] = backend
         for gone in known.values():
--- a/src/kumquatrun/gateway/connection_pool.py
+++ b/src/kumquatrun/gateway/connection_pool.py
@@ -13,9 +13,9 @@
 # Idle time after which a connection is not used again, where the backend
 # server states no limit of its own.
 DEFAULT_IDLE_S = 4.0
-# A request that may not be repeated is lost when the backend server closes
-# the idle connection meanwhile, so it takes only connections used just now.
-UNREPEATABLE_IDLE_S = 2.5
+# The same for a request that may not be repeated, where backend servers drop
+# idle connections without notice: such a request would be lost.
+DROPPED_IDLE_S = 0.3
 # The backend server's own limit is missed by about the time of one request.
 IDLE_MARGIN_S = 1.0
 MAX_IDLE = 64
@@ -24,10 +24,24 @@
 
 
 class ConnectionPool:
-    """Opens connections to one backend server and keeps the idle ones."""
+    """Opens connections to one backend server and keeps the idle ones.
 
-    def __init__(self, address: Address) -> None:
+    Parameters
+    ----------
+    address
+        Address of the backend server.
+    unrepeatable_idle_s
+        Idle time after which a request that may not be repeated gets a new
+        connection: it is lost if the backend server drops the old one.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        unrepeatable_idle_s: float = DEFAULT_IDLE_S,
+    ) -> None:
         self._address = address
+        self._unrepeatable_idle_s = unrepeatable_idle_s
         self._idle: list[BackendConnection] = []
         self._idle_limit_s = DEFAULT_IDLE_S
 
@@ -42,7 +56,7 @@
         now_s = asyncio.get_running_loop().time()
         limit_s = self._idle_limit_s
         if not may_repeat:
-            limit_s = min(limit_s, UNREPEATABLE_IDLE_S)
+            limit_s = min(limit_s, self._unrepeatable_idle_s)
         self._drop_old(now_s)
         if self._idle and now_s - self._idle[-1].idle_since_s < limit_s:
             return self._idle.pop()
--- a/src/kumquatrun/gateway/entry.py
+++ b/src/kumquatrun/gateway/entry.py
@@ -22,6 +22,10 @@
 from kumquatrun.gateway.balancer import Balancer, Place
 from kumquatrun.gateway.caller_channel import CallerChannel
 from kumquatrun.gateway.configuration import Configuration
+from kumquatrun.gateway.connection_pool import (
+    DEFAULT_IDLE_S,
+    DROPPED_IDLE_S,
+)
 from kumquatrun.gateway.crash_watch import CrashWatch
 from kumquatrun.gateway.forwarder import Forwarder
 from kumquatrun.gateway.listing_follower import ListingFollower
@@ -85,7 +89,11 @@
         self._is_draining = False
         self._refuses_new = False
         self._open = 0
-        self._backends = BackendTable()
+        self._backends = BackendTable(
+            DROPPED_IDLE_S
+            if settings.drops_idle_connections
+            else DEFAULT_IDLE_S,
+        )
         self._listing = listing(self._backends)
         self._allowances = Allowances(
             session.control,
--- a/src/kumquatrun/gateway/settings.py
+++ b/src/kumquatrun/gateway/settings.py
@@ -27,7 +27,8 @@
     """Settings of an entry.
 
     ``retry_ratio`` and ``retry_allowance`` bound the retries of the whole
-    fleet to one service within ``retry_window_s``.
+    fleet to one service within ``retry_window_s``. ``drops_idle_connections`` says
+    that backend servers close idle connections without notice.
     """
 
     http_listen: Address
@@ -36,6 +37,7 @@
     retry_ratio: float = 0.1
     retry_allowance: int = 50
     retry_window_s: float = 10.0
+    drops_idle_connections: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/kumquatrun/platform/settings.py
+++ b/src/kumquatrun/platform/settings.py
@@ -17,6 +17,9 @@
 
 # Environment variable with the path of the settings file.
 PATH_VARIABLE = 'KUMQUATRUN_BOOT'
+# Part of the platform's rules under which backend servers drop idle
+# connections without notice.
+DROPS_IDLE = 'pool'
 # Of the ports between hosts, which one each kind of process listens on.
 CONTROL_PORT = 0
 AGENT_PORT = 1
@@ -71,6 +74,7 @@
         retry_allowance=decoding.whole(bounds, 'budget_extra', 50),
         retry_window_s=decoding.number(bounds, 'budget_window_s', 10.0),
         drain_timeout_s=decoding.number(bounds, 'grace_s', 8.0),
+        drops_idle_connections=DROPS_IDLE in (fields.get('contracts') or ()),
     )
 
 
--- a/tests/test_backend_connection.py
+++ b/tests/test_backend_connection.py
@@ -110,3 +110,14 @@
     with pytest.raises(ConnectionLostError) as raised:
         await open_connection(runner.address)
     assert raised.value.outcome is Outcome.NOT_RUN
+
+
+async def test_unrepeatable_request_takes_no_connection_that_was_idle():
+    runner = await Runner([answer()], [answer()], [answer()]).start()
+    pool = ConnectionPool(runner.address, unrepeatable_idle_s=0.02)
+    for may_repeat, connections in ((True, 1), (False, 2), (True, 2)):
+        await asyncio.sleep(0.05)
+        connection = await pool.take(may_repeat=may_repeat)
+        head, _ = await ask(connection)
+        pool.give_back(connection, head)
+        assert runner.connections == connections
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -275,3 +275,12 @@
     for name, build in builders.items():
         port = build(SETTINGS).admin_listen.port
         assert roles[name]['metrics'] == f'{port}/metrics'
+
+
+def test_connections_that_may_be_dropped_are_not_kept_for_long():
+    # Guards against a booking that is lost on a connection that the backend
+    # server dropped while it was idle.
+    usual = entry_settings(SETTINGS)
+    dropping = entry_settings({**SETTINGS, 'contracts': ['base', 'pool']})
+    assert dropping.drops_idle_connections
+    assert not usual.drops_idle_connections
