--- a/src/kumquatrun/platform/settings.py
+++ b/src/kumquatrun/platform/settings.py
@@ -17,10 +17,14 @@
 
 # Environment variable with the path of the settings file.
 PATH_VARIABLE = 'KUMQUATRUN_BOOT'
+# Part of the platform's rules under which backend servers drop idle
+# connections without notice.
+DROPS_IDLE = 'pool'
 # Of the ports between hosts, which one each kind of process listens on.
 CONTROL_PORT = 0
 AGENT_PORT = 1
-METRICS_PORTS = {'entry': 10, 'control': 11, 'agent': 12}
+# Fixed, because the deploy file states them; the other ports change each day.
+METRICS_PORTS = {'entry': 9610, 'control': 9611, 'agent': 9612}
 
 
 class SettingsFile:
@@ -70,6 +74,7 @@
         retry_allowance=decoding.whole(bounds, 'budget_extra', 50),
         retry_window_s=decoding.number(bounds, 'budget_window_s', 10.0),
         drain_timeout_s=decoding.number(bounds, 'grace_s', 8.0),
+        drops_idle_connections=DROPS_IDLE in (fields.get('contracts') or ()),
     )
 
 
@@ -100,7 +105,7 @@
         max_lost_replicas=decoding.whole(tolerated, 'machines', 1),
         replica=ReplicaSettings(
             replica_id=own_ip,
-            data_dir=decoding.text(fields, 'data_dir'),
+            data_dir=decoding.text(fields, 'data_dir', ''),
             listen=Address(own_ip, _port(fields, CONTROL_PORT)),
             replicas=members,
             join=not founds,
@@ -126,7 +131,7 @@
             'failure_domain': decoding.text(fields, 'zone'),
             'regions': tuple(_object(fields, 'zones').items()),
             'control_addresses': seed_addresses(fields),
-            'admin_listen': Address(ip, _port(fields, METRICS_PORTS[role])),
+            'admin_listen': Address(ip, METRICS_PORTS[role]),
             'listing_address': _address(_object(fields, 'cloud'), 'address'),
         }
     except DocumentError as error:
