Log every failure that a host goes on after

Cause: a lost call to an agent, a failed report of a suspect, an unreadable configuration at an agent, an unreadable settings file and the loss of the leader for allowances left no line. Ruled out: a change of decisions; only log lines were added.

--- a/src/kumquatrun/gateway/agent.py
+++ b/src/kumquatrun/gateway/agent.py
@@ -1,5 +1,7 @@
 """Agent daemon part: peer server of the engine agent with its drain."""
 
+import logging
+
 from kumquatrun.clock import Clock
 from kumquatrun.control_client import Session
 from kumquatrun.errors import DocumentError
@@ -8,9 +10,12 @@
 from kumquatrun.gateway.engine_api import OrderedEngine
 from kumquatrun.gateway.settings import GatewayAgentSettings
 from kumquatrun.gateway.wire_format import WireFormat
+from kumquatrun.logs import log_event
 from kumquatrun.messages import AgentReport, Hello
 from kumquatrun.peer import PeerServer
 
+log = logging.getLogger(__name__)
+
 
 class GatewayAgent:
     """Serves entries with the adapters of one engine."""
@@ -75,9 +80,14 @@
                 self._configuration = self._wire.read_configuration(
                     view.configuration[1],
                 )
-            except DocumentError:
-                # The entries log a configuration that cannot be read.
-                return
+            except DocumentError as error:
+                log_event(
+                    log,
+                    'configuration_unreadable',
+                    level=logging.ERROR,
+                    version=view.configuration_version,
+                    error=str(error),
+                )
 
     def _report(self) -> AgentReport:
         report = self._engine_agent.report
--- a/src/kumquatrun/gateway/agent_calls.py
+++ b/src/kumquatrun/gateway/agent_calls.py
@@ -1,8 +1,9 @@
 """Calls of an entry to the agents beside engines."""
 
 import asyncio
+import logging
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager, suppress
+from contextlib import asynccontextmanager
 from functools import partial
 from typing import Any
 
@@ -15,9 +16,12 @@
 )
 from kumquatrun.gateway.backends import Backend
 from kumquatrun.gateway.messages import AdapterReady, PromptRead, UseAdapter
+from kumquatrun.logs import log_event
 from kumquatrun.messages import Hello
 from kumquatrun.peer import Address, PeerClient, PeerStream
 
+log = logging.getLogger(__name__)
+
 # An agent that takes no connection, or says nothing, in this time is passed
 # over. It covers the round trip between regions and a busy loop.
 CONNECT_LIMIT_S = 0.5
@@ -152,9 +156,16 @@
 
 
 async def _send(client: PeerClient, told: PromptRead) -> None:
-    # The agent forgets a prompt by itself if this is lost.
-    with suppress(KumquatrunError):
+    try:
         await client.call(told, TELL_TIMEOUT_S)
+    except KumquatrunError as error:
+        # The agent forgets the prompt by itself after a while.
+        log_event(
+            log,
+            'prompt_end_not_told',
+            request_id=told.request_id,
+            reason=str(error),
+        )
 
 
 async def _adapter_ready(
--- a/src/kumquatrun/gateway/allowances.py
+++ b/src/kumquatrun/gateway/allowances.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import logging
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -15,6 +16,9 @@
 from kumquatrun.errors import KumquatrunError, RateLimitedError
 from kumquatrun.gateway.configuration import GatewayAccount
 from kumquatrun.leader_client import LeaderClient
+from kumquatrun.logs import log_event
+
+log = logging.getLogger(__name__)
 
 # Longest wait for tokens that the rate brings; a longer one is a refusal.
 MAX_TOKEN_WAIT_S = 0.3
@@ -67,6 +71,7 @@
         self._askers: dict[str, asyncio.Task] = {}
         self._unled: dict[str, _UnledBucket] = {}
         self._unled_until_s = float('-inf')
+        self._is_led = True
 
     async def charge(self, account: GatewayAccount, amount: int) -> None:
         """Take ``amount`` from the account's allowance.
@@ -130,13 +135,25 @@
             reply = await self._leader.call(request, CALL_TIMEOUT_S)
         except KumquatrunError as error:
             self._unled_until_s = self._clock.now_s() + UNLED_S
+            self._note_leader(is_there=False, reason=error.detail)
             _refuse(queue, len(batch), error.detail, 'no_leader', None)
             return
+        self._note_leader(is_there=True)
         for _ in range(reply.granted):
             _settle(queue.popleft(), None)
         if reply.granted < len(batch):
             await self._wait_or_refuse(account, queue, reply)
 
+    def _note_leader(self, *, is_there: bool, reason: str = '') -> None:
+        """Log when the leader is lost and when it answers again."""
+        if is_there == self._is_led:
+            return
+        self._is_led = is_there
+        if is_there:
+            log_event(log, 'allowances_led')
+        else:
+            log_event(log, 'allowances_unled', reason=reason)
+
     async def _wait_or_refuse(
         self,
         account: str,
--- a/src/kumquatrun/gateway/crash_watch.py
+++ b/src/kumquatrun/gateway/crash_watch.py
@@ -4,7 +4,6 @@
 import hashlib
 import logging
 import uuid
-from contextlib import suppress
 
 from kumquatrun.clock import Clock
 from kumquatrun.control_client import Session
@@ -94,5 +93,13 @@
             fingerprints=(fingerprint,),
             report_id=uuid.uuid4().hex,
         )
-        with suppress(KumquatrunError):
+        try:
             await self._session.control.call(report, REPORT_TIMEOUT_S)
+        except KumquatrunError as error:
+            # This host refuses the request by its own count.
+            log_event(
+                log,
+                'report_failed',
+                fingerprint=fingerprint,
+                reason=str(error),
+            )
--- a/src/kumquatrun/gateway/reservations.py
+++ b/src/kumquatrun/gateway/reservations.py
@@ -157,10 +157,18 @@
             hold = await stack.enter_async_context(
                 self._agents.hold(backend, asked, wait_s),
             )
-        except AgentUnreachableError:
-            if _is_listed_with(backend, request, version):
-                return Reservation(backend, version)
-            raise
+        except AgentUnreachableError as error:
+            if not _is_listed_with(backend, request, version):
+                raise
+            log_event(
+                log,
+                'agent_done_without',
+                request_id=request.request_id,
+                backend=backend.backend_id,
+                adapter=request.adapter,
+                reason=error.detail,
+            )
+            return Reservation(backend, version)
         finally:
             course.adapter_wait_s += self._clock.now_s() - began_s
         backend.take_report(hold.ready.load)
--- a/src/kumquatrun/platform/daemons.py
+++ b/src/kumquatrun/platform/daemons.py
@@ -69,21 +69,20 @@
             except TimeoutError:
                 pass
             self._wake.clear()
-            if self._file.has_changed():
-                self._reload()
-
-    def _reload(self) -> None:
-        try:
-            fields = self._file.read()
-            addresses = platform_settings.seed_addresses(fields)
-        except (SettingError, ValueError) as error:
-            log_event(
-                log,
-                'settings_unreadable',
-                level=logging.WARNING,
-                error=str(error),
-            )
+            try:
+                self._follow()
+            except (SettingError, ValueError) as error:
+                log_event(
+                    log,
+                    'settings_unreadable',
+                    level=logging.WARNING,
+                    error=str(error),
+                )
+
+    def _follow(self) -> None:
+        if not self._file.has_changed():
             return
+        addresses = platform_settings.seed_addresses(self._file.read())
         self._set_addresses(addresses)
         log_event(
             log,
--- a/src/kumquatrun/platform/settings.py
+++ b/src/kumquatrun/platform/settings.py
@@ -55,11 +55,17 @@
             raise SettingError(f'{self._path}: {error}') from None
 
     def has_changed(self) -> bool:
-        """Return whether the file differs from what was read last."""
+        """Return whether the file differs from what was read last.
+
+        Raises
+        ------
+        SettingError
+            If the file cannot be read.
+        """
         try:
             return self._path.read_bytes() != self._content
-        except OSError:
-            return False
+        except OSError as error:
+            raise SettingError(f'{self._path}: {error}') from None
 
 
 def entry_settings(fields: decoding.Fields) -> GatewayEntrySettings:
