Give bounded decompression and load metrics modules of their own

Cause: the documents imported the replicated commands for one function, and the agent imported the entry's request metrics for three. Both stand in the way of packages with one direction of imports.

Ruled out: moving the callers, since the control plane and the nodes use both.

--- a/src/kumquatrun/agent.py
+++ b/src/kumquatrun/agent.py
@@ -21,10 +21,10 @@
     SettingError,
     StaleDispatchError,
 )
+from kumquatrun.load_metrics import record_stall
 from kumquatrun.logs import request_id_var
 from kumquatrun.messages import AgentReport, Dispatch, Finished, Hello
 from kumquatrun.peer import CallContext, PeerServer
-from kumquatrun.request_metrics import record_stall
 from kumquatrun.scheduler import Job
 from kumquatrun.seen_requests import SeenRequests
 from kumquatrun.service_client import ServiceApi, ServiceClient
--- a/src/kumquatrun/cluster_view.py
+++ b/src/kumquatrun/cluster_view.py
@@ -18,7 +18,7 @@
 
 import msgpack
 
-from kumquatrun.commands import inflate
+from kumquatrun.compression import inflate
 from kumquatrun.document import (
     EMPTY_DOCUMENT,
     MAX_DOCUMENT_BYTES,
--- a/src/kumquatrun/commands.py
+++ b/src/kumquatrun/commands.py
@@ -11,6 +11,7 @@
 
 import msgpack
 
+from kumquatrun.compression import inflate
 from kumquatrun.errors import WireError
 from kumquatrun.messages import (
     BudgetReport,
@@ -181,21 +182,3 @@
     elif encoded[:1] != _PLAIN:
         raise ValueError(f'unknown format byte {encoded[:1]!r}')
     return msgpack.unpackb(packed)
-
-
-def inflate(compressed: bytes, limit_bytes: int) -> bytes:
-    """Decompress, refusing content larger than ``limit_bytes``.
-
-    Raises
-    ------
-    ValueError
-        If the content is damaged or too large.
-    """
-    decoder = zlib.decompressobj()
-    try:
-        content = decoder.decompress(compressed, limit_bytes)
-    except zlib.error as error:
-        raise ValueError(f'damaged compressed data: {error}') from error
-    if not decoder.eof:
-        raise ValueError(f'compressed data is cut or above {limit_bytes} bytes')
-    return content
--- a/src/kumquatrun/document_register.py
+++ b/src/kumquatrun/document_register.py
@@ -3,7 +3,7 @@
 import zlib
 from typing import Any
 
-from kumquatrun.commands import inflate
+from kumquatrun.compression import inflate
 from kumquatrun.document import (
     EMPTY_DOCUMENT,
     MAX_DOCUMENT_BYTES,
--- a/src/kumquatrun/document_transfer.py
+++ b/src/kumquatrun/document_transfer.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from kumquatrun.commands import inflate
+from kumquatrun.compression import inflate
 from kumquatrun.document import MAX_DOCUMENT_BYTES
 
 COMPRESS_FROM_BYTES = 64 * 1024
--- a/src/kumquatrun/engine_loader.py
+++ b/src/kumquatrun/engine_loader.py
@@ -15,8 +15,8 @@
     KumquatrunError,
     StaleDispatchError,
 )
+from kumquatrun.load_metrics import record_eviction, record_load
 from kumquatrun.messages import AcquireLoadSlot, ReleaseLoadSlot
-from kumquatrun.request_metrics import record_eviction, record_load
 from kumquatrun.scheduler import Scheduler
 
 log = logging.getLogger(__name__)
--- /dev/null
+++ b/src/kumquatrun/load_metrics.py
@@ -0,0 +1,23 @@
+"""Records stalls and adapter loads in the metrics of the process."""
+
+from kumquatrun.metrics import process_metrics
+
+
+def record_stall(service: str, waited_s: float) -> None:
+    """Count a request that waited for the load of its adapter."""
+    metrics = process_metrics()
+    metrics.count('stalls_total', service=service)
+    metrics.observe('stall_seconds', waited_s, service=service)
+
+
+def record_load(result: str, load_s: float | None = None) -> None:
+    """Count the end of a load; ``load_s`` is given if it is done."""
+    metrics = process_metrics()
+    metrics.count('adapter_loads_total', result=result)
+    if load_s is not None:
+        metrics.observe('adapter_load_seconds', load_s)
+
+
+def record_eviction() -> None:
+    """Count an adapter that was unloaded to make room."""
+    process_metrics().count('adapter_evictions_total')
--- a/src/kumquatrun/request_metrics.py
+++ b/src/kumquatrun/request_metrics.py
@@ -1,4 +1,4 @@
-"""Records requests, stalls and loads in the metrics of the process."""
+"""Records requests in the metrics of the process."""
 
 from typing import Protocol
 
@@ -77,23 +77,3 @@
                 account=account,
                 direction=direction,
             )
-
-
-def record_stall(service: str, waited_s: float) -> None:
-    """Count a request that waited for the load of its adapter."""
-    metrics = process_metrics()
-    metrics.count('stalls_total', service=service)
-    metrics.observe('stall_seconds', waited_s, service=service)
-
-
-def record_load(result: str, load_s: float | None = None) -> None:
-    """Count the end of a load; ``load_s`` is given if it is done."""
-    metrics = process_metrics()
-    metrics.count('adapter_loads_total', result=result)
-    if load_s is not None:
-        metrics.observe('adapter_load_seconds', load_s)
-
-
-def record_eviction() -> None:
-    """Count an adapter that was unloaded to make room."""
-    process_metrics().count('adapter_evictions_total')
