--- a/bench/agent_overhead.py
+++ b/bench/agent_overhead.py
@@ -16,11 +16,12 @@
 import aiohttp
 import click
 
-from kumquatrun.agent import Agent
-from kumquatrun.clock import LoopClock
-from kumquatrun.document import Document
-from kumquatrun.engine_client import EngineClient
-from kumquatrun.messages import (
+from kumquatrun.agent.agent import Agent
+from kumquatrun.agent.engine_client import EngineClient
+from kumquatrun.daemon.settings import AgentSettings
+from kumquatrun.document.document import Document
+from kumquatrun.peer import Address, PeerClient
+from kumquatrun.peer.messages import (
     Ack,
     AcquireLoadSlot,
     Dispatch,
@@ -29,8 +30,7 @@
     LoadSlotReply,
     Started,
 )
-from kumquatrun.peer import Address, PeerClient
-from kumquatrun.settings import AgentSettings
+from kumquatrun.runtime.clock import LoopClock
 
 HOST = '127.0.0.1'
 ENGINE_PORT = 18431
--- a/bench/agent_scheduling.py
+++ b/bench/agent_scheduling.py
@@ -15,11 +15,11 @@
 
 import click
 
-from kumquatrun import scheduler as scheduler_module
-from kumquatrun.adapter_slots import PROTECTION_S, AdapterSlots
-from kumquatrun.messages import Dispatch
-from kumquatrun.reload_costs import AdapterKey, ReloadCosts
-from kumquatrun.scheduler import Job, Scheduler
+from kumquatrun.agent import scheduler as scheduler_module
+from kumquatrun.agent.adapter_slots import PROTECTION_S, AdapterSlots
+from kumquatrun.agent.reload_costs import AdapterKey, ReloadCosts
+from kumquatrun.agent.scheduler import Job, Scheduler
+from kumquatrun.peer.messages import Dispatch
 
 TICK_S = 0.05
 LOAD_S = 0.25
--- a/bench/control_calls.py
+++ b/bench/control_calls.py
@@ -18,17 +18,17 @@
 import click
 from bench.control_slopes import CLUSTER_TOKEN, REPLICAS, Replicas, cpu_s
 
-from kumquatrun.clock import LoopClock
-from kumquatrun.control_client import Session
-from kumquatrun.leader_client import LeaderClient
-from kumquatrun.messages import (
+from kumquatrun.membership.control_client import Session
+from kumquatrun.membership.leader_client import LeaderClient
+from kumquatrun.peer import Address
+from kumquatrun.peer.messages import (
     ClaimRequest,
     GrantTokens,
     Hello,
     HostRecord,
     OperatorCall,
 )
-from kumquatrun.peer import Address
+from kumquatrun.runtime.clock import LoopClock
 
 TIMEOUT_S = 10.0
 ACCOUNT = 'acme'
--- a/bench/control_slopes.py
+++ b/bench/control_slopes.py
@@ -23,10 +23,10 @@
 import click
 from bench.local_cluster import LOOPBACK, free_ports
 
-from kumquatrun.clock import LoopClock
-from kumquatrun.control_client import Session
-from kumquatrun.messages import AgentReport, HostRecord
+from kumquatrun.membership.control_client import Session
 from kumquatrun.peer import Address
+from kumquatrun.peer.messages import AgentReport, HostRecord
+from kumquatrun.runtime.clock import LoopClock
 
 REPLICAS = 3
 WORKERS = 4
--- a/bench/overhead_node.py
+++ b/bench/overhead_node.py
@@ -6,12 +6,12 @@
 import click
 from bench.static_session import REGION, SERVICE, StaticSession, host_record
 
-from kumquatrun.agent import Agent
-from kumquatrun.clock import LoopClock
-from kumquatrun.engine_client import EngineClient
-from kumquatrun.entry import Entry
+from kumquatrun.agent.agent import Agent
+from kumquatrun.agent.engine_client import EngineClient
+from kumquatrun.daemon.settings import AgentSettings, EntrySettings
+from kumquatrun.entry.entry import Entry
 from kumquatrun.peer import Address
-from kumquatrun.settings import AgentSettings, EntrySettings
+from kumquatrun.runtime.clock import LoopClock
 
 MAX_RUNNING = 256
 AGENT_ID = 'agent-1'
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -37,12 +37,16 @@
     run_faults,
 )
 
-from kumquatrun.clock import LoopClock
-from kumquatrun.commands import ApplyDocument, IssueKey
-from kumquatrun.control_state import ControlState
-from kumquatrun.execution import Execution, RelayRequest
-from kumquatrun.keys import hash_key
-from kumquatrun.placement import BoundedAffinity, HashAffinity, LeastLoaded
+from kumquatrun.control.commands import ApplyDocument, IssueKey
+from kumquatrun.control.control_state import ControlState
+from kumquatrun.document.keys import hash_key
+from kumquatrun.entry.execution import Execution, RelayRequest
+from kumquatrun.entry.placement import (
+    BoundedAffinity,
+    HashAffinity,
+    LeastLoaded,
+)
+from kumquatrun.runtime.clock import LoopClock
 from kumquatrun_standins.engine_core import EngineOptions
 from kumquatrun_standins.weight_store import WeightStore
 
--- a/bench/policy_cluster.py
+++ b/bench/policy_cluster.py
@@ -13,20 +13,24 @@
 
 from bench.agent_scheduling import LeastRecentlyUsed
 
-from kumquatrun.agent import Agent
-from kumquatrun.agent_pool import AgentPool
-from kumquatrun.budget_client import BudgetClient
-from kumquatrun.claim_client import ClaimClient
-from kumquatrun.cluster_view import ClusterView
-from kumquatrun.commands import (
+from kumquatrun.agent.agent import Agent
+from kumquatrun.agent.completions import ServedBy, Usage
+from kumquatrun.agent.engine_client import EngineHealth
+from kumquatrun.agent.reload_costs import AdapterKey
+from kumquatrun.control.commands import (
     ExpireHost,
     ReportBudgets,
     decode_results,
     encode_batch,
 )
-from kumquatrun.completions import ServedBy, Usage
-from kumquatrun.document import ServiceKind
-from kumquatrun.engine_client import EngineHealth
+from kumquatrun.control.load_slot_queue import LoadSlotQueue
+from kumquatrun.control.report_board import ReportBoard
+from kumquatrun.daemon.settings import AgentSettings
+from kumquatrun.document.document import ServiceKind
+from kumquatrun.entry.agent_pool import AgentPool
+from kumquatrun.entry.budget_client import BudgetClient
+from kumquatrun.entry.claim_client import ClaimClient
+from kumquatrun.entry.relay import Relay
 from kumquatrun.errors import (
     AdapterLoadError,
     ConnectionLostError,
@@ -34,24 +38,20 @@
     KumquatrunError,
     Outcome,
 )
-from kumquatrun.invariants import Invariants
-from kumquatrun.load_slot_queue import LoadSlotQueue
-from kumquatrun.messages import (
+from kumquatrun.membership.cluster_view import ClusterView
+from kumquatrun.peer import (
+    Address,
+    reply_to_error,
+)
+from kumquatrun.peer.link import CONNECT_TIMEOUT_S, SILENCE_LIMIT_S
+from kumquatrun.peer.messages import (
     AcquireLoadSlot,
     ErrorReply,
     HostRecord,
     RegisterHost,
     ReleaseLoadSlot,
 )
-from kumquatrun.peer import (
-    Address,
-    reply_to_error,
-)
-from kumquatrun.peer_link import CONNECT_TIMEOUT_S, SILENCE_LIMIT_S
-from kumquatrun.relay import Relay
-from kumquatrun.reload_costs import AdapterKey
-from kumquatrun.report_board import ReportBoard
-from kumquatrun.settings import AgentSettings
+from kumquatrun.runtime.invariants import Invariants
 from kumquatrun_standins.engine_core import EngineCore, Generation
 
 SERVICE = 'assistant'
--- a/bench/replication.py
+++ b/bench/replication.py
@@ -20,15 +20,19 @@
 
 import click
 
-from kumquatrun.clock import LoopClock
-from kumquatrun.log_store import FileStorage
-from kumquatrun.messages import Hello
+from kumquatrun.consensus.log_store import FileStorage
+from kumquatrun.consensus.quorum_node import NodeOptions
+from kumquatrun.consensus.quorum_types import (
+    ReplicaMeta,
+    Snapshot,
+    SnapshotMeta,
+)
+from kumquatrun.consensus.replica import Replica
+from kumquatrun.consensus.replica_transport import TcpTransport
+from kumquatrun.daemon.settings import ReplicaSettings
 from kumquatrun.peer import Address, PeerServer
-from kumquatrun.quorum_node import NodeOptions
-from kumquatrun.quorum_types import ReplicaMeta, Snapshot, SnapshotMeta
-from kumquatrun.replica import Replica
-from kumquatrun.replica_transport import TcpTransport
-from kumquatrun.settings import ReplicaSettings
+from kumquatrun.peer.messages import Hello
+from kumquatrun.runtime.clock import LoopClock
 
 COMMAND_BYTES = 128
 PROPOSE_TIMEOUT_S = 30.0
--- a/bench/state_size.py
+++ b/bench/state_size.py
@@ -17,10 +17,10 @@
 
 import click
 
-from kumquatrun.cluster_view import ClusterView
-from kumquatrun.commands import ApplyDocument, encode_batch
-from kumquatrun.control_state import ControlState
-from kumquatrun.messages import GrantTokens, HostRecord, RegisterHost
+from kumquatrun.control.commands import ApplyDocument, encode_batch
+from kumquatrun.control.control_state import ControlState
+from kumquatrun.membership.cluster_view import ClusterView
+from kumquatrun.peer.messages import GrantTokens, HostRecord, RegisterHost
 
 SERVICES = 5
 HOSTS = 390
--- a/bench/static_session.py
+++ b/bench/static_session.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from kumquatrun.document import (
+from kumquatrun.document.document import (
     AccountSpec,
     AdapterSpec,
     Document,
@@ -10,7 +10,7 @@
     ServiceKind,
     ServiceSpec,
 )
-from kumquatrun.messages import (
+from kumquatrun.peer.messages import (
     Ack,
     AcquireLoadSlot,
     GrantReply,
--- a/deploy/start.py
+++ b/deploy/start.py
@@ -5,6 +5,6 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / 'src'))
 
-from kumquatrun.cli import main
+from kumquatrun.command_line.cli import main
 
 main()
--- a/examples/own_placement.py
+++ b/examples/own_placement.py
@@ -9,7 +9,7 @@
 from collections.abc import Sequence
 from dataclasses import replace
 
-from kumquatrun.placement import (
+from kumquatrun.entry.placement import (
     AgentLoad,
     BoundedAffinity,
     PlacementPolicy,
--- a/src/kumquatrun/__init__.py
+++ b/src/kumquatrun/__init__.py
@@ -14,24 +14,24 @@
 - peer connections: ``PeerServer`` and ``PeerClient``
 """
 
-from kumquatrun.account_budgets import BudgetRegister
-from kumquatrun.adapter_slots import AdapterSlots
-from kumquatrun.claims import ClaimRegister
-from kumquatrun.clock import Clock, LoopClock
-from kumquatrun.control_client import Session
+from kumquatrun.agent.adapter_slots import AdapterSlots
+from kumquatrun.agent.fair_queue import FairQueue
+from kumquatrun.consensus.log_store import FileStorage, Storage
+from kumquatrun.consensus.memory_store import MemoryStorage
+from kumquatrun.consensus.quorum_log import QuorumLog
+from kumquatrun.consensus.quorum_node import StateMachine
+from kumquatrun.consensus.replica import Replica
+from kumquatrun.consensus.replica_transport import Transport
+from kumquatrun.control.account_budgets import BudgetRegister
+from kumquatrun.control.claims import ClaimRegister
+from kumquatrun.control.leases import LeaseTable
+from kumquatrun.entry.placement import BoundedAffinity, PlacementPolicy
+from kumquatrun.entry.token_wallet import TokenWallet
 from kumquatrun.errors import KumquatrunError, Outcome
-from kumquatrun.fair_queue import FairQueue
-from kumquatrun.leases import LeaseTable
-from kumquatrun.log_store import FileStorage, Storage
-from kumquatrun.memory_store import MemoryStorage
+from kumquatrun.membership.control_client import Session
 from kumquatrun.peer import Address, PeerClient, PeerServer
-from kumquatrun.placement import BoundedAffinity, PlacementPolicy
-from kumquatrun.quorum_log import QuorumLog
-from kumquatrun.quorum_node import StateMachine
-from kumquatrun.replica import Replica
-from kumquatrun.replica_transport import Transport
-from kumquatrun.statechart import StateChart, load_chart
-from kumquatrun.token_wallet import TokenWallet
+from kumquatrun.runtime.clock import Clock, LoopClock
+from kumquatrun.runtime.statechart import StateChart, load_chart
 
 __all__ = (
     'AdapterSlots',
--- a/src/kumquatrun/__main__.py
+++ b/src/kumquatrun/__main__.py
@@ -1,5 +1,5 @@
 """Run the command line with ``python -m kumquatrun``."""
 
-from kumquatrun.cli import main
+from kumquatrun.command_line.cli import main
 
 main(prog_name='kumquatrun')
--- a/src/kumquatrun/adapter_slots.py
+++ b/src/kumquatrun/agent/adapter_slots.py
@@ -5,9 +5,13 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from kumquatrun.invariants import require
-from kumquatrun.reload_costs import DEFAULT_LOAD_S, AdapterKey, ReloadCosts
-from kumquatrun.statechart import load_chart
+from kumquatrun.agent.reload_costs import (
+    DEFAULT_LOAD_S,
+    AdapterKey,
+    ReloadCosts,
+)
+from kumquatrun.runtime.invariants import require
+from kumquatrun.runtime.statechart import load_chart
 
 # An adapter stays for at least one load time after it was loaded, so that a
 # slot spends at most half of its time on loading. Without it, adapters that
--- a/src/kumquatrun/agent.py
+++ b/src/kumquatrun/agent/agent.py
@@ -4,12 +4,16 @@
 import logging
 from typing import Any
 
-from kumquatrun.backend_runner import BackendRunner
-from kumquatrun.clock import Clock
-from kumquatrun.control_api import NodeSession
-from kumquatrun.document import ServiceKind
-from kumquatrun.engine_client import EngineApi, EngineClient
-from kumquatrun.engine_runner import EngineRunner
+from kumquatrun.agent.backend_runner import BackendRunner
+from kumquatrun.agent.engine_client import EngineApi, EngineClient
+from kumquatrun.agent.engine_runner import EngineRunner
+from kumquatrun.agent.load_metrics import record_stall
+from kumquatrun.agent.scheduler import Job
+from kumquatrun.agent.seen_requests import SeenRequests
+from kumquatrun.agent.service_client import ServiceApi, ServiceClient
+from kumquatrun.agent.service_runner import ServiceRunner
+from kumquatrun.daemon.settings import AgentSettings
+from kumquatrun.document.document import ServiceKind
 from kumquatrun.errors import (
     ControlUnreachableError,
     DeadlineExceededError,
@@ -21,16 +25,12 @@
     SettingError,
     StaleDispatchError,
 )
-from kumquatrun.load_metrics import record_stall
-from kumquatrun.logs import request_id_var
-from kumquatrun.messages import AgentReport, Dispatch, Finished, Hello
+from kumquatrun.membership.control_api import NodeSession
 from kumquatrun.peer import CallContext, PeerServer
-from kumquatrun.scheduler import Job
-from kumquatrun.seen_requests import SeenRequests
-from kumquatrun.service_client import ServiceApi, ServiceClient
-from kumquatrun.service_runner import ServiceRunner
-from kumquatrun.settings import AgentSettings
-from kumquatrun.statechart import load_chart
+from kumquatrun.peer.messages import AgentReport, Dispatch, Finished, Hello
+from kumquatrun.runtime.clock import Clock
+from kumquatrun.runtime.logs import request_id_var
+from kumquatrun.runtime.statechart import load_chart
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/backend_runner.py
+++ b/src/kumquatrun/agent/backend_runner.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from kumquatrun.messages import Finished
+from kumquatrun.agent.scheduler import Job, Scheduler
 from kumquatrun.peer import CallContext
-from kumquatrun.scheduler import Job, Scheduler
+from kumquatrun.peer.messages import Finished
 
 
 class BackendRunner(Protocol):
--- a/src/kumquatrun/completions.py
+++ b/src/kumquatrun/agent/completions.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 from typing import Any
 
-from kumquatrun.adapter_slots import AdapterKey
+from kumquatrun.agent.adapter_slots import AdapterKey
+from kumquatrun.agent.merged_answer import can_merge
 from kumquatrun.errors import InvalidRequestError
-from kumquatrun.merged_answer import can_merge
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/kumquatrun/crash_reports.py
+++ b/src/kumquatrun/agent/crash_reports.py
@@ -5,10 +5,10 @@
 import uuid
 from typing import Any
 
-from kumquatrun.control_api import NodeSession
+from kumquatrun.agent.suspects import BatchRecord
 from kumquatrun.errors import KumquatrunError
-from kumquatrun.messages import ClearSuspect, ReportSuspects
-from kumquatrun.suspects import BatchRecord
+from kumquatrun.membership.control_api import NodeSession
+from kumquatrun.peer.messages import ClearSuspect, ReportSuspects
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/engine_client.py
+++ b/src/kumquatrun/agent/engine_client.py
@@ -9,9 +9,9 @@
 
 import aiohttp
 
-from kumquatrun.adapter_slots import AdapterKey
-from kumquatrun.backend_http import BackendCall, BackendHttp, read_chunks
-from kumquatrun.completions import (
+from kumquatrun.agent.adapter_slots import AdapterKey
+from kumquatrun.agent.backend_http import BackendCall, BackendHttp, read_chunks
+from kumquatrun.agent.completions import (
     EngineBody,
     GenerateCall,
     ServedBy,
@@ -21,15 +21,15 @@
     parse_served_by,
     parse_usage,
 )
-from kumquatrun.document import ServiceKind
+from kumquatrun.agent.merged_answer import MergedAnswer
+from kumquatrun.agent.sse import EventSplitter, event_json
+from kumquatrun.document.document import ServiceKind
 from kumquatrun.errors import (
     AdapterLoadError,
     BackendError,
     ConnectionLostError,
     StaleDispatchError,
 )
-from kumquatrun.merged_answer import MergedAnswer
-from kumquatrun.sse import EventSplitter, event_json
 
 FENCING_HEADER = 'X-Fencing-Number'
 HEALTH_TIMEOUT_S = 1.0
--- a/src/kumquatrun/engine_loader.py
+++ b/src/kumquatrun/agent/engine_loader.py
@@ -5,19 +5,19 @@
 import random
 from collections.abc import Callable
 
-from kumquatrun.adapter_slots import AdapterKey, LoadTicket
-from kumquatrun.clock import Clock
-from kumquatrun.control_api import NodeSession
-from kumquatrun.engine_client import EngineApi
+from kumquatrun.agent.adapter_slots import AdapterKey, LoadTicket
+from kumquatrun.agent.engine_client import EngineApi
+from kumquatrun.agent.load_metrics import record_eviction, record_load
+from kumquatrun.agent.scheduler import Scheduler
 from kumquatrun.errors import (
     AdapterLoadError,
     ControlUnreachableError,
     KumquatrunError,
     StaleDispatchError,
 )
-from kumquatrun.load_metrics import record_eviction, record_load
-from kumquatrun.messages import AcquireLoadSlot, ReleaseLoadSlot
-from kumquatrun.scheduler import Scheduler
+from kumquatrun.membership.control_api import NodeSession
+from kumquatrun.peer.messages import AcquireLoadSlot, ReleaseLoadSlot
+from kumquatrun.runtime.clock import Clock
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/engine_runner.py
+++ b/src/kumquatrun/agent/engine_runner.py
@@ -4,17 +4,17 @@
 import logging
 from collections.abc import Callable, Coroutine
 
-from kumquatrun.adapter_slots import AdapterKey, AdapterSlots
-from kumquatrun.clock import Clock
-from kumquatrun.completions import GenerateCall, ServedBy, refusal_code
-from kumquatrun.control_api import NodeSession
-from kumquatrun.crash_reports import CrashReporter
-from kumquatrun.engine_client import (
+from kumquatrun.agent.adapter_slots import AdapterKey, AdapterSlots
+from kumquatrun.agent.completions import GenerateCall, ServedBy, refusal_code
+from kumquatrun.agent.crash_reports import CrashReporter
+from kumquatrun.agent.engine_client import (
     EngineApi,
     EngineHealth,
     Generation,
 )
-from kumquatrun.engine_loader import EngineLoader
+from kumquatrun.agent.engine_loader import EngineLoader
+from kumquatrun.agent.scheduler import Job, Scheduler
+from kumquatrun.daemon.settings import AgentSettings
 from kumquatrun.errors import (
     AdapterLoadError,
     ConnectionLostError,
@@ -23,12 +23,12 @@
     Outcome,
     OutcomeUnknownError,
 )
-from kumquatrun.invariants import violations
-from kumquatrun.messages import Dispatch, Finished, Started
-from kumquatrun.metrics import process_metrics
+from kumquatrun.membership.control_api import NodeSession
 from kumquatrun.peer import CallContext
-from kumquatrun.scheduler import Job, Scheduler
-from kumquatrun.settings import AgentSettings
+from kumquatrun.peer.messages import Dispatch, Finished, Started
+from kumquatrun.runtime.clock import Clock
+from kumquatrun.runtime.invariants import violations
+from kumquatrun.runtime.metrics import process_metrics
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/load_metrics.py
+++ b/src/kumquatrun/agent/load_metrics.py
@@ -1,6 +1,6 @@
 """Records stalls and adapter loads in the metrics of the process."""
 
-from kumquatrun.metrics import process_metrics
+from kumquatrun.runtime.metrics import process_metrics
 
 
 def record_stall(service: str, waited_s: float) -> None:
--- a/src/kumquatrun/scheduler.py
+++ b/src/kumquatrun/agent/scheduler.py
@@ -6,11 +6,16 @@
 
 from result import Result
 
-from kumquatrun.adapter_slots import AdapterKey, AdapterSlots, LoadTicket, Pin
+from kumquatrun.agent.adapter_slots import (
+    AdapterKey,
+    AdapterSlots,
+    LoadTicket,
+    Pin,
+)
+from kumquatrun.agent.fair_queue import FairQueue, Share
+from kumquatrun.agent.suspects import SoloGate
 from kumquatrun.errors import KumquatrunError, NoCapacityError
-from kumquatrun.fair_queue import FairQueue, Share
-from kumquatrun.messages import Dispatch
-from kumquatrun.suspects import SoloGate
+from kumquatrun.peer.messages import Dispatch
 
 # Loads of one engine at the same time; more would only compete for the
 # fleet-wide load slots and empty more adapter slots at once.
--- a/src/kumquatrun/service_client.py
+++ b/src/kumquatrun/agent/service_client.py
@@ -6,8 +6,8 @@
 
 import aiohttp
 
-from kumquatrun.backend_http import BackendCall, BackendHttp, read_chunks
-from kumquatrun.document import ServiceKind
+from kumquatrun.agent.backend_http import BackendCall, BackendHttp, read_chunks
+from kumquatrun.document.document import ServiceKind
 
 
 class ServiceAnswer(Protocol):
--- a/src/kumquatrun/service_runner.py
+++ b/src/kumquatrun/agent/service_runner.py
@@ -2,15 +2,15 @@
 
 from collections.abc import Callable
 
-from kumquatrun.backend_http import BackendCall
-from kumquatrun.control_api import NodeSession
-from kumquatrun.crash_reports import CrashReporter
+from kumquatrun.agent.backend_http import BackendCall
+from kumquatrun.agent.crash_reports import CrashReporter
+from kumquatrun.agent.scheduler import Job, Scheduler
+from kumquatrun.agent.service_client import ServiceApi
+from kumquatrun.daemon.settings import AgentSettings
 from kumquatrun.errors import ConnectionLostError, Outcome
-from kumquatrun.messages import Dispatch, Finished, Started
+from kumquatrun.membership.control_api import NodeSession
 from kumquatrun.peer import CallContext
-from kumquatrun.scheduler import Job, Scheduler
-from kumquatrun.service_client import ServiceApi
-from kumquatrun.settings import AgentSettings
+from kumquatrun.peer.messages import Dispatch, Finished, Started
 
 
 class ServiceRunner:
--- a/src/kumquatrun/sse.py
+++ b/src/kumquatrun/agent/sse.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from kumquatrun.completions import json_object
+from kumquatrun.agent.completions import json_object
 from kumquatrun.errors import BackendError
 
 MAX_EVENT_BYTES = 1024 * 1024
--- /dev/null
+++ b/src/kumquatrun/command_line/__init__.py
@@ -0,0 +1,4 @@
+"""The command ``kumquatrun`` and the daemons that it starts.
+
+May import every other package.
+"""
--- a/src/kumquatrun/cli.py
+++ b/src/kumquatrun/command_line/cli.py
@@ -3,12 +3,15 @@
 import click
 
 from kumquatrun import __version__
-from kumquatrun.cli_daemons import daemon_command
-from kumquatrun.cli_documents import document_commands, key_commands
-from kumquatrun.cli_explain import explain_command
-from kumquatrun.cli_operator import SIMPLE_ACTIONS
-from kumquatrun.cli_platform import platform_command
-from kumquatrun.setting_table import ALL_DAEMONS, ENVIRONMENT_PREFIX
+from kumquatrun.command_line.cli_daemons import daemon_command
+from kumquatrun.command_line.cli_documents import (
+    document_commands,
+    key_commands,
+)
+from kumquatrun.command_line.cli_explain import explain_command
+from kumquatrun.command_line.cli_operator import SIMPLE_ACTIONS
+from kumquatrun.command_line.cli_platform import platform_command
+from kumquatrun.daemon.setting_table import ALL_DAEMONS, ENVIRONMENT_PREFIX
 
 
 @click.group(context_settings={'auto_envvar_prefix': ENVIRONMENT_PREFIX})
--- a/src/kumquatrun/cli_daemons.py
+++ b/src/kumquatrun/command_line/cli_daemons.py
@@ -7,15 +7,15 @@
 
 import click
 
-from kumquatrun.cli_output import ExitCode, exit_code_of
-from kumquatrun.errors import KumquatrunError
-from kumquatrun.logs import configure_logs
-from kumquatrun.setting_builder import build_settings
-from kumquatrun.setting_table import (
+from kumquatrun.command_line.cli_output import ExitCode, exit_code_of
+from kumquatrun.daemon.setting_builder import build_settings
+from kumquatrun.daemon.setting_table import (
     ENVIRONMENT_PREFIX,
     Setting,
     settings_of,
 )
+from kumquatrun.errors import KumquatrunError
+from kumquatrun.runtime.logs import configure_logs
 
 _TEXTS = {
     'entry': 'Start an entry: the HTTP server for callers.',
@@ -43,7 +43,7 @@
     """Check the settings and run the daemon until it is told to stop."""
     # Imported late: the operator commands need none of the daemons' parts
     # and start in half the time without them.
-    from kumquatrun import daemons
+    from kumquatrun.command_line import daemons
 
     try:
         settings = build_settings(daemon, given)
--- a/src/kumquatrun/cli_documents.py
+++ b/src/kumquatrun/command_line/cli_documents.py
@@ -6,25 +6,25 @@
 
 import click
 
-from kumquatrun import setting_kinds as kinds
-from kumquatrun.cli_operator import (
+from kumquatrun.command_line.cli_operator import (
     OperatorContext,
     operator_command,
     option,
 )
-from kumquatrun.cli_output import fail, print_result
-from kumquatrun.document import digest_document, parse_document
-from kumquatrun.document_transfer import pack_content, unpack_content
+from kumquatrun.command_line.cli_output import fail, print_result
+from kumquatrun.command_line.operator_client import ControlTarget
+from kumquatrun.daemon import setting_kinds as kinds
+from kumquatrun.document.document import digest_document, parse_document
+from kumquatrun.document.document_transfer import pack_content, unpack_content
+from kumquatrun.document.keys import hash_key
 from kumquatrun.errors import (
     DocumentError,
     KumquatrunError,
     NotTriedError,
     RevisionConflictError,
 )
-from kumquatrun.keys import hash_key
-from kumquatrun.logs import KEY_PREFIX
-from kumquatrun.operator_client import ControlTarget
-from kumquatrun.wire import MAX_FRAME_BYTES
+from kumquatrun.peer.wire import MAX_FRAME_BYTES
+from kumquatrun.runtime.logs import KEY_PREFIX
 
 KEY_BYTES = 32
 KEY_ID_BYTES = 6
--- a/src/kumquatrun/cli_explain.py
+++ b/src/kumquatrun/command_line/cli_explain.py
@@ -7,7 +7,7 @@
 
 import click
 
-from kumquatrun.cli_output import ExitCode
+from kumquatrun.command_line.cli_output import ExitCode
 
 _TIME = re.compile(r'\btime=(\S+)')
 _REQUEST = 'request_id='
--- a/src/kumquatrun/cli_operator.py
+++ b/src/kumquatrun/command_line/cli_operator.py
@@ -9,15 +9,15 @@
 
 import click
 
-from kumquatrun import setting_kinds as kinds
-from kumquatrun.cli_output import fail, print_result
-from kumquatrun.errors import KumquatrunError
-from kumquatrun.operator_client import (
+from kumquatrun.command_line.cli_output import fail, print_result
+from kumquatrun.command_line.operator_client import (
     READ_ACTIONS,
     ControlTarget,
     OperatorClient,
 )
-from kumquatrun.setting_table import ENVIRONMENT_PREFIX
+from kumquatrun.daemon import setting_kinds as kinds
+from kumquatrun.daemon.setting_table import ENVIRONMENT_PREFIX
+from kumquatrun.errors import KumquatrunError
 
 MAX_ROWS = 10_000
 
--- a/src/kumquatrun/cli_platform.py
+++ b/src/kumquatrun/command_line/cli_platform.py
@@ -4,9 +4,9 @@
 
 import click
 
-from kumquatrun.bounded_log import BoundedLogHandler
-from kumquatrun.cli_daemons import run_until_stopped
-from kumquatrun.logs import configure_logs
+from kumquatrun.command_line.cli_daemons import run_until_stopped
+from kumquatrun.runtime.bounded_log import BoundedLogHandler
+from kumquatrun.runtime.logs import configure_logs
 
 ROLES = ('entry', 'agent', 'control')
 
--- a/src/kumquatrun/daemons.py
+++ b/src/kumquatrun/command_line/daemons.py
@@ -5,24 +5,24 @@
 from collections.abc import Callable
 from typing import Any
 
-from kumquatrun.admin import AdminServer
-from kumquatrun.agent import BACKENDS, Agent
-from kumquatrun.clock import Clock, LoopClock
-from kumquatrun.control_client import Session
-from kumquatrun.entry import Entry
-from kumquatrun.host_list import HostListWatcher
-from kumquatrun.invariants import violations
-from kumquatrun.lifecycle import Daemon, Part, run_daemon
-from kumquatrun.logs import log_event
-from kumquatrun.messages import HostRecord
-from kumquatrun.metrics import Metrics, process_metrics
-from kumquatrun.peer import sent_bytes
-from kumquatrun.settings import (
+from kumquatrun.agent.agent import BACKENDS, Agent
+from kumquatrun.daemon.admin import AdminServer
+from kumquatrun.daemon.host_list import HostListWatcher
+from kumquatrun.daemon.lifecycle import Daemon, Part, run_daemon
+from kumquatrun.daemon.settings import (
     AgentSettings,
     ControlSettings,
     DaemonSettings,
     EntrySettings,
 )
+from kumquatrun.entry.entry import Entry
+from kumquatrun.membership.control_client import Session
+from kumquatrun.peer import sent_bytes
+from kumquatrun.peer.messages import HostRecord
+from kumquatrun.runtime.clock import Clock, LoopClock
+from kumquatrun.runtime.invariants import violations
+from kumquatrun.runtime.logs import log_event
+from kumquatrun.runtime.metrics import Metrics, process_metrics
 
 log = logging.getLogger(__name__)
 
@@ -250,7 +250,7 @@
     clock: Clock,
     metrics: Metrics,
 ) -> Any:
-    from kumquatrun.control_host import ControlHost
+    from kumquatrun.control.control_host import ControlHost
 
     control = ControlHost(settings, clock)
     replica = control.replica
--- a/src/kumquatrun/operator_client.py
+++ b/src/kumquatrun/command_line/operator_client.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from kumquatrun.daemon.setting_kinds import parse_address
 from kumquatrun.errors import (
     ConnectionLostError,
     ControlUnreachableError,
@@ -16,9 +17,8 @@
     Outcome,
     OutcomeUnknownError,
 )
-from kumquatrun.messages import Hello, OperatorCall
 from kumquatrun.peer import Address, PeerClient
-from kumquatrun.setting_kinds import parse_address
+from kumquatrun.peer.messages import Hello, OperatorCall
 
 READ_ACTIONS = frozenset(
     (
--- a/src/kumquatrun/consensus_messages.py
+++ b/src/kumquatrun/consensus/consensus_messages.py
@@ -6,7 +6,7 @@
 
 from enum import StrEnum
 
-from kumquatrun.messages import message
+from kumquatrun.peer.messages import message
 
 
 class EntryKind(StrEnum):
--- a/src/kumquatrun/group_formation.py
+++ b/src/kumquatrun/consensus/group_formation.py
@@ -10,8 +10,8 @@
 from dataclasses import replace
 from enum import StrEnum
 
-from kumquatrun.consensus_messages import FormationState, Member
-from kumquatrun.quorum_types import ReplicaMeta
+from kumquatrun.consensus.consensus_messages import FormationState, Member
+from kumquatrun.consensus.quorum_types import ReplicaMeta
 
 
 class FormationStep(StrEnum):
--- a/src/kumquatrun/log_records.py
+++ b/src/kumquatrun/consensus/log_records.py
@@ -12,7 +12,7 @@
 
 import msgpack
 
-from kumquatrun.consensus_messages import EntryKind, LogEntry
+from kumquatrun.consensus.consensus_messages import EntryKind, LogEntry
 
 _FIELDS = struct.Struct('>II')
 _HEADER_CRC = struct.Struct('>I')
--- a/src/kumquatrun/log_segments.py
+++ b/src/kumquatrun/consensus/log_segments.py
@@ -4,14 +4,14 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from kumquatrun.consensus_messages import LogEntry
-from kumquatrun.errors import CorruptLogError
-from kumquatrun.log_records import (
+from kumquatrun.consensus.consensus_messages import LogEntry
+from kumquatrun.consensus.log_records import (
     decode_entry,
     encode_entry,
     has_record_after,
     read_records,
 )
+from kumquatrun.errors import CorruptLogError
 
 SEGMENT_PATTERN = 'log-*.seg'
 
--- a/src/kumquatrun/log_store.py
+++ b/src/kumquatrun/consensus/log_store.py
@@ -15,19 +15,27 @@
 
 import msgpack
 
-from kumquatrun.consensus_messages import LogEntry
-from kumquatrun.errors import CorruptLogError, SettingError
-from kumquatrun.log_records import Record, decode_record, encode_record
-from kumquatrun.log_segments import SEGMENT_PATTERN, Segment, sync_directory
-from kumquatrun.metrics import process_metrics
-from kumquatrun.quorum_membership import Membership
-from kumquatrun.quorum_types import (
+from kumquatrun.consensus.consensus_messages import LogEntry
+from kumquatrun.consensus.log_records import (
+    Record,
+    decode_record,
+    encode_record,
+)
+from kumquatrun.consensus.log_segments import (
+    SEGMENT_PATTERN,
+    Segment,
+    sync_directory,
+)
+from kumquatrun.consensus.quorum_membership import Membership
+from kumquatrun.consensus.quorum_types import (
     HardState,
     ReplicaMeta,
     Snapshot,
     SnapshotMeta,
     StoredState,
 )
+from kumquatrun.errors import CorruptLogError, SettingError
+from kumquatrun.runtime.metrics import process_metrics
 
 SEGMENT_BYTES = 4 * 1024 * 1024
 SNAPSHOT_PATTERN = 'snapshot-*.bin'
--- a/src/kumquatrun/membership_keeper.py
+++ b/src/kumquatrun/consensus/membership_keeper.py
@@ -8,10 +8,10 @@
 import asyncio
 import logging
 
-from kumquatrun.clock import Clock
+from kumquatrun.consensus.quorum_types import MembershipChange
+from kumquatrun.consensus.replica import Replica
 from kumquatrun.errors import KumquatrunError
-from kumquatrun.quorum_types import MembershipChange
-from kumquatrun.replica import Replica
+from kumquatrun.runtime.clock import Clock
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/memory_store.py
+++ b/src/kumquatrun/consensus/memory_store.py
@@ -3,8 +3,8 @@
 from collections.abc import Sequence
 from dataclasses import replace
 
-from kumquatrun.consensus_messages import LogEntry
-from kumquatrun.quorum_types import ReplicaMeta, Snapshot, StoredState
+from kumquatrun.consensus.consensus_messages import LogEntry
+from kumquatrun.consensus.quorum_types import ReplicaMeta, Snapshot, StoredState
 
 
 class MemoryStorage:
--- a/src/kumquatrun/quorum_changes.py
+++ b/src/kumquatrun/consensus/quorum_changes.py
@@ -7,16 +7,16 @@
 
 from collections.abc import Callable, Mapping
 
-from kumquatrun.consensus_messages import Member
+from kumquatrun.consensus.consensus_messages import Member
+from kumquatrun.consensus.quorum_entries import EntryLog
+from kumquatrun.consensus.quorum_membership import Membership
+from kumquatrun.consensus.quorum_progress import Progress
+from kumquatrun.consensus.quorum_types import MembershipChange, Timing
 from kumquatrun.errors import (
     InvalidRequestError,
     NotFoundError,
     NotLeaderError,
 )
-from kumquatrun.quorum_entries import EntryLog
-from kumquatrun.quorum_membership import Membership
-from kumquatrun.quorum_progress import Progress
-from kumquatrun.quorum_types import MembershipChange, Timing
 
 
 def _add_learner(
--- a/src/kumquatrun/quorum_election.py
+++ b/src/kumquatrun/consensus/quorum_election.py
@@ -4,11 +4,16 @@
 import random
 from dataclasses import replace
 
-from kumquatrun.consensus_messages import VoteReply, VoteRequest
-from kumquatrun.quorum_entries import EntryLog, LogInvariantError
-from kumquatrun.quorum_types import Envelope, HardState, Identity, Timing
-from kumquatrun.quorum_votes import Campaign, candidate_key, may_grant
-from kumquatrun.statechart import load_chart
+from kumquatrun.consensus.consensus_messages import VoteReply, VoteRequest
+from kumquatrun.consensus.quorum_entries import EntryLog, LogInvariantError
+from kumquatrun.consensus.quorum_types import (
+    Envelope,
+    HardState,
+    Identity,
+    Timing,
+)
+from kumquatrun.consensus.quorum_votes import Campaign, candidate_key, may_grant
+from kumquatrun.runtime.statechart import load_chart
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/quorum_entries.py
+++ b/src/kumquatrun/consensus/quorum_entries.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Sequence
 
-from kumquatrun.consensus_messages import EntryKind, LogEntry
-from kumquatrun.quorum_membership import Membership
-from kumquatrun.quorum_types import SnapshotMeta
+from kumquatrun.consensus.consensus_messages import EntryKind, LogEntry
+from kumquatrun.consensus.quorum_membership import Membership
+from kumquatrun.consensus.quorum_types import SnapshotMeta
 
 MAX_BATCH_ENTRIES = 1024
 
--- a/src/kumquatrun/quorum_follower.py
+++ b/src/kumquatrun/consensus/quorum_follower.py
@@ -2,15 +2,15 @@
 
 from dataclasses import dataclass
 
-from kumquatrun.consensus_messages import (
+from kumquatrun.consensus.consensus_messages import (
     AppendReply,
     AppendRequest,
     SnapshotChunk,
     SnapshotReply,
 )
-from kumquatrun.quorum_election import Election
-from kumquatrun.quorum_entries import EntryLog
-from kumquatrun.quorum_types import Identity, Snapshot, SnapshotMeta
+from kumquatrun.consensus.quorum_election import Election
+from kumquatrun.consensus.quorum_entries import EntryLog
+from kumquatrun.consensus.quorum_types import Identity, Snapshot, SnapshotMeta
 
 
 @dataclass(frozen=True)
--- a/src/kumquatrun/quorum_leader.py
+++ b/src/kumquatrun/consensus/quorum_leader.py
@@ -2,16 +2,21 @@
 
 import logging
 
-from kumquatrun.consensus_messages import (
+from kumquatrun.consensus.consensus_messages import (
     AppendReply,
     AppendRequest,
     JoinRequest,
     LogEntry,
     SnapshotReply,
 )
-from kumquatrun.quorum_entries import EntryLog
-from kumquatrun.quorum_progress import ChunkTransfer, Progress
-from kumquatrun.quorum_types import ChunkOrder, Envelope, Identity, Timing
+from kumquatrun.consensus.quorum_entries import EntryLog
+from kumquatrun.consensus.quorum_progress import ChunkTransfer, Progress
+from kumquatrun.consensus.quorum_types import (
+    ChunkOrder,
+    Envelope,
+    Identity,
+    Timing,
+)
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/quorum_log.py
+++ b/src/kumquatrun/consensus/quorum_log.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
-from kumquatrun.consensus_messages import (
+from kumquatrun.consensus.consensus_messages import (
     AppendReply,
     AppendRequest,
     EntryKind,
@@ -22,14 +22,16 @@
     VoteReply,
     VoteRequest,
 )
-from kumquatrun.errors import NoCapacityError, NotLeaderError
-from kumquatrun.quorum_changes import next_repair, requested_membership
-from kumquatrun.quorum_election import Election
-from kumquatrun.quorum_entries import EntryLog
-from kumquatrun.quorum_follower import Follower
-from kumquatrun.quorum_leader import Leadership
-from kumquatrun.quorum_membership import Membership
-from kumquatrun.quorum_types import (
+from kumquatrun.consensus.quorum_changes import (
+    next_repair,
+    requested_membership,
+)
+from kumquatrun.consensus.quorum_election import Election
+from kumquatrun.consensus.quorum_entries import EntryLog
+from kumquatrun.consensus.quorum_follower import Follower
+from kumquatrun.consensus.quorum_leader import Leadership
+from kumquatrun.consensus.quorum_membership import Membership
+from kumquatrun.consensus.quorum_types import (
     Barrier,
     Identity,
     MembershipChange,
@@ -38,6 +40,7 @@
     StoredState,
     Timing,
 )
+from kumquatrun.errors import NoCapacityError, NotLeaderError
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/quorum_membership.py
+++ b/src/kumquatrun/consensus/quorum_membership.py
@@ -6,7 +6,7 @@
 
 import msgpack
 
-from kumquatrun.consensus_messages import Member
+from kumquatrun.consensus.consensus_messages import Member
 
 
 @dataclass(frozen=True)
--- a/src/kumquatrun/quorum_node.py
+++ b/src/kumquatrun/consensus/quorum_node.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any, Protocol
 
-from kumquatrun.consensus_messages import (
+from kumquatrun.consensus.consensus_messages import (
     EntryKind,
     FormationState,
     JoinReply,
@@ -19,10 +19,10 @@
     LogEntry,
     SnapshotChunk,
 )
-from kumquatrun.group_formation import FormationStep, GroupFormation
-from kumquatrun.log_store import Storage
-from kumquatrun.quorum_log import QuorumLog
-from kumquatrun.quorum_types import (
+from kumquatrun.consensus.group_formation import FormationStep, GroupFormation
+from kumquatrun.consensus.log_store import Storage
+from kumquatrun.consensus.quorum_log import QuorumLog
+from kumquatrun.consensus.quorum_types import (
     ChunkOrder,
     Envelope,
     Output,
--- a/src/kumquatrun/quorum_progress.py
+++ b/src/kumquatrun/consensus/quorum_progress.py
@@ -3,7 +3,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from kumquatrun.quorum_types import SnapshotMeta
+from kumquatrun.consensus.quorum_types import SnapshotMeta
 
 MAX_BATCHES_IN_FLIGHT = 4
 
--- a/src/kumquatrun/quorum_types.py
+++ b/src/kumquatrun/consensus/quorum_types.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from kumquatrun.consensus_messages import LogEntry, Member
+from kumquatrun.consensus.consensus_messages import LogEntry, Member
 
 
 @dataclass(frozen=True)
--- a/src/kumquatrun/quorum_votes.py
+++ b/src/kumquatrun/consensus/quorum_votes.py
@@ -1,9 +1,9 @@
 """Votes: counting them as a candidate and granting them as a voter."""
 
-from kumquatrun.consensus_messages import VoteReply, VoteRequest
-from kumquatrun.quorum_entries import EntryLog
-from kumquatrun.quorum_membership import Membership
-from kumquatrun.quorum_types import Envelope, HardState, Identity
+from kumquatrun.consensus.consensus_messages import VoteReply, VoteRequest
+from kumquatrun.consensus.quorum_entries import EntryLog
+from kumquatrun.consensus.quorum_membership import Membership
+from kumquatrun.consensus.quorum_types import Envelope, HardState, Identity
 
 
 def candidate_key(replica_id: str, disk_id: str) -> str:
--- a/src/kumquatrun/replica.py
+++ b/src/kumquatrun/consensus/replica.py
@@ -7,14 +7,26 @@
 from collections.abc import Callable
 from typing import Any
 
-from kumquatrun.clock import Clock
-from kumquatrun.consensus_messages import (
+from kumquatrun.consensus.consensus_messages import (
     AppendRequest,
     FormationState,
     JoinRequest,
     SnapshotChunk,
     VoteRequest,
 )
+from kumquatrun.consensus.log_store import Storage
+from kumquatrun.consensus.quorum_node import LogNode, NodeOptions, StateMachine
+from kumquatrun.consensus.quorum_types import Envelope, MembershipChange, Output
+from kumquatrun.consensus.replica_addresses import (
+    check_address,
+    initial_addresses,
+    known_addresses,
+    node_settings,
+)
+from kumquatrun.consensus.replica_status import ReplicaStatus
+from kumquatrun.consensus.replica_transport import Transport
+from kumquatrun.consensus.replica_work import ReplicaWork, Reply
+from kumquatrun.daemon.settings import ReplicaSettings
 from kumquatrun.errors import (
     DeadlineExceededError,
     InvalidRequestError,
@@ -22,21 +34,9 @@
     OutcomeUnknownError,
     RequestTooLargeError,
 )
-from kumquatrun.log_store import Storage
-from kumquatrun.messages import Ack
 from kumquatrun.peer import Address
-from kumquatrun.quorum_node import LogNode, NodeOptions, StateMachine
-from kumquatrun.quorum_types import Envelope, MembershipChange, Output
-from kumquatrun.replica_addresses import (
-    check_address,
-    initial_addresses,
-    known_addresses,
-    node_settings,
-)
-from kumquatrun.replica_status import ReplicaStatus
-from kumquatrun.replica_transport import Transport
-from kumquatrun.replica_work import ReplicaWork, Reply
-from kumquatrun.settings import ReplicaSettings
+from kumquatrun.peer.messages import Ack
+from kumquatrun.runtime.clock import Clock
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/replica_addresses.py
+++ b/src/kumquatrun/consensus/replica_addresses.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Mapping
 
+from kumquatrun.consensus.quorum_node import LogNode, NodeSettings
+from kumquatrun.daemon.settings import ReplicaSettings
 from kumquatrun.errors import InvalidRequestError, SettingError
 from kumquatrun.peer import Address
-from kumquatrun.quorum_node import LogNode, NodeSettings
-from kumquatrun.settings import ReplicaSettings
 
 
 def initial_addresses(settings: ReplicaSettings) -> Mapping[str, Address]:
--- a/src/kumquatrun/replica_status.py
+++ b/src/kumquatrun/consensus/replica_status.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Callable
 
-from kumquatrun.consensus_messages import Member
+from kumquatrun.consensus.consensus_messages import Member
+from kumquatrun.consensus.quorum_log import QuorumLog
+from kumquatrun.consensus.quorum_node import LogNode
+from kumquatrun.daemon.settings import ReplicaSettings
 from kumquatrun.errors import NotLeaderError
 from kumquatrun.peer import Address
-from kumquatrun.quorum_log import QuorumLog
-from kumquatrun.quorum_node import LogNode
-from kumquatrun.settings import ReplicaSettings
 
 
 class ReplicaStatus:
--- a/src/kumquatrun/replica_transport.py
+++ b/src/kumquatrun/consensus/replica_transport.py
@@ -8,8 +8,8 @@
 from typing import Any, Protocol
 
 from kumquatrun.errors import ConnectionLostError, KumquatrunError, Outcome
-from kumquatrun.messages import Hello
 from kumquatrun.peer import Address, PeerClient
+from kumquatrun.peer.messages import Hello
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/replica_work.py
+++ b/src/kumquatrun/consensus/replica_work.py
@@ -5,15 +5,15 @@
 from dataclasses import dataclass
 from typing import Any
 
+from kumquatrun.consensus.quorum_node import Applied, LogNode
+from kumquatrun.consensus.quorum_types import Barrier
 from kumquatrun.errors import (
     KumquatrunError,
     NoCapacityError,
     NotLeaderError,
     OutcomeUnknownError,
 )
-from kumquatrun.messages import Ack
-from kumquatrun.quorum_node import Applied, LogNode
-from kumquatrun.quorum_types import Barrier
+from kumquatrun.peer.messages import Ack
 
 
 @dataclass(frozen=True)
--- a/src/kumquatrun/account_budgets.py
+++ b/src/kumquatrun/control/account_budgets.py
@@ -14,11 +14,11 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from kumquatrun.document import AccountSpec
+from kumquatrun.control.hosts import Incarnation
+from kumquatrun.document.document import AccountSpec
 from kumquatrun.errors import NotFoundError
-from kumquatrun.hosts import Incarnation
-from kumquatrun.invariants import check_invariant
-from kumquatrun.messages import BudgetReport, GrantReply, GrantTokens
+from kumquatrun.peer.messages import BudgetReport, GrantReply, GrantTokens
+from kumquatrun.runtime.invariants import check_invariant
 
 _MICRO = 1_000_000
 # A tokens/s rate is a millitokens/ms rate, that is 1,000 microtokens/ms.
--- a/src/kumquatrun/allowance_pool.py
+++ b/src/kumquatrun/control/allowance_pool.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from kumquatrun.configuration_register import AccountAllowance
-from kumquatrun.messages import message
+from kumquatrun.control.configuration_register import AccountAllowance
+from kumquatrun.peer.messages import message
 
 # Part of the burst that a new leader starts with: its predecessor may have
 # granted a whole burst just before.
--- a/src/kumquatrun/backend_listing.py
+++ b/src/kumquatrun/control/backend_listing.py
@@ -9,8 +9,8 @@
 from collections.abc import Awaitable, Callable
 from hashlib import blake2b
 
-from kumquatrun.clock import Clock
 from kumquatrun.errors import KumquatrunError
+from kumquatrun.runtime.clock import Clock
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/claims.py
+++ b/src/kumquatrun/control/claims.py
@@ -18,13 +18,13 @@
     NoCapacityError,
     Outcome,
 )
-from kumquatrun.invariants import check_invariant
-from kumquatrun.messages import (
+from kumquatrun.peer.messages import (
     ClaimReply,
     ClaimRequest,
     FinishClaim,
     StoredAnswer,
 )
+from kumquatrun.runtime.invariants import check_invariant
 
 RETENTION_MS = 24 * 60 * 60 * 1000
 MAX_ANSWER_BYTES = 4 * 1024
--- a/src/kumquatrun/command_batcher.py
+++ b/src/kumquatrun/control/command_batcher.py
@@ -4,11 +4,11 @@
 from collections import deque
 from typing import Any, Protocol
 
-from kumquatrun.clock import Clock
-from kumquatrun.commands import decode_results, encode_batch
+from kumquatrun.control.commands import decode_results, encode_batch
 from kumquatrun.errors import KumquatrunError, NotLeaderError
-from kumquatrun.messages import ErrorReply
 from kumquatrun.peer import reply_to_error
+from kumquatrun.peer.messages import ErrorReply
+from kumquatrun.runtime.clock import Clock
 
 MAX_BATCH_COMMANDS = 512
 PROPOSE_TIMEOUT_S = 3.0
--- a/src/kumquatrun/commands.py
+++ b/src/kumquatrun/control/commands.py
@@ -11,9 +11,9 @@
 
 import msgpack
 
-from kumquatrun.compression import inflate
 from kumquatrun.errors import WireError
-from kumquatrun.messages import (
+from kumquatrun.peer.compression import inflate
+from kumquatrun.peer.messages import (
     BudgetReport,
     decode_message,
     encode_message,
--- a/src/kumquatrun/configuration_register.py
+++ b/src/kumquatrun/control/configuration_register.py
@@ -8,7 +8,7 @@
 import zlib
 from typing import Any
 
-from kumquatrun.messages import message
+from kumquatrun.peer.messages import message
 
 # Adapter names per snapshot entry; a version of 0 was never named.
 AdapterName = tuple[str, str]
--- a/src/kumquatrun/control.py
+++ b/src/kumquatrun/control/control.py
@@ -6,31 +6,34 @@
 from contextlib import suppress
 from typing import Any
 
-from kumquatrun.allowance_pool import (
+from kumquatrun.consensus.replica import Replica
+from kumquatrun.control.allowance_pool import (
     AllowancePool,
     AllowanceReply,
     TakeAllowance,
 )
-from kumquatrun.backend_listing import BackendListing
-from kumquatrun.clock import Clock
-from kumquatrun.command_batcher import CommandBatcher
-from kumquatrun.commands import ExpireHost, ReportBudgets
-from kumquatrun.configuration_register import (
+from kumquatrun.control.backend_listing import BackendListing
+from kumquatrun.control.command_batcher import CommandBatcher
+from kumquatrun.control.commands import ExpireHost, ReportBudgets
+from kumquatrun.control.configuration_register import (
     ConfigurationReply,
     NameAdapterVersion,
     PutConfiguration,
     ReadConfiguration,
 )
-from kumquatrun.control_state import ControlState
+from kumquatrun.control.control_state import ControlState
+from kumquatrun.control.feed_log import FeedLog
+from kumquatrun.control.leases import Incarnation, LeaseTable
+from kumquatrun.control.load_slot_queue import LoadSlotQueue
+from kumquatrun.control.operator_actions import OperatorActions
+from kumquatrun.control.report_board import ReportBoard
 from kumquatrun.errors import (
     KumquatrunError,
     NotFoundError,
     NotLeaderError,
 )
-from kumquatrun.feed_log import FeedLog
-from kumquatrun.leases import Incarnation, LeaseTable
-from kumquatrun.load_slot_queue import LoadSlotQueue
-from kumquatrun.messages import (
+from kumquatrun.peer import CallContext
+from kumquatrun.peer.messages import (
     Ack,
     AcquireLoadSlot,
     ClaimRequest,
@@ -48,10 +51,7 @@
     RenewLease,
     ReportSuspects,
 )
-from kumquatrun.operator_actions import OperatorActions
-from kumquatrun.peer import CallContext
-from kumquatrun.replica import Replica
-from kumquatrun.report_board import ReportBoard
+from kumquatrun.runtime.clock import Clock
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/control_host.py
+++ b/src/kumquatrun/control/control_host.py
@@ -3,18 +3,18 @@
 import random
 import uuid
 
-from kumquatrun.backend_listing import BackendListing
-from kumquatrun.clock import Clock
-from kumquatrun.control import ControlService
-from kumquatrun.control_state import ControlState
+from kumquatrun.consensus.log_store import FileStorage, Storage
+from kumquatrun.consensus.replica import Replica
+from kumquatrun.consensus.replica_transport import TcpTransport
+from kumquatrun.control.backend_listing import BackendListing
+from kumquatrun.control.control import ControlService
+from kumquatrun.control.control_state import ControlState
+from kumquatrun.control.feed_log import FeedLog
+from kumquatrun.daemon.settings import DaemonSettings
 from kumquatrun.errors import SettingError
-from kumquatrun.feed_log import FeedLog
-from kumquatrun.log_store import FileStorage, Storage
-from kumquatrun.messages import Hello
 from kumquatrun.peer import Address, PeerServer
-from kumquatrun.replica import Replica
-from kumquatrun.replica_transport import TcpTransport
-from kumquatrun.settings import DaemonSettings
+from kumquatrun.peer.messages import Hello
+from kumquatrun.runtime.clock import Clock
 
 
 class FeedingState:
--- a/src/kumquatrun/control_registers.py
+++ b/src/kumquatrun/control/control_registers.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
-from kumquatrun.account_budgets import BudgetRegister
-from kumquatrun.audit import AuditTrail
-from kumquatrun.claims import ClaimRegister
-from kumquatrun.commands import (
+from kumquatrun.control.account_budgets import BudgetRegister
+from kumquatrun.control.audit import AuditTrail
+from kumquatrun.control.claims import ClaimRegister
+from kumquatrun.control.commands import (
     ApplyDocument,
     DocumentReply,
     DrainHost,
@@ -16,21 +16,24 @@
     ReportBudgets,
     RevokeKey,
 )
-from kumquatrun.configuration_register import (
+from kumquatrun.control.configuration_register import (
     ConfigurationRegister,
     ConfigurationReply,
     NameAdapterVersion,
     PutConfiguration,
 )
-from kumquatrun.document_register import DocumentRegister
+from kumquatrun.control.document_register import DocumentRegister
+from kumquatrun.control.hosts import HostRegister, host_fields, host_summary
+from kumquatrun.control.operations import OperationRegister
+from kumquatrun.control.quarantine import Change, QuarantineRegister
+from kumquatrun.document.keys import KeyRecord, KeyRegister, key_summary
 from kumquatrun.errors import (
     InvalidRequestError,
     KumquatrunError,
     NotFoundError,
 )
-from kumquatrun.hosts import HostRegister, host_fields, host_summary
-from kumquatrun.keys import KeyRecord, KeyRegister, key_summary
-from kumquatrun.messages import (
+from kumquatrun.peer.errors import error_to_reply
+from kumquatrun.peer.messages import (
     Ack,
     ClaimReply,
     ClaimRequest,
@@ -43,9 +46,6 @@
     RegisterReply,
     ReportSuspects,
 )
-from kumquatrun.operations import OperationRegister
-from kumquatrun.peer_errors import error_to_reply
-from kumquatrun.quarantine import Change, QuarantineRegister
 
 # Author of changes that follow from the passing of time.
 _CONTROL = 'control'
--- a/src/kumquatrun/control_state.py
+++ b/src/kumquatrun/control/control_state.py
@@ -9,17 +9,17 @@
 
 import msgpack
 
-from kumquatrun.audit import AuditEntry
-from kumquatrun.commands import decode_batch, encode_results
-from kumquatrun.configuration_register import (
+from kumquatrun.control.audit import AuditEntry
+from kumquatrun.control.commands import decode_batch, encode_results
+from kumquatrun.control.configuration_register import (
     AccountAllowance,
     ConfigurationReply,
 )
-from kumquatrun.control_registers import ControlRegisters
-from kumquatrun.document import AdapterSpec, Document
-from kumquatrun.hosts import Incarnation, host_fields
-from kumquatrun.keys import KeyRecord
-from kumquatrun.messages import FeedItem, HostRecord
+from kumquatrun.control.control_registers import ControlRegisters
+from kumquatrun.control.hosts import Incarnation, host_fields
+from kumquatrun.document.document import AdapterSpec, Document
+from kumquatrun.document.keys import KeyRecord
+from kumquatrun.peer.messages import FeedItem, HostRecord
 
 _FORMAT = 2
 
--- a/src/kumquatrun/document_register.py
+++ b/src/kumquatrun/control/document_register.py
@@ -3,8 +3,7 @@
 import zlib
 from typing import Any
 
-from kumquatrun.compression import inflate
-from kumquatrun.document import (
+from kumquatrun.document.document import (
     EMPTY_DOCUMENT,
     MAX_DOCUMENT_BYTES,
     BaseDocument,
@@ -15,6 +14,7 @@
     parse_document,
 )
 from kumquatrun.errors import RevisionConflictError
+from kumquatrun.peer.compression import inflate
 
 # A delta of more adapters than this is larger than the compressed document.
 _MAX_CHANGES = 5000
--- a/src/kumquatrun/load_slot_queue.py
+++ b/src/kumquatrun/control/load_slot_queue.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from kumquatrun.clock import Clock
-from kumquatrun.load_slots import LoadSlots
-from kumquatrun.messages import AcquireLoadSlot, LoadSlotReply
+from kumquatrun.control.load_slots import LoadSlots
+from kumquatrun.peer.messages import AcquireLoadSlot, LoadSlotReply
+from kumquatrun.runtime.clock import Clock
 
 SLOT_WAIT_S = 1.0
 RETRY_AFTER_S = 0.05
--- a/src/kumquatrun/operations.py
+++ b/src/kumquatrun/control/operations.py
@@ -7,7 +7,7 @@
 import msgpack
 
 from kumquatrun.errors import InvalidRequestError
-from kumquatrun.messages import decode_message, encode_message
+from kumquatrun.peer.messages import decode_message, encode_message
 
 MAX_OPERATIONS = 10_000
 _DIGEST_BYTES = 16
--- a/src/kumquatrun/operator_actions.py
+++ b/src/kumquatrun/control/operator_actions.py
@@ -5,14 +5,19 @@
 from dataclasses import asdict
 from typing import Any
 
-from kumquatrun.command_batcher import CommandBatcher
-from kumquatrun.commands import ApplyDocument, DrainHost, IssueKey, RevokeKey
-from kumquatrun.control_state import ControlState
-from kumquatrun.document_transfer import pack_content, unpack_arguments
+from kumquatrun.consensus.quorum_types import MembershipChange
+from kumquatrun.consensus.replica import Replica
+from kumquatrun.control.command_batcher import CommandBatcher
+from kumquatrun.control.commands import (
+    ApplyDocument,
+    DrainHost,
+    IssueKey,
+    RevokeKey,
+)
+from kumquatrun.control.control_state import ControlState
+from kumquatrun.document.document_transfer import pack_content, unpack_arguments
 from kumquatrun.errors import InvalidRequestError, UnauthorizedPeerError
-from kumquatrun.messages import AgentReport, OperatorCall, OperatorReply
-from kumquatrun.quorum_types import MembershipChange
-from kumquatrun.replica import Replica
+from kumquatrun.peer.messages import AgentReport, OperatorCall, OperatorReply
 
 READ_TIMEOUT_S = 2.0
 MEMBERSHIP_TIMEOUT_S = 30.0
--- a/src/kumquatrun/quarantine.py
+++ b/src/kumquatrun/control/quarantine.py
@@ -14,7 +14,7 @@
 from collections import OrderedDict
 from typing import Any
 
-from kumquatrun.statechart import load_chart
+from kumquatrun.runtime.statechart import load_chart
 
 QUARANTINE_MS = 10 * 60 * 1000
 # A suspect that nobody sends again is forgotten after this time.
--- /dev/null
+++ b/src/kumquatrun/daemon/__init__.py
@@ -0,0 +1,4 @@
+"""Settings and life of one process.
+
+May import ``document``, ``peer`` and ``runtime``.
+"""
--- a/src/kumquatrun/admin.py
+++ b/src/kumquatrun/daemon/admin.py
@@ -4,8 +4,8 @@
 
 from aiohttp import hdrs, web
 
-from kumquatrun.metrics import Metrics
 from kumquatrun.peer import Address
+from kumquatrun.runtime.metrics import Metrics
 
 UNAVAILABLE = 503
 
--- a/src/kumquatrun/lifecycle.py
+++ b/src/kumquatrun/daemon/lifecycle.py
@@ -6,9 +6,9 @@
 from collections.abc import Coroutine, Sequence
 from typing import Any, Protocol
 
-from kumquatrun.logs import log_event
-from kumquatrun.settings import DaemonSettings
-from kumquatrun.statechart import load_chart
+from kumquatrun.daemon.settings import DaemonSettings
+from kumquatrun.runtime.logs import log_event
+from kumquatrun.runtime.statechart import load_chart
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/setting_builder.py
+++ b/src/kumquatrun/daemon/setting_builder.py
@@ -6,9 +6,14 @@
 
 import click
 
+from kumquatrun.daemon.setting_table import (
+    CLASSES,
+    SETTINGS,
+    Setting,
+    settings_of,
+)
+from kumquatrun.daemon.settings import DaemonSettings, ReplicaSettings
 from kumquatrun.errors import SettingError
-from kumquatrun.setting_table import CLASSES, SETTINGS, Setting, settings_of
-from kumquatrun.settings import DaemonSettings, ReplicaSettings
 
 _BY_NAME: Mapping[str, Setting] = {row.name: row for row in SETTINGS}
 
--- a/src/kumquatrun/setting_table.py
+++ b/src/kumquatrun/daemon/setting_table.py
@@ -6,14 +6,14 @@
 
 import click
 
-from kumquatrun import setting_kinds as kinds
-from kumquatrun.document import ServiceKind
-from kumquatrun.settings import (
+from kumquatrun.daemon import setting_kinds as kinds
+from kumquatrun.daemon.settings import (
     AgentSettings,
     ControlSettings,
     DaemonSettings,
     EntrySettings,
 )
+from kumquatrun.document.document import ServiceKind
 
 ENVIRONMENT_PREFIX = 'KUMQUATRUN'
 ENTRY = ('entry',)
--- a/src/kumquatrun/settings.py
+++ b/src/kumquatrun/daemon/settings.py
@@ -5,7 +5,7 @@
 
 from dataclasses import dataclass
 
-from kumquatrun.document import ServiceKind
+from kumquatrun.document.document import ServiceKind
 from kumquatrun.peer import Address
 
 
--- /dev/null
+++ b/src/kumquatrun/document/__init__.py
@@ -0,0 +1,4 @@
+"""The operator's document and the keys of client accounts.
+
+May import ``peer`` and ``runtime``.
+"""
--- a/src/kumquatrun/document.py
+++ b/src/kumquatrun/document/document.py
@@ -14,12 +14,12 @@
 
 from pydantic import TypeAdapter, ValidationError
 
-from kumquatrun.document_checks import (
+from kumquatrun.document.document_checks import (
     content_faults,
     repeated_members,
     shape_faults,
 )
-from kumquatrun.document_fast import (
+from kumquatrun.document.document_fast import (
     NO_BASE,
     BaseDocument,
     collection_paused,
@@ -27,7 +27,7 @@
     common_suffix,
     read_plain_document,
 )
-from kumquatrun.document_types import (
+from kumquatrun.document.document_types import (
     EMPTY_DOCUMENT,
     Access,
     AccountSpec,
--- a/src/kumquatrun/document_checks.py
+++ b/src/kumquatrun/document/document_checks.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
 
-from kumquatrun.document_types import (
+from kumquatrun.document.document_types import (
     Access,
     Document,
     DocumentIndex,
--- a/src/kumquatrun/document_fast.py
+++ b/src/kumquatrun/document/document_fast.py
@@ -18,8 +18,11 @@
 from pydantic import TypeAdapter, ValidationError
 from pydantic_core import from_json as read_json
 
-from kumquatrun.document_checks import repeated_members, small_part_faults
-from kumquatrun.document_types import (
+from kumquatrun.document.document_checks import (
+    repeated_members,
+    small_part_faults,
+)
+from kumquatrun.document.document_types import (
     EMPTY_DOCUMENT,
     NAME_PATTERN,
     AdapterSpec,
--- a/src/kumquatrun/document_transfer.py
+++ b/src/kumquatrun/document/document_transfer.py
@@ -8,8 +8,8 @@
 from collections.abc import Mapping
 from typing import Any
 
-from kumquatrun.compression import inflate
-from kumquatrun.document import MAX_DOCUMENT_BYTES
+from kumquatrun.document.document import MAX_DOCUMENT_BYTES
+from kumquatrun.peer.compression import inflate
 
 COMPRESS_FROM_BYTES = 64 * 1024
 _PLAIN = 'content'
--- a/src/kumquatrun/admission.py
+++ b/src/kumquatrun/entry/admission.py
@@ -4,23 +4,23 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from kumquatrun.clock import Clock
-from kumquatrun.control_api import NodeSession
-from kumquatrun.document import Access, RouteSpec
+from kumquatrun.document.document import Access, RouteSpec
+from kumquatrun.entry.execution import RelayRequest
+from kumquatrun.entry.openai_api import (
+    CompletionRequest,
+    Endpoint,
+    endpoint_of,
+    parse_completion,
+)
+from kumquatrun.entry.route_table import RouteTable
 from kumquatrun.errors import (
     ControlUnreachableError,
     InvalidKeyError,
     InvalidRequestError,
     RouteNotFoundError,
 )
-from kumquatrun.execution import RelayRequest
-from kumquatrun.openai_api import (
-    CompletionRequest,
-    Endpoint,
-    endpoint_of,
-    parse_completion,
-)
-from kumquatrun.route_table import RouteTable
+from kumquatrun.membership.control_api import NodeSession
+from kumquatrun.runtime.clock import Clock
 
 MAX_IDEMPOTENCY_KEY = 256
 MAX_KEY = 512
--- a/src/kumquatrun/agent_pool.py
+++ b/src/kumquatrun/entry/agent_pool.py
@@ -5,11 +5,15 @@
 from collections.abc import Callable, Collection, Hashable
 from dataclasses import dataclass, field
 
-from kumquatrun.clock import Clock
-from kumquatrun.control_api import NodeSession
-from kumquatrun.messages import AgentReport, Hello, HostRecord
+from kumquatrun.entry.placement import (
+    AgentLoad,
+    PlacementPolicy,
+    PlacementRequest,
+)
+from kumquatrun.membership.control_api import NodeSession
 from kumquatrun.peer import Address, PeerClient
-from kumquatrun.placement import AgentLoad, PlacementPolicy, PlacementRequest
+from kumquatrun.peer.messages import AgentReport, Hello, HostRecord
+from kumquatrun.runtime.clock import Clock
 
 # An agent that refused a dispatch or a connection is not selected for as long
 # as its host record may lag behind (page 6: a lease lasts 3 s).
--- a/src/kumquatrun/budget_client.py
+++ b/src/kumquatrun/entry/budget_client.py
@@ -8,15 +8,15 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass
 
-from kumquatrun.clock import Clock
-from kumquatrun.control_api import NodeSession
+from kumquatrun.entry.token_wallet import Reservation, TokenWallet
 from kumquatrun.errors import (
     KumquatrunError,
     NotFoundError,
     RateLimitedError,
 )
-from kumquatrun.messages import BudgetReport, GrantTokens
-from kumquatrun.token_wallet import Reservation, TokenWallet
+from kumquatrun.membership.control_api import NodeSession
+from kumquatrun.peer.messages import BudgetReport, GrantTokens
+from kumquatrun.runtime.clock import Clock
 
 GRANT_TIMEOUT_S = 1.0
 # Bounds how long a request may wait for tokens before it is refused.
--- a/src/kumquatrun/claim_client.py
+++ b/src/kumquatrun/entry/claim_client.py
@@ -4,8 +4,7 @@
 import hashlib
 import random
 
-from kumquatrun.clock import Clock
-from kumquatrun.control_api import NodeSession
+from kumquatrun.entry.execution import RelayRequest
 from kumquatrun.errors import (
     AlreadyRanError,
     ControlUnreachableError,
@@ -14,14 +13,15 @@
     Outcome,
     OutcomeUnknownError,
 )
-from kumquatrun.execution import RelayRequest
-from kumquatrun.messages import (
+from kumquatrun.membership.control_api import NodeSession
+from kumquatrun.peer.messages import (
     ClaimReply,
     ClaimRequest,
     FinishClaim,
     StoredAnswer,
 )
-from kumquatrun.retry import Backoff
+from kumquatrun.runtime.clock import Clock
+from kumquatrun.runtime.retry import Backoff
 
 CLAIM_TIMEOUT_S = 2.0
 MAX_STORED_BYTES = 4096
--- a/src/kumquatrun/dispatch.py
+++ b/src/kumquatrun/entry/dispatch.py
@@ -6,21 +6,21 @@
 from contextlib import AsyncExitStack
 from typing import Any
 
-from kumquatrun.agent_pool import AgentPool
-from kumquatrun.answer import AnswerWriter
-from kumquatrun.budget_client import BudgetClient
-from kumquatrun.clock import Clock
-from kumquatrun.control_api import NodeSession
-from kumquatrun.entry_checks import EntryChecks
+from kumquatrun.entry.agent_pool import AgentPool
+from kumquatrun.entry.answer import AnswerWriter
+from kumquatrun.entry.budget_client import BudgetClient
+from kumquatrun.entry.entry_checks import EntryChecks
+from kumquatrun.entry.execution import Attempt, Execution
 from kumquatrun.errors import (
     BackendError,
     ConnectionLostError,
     KumquatrunError,
     Outcome,
 )
-from kumquatrun.execution import Attempt, Execution
-from kumquatrun.messages import Dispatch, HostRecord, Started
-from kumquatrun.retry import Deadline
+from kumquatrun.membership.control_api import NodeSession
+from kumquatrun.peer.messages import Dispatch, HostRecord, Started
+from kumquatrun.runtime.clock import Clock
+from kumquatrun.runtime.retry import Deadline
 
 # Consumed tokens are recorded in steps: the wallet's reports leave twice a
 # second, so finer steps only cost time.
--- a/src/kumquatrun/entry.py
+++ b/src/kumquatrun/entry/entry.py
@@ -8,42 +8,46 @@
 
 from aiohttp import web
 
-from kumquatrun.admission import Admission, HttpRequest
-from kumquatrun.agent_pool import AgentPool
-from kumquatrun.budget_client import BudgetClient
-from kumquatrun.claim_client import ClaimClient
-from kumquatrun.clock import Clock
-from kumquatrun.control_api import NodeSession
-from kumquatrun.document import RouteSpec
-from kumquatrun.errors import (
-    DrainingError,
-    InvalidRequestError,
-    KumquatrunError,
-    NoCapacityError,
-)
-from kumquatrun.execution import (
+from kumquatrun.daemon.settings import EntrySettings
+from kumquatrun.document.document import RouteSpec
+from kumquatrun.entry.admission import Admission, HttpRequest
+from kumquatrun.entry.agent_pool import AgentPool
+from kumquatrun.entry.budget_client import BudgetClient
+from kumquatrun.entry.claim_client import ClaimClient
+from kumquatrun.entry.execution import (
     CallerGoneError,
     Execution,
     RelayRequest,
 )
-from kumquatrun.http_server import (
+from kumquatrun.entry.http_server import (
     JSON_TYPE,
     SWEEPS_PER_TIMEOUT,
     HttpServer,
     ResponseSink,
     new_request_id,
 )
-from kumquatrun.invariants import Invariants
-from kumquatrun.logs import request_id_var
-from kumquatrun.messages import Hello, StoredAnswer
-from kumquatrun.openai_api import Endpoint, endpoint_of, render_models
+from kumquatrun.entry.openai_api import Endpoint, endpoint_of, render_models
+from kumquatrun.entry.placement import BoundedAffinity, PlacementPolicy
+from kumquatrun.entry.relay import Relay
+from kumquatrun.entry.request_body import BodyMemory, read_body
+from kumquatrun.entry.request_log import (
+    log_cancelled,
+    log_finished,
+    log_refused,
+)
+from kumquatrun.errors import (
+    DrainingError,
+    InvalidRequestError,
+    KumquatrunError,
+    NoCapacityError,
+)
+from kumquatrun.membership.control_api import NodeSession
 from kumquatrun.peer import Address, PeerClient
-from kumquatrun.placement import BoundedAffinity, PlacementPolicy
-from kumquatrun.relay import Relay
-from kumquatrun.request_body import BodyMemory, read_body
-from kumquatrun.request_log import log_cancelled, log_finished, log_refused
-from kumquatrun.settings import EntrySettings
-from kumquatrun.statechart import load_chart
+from kumquatrun.peer.messages import Hello, StoredAnswer
+from kumquatrun.runtime.clock import Clock
+from kumquatrun.runtime.invariants import Invariants
+from kumquatrun.runtime.logs import request_id_var
+from kumquatrun.runtime.statechart import load_chart
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/entry_checks.py
+++ b/src/kumquatrun/entry/entry_checks.py
@@ -4,13 +4,13 @@
 them, so that a fault in a decision is noticed.
 """
 
-from kumquatrun.answer import AnswerWriter
-from kumquatrun.control_api import NodeSession
-from kumquatrun.document import Access
+from kumquatrun.document.document import Access
+from kumquatrun.entry.answer import AnswerWriter
+from kumquatrun.entry.execution import Execution
 from kumquatrun.errors import KumquatrunError, Outcome
-from kumquatrun.execution import Execution
-from kumquatrun.invariants import Invariants
-from kumquatrun.messages import Dispatch
+from kumquatrun.membership.control_api import NodeSession
+from kumquatrun.peer.messages import Dispatch
+from kumquatrun.runtime.invariants import Invariants
 
 
 class EntryChecks:
--- a/src/kumquatrun/execution.py
+++ b/src/kumquatrun/entry/execution.py
@@ -4,10 +4,10 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 
-from kumquatrun.document import RouteSpec
+from kumquatrun.document.document import RouteSpec
+from kumquatrun.entry.token_wallet import Reservation
 from kumquatrun.errors import KumquatrunError, Outcome, StreamCutError
-from kumquatrun.messages import Finished, Started
-from kumquatrun.token_wallet import Reservation
+from kumquatrun.peer.messages import Finished, Started
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/kumquatrun/http_server.py
+++ b/src/kumquatrun/entry/http_server.py
@@ -8,19 +8,19 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
-from kumquatrun.errors import (
-    InvalidRequestError,
-    KumquatrunError,
-    Outcome,
-)
-from kumquatrun.messages import StoredAnswer
-from kumquatrun.openai_api import (
+from kumquatrun.entry.openai_api import (
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
     error_headers,
     render_error,
     render_error_event,
 )
+from kumquatrun.errors import (
+    InvalidRequestError,
+    KumquatrunError,
+    Outcome,
+)
+from kumquatrun.peer.messages import StoredAnswer
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/openai_api.py
+++ b/src/kumquatrun/entry/openai_api.py
@@ -15,7 +15,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from kumquatrun.document import AdapterSpec
+from kumquatrun.document.document import AdapterSpec
 from kumquatrun.errors import InvalidRequestError, KumquatrunError
 
 ASCII_PER_TOKEN = 4
--- a/src/kumquatrun/relay.py
+++ b/src/kumquatrun/entry/relay.py
@@ -4,15 +4,19 @@
 import logging
 import random
 
-from kumquatrun.agent_pool import AgentPool
-from kumquatrun.answer import AnswerWriter, Sink
-from kumquatrun.budget_client import BudgetClient
-from kumquatrun.claim_client import MAX_STORED_BYTES, ClaimClient
-from kumquatrun.clock import Clock
-from kumquatrun.control_api import NodeSession
-from kumquatrun.dispatch import Dispatcher, streamed_tokens
-from kumquatrun.document import Access
-from kumquatrun.entry_checks import EntryChecks
+from kumquatrun.document.document import Access
+from kumquatrun.entry.agent_pool import AgentPool
+from kumquatrun.entry.answer import AnswerWriter, Sink
+from kumquatrun.entry.budget_client import BudgetClient
+from kumquatrun.entry.claim_client import MAX_STORED_BYTES, ClaimClient
+from kumquatrun.entry.dispatch import Dispatcher, streamed_tokens
+from kumquatrun.entry.entry_checks import EntryChecks
+from kumquatrun.entry.execution import (
+    CallerGoneError,
+    Execution,
+    RelayRequest,
+    RelayResult,
+)
 from kumquatrun.errors import (
     ControlUnreachableError,
     DeadlineExceededError,
@@ -23,15 +27,11 @@
     QuarantinedError,
     StreamCutError,
 )
-from kumquatrun.execution import (
-    CallerGoneError,
-    Execution,
-    RelayRequest,
-    RelayResult,
-)
-from kumquatrun.invariants import InvariantError, Invariants
-from kumquatrun.messages import HostRecord, StoredAnswer
-from kumquatrun.retry import Backoff, Deadline, RetryBudget
+from kumquatrun.membership.control_api import NodeSession
+from kumquatrun.peer.messages import HostRecord, StoredAnswer
+from kumquatrun.runtime.clock import Clock
+from kumquatrun.runtime.invariants import InvariantError, Invariants
+from kumquatrun.runtime.retry import Backoff, Deadline, RetryBudget
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/request_log.py
+++ b/src/kumquatrun/entry/request_log.py
@@ -3,10 +3,10 @@
 import asyncio
 import logging
 
-from kumquatrun.admission import HttpRequest
+from kumquatrun.entry.admission import HttpRequest
+from kumquatrun.entry.execution import CallerGoneError, Execution, RelayResult
+from kumquatrun.entry.request_metrics import record_finished, record_refused
 from kumquatrun.errors import KumquatrunError
-from kumquatrun.execution import CallerGoneError, Execution, RelayResult
-from kumquatrun.request_metrics import record_finished, record_refused
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/request_metrics.py
+++ b/src/kumquatrun/entry/request_metrics.py
@@ -2,9 +2,9 @@
 
 from typing import Protocol
 
+from kumquatrun.entry.execution import Execution
 from kumquatrun.errors import KumquatrunError, Outcome
-from kumquatrun.execution import Execution
-from kumquatrun.metrics import process_metrics
+from kumquatrun.runtime.metrics import process_metrics
 
 
 class Result(Protocol):
--- a/src/kumquatrun/route_table.py
+++ b/src/kumquatrun/entry/route_table.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from urllib.parse import unquote
 
-from kumquatrun.document import (
+from kumquatrun.document.document import (
     Access,
     AdapterSpec,
     Document,
--- a/src/kumquatrun/token_wallet.py
+++ b/src/kumquatrun/entry/token_wallet.py
@@ -14,8 +14,8 @@
 
 from result import Err, Ok, Result
 
-from kumquatrun.invariants import check_invariant
-from kumquatrun.messages import BudgetReport, GrantTokens
+from kumquatrun.peer.messages import BudgetReport, GrantTokens
+from kumquatrun.runtime.invariants import check_invariant
 
 # Tokens that were not needed during two such periods are returned, that is
 # between 1 s and 1.5 s after they became idle.
--- a/src/kumquatrun/gateway/agent.py
+++ b/src/kumquatrun/gateway/agent.py
@@ -2,17 +2,17 @@
 
 import logging
 
-from kumquatrun.clock import Clock
-from kumquatrun.control_client import Session
 from kumquatrun.errors import DocumentError
 from kumquatrun.gateway.configuration import Configuration, EngineSpec
 from kumquatrun.gateway.engine_agent import EngineAgent
 from kumquatrun.gateway.engine_api import OrderedEngine
 from kumquatrun.gateway.settings import GatewayAgentSettings
 from kumquatrun.gateway.wire_format import WireFormat
-from kumquatrun.logs import log_event
-from kumquatrun.messages import AgentReport, Hello
+from kumquatrun.membership.control_client import Session
 from kumquatrun.peer import PeerServer
+from kumquatrun.peer.messages import AgentReport, Hello
+from kumquatrun.runtime.clock import Clock
+from kumquatrun.runtime.logs import log_event
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/gateway/agent_calls.py
+++ b/src/kumquatrun/gateway/agent_calls.py
@@ -7,7 +7,6 @@
 from functools import partial
 from typing import Any
 
-from kumquatrun.cluster_view import ClusterView
 from kumquatrun.errors import (
     AdapterLoadError,
     ConnectionLostError,
@@ -16,9 +15,10 @@
 )
 from kumquatrun.gateway.backends import Backend
 from kumquatrun.gateway.messages import AdapterReady, PromptRead, UseAdapter
-from kumquatrun.logs import log_event
-from kumquatrun.messages import Hello
+from kumquatrun.membership.cluster_view import ClusterView
 from kumquatrun.peer import Address, PeerClient, PeerStream
+from kumquatrun.peer.messages import Hello
+from kumquatrun.runtime.logs import log_event
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/gateway/allowances.py
+++ b/src/kumquatrun/gateway/allowances.py
@@ -11,12 +11,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from kumquatrun.allowance_pool import AllowanceReply, TakeAllowance
-from kumquatrun.clock import Clock
+from kumquatrun.control.allowance_pool import AllowanceReply, TakeAllowance
 from kumquatrun.errors import KumquatrunError, RateLimitedError
 from kumquatrun.gateway.configuration import GatewayAccount
-from kumquatrun.leader_client import LeaderClient
-from kumquatrun.logs import log_event
+from kumquatrun.membership.leader_client import LeaderClient
+from kumquatrun.runtime.clock import Clock
+from kumquatrun.runtime.logs import log_event
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/gateway/answer_relay.py
+++ b/src/kumquatrun/gateway/answer_relay.py
@@ -3,7 +3,6 @@
 import asyncio
 from enum import StrEnum
 
-from kumquatrun.clock import Clock
 from kumquatrun.errors import BackendError, Outcome
 from kumquatrun.gateway.backend_connection import (
     AnswerHead,
@@ -17,6 +16,7 @@
 from kumquatrun.gateway.event_stream import ResumableStream
 from kumquatrun.gateway.reservations import Reservation
 from kumquatrun.gateway.wire_format import WireFormat
+from kumquatrun.runtime.clock import Clock
 
 # A repeatable request whose answer does not begin in this many target
 # latencies is tried elsewhere.
--- a/src/kumquatrun/gateway/backend_connection.py
+++ b/src/kumquatrun/gateway/backend_connection.py
@@ -15,8 +15,8 @@
 from aiohttp.http_parser import HttpResponseParser
 from aiohttp.streams import StreamReader
 
-from kumquatrun.address import Address
 from kumquatrun.errors import ConnectionLostError, Outcome
+from kumquatrun.peer.address import Address
 
 CONNECT_TIMEOUT_S = 0.4
 # A peer that acknowledges nothing for this time is taken for unreachable.
--- a/src/kumquatrun/gateway/backends.py
+++ b/src/kumquatrun/gateway/backends.py
@@ -4,11 +4,11 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from kumquatrun.address import Address
 from kumquatrun.gateway.connection_pool import (
     DEFAULT_IDLE_S,
     ConnectionPool,
 )
+from kumquatrun.peer.address import Address
 
 # After a failed connection a backend server is passed over for this time,
 # doubled with each further failure.
--- a/src/kumquatrun/gateway/connection_pool.py
+++ b/src/kumquatrun/gateway/connection_pool.py
@@ -3,12 +3,12 @@
 import asyncio
 import re
 
-from kumquatrun.address import Address
 from kumquatrun.gateway.backend_connection import (
     AnswerHead,
     BackendConnection,
     open_connection,
 )
+from kumquatrun.peer.address import Address
 
 # Idle time after which a connection is not used again, where the backend
 # server states no limit of its own.
--- a/src/kumquatrun/gateway/control.py
+++ b/src/kumquatrun/gateway/control.py
@@ -3,14 +3,14 @@
 import asyncio
 import random
 
-from kumquatrun.backend_listing import BackendListing
-from kumquatrun.clock import Clock
-from kumquatrun.control_host import ControlHost
+from kumquatrun.consensus.membership_keeper import MembershipKeeper
+from kumquatrun.consensus.memory_store import MemoryStorage
+from kumquatrun.control.backend_listing import BackendListing
+from kumquatrun.control.control_host import ControlHost
 from kumquatrun.gateway.settings import GatewayControlSettings
-from kumquatrun.leader_client import LeaderClient
-from kumquatrun.membership_keeper import MembershipKeeper
-from kumquatrun.memory_store import MemoryStorage
-from kumquatrun.messages import Hello
+from kumquatrun.membership.leader_client import LeaderClient
+from kumquatrun.peer.messages import Hello
+from kumquatrun.runtime.clock import Clock
 
 
 class GatewayControl:
--- a/src/kumquatrun/gateway/crash_watch.py
+++ b/src/kumquatrun/gateway/crash_watch.py
@@ -5,12 +5,12 @@
 import logging
 import uuid
 
-from kumquatrun.clock import Clock
-from kumquatrun.control_client import Session
 from kumquatrun.errors import KumquatrunError, QuarantinedError
 from kumquatrun.gateway.wire_format import CallerRequest
-from kumquatrun.logs import log_event
-from kumquatrun.messages import ReportSuspects
+from kumquatrun.membership.control_client import Session
+from kumquatrun.peer.messages import ReportSuspects
+from kumquatrun.runtime.clock import Clock
+from kumquatrun.runtime.logs import log_event
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/gateway/engine_agent.py
+++ b/src/kumquatrun/gateway/engine_agent.py
@@ -13,7 +13,6 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from kumquatrun.clock import Clock
 from kumquatrun.errors import (
     DrainingError,
     InvalidRequestError,
@@ -33,9 +32,10 @@
 )
 from kumquatrun.gateway.prompt_gate import PromptGate
 from kumquatrun.gateway.residency import AdapterName
-from kumquatrun.logs import log_event
-from kumquatrun.messages import Ack
 from kumquatrun.peer import CallContext
+from kumquatrun.peer.messages import Ack
+from kumquatrun.runtime.clock import Clock
+from kumquatrun.runtime.logs import log_event
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/gateway/engine_orders.py
+++ b/src/kumquatrun/gateway/engine_orders.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 
-from kumquatrun.clock import Clock
 from kumquatrun.gateway.configuration import BaseModelSpec
 from kumquatrun.gateway.engine_api import (
     EngineOrder,
@@ -12,8 +11,9 @@
 )
 from kumquatrun.gateway.engine_watch import EngineWatch
 from kumquatrun.gateway.residency import AdapterName
-from kumquatrun.logs import log_event
-from kumquatrun.metrics import process_metrics
+from kumquatrun.runtime.clock import Clock
+from kumquatrun.runtime.logs import log_event
+from kumquatrun.runtime.metrics import process_metrics
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/gateway/engine_watch.py
+++ b/src/kumquatrun/gateway/engine_watch.py
@@ -3,7 +3,6 @@
 import logging
 from collections.abc import Callable
 
-from kumquatrun.clock import Clock
 from kumquatrun.errors import (
     AdapterLoadError,
     KumquatrunError,
@@ -11,8 +10,9 @@
 from kumquatrun.gateway.configuration import EngineSpec
 from kumquatrun.gateway.engine_api import EngineReport, OrderedEngine
 from kumquatrun.gateway.residency import AdapterName, Residency
-from kumquatrun.logs import log_event
-from kumquatrun.metrics import process_metrics
+from kumquatrun.runtime.clock import Clock
+from kumquatrun.runtime.logs import log_event
+from kumquatrun.runtime.metrics import process_metrics
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/gateway/entry.py
+++ b/src/kumquatrun/gateway/entry.py
@@ -7,8 +7,7 @@
 
 from aiohttp import web
 
-from kumquatrun.clock import Clock
-from kumquatrun.control_client import Session
+from kumquatrun.entry.http_server import HttpServer
 from kumquatrun.errors import (
     BackendError,
     DocumentError,
@@ -40,9 +39,10 @@
 from kumquatrun.gateway.retry_shares import RetryShares
 from kumquatrun.gateway.settings import GatewayEntrySettings
 from kumquatrun.gateway.wire_format import WireFormat
-from kumquatrun.http_server import HttpServer
-from kumquatrun.logs import log_event
-from kumquatrun.messages import Hello
+from kumquatrun.membership.control_client import Session
+from kumquatrun.peer.messages import Hello
+from kumquatrun.runtime.clock import Clock
+from kumquatrun.runtime.logs import log_event
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/gateway/event_stream.py
+++ b/src/kumquatrun/gateway/event_stream.py
@@ -2,7 +2,7 @@
 
 import re
 
-from kumquatrun.sse import EventSplitter
+from kumquatrun.agent.sse import EventSplitter
 
 _EVENT_ID = re.compile(rb'^id:[ ]?(.*?)\r?$', re.MULTILINE)
 
--- a/src/kumquatrun/gateway/forwarder.py
+++ b/src/kumquatrun/gateway/forwarder.py
@@ -3,7 +3,6 @@
 import logging
 from dataclasses import replace
 
-from kumquatrun.clock import Clock
 from kumquatrun.errors import (
     BackendError,
     ConnectionLostError,
@@ -29,7 +28,8 @@
     Forwarding,
     WireFormat,
 )
-from kumquatrun.logs import log_event
+from kumquatrun.runtime.clock import Clock
+from kumquatrun.runtime.logs import log_event
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/gateway/listing_follower.py
+++ b/src/kumquatrun/gateway/listing_follower.py
@@ -6,15 +6,15 @@
 
 import msgpack
 
-from kumquatrun.address import Address
-from kumquatrun.clock import Clock
 from kumquatrun.errors import KumquatrunError
 from kumquatrun.gateway.backends import (
     BackendRecord,
     BackendTable,
     HeldAdapter,
 )
-from kumquatrun.logs import log_event
+from kumquatrun.peer.address import Address
+from kumquatrun.runtime.clock import Clock
+from kumquatrun.runtime.logs import log_event
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/gateway/messages.py
+++ b/src/kumquatrun/gateway/messages.py
@@ -1,6 +1,6 @@
 """Messages between a gateway entry and the agent beside an engine."""
 
-from kumquatrun.messages import message
+from kumquatrun.peer.messages import message
 
 
 @message
--- a/src/kumquatrun/gateway/operator_gate.py
+++ b/src/kumquatrun/gateway/operator_gate.py
@@ -1,6 +1,6 @@
 """Changes and reads of the configuration, from any control host."""
 
-from kumquatrun.configuration_register import (
+from kumquatrun.control.configuration_register import (
     AccountAllowance,
     ConfigurationReply,
     NameAdapterVersion,
@@ -9,7 +9,7 @@
 )
 from kumquatrun.errors import ControlUnreachableError
 from kumquatrun.gateway.configuration import Configuration
-from kumquatrun.leader_client import LeaderClient
+from kumquatrun.membership.leader_client import LeaderClient
 
 # Callers move on after a second without an answer.
 COMMIT_TIMEOUT_S = 3.0
--- a/src/kumquatrun/gateway/planned_stop.py
+++ b/src/kumquatrun/gateway/planned_stop.py
@@ -1,7 +1,7 @@
 """Planned stop of an entry: which requests it still takes, and until when."""
 
-from kumquatrun.clock import Clock
 from kumquatrun.errors import DrainingError
+from kumquatrun.runtime.clock import Clock
 
 # The platform's balancer takes two missed questions, one a second, to notice
 # that this host takes no new connections.
--- a/src/kumquatrun/gateway/prompt_gate.py
+++ b/src/kumquatrun/gateway/prompt_gate.py
@@ -9,7 +9,7 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from kumquatrun.clock import Clock
+from kumquatrun.runtime.clock import Clock
 
 # Prompt tokens that may be read at the same time; one prompt of any size may
 # be read alone.
--- a/src/kumquatrun/gateway/request_report.py
+++ b/src/kumquatrun/gateway/request_report.py
@@ -7,8 +7,8 @@
 from kumquatrun.gateway.caller_channel import CallerChannel
 from kumquatrun.gateway.course import Course
 from kumquatrun.gateway.wire_format import CallerRequest
-from kumquatrun.logs import log_event
-from kumquatrun.metrics import process_metrics
+from kumquatrun.runtime.logs import log_event
+from kumquatrun.runtime.metrics import process_metrics
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/gateway/reservations.py
+++ b/src/kumquatrun/gateway/reservations.py
@@ -5,7 +5,6 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 
-from kumquatrun.clock import Clock
 from kumquatrun.errors import KumquatrunError, NoCapacityError
 from kumquatrun.gateway.agent_calls import (
     AgentCalls,
@@ -17,7 +16,8 @@
 from kumquatrun.gateway.course import Course
 from kumquatrun.gateway.messages import UseAdapter
 from kumquatrun.gateway.wire_format import CallerRequest
-from kumquatrun.logs import log_event
+from kumquatrun.runtime.clock import Clock
+from kumquatrun.runtime.logs import log_event
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/gateway/retry_shares.py
+++ b/src/kumquatrun/gateway/retry_shares.py
@@ -1,6 +1,6 @@
 """Share of one entry in the retry budget that all entries keep together."""
 
-from kumquatrun.retry import RetryBudget
+from kumquatrun.runtime.retry import RetryBudget
 
 # Part of the fixed allowance that is dealt out to the entries; the rest
 # covers entries that start anew within one window.
--- a/src/kumquatrun/gateway/settings.py
+++ b/src/kumquatrun/gateway/settings.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
+from kumquatrun.daemon.settings import DaemonSettings
 from kumquatrun.peer import Address
-from kumquatrun.settings import DaemonSettings
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/kumquatrun/cluster_view.py
+++ b/src/kumquatrun/membership/cluster_view.py
@@ -18,8 +18,7 @@
 
 import msgpack
 
-from kumquatrun.compression import inflate
-from kumquatrun.document import (
+from kumquatrun.document.document import (
     EMPTY_DOCUMENT,
     MAX_DOCUMENT_BYTES,
     Document,
@@ -27,10 +26,11 @@
     decode_delta,
     parse_document,
 )
+from kumquatrun.document.keys import hash_key
 from kumquatrun.errors import FeedGapError, WireError
-from kumquatrun.invariants import check_invariant
-from kumquatrun.keys import hash_key
-from kumquatrun.messages import AgentReport, FeedItem, HostRecord
+from kumquatrun.peer.compression import inflate
+from kumquatrun.peer.messages import AgentReport, FeedItem, HostRecord
+from kumquatrun.runtime.invariants import check_invariant
 
 AGENT_ROLE = 'agent'
 
--- a/src/kumquatrun/control_api.py
+++ b/src/kumquatrun/membership/control_api.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable, Sequence
 from typing import Any, Protocol
 
-from kumquatrun.document import Document
-from kumquatrun.messages import AgentReport, BudgetReport, HostRecord
+from kumquatrun.document.document import Document
+from kumquatrun.peer.messages import AgentReport, BudgetReport, HostRecord
 
 
 class ControlApi(Protocol):
--- a/src/kumquatrun/control_client.py
+++ b/src/kumquatrun/membership/control_client.py
@@ -8,17 +8,17 @@
 from contextlib import suppress
 from dataclasses import replace
 
-from kumquatrun.clock import Clock
-from kumquatrun.cluster_view import ClusterView
+from kumquatrun.control.leases import LEASE_S, RENEW_INTERVAL_S
 from kumquatrun.errors import (
     FeedGapError,
     KumquatrunError,
     NotFoundError,
     StaleIncarnationError,
 )
-from kumquatrun.leader_client import LeaderClient
-from kumquatrun.leases import LEASE_S, RENEW_INTERVAL_S
-from kumquatrun.messages import (
+from kumquatrun.membership.cluster_view import ClusterView
+from kumquatrun.membership.leader_client import LeaderClient
+from kumquatrun.peer import Address, PeerClient
+from kumquatrun.peer.messages import (
     AgentReport,
     BudgetReport,
     FollowFeed,
@@ -28,7 +28,7 @@
     RegisterHost,
     RenewLease,
 )
-from kumquatrun.peer import Address, PeerClient
+from kumquatrun.runtime.clock import Clock
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/leader_client.py
+++ b/src/kumquatrun/membership/leader_client.py
@@ -5,7 +5,6 @@
 from contextlib import suppress
 from typing import Any
 
-from kumquatrun.clock import Clock
 from kumquatrun.errors import (
     ConnectionLostError,
     ControlUnreachableError,
@@ -14,8 +13,9 @@
     NotLeaderError,
     Outcome,
 )
-from kumquatrun.messages import Hello
 from kumquatrun.peer import Address, PeerClient
+from kumquatrun.peer.messages import Hello
+from kumquatrun.runtime.clock import Clock
 
 RETRY_DELAY_S = 0.05
 # A leader that went silent must be given up early enough to find its
--- /dev/null
+++ b/src/kumquatrun/peer/__init__.py
@@ -0,0 +1,22 @@
+"""Connections between own processes: calls and streams, frames, messages.
+
+May import ``runtime``. The names below are for the other packages.
+"""
+
+from kumquatrun.peer.address import Address
+from kumquatrun.peer.client import PeerClient, PeerStream
+from kumquatrun.peer.errors import error_to_reply, reply_to_error
+from kumquatrun.peer.link import sent_bytes
+from kumquatrun.peer.server import CallContext, PeerHandler, PeerServer
+
+__all__ = (
+    'Address',
+    'CallContext',
+    'PeerClient',
+    'PeerHandler',
+    'PeerServer',
+    'PeerStream',
+    'error_to_reply',
+    'reply_to_error',
+    'sent_bytes',
+)
--- a/src/kumquatrun/peer_client.py
+++ b/src/kumquatrun/peer/client.py
@@ -13,21 +13,21 @@
 from contextlib import asynccontextmanager, suppress
 from typing import Any
 
-from kumquatrun.address import Address
 from kumquatrun.errors import (
     ConnectionLostError,
     DeadlineExceededError,
     KumquatrunError,
     Outcome,
 )
-from kumquatrun.messages import (
+from kumquatrun.peer.address import Address
+from kumquatrun.peer.errors import reply_to_error
+from kumquatrun.peer.link import CONNECT_TIMEOUT_S, STREAM_CREDIT_ITEMS, Link
+from kumquatrun.peer.messages import (
     Hello,
     decode_message,
     encode_message,
 )
-from kumquatrun.peer_errors import reply_to_error
-from kumquatrun.peer_link import CONNECT_TIMEOUT_S, STREAM_CREDIT_ITEMS, Link
-from kumquatrun.wire import Frame, FrameKind
+from kumquatrun.peer.wire import Frame, FrameKind
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/peer_errors.py
+++ b/src/kumquatrun/peer/errors.py
@@ -4,7 +4,7 @@
     KumquatrunError,
     error_from_code,
 )
-from kumquatrun.messages import (
+from kumquatrun.peer.messages import (
     ErrorReply,
 )
 
--- a/src/kumquatrun/peer_link.py
+++ b/src/kumquatrun/peer/link.py
@@ -9,7 +9,7 @@
 from kumquatrun.errors import (
     ConnectionLostError,
 )
-from kumquatrun.wire import Frame, FrameKind, FrameReader, encode_frame
+from kumquatrun.peer.wire import Frame, FrameKind, FrameReader, encode_frame
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/peer_server.py
+++ b/src/kumquatrun/peer/server.py
@@ -7,7 +7,6 @@
 from contextlib import suppress
 from typing import Any, Protocol
 
-from kumquatrun.address import Address
 from kumquatrun.errors import (
     ConnectionLostError,
     KumquatrunError,
@@ -16,15 +15,16 @@
     UnauthorizedPeerError,
     WireError,
 )
-from kumquatrun.messages import (
+from kumquatrun.peer.address import Address
+from kumquatrun.peer.errors import error_to_reply
+from kumquatrun.peer.link import CONNECT_TIMEOUT_S, STREAM_CREDIT_ITEMS, Link
+from kumquatrun.peer.messages import (
     PROTOCOL_VERSION,
     Hello,
     decode_message,
     encode_message,
 )
-from kumquatrun.peer_errors import error_to_reply
-from kumquatrun.peer_link import CONNECT_TIMEOUT_S, STREAM_CREDIT_ITEMS, Link
-from kumquatrun.wire import Frame, FrameKind
+from kumquatrun.peer.wire import Frame, FrameKind
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/platform/client.py
+++ b/src/kumquatrun/platform/client.py
@@ -6,8 +6,8 @@
 
 import aiohttp
 
-from kumquatrun.address import Address
 from kumquatrun.errors import ConnectionLostError
+from kumquatrun.peer.address import Address
 
 CALL_TIMEOUT_S = 0.8
 OK = 200
--- a/src/kumquatrun/platform/daemons.py
+++ b/src/kumquatrun/platform/daemons.py
@@ -6,11 +6,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from kumquatrun.address import Address
-from kumquatrun.admin import AdminServer
-from kumquatrun.backend_listing import BackendListing
-from kumquatrun.clock import Clock, LoopClock
-from kumquatrun.control_client import Session
+from kumquatrun.control.backend_listing import BackendListing
+from kumquatrun.daemon.admin import AdminServer
+from kumquatrun.daemon.lifecycle import Daemon, run_daemon
 from kumquatrun.errors import SettingError
 from kumquatrun.gateway.agent import GatewayAgent
 from kumquatrun.gateway.control import GatewayControl
@@ -18,10 +16,9 @@
 from kumquatrun.gateway.listing_follower import ListingFollower
 from kumquatrun.gateway.operator_gate import OperatorGate
 from kumquatrun.gateway.settings import GatewaySettings
-from kumquatrun.lifecycle import Daemon, run_daemon
-from kumquatrun.logs import log_event
-from kumquatrun.messages import HostRecord
-from kumquatrun.metrics import process_metrics
+from kumquatrun.membership.control_client import Session
+from kumquatrun.peer.address import Address
+from kumquatrun.peer.messages import HostRecord
 from kumquatrun.platform import settings as platform_settings
 from kumquatrun.platform.client import PlatformClient
 from kumquatrun.platform.engine import PlatformEngine
@@ -29,6 +26,9 @@
 from kumquatrun.platform.operator import OperatorApi
 from kumquatrun.platform.requests import PlatformFormat
 from kumquatrun.platform.settings import SettingsFile
+from kumquatrun.runtime.clock import Clock, LoopClock
+from kumquatrun.runtime.logs import log_event
+from kumquatrun.runtime.metrics import process_metrics
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/platform/engine.py
+++ b/src/kumquatrun/platform/engine.py
@@ -1,6 +1,5 @@
 """State and orders of an engine in the platform's format."""
 
-from kumquatrun.address import Address
 from kumquatrun.errors import (
     ConnectionLostError,
     KumquatrunError,
@@ -11,6 +10,7 @@
     HeldModel,
     OrderVerdict,
 )
+from kumquatrun.peer.address import Address
 from kumquatrun.platform import decoding
 from kumquatrun.platform.client import PlatformClient
 from kumquatrun.platform.listing import UNREADABLE, split_adapter
--- a/src/kumquatrun/platform/listing.py
+++ b/src/kumquatrun/platform/listing.py
@@ -1,9 +1,9 @@
 """The platform's list of backend servers."""
 
-from kumquatrun.address import Address
 from kumquatrun.errors import ConnectionLostError, DocumentError
 from kumquatrun.gateway.backends import BackendRecord, HeldAdapter
 from kumquatrun.gateway.listing_follower import encode_records
+from kumquatrun.peer.address import Address
 from kumquatrun.platform import decoding
 from kumquatrun.platform.client import PlatformClient
 
--- a/src/kumquatrun/platform/operator.py
+++ b/src/kumquatrun/platform/operator.py
@@ -4,13 +4,13 @@
 
 from aiohttp import web
 
-from kumquatrun.address import Address
-from kumquatrun.configuration_register import NameAdapterVersion
+from kumquatrun.control.configuration_register import NameAdapterVersion
 from kumquatrun.errors import DocumentError, KumquatrunError
 from kumquatrun.gateway.operator_gate import OperatorGate
-from kumquatrun.logs import log_event
+from kumquatrun.peer.address import Address
 from kumquatrun.platform import decoding
 from kumquatrun.platform.configuration import decode_configuration
+from kumquatrun.runtime.logs import log_event
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/platform/settings.py
+++ b/src/kumquatrun/platform/settings.py
@@ -5,15 +5,15 @@
 from pathlib import Path
 from typing import Any
 
-from kumquatrun.address import Address
+from kumquatrun.daemon.settings import ReplicaSettings
 from kumquatrun.errors import DocumentError, SettingError
 from kumquatrun.gateway.settings import (
     GatewayAgentSettings,
     GatewayControlSettings,
     GatewayEntrySettings,
 )
+from kumquatrun.peer.address import Address
 from kumquatrun.platform import decoding
-from kumquatrun.settings import ReplicaSettings
 
 # Environment variable with the path of the settings file.
 PATH_VARIABLE = 'KUMQUATRUN_BOOT'
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from kumquatrun.invariants import set_fatal
+from kumquatrun.runtime.invariants import set_fatal
 
 KNOWN_RED = Path(__file__).parent.parent / 'KNOWN-RED.txt'
 PREFIX = 'test:'
--- a/tests/control_cluster.py
+++ b/tests/control_cluster.py
@@ -8,14 +8,14 @@
 
 from tests.link_fault import FaultyLink
 
-from kumquatrun.clock import LoopClock
-from kumquatrun.control_client import Session
-from kumquatrun.control_host import ControlHost
-from kumquatrun.leader_client import LeaderClient
-from kumquatrun.memory_store import MemoryStorage
-from kumquatrun.messages import Hello, HostRecord, OperatorCall
+from kumquatrun.consensus.memory_store import MemoryStorage
+from kumquatrun.control.control_host import ControlHost
+from kumquatrun.daemon.settings import ControlSettings, ReplicaSettings
+from kumquatrun.membership.control_client import Session
+from kumquatrun.membership.leader_client import LeaderClient
 from kumquatrun.peer import Address
-from kumquatrun.settings import ControlSettings, ReplicaSettings
+from kumquatrun.peer.messages import Hello, HostRecord, OperatorCall
+from kumquatrun.runtime.clock import LoopClock
 
 TOKEN = 'operator-token'
 
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -6,7 +6,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
 
-from kumquatrun.document import (
+from kumquatrun.document.document import (
     Access,
     AccountSpec,
     AdapterSpec,
@@ -23,7 +23,14 @@
     OutcomeUnknownError,
     StaleDispatchError,
 )
-from kumquatrun.messages import (
+from kumquatrun.peer import (
+    Address,
+    PeerServer,
+    PeerStream,
+    error_to_reply,
+)
+from kumquatrun.peer.link import SILENCE_LIMIT_S
+from kumquatrun.peer.messages import (
     Ack,
     ClaimReply,
     ClaimRequest,
@@ -37,14 +44,7 @@
     Started,
     encode_message,
 )
-from kumquatrun.peer import (
-    Address,
-    PeerServer,
-    PeerStream,
-    error_to_reply,
-)
-from kumquatrun.peer_link import SILENCE_LIMIT_S
-from kumquatrun.wire import Frame, FrameKind
+from kumquatrun.peer.wire import Frame, FrameKind
 
 KEY = 'key-a'
 ACCOUNT = 'a'
--- a/tests/fake_control.py
+++ b/tests/fake_control.py
@@ -9,7 +9,7 @@
 import threading
 from contextlib import contextmanager
 
-from kumquatrun.document_transfer import pack_content, unpack_content
+from kumquatrun.document.document_transfer import pack_content, unpack_content
 from kumquatrun.errors import (
     ControlUnreachableError,
     InvalidKeyError,
@@ -19,8 +19,8 @@
     NotLeaderError,
     RevisionConflictError,
 )
-from kumquatrun.messages import Hello, OperatorReply
 from kumquatrun.peer import Address, PeerServer
+from kumquatrun.peer.messages import Hello, OperatorReply
 
 CLUSTER_TOKEN = 'cluster-token'
 OPERATOR_TOKEN = 'operator-token'
--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -5,9 +5,9 @@
 from collections import Counter
 from contextlib import asynccontextmanager
 
-from kumquatrun.completions import ServedBy, Usage
-from kumquatrun.document import ServiceKind
-from kumquatrun.engine_client import EngineHealth
+from kumquatrun.agent.completions import ServedBy, Usage
+from kumquatrun.agent.engine_client import EngineHealth
+from kumquatrun.document.document import ServiceKind
 from kumquatrun.errors import (
     AdapterLoadError,
     ConnectionLostError,
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,9 +3,9 @@
 import asyncio
 import itertools
 
-from kumquatrun.document import Document, ServiceKind, ServiceSpec
+from kumquatrun.document.document import Document, ServiceKind, ServiceSpec
 from kumquatrun.errors import ControlUnreachableError
-from kumquatrun.messages import (
+from kumquatrun.peer.messages import (
     Ack,
     AcquireLoadSlot,
     HostRecord,
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -6,7 +6,6 @@
 import struct
 from contextlib import asynccontextmanager, suppress
 
-from kumquatrun.address import Address
 from kumquatrun.errors import ConnectionLostError, NoCapacityError
 from kumquatrun.gateway.backends import Backend, BackendRecord
 from kumquatrun.gateway.configuration import (
@@ -22,6 +21,7 @@
     OrderVerdict,
 )
 from kumquatrun.gateway.reservations import Reservation
+from kumquatrun.peer.address import Address
 from kumquatrun.platform.requests import PlatformFormat
 
 CONFIGURATION = {
--- a/tests/quorum_sim.py
+++ b/tests/quorum_sim.py
@@ -10,16 +10,16 @@
 
 import msgpack
 
-from kumquatrun.consensus_messages import (
+from kumquatrun.consensus.consensus_messages import (
     EntryKind,
     FormationState,
     VoteReply,
 )
+from kumquatrun.consensus.log_store import FileStorage
+from kumquatrun.consensus.memory_store import MemoryStorage
+from kumquatrun.consensus.quorum_membership import Membership
+from kumquatrun.consensus.quorum_node import LogNode, NodeOptions, NodeSettings
 from kumquatrun.errors import NotLeaderError
-from kumquatrun.log_store import FileStorage
-from kumquatrun.memory_store import MemoryStorage
-from kumquatrun.quorum_membership import Membership
-from kumquatrun.quorum_node import LogNode, NodeOptions, NodeSettings
 
 OPTIONS = NodeOptions(snapshot_entries=60, kept_entries=15)
 TICK_S = 0.02
--- a/tests/shared_state.py
+++ b/tests/shared_state.py
@@ -2,14 +2,14 @@
 
 import json
 
-from kumquatrun.commands import (
+from kumquatrun.control.commands import (
     ApplyDocument,
     decode_results,
     encode_batch,
 )
-from kumquatrun.control_state import ControlState
-from kumquatrun.invariants import set_fatal
-from kumquatrun.messages import HostRecord, RegisterHost
+from kumquatrun.control.control_state import ControlState
+from kumquatrun.peer.messages import HostRecord, RegisterHost
+from kumquatrun.runtime.invariants import set_fatal
 
 set_fatal(True)
 
--- a/tests/test_account_budgets.py
+++ b/tests/test_account_budgets.py
@@ -23,15 +23,15 @@
 from result import Err, Ok
 from tests.shared_state import ACCOUNT, Cluster, apply_document, host
 
-from kumquatrun.account_budgets import AccountBudget, BudgetRegister
-from kumquatrun.commands import ExpireHost, ReportBudgets
-from kumquatrun.invariants import set_fatal
-from kumquatrun.messages import (
+from kumquatrun.control.account_budgets import AccountBudget, BudgetRegister
+from kumquatrun.control.commands import ExpireHost, ReportBudgets
+from kumquatrun.entry.token_wallet import TokenWallet
+from kumquatrun.peer.messages import (
     BudgetReport,
     GrantTokens,
     RegisterHost,
 )
-from kumquatrun.token_wallet import TokenWallet
+from kumquatrun.runtime.invariants import set_fatal
 
 CASES = tomllib.loads(
     Path(__file__)
--- a/tests/test_adapter_slots.py
+++ b/tests/test_adapter_slots.py
@@ -11,11 +11,11 @@
     run_state_machine_as_test,
 )
 
-from kumquatrun import invariants
-from kumquatrun.adapter_slots import PROTECTION_S, AdapterSlots
-from kumquatrun.invariants import InvariantError
-from kumquatrun.reload_costs import AdapterKey, ReloadCosts
-from kumquatrun.statechart import TransitionError
+from kumquatrun.agent.adapter_slots import PROTECTION_S, AdapterSlots
+from kumquatrun.agent.reload_costs import AdapterKey, ReloadCosts
+from kumquatrun.runtime import invariants
+from kumquatrun.runtime.invariants import InvariantError
+from kumquatrun.runtime.statechart import TransitionError
 
 CAPACITY = 3
 KEYS = [AdapterKey(name, version) for name in 'abcd' for version in '12']
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -3,9 +3,9 @@
 import aiohttp
 import pytest
 
-from kumquatrun.admin import AdminServer
-from kumquatrun.metrics import METRICS, Metrics
+from kumquatrun.daemon.admin import AdminServer
 from kumquatrun.peer import Address
+from kumquatrun.runtime.metrics import METRICS, Metrics
 
 
 @pytest.fixture
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -8,23 +8,24 @@
 from tests.fake_engine import PIECES, FakeEngine
 from tests.fakes import INCARNATION, FakeSession
 
-from kumquatrun import engine_runner, invariants
-from kumquatrun.adapter_slots import AdapterSlots
-from kumquatrun.agent import Agent
-from kumquatrun.clock import LoopClock
-from kumquatrun.engine_runner import EngineRunner
+from kumquatrun.agent import engine_runner
+from kumquatrun.agent.adapter_slots import AdapterSlots
+from kumquatrun.agent.agent import Agent
+from kumquatrun.agent.engine_runner import EngineRunner
+from kumquatrun.agent.reload_costs import AdapterKey
+from kumquatrun.agent.seen_requests import SeenRequests
+from kumquatrun.daemon.settings import AgentSettings
 from kumquatrun.errors import KumquatrunError, Outcome
-from kumquatrun.messages import (
+from kumquatrun.peer import Address
+from kumquatrun.peer.messages import (
     ClearSuspect,
     Dispatch,
     Finished,
     ReportSuspects,
     Started,
 )
-from kumquatrun.peer import Address
-from kumquatrun.reload_costs import AdapterKey
-from kumquatrun.seen_requests import SeenRequests
-from kumquatrun.settings import AgentSettings
+from kumquatrun.runtime import invariants
+from kumquatrun.runtime.clock import LoopClock
 
 A = AdapterKey('a', '1')
 OLD = AdapterKey('old', '1')
--- a/tests/test_agent_calls.py
+++ b/tests/test_agent_calls.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from kumquatrun.address import Address
 from kumquatrun.errors import AdapterLoadError, NoCapacityError
 from kumquatrun.gateway.agent_calls import AgentCalls, AgentUnreachableError
 from kumquatrun.gateway.backends import Backend, BackendRecord
@@ -15,8 +14,9 @@
     PromptRead,
     UseAdapter,
 )
-from kumquatrun.messages import Ack, Hello, HostRecord
 from kumquatrun.peer import PeerServer
+from kumquatrun.peer.address import Address
+from kumquatrun.peer.messages import Ack, Hello, HostRecord
 
 REQUEST = UseAdapter(request_id='r', model='m', adapter='a')
 HELLO = Hello(node_id='n', incarnation='i')
--- a/tests/test_agent_pool.py
+++ b/tests/test_agent_pool.py
@@ -5,10 +5,10 @@
 import pytest
 
 from entry_fakes import FakeSession
-from kumquatrun.agent_pool import IDLE_CONNECTION_S, AgentPool
-from kumquatrun.clock import LoopClock
-from kumquatrun.messages import HostRecord
-from kumquatrun.placement import LeastLoaded
+from kumquatrun.entry.agent_pool import IDLE_CONNECTION_S, AgentPool
+from kumquatrun.entry.placement import LeastLoaded
+from kumquatrun.peer.messages import HostRecord
+from kumquatrun.runtime.clock import LoopClock
 
 pytestmark = pytest.mark.looptime
 AGENT = HostRecord(
--- a/tests/test_agent_streams.py
+++ b/tests/test_agent_streams.py
@@ -9,11 +9,12 @@
 from tests.fakes import INCARNATION, FakeSession, eventually
 from tests.raw_server import HEAD, RawServer, answer, chunk
 
-from kumquatrun.agent import Agent, backend_for
-from kumquatrun.clock import LoopClock
-from kumquatrun.document import ServiceKind
+from kumquatrun.agent.agent import Agent, backend_for
+from kumquatrun.daemon.settings import AgentSettings
+from kumquatrun.document.document import ServiceKind
 from kumquatrun.errors import KumquatrunError, Outcome, SettingError
-from kumquatrun.messages import (
+from kumquatrun.peer import Address, PeerClient
+from kumquatrun.peer.messages import (
     ClearSuspect,
     Dispatch,
     Finished,
@@ -21,8 +22,7 @@
     ReportSuspects,
     Started,
 )
-from kumquatrun.peer import Address, PeerClient
-from kumquatrun.settings import AgentSettings
+from kumquatrun.runtime.clock import LoopClock
 from kumquatrun_standins.engine import Engine
 from kumquatrun_standins.engine_core import CRASH_MARK, EngineOptions
 from kumquatrun_standins.plain_service import PlainService
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -4,12 +4,12 @@
 
 import pytest
 
-from kumquatrun.allowance_pool import AllowancePool, TakeAllowance
-from kumquatrun.clock import LoopClock
-from kumquatrun.configuration_register import AccountAllowance
+from kumquatrun.control.allowance_pool import AllowancePool, TakeAllowance
+from kumquatrun.control.configuration_register import AccountAllowance
 from kumquatrun.errors import ControlUnreachableError, RateLimitedError
 from kumquatrun.gateway.allowances import Allowances
 from kumquatrun.gateway.configuration import GatewayAccount
+from kumquatrun.runtime.clock import LoopClock
 
 pytestmark = pytest.mark.looptime
 
--- a/tests/test_bounded_log.py
+++ b/tests/test_bounded_log.py
@@ -6,7 +6,10 @@
 
 import pytest
 
-from kumquatrun.bounded_log import MAX_UNWRITTEN_BYTES, BoundedLogHandler
+from kumquatrun.runtime.bounded_log import (
+    MAX_UNWRITTEN_BYTES,
+    BoundedLogHandler,
+)
 
 
 @pytest.fixture
--- a/tests/test_budget_client.py
+++ b/tests/test_budget_client.py
@@ -5,14 +5,14 @@
 import pytest
 
 from entry_fakes import ACCOUNT, FakeSession
-from kumquatrun.budget_client import MAX_WAIT_S, BudgetClient
-from kumquatrun.clock import LoopClock
+from kumquatrun.entry.budget_client import MAX_WAIT_S, BudgetClient
 from kumquatrun.errors import (
     ControlUnreachableError,
     NotFoundError,
     RateLimitedError,
 )
-from kumquatrun.messages import GrantReply
+from kumquatrun.peer.messages import GrantReply
+from kumquatrun.runtime.clock import LoopClock
 
 pytestmark = pytest.mark.looptime
 RATE = 100
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -11,17 +11,17 @@
 from tests.shared_state import Cluster, host
 from tests.test_account_budgets import MACHINE
 
-from kumquatrun import claims
-from kumquatrun.claims import ClaimRegister
-from kumquatrun.commands import ExpireHost
+from kumquatrun.control import claims
+from kumquatrun.control.claims import ClaimRegister
+from kumquatrun.control.commands import ExpireHost
 from kumquatrun.errors import Outcome
-from kumquatrun.invariants import set_fatal
-from kumquatrun.messages import (
+from kumquatrun.peer.messages import (
     ClaimRequest,
     FinishClaim,
     RegisterHost,
     StoredAnswer,
 )
+from kumquatrun.runtime.invariants import set_fatal
 
 DAY_MS = 24 * 60 * 60 * 1000
 ANSWER = StoredAnswer(status=200, content_type='text/plain', body=b'done')
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -13,9 +13,10 @@
     running,
 )
 
-from kumquatrun import cli_documents
-from kumquatrun.cli import main
-from kumquatrun.cli_output import ExitCode
+from kumquatrun.command_line import cli_documents
+from kumquatrun.command_line.cli import main
+from kumquatrun.command_line.cli_output import ExitCode
+from kumquatrun.document.keys import hash_key
 from kumquatrun.errors import (
     InvalidKeyError,
     NotFoundError,
@@ -23,8 +24,7 @@
     error_from_code,
     error_kinds,
 )
-from kumquatrun.keys import hash_key
-from kumquatrun.wire import MAX_FRAME_BYTES
+from kumquatrun.peer.wire import MAX_FRAME_BYTES
 
 CONTENT = b'{"environment": "demo"}\n'
 
--- a/tests/test_cluster_view.py
+++ b/tests/test_cluster_view.py
@@ -8,11 +8,11 @@
 from tests.test_keys import issue, revoke
 from tests.test_quarantine import crash
 
-from kumquatrun.cluster_view import ClusterView
-from kumquatrun.commands import DrainHost, ExpireHost
-from kumquatrun.document import EMPTY_DOCUMENT
+from kumquatrun.control.commands import DrainHost, ExpireHost
+from kumquatrun.document.document import EMPTY_DOCUMENT
 from kumquatrun.errors import FeedGapError, WireError
-from kumquatrun.messages import AgentReport, FeedItem, RegisterHost
+from kumquatrun.membership.cluster_view import ClusterView
+from kumquatrun.peer.messages import AgentReport, FeedItem, RegisterHost
 
 
 def agent(number, run='a', **fields):
--- a/tests/test_command_batcher.py
+++ b/tests/test_command_batcher.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from kumquatrun.command_batcher import CommandBatcher
-from kumquatrun.commands import decode_batch, encode_results
+from kumquatrun.control.command_batcher import CommandBatcher
+from kumquatrun.control.commands import decode_batch, encode_results
 from kumquatrun.errors import NotLeaderError, OutcomeUnknownError
-from kumquatrun.messages import Ack, ClearSuspect
+from kumquatrun.peer.messages import Ack, ClearSuspect
 
 
 class FakeClock:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -7,13 +7,13 @@
 import pytest
 from tests.control_cluster import control_cluster, eventually
 
+from kumquatrun.control.leases import LEASE_S
+from kumquatrun.document.keys import hash_key
 from kumquatrun.errors import (
     KumquatrunError,
     RevisionConflictError,
     UnauthorizedPeerError,
 )
-from kumquatrun.keys import hash_key
-from kumquatrun.leases import LEASE_S
 
 # Design page, 1.1: a change is in force everywhere within 4 s.
 IN_FORCE_S = 4.0
--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -8,8 +8,8 @@
 from tests.test_keys import issue, revoke
 from tests.test_quarantine import FINISHED, crash
 
-from kumquatrun.audit import AuditTrail
-from kumquatrun.commands import (
+from kumquatrun.control.audit import AuditTrail
+from kumquatrun.control.commands import (
     Batch,
     DocumentReply,
     DrainHost,
@@ -21,22 +21,22 @@
     encode_results,
     inflate,
 )
-from kumquatrun.control_state import ControlState
-from kumquatrun.document import digest_document
+from kumquatrun.control.control_state import ControlState
+from kumquatrun.control.operations import OperationRegister
+from kumquatrun.document.document import digest_document
 from kumquatrun.errors import (
     InvalidRequestError,
     KumquatrunError,
     Outcome,
     WireError,
 )
-from kumquatrun.messages import (
+from kumquatrun.peer.messages import (
     Ack,
     BudgetReport,
     ErrorReply,
     GrantTokens,
     RegisterHost,
 )
-from kumquatrun.operations import OperationRegister
 
 GRANT = GrantTokens(
     host_id='entry-1',
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -10,12 +10,12 @@
 import pytest
 from bench.local_cluster import free_ports
 
-from kumquatrun import daemons
-from kumquatrun.clock import LoopClock
-from kumquatrun.lifecycle import Daemon, run_daemon
-from kumquatrun.metrics import Metrics
-from kumquatrun.setting_builder import build_settings
-from kumquatrun.settings import DaemonSettings
+from kumquatrun.command_line import daemons
+from kumquatrun.daemon.lifecycle import Daemon, run_daemon
+from kumquatrun.daemon.setting_builder import build_settings
+from kumquatrun.daemon.settings import DaemonSettings
+from kumquatrun.runtime.clock import LoopClock
+from kumquatrun.runtime.metrics import Metrics
 
 SETTINGS = DaemonSettings(host_id='h1', drain_timeout_s=7)
 
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -7,8 +7,8 @@
 import pytest
 from tests.shared_state import ACCOUNT, PARTS, content
 
-from kumquatrun import document
-from kumquatrun.document import (
+from kumquatrun.document import document
+from kumquatrun.document.document import (
     EMPTY_DOCUMENT,
     MAX_DOCUMENT_BYTES,
     BaseDocument,
@@ -19,7 +19,7 @@
     encode_delta,
     parse_document,
 )
-from kumquatrun.document_fast import read_plain_document
+from kumquatrun.document.document_fast import read_plain_document
 from kumquatrun.errors import DocumentError
 
 ACME, SALES, ROUTE = ACCOUNT, PARTS['adapters'][0], PARTS['routes'][0]
--- a/tests/test_engine_agent.py
+++ b/tests/test_engine_agent.py
@@ -6,7 +6,6 @@
 import pytest
 from tests.gateway_fakes import Engine
 
-from kumquatrun.clock import LoopClock
 from kumquatrun.errors import AdapterLoadError, NoCapacityError
 from kumquatrun.gateway.configuration import BaseModelSpec, EngineSpec
 from kumquatrun.gateway.engine_agent import EngineAgent
@@ -16,6 +15,7 @@
     PromptRead,
     UseAdapter,
 )
+from kumquatrun.runtime.clock import LoopClock
 
 pytestmark = pytest.mark.looptime
 
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -10,10 +10,13 @@
 from tests.fakes import eventually
 from tests.raw_server import EVENTS, LAST_CHUNK, RawServer, answer, chunk
 
-from kumquatrun import backend_http
-from kumquatrun.backend_http import BackendCall, BackendHttp
-from kumquatrun.completions import GenerateCall, engine_body
-from kumquatrun.engine_client import EngineClient
+from kumquatrun.agent import backend_http
+from kumquatrun.agent.backend_http import BackendCall, BackendHttp
+from kumquatrun.agent.completions import GenerateCall, engine_body
+from kumquatrun.agent.engine_client import EngineClient
+from kumquatrun.agent.reload_costs import AdapterKey
+from kumquatrun.agent.service_client import ServiceClient
+from kumquatrun.agent.sse import MAX_EVENT_BYTES, EventSplitter
 from kumquatrun.errors import (
     AdapterLoadError,
     BackendError,
@@ -23,9 +26,6 @@
     Outcome,
     StaleDispatchError,
 )
-from kumquatrun.reload_costs import AdapterKey
-from kumquatrun.service_client import ServiceClient
-from kumquatrun.sse import MAX_EVENT_BYTES, EventSplitter
 from kumquatrun_standins.engine import Engine
 from kumquatrun_standins.engine_core import EngineOptions
 from kumquatrun_standins.plain_service import PlainService
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -11,13 +11,13 @@
 import pytest
 
 from entry_fakes import KEY, FakeAgent, FakeSession
-from kumquatrun.clock import LoopClock
-from kumquatrun.entry import Entry
+from kumquatrun.daemon.settings import EntrySettings
+from kumquatrun.entry.entry import Entry
+from kumquatrun.entry.request_body import BodyMemory
 from kumquatrun.errors import BackendError
-from kumquatrun.invariants import Invariants
 from kumquatrun.peer import Address
-from kumquatrun.request_body import BodyMemory
-from kumquatrun.settings import EntrySettings
+from kumquatrun.runtime.clock import LoopClock
+from kumquatrun.runtime.invariants import Invariants
 
 AUTH = {'Authorization': f'Bearer {KEY}'}
 COMPLETION = {'model': 'wheat', 'prompt': 'hello', 'max_tokens': 8}
@@ -494,7 +494,7 @@
 @pytest.mark.parametrize('sent', [b'', b'POST /v1/comp', b'GET / HTTP/1.1\r\n'])
 async def test_idle_connection_is_closed(entry, monkeypatch, sent):
     # Guards against connections that are held open and send nothing.
-    monkeypatch.setattr('kumquatrun.http_server.IDLE_TIMEOUT_S', 0.2)
+    monkeypatch.setattr('kumquatrun.entry.http_server.IDLE_TIMEOUT_S', 0.2)
     loop = asyncio.get_running_loop()
     began_s = loop.time()
     await raw(entry, sent)
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -9,8 +9,8 @@
 from bench import demo
 from click.testing import CliRunner
 
-from kumquatrun.cli import main
-from kumquatrun.document import parse_document
+from kumquatrun.command_line.cli import main
+from kumquatrun.document.document import parse_document
 
 ROOT = Path(__file__).resolve().parent.parent
 EXAMPLES = ROOT / 'examples'
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -3,7 +3,7 @@
 import pytest
 from click.testing import CliRunner
 
-from kumquatrun.cli import main
+from kumquatrun.command_line.cli import main
 
 ENTRY = (
     'time=2026-06-11T18:04:28.100+00:00 event=attempt_failed request_id=ab1 '
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from kumquatrun.fair_queue import FairQueue, Share
+from kumquatrun.agent.fair_queue import FairQueue, Share
 
 # Accounts with weight and the cost of each of their requests.
 SHARE_CASES = {
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -14,11 +14,11 @@
     event,
 )
 
-from kumquatrun.clock import LoopClock
 from kumquatrun.errors import BackendError, NoCapacityError, Outcome
 from kumquatrun.gateway.forwarder import Forwarder
 from kumquatrun.gateway.retry_shares import RetryShares
 from kumquatrun.platform.requests import PlatformFormat
+from kumquatrun.runtime.clock import LoopClock
 
 REPEATABLE = ('idempotent', 'resumable')
 ONCE = ('non_idempotent', 'streaming')
--- a/tests/test_gateway_entry.py
+++ b/tests/test_gateway_entry.py
@@ -21,17 +21,17 @@
     event,
 )
 
-from kumquatrun.allowance_pool import AllowanceReply
-from kumquatrun.clock import LoopClock
-from kumquatrun.cluster_view import ClusterView
+from kumquatrun.control.allowance_pool import AllowanceReply
 from kumquatrun.gateway import entry as entry_module
 from kumquatrun.gateway.backends import BackendRecord
 from kumquatrun.gateway.entry import GatewayEntry
 from kumquatrun.gateway.listing_follower import ListingFollower, encode_records
 from kumquatrun.gateway.settings import GatewayEntrySettings
-from kumquatrun.messages import Ack, FeedItem, HostRecord
+from kumquatrun.membership.cluster_view import ClusterView
 from kumquatrun.peer import Address
+from kumquatrun.peer.messages import Ack, FeedItem, HostRecord
 from kumquatrun.platform.requests import PlatformFormat
+from kumquatrun.runtime.clock import LoopClock
 
 LOOPBACK = Address('127.0.0.1', 0)
 
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -5,21 +5,24 @@
 
 import pytest
 
-from kumquatrun.address import Address
-from kumquatrun.cluster_view import ClusterView
-from kumquatrun.commands import decode_results, encode_batch
-from kumquatrun.configuration_register import (
+from kumquatrun.consensus.consensus_messages import Member
+from kumquatrun.consensus.membership_keeper import (
+    SILENT_LIMIT_S,
+    MembershipKeeper,
+)
+from kumquatrun.control.commands import decode_results, encode_batch
+from kumquatrun.control.configuration_register import (
     AccountAllowance,
     ConfigurationRegister,
     NameAdapterVersion,
     PutConfiguration,
 )
-from kumquatrun.consensus_messages import Member
-from kumquatrun.control_state import ControlState
+from kumquatrun.control.control_state import ControlState
 from kumquatrun.gateway.backends import BackendRecord, BackendTable
 from kumquatrun.gateway.balancer import SPILL_LOAD, Balancer, Place
 from kumquatrun.gateway.retry_shares import RetryShares
-from kumquatrun.membership_keeper import SILENT_LIMIT_S, MembershipKeeper
+from kumquatrun.membership.cluster_view import ClusterView
+from kumquatrun.peer.address import Address
 
 
 def record(number, **more):
--- a/tests/test_host_list.py
+++ b/tests/test_host_list.py
@@ -5,7 +5,7 @@
 import pytest
 from tests.control_cluster import eventually
 
-from kumquatrun.host_list import HostListWatcher
+from kumquatrun.daemon.host_list import HostListWatcher
 from kumquatrun_standins.host_list import HostList
 
 # Design page, 1.1: a leaving host gets no new work after 4 s. The lag of the
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -3,9 +3,9 @@
 import pytest
 from tests.shared_state import Cluster, apply_document
 
-from kumquatrun.cluster_view import ClusterView
-from kumquatrun.commands import IssueKey, RevokeKey
-from kumquatrun.keys import hash_key
+from kumquatrun.control.commands import IssueKey, RevokeKey
+from kumquatrun.document.keys import hash_key
+from kumquatrun.membership.cluster_view import ClusterView
 
 
 def issue(key_id='k1', key='secret', account='acme', operation_id='i1'):
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from kumquatrun.leases import LEASE_S, LeaseTable
+from kumquatrun.control.leases import LEASE_S, LeaseTable
 
 HOLDER = ('entry-1', 'i1')
 # Followers refuse votes for this time after they heard the old leader.
--- a/tests/test_listings.py
+++ b/tests/test_listings.py
@@ -4,9 +4,7 @@
 
 import pytest
 
-from kumquatrun.address import Address
-from kumquatrun.backend_listing import BackendListing
-from kumquatrun.clock import LoopClock
+from kumquatrun.control.backend_listing import BackendListing
 from kumquatrun.errors import ConnectionLostError
 from kumquatrun.gateway.backends import BackendRecord, BackendTable
 from kumquatrun.gateway.listing_follower import (
@@ -14,6 +12,8 @@
     ListingFollower,
     encode_records,
 )
+from kumquatrun.peer.address import Address
+from kumquatrun.runtime.clock import LoopClock
 
 pytestmark = pytest.mark.looptime
 
--- a/tests/test_load_slots.py
+++ b/tests/test_load_slots.py
@@ -2,7 +2,7 @@
 
 import random
 
-from kumquatrun.load_slots import (
+from kumquatrun.control.load_slots import (
     MAX_LOADS_IN_FLIGHT,
     SLOT_DURATION_S,
     LoadSlots,
--- a/tests/test_log_store.py
+++ b/tests/test_log_store.py
@@ -6,19 +6,19 @@
 
 import pytest
 
-from kumquatrun import log_segments
-from kumquatrun.consensus_messages import EntryKind, LogEntry, Member
-from kumquatrun.errors import CorruptLogError, SettingError
-from kumquatrun.log_records import HEADER_BYTES, encode_entry
-from kumquatrun.log_store import FileStorage
-from kumquatrun.memory_store import MemoryStorage
-from kumquatrun.quorum_types import (
+from kumquatrun.consensus import log_segments
+from kumquatrun.consensus.consensus_messages import EntryKind, LogEntry, Member
+from kumquatrun.consensus.log_records import HEADER_BYTES, encode_entry
+from kumquatrun.consensus.log_store import FileStorage
+from kumquatrun.consensus.memory_store import MemoryStorage
+from kumquatrun.consensus.quorum_types import (
     HardState,
     ReplicaMeta,
     Snapshot,
     SnapshotMeta,
     StoredState,
 )
+from kumquatrun.errors import CorruptLogError, SettingError
 
 MEMBERS = (Member(replica_id='r0', disk_id='d0', address='127.0.0.1:1'),)
 META = ReplicaMeta('d0', HardState(3, 'r0/d0'), MEMBERS, formed=True)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from kumquatrun.logs import (
+from kumquatrun.runtime.logs import (
     REDACTED,
     configure_logs,
     log_event,
--- a/tests/test_openai_api.py
+++ b/tests/test_openai_api.py
@@ -4,15 +4,8 @@
 
 import pytest
 
-from kumquatrun.document import AdapterSpec
-from kumquatrun.errors import (
-    InvalidRequestError,
-    KumquatrunError,
-    Outcome,
-    RateLimitedError,
-    error_kinds,
-)
-from kumquatrun.openai_api import (
+from kumquatrun.document.document import AdapterSpec
+from kumquatrun.entry.openai_api import (
     Endpoint,
     endpoint_of,
     error_headers,
@@ -22,6 +15,13 @@
     render_error_event,
     render_models,
 )
+from kumquatrun.errors import (
+    InvalidRequestError,
+    KumquatrunError,
+    Outcome,
+    RateLimitedError,
+    error_kinds,
+)
 
 TEXT = {'model': 'wheat', 'prompt': 'hello'}
 CHAT = {'model': 'wheat', 'messages': [{'role': 'user', 'content': 'hello'}]}
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -6,7 +6,7 @@
 import pytest
 from click.testing import CliRunner
 
-from kumquatrun.cli import main
+from kumquatrun.command_line.cli import main
 
 TESTS = Path(__file__).parent
 LOG = TESTS / 'cases' / 'operations.log'
--- a/tests/test_operator_actions.py
+++ b/tests/test_operator_actions.py
@@ -2,11 +2,11 @@
 
 import pytest
 
-from kumquatrun.consensus_messages import Member
-from kumquatrun.control_state import ControlState
+from kumquatrun.consensus.consensus_messages import Member
+from kumquatrun.control.control_state import ControlState
+from kumquatrun.control.operator_actions import OperatorActions
 from kumquatrun.errors import InvalidRequestError
-from kumquatrun.messages import OperatorCall
-from kumquatrun.operator_actions import OperatorActions
+from kumquatrun.peer.messages import OperatorCall
 
 
 class FakeReplica:
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -11,15 +11,15 @@
     UnauthorizedPeerError,
     WireError,
 )
-from kumquatrun.messages import (
+from kumquatrun.peer import Address, PeerClient, PeerServer
+from kumquatrun.peer.messages import (
     Ack,
     Finished,
     FollowFeed,
     Hello,
     encode_message,
 )
-from kumquatrun.peer import Address, PeerClient, PeerServer
-from kumquatrun.wire import Frame, FrameKind, FrameReader, encode_frame
+from kumquatrun.peer.wire import Frame, FrameKind, FrameReader, encode_frame
 
 LOOPBACK = Address('127.0.0.1', 0)
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -8,9 +8,8 @@
 import pytest
 
 from entry_fakes import FakeAgent, FakeSession
-from kumquatrun.agent_pool import AVOID_S, AgentPool
-from kumquatrun.messages import AgentReport
-from kumquatrun.placement import (
+from kumquatrun.entry.agent_pool import AVOID_S, AgentPool
+from kumquatrun.entry.placement import (
     LOAD_BOUND,
     AgentLoad,
     BoundedAffinity,
@@ -19,6 +18,7 @@
     PlacementRequest,
     rendezvous_order,
 )
+from kumquatrun.peer.messages import AgentReport
 
 HOSTS = tuple(f'agent-{number}' for number in range(10))
 ADAPTERS = [f'adapter-{number}' for number in range(2000)]
--- a/tests/test_platform_operator.py
+++ b/tests/test_platform_operator.py
@@ -11,13 +11,13 @@
 from tests.control_cluster import control_cluster, eventually
 from tests.gateway_fakes import configuration
 
-from kumquatrun.address import Address
-from kumquatrun.allowance_pool import TakeAllowance
-from kumquatrun.clock import LoopClock
+from kumquatrun.control.allowance_pool import TakeAllowance
 from kumquatrun.gateway.operator_gate import OperatorGate
-from kumquatrun.leader_client import LeaderClient
-from kumquatrun.messages import Hello
+from kumquatrun.membership.leader_client import LeaderClient
+from kumquatrun.peer.address import Address
+from kumquatrun.peer.messages import Hello
 from kumquatrun.platform.operator import OperatorApi
+from kumquatrun.runtime.clock import LoopClock
 
 CONFIG_APPLY_S = 2.5
 
--- a/tests/test_prompt_gate.py
+++ b/tests/test_prompt_gate.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from kumquatrun.clock import LoopClock
 from kumquatrun.gateway.prompt_gate import FORGET_AFTER_S, PromptGate
+from kumquatrun.runtime.clock import LoopClock
 
 pytestmark = pytest.mark.looptime
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -3,13 +3,13 @@
 import pytest
 from tests.shared_state import Cluster
 
-from kumquatrun.cluster_view import ClusterView
-from kumquatrun.messages import ClearSuspect, ReportSuspects
-from kumquatrun.quarantine import (
+from kumquatrun.control.quarantine import (
     QUARANTINE_MS,
     SUSPECT_MS,
     QuarantineRegister,
 )
+from kumquatrun.membership.cluster_view import ClusterView
+from kumquatrun.peer.messages import ClearSuspect, ReportSuspects
 
 NUMBERS = iter(range(10**6))
 
--- a/tests/test_quorum_log.py
+++ b/tests/test_quorum_log.py
@@ -23,7 +23,18 @@
     TornFileStorage,
 )
 
-from kumquatrun.consensus_messages import SnapshotChunk
+from kumquatrun.consensus.consensus_messages import SnapshotChunk
+from kumquatrun.consensus.quorum_election import Election
+from kumquatrun.consensus.quorum_follower import (
+    AppendResult,
+    Follower,
+    SnapshotReceiver,
+)
+from kumquatrun.consensus.quorum_leader import Leadership
+from kumquatrun.consensus.quorum_log import QuorumLog
+from kumquatrun.consensus.quorum_node import LogNode
+from kumquatrun.consensus.quorum_types import MembershipChange, Timing
+from kumquatrun.consensus.quorum_votes import may_grant
 from kumquatrun.errors import (
     InvalidRequestError,
     NoCapacityError,
@@ -31,13 +42,6 @@
     NotLeaderError,
     Outcome,
 )
-from kumquatrun.quorum_election import Election
-from kumquatrun.quorum_follower import AppendResult, Follower, SnapshotReceiver
-from kumquatrun.quorum_leader import Leadership
-from kumquatrun.quorum_log import QuorumLog
-from kumquatrun.quorum_node import LogNode
-from kumquatrun.quorum_types import MembershipChange, Timing
-from kumquatrun.quorum_votes import may_grant
 
 
 def others(cluster, name):
--- a/tests/test_reference_pages.py
+++ b/tests/test_reference_pages.py
@@ -6,12 +6,12 @@
 import click
 import pytest
 
-from kumquatrun.cli import main
-from kumquatrun.cli_output import ExitCode, exit_code_of
+from kumquatrun.command_line.cli import main
+from kumquatrun.command_line.cli_output import ExitCode, exit_code_of
+from kumquatrun.daemon.setting_table import ALL_DAEMONS, SETTINGS
 from kumquatrun.errors import error_kinds
-from kumquatrun.metrics import METRICS
-from kumquatrun.setting_table import ALL_DAEMONS, SETTINGS
-from kumquatrun.statechart import load_chart
+from kumquatrun.runtime.metrics import METRICS
+from kumquatrun.runtime.statechart import load_chart
 
 ROOT = Path(__file__).resolve().parent.parent
 DOCS = ROOT / 'docs'
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -20,11 +20,13 @@
     FakeNetwork,
     FakeSession,
 )
-from kumquatrun.agent_pool import AgentPool
-from kumquatrun.budget_client import BudgetClient
-from kumquatrun.claim_client import ClaimClient
-from kumquatrun.clock import LoopClock
-from kumquatrun.dispatch import Dispatcher
+from kumquatrun.entry.agent_pool import AgentPool
+from kumquatrun.entry.budget_client import BudgetClient
+from kumquatrun.entry.claim_client import ClaimClient
+from kumquatrun.entry.dispatch import Dispatcher
+from kumquatrun.entry.execution import Execution, RelayRequest
+from kumquatrun.entry.placement import BoundedAffinity
+from kumquatrun.entry.relay import Relay
 from kumquatrun.errors import (
     ConnectionLostError,
     DrainingError,
@@ -33,11 +35,9 @@
     NoCapacityError,
     Outcome,
 )
-from kumquatrun.execution import Execution, RelayRequest
-from kumquatrun.invariants import InvariantError, Invariants
-from kumquatrun.messages import ClaimRequest, FinishClaim, GrantTokens
-from kumquatrun.placement import BoundedAffinity
-from kumquatrun.relay import Relay
+from kumquatrun.peer.messages import ClaimRequest, FinishClaim, GrantTokens
+from kumquatrun.runtime.clock import LoopClock
+from kumquatrun.runtime.invariants import InvariantError, Invariants
 
 pytestmark = pytest.mark.looptime
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -7,9 +7,15 @@
 
 import pytest
 
-from kumquatrun import replica_work
-from kumquatrun.clock import LoopClock
-from kumquatrun.consensus_messages import JoinRequest
+from kumquatrun.consensus import replica_work
+from kumquatrun.consensus.consensus_messages import JoinRequest
+from kumquatrun.consensus.log_store import FileStorage
+from kumquatrun.consensus.memory_store import MemoryStorage
+from kumquatrun.consensus.quorum_node import NodeOptions
+from kumquatrun.consensus.quorum_types import MembershipChange, Timing
+from kumquatrun.consensus.replica import MAX_COMMAND_BYTES, Replica
+from kumquatrun.consensus.replica_transport import TcpTransport
+from kumquatrun.daemon.settings import ReplicaSettings
 from kumquatrun.errors import (
     CorruptLogError,
     DeadlineExceededError,
@@ -21,15 +27,9 @@
     RequestTooLargeError,
     SettingError,
 )
-from kumquatrun.log_store import FileStorage
-from kumquatrun.memory_store import MemoryStorage
-from kumquatrun.messages import Ack, Hello
 from kumquatrun.peer import Address, PeerClient, PeerServer
-from kumquatrun.quorum_node import NodeOptions
-from kumquatrun.quorum_types import MembershipChange, Timing
-from kumquatrun.replica import MAX_COMMAND_BYTES, Replica
-from kumquatrun.replica_transport import TcpTransport
-from kumquatrun.settings import ReplicaSettings
+from kumquatrun.peer.messages import Ack, Hello
+from kumquatrun.runtime.clock import LoopClock
 
 
 class ListMachine:
--- a/tests/test_report_board.py
+++ b/tests/test_report_board.py
@@ -1,7 +1,7 @@
 """Reports of agents reach every entry within a bounded number of bytes."""
 
-from kumquatrun.messages import AgentReport
-from kumquatrun.report_board import REPEAT_AFTER_REPLIES, ReportBoard
+from kumquatrun.control.report_board import REPEAT_AFTER_REPLIES, ReportBoard
+from kumquatrun.peer.messages import AgentReport
 
 
 def report(number, running=0):
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -8,8 +8,6 @@
 import pytest
 from tests.gateway_fakes import course_of
 
-from kumquatrun.address import Address
-from kumquatrun.clock import LoopClock
 from kumquatrun.errors import NoCapacityError
 from kumquatrun.gateway.agent_calls import AgentUnreachableError
 from kumquatrun.gateway.backends import (
@@ -20,6 +18,8 @@
 from kumquatrun.gateway.balancer import Balancer, Place
 from kumquatrun.gateway.messages import AdapterReady
 from kumquatrun.gateway.reservations import MAX_ADAPTER_WAIT_S, Reservations
+from kumquatrun.peer.address import Address
+from kumquatrun.runtime.clock import LoopClock
 
 pytestmark = pytest.mark.looptime
 
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from kumquatrun.retry import Backoff, Deadline, RetryBudget
+from kumquatrun.runtime.retry import Backoff, Deadline, RetryBudget
 
 
 def total_retries(budget, requests, per_s=100):
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,9 +1,9 @@
 """Scheduler: starts, loads and retiring slots seen together."""
 
-from kumquatrun.adapter_slots import AdapterSlots
-from kumquatrun.messages import Dispatch
-from kumquatrun.reload_costs import AdapterKey
-from kumquatrun.scheduler import URGENT_AFTER_S, Job, Scheduler
+from kumquatrun.agent.adapter_slots import AdapterSlots
+from kumquatrun.agent.reload_costs import AdapterKey
+from kumquatrun.agent.scheduler import URGENT_AFTER_S, Job, Scheduler
+from kumquatrun.peer.messages import Dispatch
 
 A, B, C = (AdapterKey(name, '1') for name in 'abc')
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -5,13 +5,18 @@
 import pytest
 from click.testing import CliRunner
 
-from kumquatrun import daemons
-from kumquatrun.cli import main
+from kumquatrun.command_line import daemons
+from kumquatrun.command_line.cli import main
+from kumquatrun.daemon.setting_builder import REPLICA_NAMES, build_settings
+from kumquatrun.daemon.setting_table import (
+    ALL_DAEMONS,
+    CLASSES,
+    SETTINGS,
+    settings_of,
+)
+from kumquatrun.daemon.settings import ReplicaSettings
 from kumquatrun.errors import SettingError
 from kumquatrun.peer import Address
-from kumquatrun.setting_builder import REPLICA_NAMES, build_settings
-from kumquatrun.setting_table import ALL_DAEMONS, CLASSES, SETTINGS, settings_of
-from kumquatrun.settings import ReplicaSettings
 
 REPLICA = {
     'control_data_dir': '/tmp/kumquatrun-test',
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from kumquatrun.suspects import BatchRecord, CrashReport, SoloGate
+from kumquatrun.agent.suspects import BatchRecord, CrashReport, SoloGate
 
 # Requests received, requests ended, expected report.
 CRASH_CASES = {
--- a/tests/test_token_wallet.py
+++ b/tests/test_token_wallet.py
@@ -8,9 +8,9 @@
 from result import Err, Ok
 from tests.shared_state import Cluster, host
 
-from kumquatrun.commands import ReportBudgets
-from kumquatrun.messages import RegisterHost
-from kumquatrun.token_wallet import TokenWallet
+from kumquatrun.control.commands import ReportBudgets
+from kumquatrun.entry.token_wallet import TokenWallet
+from kumquatrun.peer.messages import RegisterHost
 
 GRANT_DELAY_S = 0.02
 REPORT_PERIOD_S = 0.5
@@ -185,12 +185,14 @@
 
 
 def keep_idle_tokens(patch):
-    patch.setattr('kumquatrun.token_wallet._Balance.take_surplus', lambda *_: 0)
+    patch.setattr(
+        'kumquatrun.entry.token_wallet._Balance.take_surplus', lambda *_: 0
+    )
 
 
 def hoard(patch):
-    patch.setattr('kumquatrun.token_wallet._AHEAD_S', 30)
-    patch.setattr('kumquatrun.account_budgets._KEPT_PART', 10**9)
+    patch.setattr('kumquatrun.entry.token_wallet._AHEAD_S', 30)
+    patch.setattr('kumquatrun.control.account_budgets._KEPT_PART', 10**9)
 
 
 @pytest.mark.parametrize(
--- a/tests/whole_path.py
+++ b/tests/whole_path.py
@@ -8,16 +8,16 @@
 from tests.control_cluster import control_cluster, eventually
 from tests.link_fault import FaultyLink
 
-from kumquatrun.agent import Agent
-from kumquatrun.clock import LoopClock
-from kumquatrun.document import ServiceKind
-from kumquatrun.engine_client import EngineClient
-from kumquatrun.entry import Entry
-from kumquatrun.invariants import Invariants
-from kumquatrun.keys import hash_key
+from kumquatrun.agent.agent import Agent
+from kumquatrun.agent.engine_client import EngineClient
+from kumquatrun.agent.service_client import ServiceClient
+from kumquatrun.daemon.settings import AgentSettings, EntrySettings
+from kumquatrun.document.document import ServiceKind
+from kumquatrun.document.keys import hash_key
+from kumquatrun.entry.entry import Entry
 from kumquatrun.peer import Address
-from kumquatrun.service_client import ServiceClient
-from kumquatrun.settings import AgentSettings, EntrySettings
+from kumquatrun.runtime.clock import LoopClock
+from kumquatrun.runtime.invariants import Invariants
 from kumquatrun_standins.engine import Engine
 from kumquatrun_standins.engine_core import EngineOptions
 from kumquatrun_standins.plain_service import PlainService
