Hold requests for the first configuration instead of refusing them

Callers that came back were refused again and gave up.

Ruled out: a longer Retry-After, which callers in a hurry do not keep.

Change: a request waits up to 1.5 s, at most half of its caller's time, and is then refused unrun as before.

Test: seen to fail on the old code (503 at once).

--- a/src/kumquatrun/gateway/admission.py
+++ b/src/kumquatrun/gateway/admission.py
@@ -1,7 +1,9 @@
 """Checks a request against the configuration and charges it."""
 
+import asyncio
 import random
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import replace
 
 from aiohttp import web
@@ -23,6 +25,11 @@
 from kumquatrun.gateway.crash_watch import CrashWatch
 from kumquatrun.gateway.wire_format import CallerRequest
 
+# Longest wait for the first configuration. After a restart of the whole system
+# the control hosts elect a leader in about this time. The part of the caller's
+# time leaves room for the request itself.
+CONFIGURATION_WAIT_S = 1.5
+CONFIGURATION_WAIT_PART = 0.5
 # Longest time that a caller waits who does not say how long.
 DEFAULT_PATIENCE_MS = 60_000
 MAX_PRIORITY = 9
@@ -44,6 +51,11 @@
         self._allowances = allowances
         self._crashes = crashes
         self._rng = rng
+        self._is_configured = asyncio.Event()
+
+    def tell_configured(self) -> None:
+        """Let requests go on that wait for the first configuration."""
+        self._is_configured.set()
 
     async def admit(
         self,
@@ -58,9 +70,7 @@
         KumquatrunError
             If it must not be forwarded; it was not run.
         """
-        configuration = self._configuration()
-        if configuration is None:
-            raise ControlUnreachableError('no configuration is known yet')
+        configuration = await self._first_configuration(caller)
         route = configuration.route_for(caller.host, caller.path)
         if route is None:
             raise RouteNotFoundError(f'no route for {caller.path!r}')
@@ -83,6 +93,23 @@
             ends_at_s=received_s + patience_ms / 1000,
         )
 
+    async def _first_configuration(
+        self,
+        caller: CallerRequest,
+    ) -> Configuration:
+        patience_ms = caller.patience_ms or DEFAULT_PATIENCE_MS
+        limit_s = min(
+            CONFIGURATION_WAIT_S,
+            CONFIGURATION_WAIT_PART * patience_ms / 1000,
+        )
+        with suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                await self._is_configured.wait()
+        configuration = self._configuration()
+        if configuration is None:
+            raise ControlUnreachableError('no configuration is known yet')
+        return configuration
+
     def _choose_service(self, route: GatewayRoute) -> str:
         if len(route.targets) == 1:
             return route.targets[0].service
--- a/src/kumquatrun/gateway/entry.py
+++ b/src/kumquatrun/gateway/entry.py
@@ -227,6 +227,7 @@
                 error=str(error),
             )
             return
+        self._admission.tell_configured()
         self._http.set_idle_timeout(
             self._configuration.limits.idle_timeout_ms / 1000,
         )
--- a/tests/test_gateway_entry.py
+++ b/tests/test_gateway_entry.py
@@ -160,6 +160,16 @@
     return configuration(routes=routes)
 
 
+async def test_request_waits_for_the_first_configuration():
+    # Guards against refusals after a restart of the whole system: entries
+    # answered before a leader could tell them the configuration.
+    async with served(Runner([answer()])) as host:
+        asked = asyncio.create_task(host.answer('/draft/a'))
+        await asyncio.sleep(0.1)
+        host.session.configure(one_service())
+        assert (await asked)[0] == 200
+
+
 async def test_entry_without_a_configuration_is_not_ready():
     # Guards against a new host that answers 404 for routes it does not know.
     async with served(Runner([answer()])) as host:
