Split the typed errors into three modules

The package re-exports all names, so that importers stay as they are. The test of error codes imported only the modules at the top of the library and would have seen none after the regrouping; it now walks all packages.

--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -10,9 +10,9 @@
 from kumquatrun.errors import Outcome, error_from_code, error_kinds
 from kumquatrun.peer import error_to_reply, reply_to_error
 
-for module in pkgutil.iter_modules(kumquatrun.__path__):
-    if module.name != '__main__':
-        importlib.import_module(f'kumquatrun.{module.name}')
+for module in pkgutil.walk_packages(kumquatrun.__path__, 'kumquatrun.'):
+    if module.name != 'kumquatrun.__main__':
+        importlib.import_module(module.name)
 
 
 @pytest.mark.parametrize('code', sorted(error_kinds()))
@@ -21,7 +21,7 @@
     # entry then treated a stream cut by an agent as a caller that had gone,
     # and sent no error event.
     error_class = error_kinds()[code]
-    assert error_class.__module__ == errors.__name__
+    assert error_class.__module__.startswith(f'{errors.__name__}.')
     error = error_class('detail', outcome=Outcome.RAN, retry_after_s=2)
     rebuilt = reply_to_error(error_to_reply(error))
     assert type(rebuilt) is error_class
--- a/tests/test_package_layers.py
+++ b/tests/test_package_layers.py
@@ -6,7 +6,7 @@
 import pytest
 
 PACKAGE = Path(__file__).parents[1] / 'src' / 'kumquatrun'
-# Each package may import those before it. ``errors`` is for all.
+# Each package may import those before it.
 LAYERS = (
     'errors',
     'runtime',
@@ -42,7 +42,7 @@
                 yield parts[1]
 
 
-@pytest.mark.parametrize('package', LAYERS[1:])
+@pytest.mark.parametrize('package', LAYERS)
 def test_packages_import_only_lower_ones(package):
     # Guards against import cycles between packages.
     allowed = LAYERS[: LAYERS.index(package) + 1]
@@ -57,5 +57,5 @@
 def test_every_package_is_in_a_layer():
     found = {path.parent.name for path in PACKAGE.glob('*/__init__.py')}
     modules = {path.stem for path in PACKAGE.glob('*.py')}
-    assert found == set(LAYERS) - {'errors'}
-    assert modules == {'__init__', '__main__', 'errors'}
+    assert found == set(LAYERS)
+    assert modules == {'__init__', '__main__'}
