Split the peer messages and the registers of the control state

Messages of nodes, requests and operators get modules of their own; the operation register runs a command once by itself; a change log holds feed rows and audit trail.

--- a/bench/agent_overhead.py
+++ b/bench/agent_overhead.py
@@ -21,15 +21,13 @@
 from kumquatrun.daemon.settings import AgentSettings
 from kumquatrun.document.document import Document
 from kumquatrun.peer import Address, PeerClient
-from kumquatrun.peer.messages import (
-    Ack,
+from kumquatrun.peer.messages import Ack, Hello
+from kumquatrun.peer.node_messages import (
     AcquireLoadSlot,
-    Dispatch,
-    Hello,
     HostRecord,
     LoadSlotReply,
-    Started,
 )
+from kumquatrun.peer.request_messages import Dispatch, Started
 from kumquatrun.runtime.clock import LoopClock
 
 HOST = '127.0.0.1'
--- a/bench/agent_scheduling.py
+++ b/bench/agent_scheduling.py
@@ -19,7 +19,7 @@
 from kumquatrun.agent.adapter_slots import PROTECTION_S, AdapterSlots
 from kumquatrun.agent.reload_costs import AdapterKey, ReloadCosts
 from kumquatrun.agent.scheduler import Job, Scheduler
-from kumquatrun.peer.messages import Dispatch
+from kumquatrun.peer.request_messages import Dispatch
 
 TICK_S = 0.05
 LOAD_S = 0.25
--- a/bench/control_calls.py
+++ b/bench/control_calls.py
@@ -21,13 +21,10 @@
 from kumquatrun.membership.control_client import Session
 from kumquatrun.membership.leader_client import LeaderClient
 from kumquatrun.peer import Address
-from kumquatrun.peer.messages import (
-    ClaimRequest,
-    GrantTokens,
-    Hello,
-    HostRecord,
-    OperatorCall,
-)
+from kumquatrun.peer.messages import Hello
+from kumquatrun.peer.node_messages import GrantTokens, HostRecord
+from kumquatrun.peer.operator_messages import OperatorCall
+from kumquatrun.peer.request_messages import ClaimRequest
 from kumquatrun.runtime.clock import LoopClock
 
 TIMEOUT_S = 10.0
--- a/bench/control_slopes.py
+++ b/bench/control_slopes.py
@@ -25,7 +25,7 @@
 
 from kumquatrun.membership.control_client import Session
 from kumquatrun.peer import Address
-from kumquatrun.peer.messages import AgentReport, HostRecord
+from kumquatrun.peer.node_messages import AgentReport, HostRecord
 from kumquatrun.runtime.clock import LoopClock
 
 REPLICAS = 3
--- a/bench/policy_cluster.py
+++ b/bench/policy_cluster.py
@@ -44,9 +44,9 @@
     reply_to_error,
 )
 from kumquatrun.peer.link import CONNECT_TIMEOUT_S, SILENCE_LIMIT_S
-from kumquatrun.peer.messages import (
+from kumquatrun.peer.messages import ErrorReply
+from kumquatrun.peer.node_messages import (
     AcquireLoadSlot,
-    ErrorReply,
     HostRecord,
     RegisterHost,
     ReleaseLoadSlot,
--- a/bench/state_size.py
+++ b/bench/state_size.py
@@ -20,7 +20,7 @@
 from kumquatrun.control.commands import ApplyDocument, encode_batch
 from kumquatrun.control.control_state import ControlState
 from kumquatrun.membership.cluster_view import ClusterView
-from kumquatrun.peer.messages import GrantTokens, HostRecord, RegisterHost
+from kumquatrun.peer.node_messages import GrantTokens, HostRecord, RegisterHost
 
 SERVICES = 5
 HOSTS = 390
--- a/bench/static_session.py
+++ b/bench/static_session.py
@@ -10,8 +10,8 @@
     ServiceKind,
     ServiceSpec,
 )
-from kumquatrun.peer.messages import (
-    Ack,
+from kumquatrun.peer.messages import Ack
+from kumquatrun.peer.node_messages import (
     AcquireLoadSlot,
     GrantReply,
     GrantTokens,
--- a/examples/peer_calls.py
+++ b/examples/peer_calls.py
@@ -12,7 +12,8 @@
 from kumquatrun import KumquatrunError, Outcome
 from kumquatrun.errors import NotFoundError
 from kumquatrun.peer import Address, CallContext, PeerClient, PeerServer
-from kumquatrun.peer.messages import Hello, OperatorCall, OperatorReply
+from kumquatrun.peer.messages import Hello
+from kumquatrun.peer.operator_messages import OperatorCall, OperatorReply
 
 STOCK = {'maize': 120, 'wheat': 0}
 
--- a/src/kumquatrun/agent/agent.py
+++ b/src/kumquatrun/agent/agent.py
@@ -27,7 +27,9 @@
 )
 from kumquatrun.membership.control_api import NodeSession
 from kumquatrun.peer import CallContext, PeerServer
-from kumquatrun.peer.messages import AgentReport, Dispatch, Finished, Hello
+from kumquatrun.peer.messages import Hello
+from kumquatrun.peer.node_messages import AgentReport
+from kumquatrun.peer.request_messages import Dispatch, Finished
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.logs import request_id_var
 from kumquatrun.runtime.statechart import load_chart
--- a/src/kumquatrun/agent/backend_runner.py
+++ b/src/kumquatrun/agent/backend_runner.py
@@ -5,7 +5,7 @@
 
 from kumquatrun.agent.scheduler import Job, Scheduler
 from kumquatrun.peer import CallContext
-from kumquatrun.peer.messages import Finished
+from kumquatrun.peer.request_messages import Finished
 
 
 class BackendRunner(Protocol):
--- a/src/kumquatrun/agent/crash_reports.py
+++ b/src/kumquatrun/agent/crash_reports.py
@@ -8,7 +8,7 @@
 from kumquatrun.agent.suspects import BatchRecord
 from kumquatrun.errors import KumquatrunError
 from kumquatrun.membership.control_api import NodeSession
-from kumquatrun.peer.messages import ClearSuspect, ReportSuspects
+from kumquatrun.peer.node_messages import ClearSuspect, ReportSuspects
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/agent/engine_loader.py
+++ b/src/kumquatrun/agent/engine_loader.py
@@ -16,7 +16,7 @@
     StaleDispatchError,
 )
 from kumquatrun.membership.control_api import NodeSession
-from kumquatrun.peer.messages import AcquireLoadSlot, ReleaseLoadSlot
+from kumquatrun.peer.node_messages import AcquireLoadSlot, ReleaseLoadSlot
 from kumquatrun.runtime.clock import Clock
 
 log = logging.getLogger(__name__)
--- a/src/kumquatrun/agent/engine_runner.py
+++ b/src/kumquatrun/agent/engine_runner.py
@@ -25,7 +25,7 @@
 )
 from kumquatrun.membership.control_api import NodeSession
 from kumquatrun.peer import CallContext
-from kumquatrun.peer.messages import Dispatch, Finished, Started
+from kumquatrun.peer.request_messages import Dispatch, Finished, Started
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.invariants import violations
 from kumquatrun.runtime.metrics import process_metrics
--- a/src/kumquatrun/agent/scheduler.py
+++ b/src/kumquatrun/agent/scheduler.py
@@ -15,7 +15,7 @@
 from kumquatrun.agent.fair_queue import FairQueue, Share
 from kumquatrun.agent.suspects import SoloGate
 from kumquatrun.errors import KumquatrunError, NoCapacityError
-from kumquatrun.peer.messages import Dispatch
+from kumquatrun.peer.request_messages import Dispatch
 
 # Loads of one engine at the same time; more would only compete for the
 # fleet-wide load slots and empty more adapter slots at once.
--- a/src/kumquatrun/agent/seen_requests.py
+++ b/src/kumquatrun/agent/seen_requests.py
@@ -10,7 +10,7 @@
     OutcomeUnknownError,
     StaleDispatchError,
 )
-from kumquatrun.peer.messages import Dispatch
+from kumquatrun.peer.request_messages import Dispatch
 
 # A dispatch is bound to one agent incarnation and to one connection, so a
 # duplicate is at most as old as the caller's retries, which end at the
--- a/src/kumquatrun/agent/service_runner.py
+++ b/src/kumquatrun/agent/service_runner.py
@@ -10,7 +10,7 @@
 from kumquatrun.errors import ConnectionLostError, Outcome
 from kumquatrun.membership.control_api import NodeSession
 from kumquatrun.peer import CallContext
-from kumquatrun.peer.messages import Dispatch, Finished, Started
+from kumquatrun.peer.request_messages import Dispatch, Finished, Started
 
 
 class ServiceRunner:
--- a/src/kumquatrun/command_line/daemons.py
+++ b/src/kumquatrun/command_line/daemons.py
@@ -18,7 +18,7 @@
 from kumquatrun.entry.entry import Entry
 from kumquatrun.membership.control_client import Session
 from kumquatrun.peer import sent_bytes
-from kumquatrun.peer.messages import HostRecord
+from kumquatrun.peer.node_messages import HostRecord
 from kumquatrun.runtime.clock import Clock, LoopClock
 from kumquatrun.runtime.invariants import violations
 from kumquatrun.runtime.logs import log_event
--- a/src/kumquatrun/command_line/operator_client.py
+++ b/src/kumquatrun/command_line/operator_client.py
@@ -18,7 +18,8 @@
     OutcomeUnknownError,
 )
 from kumquatrun.peer import Address, PeerClient
-from kumquatrun.peer.messages import Hello, OperatorCall
+from kumquatrun.peer.messages import Hello
+from kumquatrun.peer.operator_messages import OperatorCall
 
 READ_ACTIONS = frozenset(
     (
--- a/src/kumquatrun/control/account_budgets.py
+++ b/src/kumquatrun/control/account_budgets.py
@@ -17,7 +17,7 @@
 from kumquatrun.control.hosts import Incarnation
 from kumquatrun.document.document import AccountSpec
 from kumquatrun.errors import NotFoundError
-from kumquatrun.peer.messages import BudgetReport, GrantReply, GrantTokens
+from kumquatrun.peer.node_messages import BudgetReport, GrantReply, GrantTokens
 from kumquatrun.runtime.invariants import check_invariant
 
 _MICRO = 1_000_000
--- a/src/kumquatrun/control/claims.py
+++ b/src/kumquatrun/control/claims.py
@@ -18,7 +18,7 @@
     NoCapacityError,
     Outcome,
 )
-from kumquatrun.peer.messages import (
+from kumquatrun.peer.request_messages import (
     ClaimReply,
     ClaimRequest,
     FinishClaim,
--- a/src/kumquatrun/control/commands.py
+++ b/src/kumquatrun/control/commands.py
@@ -13,12 +13,8 @@
 
 from kumquatrun.errors import WireError
 from kumquatrun.peer.compression import inflate
-from kumquatrun.peer.messages import (
-    BudgetReport,
-    decode_message,
-    encode_message,
-    message,
-)
+from kumquatrun.peer.messages import decode_message, encode_message, message
+from kumquatrun.peer.node_messages import BudgetReport
 
 # Documents are compressed, because a document of the design size would not
 # fit into a peer frame and the link between the regions is narrow.
--- a/src/kumquatrun/control/control.py
+++ b/src/kumquatrun/control/control.py
@@ -33,24 +33,22 @@
     NotLeaderError,
 )
 from kumquatrun.peer import CallContext
-from kumquatrun.peer.messages import (
-    Ack,
+from kumquatrun.peer.messages import Ack
+from kumquatrun.peer.node_messages import (
     AcquireLoadSlot,
-    ClaimRequest,
     ClearSuspect,
-    FinishClaim,
-    Finished,
     FollowFeed,
     GrantTokens,
     HostRecord,
     LeaseReply,
     LoadSlotReply,
-    OperatorCall,
     RegisterHost,
     ReleaseLoadSlot,
     RenewLease,
     ReportSuspects,
 )
+from kumquatrun.peer.operator_messages import OperatorCall
+from kumquatrun.peer.request_messages import ClaimRequest, FinishClaim, Finished
 from kumquatrun.runtime.clock import Clock
 
 log = logging.getLogger(__name__)
--- a/src/kumquatrun/control/control_registers.py
+++ b/src/kumquatrun/control/control_registers.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from kumquatrun.control.account_budgets import BudgetRegister
-from kumquatrun.control.audit import AuditTrail
+from kumquatrun.control.change_log import ChangeLog
 from kumquatrun.control.claims import ClaimRegister
 from kumquatrun.control.commands import (
     ApplyDocument,
@@ -33,12 +33,9 @@
     NotFoundError,
 )
 from kumquatrun.peer.errors import error_to_reply
-from kumquatrun.peer.messages import (
-    Ack,
-    ClaimReply,
-    ClaimRequest,
+from kumquatrun.peer.messages import Ack
+from kumquatrun.peer.node_messages import (
     ClearSuspect,
-    FinishClaim,
     GrantReply,
     GrantTokens,
     HostRecord,
@@ -46,6 +43,11 @@
     RegisterReply,
     ReportSuspects,
 )
+from kumquatrun.peer.request_messages import (
+    ClaimReply,
+    ClaimRequest,
+    FinishClaim,
+)
 
 # Author of changes that follow from the passing of time.
 _CONTROL = 'control'
@@ -64,10 +66,9 @@
         self.budgets = BudgetRegister()
         self.claims = ClaimRegister(self.hosts.is_live)
         self.quarantine = QuarantineRegister()
-        self.audit = AuditTrail()
+        self.changes = ChangeLog()
         self.operations = OperationRegister()
         self.configurations = ConfigurationRegister()
-        self._feed_rows: list[tuple[str, Any]] = []
         self._handlers: Mapping[type, Callable[[Any], Any]] = {
             RegisterHost: self._register_host,
             ExpireHost: self._expire_host,
@@ -95,16 +96,10 @@
     def run(self, command: Any) -> Any:
         """Run a command; return its result or an ``ErrorReply``."""
         try:
-            return self._run_once(command)
+            return self.operations.run(command, self._handle)
         except KumquatrunError as error:
             return error_to_reply(error)
 
-    def take_feed_rows(self) -> list[tuple[str, Any]]:
-        """Return kind and body of the changes since the last call."""
-        rows = self._feed_rows
-        self._feed_rows = []
-        return rows
-
     def snapshot(self) -> Any:
         """Return all registers as plain values for msgpack."""
         rows = {
@@ -118,7 +113,7 @@
         self.now_ms = content['now_ms']
         for name, register in self._registers().items():
             register.restore(content[name])
-        self._feed_rows.clear()
+        self.changes.take_rows()
 
     def _registers(self) -> dict[str, Any]:
         return {
@@ -128,24 +123,11 @@
             'budgets': self.budgets,
             'claims': self.claims,
             'quarantine': self.quarantine,
-            'audit': self.audit,
+            'audit': self.changes.audit,
             'operations': self.operations,
             'configurations': self.configurations,
         }
 
-    def _run_once(self, command: Any) -> Any:
-        operation_id = _operation_id(command)
-        if operation_id is None:
-            return self._handle(command)
-        reply = self.operations.recorded(operation_id, command)
-        if reply is None:
-            try:
-                reply = self._handle(command)
-            except KumquatrunError as error:
-                reply = error_to_reply(error)
-            self.operations.record(operation_id, command, reply)
-        return reply
-
     def _handle(self, command: Any) -> Any:
         handler = self._handlers.get(type(command))
         if handler is None:
@@ -194,8 +176,9 @@
     ) -> None:
         host_id = (before or after).host_id
         fields = host_fields(after) if after else None
-        self._feed_rows.append(('host', [host_id, fields]))
-        self._record(
+        self.changes.add_row('host', [host_id, fields])
+        self.changes.record(
+            self.now_ms,
             action,
             host_id,
             (host_summary(before), host_summary(after)),
@@ -258,8 +241,9 @@
     ) -> None:
         for fingerprint, before, after in changes:
             if before != after:
-                self._feed_rows.append(('quarantine', [fingerprint, after]))
-                self._record(
+                self.changes.add_row('quarantine', [fingerprint, after])
+                self.changes.record(
+                    self.now_ms,
                     'change_fingerprint',
                     fingerprint,
                     (before, after),
@@ -273,8 +257,9 @@
         before = documents.summary()
         row = documents.replace(command.expected_revision, command.content)
         self.budgets.configure(documents.document.accounts, self.now_ms)
-        self._feed_rows.append(('document', row))
-        self._record(
+        self.changes.add_row('document', row)
+        self.changes.record(
+            self.now_ms,
             'apply_document',
             f'revision {documents.revision}',
             (before, documents.summary()),
@@ -311,8 +296,9 @@
         after: KeyRecord,
         command: IssueKey | RevokeKey,
     ) -> KeyReply:
-        self._feed_rows.append(('key', after.row()))
-        self._record(
+        self.changes.add_row('key', after.row())
+        self.changes.record(
+            self.now_ms,
             action,
             after.key_id,
             (key_summary(before), key_summary(after)),
@@ -334,10 +320,11 @@
         register = self.configurations
         before = register.version
         if register.put(command):
-            self._feed_rows.append(
-                ('configuration', [register.version, register.compressed]),
+            self.changes.add_row(
+                'configuration', [register.version, register.compressed]
             )
-            self._record(
+            self.changes.record(
+                self.now_ms,
                 'put_configuration',
                 f'version {register.version}',
                 (f'version {before}', f'version {register.version}'),
@@ -350,39 +337,12 @@
         name = (command.model, command.adapter)
         before = register.adapter_versions.get(name, 0)
         if register.name_version(command):
-            self._feed_rows.append(
-                ('adapter_version', [*name, command.version]),
-            )
-            self._record(
+            self.changes.add_row('adapter_version', [*name, command.version])
+            self.changes.record(
+                self.now_ms,
                 'name_adapter_version',
                 '/'.join(name),
                 (str(before), str(command.version)),
                 _OPERATOR,
             )
         return Ack()
-
-    def _record(
-        self,
-        action: str,
-        subject: str,
-        states: tuple[str, str],
-        operator: str,
-        operation_id: str = '',
-    ) -> None:
-        self.audit.record(
-            time_ms=self.now_ms,
-            operator=operator,
-            operation_id=operation_id,
-            action=action,
-            subject=subject,
-            before=states[0],
-            after=states[1],
-        )
-
-
-def _operation_id(command: Any) -> str | None:
-    """Return the id under which a command's result is recorded."""
-    report_id = getattr(command, 'report_id', '')
-    if report_id:
-        return f'report:{report_id}'
-    return getattr(command, 'operation_id', None)
--- a/src/kumquatrun/control/control_state.py
+++ b/src/kumquatrun/control/control_state.py
@@ -19,7 +19,7 @@
 from kumquatrun.control.hosts import Incarnation, host_fields
 from kumquatrun.document.document import AdapterSpec, Document
 from kumquatrun.document.keys import KeyRecord
-from kumquatrun.peer.messages import FeedItem, HostRecord
+from kumquatrun.peer.node_messages import FeedItem, HostRecord
 
 _FORMAT = 2
 
@@ -197,7 +197,7 @@
         limit: int = 100,
     ) -> tuple[AuditEntry, ...]:
         """Return audit entries numbered below ``before``, newest first."""
-        return self._registers.audit.page(before, limit)
+        return self._registers.changes.audit.page(before, limit)
 
     def status(self) -> dict[str, Any]:
         """Return a summary for operators."""
@@ -217,7 +217,7 @@
         }
 
     def _collect_changes(self, index: int) -> None:
-        rows = self._registers.take_feed_rows()
+        rows = self._registers.changes.take_rows()
         if not rows:
             return
         # A view applies at most one item per index, so the changes of one
--- a/src/kumquatrun/control/feed_log.py
+++ b/src/kumquatrun/control/feed_log.py
@@ -4,7 +4,7 @@
 from collections import deque
 from collections.abc import Sequence
 
-from kumquatrun.peer.messages import FeedItem
+from kumquatrun.peer.node_messages import FeedItem
 
 KEPT_ITEMS = 4096
 
--- a/src/kumquatrun/control/hosts.py
+++ b/src/kumquatrun/control/hosts.py
@@ -11,7 +11,8 @@
 from typing import Any
 
 from kumquatrun.errors import NotFoundError, StaleIncarnationError
-from kumquatrun.peer.messages import HostRecord, encode_message
+from kumquatrun.peer.messages import encode_message
+from kumquatrun.peer.node_messages import HostRecord
 
 # A late registration of an expired incarnation arrives within minutes; at 93
 # restarts a day the memory of this many covers months.
--- a/src/kumquatrun/control/load_slot_queue.py
+++ b/src/kumquatrun/control/load_slot_queue.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from kumquatrun.control.load_slots import LoadSlots
-from kumquatrun.peer.messages import AcquireLoadSlot, LoadSlotReply
+from kumquatrun.peer.node_messages import AcquireLoadSlot, LoadSlotReply
 from kumquatrun.runtime.clock import Clock
 
 SLOT_WAIT_S = 1.0
--- a/src/kumquatrun/control/operations.py
+++ b/src/kumquatrun/control/operations.py
@@ -2,11 +2,13 @@
 
 import hashlib
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import Any
 
 import msgpack
 
-from kumquatrun.errors import InvalidRequestError
+from kumquatrun.errors import InvalidRequestError, KumquatrunError
+from kumquatrun.peer.errors import error_to_reply
 from kumquatrun.peer.messages import decode_message, encode_message
 
 MAX_OPERATIONS = 10_000
@@ -22,6 +24,20 @@
         # Operation id to the digest of its command and its encoded result.
         self._replies: OrderedDict[str, tuple[bytes, Any]] = OrderedDict()
 
+    def run(self, command: Any, handle: Callable[[Any], Any]) -> Any:
+        """Run a command once; a resend gets the recorded result."""
+        operation_id = _operation_id(command)
+        if operation_id is None:
+            return handle(command)
+        reply = self.recorded(operation_id, command)
+        if reply is None:
+            try:
+                reply = handle(command)
+            except KumquatrunError as error:
+                reply = error_to_reply(error)
+            self.record(operation_id, command, reply)
+        return reply
+
     def recorded(self, operation_id: str, command: Any) -> Any | None:
         """Return the result of an earlier run of the same command.
 
@@ -68,3 +84,11 @@
 def _command_digest(command: Any) -> bytes:
     packed = msgpack.packb(encode_message(command))
     return hashlib.blake2b(packed, digest_size=_DIGEST_BYTES).digest()
+
+
+def _operation_id(command: Any) -> str | None:
+    """Return the id under which a command's result is recorded."""
+    report_id = getattr(command, 'report_id', '')
+    if report_id:
+        return f'report:{report_id}'
+    return getattr(command, 'operation_id', None)
--- a/src/kumquatrun/control/operator_actions.py
+++ b/src/kumquatrun/control/operator_actions.py
@@ -17,7 +17,8 @@
 from kumquatrun.control.control_state import ControlState
 from kumquatrun.document.document_transfer import pack_content, unpack_arguments
 from kumquatrun.errors import InvalidRequestError, UnauthorizedPeerError
-from kumquatrun.peer.messages import AgentReport, OperatorCall, OperatorReply
+from kumquatrun.peer.node_messages import AgentReport
+from kumquatrun.peer.operator_messages import OperatorCall, OperatorReply
 
 READ_TIMEOUT_S = 2.0
 MEMBERSHIP_TIMEOUT_S = 30.0
--- a/src/kumquatrun/control/report_board.py
+++ b/src/kumquatrun/control/report_board.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from kumquatrun.peer.messages import AgentReport
+from kumquatrun.peer.node_messages import AgentReport
 
 # Two replies a second with 32 reports of about 190 bytes are 12 KB/s, within
 # the 18 KB/s that control may cost a node. 730 agents whose load changes all
--- a/src/kumquatrun/entry/agent_pool.py
+++ b/src/kumquatrun/entry/agent_pool.py
@@ -12,7 +12,8 @@
 )
 from kumquatrun.membership.control_api import NodeSession
 from kumquatrun.peer import Address, PeerClient
-from kumquatrun.peer.messages import AgentReport, Hello, HostRecord
+from kumquatrun.peer.messages import Hello
+from kumquatrun.peer.node_messages import AgentReport, HostRecord
 from kumquatrun.runtime.clock import Clock
 
 # An agent that refused a dispatch or a connection is not selected for as long
--- a/src/kumquatrun/entry/answer.py
+++ b/src/kumquatrun/entry/answer.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from kumquatrun.peer.messages import StoredAnswer
+from kumquatrun.peer.request_messages import StoredAnswer
 
 # An answer that is not a stream of events is held back up to this size, so
 # that a failure can still be answered with a typed error or a retry.
--- a/src/kumquatrun/entry/budget_client.py
+++ b/src/kumquatrun/entry/budget_client.py
@@ -15,7 +15,7 @@
     RateLimitedError,
 )
 from kumquatrun.membership.control_api import NodeSession
-from kumquatrun.peer.messages import BudgetReport, GrantTokens
+from kumquatrun.peer.node_messages import BudgetReport, GrantTokens
 from kumquatrun.runtime.clock import Clock
 
 GRANT_TIMEOUT_S = 1.0
--- a/src/kumquatrun/entry/claim_client.py
+++ b/src/kumquatrun/entry/claim_client.py
@@ -14,7 +14,7 @@
     OutcomeUnknownError,
 )
 from kumquatrun.membership.control_api import NodeSession
-from kumquatrun.peer.messages import (
+from kumquatrun.peer.request_messages import (
     ClaimReply,
     ClaimRequest,
     FinishClaim,
--- a/src/kumquatrun/entry/dispatch.py
+++ b/src/kumquatrun/entry/dispatch.py
@@ -18,7 +18,8 @@
     Outcome,
 )
 from kumquatrun.membership.control_api import NodeSession
-from kumquatrun.peer.messages import Dispatch, HostRecord, Started
+from kumquatrun.peer.node_messages import HostRecord
+from kumquatrun.peer.request_messages import Dispatch, Started
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.retry import Deadline
 
--- a/src/kumquatrun/entry/entry.py
+++ b/src/kumquatrun/entry/entry.py
@@ -43,7 +43,8 @@
 )
 from kumquatrun.membership.control_api import NodeSession
 from kumquatrun.peer import Address, PeerClient
-from kumquatrun.peer.messages import Hello, StoredAnswer
+from kumquatrun.peer.messages import Hello
+from kumquatrun.peer.request_messages import StoredAnswer
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.invariants import Invariants
 from kumquatrun.runtime.logs import request_id_var
--- a/src/kumquatrun/entry/entry_checks.py
+++ b/src/kumquatrun/entry/entry_checks.py
@@ -9,7 +9,7 @@
 from kumquatrun.entry.execution import Execution
 from kumquatrun.errors import KumquatrunError, Outcome
 from kumquatrun.membership.control_api import NodeSession
-from kumquatrun.peer.messages import Dispatch
+from kumquatrun.peer.request_messages import Dispatch
 from kumquatrun.runtime.invariants import Invariants
 
 
--- a/src/kumquatrun/entry/execution.py
+++ b/src/kumquatrun/entry/execution.py
@@ -7,7 +7,7 @@
 from kumquatrun.document.document import RouteSpec
 from kumquatrun.entry.token_wallet import Reservation
 from kumquatrun.errors import KumquatrunError, Outcome, StreamCutError
-from kumquatrun.peer.messages import Finished, Started
+from kumquatrun.peer.request_messages import Finished, Started
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/kumquatrun/entry/http_server.py
+++ b/src/kumquatrun/entry/http_server.py
@@ -20,7 +20,7 @@
     KumquatrunError,
     Outcome,
 )
-from kumquatrun.peer.messages import StoredAnswer
+from kumquatrun.peer.request_messages import StoredAnswer
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/entry/relay.py
+++ b/src/kumquatrun/entry/relay.py
@@ -28,7 +28,8 @@
     StreamCutError,
 )
 from kumquatrun.membership.control_api import NodeSession
-from kumquatrun.peer.messages import HostRecord, StoredAnswer
+from kumquatrun.peer.node_messages import HostRecord
+from kumquatrun.peer.request_messages import StoredAnswer
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.invariants import InvariantError, Invariants
 from kumquatrun.runtime.retry import Backoff, Deadline, RetryBudget
--- a/src/kumquatrun/entry/token_wallet.py
+++ b/src/kumquatrun/entry/token_wallet.py
@@ -14,7 +14,7 @@
 
 from result import Err, Ok, Result
 
-from kumquatrun.peer.messages import BudgetReport, GrantTokens
+from kumquatrun.peer.node_messages import BudgetReport, GrantTokens
 from kumquatrun.runtime.invariants import check_invariant
 
 # Tokens that were not needed during two such periods are returned, that is
--- a/src/kumquatrun/gateway/agent.py
+++ b/src/kumquatrun/gateway/agent.py
@@ -10,7 +10,8 @@
 from kumquatrun.gateway.wire_format import WireFormat
 from kumquatrun.membership.control_client import Session
 from kumquatrun.peer import PeerServer
-from kumquatrun.peer.messages import AgentReport, Hello
+from kumquatrun.peer.messages import Hello
+from kumquatrun.peer.node_messages import AgentReport
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.logs import log_event
 
--- a/src/kumquatrun/gateway/crash_watch.py
+++ b/src/kumquatrun/gateway/crash_watch.py
@@ -8,7 +8,7 @@
 from kumquatrun.errors import KumquatrunError, QuarantinedError
 from kumquatrun.gateway.wire_format import CallerRequest
 from kumquatrun.membership.control_client import Session
-from kumquatrun.peer.messages import ReportSuspects
+from kumquatrun.peer.node_messages import ReportSuspects
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.logs import log_event
 
--- a/src/kumquatrun/membership/cluster_view.py
+++ b/src/kumquatrun/membership/cluster_view.py
@@ -29,7 +29,7 @@
 from kumquatrun.document.keys import hash_key
 from kumquatrun.errors import FeedGapError, WireError
 from kumquatrun.peer.compression import inflate
-from kumquatrun.peer.messages import AgentReport, FeedItem, HostRecord
+from kumquatrun.peer.node_messages import AgentReport, FeedItem, HostRecord
 from kumquatrun.runtime.invariants import check_invariant
 
 AGENT_ROLE = 'agent'
--- a/src/kumquatrun/membership/control_api.py
+++ b/src/kumquatrun/membership/control_api.py
@@ -4,7 +4,7 @@
 from typing import Any, Protocol
 
 from kumquatrun.document.document import Document
-from kumquatrun.peer.messages import AgentReport, BudgetReport, HostRecord
+from kumquatrun.peer.node_messages import AgentReport, BudgetReport, HostRecord
 
 
 class ControlApi(Protocol):
--- a/src/kumquatrun/membership/control_client.py
+++ b/src/kumquatrun/membership/control_client.py
@@ -18,11 +18,11 @@
 from kumquatrun.membership.cluster_view import ClusterView
 from kumquatrun.membership.leader_client import LeaderClient
 from kumquatrun.peer import Address, PeerClient
-from kumquatrun.peer.messages import (
+from kumquatrun.peer.messages import Hello
+from kumquatrun.peer.node_messages import (
     AgentReport,
     BudgetReport,
     FollowFeed,
-    Hello,
     HostRecord,
     LeaseReply,
     RegisterHost,
--- a/src/kumquatrun/peer/client.py
+++ b/src/kumquatrun/peer/client.py
@@ -22,11 +22,7 @@
 from kumquatrun.peer.address import Address
 from kumquatrun.peer.errors import reply_to_error
 from kumquatrun.peer.link import CONNECT_TIMEOUT_S, STREAM_CREDIT_ITEMS, Link
-from kumquatrun.peer.messages import (
-    Hello,
-    decode_message,
-    encode_message,
-)
+from kumquatrun.peer.messages import Hello, decode_message, encode_message
 from kumquatrun.peer.wire import Frame, FrameKind
 
 log = logging.getLogger(__name__)
--- a/src/kumquatrun/peer/errors.py
+++ b/src/kumquatrun/peer/errors.py
@@ -4,9 +4,7 @@
     KumquatrunError,
     error_from_code,
 )
-from kumquatrun.peer.messages import (
-    ErrorReply,
-)
+from kumquatrun.peer.messages import ErrorReply
 
 
 def error_to_reply(error: KumquatrunError) -> ErrorReply:
--- /dev/null
+++ b/src/kumquatrun/peer/node_messages.py
@@ -0,0 +1,198 @@
+"""Messages between nodes and the control service."""
+
+from kumquatrun.peer.messages import message
+
+
+@message
+class HostRecord:
+    """Describes one entry or agent host."""
+
+    host_id: str
+    incarnation: str
+    role: str
+    address: str
+    region: str
+    failure_domain: str
+    service: str = ''
+    fencing_number: int = 0
+    draining: bool = False
+
+
+@message
+class RegisterHost:
+    """Asks the leader to commit a host record with a new fencing number."""
+
+    record: HostRecord
+
+
+@message
+class RegisterReply:
+    """Returns the committed record with its fencing number."""
+
+    record: HostRecord
+
+
+@message
+class AgentReport:
+    """Soft state of one agent: load and loaded adapters."""
+
+    host_id: str
+    incarnation: str
+    running: int = 0
+    queued: int = 0
+    capacity: int = 0
+    adapters: tuple[str, ...] = ()
+
+
+@message
+class BudgetReport:
+    """Tokens that an entry consumed and returned since its last report.
+
+    ``abandoned_grants`` has the numbers of grant requests whose replies the
+    entry will not use; their tokens go back to the account.
+    """
+
+    account: str
+    consumed_tokens: int = 0
+    returned_tokens: int = 0
+    abandoned_grants: tuple[int, ...] = ()
+
+
+@message
+class RenewLease:
+    """Extends a host's lease and reports its soft state.
+
+    ``sequence`` numbers the reports of one incarnation, so that a report that
+    is sent again after a lost answer is counted once.
+    """
+
+    host_id: str
+    incarnation: str
+    feed_index: int
+    sequence: int = 0
+    agent_report: AgentReport | None = None
+    budget_reports: tuple[BudgetReport, ...] = ()
+    listing_version: str = ''
+
+
+@message
+class LeaseReply:
+    """Grants a lease, counted from the send time of the renewal.
+
+    ``duration_s`` is 0 if the host must first catch up with the feed.
+    ``listing`` is the platform's list of backend servers, see
+    ``backend_listing``; None if the host has this version already.
+    ``listing_age_s`` is the time since the leader read it.
+    """
+
+    duration_s: float
+    feed_index: int
+    agent_reports: tuple[AgentReport, ...] = ()
+    listing_version: str = ''
+    listing_age_s: float | None = None
+    listing: bytes | None = None
+
+
+@message
+class FollowFeed:
+    """Opens the feed; items after ``after_index`` follow as stream items."""
+
+    host_id: str
+    after_index: int
+
+
+@message
+class FeedItem:
+    """One change of shared state.
+
+    ``kind`` is ``snapshot``, ``document``, ``key``, ``host``, ``quarantine``
+    or ``batch``, which holds several changes of one index; ``body`` is the
+    record in msgpack, see ``cluster_view``.
+    """
+
+    index: int
+    kind: str
+    body: bytes
+
+
+@message
+class GrantTokens:
+    """Asks for tokens of an account; committed before it is answered.
+
+    ``needed_tokens`` is the part that requests wait for; the rest is asked
+    for in advance and leaves an eighth of the burst, so that idle tokens at
+    one entry do not starve another. None means all.
+    ``number`` is unique within the incarnation, so that a resend is granted
+    once and a grant whose reply was lost can be abandoned; 0 means neither.
+    """
+
+    host_id: str
+    incarnation: str
+    account: str
+    wanted_tokens: int
+    needed_tokens: int | None = None
+    number: int = 0
+
+
+@message
+class GrantReply:
+    """Returns the granted tokens; may be fewer than wanted."""
+
+    granted_tokens: int
+    retry_after_s: float = 0
+
+
+@message
+class AcquireLoadSlot:
+    """Asks for one of the fleet-wide load slots."""
+
+    host_id: str
+    incarnation: str
+    adapter: str
+    waiting_requests: int = 1
+
+
+@message
+class LoadSlotReply:
+    """Returns a slot id, or an empty id and the time to ask again."""
+
+    slot_id: str
+    retry_after_s: float = 0
+
+
+@message
+class ReleaseLoadSlot:
+    """Returns a load slot."""
+
+    slot_id: str
+
+
+@message
+class ReportSuspects:
+    """Reports fingerprints that were running when a backend server died.
+
+    ``alone`` is true if the fingerprint was the only one in the batch.
+    ``report_id`` makes a resend harmless: without it, a report that is sent
+    again counts as a second crash.
+    """
+
+    host_id: str
+    fingerprints: tuple[str, ...]
+    alone: bool = False
+    report_id: str = ''
+
+
+@message
+class ClearSuspect:
+    """Reports that a suspected request finished while it ran alone."""
+
+    host_id: str
+    fingerprint: str
+
+
+@message
+class QuarantineRecord:
+    """State of one fingerprint: ``suspect``, ``quarantined`` or ``clear``."""
+
+    fingerprint: str
+    state: str
--- a/src/kumquatrun/platform/daemons.py
+++ b/src/kumquatrun/platform/daemons.py
@@ -18,7 +18,7 @@
 from kumquatrun.gateway.settings import GatewaySettings
 from kumquatrun.membership.control_client import Session
 from kumquatrun.peer.address import Address
-from kumquatrun.peer.messages import HostRecord
+from kumquatrun.peer.node_messages import HostRecord
 from kumquatrun.platform import settings as platform_settings
 from kumquatrun.platform.client import PlatformClient
 from kumquatrun.platform.engine import PlatformEngine
--- a/tests/control_cluster.py
+++ b/tests/control_cluster.py
@@ -14,7 +14,9 @@
 from kumquatrun.membership.control_client import Session
 from kumquatrun.membership.leader_client import LeaderClient
 from kumquatrun.peer import Address
-from kumquatrun.peer.messages import Hello, HostRecord, OperatorCall
+from kumquatrun.peer.messages import Hello
+from kumquatrun.peer.node_messages import HostRecord
+from kumquatrun.peer.operator_messages import OperatorCall
 from kumquatrun.runtime.clock import LoopClock
 
 TOKEN = 'operator-token'
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -30,19 +30,15 @@
     error_to_reply,
 )
 from kumquatrun.peer.link import SILENCE_LIMIT_S
-from kumquatrun.peer.messages import (
-    Ack,
+from kumquatrun.peer.messages import Ack, Hello, encode_message
+from kumquatrun.peer.node_messages import GrantReply, GrantTokens, HostRecord
+from kumquatrun.peer.request_messages import (
     ClaimReply,
     ClaimRequest,
     Dispatch,
     FinishClaim,
     Finished,
-    GrantReply,
-    GrantTokens,
-    Hello,
-    HostRecord,
     Started,
-    encode_message,
 )
 from kumquatrun.peer.wire import Frame, FrameKind
 
--- a/tests/fake_control.py
+++ b/tests/fake_control.py
@@ -20,7 +20,8 @@
     RevisionConflictError,
 )
 from kumquatrun.peer import Address, PeerServer
-from kumquatrun.peer.messages import Hello, OperatorReply
+from kumquatrun.peer.messages import Hello
+from kumquatrun.peer.operator_messages import OperatorReply
 
 CLUSTER_TOKEN = 'cluster-token'
 OPERATOR_TOKEN = 'operator-token'
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -5,8 +5,8 @@
 
 from kumquatrun.document.document import Document, ServiceKind, ServiceSpec
 from kumquatrun.errors import ControlUnreachableError
-from kumquatrun.peer.messages import (
-    Ack,
+from kumquatrun.peer.messages import Ack
+from kumquatrun.peer.node_messages import (
     AcquireLoadSlot,
     HostRecord,
     LoadSlotReply,
--- a/tests/shared_state.py
+++ b/tests/shared_state.py
@@ -8,7 +8,7 @@
     encode_batch,
 )
 from kumquatrun.control.control_state import ControlState
-from kumquatrun.peer.messages import HostRecord, RegisterHost
+from kumquatrun.peer.node_messages import HostRecord, RegisterHost
 from kumquatrun.runtime.invariants import set_fatal
 
 set_fatal(True)
--- a/tests/test_account_budgets.py
+++ b/tests/test_account_budgets.py
@@ -26,7 +26,7 @@
 from kumquatrun.control.account_budgets import AccountBudget, BudgetRegister
 from kumquatrun.control.commands import ExpireHost, ReportBudgets
 from kumquatrun.entry.token_wallet import TokenWallet
-from kumquatrun.peer.messages import (
+from kumquatrun.peer.node_messages import (
     BudgetReport,
     GrantTokens,
     RegisterHost,
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -17,13 +17,8 @@
 from kumquatrun.daemon.settings import AgentSettings
 from kumquatrun.errors import KumquatrunError, Outcome
 from kumquatrun.peer import Address
-from kumquatrun.peer.messages import (
-    ClearSuspect,
-    Dispatch,
-    Finished,
-    ReportSuspects,
-    Started,
-)
+from kumquatrun.peer.node_messages import ClearSuspect, ReportSuspects
+from kumquatrun.peer.request_messages import Dispatch, Finished, Started
 from kumquatrun.runtime import invariants
 from kumquatrun.runtime.clock import LoopClock
 
--- a/tests/test_agent_calls.py
+++ b/tests/test_agent_calls.py
@@ -16,7 +16,8 @@
 )
 from kumquatrun.peer import PeerServer
 from kumquatrun.peer.address import Address
-from kumquatrun.peer.messages import Ack, Hello, HostRecord
+from kumquatrun.peer.messages import Ack, Hello
+from kumquatrun.peer.node_messages import HostRecord
 
 REQUEST = UseAdapter(request_id='r', model='m', adapter='a')
 HELLO = Hello(node_id='n', incarnation='i')
--- a/tests/test_agent_pool.py
+++ b/tests/test_agent_pool.py
@@ -7,7 +7,7 @@
 from entry_fakes import FakeSession
 from kumquatrun.entry.agent_pool import IDLE_CONNECTION_S, AgentPool
 from kumquatrun.entry.placement import LeastLoaded
-from kumquatrun.peer.messages import HostRecord
+from kumquatrun.peer.node_messages import HostRecord
 from kumquatrun.runtime.clock import LoopClock
 
 pytestmark = pytest.mark.looptime
--- a/tests/test_agent_streams.py
+++ b/tests/test_agent_streams.py
@@ -14,14 +14,9 @@
 from kumquatrun.document.document import ServiceKind
 from kumquatrun.errors import KumquatrunError, Outcome, SettingError
 from kumquatrun.peer import Address, PeerClient
-from kumquatrun.peer.messages import (
-    ClearSuspect,
-    Dispatch,
-    Finished,
-    Hello,
-    ReportSuspects,
-    Started,
-)
+from kumquatrun.peer.messages import Hello
+from kumquatrun.peer.node_messages import ClearSuspect, ReportSuspects
+from kumquatrun.peer.request_messages import Dispatch, Finished, Started
 from kumquatrun.runtime.clock import LoopClock
 from kumquatrun_standins.engine import Engine
 from kumquatrun_standins.engine_core import CRASH_MARK, EngineOptions
--- a/tests/test_budget_client.py
+++ b/tests/test_budget_client.py
@@ -11,7 +11,7 @@
     NotFoundError,
     RateLimitedError,
 )
-from kumquatrun.peer.messages import GrantReply
+from kumquatrun.peer.node_messages import GrantReply
 from kumquatrun.runtime.clock import LoopClock
 
 pytestmark = pytest.mark.looptime
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -15,10 +15,10 @@
 from kumquatrun.control.claims import ClaimRegister
 from kumquatrun.control.commands import ExpireHost
 from kumquatrun.errors import Outcome
-from kumquatrun.peer.messages import (
+from kumquatrun.peer.node_messages import RegisterHost
+from kumquatrun.peer.request_messages import (
     ClaimRequest,
     FinishClaim,
-    RegisterHost,
     StoredAnswer,
 )
 from kumquatrun.runtime.invariants import set_fatal
--- a/tests/test_cluster_view.py
+++ b/tests/test_cluster_view.py
@@ -12,7 +12,7 @@
 from kumquatrun.document.document import EMPTY_DOCUMENT
 from kumquatrun.errors import FeedGapError, WireError
 from kumquatrun.membership.cluster_view import ClusterView
-from kumquatrun.peer.messages import AgentReport, FeedItem, RegisterHost
+from kumquatrun.peer.node_messages import AgentReport, FeedItem, RegisterHost
 
 
 def agent(number, run='a', **fields):
--- a/tests/test_command_batcher.py
+++ b/tests/test_command_batcher.py
@@ -7,7 +7,8 @@
 from kumquatrun.control.command_batcher import CommandBatcher
 from kumquatrun.control.commands import decode_batch, encode_results
 from kumquatrun.errors import NotLeaderError, OutcomeUnknownError
-from kumquatrun.peer.messages import Ack, ClearSuspect
+from kumquatrun.peer.messages import Ack
+from kumquatrun.peer.node_messages import ClearSuspect
 
 
 class FakeClock:
--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -30,10 +30,9 @@
     Outcome,
     WireError,
 )
-from kumquatrun.peer.messages import (
-    Ack,
+from kumquatrun.peer.messages import Ack, ErrorReply
+from kumquatrun.peer.node_messages import (
     BudgetReport,
-    ErrorReply,
     GrantTokens,
     RegisterHost,
 )
--- a/tests/test_gateway_entry.py
+++ b/tests/test_gateway_entry.py
@@ -29,7 +29,8 @@
 from kumquatrun.gateway.settings import GatewayEntrySettings
 from kumquatrun.membership.cluster_view import ClusterView
 from kumquatrun.peer import Address
-from kumquatrun.peer.messages import Ack, FeedItem, HostRecord
+from kumquatrun.peer.messages import Ack
+from kumquatrun.peer.node_messages import FeedItem, HostRecord
 from kumquatrun.platform.requests import PlatformFormat
 from kumquatrun.runtime.clock import LoopClock
 
--- a/tests/test_operator_actions.py
+++ b/tests/test_operator_actions.py
@@ -6,7 +6,7 @@
 from kumquatrun.control.control_state import ControlState
 from kumquatrun.control.operator_actions import OperatorActions
 from kumquatrun.errors import InvalidRequestError
-from kumquatrun.peer.messages import OperatorCall
+from kumquatrun.peer.operator_messages import OperatorCall
 
 
 class FakeReplica:
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -12,13 +12,9 @@
     WireError,
 )
 from kumquatrun.peer import Address, PeerClient, PeerServer
-from kumquatrun.peer.messages import (
-    Ack,
-    Finished,
-    FollowFeed,
-    Hello,
-    encode_message,
-)
+from kumquatrun.peer.messages import Ack, Hello, encode_message
+from kumquatrun.peer.node_messages import FollowFeed
+from kumquatrun.peer.request_messages import Finished
 from kumquatrun.peer.wire import Frame, FrameKind, FrameReader, encode_frame
 
 LOOPBACK = Address('127.0.0.1', 0)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -18,7 +18,7 @@
     PlacementRequest,
     rendezvous_order,
 )
-from kumquatrun.peer.messages import AgentReport
+from kumquatrun.peer.node_messages import AgentReport
 
 HOSTS = tuple(f'agent-{number}' for number in range(10))
 ADAPTERS = [f'adapter-{number}' for number in range(2000)]
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -9,7 +9,7 @@
     QuarantineRegister,
 )
 from kumquatrun.membership.cluster_view import ClusterView
-from kumquatrun.peer.messages import ClearSuspect, ReportSuspects
+from kumquatrun.peer.node_messages import ClearSuspect, ReportSuspects
 
 NUMBERS = iter(range(10**6))
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -35,7 +35,8 @@
     NoCapacityError,
     Outcome,
 )
-from kumquatrun.peer.messages import ClaimRequest, FinishClaim, GrantTokens
+from kumquatrun.peer.node_messages import GrantTokens
+from kumquatrun.peer.request_messages import ClaimRequest, FinishClaim
 from kumquatrun.runtime.clock import LoopClock
 from kumquatrun.runtime.invariants import InvariantError, Invariants
 
--- a/tests/test_report_board.py
+++ b/tests/test_report_board.py
@@ -1,7 +1,7 @@
 """Reports of agents reach every entry within a bounded number of bytes."""
 
 from kumquatrun.control.report_board import REPEAT_AFTER_REPLIES, ReportBoard
-from kumquatrun.peer.messages import AgentReport
+from kumquatrun.peer.node_messages import AgentReport
 
 
 def report(number, running=0):
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -3,7 +3,7 @@
 from kumquatrun.agent.adapter_slots import AdapterSlots
 from kumquatrun.agent.reload_costs import AdapterKey
 from kumquatrun.agent.scheduler import URGENT_AFTER_S, Job, Scheduler
-from kumquatrun.peer.messages import Dispatch
+from kumquatrun.peer.request_messages import Dispatch
 
 A, B, C = (AdapterKey(name, '1') for name in 'abc')
 
--- a/tests/test_token_wallet.py
+++ b/tests/test_token_wallet.py
@@ -10,7 +10,7 @@
 
 from kumquatrun.control.commands import ReportBudgets
 from kumquatrun.entry.token_wallet import TokenWallet
-from kumquatrun.peer.messages import RegisterHost
+from kumquatrun.peer.node_messages import RegisterHost
 
 GRANT_DELAY_S = 0.02
 REPORT_PERIOD_S = 0.5
