Let requests wait for a base model that no engine holds yet

Cause: after a loss of everything the engines restart empty and load their model in about a second.

Change: where every engine that was asked holds no model, the request is offered once more and waits at the agent, within the time for an adapter.

--- a/src/kumquatrun/gateway/engine_agent.py
+++ b/src/kumquatrun/gateway/engine_agent.py
@@ -22,7 +22,7 @@
 from kumquatrun.gateway.configuration import EngineSpec
 from kumquatrun.gateway.engine_api import EngineReport, OrderedEngine
 from kumquatrun.gateway.engine_orders import EngineOrders
-from kumquatrun.gateway.engine_watch import EngineWatch
+from kumquatrun.gateway.engine_watch import ENGINE_EMPTY, EngineWatch
 from kumquatrun.gateway.messages import (
     AdapterQueued,
     AdapterReady,
@@ -51,6 +51,7 @@
     name: AdapterName
     version: int
     urgency: tuple[int, float]
+    waits_for_model: bool
     future: asyncio.Future = field(repr=False)
 
     def answer(self, version: int) -> None:
@@ -200,7 +201,7 @@
         if self._is_stopping:
             raise DrainingError('the agent stops')
         problem = self._watch.problem()
-        if problem is not None:
+        if problem is not None and not _outwaits(request, problem):
             raise problem
         wanted = max(request.version, self._newest_version(*name))
         held = self._watch.held_version(name, wanted)
@@ -214,18 +215,19 @@
                 f'load version {wanted} yet',
                 cause='version_in_use',
             )
-        return await self._wait_for(name, wanted, request.priority)
+        return await self._wait_for(name, wanted, request)
 
     async def _wait_for(
         self,
         name: AdapterName,
         wanted: int,
-        priority: int,
+        request: UseAdapter,
     ) -> int:
         waiter = _Waiter(
             name,
             wanted,
-            (priority, self._clock.now_s()),
+            (request.priority, self._clock.now_s()),
+            request.waits_for_model,
             asyncio.get_running_loop().create_future(),
         )
         self._waiters.append(waiter)
@@ -284,9 +286,10 @@
                 self._waiters.remove(waiter)
 
     def _refuse_all(self, error: KumquatrunError) -> None:
-        for waiter in self._waiters:
-            waiter.refuse(error)
-        self._waiters.clear()
+        for waiter in list(self._waiters):
+            if not _outwaits(waiter, error):
+                waiter.refuse(error)
+                self._waiters.remove(waiter)
 
     async def _load_for_waiters(self) -> None:
         """Give the orders that are needed now, the most urgent first."""
@@ -319,3 +322,11 @@
         for waiter in sorted(self._waiters, key=lambda row: row.urgency):
             first.setdefault(waiter.name, waiter)
         return list(first.values())
+
+
+def _outwaits(
+    waiting: UseAdapter | _Waiter,
+    problem: KumquatrunError,
+) -> bool:
+    """Return whether a request stays until the engine has a base model."""
+    return waiting.waits_for_model and problem.cause == ENGINE_EMPTY
--- a/src/kumquatrun/gateway/engine_watch.py
+++ b/src/kumquatrun/gateway/engine_watch.py
@@ -16,6 +16,8 @@
 
 log = logging.getLogger(__name__)
 
+# Cause of a refusal by an engine without a base model.
+ENGINE_EMPTY = 'engine_empty'
 # An engine that gave no report for this time is taken for lost.
 LOST_AFTER_S = 0.7
 DEFAULT_ADAPTER_SLOTS = 8
@@ -87,7 +89,7 @@
         if not report.models:
             return AdapterLoadError(
                 'the engine holds no model yet',
-                cause='engine_empty',
+                cause=ENGINE_EMPTY,
             )
         return None
 
--- a/src/kumquatrun/gateway/messages.py
+++ b/src/kumquatrun/gateway/messages.py
@@ -8,7 +8,9 @@
     """Asks for an adapter and keeps it loaded while the call is open.
 
     An empty ``adapter`` asks for the base model. ``version`` is the oldest
-    version that will do; 0 means any.
+    version that will do; 0 means any. ``waits_for_model`` is set by a caller
+    that found no engine with the base model: it would rather wait than be
+    refused at once.
     """
 
     request_id: str
@@ -17,6 +19,7 @@
     version: int = 0
     priority: int = 0
     prompt_tokens: int = 0
+    waits_for_model: bool = False
 
 
 @message
--- a/src/kumquatrun/gateway/reservations.py
+++ b/src/kumquatrun/gateway/reservations.py
@@ -1,7 +1,7 @@
 """Finds the backend server for a request and has its adapter provided."""
 
 import logging
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence, Sized
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 
@@ -14,6 +14,7 @@
 from kumquatrun.gateway.backends import Backend, BackendTable
 from kumquatrun.gateway.balancer import Balancer
 from kumquatrun.gateway.course import Course
+from kumquatrun.gateway.engine_watch import ENGINE_EMPTY
 from kumquatrun.gateway.messages import UseAdapter
 from kumquatrun.gateway.wire_format import CallerRequest
 from kumquatrun.runtime.clock import Clock
@@ -73,26 +74,51 @@
         NoCapacityError
             If there is none; the request was not sent.
         """
-        problem = 'none is left'
-        for _ in range(MAX_HOLD_ATTEMPTS):
-            backend = await self._choose(course)
-            if backend is None or course.adapter_wait_s >= MAX_ADAPTER_WAIT_S:
-                break
+        refusals: dict[str, KumquatrunError] = {}
+        waits_for_model = False
+        while True:
+            backend = await self._choose_next(course, refusals)
+            if backend is None:
+                if waits_for_model or not _all_are_empty(refusals):
+                    break
+                # Waiting at one of them is quicker than coming back.
+                waits_for_model = True
+                course.tried -= set(refusals)
+                refusals.clear()
+                continue
             async with AsyncExitStack() as stack:
                 try:
-                    reservation = await self._hold(course, backend, stack)
+                    reservation = await self._hold(
+                        course,
+                        backend,
+                        stack,
+                        waits_for_model=waits_for_model,
+                    )
                 except KumquatrunError as error:
-                    problem = str(error)
-                    self._pass_over(course, backend, problem)
+                    refusals[backend.backend_id] = error
+                    self._pass_over(course, backend, error)
                     continue
                 yield reservation
                 return
+        problem = [str(error) for error in refusals.values()][-1:]
         raise NoCapacityError(
-            f'no backend server can take the request: {problem}',
+            'no backend server can take the request: '
+            f'{problem[0] if problem else "none is left"}',
             retry_after_s=BUSY_RETRY_AFTER_S,
             cause='no_backend',
         )
 
+    async def _choose_next(
+        self,
+        course: Course,
+        refusals: Sized,
+    ) -> Backend | None:
+        if len(refusals) >= MAX_HOLD_ATTEMPTS:
+            return None
+        if course.adapter_wait_s >= MAX_ADAPTER_WAIT_S:
+            return None
+        return await self._choose(course)
+
     async def _choose(self, course: Course) -> Backend | None:
         give_up_s = self._clock.now_s() + min(
             MAX_BACKEND_WAIT_S,
@@ -135,6 +161,8 @@
         course: Course,
         backend: Backend,
         stack: AsyncExitStack,
+        *,
+        waits_for_model: bool,
     ) -> Reservation:
         request = course.request
         if not request.model:
@@ -147,6 +175,7 @@
             version=version,
             priority=course.priority,
             prompt_tokens=request.prompt_tokens or 0,
+            waits_for_model=waits_for_model,
         )
         began_s = self._clock.now_s()
         wait_s = min(
@@ -179,7 +208,7 @@
         self,
         course: Course,
         backend: Backend,
-        problem: str,
+        problem: KumquatrunError,
     ) -> None:
         course.tried.add(backend.backend_id)
         log_event(
@@ -189,7 +218,7 @@
             backend=backend.backend_id,
             adapter=course.request.adapter,
             load=backend.load,
-            reason=problem,
+            reason=str(problem),
         )
 
     def _needed_version(self, request: CallerRequest) -> int:
@@ -212,3 +241,10 @@
         and version in {0, held.version}
         for held in backend.record.adapters
     )
+
+
+def _all_are_empty(refusals: Mapping[str, KumquatrunError]) -> bool:
+    """Return whether no engine that was asked holds a base model."""
+    return bool(refusals) and all(
+        error.cause == ENGINE_EMPTY for error in refusals.values()
+    )
--- a/tests/test_engine_agent.py
+++ b/tests/test_engine_agent.py
@@ -269,3 +269,31 @@
     await Use(agent, '', 'r4', model='rare').ready()
     assert engine.models == ('rare',)
     await agent.stop()
+
+
+@pytest.mark.parametrize('waits', [True, False])
+async def test_request_waits_for_the_model_of_a_restarted_engine(waits):
+    # Guards against refusals while all engines load their model again.
+    engine = Engine()
+    engine.model_load_s = 0.9
+    engine.restart()
+    async with agent_of(engine) as agent:
+        use = Use(agent, 'a1', waits_for_model=waits)
+        if waits:
+            assert (await use.ready()).version == 1
+        else:
+            with pytest.raises(AdapterLoadError):
+                await use.ready()
+        await use.end()
+
+
+async def test_request_that_waits_for_a_model_is_refused_by_a_lost_engine():
+    engine = Engine()
+    engine.model_load_s = 100
+    engine.restart()
+    async with agent_of(engine) as agent:
+        use = Use(agent, 'a1', waits_for_model=True)
+        await asyncio.sleep(0.1)
+        engine.is_silent = True
+        with pytest.raises(AdapterLoadError):
+            await use.ready()
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -8,7 +8,7 @@
 import pytest
 from tests.gateway_fakes import course_of
 
-from kumquatrun.errors import NoCapacityError
+from kumquatrun.errors import AdapterLoadError, NoCapacityError
 from kumquatrun.gateway.agent_calls import AgentUnreachableError
 from kumquatrun.gateway.backends import (
     BackendRecord,
@@ -40,6 +40,8 @@
             raise NoCapacityError('slow', cause='adapter_wait')
         if answer == 'gone':
             raise AgentUnreachableError('gone')
+        if answer == 'empty' and not request.waits_for_model:
+            raise AdapterLoadError('no model yet', cause='engine_empty')
         yield type('Hold', (), {'ready': AdapterReady(version=2, load=0)})
 
 
@@ -120,3 +122,21 @@
 async def test_no_backend_server_is_a_refusal_after_a_short_wait():
     with pytest.raises(NoCapacityError):
         await reserved(reservations(Agents(), count=0), course())
+
+
+async def test_request_waits_for_a_model_that_no_engine_holds():
+    # Guards against refusals after a loss of all engines: entries asked three
+    # empty engines within 10 ms and gave up.
+    agents = Agents(i_0='empty', i_1='empty', i_2='empty')
+    found = reservations(agents)
+    assert await reserved(found, course())
+    assert len(agents.asked) == 4
+
+
+async def test_empty_engine_is_passed_over_while_another_holds_the_model():
+    # Guards against requests that wait for a restarted engine.
+    agents = Agents(i_0='empty', i_1='empty')
+    found = reservations(agents)
+    for number in range(20):
+        chosen = await reserved(found, course(f'a{number}'))
+        assert chosen.backend.backend_id == 'i-2'
