Spill an adapter by its engine's slots instead of a fixed load

Cause: an adapter got a second engine when its first had 28 requests, though engines run 64.

Change: the bound is 0.7 of the slots that the platform lists. Where engines have other numbers of slots, a fixed bound would have been above or far below them.

Test: seen to fail with the fixed bound for 16 and for 64 slots.

--- a/src/kumquatrun/gateway/backends.py
+++ b/src/kumquatrun/gateway/backends.py
@@ -10,6 +10,8 @@
 )
 from kumquatrun.peer.address import Address
 
+# Slots of a backend server that is listed without their number.
+DEFAULT_SLOTS = 32
 # After a failed connection a backend server is passed over for this time,
 # doubled with each further failure.
 FIRST_PAUSE_S = 0.5
@@ -32,12 +34,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class BackendRecord:
-    """A backend server as the platform lists it."""
+    """A backend server as the platform lists it.
+
+    ``slots`` is the number of requests that it runs at the same time.
+    """
 
     backend_id: str
     service: str
     address: Address
     failure_domain: str
+    slots: int = DEFAULT_SLOTS
     is_draining: bool = False
     models: frozenset[str] = frozenset()
     adapters: frozenset[HeldAdapter] = frozenset()
--- a/src/kumquatrun/gateway/balancer.py
+++ b/src/kumquatrun/gateway/balancer.py
@@ -10,8 +10,10 @@
 # A failure rate above this makes a backend server a last resort.
 MAX_FAILURE_RATE = 0.35
 # An adapter's first backend server is passed over when its load is above both
-# bounds: a further copy of the adapter costs a load from the weight store.
-SPILL_LOAD = 28
+# bounds, a part of its slots and a multiple of the mean load: a further copy of
+# the adapter costs a load from the weight store, and a batch slows little while
+# it fills.
+SPILL_PART = 0.7
 SPILL_RATIO = 1.25
 # Requests that a nearer backend server may have more than one in the next
 # failure domain, and in the next region.
@@ -90,9 +92,9 @@
             key=lambda row: _rank(affinity, row.backend_id),
         )
         mean = sum(row.load for row in ranked) / len(ranked)
-        bound = max(SPILL_LOAD, SPILL_RATIO * mean)
         for backend in ranked:
-            if backend.load <= bound:
+            part = SPILL_PART * backend.record.slots
+            if backend.load <= max(part, SPILL_RATIO * mean):
                 return backend
         return min(ranked, key=lambda row: row.load)
 
--- a/src/kumquatrun/gateway/listing_follower.py
+++ b/src/kumquatrun/gateway/listing_follower.py
@@ -32,6 +32,7 @@
             record.service,
             str(record.address),
             record.failure_domain,
+            record.slots,
             record.is_draining,
             sorted(record.models),
             sorted(
@@ -54,6 +55,7 @@
     service: str,
     address: str,
     failure_domain: str,
+    slots: int,
     is_draining: bool,
     models: list[str],
     adapters: list[tuple[str, str, int]],
@@ -63,6 +65,7 @@
         service=service,
         address=Address.parse(address),
         failure_domain=failure_domain,
+        slots=slots,
         is_draining=is_draining,
         models=frozenset(models),
         adapters=frozenset(
--- a/src/kumquatrun/platform/listing.py
+++ b/src/kumquatrun/platform/listing.py
@@ -1,7 +1,11 @@
 """The platform's list of backend servers."""
 
 from kumquatrun.errors import ConnectionLostError, DocumentError
-from kumquatrun.gateway.backends import BackendRecord, HeldAdapter
+from kumquatrun.gateway.backends import (
+    DEFAULT_SLOTS,
+    BackendRecord,
+    HeldAdapter,
+)
 from kumquatrun.gateway.listing_follower import encode_records
 from kumquatrun.peer.address import Address
 from kumquatrun.platform import decoding
@@ -72,6 +76,7 @@
         service=decoding.text(fields, 'service'),
         address=Address.parse(decoding.text(fields, 'address')),
         failure_domain=decoding.text(fields, 'zone', ''),
+        slots=decoding.whole(fields, 'slots', DEFAULT_SLOTS),
         is_draining=DRAINING[state] or fields.get('remaining_ms') is not None,
         models=frozenset(
             decoding.text(model, 'name')
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -19,7 +19,7 @@
 )
 from kumquatrun.control.control_state import ControlState
 from kumquatrun.gateway.backends import BackendRecord, BackendTable
-from kumquatrun.gateway.balancer import SPILL_LOAD, Balancer, Place
+from kumquatrun.gateway.balancer import SPILL_PART, Balancer, Place
 from kumquatrun.gateway.retry_shares import RetryShares
 from kumquatrun.membership.cluster_view import ClusterView
 from kumquatrun.peer.address import Address
@@ -67,10 +67,17 @@
     assert moved < 80
 
 
-def test_busy_adapter_gets_a_second_backend_server():
-    rows = table_of(3).of_service('assistant')
+@pytest.mark.parametrize('slots', [16, 64])
+def test_busy_adapter_gets_a_second_backend_server(slots):
+    # Guards against copies of an adapter while its engine has free slots: with
+    # a fixed bound of 28 requests a fifth of all loads were second copies.
+    table = BackendTable()
+    table.update([record(number, slots=slots) for number in range(3)])
+    rows = table.of_service('assistant')
     first = balancer().choose(rows, 0, affinity='m/a1')
-    first.take_report(SPILL_LOAD * 2)
+    first.take_report(int(SPILL_PART * slots))
+    assert balancer().choose(rows, 0, affinity='m/a1') is first
+    first.take_report(slots)
     assert balancer().choose(rows, 0, affinity='m/a1') is not first
 
 
