Load base models into empty engines by rank, and copy busy ones

Ruled out: adapters as the cause (load waits of 0.4 s); loading by demand only, which gives every empty engine the model that is asked for most.

Change: an empty engine loads the model of the highest rank for its host, so that engines differ. An entry that finds all engines of a model busy has the same further engine load it that all other entries choose.

Tests: the one of empty engines was seen to fail first; the ones of the copies were written with the change.

--- a/src/kumquatrun/gateway/backends.py
+++ b/src/kumquatrun/gateway/backends.py
@@ -12,6 +12,9 @@
 
 # Slots of a backend server that is listed without their number.
 DEFAULT_SLOTS = 32
+# Part of its slots above which an engine is busy: a batch slows little while it
+# fills.
+BUSY_PART = 0.7
 # After a failed connection a backend server is passed over for this time,
 # doubled with each further failure.
 FIRST_PAUSE_S = 0.5
@@ -75,6 +78,11 @@
         told = self.reported_load + self.started_since_report
         return max(told, self.open_requests)
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether most slots are taken."""
+        return self.load > BUSY_PART * self.record.slots
+
     def take_report(self, load: int) -> None:
         """Record the load that the agent of the backend server told."""
         self.reported_load = load
--- a/src/kumquatrun/gateway/balancer.py
+++ b/src/kumquatrun/gateway/balancer.py
@@ -1,19 +1,17 @@
 """Choice of the backend server for a request."""
 
-import hashlib
 import random
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 
 from kumquatrun.gateway.backends import Backend
+from kumquatrun.gateway.ranking import rank
 
 # A failure rate above this makes a backend server a last resort.
 MAX_FAILURE_RATE = 0.35
-# An adapter's first backend server is passed over when its load is above both
-# bounds, a part of its slots and a multiple of the mean load: a further copy of
-# the adapter costs a load from the weight store, and a batch slows little while
-# it fills.
-SPILL_PART = 0.7
+# An adapter's first backend server is passed over when it is busy and its load
+# is above this multiple of the mean: a further copy of the adapter costs a load
+# from the weight store.
 SPILL_RATIO = 1.25
 # Requests that a nearer backend server may have more than one in the next
 # failure domain, and in the next region.
@@ -89,12 +87,11 @@
     ) -> Backend:
         ranked = sorted(
             candidates,
-            key=lambda row: _rank(affinity, row.backend_id),
+            key=lambda row: rank(affinity, row.backend_id),
         )
         mean = sum(row.load for row in ranked) / len(ranked)
         for backend in ranked:
-            part = SPILL_PART * backend.record.slots
-            if backend.load <= max(part, SPILL_RATIO * mean):
+            if not backend.is_busy or backend.load <= SPILL_RATIO * mean:
                 return backend
         return min(ranked, key=lambda row: row.load)
 
@@ -105,15 +102,3 @@
             + FAILURE_LOAD * backend.current_failure_rate(now_s)
             + self._rng.random() / 2
         )
-
-
-def _rank(affinity: str, backend_id: str) -> bytes:
-    """Return the place of a backend server in the order of a key.
-
-    Each key has an order of its own, so that only the keys of a backend
-    server that leaves or joins move.
-    """
-    return hashlib.blake2b(
-        f'{affinity}\0{backend_id}'.encode(),
-        digest_size=8,
-    ).digest()
--- a/src/kumquatrun/gateway/engine_orders.py
+++ b/src/kumquatrun/gateway/engine_orders.py
@@ -10,6 +10,7 @@
     OrderVerdict,
 )
 from kumquatrun.gateway.engine_watch import EngineWatch
+from kumquatrun.gateway.ranking import rank
 from kumquatrun.gateway.residency import AdapterName
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.logs import log_event
@@ -129,9 +130,12 @@
         if self._watch.last_models:
             return self._watch.last_models[0]
         spec = self._watch.spec
-        if spec is not None and len(spec.base_models) == 1:
-            return spec.base_models[0].name
-        return ''
+        if spec is None or not spec.base_models:
+            return ''
+        # Each host has an order of its own, so that the empty engines of a
+        # service load different models.
+        names = [row.name for row in spec.base_models]
+        return min(names, key=lambda name: rank(name, self._holder))
 
     async def _make_room(self) -> bool:
         residency = self._watch.residency
--- a/src/kumquatrun/gateway/entry.py
+++ b/src/kumquatrun/gateway/entry.py
@@ -116,14 +116,19 @@
             failure_domain=settings.failure_domain,
             regions=dict(settings.regions),
         )
-        reservations = Reservations(
+        self._reservations = Reservations(
             self._backends,
             Balancer(place, rng),
             self._agents,
             session.view.adapter_version,
             clock,
         )
-        self._forwarder = Forwarder(wire, reservations, self._retries, clock)
+        self._forwarder = Forwarder(
+            wire,
+            self._reservations,
+            self._retries,
+            clock,
+        )
         self._http = HttpServer(
             self._handle,
             MAX_CONNECTIONS,
@@ -191,6 +196,7 @@
             self._server.close()
         await self._http.shutdown(SHUTDOWN_S)
         self._allowances.close()
+        self._reservations.close()
         await self._agents.close()
         self._backends.close()
 
--- /dev/null
+++ b/src/kumquatrun/gateway/model_spread.py
@@ -0,0 +1,96 @@
+"""Has further engines load a base model whose engines are all busy."""
+
+import asyncio
+import logging
+from collections.abc import Sequence
+
+from kumquatrun.errors import KumquatrunError
+from kumquatrun.gateway.agent_calls import AgentCalls
+from kumquatrun.gateway.backends import Backend
+from kumquatrun.gateway.messages import UseAdapter
+from kumquatrun.gateway.ranking import rank
+from kumquatrun.runtime.clock import Clock
+from kumquatrun.runtime.logs import log_event
+
+log = logging.getLogger(__name__)
+
+# Pause after a copy of a model, until the listing shows it and its load counts.
+SPREAD_PAUSE_S = 4.0
+LOAD_LIMIT_S = 10.0
+# An engine that has no room is not asked again for this time.
+NO_ROOM_PAUSE_S = 15.0
+
+NEVER_S = float('-inf')
+
+
+class ModelSpread:
+    """Asks agents to load base models.
+
+    All entries choose the same engine for a model, since they do not know of
+    each other's calls.
+    """
+
+    def __init__(self, agents: AgentCalls, clock: Clock) -> None:
+        self._agents = agents
+        self._clock = clock
+        self._paused_until_s: dict[str, float] = {}
+        self._no_room_until_s: dict[tuple[str, str], float] = {}
+        self._tasks: dict[str, asyncio.Task] = {}
+
+    def consider(
+        self,
+        model: str,
+        holders: Sequence[Backend],
+        others: Sequence[Backend],
+    ) -> None:
+        """Begin a further copy of a model if all its engines are busy."""
+        now_s = self._clock.now_s()
+        is_paused = now_s < self._paused_until_s.get(model, NEVER_S)
+        if is_paused or model in self._tasks:
+            return
+        if not all(row.is_busy for row in holders):
+            return
+        usable = [
+            row
+            for row in others
+            if not row.is_busy
+            and now_s
+            >= self._no_room_until_s.get((model, row.backend_id), NEVER_S)
+        ]
+        if not usable:
+            return
+        chosen = min(usable, key=lambda row: rank(model, row.backend_id))
+        self._tasks[model] = asyncio.create_task(self._load(model, chosen))
+
+    def close(self) -> None:
+        """Stop asking."""
+        for task in self._tasks.values():
+            task.cancel()
+
+    async def _load(self, model: str, backend: Backend) -> None:
+        request = UseAdapter(
+            request_id=f'spread-{model}-{backend.backend_id}',
+            model=model,
+            adapter='',
+        )
+        problem = ''
+        try:
+            async with self._agents.hold(backend, request, LOAD_LIMIT_S):
+                pass
+        except KumquatrunError as error:
+            problem = str(error)
+            refused = (model, backend.backend_id)
+            now_s = self._clock.now_s()
+            self._no_room_until_s[refused] = now_s + NO_ROOM_PAUSE_S
+        finally:
+            self._paused_until_s[model] = self._clock.now_s() + SPREAD_PAUSE_S
+            del self._tasks[model]
+        log_event(
+            log,
+            'model_spread',
+            model=model,
+            backend=backend.backend_id,
+            load=backend.load,
+            outcome='refused' if problem else 'loaded',
+            reason=problem,
+        )
--- a/src/kumquatrun/gateway/reservations.py
+++ b/src/kumquatrun/gateway/reservations.py
@@ -16,6 +16,7 @@
 from kumquatrun.gateway.course import Course
 from kumquatrun.gateway.engine_watch import ENGINE_EMPTY
 from kumquatrun.gateway.messages import UseAdapter
+from kumquatrun.gateway.model_spread import ModelSpread
 from kumquatrun.gateway.wire_format import CallerRequest
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.logs import log_event
@@ -64,6 +65,11 @@
         self._agents = agents
         self._adapter_version = adapter_version
         self._clock = clock
+        self._spread = ModelSpread(agents, clock)
+
+    def close(self) -> None:
+        """Stop what goes on beside requests."""
+        self._spread.close()
 
     @asynccontextmanager
     async def reserve(self, course: Course) -> AsyncIterator[Reservation]:
@@ -152,6 +158,9 @@
         holders = [
             row for row in backends if request.model in row.record.models
         ]
+        if len(holders) < len(backends):
+            others = [row for row in backends if row not in holders]
+            self._spread.consider(request.model, holders, others)
         if request.adapter or not holders:
             return holders or backends, f'{request.model}/{request.adapter}'
         return holders, ''
--- a/tests/test_engine_agent.py
+++ b/tests/test_engine_agent.py
@@ -34,13 +34,13 @@
 
 
 @asynccontextmanager
-async def agent_of(engine, versions=None):
+async def agent_of(engine, versions=None, models=('m',), host_id='host'):
     spec = EngineSpec(
         adapter_slots=engine.slots,
-        base_models=(BaseModelSpec(name='m'),),
+        base_models=tuple(BaseModelSpec(name=name) for name in models),
     )
     agent = EngineAgent(
-        'host',
+        host_id,
         engine,
         lambda: spec,
         lambda model, adapter: (versions or {}).get(adapter, 0),
@@ -297,3 +297,31 @@
         engine.is_silent = True
         with pytest.raises(AdapterLoadError):
             await use.ready()
+
+
+async def test_empty_engines_load_different_models():
+    # Guards against engines that stay empty after a loss of all hosts where
+    # there are several base models: their new agents do not know which one
+    # they held, and none ever loaded one again.
+    loaded = set()
+    for number in range(12):
+        engine = Engine()
+        engine.restart()
+        async with agent_of(
+            engine,
+            models=('m', 'n', 'o'),
+            host_id=f'host-{number}',
+        ):
+            await asyncio.sleep(0.3)
+        loaded.update(engine.models)
+    assert loaded == {'m', 'n', 'o'}
+
+
+async def test_restarted_engine_loads_the_model_that_it_held():
+    engine = Engine()
+    engine.models = ('n',)
+    async with agent_of(engine, models=('m', 'n', 'o')):
+        await asyncio.sleep(0.3)
+        engine.restart()
+        await asyncio.sleep(0.5)
+    assert engine.models == ('n',)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -18,8 +18,8 @@
     PutConfiguration,
 )
 from kumquatrun.control.control_state import ControlState
-from kumquatrun.gateway.backends import BackendRecord, BackendTable
-from kumquatrun.gateway.balancer import SPILL_PART, Balancer, Place
+from kumquatrun.gateway.backends import BUSY_PART, BackendRecord, BackendTable
+from kumquatrun.gateway.balancer import Balancer, Place
 from kumquatrun.gateway.retry_shares import RetryShares
 from kumquatrun.membership.cluster_view import ClusterView
 from kumquatrun.peer.address import Address
@@ -75,7 +75,7 @@
     table.update([record(number, slots=slots) for number in range(3)])
     rows = table.of_service('assistant')
     first = balancer().choose(rows, 0, affinity='m/a1')
-    first.take_report(int(SPILL_PART * slots))
+    first.take_report(int(BUSY_PART * slots))
     assert balancer().choose(rows, 0, affinity='m/a1') is first
     first.take_report(slots)
     assert balancer().choose(rows, 0, affinity='m/a1') is not first
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -30,9 +30,12 @@
     def __init__(self, **answers):
         self.answers = answers
         self.asked = []
+        self.models_asked = []
 
     @asynccontextmanager
     async def hold(self, backend, request, timeout_s):
+        if not request.adapter:
+            self.models_asked.append((request.model, backend.backend_id))
         self.asked.append(backend.backend_id)
         answer = self.answers.get(backend.backend_id.replace('-', '_'))
         if answer == 'slow':
@@ -61,13 +64,15 @@
         ],
     )
     place = Place(failure_domain='a', regions={'a': 'r'})
-    return Reservations(
+    found = Reservations(
         table,
         Balancer(place, random.Random(1)),
         agents,
         lambda model, adapter: 2 if adapter == 'named' else 0,
         LoopClock(),
     )
+    found.backends = table.of_service('assistant')
+    return found
 
 
 def course(adapter='a1'):
@@ -140,3 +145,33 @@
     for number in range(20):
         chosen = await reserved(found, course(f'a{number}'))
         assert chosen.backend.backend_id == 'i-2'
+
+
+@pytest.mark.parametrize(
+    ('loads', 'asked'),
+    [((60, 60), [('m', 'i-2')]), ((60, 5), []), ((5, 5), [])],
+)
+async def test_model_whose_engines_are_busy_gets_another_engine(loads, asked):
+    # Guards against engines that stay idle beside overloaded ones: with three
+    # base models two engines had 50 to 90 requests each, and two had none.
+    agents = Agents()
+    found = reservations(agents, models={0, 1})
+    for row, load in zip(found.backends, loads, strict=False):
+        row.take_report(load)
+    for _ in range(5):
+        await reserved(found, course())
+    await asyncio.sleep(0.1)
+    assert agents.models_asked == asked
+
+
+async def test_engine_without_room_for_a_model_is_not_asked_again():
+    agents = Agents(i_2='slow')
+    found = reservations(agents, models={0, 1})
+    for row in found.backends[:2]:
+        row.take_report(60)
+    for _ in range(20):
+        await reserved(found, course())
+        await asyncio.sleep(1)
+        for row in found.backends[:2]:
+            row.take_report(60)
+    assert len(agents.models_asked) <= 2
