Copy a base model whose engines all fail

The balancer avoids a failing engine only where another one holds the model.

Ruled out: sending such requests to engines without the model at once, which would make each of them wait for a load of seconds.

Change: a further engine loads the model as soon as none of its engines is of use, busy or failing. On deployments with one base model nothing changes.

Test: seen to fail first.

--- a/src/kumquatrun/gateway/backends.py
+++ b/src/kumquatrun/gateway/backends.py
@@ -21,6 +21,8 @@
 MAX_PAUSE_S = 4.0
 # Weight of the newest answer in the failure rate.
 FAILURE_WEIGHT = 0.15
+# A failure rate above this makes a backend server a last resort.
+MAX_FAILURE_RATE = 0.35
 # The failure rate is forgotten at this rate, so that a backend server that
 # gets no requests is tried again.
 FAILURE_HALF_LIFE_S = 4.0
@@ -93,6 +95,10 @@
         age_s = max(0.0, now_s - self.judged_at_s)
         return self.failure_rate * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
 
+    def is_well(self, now_s: float) -> bool:
+        """Return whether most of the last answers were no failures."""
+        return self.current_failure_rate(now_s) < MAX_FAILURE_RATE
+
     def record_answer(self, *, failed: bool, now_s: float) -> None:
         """Count an answer, or its failure."""
         rate = self.current_failure_rate(now_s)
--- a/src/kumquatrun/gateway/balancer.py
+++ b/src/kumquatrun/gateway/balancer.py
@@ -7,8 +7,6 @@
 from kumquatrun.gateway.backends import Backend
 from kumquatrun.gateway.ranking import rank
 
-# A failure rate above this makes a backend server a last resort.
-MAX_FAILURE_RATE = 0.35
 # An adapter's first backend server is passed over when it is busy and its load
 # is above this multiple of the mean: a further copy of the adapter costs a load
 # from the weight store.
@@ -70,11 +68,7 @@
         if not usable:
             return None
         awake = [row for row in usable if row.paused_until_s <= now_s]
-        well = [
-            row
-            for row in awake
-            if row.current_failure_rate(now_s) < MAX_FAILURE_RATE
-        ]
+        well = [row for row in awake if row.is_well(now_s)]
         candidates = well or awake or usable
         if affinity:
             return self._by_affinity(candidates, affinity)
--- a/src/kumquatrun/gateway/model_spread.py
+++ b/src/kumquatrun/gateway/model_spread.py
@@ -1,4 +1,4 @@
-"""Has further engines load a base model whose engines are all busy."""
+"""Has further engines load a base model whose engines are busy or fail."""
 
 import asyncio
 import logging
@@ -43,17 +43,17 @@
         holders: Sequence[Backend],
         others: Sequence[Backend],
     ) -> None:
-        """Begin a further copy of a model if all its engines are busy."""
+        """Begin a further copy of a model if none of its engines is of use."""
         now_s = self._clock.now_s()
         is_paused = now_s < self._paused_until_s.get(model, NEVER_S)
         if is_paused or model in self._tasks:
             return
-        if not all(row.is_busy for row in holders):
+        if any(_is_of_use(row, now_s) for row in holders):
             return
         usable = [
             row
             for row in others
-            if not row.is_busy
+            if _is_of_use(row, now_s)
             and now_s
             >= self._no_room_until_s.get((model, row.backend_id), NEVER_S)
         ]
@@ -94,3 +94,8 @@
             outcome='refused' if problem else 'loaded',
             reason=problem,
         )
+
+
+def _is_of_use(backend: Backend, now_s: float) -> bool:
+    """Return whether an engine has free slots and does not fail."""
+    return not backend.is_busy and backend.is_well(now_s)
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -175,3 +175,15 @@
         for row in found.backends[:2]:
             row.take_report(60)
     assert len(agents.models_asked) <= 2
+
+
+async def test_model_whose_engines_fail_gets_another_engine():
+    # Guards against a model that one failing engine holds alone: on an own
+    # deployment 156 requests in 6 s got its failures, all others were idle.
+    agents = Agents()
+    found = reservations(agents, models={0})
+    for _ in range(10):
+        found.backends[0].record_answer(failed=True, now_s=0)
+    await reserved(found, course())
+    await asyncio.sleep(0.1)
+    assert len(agents.models_asked) == 1
