Count failures that are passed on against the backend server

Cause: the answer of a request that may not be repeated was delivered, and so counted as a success, also if it was a failure. An engine that answered 500 to everything never looked unwell: on our deployment with three base models 157 requests in 6 s got its failures, and no copy of its model was ordered.

Ruled out: the failure rate itself; three failures in a row raise it above its bound.

Change: an answer with a status of 500 or more counts as a failure whether or not it is passed on.

Test: seen to fail first for the two kinds of requests that may not be repeated.

--- a/src/kumquatrun/gateway/forwarder.py
+++ b/src/kumquatrun/gateway/forwarder.py
@@ -9,7 +9,7 @@
     NoCapacityError,
     Outcome,
 )
-from kumquatrun.gateway.answer_relay import AnswerRelay, Result
+from kumquatrun.gateway.answer_relay import SERVER_ERROR, AnswerRelay, Result
 from kumquatrun.gateway.backend_connection import (
     AnswerHead,
     BackendConnection,
@@ -164,8 +164,10 @@
                 connection.abort()
             else:
                 backend.pool.give_back(connection, head)
+        has_failed = head is not None and head.status >= SERVER_ERROR
         backend.record_answer(
-            failed=result in FAILURES,
+            failed=result in FAILURES
+            or (result is Result.DELIVERED and has_failed),
             now_s=self._clock.now_s(),
         )
         return result
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -188,3 +188,25 @@
     head, body = runner.requests[0]
     assert body == b'\r\n\x00POST'
     assert head.startswith('POST /draft/%2e/a?b=%20c HTTP/1.1')
+
+
+@pytest.mark.parametrize('kind', ONCE + REPEATABLE)
+@pytest.mark.parametrize('status', ['500 Internal Server Error', '200 OK'])
+async def test_failures_that_are_passed_on_count_against_the_backend_server(
+    kind,
+    status,
+):
+    # Guards against an engine that fails every request and gets more of them:
+    # failures of requests that may not be repeated counted as successes.
+    runner = await Runner(*[[answer(b'', status)]] * 4).start()
+    reservations = RunnerReservations(runner)
+    for _ in range(4):
+        forwarder = Forwarder(
+            PlatformFormat(),
+            reservations,
+            RetryShares(0.2, 0, 10),
+            LoopClock(),
+        )
+        await forwarder.run(course(kind, max_attempts=1), Caller())
+    now_s = LoopClock().now_s()
+    assert reservations.backends[0].is_well(now_s) == (status == '200 OK')
