--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 .PHONY: env demo test lint format bench
 
-$(VENV)/.installed: requirements.txt pyproject.toml
+$(VENV)/.installed: requirements.txt deploy/requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation --editable .
