--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -131,7 +131,7 @@
 
 async def test_request_waits_for_a_model_that_no_engine_holds():
     # Guards against refusals after a loss of all engines: entries asked three
-    # empty engines within 10 ms and gave up.
+    # empty engines within 0.2 s and gave up.
     agents = Agents(i_0='empty', i_1='empty', i_2='empty')
     found = reservations(agents)
     assert await reserved(found, course())
