Test that an open request survives the end of its process

Each one brings about one way in which a request of a caller meets the end of an entry: taken by an estimate of its length, without an answer when the stop ends, still unsent when it begins, or on a connection that is closed too late or too early.

--- a/tests/test_gateway_entry.py
+++ b/tests/test_gateway_entry.py
@@ -45,6 +45,8 @@
         self.control = self
         self.listeners = []
         self.calls = []
+        # Holds back the answers to charges until it is set.
+        self.charges_in = None
         self.record = HostRecord(
             host_id='entry-1',
             incarnation='i',
@@ -60,6 +62,8 @@
     async def call(self, request, timeout_s):
         self.calls.append(request)
         if hasattr(request, 'amounts'):
+            if self.charges_in is not None:
+                await self.charges_in.wait()
             return AllowanceReply(granted=len(request.amounts))
         return Ack()
 
@@ -351,3 +355,98 @@
         assert (await host.answer('/draft/a', tokens='10,400'))[0] == 503
         assert (await host.answer('/draft/a', tokens='10,100'))[0] == 200
         drain.cancel()
+
+
+async def stop(host, timeout_s):
+    """Stop the entry as the daemon does."""
+    await host.entry.drain(timeout_s)
+    await host.entry.stop()
+
+
+async def test_slow_stream_that_came_after_sigterm_is_not_cut(monkeypatch):
+    # Guards against a stream that was taken because earlier ones were quick:
+    # on the users' days one came 1.5 s after SIGTERM and was cut 6 s later.
+    monkeypatch.setattr(entry_module, 'TAKE_NEW_S', 0.05)
+    runner = Runner(stream_of(2))
+    async with served(runner, content=one_service()) as host:
+        stopping = asyncio.create_task(stop(host, 1.8))
+        await asyncio.sleep(0.01)
+        assert (await host.answer('/draft/a', tokens='10,30'))[0] == 503
+        assert not runner.requests
+        await stopping
+
+
+async def test_request_without_an_answer_at_the_end_of_a_stop_gets_one(
+    monkeypatch,
+):
+    # Guards against a connection that ends without an answer, so that its
+    # caller cannot tell a stop from a lost host.
+    monkeypatch.setattr(entry_module, 'TAKE_NEW_S', 0.05)
+    async with served(Runner([5]), content=one_service()) as host:
+        asked = asyncio.create_task(host.answer('/draft/a'))
+        await asyncio.sleep(0.1)
+        await stop(host, 0.6)
+        assert (await asked)[0] == 502
+
+
+async def test_request_that_waits_when_a_stop_begins_is_handed_back_unrun():
+    # Guards against a long stream that is sent to its backend server after
+    # SIGTERM because it had come a moment before.
+    runner = Runner(stream_of(2))
+    async with served(runner, content=one_service()) as host:
+        host.session.charges_in = asyncio.Event()
+        asked = asyncio.create_task(host.answer('/draft/a'))
+        await asyncio.sleep(0.1)
+        stopping = asyncio.create_task(stop(host, 1.8))
+        async with asyncio.timeout(0.3):
+            assert (await asked)[0] == 503
+        stopping.cancel()
+    assert not runner.requests
+
+
+def kept_request(path='/draft/long/a'):
+    """Return the bytes of a request on a connection that is kept."""
+    return (
+        f'POST {path} HTTP/1.1\r\nHost: shop.example\r\n'
+        'X-Kumquatrun-Attempt-Id: attempt-1\r\nContent-Length: 0\r\n\r\n'
+    ).encode()
+
+
+async def test_request_that_was_read_when_idle_connections_end_is_answered():
+    # Guards against a connection that counts as idle between the moment its
+    # request is read and the moment it is handled.
+    async with served(Runner([answer()]), content=one_service()) as host:
+        reader, writer = await asyncio.open_connection('127.0.0.1', host.port)
+        await asyncio.sleep(0.05)
+        (connection,) = host.entry._http.connections
+        connection.data_received(kept_request())
+        host.entry._http.close_idle()
+        assert (await reader.readline()).startswith(b'HTTP/1.1 200')
+        writer.close()
+
+
+async def test_kept_connection_ends_with_its_answer_during_a_stop():
+    # Guards against a request that arrives on a kept connection, late in a
+    # stop, at a host that can no longer serve it.
+    async with served(Runner([0.3, answer()]), content=one_service()) as host:
+        reader, writer = await asyncio.open_connection('127.0.0.1', host.port)
+        writer.write(kept_request())
+        await asyncio.sleep(0.1)
+        stopping = asyncio.create_task(stop(host, 5))
+        async with asyncio.timeout(1):
+            assert (await reader.read()).endswith(b'done')
+        writer.close()
+        stopping.cancel()
+
+
+async def test_idle_connection_ends_when_a_stop_begins():
+    # Guards against refusals on kept connections: their callers can reach
+    # another host with a new one.
+    async with served(Runner([answer()]), content=one_service()) as host:
+        reader, writer = await asyncio.open_connection('127.0.0.1', host.port)
+        await asyncio.sleep(0.05)
+        stopping = asyncio.create_task(stop(host, 5))
+        async with asyncio.timeout(0.3):
+            assert await reader.read() == b''
+        writer.close()
+        stopping.cancel()
