Send a request during a planned stop only if its time limit ends in time

Cause: an entry takes requests for 2.8 s after SIGTERM, since the balancer needs two seconds to notice, and must end after 8 s. How long a stream lasts is not known. Five more ways in which an open request met the end of its process: one that waited at SIGTERM was sent afterwards; one without an answer at the end of the stop got none; a kept connection took requests after its answer; idle connections stayed open for 2.8 s; one whose request was read but not yet handled counted as idle.

Ruled out: a larger margin or a slower assumed pace (the same promise on a guess); moving runs to other engines (the caller's connection ends with the process all the same).

Change: what is known is the time limit of a request. From SIGTERM on a request is sent to a backend server for the first time only if its limit ends before the process does; others, also those that wait, are refused unrun at once with Retry-After 0.05, because every other host can take them. At the end of the stop requests whose answers have not begun get 502, or 503 if they were not sent. Connections end with their answers. StreamPace is removed.

Answers that began before SIGTERM and last longer than 7.6 s more are still cut; the process cannot outlive the platform's limit.

--- a/src/kumquatrun/entry/entry.py
+++ b/src/kumquatrun/entry/entry.py
@@ -215,7 +215,7 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         connection = request.protocol
-        connection.is_busy = True
+        connection.begin_request()
         self._open_requests += 1
         try:
             return await self._answer(request)
@@ -223,8 +223,7 @@
             self._open_requests -= 1
             if not self._open_requests:
                 self._idle.set()
-            connection.is_busy = False
-            connection.idle_since_s = asyncio.get_running_loop().time()
+            connection.end_request()
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.raw_path == READY_PATH:
--- a/src/kumquatrun/entry/http_server.py
+++ b/src/kumquatrun/entry/http_server.py
@@ -43,15 +43,37 @@
     """One caller's connection.
 
     ``is_surplus`` is true for a connection over the limit; its first request
-    is refused.
+    is refused. ``has_input`` is true from the first byte of a request until
+    its handler begins.
     """
 
     def __init__(self, *args, **kwargs) -> None:
         super().__init__(*args, **kwargs)
         self.is_busy = False
+        self.has_input = False
         self.is_surplus = False
         self.idle_since_s = self._loop.time()
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request has begun to arrive or is answered."""
+        return not (self.is_busy or self.has_input)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes of a request."""
+        self.has_input = True
+        super().data_received(data)
+
+    def begin_request(self) -> None:
+        """Record that a request is handled."""
+        self.is_busy = True
+        self.has_input = False
+
+    def end_request(self) -> None:
+        """Record that the request is answered."""
+        self.is_busy = False
+        self.idle_since_s = self._loop.time()
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -138,7 +160,7 @@
     def close_idle(self) -> None:
         """Close the connections that carry no request at the moment."""
         for connection, transport in list(self._connections.items()):
-            if not connection.is_busy:
+            if connection.is_idle:
                 transport.close()
 
     async def sweep(self) -> None:
--- a/src/kumquatrun/gateway/admission.py
+++ b/src/kumquatrun/gateway/admission.py
@@ -23,6 +23,7 @@
 )
 from kumquatrun.gateway.course import Course
 from kumquatrun.gateway.crash_watch import CrashWatch
+from kumquatrun.gateway.request_report import RequestReport
 from kumquatrun.gateway.wire_format import CallerRequest
 
 # Longest wait for the first configuration. After a restart of the whole system
@@ -45,11 +46,13 @@
         configuration: Callable[[], Configuration | None],
         allowances: Allowances,
         crashes: CrashWatch,
+        check_stop: Callable[[float], None],
         rng: random.Random,
     ) -> None:
         self._configuration = configuration
         self._allowances = allowances
         self._crashes = crashes
+        self._check_stop = check_stop
         self._rng = rng
         self._is_configured = asyncio.Event()
 
@@ -60,37 +63,42 @@
     async def admit(
         self,
         request: web.BaseRequest,
-        caller: CallerRequest,
-        received_s: float,
+        report: RequestReport,
     ) -> Course:
         """Check a request and charge it to its account.
 
+        Sets the time limit in ``report`` once the route is known.
+
         Raises
         ------
         KumquatrunError
             If it must not be forwarded; it was not run.
         """
+        caller = report.caller
         configuration = await self._first_configuration(caller)
         route = configuration.route_for(caller.host, caller.path)
         if route is None:
             raise RouteNotFoundError(f'no route for {caller.path!r}')
         account = _account_of(configuration, route, caller)
+        patience_ms = min(
+            caller.patience_ms or DEFAULT_PATIENCE_MS,
+            route.timeout_ms,
+        )
+        ends_at_s = report.received_s + patience_ms / 1000
+        report.ends_at_s = ends_at_s
         body = await _read_body(request, configuration.limits.max_body_bytes)
         caller = replace(caller, body=body)
         self._crashes.check(caller)
+        self._check_stop(ends_at_s)
         if account is not None:
             await self._allowances.charge(account, _amount(account, caller))
-        patience_ms = min(
-            caller.patience_ms or DEFAULT_PATIENCE_MS,
-            route.timeout_ms,
-        )
         return Course(
             request=caller,
             route=route,
             service=self._choose_service(route),
             account=account.name if account else '',
             priority=_priority(route, account),
-            ends_at_s=received_s + patience_ms / 1000,
+            ends_at_s=ends_at_s,
         )
 
     async def _first_configuration(
--- a/src/kumquatrun/gateway/entry.py
+++ b/src/kumquatrun/gateway/entry.py
@@ -27,7 +27,12 @@
 from kumquatrun.gateway.crash_watch import CrashWatch
 from kumquatrun.gateway.forwarder import Forwarder
 from kumquatrun.gateway.listing_follower import ListingFollower
-from kumquatrun.gateway.planned_stop import TAKE_NEW_S, PlannedStop
+from kumquatrun.gateway.planned_stop import (
+    TAKE_NEW_S,
+    OpenRequest,
+    PlannedStop,
+    stopped,
+)
 from kumquatrun.gateway.refusals import refuse, timed_out
 from kumquatrun.gateway.request_report import (
     CALLER_LEFT,
@@ -51,6 +56,8 @@
 DRAIN_CHECK_S = 0.05
 # aiohttp waits without a limit for 0.
 SHUTDOWN_S = 0.1
+# Time to write the answers of requests that the end of a stop hands back.
+HAND_BACK_S = 0.05
 
 
 class GatewayEntry:
@@ -87,7 +94,6 @@
         self._configuration: Configuration | None = None
         self._planned_stop = PlannedStop(clock)
         self._has_stopped = False
-        self._open = 0
         self._backends = BackendTable(
             DROPPED_IDLE_S
             if settings.drops_idle_connections
@@ -109,6 +115,7 @@
             lambda: self._configuration,
             self._allowances,
             self._crashes,
+            self._planned_stop.check,
             rng,
         )
         self._agents = AgentCalls(session.view, self._identity)
@@ -127,6 +134,7 @@
             wire,
             self._reservations,
             self._retries,
+            self._planned_stop.check,
             clock,
         )
         self._http = HttpServer(
@@ -142,7 +150,7 @@
     @property
     def open_requests(self) -> int:
         """Return the number of requests that are not answered yet."""
-        return self._open
+        return self._planned_stop.open_requests
 
     def not_ready_reason(self) -> str:
         """Return why this host takes no new connections, or an empty text."""
@@ -170,25 +178,30 @@
     async def drain(self, timeout_s: float) -> None:
         """Answer what is open, then refuse what still arrives, and return."""
         self._planned_stop.begin(timeout_s)
+        # Their callers reach another host with a new connection.
+        self._http.close_idle()
         await asyncio.sleep(min(TAKE_NEW_S, timeout_s))
         self._planned_stop.refuse_all()
         self._server.close()
         self._http.close_idle()
         while self._planned_stop.left_s() > 0:
-            if not self._open:
+            if not self.open_requests:
                 return
             await asyncio.sleep(DRAIN_CHECK_S)
-        if self._open:
+        if self.open_requests:
             log_event(
                 log,
                 'stop_incomplete',
                 level=logging.WARNING,
-                open_requests=self._open,
+                open_requests=self.open_requests,
             )
 
     async def stop(self) -> None:
-        """Close all connections."""
+        """Answer what can still be answered, and close all connections."""
         self._has_stopped = True
+        if self.open_requests:
+            self._planned_stop.hand_back_unanswered()
+            await asyncio.sleep(HAND_BACK_S)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -248,16 +261,16 @@
     # One request.
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        self._open += 1
         connection = request.protocol
-        connection.is_busy = True
+        connection.begin_request()
         channel = CallerChannel(request)
         channel.closes_after = (
             self._planned_stop.has_begun or connection.is_surplus
         )
         report = RequestReport(channel, self._clock.now_s())
+        opened = self._planned_stop.open(report)
         try:
-            await self._answer(request, report)
+            await self._answer(request, opened)
         except ConnectionResetError:
             # The connection ended while the answer was written.
             self._finish(report, None, cut_by=self._cut_by())
@@ -265,16 +278,19 @@
             self._finish(report, None, cut_by=self._cut_by())
             raise
         finally:
-            self._open -= 1
-            connection.is_busy = False
-            connection.idle_since_s = self._clock.now_s()
+            self._planned_stop.close(opened)
+            connection.end_request()
+        if self._planned_stop.has_begun:
+            # The head may have gone out before the stop began.
+            channel.response.force_close()
         return channel.response
 
     async def _answer(
         self,
         request: web.BaseRequest,
-        report: RequestReport,
+        opened: OpenRequest,
     ) -> None:
+        report = opened.report
         problem: KumquatrunError | None = None
         try:
             await self._admit_and_forward(request, report)
@@ -282,6 +298,11 @@
             problem = timed_out(report.course)
         except KumquatrunError as error:
             problem = error
+        except asyncio.CancelledError:
+            if not opened.is_handed_back:
+                raise
+            opened.task.uncancel()
+            problem = stopped(opened)
         if problem is not None:
             await refuse(report.channel, problem)
         self._finish(report, problem)
@@ -296,12 +317,7 @@
             request.raw_path,
             request.raw_headers,
         )
-        self._planned_stop.check(report.caller.output_tokens)
-        course = await self._admission.admit(
-            request,
-            report.caller,
-            report.received_s,
-        )
+        course = await self._admission.admit(request, report)
         report.course = course
         try:
             async with asyncio.timeout_at(course.ends_at_s):
@@ -309,12 +325,6 @@
         except BackendError:
             self._crashes.report(course.request)
             raise
-        first_s = report.channel.first_byte_at_s
-        if first_s is not None:
-            self._planned_stop.pace.record(
-                report.caller.output_tokens,
-                self._clock.now_s() - first_s,
-            )
 
     def _cut_by(self) -> str:
         return HOST_STOPPED if self._has_stopped else CALLER_LEFT
--- a/src/kumquatrun/gateway/forwarder.py
+++ b/src/kumquatrun/gateway/forwarder.py
@@ -1,6 +1,7 @@
 """Sends one request of a caller to backend servers and relays the answer."""
 
 import logging
+from collections.abc import Callable
 from dataclasses import replace
 
 from kumquatrun.errors import (
@@ -49,12 +50,14 @@
         wire: WireFormat,
         reservations: Reservations,
         retries: RetryShares,
+        check_stop: Callable[[float], None],
         clock: Clock,
     ) -> None:
         self._wire = wire
         self._relay = AnswerRelay(wire, clock)
         self._reservations = reservations
         self._retries = retries
+        self._check_stop = check_stop
         self._clock = clock
 
     async def run(self, course: Course, channel: CallerChannel) -> None:
@@ -70,6 +73,8 @@
         self._retries.record_request(course.service, self._clock.now_s())
         problem: NoCapacityError | None = None
         while course.may_send_again:
+            if not course.may_have_run:
+                self._check_stop(course.ends_at_s)
             if course.sends and not self._take_retry(course):
                 break
             try:
--- a/src/kumquatrun/gateway/planned_stop.py
+++ b/src/kumquatrun/gateway/planned_stop.py
@@ -1,80 +1,118 @@
-"""Planned stop of an entry: which requests it still takes, and until when."""
-
-from kumquatrun.errors import DrainingError
+"""Planned stop of an entry: which requests it takes, and how they end.
+
+A request that is sent to its backend server during a stop must be over before
+the process is. How long an answer takes is not known in advance, but the time
+limit of a request is, so only requests whose time limit ends in time are sent.
+"""
+
+import asyncio
+import logging
+from dataclasses import dataclass
+
+from kumquatrun.errors import (
+    BackendError,
+    DrainingError,
+    KumquatrunError,
+    Outcome,
+)
+from kumquatrun.gateway.request_report import HOST_STOPPED, RequestReport
 from kumquatrun.runtime.clock import Clock
+from kumquatrun.runtime.logs import log_event
+
+log = logging.getLogger(__name__)
 
 # The platform's balancer takes two missed questions, one a second, to notice
 # that this host takes no new connections.
 TAKE_NEW_S = 2.8
 # Time that the process needs to end before the platform kills it.
 END_MARGIN_S = 0.4
-# Time for the first event of a stream, with the load of an adapter.
-FIRST_EVENT_S = 1.0
 # Another host can take the request at once.
 RETRY_AFTER_S = 0.05
 
 
-class StreamPace:
-    """Time per output token of the slowest streams of late.
-
-    Streams that end long before their largest number of tokens would hide the
-    pace, so that the slowest counts and not the mean.
-    """
-
-    # Shorter streams last about as long as the pauses of a busy engine.
-    SHORTEST_TOKENS = 64
-    # Few streams use all of their tokens. The pace falls by half in 70 streams.
-    DECAY = 0.99
-    # Pace of a busy engine, assumed before any stream has ended.
-    ASSUMED_TOKEN_S = 0.0125
-
-    def __init__(self) -> None:
-        self._token_s = self.ASSUMED_TOKEN_S
+@dataclass(eq=False)
+class OpenRequest:
+    """A request that is not answered yet, with the task that handles it."""
 
-    def record(self, output_tokens: int | None, duration_s: float) -> None:
-        """Count a stream that ended, timed from its first event."""
-        if output_tokens is None or output_tokens < self.SHORTEST_TOKENS:
-            return
-        self._token_s = max(
-            duration_s / output_tokens,
-            self._token_s * self.DECAY,
-        )
+    report: RequestReport
+    task: asyncio.Task
+    is_handed_back: bool = False
 
-    def expected_s(self, output_tokens: int | None) -> float:
-        """Return how long a request may take; 0 if it is no stream."""
-        if output_tokens is None:
-            return 0.0
-        return FIRST_EVENT_S + output_tokens * self._token_s
+    def hand_back(self) -> None:
+        """End the work on the request, so that it gets its final answer."""
+        if not self.is_handed_back:
+            self.is_handed_back = True
+            self.task.cancel()
 
 
 class PlannedStop:
-    """Tells which requests can end before the process has to."""
+    """Keeps the open requests and ends them in time for a stop."""
 
     def __init__(self, clock: Clock) -> None:
-        self.pace = StreamPace()
         self._clock = clock
         self._ends_at_s: float | None = None
         self._refuses_all = False
+        self._open: set[OpenRequest] = set()
 
     @property
     def has_begun(self) -> bool:
         """Return whether this host is about to stop."""
         return self._ends_at_s is not None
 
+    @property
+    def open_requests(self) -> int:
+        """Return the number of requests that are not answered yet."""
+        return len(self._open)
+
+    def open(self, report: RequestReport) -> OpenRequest:
+        """Record a request that the current task handles."""
+        request = OpenRequest(report, asyncio.current_task())
+        self._open.add(request)
+        return request
+
+    def close(self, request: OpenRequest) -> None:
+        """Forget a request that has ended."""
+        self._open.discard(request)
+
     def begin(self, timeout_s: float) -> None:
-        """Begin the stop, which ends within this time."""
+        """Begin the stop, which ends within this time.
+
+        Requests that wait to be sent are handed back unless they are sure to
+        be over in time.
+        """
         self._ends_at_s = self._clock.now_s() + timeout_s - END_MARGIN_S
+        handed_back = [row for row in self._open if self._may_outlast(row)]
+        for request in handed_back:
+            request.hand_back()
+        log_event(
+            log,
+            'stop_begun',
+            ends_in_ms=round(self.left_s() * 1000),
+            open_requests=len(self._open),
+            handed_back=len(handed_back),
+        )
 
     def refuse_all(self) -> None:
         """Take no request from now on."""
         self._refuses_all = True
 
+    def hand_back_unanswered(self) -> None:
+        """End the requests whose answers have not begun."""
+        for request in self._open:
+            if not request.report.channel.has_begun:
+                request.hand_back()
+
     def left_s(self) -> float:
         """Return the time until open requests are cut."""
         return self._ends_at_s - self._clock.now_s()
 
-    def check(self, output_tokens: int | None) -> None:
-        """Check that a request can end before the process does.
+    def check(self, ends_at_s: float) -> None:
+        """Check that a request that was not run is over before the process is.
+
+        Parameters
+        ----------
+        ends_at_s
+            Time limit of the request.
 
         Raises
         ------
@@ -83,11 +121,39 @@
         """
         if not self.has_begun:
             return
-        left_s = self.left_s()
-        expected_s = self.pace.expected_s(output_tokens)
-        if self._refuses_all or expected_s > left_s:
-            raise DrainingError(
-                f'this host stops in {left_s:.1f} s, and the request may take '
-                f'{expected_s:.1f} s',
-                retry_after_s=RETRY_AFTER_S,
+        if self._refuses_all or ends_at_s > self._ends_at_s:
+            limit_s = ends_at_s - self._clock.now_s()
+            raise _draining(
+                f'this host stops in {self.left_s():.1f} s, and the request '
+                f'may take {limit_s:.1f} s',
             )
+
+    def _may_outlast(self, request: OpenRequest) -> bool:
+        """Return whether a request that is not sent yet could be cut."""
+        report = request.report
+        if report.ends_at_s is None:
+            # It meets ``check`` once its route is known.
+            return False
+        if report.course is not None and report.course.may_have_run:
+            return False
+        return report.ends_at_s > self._ends_at_s
+
+
+def stopped(request: OpenRequest) -> KumquatrunError:
+    """Return the failure of a request that was handed back."""
+    course = request.report.course
+    if course is not None and course.may_have_run:
+        return BackendError(
+            f'{course.last_backend} gave no answer before this host stopped',
+            outcome=Outcome.UNKNOWN,
+            cause=HOST_STOPPED,
+        )
+    return _draining('this host stops before the request can be sent')
+
+
+def _draining(detail: str) -> DrainingError:
+    return DrainingError(
+        detail,
+        retry_after_s=RETRY_AFTER_S,
+        cause=HOST_STOPPED,
+    )
--- a/src/kumquatrun/gateway/request_report.py
+++ b/src/kumquatrun/gateway/request_report.py
@@ -27,10 +27,17 @@
 
 @dataclass
 class RequestReport:
-    """Collects what is known of one request until it ends."""
+    """Collects what is known of one request until it ends.
+
+    Attributes
+    ----------
+    ends_at_s
+        Time limit of the request; None until its route is known.
+    """
 
     channel: CallerChannel
     received_s: float
+    ends_at_s: float | None = None
     caller: CallerRequest | None = None
     course: Course | None = None
 
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -16,6 +16,7 @@
 
 from kumquatrun.errors import BackendError, NoCapacityError, Outcome
 from kumquatrun.gateway.forwarder import Forwarder
+from kumquatrun.gateway.planned_stop import PlannedStop
 from kumquatrun.gateway.retry_shares import RetryShares
 from kumquatrun.platform.requests import PlatformFormat
 from kumquatrun.runtime.clock import LoopClock
@@ -32,6 +33,7 @@
         PlatformFormat(),
         RunnerReservations(*started),
         RetryShares(0.2, allowance, 10),
+        PlannedStop(LoopClock()).check,
         LoopClock(),
     )
     await forwarder.run(course, caller)
@@ -155,6 +157,7 @@
         PlatformFormat(),
         RunnerReservations(runner),
         RetryShares(0.2, 100, 10),
+        PlannedStop(LoopClock()).check,
         LoopClock(),
     )
     with pytest.raises(BackendError):
@@ -205,6 +208,7 @@
             PlatformFormat(),
             reservations,
             RetryShares(0.2, 0, 10),
+            PlannedStop(LoopClock()).check,
             LoopClock(),
         )
         await forwarder.run(course(kind, max_attempts=1), Caller())
