Close kept connections during a stop also after bodies that came in parts

Cause: bytes of a body that arrive after the handler has begun marked the connection as one with a new request, so it was never idle again and stayed open through the stop; and the stop ended with the last open request, whether or not a connection was left that could bring another.

Change: bytes count as a new request only between requests, and a stop ends when no connection is left.

Both tests failed before.

--- a/src/kumquatrun/entry/http_server.py
+++ b/src/kumquatrun/entry/http_server.py
@@ -61,7 +61,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Take bytes of a request."""
-        self.has_input = True
+        # Bytes that arrive while a request is handled belong to its body.
+        self.has_input = self.has_input or not self.is_busy
         super().data_received(data)
 
     def begin_request(self) -> None:
--- a/src/kumquatrun/gateway/entry.py
+++ b/src/kumquatrun/gateway/entry.py
@@ -183,9 +183,9 @@
         await asyncio.sleep(min(TAKE_NEW_S, timeout_s))
         self._planned_stop.refuse_all()
         self._server.close()
-        self._http.close_idle()
         while self._planned_stop.left_s() > 0:
-            if not self.open_requests:
+            self._http.close_idle()
+            if not self._http.connections:
                 return
             await asyncio.sleep(DRAIN_CHECK_S)
         if self.open_requests:
@@ -199,9 +199,9 @@
     async def stop(self) -> None:
         """Answer what can still be answered, and close all connections."""
         self._has_stopped = True
-        if self.open_requests:
-            self._planned_stop.hand_back_unanswered()
+        if self._planned_stop.hand_back_unanswered():
             await asyncio.sleep(HAND_BACK_S)
+        self._planned_stop.cut_all()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/src/kumquatrun/gateway/planned_stop.py
+++ b/src/kumquatrun/gateway/planned_stop.py
@@ -96,11 +96,19 @@
         """Take no request from now on."""
         self._refuses_all = True
 
-    def hand_back_unanswered(self) -> None:
-        """End the requests whose answers have not begun."""
+    def hand_back_unanswered(self) -> int:
+        """End the requests whose answers have not begun; return their number."""
+        unanswered = [
+            row for row in self._open if not row.report.channel.has_begun
+        ]
+        for request in unanswered:
+            request.hand_back()
+        return len(unanswered)
+
+    def cut_all(self) -> None:
+        """Close the connections of all requests that are still open."""
         for request in self._open:
-            if not request.report.channel.has_begun:
-                request.hand_back()
+            request.report.channel.abort()
 
     def left_s(self) -> float:
         """Return the time until open requests are cut."""
--- a/tests/test_gateway_entry.py
+++ b/tests/test_gateway_entry.py
@@ -438,3 +438,36 @@
             assert await reader.read() == b''
         writer.close()
         stopping.cancel()
+
+
+async def test_kept_connection_is_idle_after_a_body_that_came_in_parts():
+    # Guards against a kept connection that stays open through a stop: a
+    # booking that came on one as the process ended got no answer.
+    async with served(Runner([0.1, answer()]), content=one_service()) as host:
+        reader, writer = await asyncio.open_connection('127.0.0.1', host.port)
+        head = kept_request().replace(b'Length: 0', b'Length: 4')
+        for part in (head, b'ab', b'cd'):
+            writer.write(part)
+            await asyncio.sleep(0.05)
+        assert (await reader.readuntil(b'done')).endswith(b'done')
+        await asyncio.sleep(0.05)
+        host.entry._http.close_idle()
+        async with asyncio.timeout(0.3):
+            assert await reader.read() == b''
+        writer.close()
+
+
+async def test_stop_waits_for_a_request_that_has_begun_to_arrive(monkeypatch):
+    # Guards against a request that is read while the process ends.
+    monkeypatch.setattr(entry_module, 'TAKE_NEW_S', 0.05)
+    async with served(content=one_service()) as host:
+        reader, writer = await asyncio.open_connection('127.0.0.1', host.port)
+        writer.write(kept_request()[:20])
+        await asyncio.sleep(0.05)
+        stopping = asyncio.create_task(stop(host, 3))
+        await asyncio.sleep(0.5)
+        writer.write(kept_request()[20:])
+        assert (await reader.readline()).startswith(b'HTTP/1.1 503')
+        async with asyncio.timeout(1):
+            await stopping
+        writer.close()
