Reset connections to backend servers whose requests are given up

Cause: closing a connection lets the kernel deliver what was written and then its end, so a host that wakes up reads and runs the request first.

Ruled out: passing over frozen hosts (they were sent before it froze).

Change: a connection is reset if its answer has not ended. The test failed before: the peer read a clean end.

--- a/src/kumquatrun/gateway/backend_connection.py
+++ b/src/kumquatrun/gateway/backend_connection.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -26,6 +27,8 @@
     (socket.TCP_KEEPINTVL, 1),
     (socket.TCP_KEEPCNT, 3),
 )
+# Value of SO_LINGER that makes a close reset the connection.
+NO_LINGER = struct.pack('ii', 1, 0)
 READ_BUFFER_BYTES = 64 * 1024
 MAX_HEADER_BYTES = 32 * 1024
 INFORMATIONAL = range(100, 200)
@@ -86,6 +89,11 @@
             and not self.transport.is_closing()
         )
 
+    @property
+    def _awaits_answer(self) -> bool:
+        has_ended = self._body is not None and self._body.is_eof()
+        return self._head is not None and not has_ended
+
     def send(
         self,
         head: bytes,
@@ -148,6 +156,9 @@
 
     def abort(self) -> None:
         """Close at once, which cancels the request at the backend server."""
+        if self._awaits_answer:
+            # A backend server that stands still drops the request unread.
+            self._reset_on_close()
         self.is_clean = False
         if self.transport is not None:
             self.transport.abort()
@@ -206,6 +217,11 @@
         self._body = body
         self._head.set_result(head)
 
+    def _reset_on_close(self) -> None:
+        if self.is_open:
+            opened = self.transport.get_extra_info('socket')
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+
     def _fail(self, error: Exception) -> None:
         if self._head is not None and not self._head.done():
             self._head.set_exception(error)
--- a/tests/test_backend_connection.py
+++ b/tests/test_backend_connection.py
@@ -1,6 +1,7 @@
 """Connections to backend servers: late, extra, cut and unframed answers."""
 
 import asyncio
+import socket
 
 import pytest
 from tests.gateway_fakes import Runner, answer
@@ -11,6 +12,7 @@
     open_connection,
 )
 from kumquatrun.gateway.connection_pool import ConnectionPool
+from kumquatrun.peer.address import Address
 
 HEAD = b'POST / HTTP/1.1\r\nX-Kumquatrun-Attempt-Id: one\r\n\r\n'
 
@@ -121,3 +123,19 @@
         head, _ = await ask(connection)
         pool.give_back(connection, head)
         assert runner.connections == connections
+
+
+async def test_request_that_is_given_up_is_reset():
+    # Guards against a backend server that stood still and then runs requests
+    # whose callers had left: only a reset drops what it has not read.
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        address = Address(*listener.getsockname()[:2])
+        connection = await open_connection(address)
+        connection.send(HEAD, b'', accepts_one)
+        await asyncio.sleep(0.05)
+        connection.abort()
+        await asyncio.sleep(0.05)
+        peer, _ = listener.accept()
+        with peer, pytest.raises(ConnectionResetError):
+            while peer.recv(1024):
+                pass
