--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,243 @@
+"""Planned stops of a gateway entry, as its callers see them."""
+
+import asyncio
+import logging
+
+import aiohttp
+import pytest
+from tests.gateway_fakes import (
+    LAST_CHUNK,
+    STREAM_HEAD,
+    Runner,
+    answer,
+    chunk,
+    event,
+)
+from tests.gateway_host import one_service, served
+
+from kumquatrun.gateway import entry as entry_module
+
+
+async def test_planned_stop_cuts_no_request(monkeypatch):
+    # Guards against the loss of a request that is answered during a stop.
+    monkeypatch.setattr(entry_module, 'TAKE_NEW_S', 0.05)
+    runner = Runner([0.3, answer(b'late')])
+    async with served(runner, content=one_service()) as host:
+        asked = asyncio.create_task(host.answer('/draft/long/a'))
+        await asyncio.sleep(0.1)
+        await host.entry.drain(5)
+        assert await asked == (200, b'late')
+
+
+async def test_request_long_after_the_start_of_a_stop_is_refused_unrun(
+    monkeypatch,
+):
+    # Guards against a request that the end of the process cuts: on the
+    # users' bench one was taken 5.7 s after SIGTERM.
+    monkeypatch.setattr(entry_module, 'TAKE_NEW_S', 0.05)
+    runner = Runner([answer()], [0.5, answer()])
+    async with served(runner, content=one_service()) as host:
+        await host.answer('/draft/long/a')
+        reader, writer = await asyncio.open_connection('127.0.0.1', host.port)
+        open_request = asyncio.create_task(host.answer('/draft/long/a'))
+        await asyncio.sleep(0.1)
+        drain = asyncio.create_task(host.entry.drain(5))
+        await asyncio.sleep(0.2)
+        assert await reader.read() == b''
+        with pytest.raises(aiohttp.ClientConnectorError):
+            await host.answer('/draft/long/a')
+        await drain
+        assert (await open_request)[0] == 200
+        writer.close()
+
+
+async def test_readiness_is_withdrawn_at_once():
+    async with served(Runner([answer()]), content=one_service()) as host:
+        assert not host.entry.not_ready_reason()
+        drain = asyncio.create_task(host.entry.drain(5))
+        await asyncio.sleep(0.01)
+        assert host.entry.not_ready_reason() == 'draining'
+        drain.cancel()
+
+
+def stream_of(duration_s):
+    """Return the script of a stream that lasts this long."""
+    return [
+        STREAM_HEAD,
+        chunk(event(1)),
+        duration_s,
+        chunk(event(2)),
+        LAST_CHUNK,
+    ]
+
+
+@pytest.mark.parametrize(
+    ('timeout_s', 'status'),
+    [(2, 503), (3.2, 503), (3.6, 200)],
+)
+async def test_request_is_taken_during_a_stop_if_its_limit_ends_in_time(
+    timeout_s,
+    status,
+):
+    # Guards against streams that the end of the process cuts: on the users'
+    # bench two were taken 1.4 s after SIGTERM and lasted longer than 6.1 s.
+    # The caller's limit is 3 s, and the process needs 0.4 s to end.
+    runner = Runner(stream_of(0.1))
+    async with served(runner, content=one_service()) as host:
+        drain = asyncio.create_task(host.entry.drain(timeout_s))
+        await asyncio.sleep(0.01)
+        async with host.ask('/draft/a') as response:
+            await response.read()
+            assert response.status == status
+            assert response.headers['Connection'] == 'close'
+            if status == 503:
+                assert float(response.headers['Retry-After']) < 0.2
+        assert len(runner.requests) == (status == 200)
+        drain.cancel()
+
+
+async def test_request_cut_by_a_stop_names_the_stop(caplog):
+    # Guards against a log that blames the caller for a connection that the
+    # stopping process closed.
+    caplog.set_level(logging.INFO)
+    runner = Runner(stream_of(5))
+    async with served(runner, content=one_service()) as host:
+        asked = asyncio.create_task(host.answer('/draft/a'))
+        await asyncio.sleep(0.1)
+        await host.entry.stop()
+        with pytest.raises(aiohttp.ClientError):
+            await asked
+    (cause,) = [
+        record.event_fields['cause']
+        for record in caplog.records
+        if record.getMessage() == 'request_finished'
+    ]
+    assert cause == 'host_stopped'
+
+
+async def stop(host, timeout_s):
+    """Stop the entry as the daemon does."""
+    await host.entry.drain(timeout_s)
+    await host.entry.stop()
+
+
+async def test_slow_stream_that_came_after_sigterm_is_not_cut(monkeypatch):
+    # Guards against a stream that was taken because earlier ones were quick:
+    # on the users' days one came 1.5 s after SIGTERM and was cut 6 s later.
+    monkeypatch.setattr(entry_module, 'TAKE_NEW_S', 0.05)
+    runner = Runner(stream_of(2))
+    async with served(runner, content=one_service()) as host:
+        stopping = asyncio.create_task(stop(host, 1.8))
+        await asyncio.sleep(0.01)
+        assert (await host.answer('/draft/a', tokens='10,30'))[0] == 503
+        assert not runner.requests
+        await stopping
+
+
+async def test_request_without_an_answer_at_the_end_of_a_stop_gets_one(
+    monkeypatch,
+):
+    # Guards against a connection that ends without an answer, so that its
+    # caller cannot tell a stop from a lost host.
+    monkeypatch.setattr(entry_module, 'TAKE_NEW_S', 0.05)
+    async with served(Runner([5]), content=one_service()) as host:
+        asked = asyncio.create_task(host.answer('/draft/a'))
+        await asyncio.sleep(0.1)
+        await stop(host, 0.6)
+        assert (await asked)[0] == 502
+
+
+async def test_request_that_waits_when_a_stop_begins_is_handed_back_unrun():
+    # Guards against a long stream that is sent to its backend server after
+    # SIGTERM because it had come a moment before.
+    runner = Runner(stream_of(2))
+    async with served(runner, content=one_service()) as host:
+        host.session.charges_in = asyncio.Event()
+        asked = asyncio.create_task(host.answer('/draft/a'))
+        await asyncio.sleep(0.1)
+        stopping = asyncio.create_task(stop(host, 1.8))
+        async with asyncio.timeout(0.3):
+            assert (await asked)[0] == 503
+        stopping.cancel()
+    assert not runner.requests
+
+
+def kept_request(path='/draft/long/a'):
+    """Return the bytes of a request on a connection that is kept."""
+    return (
+        f'POST {path} HTTP/1.1\r\nHost: shop.example\r\n'
+        'X-Kumquatrun-Attempt-Id: attempt-1\r\nContent-Length: 0\r\n\r\n'
+    ).encode()
+
+
+async def test_request_that_was_read_when_idle_connections_end_is_answered():
+    # Guards against a connection that counts as idle between the moment its
+    # request is read and the moment it is handled.
+    async with served(Runner([answer()]), content=one_service()) as host:
+        reader, writer = await asyncio.open_connection('127.0.0.1', host.port)
+        await asyncio.sleep(0.05)
+        (connection,) = host.entry._http.connections
+        connection.data_received(kept_request())
+        host.entry._http.close_idle()
+        assert (await reader.readline()).startswith(b'HTTP/1.1 200')
+        writer.close()
+
+
+async def test_kept_connection_ends_with_its_answer_during_a_stop():
+    # Guards against a request that arrives on a kept connection, late in a
+    # stop, at a host that can no longer serve it.
+    async with served(Runner([0.3, answer()]), content=one_service()) as host:
+        reader, writer = await asyncio.open_connection('127.0.0.1', host.port)
+        writer.write(kept_request())
+        await asyncio.sleep(0.1)
+        stopping = asyncio.create_task(stop(host, 5))
+        async with asyncio.timeout(1):
+            assert (await reader.read()).endswith(b'done')
+        writer.close()
+        stopping.cancel()
+
+
+async def test_idle_connection_ends_when_a_stop_begins():
+    # Guards against refusals on kept connections: their callers can reach
+    # another host with a new one.
+    async with served(Runner([answer()]), content=one_service()) as host:
+        reader, writer = await asyncio.open_connection('127.0.0.1', host.port)
+        await asyncio.sleep(0.05)
+        stopping = asyncio.create_task(stop(host, 5))
+        async with asyncio.timeout(0.3):
+            assert await reader.read() == b''
+        writer.close()
+        stopping.cancel()
+
+
+async def test_kept_connection_is_idle_after_a_body_that_came_in_parts():
+    # Guards against a kept connection that stays open through a stop: a
+    # booking that came on one as the process ended got no answer.
+    async with served(Runner([0.1, answer()]), content=one_service()) as host:
+        reader, writer = await asyncio.open_connection('127.0.0.1', host.port)
+        head = kept_request().replace(b'Length: 0', b'Length: 4')
+        for part in (head, b'ab', b'cd'):
+            writer.write(part)
+            await asyncio.sleep(0.05)
+        assert (await reader.readuntil(b'done')).endswith(b'done')
+        await asyncio.sleep(0.05)
+        host.entry._http.close_idle()
+        async with asyncio.timeout(0.3):
+            assert await reader.read() == b''
+        writer.close()
+
+
+async def test_stop_waits_for_a_request_that_has_begun_to_arrive(monkeypatch):
+    # Guards against a request that is read while the process ends.
+    monkeypatch.setattr(entry_module, 'TAKE_NEW_S', 0.05)
+    async with served(content=one_service()) as host:
+        reader, writer = await asyncio.open_connection('127.0.0.1', host.port)
+        writer.write(kept_request()[:20])
+        await asyncio.sleep(0.05)
+        stopping = asyncio.create_task(stop(host, 3))
+        await asyncio.sleep(0.5)
+        writer.write(kept_request()[20:])
+        assert (await reader.readline()).startswith(b'HTTP/1.1 503')
+        async with asyncio.timeout(1):
+            await stopping
+        writer.close()
