Let a repeated SIGTERM change nothing and lose no signal

Callers saw streams cut in the middle of a drain: a second SIGTERM stopped a daemon at once. Supervisors and overlapping rolling restarts send SIGTERM again while a host still drains, so this cut requests that one SIGTERM would not.

Cause: the chart led from draining to stopping on any second signal. Two more ways to the same end were found beside it:

- Reasons to stop went through a queue that a task read.
A signal that was read in the same turn of the loop in which the start ended was thrown away, and the host served on until it was killed.
- A signal during the start stopped all parts at once, also when the server had started and only a later part (the list of hosts) had not.

Now a signal steps the chart when it arrives. A state that does not accept it logs stop_already_begun and goes on. SIGINT after another signal still stops at once: it comes from an operator, and a drain of an entry or agent may wait without a limit, so there has to be a way to end it. A SIGINT after an operator's drain command is a first signal, as before. A signal during the start drains, which ends at once if the server has not started.

--- a/src/kumquatrun/daemon/lifecycle.py
+++ b/src/kumquatrun/daemon/lifecycle.py
@@ -3,7 +3,8 @@
 import asyncio
 import logging
 import signal
-from collections.abc import Coroutine, Sequence
+from collections.abc import Awaitable, Callable, Sequence
+from functools import partial
 from typing import Any, Protocol
 
 from kumquatrun.daemon.settings import DaemonSettings
@@ -59,9 +60,9 @@
         self._server = server
         self._chart = load_chart('daemon')
         self._state = self._chart.initial
-        self._reasons = asyncio.Queue[str]()
-        self._drain_requested = False
+        self._state_changed = asyncio.Event()
         self._had_signal = False
+        self._server_has_started = False
 
     @property
     def state(self) -> str:
@@ -73,30 +74,27 @@
         self._parts += (part,)
 
     def terminate(self, signal_name: str) -> None:
-        """Handle one signal: drain on the first, stop on the second."""
-        is_first = not self._had_signal
+        """Handle one signal: the first one drains.
+
+        A repeated SIGTERM changes nothing, since supervisors and overlapping
+        rolling restarts send it again while requests are still open. SIGINT
+        comes from an operator; after another signal it stops at once.
+        """
+        is_repeated = self._had_signal and signal_name == signal.SIGINT.name
         self._had_signal = True
-        # An operator's drain is followed by a signal of the platform, which
-        # must not cut the requests that are still open.
-        if not (is_first and self._drain_requested):
-            self._drain_requested = True
-            self._reasons.put_nowait(signal_name)
+        self._handle('interrupt' if is_repeated else 'terminate', signal_name)
 
     def request_drain(self, reason: str) -> None:
         """Drain for another reason than a signal; repeating it is harmless."""
-        if not self._drain_requested:
-            self._drain_requested = True
-            self._reasons.put_nowait(reason)
+        self._handle('terminate', reason)
 
     async def run(self) -> None:
         """Start, serve until a signal, drain and stop."""
         started: list[Part] = []
         try:
-            await self._until_reason(self._start(started), 'started')
-            if self._state == 'running':
-                await self._until_reason(asyncio.Event().wait(), '')
-            if self._state == 'draining':
-                await self._until_reason(self._drain(), 'drained')
+            await self._work_in('starting', partial(self._start, started))
+            await self._work_in('running', asyncio.Event().wait)
+            await self._work_in('draining', self._drain)
         except Exception as error:
             log_event(
                 log,
@@ -109,14 +107,29 @@
         finally:
             await self._stop(started)
 
+    def _handle(self, event: str, reason: str) -> None:
+        """Step with a signal or a request to drain, if the state accepts it."""
+        if self._chart.accepts(self._state, event):
+            self._step(event, reason=reason)
+            self._state_changed.set()
+        else:
+            log_event(
+                log,
+                'stop_already_begun',
+                state=self._state,
+                reason=reason,
+            )
+
     async def _start(self, started: list[Part]) -> None:
         for part in self._parts:
             # A part that fails half way must be stopped as well.
             started.append(part)
             await part.start()
+            self._server_has_started |= part is self._server
 
     async def _drain(self) -> None:
-        if self._server is not None:
+        # A signal during the start of a later part finds open requests too.
+        if self._server_has_started:
             await self._server.drain(self._settings.drain_timeout_s)
 
     async def _stop(self, started: Sequence[Part]) -> None:
@@ -135,28 +148,35 @@
                     error=error,
                 )
         if self._state == 'stopping':
-            self._step('stopped')
+            self._step('done')
 
-    async def _until_reason(
+    async def _work_in(
         self,
-        work: Coroutine[Any, Any, Any],
-        event: str,
+        state: str,
+        work: Callable[[], Awaitable[Any]],
     ) -> None:
-        """Step with ``event`` after ``work``, or with a reason to stop before it."""
-        task = asyncio.ensure_future(work)
-        next_reason = asyncio.ensure_future(self._reasons.get())
-        waiting = {task, next_reason}
-        await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+        """Do the work of a state, and cancel it when the state is left."""
+        if self._state != state:
+            return
+        task = asyncio.ensure_future(work())
+        left = asyncio.create_task(self._until_left(state))
+        tasks = {task, left}
         try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
             if task.done():
                 await task
-                self._step(event)
-            else:
-                self._step('terminate', reason=next_reason.result())
+                # A signal may have come in the same turn of the loop.
+                if self._state == state:
+                    self._step('done')
         finally:
-            for pending in waiting:
+            for pending in tasks:
                 pending.cancel()
-            await asyncio.gather(*waiting, return_exceptions=True)
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _until_left(self, state: str) -> None:
+        while self._state == state:
+            self._state_changed.clear()
+            await self._state_changed.wait()
 
     def _step(self, event: str, **fields: str) -> None:
         self._state = self._chart.next_state(self._state, event)
