Keep the signal handlers until the event loop is closed

A SIGTERM that came again after all parts had stopped met the default action, since run_daemon had removed its handlers: the process ended with -15 instead of 0, so a supervisor saw a failed stop. No request is open by then; replicas have closed their logs.

The loop removes the handlers itself when it is closed, so run_daemon leaves them. What remains is the end of the interpreter after that.

Evidence: test_late_signal_does_not_kill_the_process found SIG_DFL before.

--- a/src/kumquatrun/daemon/lifecycle.py
+++ b/src/kumquatrun/daemon/lifecycle.py
@@ -189,12 +189,12 @@
 
 
 async def run_daemon(daemon: Daemon) -> None:
-    """Run a daemon that ends on SIGTERM or SIGINT."""
+    """Run a daemon that ends on SIGTERM or SIGINT.
+
+    The handlers stay until the event loop is closed: the default action of a
+    late signal would kill the process before its last log lines are written.
+    """
     loop = asyncio.get_running_loop()
     for number in SIGNALS:
         loop.add_signal_handler(number, daemon.terminate, number.name)
-    try:
-        await daemon.run()
-    finally:
-        for number in SIGNALS:
-            loop.remove_signal_handler(number)
+    await daemon.run()
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -158,6 +158,21 @@
     assert calls[-3:] == list(STOPS)
 
 
+async def test_late_signal_does_not_kill_the_process():
+    # Guards against a process that a repeated SIGTERM kills between its stop
+    # and its end, with its last log lines unwritten and a failed exit code.
+    daemon, server = daemon_of([])
+    server.drained.set()
+    task = asyncio.create_task(run_daemon(daemon))
+    await until(daemon, 'running')
+    daemon.terminate('SIGTERM')
+    await task
+    assert signal.getsignal(signal.SIGTERM) is not signal.SIG_DFL
+    os.kill(os.getpid(), signal.SIGTERM)
+    await asyncio.sleep(0.02)
+    assert daemon.state == 'stopped'
+
+
 async def test_signal_at_the_end_of_the_start_is_not_lost():
     # Guards against a host that serves on after SIGTERM until it is killed.
     calls = []
