Count a slot as taken until the engine has dropped its adapter

Callers would see all streams of an engine end: an engine that is ordered to hold more adapters than it has slots for crashes.

Cause: an engine that still runs requests of an adapter accepts an unload and carries it out when they end. The agent took an accepted unload for a free slot and loaded the next adapter into it at once. It unloads adapters that are in use when it does not know of their requests: after its own restart, or for requests that entries sent while it did not answer.

Now the slot is free once a report no longer lists the adapter. Until then the adapter does not count as held either, since the engine refuses further requests for it; they wait until it can be loaded again.

Both new tests of test_engine_agent.py failed before: the third adapter was loaded beside two that were in use.

--- a/src/kumquatrun/gateway/engine_api.py
+++ b/src/kumquatrun/gateway/engine_api.py
@@ -28,6 +28,8 @@
         Whether a base model is being loaded or unloaded.
     loading
         Adapters on their way, as ``(model, adapter)`` with their version.
+    runs
+        Ids of the requests that run.
     """
 
     started_ms: int
@@ -38,6 +40,7 @@
     running: int = 0
     models: tuple[HeldModel, ...] = ()
     loading: tuple[tuple[str, str, int], ...] = ()
+    runs: frozenset[str] = frozenset()
 
     @property
     def load(self) -> int:
--- a/src/kumquatrun/gateway/engine_orders.py
+++ b/src/kumquatrun/gateway/engine_orders.py
@@ -88,7 +88,7 @@
     async def load_adapter(self, name: AdapterName, version: int) -> bool:
         """Order an adapter; False if no further order is of use now."""
         residency = self._watch.residency
-        if residency.is_loading(name):
+        if residency.is_loading(name) or residency.is_unloading(name):
             return True
         is_replacement = residency.version_of(name) is not None
         if not is_replacement and not await self._make_room():
@@ -144,11 +144,10 @@
         victim = residency.victim(self._clock.now_s())
         if victim is None:
             return False
-        done = await self._order(victim, 0, is_load=False)
-        if done:
-            residency.record_unload(victim)
-            process_metrics().count('adapter_evictions_total')
-        return done
+        if not await self._order(victim, 0, is_load=False):
+            return False
+        process_metrics().count('adapter_evictions_total')
+        return residency.record_unload(victim, self._clock.now_s())
 
     async def _order(
         self,
--- a/src/kumquatrun/gateway/residency.py
+++ b/src/kumquatrun/gateway/residency.py
@@ -41,6 +41,8 @@
         self._loading: dict[AdapterName, int] = {}
         # Orders that may have been accepted and are not in a report yet.
         self._ordered: dict[AdapterName, tuple[int, float]] = {}
+        # Unloads that were accepted: the engine waits for the end of runs.
+        self._unloading: dict[AdapterName, float] = {}
 
     def take_report(self, report: EngineReport, now_s: float) -> None:
         """Take what the engine holds and loads."""
@@ -58,21 +60,29 @@
             is_visible = is_held or name in self._loading
             if is_visible or now_s - ordered_s > FORGET_ORDER_S:
                 del self._ordered[name]
+        for name, ordered_s in list(self._unloading.items()):
+            if name not in self._held or now_s - ordered_s > FORGET_ORDER_S:
+                del self._unloading[name]
 
     def reset(self) -> None:
         """Forget orders after a restart of the engine."""
         self._ordered.clear()
         self._held.clear()
         self._loading.clear()
+        self._unloading.clear()
 
     def version_of(self, name: AdapterName) -> int | None:
         """Return the version that the engine holds, None if it lacks it."""
-        return self._held.get(name)
+        return None if self.is_unloading(name) else self._held.get(name)
 
     def is_loading(self, name: AdapterName) -> bool:
         """Return whether the adapter is on its way."""
         return name in self._loading or name in self._ordered
 
+    def is_unloading(self, name: AdapterName) -> bool:
+        """Return whether the engine drops the adapter when its runs end."""
+        return name in self._unloading
+
     @property
     def loads_under_way(self) -> int:
         """Return the number of adapters on their way."""
@@ -101,9 +111,16 @@
         """Record a load order that may have been accepted."""
         self._ordered[name] = (version, now_s)
 
-    def record_unload(self, name: AdapterName) -> None:
-        """Record an unload that took effect."""
-        self._held.pop(name, None)
+    def record_unload(self, name: AdapterName, now_s: float) -> bool:
+        """Record an accepted unload; return whether it took effect.
+
+        The slot of an adapter that a request still uses stays taken until a
+        report shows that the adapter is gone.
+        """
+        if name not in self._held:
+            return True
+        self._unloading[name] = now_s
+        return False
 
     def forget_order(self, name: AdapterName) -> None:
         """Forget an order that the engine refused."""
@@ -117,7 +134,9 @@
         candidates = [
             name
             for name in self._held
-            if name not in self._loading and self._may_leave(name, now_s)
+            if name not in self._loading
+            and name not in self._unloading
+            and self._may_leave(name, now_s)
         ]
         if not candidates:
             return None
--- a/src/kumquatrun/platform/engine.py
+++ b/src/kumquatrun/platform/engine.py
@@ -83,7 +83,7 @@
     """Return the state of an engine.
 
     ``sequence`` counts the accepted orders, ``incoming`` lists adapters on
-    their way.
+    their way. An entry of ``runs`` begins with the id of its request.
     """
     return EngineReport(
         started_ms=decoding.whole(fields, 'born', 0),
@@ -102,6 +102,7 @@
             for model in decoding.rows(fields, 'models', [])
         ),
         loading=tuple(map(_loading, fields.get('incoming') or [])),
+        runs=frozenset(run_id for run_id, *_ in fields.get('runs') or []),
     )
 
 
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -301,6 +301,11 @@
         # Orders that get no answer and are carried out after this time.
         self.late_orders = 0
         self.late_s = 0
+        # Adapters of running requests, by request. They are unloaded once
+        # these have ended.
+        self.runs = {}
+        self.names_runs = True
+        self.unloading = set()
 
     async def report(self):
         if self.is_silent:
@@ -319,6 +324,8 @@
                 ('m', adapter, version)
                 for adapter, (version, _) in self.loading.items()
             ),
+            running=len(self.runs),
+            runs=frozenset(self.runs if self.names_runs else ()),
         )
 
     async def order(self, order):
@@ -349,10 +356,19 @@
             self.loading[order.adapter] = (version, ready_s)
             taken = {*self.held, *self.loading}
             self.most_held = max(self.most_held, len(taken))
+        elif order.adapter in self.runs.values():
+            self.unloading.add(order.adapter)
         else:
             self.held.pop(order.adapter, None)
+            return OrderVerdict.HOLDS
         return OrderVerdict.ACCEPTED
 
+    def end_run(self, request_id):
+        adapter = self.runs.pop(request_id)
+        if adapter in self.unloading and adapter not in self.runs.values():
+            self.unloading.discard(adapter)
+            self.held.pop(adapter, None)
+
     def _set_models(self, models):
         self.models = models
         self.is_changing_model = False
--- a/tests/test_engine_agent.py
+++ b/tests/test_engine_agent.py
@@ -325,3 +325,40 @@
         engine.restart()
         await asyncio.sleep(0.5)
     assert engine.models == ('n',)
+
+
+async def test_slot_of_an_unloaded_adapter_is_taken_until_its_runs_end():
+    # Guards against an engine that crashes with all its streams: it waits for
+    # the runs of an adapter before it unloads it, and an agent that loaded
+    # another one at once gave it more than it has slots for.
+    engine = Engine(slots=2)
+    engine.names_runs = False
+    engine.held = {'a1': 1, 'a2': 1}
+    engine.runs = {'r1': 'a1', 'r2': 'a2'}
+    async with agent_of(engine) as agent:
+        use = Use(agent, 'a3')
+        await asyncio.sleep(1)
+        assert not use.call.ready.done()
+        engine.end_run('r1')
+        await use.ready()
+    assert engine.most_held <= 2
+
+
+async def test_adapter_that_is_being_unloaded_is_loaded_again():
+    # Guards against requests that are sent to an engine which refuses them
+    # until an adapter is gone.
+    engine = Engine(slots=1)
+    engine.names_runs = False
+    engine.held = {'a1': 1}
+    engine.runs = {'r1': 'a1'}
+    async with agent_of(engine) as agent:
+        other = Use(agent, 'a2', 'other')
+        await asyncio.sleep(0.3)
+        await other.end()
+        use = Use(agent, 'a1', 'again')
+        await asyncio.sleep(0.3)
+        assert not use.call.ready.done()
+        engine.end_run('r1')
+        await use.ready()
+        assert engine.held == {'a1': 1}
+    assert engine.most_held <= 1
