Keep adapters and base models of requests that an agent has no call for

An adapter that serves a request must not be evicted. An agent knew its users from open calls alone, so two kinds of streams had adapters that it ordered away: those that began before its own restart, and those whose call was lost with a connection between hosts. The engine waits with such an unload, but it refuses further requests for the adapter meanwhile.

Base models had the same fault and one more. The time of their last use was recorded when a call began and when it ended, so the model of a stream of more than 5 s counted as idle; after a restart of the agent every model did at once.

Now the agent remembers the adapter of a request as long as the engine's report names the request among its runs, with or without a call. Requests that ran before the agent's first report have adapters that it cannot know; until they have ended, or their entries have told their adapters, nothing is evicted. A base model makes way only if no request uses it, and not before the agent has watched it for 5 s.

Only runs before the first report block evictions, not every unknown run: if the ids of the report differed from those of the callers, no adapter would ever make way otherwise.

Evidence: test_restarted_agent_keeps_the_adapters_of_running_streams, test_stream_keeps_its_adapter_after_its_call_was_lost and both cases of test_base_model_of_a_long_stream_does_not_make_way failed before. test_requests_with_the_same_id_keep_both_adapters passed before; it guards the new bookkeeping by request.

--- a/src/kumquatrun/gateway/engine_agent.py
+++ b/src/kumquatrun/gateway/engine_agent.py
@@ -140,7 +140,7 @@
     async def _use(self, request: UseAdapter, context: CallContext) -> None:
         name = (request.model, request.adapter)
         residency = self._watch.residency
-        residency.pin(name, self._clock.now_s())
+        residency.pin(name, request.request_id, self._clock.now_s())
         self._users += 1
         try:
             await context.send_message(AdapterQueued())
@@ -149,7 +149,11 @@
         finally:
             self._users -= 1
             self._gate.leave(request.request_id)
-            residency.unpin(name, self._clock.now_s())
+            residency.unpin(
+                name,
+                request.request_id,
+                self._clock.now_s(),
+            )
             self._wake.set()
 
     async def _prepare(
--- a/src/kumquatrun/gateway/engine_orders.py
+++ b/src/kumquatrun/gateway/engine_orders.py
@@ -54,6 +54,7 @@
         self._engine = engine
         self._watch = watch
         self._clock = clock
+        self._began_s = clock.now_s()
         self._model_used_at_s: dict[str, float] = {}
         # A base model that another one was unloaded for.
         self._wanted_model = ''
@@ -120,7 +121,9 @@
     def _idle_model(self, held: list[BaseModelSpec]) -> BaseModelSpec | None:
         oldest_s = self._clock.now_s() - MODEL_IDLE_S
         for row in held:
-            if self._model_used_at_s.get(row.name, 0.0) < oldest_s:
+            used_at_s = self._model_used_at_s.get(row.name, self._began_s)
+            is_in_use = self._watch.residency.uses_model(row.name)
+            if used_at_s < oldest_s and not is_in_use:
                 return row
         return None
 
--- a/src/kumquatrun/gateway/residency.py
+++ b/src/kumquatrun/gateway/residency.py
@@ -5,11 +5,8 @@
 not visible in a report yet.
 """
 
-from dataclasses import dataclass
-
 from kumquatrun.gateway.engine_api import EngineReport
-
-AdapterName = tuple[str, str]
+from kumquatrun.gateway.engine_runs import AdapterName, EngineRuns
 
 # An adapter stays for this time after its last use, so that a request that
 # was told of it still finds it.
@@ -18,12 +15,6 @@
 FORGET_ORDER_S = 15.0
 
 
-@dataclass
-class _Use:
-    pins: int = 0
-    last_used_s: float = float('-inf')
-
-
 class Residency:
     """Slots of one engine.
 
@@ -36,7 +27,8 @@
 
     def __init__(self, adapter_slots: int) -> None:
         self.adapter_slots = adapter_slots
-        self._uses: dict[AdapterName, _Use] = {}
+        self._runs = EngineRuns()
+        self._last_used_at_s: dict[AdapterName, float] = {}
         self._held: dict[AdapterName, int] = {}
         self._loading: dict[AdapterName, int] = {}
         # Orders that may have been accepted and are not in a report yet.
@@ -45,7 +37,8 @@
         self._unloading: dict[AdapterName, float] = {}
 
     def take_report(self, report: EngineReport, now_s: float) -> None:
-        """Take what the engine holds and loads."""
+        """Take what the engine holds, loads and runs."""
+        self._runs.take_report(report.runs)
         self._held = {
             (model.name, adapter): version
             for model in report.models
@@ -70,6 +63,7 @@
         self._held.clear()
         self._loading.clear()
         self._unloading.clear()
+        self._runs.reset()
 
     def version_of(self, name: AdapterName) -> int | None:
         """Return the version that the engine holds, None if it lacks it."""
@@ -93,17 +87,22 @@
         """Return the number of slots that are taken, or may be."""
         return len({*self._held, *self._loading, *self._ordered})
 
-    def pin(self, name: AdapterName, now_s: float) -> None:
-        """Keep an adapter, held or not, until ``unpin``."""
-        use = self._uses.setdefault(name, _Use())
-        use.pins += 1
-        use.last_used_s = now_s
+    def pin(self, name: AdapterName, request_id: str, now_s: float) -> None:
+        """Keep an adapter, held or not, for a request until ``unpin``."""
+        self._runs.begin_call(request_id, name)
+        self._last_used_at_s[name] = now_s
 
-    def unpin(self, name: AdapterName, now_s: float) -> None:
-        """Release a pin."""
-        use = self._uses[name]
-        use.pins -= 1
-        use.last_used_s = now_s
+    def unpin(self, name: AdapterName, request_id: str, now_s: float) -> None:
+        """Release a pin; a request that still runs keeps the adapter."""
+        self._runs.end_call(request_id, name)
+        self._last_used_at_s[name] = now_s
+
+    def uses_model(self, model: str) -> bool:
+        """Return whether a request uses a base model, or may use it."""
+        in_use = self._runs.adapters_in_use()
+        return self._runs.has_unknown or any(
+            name[0] == model for name in in_use
+        )
 
     def record_load(
         self, name: AdapterName, version: int, now_s: float
@@ -129,25 +128,22 @@
     def victim(self, now_s: float) -> AdapterName | None:
         """Return the held adapter that was not used for the longest time.
 
-        None if every adapter is in use or was used just now.
+        None if every adapter is in use, may be, or was used just now.
         """
+        if self._runs.has_unknown:
+            return None
+        in_use = self._runs.adapters_in_use()
         candidates = [
             name
             for name in self._held
             if name not in self._loading
             and name not in self._unloading
-            and self._may_leave(name, now_s)
+            and name not in in_use
+            and now_s - self._last_used_s(name) >= PROTECTION_S
         ]
         if not candidates:
             return None
         return min(candidates, key=self._last_used_s)
 
-    def _may_leave(self, name: AdapterName, now_s: float) -> bool:
-        use = self._uses.get(name)
-        if use is None:
-            return True
-        return not use.pins and now_s - use.last_used_s >= PROTECTION_S
-
     def _last_used_s(self, name: AdapterName) -> float:
-        use = self._uses.get(name)
-        return use.last_used_s if use else float('-inf')
+        return self._last_used_at_s.get(name, float('-inf'))
--- a/src/kumquatrun/platform/engine.py
+++ b/src/kumquatrun/platform/engine.py
@@ -102,7 +102,7 @@
             for model in decoding.rows(fields, 'models', [])
         ),
         loading=tuple(map(_loading, fields.get('incoming') or [])),
-        runs=frozenset(run_id for run_id, *_ in fields.get('runs') or []),
+        runs=frozenset(next(iter(run), '') for run in fields.get('runs') or []),
     )
 
 
--- a/tests/test_engine_agent.py
+++ b/tests/test_engine_agent.py
@@ -34,8 +34,14 @@
 
 
 @asynccontextmanager
-async def agent_of(engine, versions=None, models=('m',), host_id='host'):
-    spec = EngineSpec(
+async def agent_of(
+    engine,
+    versions=None,
+    models=('m',),
+    host_id='host',
+    spec=None,
+):
+    spec = spec or EngineSpec(
         adapter_slots=engine.slots,
         base_models=tuple(BaseModelSpec(name=name) for name in models),
     )
@@ -362,3 +368,84 @@
         await use.ready()
         assert engine.held == {'a1': 1}
     assert engine.most_held <= 1
+
+
+async def test_restarted_agent_keeps_the_adapters_of_running_streams():
+    # Guards against the eviction of an adapter whose streams began before the
+    # restart of the agent: a new agent has had no calls for them.
+    engine = Engine(slots=2)
+    async with agent_of(engine) as agent:
+        for number in (1, 2):
+            await Use(agent, f'a{number}', f'r{number}').ready()
+        engine.runs = {'r1': 'a1', 'r2': 'a2'}
+    async with agent_of(engine) as agent:
+        use = Use(agent, 'a3')
+        await asyncio.sleep(5)
+        assert set(engine.held) == {'a1', 'a2'}
+        assert all(order.is_load for order in engine.orders)
+        engine.end_run('r1')
+        engine.end_run('r2')
+        await use.ready()
+
+
+async def test_stream_keeps_its_adapter_after_its_call_was_lost():
+    # Guards against an eviction after a connection between hosts was lost: the
+    # stream itself goes over another one.
+    engine = Engine(slots=2)
+    async with agent_of(engine) as agent:
+        lost = Use(agent, 'a1', 'r1')
+        await lost.ready()
+        engine.runs['r1'] = 'a1'
+        await asyncio.sleep(0.2)
+        await lost.end()
+        for number in range(2, 6):
+            await asyncio.sleep(1)
+            use = Use(agent, f'a{number}', str(number))
+            await use.ready()
+            await use.end()
+        unloaded = {row.adapter for row in engine.orders if not row.is_load}
+        assert unloaded == {'a2', 'a3', 'a4'}
+        engine.end_run('r1')
+        await asyncio.sleep(1)
+        for number in (6, 7):
+            use = Use(agent, f'a{number}', str(number))
+            await use.ready()
+            await use.end()
+            await asyncio.sleep(1)
+        assert 'a1' not in engine.held
+
+
+@pytest.mark.parametrize('restarts', [True, False])
+async def test_base_model_of_a_long_stream_does_not_make_way(restarts):
+    # Guards against a base model that is unloaded under its streams: one that
+    # began 5 s ago did not count, and neither did any before a restart.
+    engine = Engine()
+    models = (
+        BaseModelSpec(name='m', weights_mb=40),
+        BaseModelSpec(name='rare', weights_mb=40),
+    )
+    spec = EngineSpec(adapter_slots=4, weights_mb=60, base_models=models)
+    async with agent_of(engine, spec=spec) as agent:
+        await Use(agent, '', 'r1').ready()
+        engine.runs['r1'] = ''
+        await asyncio.sleep(6)
+        if not restarts:
+            with pytest.raises(NoCapacityError, match='no room'):
+                await Use(agent, '', 'r2', model='rare').ready()
+    async with agent_of(engine, spec=spec) as agent:
+        await asyncio.sleep(6)
+        with pytest.raises(NoCapacityError, match='no room'):
+            await Use(agent, '', 'r2', model='rare').ready()
+    assert engine.models == ('m',)
+
+
+async def test_requests_with_the_same_id_keep_both_adapters():
+    # Guards against an eviction under a request whose caller reuses its id.
+    engine = Engine(slots=2)
+    async with agent_of(engine) as agent:
+        for adapter in ('a1', 'a2'):
+            await Use(agent, adapter, 'same').ready()
+        use = Use(agent, 'a3')
+        await asyncio.sleep(2)
+        assert set(engine.held) == {'a1', 'a2'}
+        await use.end()
