Let a restarted agent serve at once and within the slots of its engine

A restarted agent listened before it had a report of its engine and refused the requests that came first. Until the configuration arrived it also assumed 8 adapter slots: an engine with fewer would crash with all its streams.

While the capacity is unknown, adapters only replace others, so the engine never holds more than before.

Evidence: test_first_request_after_a_start_is_served was refused with "gave no report", and test_unknown_capacity_is_not_exceeded saw 5 adapters where 2 were held before.

--- a/src/kumquatrun/gateway/engine_agent.py
+++ b/src/kumquatrun/gateway/engine_agent.py
@@ -106,7 +106,11 @@
         return self._watch.report
 
     async def start(self) -> None:
-        """Begin to follow the engine."""
+        """Read the state of the engine and begin to follow it.
+
+        Requests that come before the first report would be refused.
+        """
+        await self._watch.refresh()
         self._task = asyncio.create_task(self._run())
 
     async def stop(self) -> None:
--- a/src/kumquatrun/gateway/engine_watch.py
+++ b/src/kumquatrun/gateway/engine_watch.py
@@ -53,7 +53,8 @@
         clock: Clock,
     ) -> None:
         self.report: EngineReport | None = None
-        self.residency = Residency(DEFAULT_ADAPTER_SLOTS)
+        # Before the capacity is known, adapters only replace others.
+        self.residency = Residency(adapter_slots=0)
         self.last_models: tuple[str, ...] = ()
         self._engine = engine
         self._spec = spec
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -298,6 +298,7 @@
         self.is_draining = False
         self.is_changing_model = False
         self.is_silent = False
+        self.report_s = 0
         # Orders that get no answer and are carried out after this time.
         self.late_orders = 0
         self.late_s = 0
@@ -310,6 +311,7 @@
     async def report(self):
         if self.is_silent:
             raise ConnectionLostError('no report')
+        await asyncio.sleep(self.report_s)
         self._finish_loads()
         return EngineReport(
             started_ms=self.started_ms,
--- a/tests/test_engine_agent.py
+++ b/tests/test_engine_agent.py
@@ -449,3 +449,48 @@
         await asyncio.sleep(2)
         assert set(engine.held) == {'a1', 'a2'}
         await use.end()
+
+
+async def test_first_request_after_a_start_is_served():
+    # Guards against refusals by a restarted agent that listens before it has
+    # the first report of its engine.
+    engine = Engine()
+    engine.held = {'a1': 1}
+    engine.report_s = 0.05
+    agent = EngineAgent(
+        'host',
+        engine,
+        lambda: EngineSpec(adapter_slots=4),
+        lambda model, adapter: 0,
+        LoopClock(),
+    )
+    await agent.start()
+    assert (await Use(agent, 'a1').ready()).version == 1
+    await agent.stop()
+
+
+async def test_unknown_capacity_is_not_exceeded():
+    # Guards against a crash of the engine while a restarted agent has no
+    # configuration: it assumed 8 slots.
+    engine = Engine(slots=2)
+    engine.held = {'a1': 1, 'a2': 1}
+    specs = []
+    agent = EngineAgent(
+        'host',
+        engine,
+        lambda: specs[0] if specs else None,
+        lambda model, adapter: 0,
+        LoopClock(),
+    )
+    await agent.start()
+    await asyncio.sleep(0.5)
+    uses = [Use(agent, f'b{number}', str(number)) for number in range(3)]
+    await asyncio.sleep(2)
+    assert engine.most_held == 2
+    for use in uses:
+        await use.end()
+    specs.append(EngineSpec(adapter_slots=3))
+    await asyncio.sleep(0.5)
+    await Use(agent, 'c').ready()
+    await agent.stop()
+    assert engine.most_held == 3
