--- /dev/null
+++ b/src/kumquatrun/gateway/adapter_waiters.py
@@ -0,0 +1,98 @@
+"""Requests that wait at an agent until its engine holds their adapter."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from kumquatrun.errors import KumquatrunError
+from kumquatrun.gateway.engine_watch import ENGINE_EMPTY
+from kumquatrun.gateway.messages import UseAdapter
+from kumquatrun.gateway.residency import AdapterName
+from kumquatrun.runtime.clock import Clock
+
+
+@dataclass(eq=False)
+class AdapterWaiter:
+    """One request; ``version`` is the oldest version that will do."""
+
+    name: AdapterName
+    version: int
+    urgency: tuple[int, float]
+    waits_for_model: bool
+    future: asyncio.Future = field(repr=False)
+
+    def answer(self, version: int) -> None:
+        """Let the request go on with the version that the engine holds."""
+        if not self.future.done():
+            self.future.set_result(version)
+
+    def refuse(self, error: KumquatrunError) -> None:
+        """End the wait with an error."""
+        if not self.future.done():
+            self.future.set_exception(error)
+
+
+class AdapterWaiters:
+    """Waiting requests of one engine."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._waiters: list[AdapterWaiter] = []
+
+    def __len__(self) -> int:
+        """Return the number of requests that wait."""
+        return len(self._waiters)
+
+    async def wait(
+        self,
+        name: AdapterName,
+        version: int,
+        request: UseAdapter,
+    ) -> int:
+        """Wait for an adapter; return the version that the engine holds."""
+        waiter = AdapterWaiter(
+            name,
+            version,
+            (request.priority, self._clock.now_s()),
+            request.waits_for_model,
+            asyncio.get_running_loop().create_future(),
+        )
+        self._waiters.append(waiter)
+        try:
+            return await waiter.future
+        finally:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+
+    def answer(
+        self,
+        held_version: Callable[[AdapterName, int], int | None],
+    ) -> None:
+        """Answer the requests whose adapter the engine holds."""
+        for waiter in list(self._waiters):
+            held = held_version(waiter.name, waiter.version)
+            if held is not None:
+                waiter.answer(held)
+                self._waiters.remove(waiter)
+
+    def refuse_all(self, error: KumquatrunError) -> None:
+        """Refuse all requests that do not outwait the problem."""
+        for waiter in list(self._waiters):
+            if not outwaits(waiter, error):
+                waiter.refuse(error)
+                self._waiters.remove(waiter)
+
+    def by_urgency(self) -> list[AdapterWaiter]:
+        """Return the most urgent request of each adapter, in order."""
+        first: dict[AdapterName, AdapterWaiter] = {}
+        for waiter in sorted(self._waiters, key=lambda row: row.urgency):
+            first.setdefault(waiter.name, waiter)
+        return list(first.values())
+
+
+def outwaits(
+    waiting: UseAdapter | AdapterWaiter,
+    problem: KumquatrunError,
+) -> bool:
+    """Return whether a request stays until the engine has a base model."""
+    return waiting.waits_for_model and problem.cause == ENGINE_EMPTY
--- a/src/kumquatrun/gateway/engine_agent.py
+++ b/src/kumquatrun/gateway/engine_agent.py
@@ -10,19 +10,22 @@
 import logging
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 from kumquatrun.errors import (
     DrainingError,
     InvalidRequestError,
-    KumquatrunError,
     NoCapacityError,
 )
+from kumquatrun.gateway.adapter_waiters import (
+    AdapterWaiter,
+    AdapterWaiters,
+    outwaits,
+)
 from kumquatrun.gateway.configuration import EngineSpec
 from kumquatrun.gateway.engine_api import EngineReport, OrderedEngine
 from kumquatrun.gateway.engine_orders import EngineOrders
-from kumquatrun.gateway.engine_watch import ENGINE_EMPTY, EngineWatch
+from kumquatrun.gateway.engine_watch import EngineWatch
 from kumquatrun.gateway.messages import (
     AdapterQueued,
     AdapterReady,
@@ -46,23 +49,6 @@
 LONG_WAIT_S = 0.1
 
 
-@dataclass(eq=False)
-class _Waiter:
-    name: AdapterName
-    version: int
-    urgency: tuple[int, float]
-    waits_for_model: bool
-    future: asyncio.Future = field(repr=False)
-
-    def answer(self, version: int) -> None:
-        if not self.future.done():
-            self.future.set_result(version)
-
-    def refuse(self, error: KumquatrunError) -> None:
-        if not self.future.done():
-            self.future.set_exception(error)
-
-
 class EngineAgent:
     """Provides adapters of one engine.
 
@@ -93,7 +79,7 @@
         self._watch = EngineWatch(engine, spec, clock)
         self._orders = EngineOrders(holder, engine, self._watch, clock)
         self._gate = PromptGate(clock)
-        self._waiters: list[_Waiter] = []
+        self._waiters = AdapterWaiters(clock)
         self._wake = asyncio.Event()
         self._users = 0
         self._running: Counter[AdapterName] = Counter()
@@ -119,7 +105,7 @@
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
-        self._refuse_all(DrainingError('the agent stops'))
+        self._waiters.refuse_all(DrainingError('the agent stops'))
 
     async def handle(self, request: Any, context: CallContext) -> Any:
         """Provide an adapter until the caller cancels the call.
@@ -209,7 +195,7 @@
         if self._is_stopping:
             raise DrainingError('the agent stops')
         problem = self._watch.problem()
-        if problem is not None and not _outwaits(request, problem):
+        if problem is not None and not outwaits(request, problem):
             raise problem
         wanted = max(request.version, self._newest_version(*name))
         held = self._watch.held_version(name, wanted)
@@ -223,28 +209,8 @@
                 f'load version {wanted} yet',
                 cause='version_in_use',
             )
-        return await self._wait_for(name, wanted, request)
-
-    async def _wait_for(
-        self,
-        name: AdapterName,
-        wanted: int,
-        request: UseAdapter,
-    ) -> int:
-        waiter = _Waiter(
-            name,
-            wanted,
-            (request.priority, self._clock.now_s()),
-            request.waits_for_model,
-            asyncio.get_running_loop().create_future(),
-        )
-        self._waiters.append(waiter)
         self._wake.set()
-        try:
-            return await waiter.future
-        finally:
-            if waiter in self._waiters:
-                self._waiters.remove(waiter)
+        return await self._waiters.wait(name, wanted, request)
 
     def _load(self) -> int:
         report = self._watch.report
@@ -276,8 +242,8 @@
         await self._watch.refresh()
         problem = self._watch.problem()
         if problem is not None:
-            self._refuse_all(problem)
-        self._answer_waiters()
+            self._waiters.refuse_all(problem)
+        self._waiters.answer(self._watch.held_version)
         self._gate.admit()
         if not self._orders.may_order:
             return
@@ -286,22 +252,9 @@
         else:
             await self._orders.restore_model()
 
-    def _answer_waiters(self) -> None:
-        for waiter in list(self._waiters):
-            held = self._watch.held_version(waiter.name, waiter.version)
-            if held is not None:
-                waiter.answer(held)
-                self._waiters.remove(waiter)
-
-    def _refuse_all(self, error: KumquatrunError) -> None:
-        for waiter in list(self._waiters):
-            if not _outwaits(waiter, error):
-                waiter.refuse(error)
-                self._waiters.remove(waiter)
-
     async def _load_for_waiters(self) -> None:
         """Give the orders that are needed now, the most urgent first."""
-        for waiter in self._by_urgency():
+        for waiter in self._waiters.by_urgency():
             model = waiter.name[0]
             if self._watch.report.model(model) is None:
                 await self._load_model_for(waiter)
@@ -314,7 +267,7 @@
             ):
                 return
 
-    async def _load_model_for(self, waiter: _Waiter) -> None:
+    async def _load_model_for(self, waiter: AdapterWaiter) -> None:
         model = waiter.name[0]
         if await self._orders.load_model(model):
             return
@@ -324,17 +277,3 @@
                 cause='model_not_held',
             ),
         )
-
-    def _by_urgency(self) -> list[_Waiter]:
-        first: dict[AdapterName, _Waiter] = {}
-        for waiter in sorted(self._waiters, key=lambda row: row.urgency):
-            first.setdefault(waiter.name, waiter)
-        return list(first.values())
-
-
-def _outwaits(
-    waiting: UseAdapter | _Waiter,
-    problem: KumquatrunError,
-) -> bool:
-    """Return whether a request stays until the engine has a base model."""
-    return waiting.waits_for_model and problem.cause == ENGINE_EMPTY
