Hand the calls of a stopping agent back to the entries

An agent that got SIGTERM cut its connections. Requests that waited there, for an adapter or for their turn to have the prompt read, learned of it from the lost connection, and an entry took that for a load that took too long: it passed the engine over even if the engine was listed with the adapter.

Now an agent that drains takes no further calls, refuses what waits with draining (outcome not_run), and ends the calls of running requests, which go on at their engine. It waits at most 0.3 s until these answers are out, and then stops. Waiting for the streams to end was weighed: the engine would have no agent for new requests until the end of the grace time, while a restart takes about a second and the next agent knows how to keep the adapters of the streams.

Entries tell an agent that has stopped (refusal, end of the call, reset or refused connection) from one that is silent. After a stop they ask again after 0.1 s instead of 0.5 s, and an engine that is listed with the adapter gets the request without its agent, also if it had begun to wait there.

Evidence: without the two changes test_stop_of_an_agent_is_told_from_a_long_load and test_agent_that_refuses_since_it_stops_is_not_silent end with NoCapacityError, and test_agent_that_gets_sigterm_refuses_what_waits_unrun runs into its time limit. test_stopping_agent_hands_its_calls_back tests the agent alone.

--- a/src/kumquatrun/gateway/agent.py
+++ b/src/kumquatrun/gateway/agent.py
@@ -1,5 +1,6 @@
 """Agent daemon part: peer server of the engine agent with its drain."""
 
+import asyncio
 import logging
 
 from kumquatrun.errors import DocumentError
@@ -17,6 +18,10 @@
 
 log = logging.getLogger(__name__)
 
+# Longest time to tell the entries that their calls have ended. Requests for
+# this engine are held up until the next start of the agent.
+END_CALLS_LIMIT_S = 0.3
+
 
 class GatewayAgent:
     """Serves entries with the adapters of one engine."""
@@ -60,7 +65,17 @@
         await self._server.start(self._settings.listen)
 
     async def drain(self, timeout_s: float) -> None:
-        """Return at once: what an engine runs does not need its agent."""
+        """Hand the open calls back to the entries.
+
+        What an engine runs does not need its agent, so a stream goes on. What
+        waits here is refused unrun and can go to another engine.
+        """
+        self._engine_agent.end_calls()
+        try:
+            async with asyncio.timeout(min(timeout_s, END_CALLS_LIMIT_S)):
+                await self._server.wait_idle()
+        except TimeoutError:
+            log_event(log, 'agent_calls_cut', level=logging.WARNING)
 
     async def stop(self) -> None:
         """Stop listening."""
--- a/src/kumquatrun/gateway/agent_calls.py
+++ b/src/kumquatrun/gateway/agent_calls.py
@@ -3,13 +3,15 @@
 import asyncio
 import logging
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
 from kumquatrun.errors import (
     AdapterLoadError,
     ConnectionLostError,
+    DrainingError,
     KumquatrunError,
     NoCapacityError,
 )
@@ -28,6 +30,18 @@
 SIGN_LIMIT_S = 0.25
 # An agent that was passed over is not asked again for this time.
 SILENT_PAUSE_S = 0.5
+STOPPED_PAUSE_S = 0.1
+# Cause of an error of an agent whose process has stopped, or is about to. Its
+# host answers, so that it is likely to be back soon.
+AGENT_STOPPED = 'agent_stopped'
+SIGNS_OF_A_STOP = (
+    ConnectionLostError,
+    ConnectionRefusedError,
+    ConnectionResetError,
+    DrainingError,
+    EOFError,
+    StopAsyncIteration,
+)
 TELL_TIMEOUT_S = 1.0
 
 
@@ -35,6 +49,14 @@
     """Reports that the agent beside an engine did not answer."""
 
 
+@dataclass(frozen=True)
+class _Pause:
+    """An agent that is not asked for a while, and why."""
+
+    until_s: float
+    cause: str
+
+
 class AgentHold:
     """An adapter that an agent keeps loaded for a request."""
 
@@ -73,7 +95,7 @@
         self._identity = identity
         self._clients: dict[Address, PeerClient] = {}
         self._told: set[asyncio.Task] = set()
-        self._silent_until_s: dict[Address, float] = {}
+        self._pauses: dict[Address, _Pause] = {}
 
     @asynccontextmanager
     async def hold(
@@ -96,9 +118,10 @@
             raise AgentUnreachableError(
                 f'no agent is registered beside {backend.backend_id}',
             )
-        self._check_silence(address)
+        self._check_pause(address)
         client = await self._connected(address)
-        async with client.stream(request) as call:
+        async with AsyncExitStack() as stack:
+            call = await self._open(client, request, stack)
             await self._await_sign(call, address)
             yield AgentHold(
                 await _adapter_ready(call, backend, timeout_s),
@@ -123,18 +146,38 @@
                 return address
         return None
 
-    def _check_silence(self, address: Address) -> None:
-        now_s = asyncio.get_running_loop().time()
-        if now_s < self._silent_until_s.get(address, now_s):
-            raise AgentUnreachableError(f'agent {address} was silent just now')
+    def _check_pause(self, address: Address) -> None:
+        pause = self._pauses.get(address)
+        if pause is not None and _now_s() < pause.until_s:
+            raise AgentUnreachableError(
+                f'agent {address} did not answer just now',
+                cause=pause.cause,
+            )
+
+    def _pause(self, address: Address, cause: str) -> None:
+        pause_s = STOPPED_PAUSE_S if cause == AGENT_STOPPED else SILENT_PAUSE_S
+        self._pauses[address] = _Pause(_now_s() + pause_s, cause)
+
+    async def _open(
+        self,
+        client: PeerClient,
+        request: UseAdapter,
+        stack: AsyncExitStack,
+    ) -> PeerStream:
+        try:
+            return await stack.enter_async_context(client.stream(request))
+        except ConnectionLostError as error:
+            raise AgentUnreachableError(
+                error.detail,
+                cause=AGENT_STOPPED,
+            ) from error
 
     async def _await_sign(self, call: PeerStream, address: Address) -> None:
         """Wait until the agent says that it has the request."""
         try:
             await _next_item(call, address, SIGN_LIMIT_S)
-        except AgentUnreachableError:
-            now_s = asyncio.get_running_loop().time()
-            self._silent_until_s[address] = now_s + SILENT_PAUSE_S
+        except AgentUnreachableError as error:
+            self._pause(address, error.cause)
             raise
 
     async def _connected(self, address: Address) -> PeerClient:
@@ -147,14 +190,24 @@
                 async with asyncio.timeout(CONNECT_LIMIT_S):
                     await client.connect()
             except (KumquatrunError, TimeoutError) as error:
-                now_s = asyncio.get_running_loop().time()
-                self._silent_until_s[address] = now_s + SILENT_PAUSE_S
+                cause = _cause_of(error.__cause__)
+                self._pause(address, cause)
                 raise AgentUnreachableError(
                     f'agent {address} cannot be reached: {error!r}',
+                    cause=cause,
                 ) from error
         return client
 
 
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _cause_of(error: BaseException | None) -> str:
+    """Tell an agent that has stopped from one that does not answer."""
+    return AGENT_STOPPED if isinstance(error, SIGNS_OF_A_STOP) else ''
+
+
 async def _send(client: PeerClient, told: PromptRead) -> None:
     try:
         await client.call(told, TELL_TIMEOUT_S)
@@ -176,6 +229,8 @@
     try:
         return await _next_item(call, backend.backend_id, timeout_s)
     except AgentUnreachableError as error:
+        if error.cause == AGENT_STOPPED:
+            raise
         raise NoCapacityError(error.detail, cause='adapter_wait') from error
 
 
@@ -189,18 +244,22 @@
     Raises
     ------
     AgentUnreachableError
-        If there is none in time.
+        If there is none in time, or the agent stops.
     AdapterLoadError, NoCapacityError
         If the agent refuses the request.
     """
     try:
         async with asyncio.timeout(timeout_s):
             return await anext(call)
-    except (TimeoutError, StopAsyncIteration):
+    except (AdapterLoadError, NoCapacityError):
+        raise
+    except (TimeoutError, StopAsyncIteration) as error:
         raise AgentUnreachableError(
             f'no word of {agent} in {timeout_s:.2f} s',
+            cause=_cause_of(error),
         ) from None
-    except (AdapterLoadError, NoCapacityError):
-        raise
     except KumquatrunError as error:
-        raise AgentUnreachableError(f'{agent} failed: {error}') from error
+        raise AgentUnreachableError(
+            f'{agent} failed: {error}',
+            cause=_cause_of(error),
+        ) from error
--- a/src/kumquatrun/gateway/engine_agent.py
+++ b/src/kumquatrun/gateway/engine_agent.py
@@ -83,7 +83,7 @@
         self._wake = asyncio.Event()
         self._users = 0
         self._running: Counter[AdapterName] = Counter()
-        self._is_stopping = False
+        self._stopping = asyncio.Event()
         self._task: asyncio.Task | None = None
 
     @property
@@ -100,12 +100,31 @@
         self._task = asyncio.create_task(self._run())
 
     async def stop(self) -> None:
-        """Stop; waiting calls are refused."""
-        self._is_stopping = True
+        """Stop; all calls are ended."""
+        self.end_calls()
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
-        self._waiters.refuse_all(DrainingError('the agent stops'))
+
+    def end_calls(self) -> None:
+        """Take no further calls, refuse the waiting ones and end the others.
+
+        A refused request was not sent to the engine. A request that runs there
+        goes on without its call.
+        """
+        if self._stopping.is_set():
+            return
+        self._stopping.set()
+        log_event(
+            log,
+            'agent_calls_ended',
+            waiting_for_adapter=len(self._waiters),
+            waiting_for_prompt=self._gate.waiting,
+            running=self._running.total(),
+        )
+        problem = _stopping_error()
+        self._waiters.refuse_all(problem)
+        self._gate.refuse_all(problem)
 
     async def handle(self, request: Any, context: CallContext) -> Any:
         """Provide an adapter until the caller cancels the call.
@@ -186,14 +205,14 @@
         self._orders.record_use(name[0])
         try:
             await context.send_message(ready)
-            await asyncio.Event().wait()
+            await self._stopping.wait()
         finally:
             self._running[name] -= 1
             self._orders.record_use(name[0])
 
     async def _provide(self, name: AdapterName, request: UseAdapter) -> int:
-        if self._is_stopping:
-            raise DrainingError('the agent stops')
+        if self._stopping.is_set():
+            raise _stopping_error()
         problem = self._watch.problem()
         if problem is not None and not outwaits(request, problem):
             raise problem
@@ -277,3 +296,7 @@
                 cause='model_not_held',
             ),
         )
+
+
+def _stopping_error() -> DrainingError:
+    return DrainingError('the agent stops')
--- a/src/kumquatrun/gateway/prompt_gate.py
+++ b/src/kumquatrun/gateway/prompt_gate.py
@@ -9,6 +9,7 @@
 import asyncio
 from dataclasses import dataclass, field
 
+from kumquatrun.errors import KumquatrunError
 from kumquatrun.runtime.clock import Clock
 
 # Prompt tokens that may be read at the same time; one prompt of any size may
@@ -68,6 +69,13 @@
         self._reading.pop(request_id, None)
         self.admit()
 
+    def refuse_all(self, error: KumquatrunError) -> None:
+        """End the wait of all prompts with an error."""
+        for waiting in self._waiting:
+            if not waiting.future.done():
+                waiting.future.set_exception(error)
+        self._waiting.clear()
+
     def admit(self) -> None:
         """Let waiting prompts in while there is room."""
         now_s = self._clock.now_s()
--- a/tests/test_agent_calls.py
+++ b/tests/test_agent_calls.py
@@ -1,11 +1,24 @@
 """Calls to agents: frozen, unreachable and slow ones."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
+from bench.local_cluster import free_ports
+from tests.gateway_fakes import Engine
 
-from kumquatrun.errors import AdapterLoadError, NoCapacityError
-from kumquatrun.gateway.agent_calls import AgentCalls, AgentUnreachableError
+from kumquatrun.errors import (
+    AdapterLoadError,
+    DrainingError,
+    NoCapacityError,
+)
+from kumquatrun.gateway.agent import GatewayAgent
+from kumquatrun.gateway.agent_calls import (
+    AGENT_STOPPED,
+    STOPPED_PAUSE_S,
+    AgentCalls,
+    AgentUnreachableError,
+)
 from kumquatrun.gateway.backends import Backend, BackendRecord
 from kumquatrun.gateway.connection_pool import ConnectionPool
 from kumquatrun.gateway.messages import (
@@ -14,10 +27,14 @@
     PromptRead,
     UseAdapter,
 )
+from kumquatrun.gateway.settings import GatewayAgentSettings
+from kumquatrun.membership.cluster_view import ClusterView
 from kumquatrun.peer import PeerServer
 from kumquatrun.peer.address import Address
 from kumquatrun.peer.messages import Ack, Hello
 from kumquatrun.peer.node_messages import HostRecord
+from kumquatrun.platform.requests import PlatformFormat
+from kumquatrun.runtime.clock import LoopClock
 
 REQUEST = UseAdapter(request_id='r', model='m', adapter='a')
 HELLO = Hello(node_id='n', incarnation='i')
@@ -73,6 +90,7 @@
     found = Agent()
     server = PeerServer(HELLO, found)
     found.address = await server.start(Address('127.0.0.1', 0))
+    found.stop = lambda: asyncio.create_task(server.stop())
     yield found
     await server.stop()
 
@@ -142,3 +160,78 @@
     with pytest.raises(AgentUnreachableError):
         async with calls.hold(backend(), REQUEST, 1):
             pass
+
+
+async def test_stop_of_an_agent_is_told_from_a_long_load(agent):
+    # Guards against a request that passes over an engine which holds its
+    # adapter, because the agent stopped while the request waited there.
+    agent.is_ready = False
+    calls = calls_to(agent.address)
+    asyncio.get_running_loop().call_later(0.1, agent.stop)
+    for _ in range(3):
+        with pytest.raises(AgentUnreachableError) as lost:
+            async with calls.hold(backend(), REQUEST, 5):
+                pass
+        assert lost.value.cause == AGENT_STOPPED
+    await calls.close()
+
+
+async def test_agent_that_refuses_since_it_stops_is_not_silent(agent):
+    agent.error = DrainingError('the agent stops')
+    calls = calls_to(agent.address)
+    with pytest.raises(AgentUnreachableError) as refused:
+        async with calls.hold(backend(), REQUEST, 5):
+            pass
+    assert refused.value.cause == AGENT_STOPPED
+    agent.error = None
+    await asyncio.sleep(STOPPED_PAUSE_S + 0.05)
+    async with calls.hold(backend(), REQUEST, 5):
+        pass
+    await calls.close()
+
+
+class Session:
+    """Stands in for the session of an agent."""
+
+    def __init__(self, address):
+        self.view = ClusterView()
+        self.record = View(address).agents_of('assistant')[0]
+
+    def on_change(self, listener):
+        pass
+
+    def report_agent(self, source):
+        pass
+
+
+async def test_agent_that_gets_sigterm_refuses_what_waits_unrun():
+    # Guards against a stop that only cuts the connections.
+    address = Address('127.0.0.1', free_ports(1)[0])
+    settings = GatewayAgentSettings(
+        host_id='side',
+        listen=address,
+        service='assistant',
+        engine_address=address,
+        listing_address=address,
+    )
+    engine = Engine(load_s=100)
+    engine.held = {'a': 1}
+    agent = GatewayAgent(
+        settings,
+        Session(address),
+        PlatformFormat(),
+        engine,
+        LoopClock(),
+    )
+    await agent.start()
+    calls = calls_to(address)
+    async with calls.hold(backend(), REQUEST, 5):
+        missing = replace(REQUEST, adapter='missing', request_id='waits')
+        held = calls.hold(backend(), missing, 5)
+        waiting = asyncio.create_task(held.__aenter__())
+        await asyncio.sleep(0.1)
+        await agent.drain(8)
+        with pytest.raises(AgentUnreachableError, match='the agent stops'):
+            await asyncio.wait_for(waiting, 1)
+        await agent.stop()
+    await calls.close()
--- a/tests/test_engine_agent.py
+++ b/tests/test_engine_agent.py
@@ -6,12 +6,18 @@
 import pytest
 from tests.gateway_fakes import Engine
 
-from kumquatrun.errors import AdapterLoadError, NoCapacityError
+from kumquatrun.errors import (
+    AdapterLoadError,
+    DrainingError,
+    NoCapacityError,
+    Outcome,
+)
 from kumquatrun.gateway.configuration import BaseModelSpec, EngineSpec
 from kumquatrun.gateway.engine_agent import EngineAgent
 from kumquatrun.gateway.messages import (
     AdapterQueued,
     AdapterReady,
+    AdapterReleased,
     PromptRead,
     UseAdapter,
 )
@@ -494,3 +500,23 @@
     await Use(agent, 'c').ready()
     await agent.stop()
     assert engine.most_held == 3
+
+
+async def test_stopping_agent_hands_its_calls_back():
+    # Guards against requests that learn of the end of their agent only from a
+    # lost connection, which does not say that they were not run.
+    engine = Engine(load_s=100)
+    engine.held = {'a1': 1}
+    async with agent_of(engine) as agent:
+        running = Use(agent, 'a1', 'running', prompt_tokens=5000)
+        await running.ready()
+        for_adapter = Use(agent, 'a2', 'adapter')
+        for_prompt = Use(agent, 'a1', 'prompt', prompt_tokens=5000)
+        await asyncio.sleep(0.1)
+        agent.end_calls()
+        late = Use(agent, 'a1', 'late')
+        for use in (for_adapter, for_prompt, late):
+            with pytest.raises(DrainingError) as refused:
+                await use.ready()
+            assert refused.value.outcome is Outcome.NOT_RUN
+        assert isinstance(await running.task, AdapterReleased)
