Let requests wait for agents that restart

Callers were refused within milliseconds while agents restarted, if the other engines had no room or the engine of the stopped agent alone held the model. Three stopped agents also used up the attempts of a request while further engines had room.

Cause: an agent that had stopped counted as any other refusal.

Now stopped agents do not count as attempts, since they cost no time. Where no other engine takes the request, it waits and asks them again every 0.2 s, within the limits that a wait for an adapter has (1.8 s and 0.3 of the time left). An agent that does not answer at all is not waited for: its host may be lost. A request is refused unrun after that time, as before.

Evidence: test_request_waits_for_the_restart_of_the_only_agent and test_request_waits_for_a_stopped_agent_while_others_have_no_room failed before; test_agent_that_stays_away_holds_no_request_for_long bounds the wait.

--- a/src/kumquatrun/gateway/course.py
+++ b/src/kumquatrun/gateway/course.py
@@ -25,6 +25,11 @@
         Sends that ran, or may have run, at a backend server.
     tried
         Backend servers that are not asked again.
+    waits_for_model
+        Whether the request waits at an engine without a base model, since no
+        other one has it.
+    waits_for_agents
+        Whether the request waited for agents that had stopped.
     failure
         Why the last send did not answer the request.
     kept_failure
@@ -44,6 +49,8 @@
     stream: ResumableStream | None = None
     last_backend: str = ''
     adapter_wait_s: float = 0.0
+    waits_for_model: bool = False
+    waits_for_agents: bool = False
     longest_pause_s: float = 0.0
     failure: str = ''
     kept_failure: tuple[AnswerHead, bytes] | None = None
--- a/src/kumquatrun/gateway/reservations.py
+++ b/src/kumquatrun/gateway/reservations.py
@@ -1,12 +1,15 @@
 """Finds the backend server for a request and has its adapter provided."""
 
+import asyncio
 import logging
-from collections.abc import AsyncIterator, Callable, Mapping, Sequence, Sized
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
+from collections.abc import Set as AbstractSet
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 
 from kumquatrun.errors import KumquatrunError, NoCapacityError
 from kumquatrun.gateway.agent_calls import (
+    AGENT_STOPPED,
     AgentCalls,
     AgentHold,
     AgentUnreachableError,
@@ -33,6 +36,8 @@
 # Longest wait for a backend server where none is listed, and between looks.
 MAX_BACKEND_WAIT_S = 1.0
 BACKEND_WAIT_STEP_S = 0.1
+# Time between questions to agents that have stopped and may start again.
+AGENT_WAIT_STEP_S = 0.2
 BUSY_RETRY_AFTER_S = 0.5
 
 
@@ -81,31 +86,23 @@
             If there is none; the request was not sent.
         """
         refusals: dict[str, KumquatrunError] = {}
-        waits_for_model = False
+        course.waits_for_model = False
         while True:
             backend = await self._choose_next(course, refusals)
             if backend is None:
-                if waits_for_model or not _all_are_empty(refusals):
-                    break
-                # Waiting at one of them is quicker than coming back.
-                waits_for_model = True
-                course.tried -= set(refusals)
-                refusals.clear()
-                continue
-            async with AsyncExitStack() as stack:
-                try:
-                    reservation = await self._hold(
-                        course,
-                        backend,
-                        stack,
-                        waits_for_model=waits_for_model,
-                    )
-                except KumquatrunError as error:
-                    refusals[backend.backend_id] = error
-                    self._pass_over(course, backend, error)
+                if await self._may_ask_again(course, refusals):
                     continue
-                yield reservation
-                return
+                break
+            async with AsyncExitStack() as stack:
+                reservation = await self._try_hold(
+                    course,
+                    backend,
+                    refusals,
+                    stack,
+                )
+                if reservation is not None:
+                    yield reservation
+                    return
         problem = [str(error) for error in refusals.values()][-1:]
         raise NoCapacityError(
             'no backend server can take the request: '
@@ -117,14 +114,47 @@
     async def _choose_next(
         self,
         course: Course,
-        refusals: Sized,
+        refusals: Mapping[str, KumquatrunError],
     ) -> Backend | None:
-        if len(refusals) >= MAX_HOLD_ATTEMPTS:
+        # A stopped agent costs no time.
+        asked = len(refusals) - len(_stopped_agents(refusals))
+        if asked >= MAX_HOLD_ATTEMPTS:
             return None
         if course.adapter_wait_s >= MAX_ADAPTER_WAIT_S:
             return None
         return await self._choose(course)
 
+    async def _may_ask_again(
+        self,
+        course: Course,
+        refusals: dict[str, KumquatrunError],
+    ) -> bool:
+        """Return whether agents that refused may take the request now."""
+        if _all_are_empty(refusals) and not course.waits_for_model:
+            # Waiting at one of them is quicker than coming back.
+            course.waits_for_model = True
+            _forget(course, refusals, set(refusals))
+            return True
+        stopped = _stopped_agents(refusals)
+        began_s = self._clock.now_s()
+        time_s = course.left_s(began_s) + course.adapter_wait_s
+        limit_s = min(MAX_ADAPTER_WAIT_S, ADAPTER_WAIT_PART * time_s)
+        if not stopped or course.adapter_wait_s >= limit_s:
+            return False
+        if not course.waits_for_agents:
+            course.waits_for_agents = True
+            log_event(
+                log,
+                'agents_awaited',
+                request_id=course.request.request_id,
+                backends=','.join(sorted(stopped)),
+                limit_s=limit_s,
+            )
+        await asyncio.sleep(AGENT_WAIT_STEP_S)
+        course.adapter_wait_s += self._clock.now_s() - began_s
+        _forget(course, refusals, stopped)
+        return True
+
     async def _choose(self, course: Course) -> Backend | None:
         give_up_s = self._clock.now_s() + min(
             MAX_BACKEND_WAIT_S,
@@ -165,13 +195,26 @@
             return holders or backends, f'{request.model}/{request.adapter}'
         return holders, ''
 
+    async def _try_hold(
+        self,
+        course: Course,
+        backend: Backend,
+        refusals: dict[str, KumquatrunError],
+        stack: AsyncExitStack,
+    ) -> Reservation | None:
+        """Reserve one backend server; None if its agent refused."""
+        try:
+            return await self._hold(course, backend, stack)
+        except KumquatrunError as error:
+            refusals[backend.backend_id] = error
+            self._pass_over(course, backend, error)
+            return None
+
     async def _hold(
         self,
         course: Course,
         backend: Backend,
         stack: AsyncExitStack,
-        *,
-        waits_for_model: bool,
     ) -> Reservation:
         request = course.request
         if not request.model:
@@ -184,7 +227,7 @@
             version=version,
             priority=course.priority,
             prompt_tokens=request.prompt_tokens or 0,
-            waits_for_model=waits_for_model,
+            waits_for_model=course.waits_for_model,
         )
         began_s = self._clock.now_s()
         wait_s = min(
@@ -220,6 +263,8 @@
         problem: KumquatrunError,
     ) -> None:
         course.tried.add(backend.backend_id)
+        if course.waits_for_agents and problem.cause == AGENT_STOPPED:
+            return
         log_event(
             log,
             'adapter_not_provided',
@@ -252,6 +297,26 @@
     )
 
 
+def _stopped_agents(refusals: Mapping[str, KumquatrunError]) -> set[str]:
+    """Return the backend servers whose agents have stopped."""
+    return {
+        backend_id
+        for backend_id, error in refusals.items()
+        if error.cause == AGENT_STOPPED
+    }
+
+
+def _forget(
+    course: Course,
+    refusals: dict[str, KumquatrunError],
+    backend_ids: AbstractSet[str],
+) -> None:
+    """Forget the refusals of some backend servers."""
+    course.tried -= backend_ids
+    for backend_id in backend_ids:
+        del refusals[backend_id]
+
+
 def _all_are_empty(refusals: Mapping[str, KumquatrunError]) -> bool:
     """Return whether no engine that was asked holds a base model."""
     return bool(refusals) and all(
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -8,8 +8,11 @@
 import pytest
 from tests.gateway_fakes import course_of
 
-from kumquatrun.errors import AdapterLoadError, NoCapacityError
-from kumquatrun.gateway.agent_calls import AgentUnreachableError
+from kumquatrun.errors import AdapterLoadError, NoCapacityError, Outcome
+from kumquatrun.gateway.agent_calls import (
+    AGENT_STOPPED,
+    AgentUnreachableError,
+)
 from kumquatrun.gateway.backends import (
     BackendRecord,
     BackendTable,
@@ -43,6 +46,12 @@
             raise NoCapacityError('slow', cause='adapter_wait')
         if answer == 'gone':
             raise AgentUnreachableError('gone')
+        if answer == 'stopped' and asyncio.get_running_loop().time() < 0.8:
+            raise AgentUnreachableError('stopped', cause=AGENT_STOPPED)
+        if answer == 'full':
+            raise NoCapacityError('full')
+        if answer == 'gone for good':
+            raise AgentUnreachableError('stopped', cause=AGENT_STOPPED)
         if answer == 'empty' and not request.waits_for_model:
             raise AdapterLoadError('no model yet', cause='engine_empty')
         yield type('Hold', (), {'ready': AdapterReady(version=2, load=0)})
@@ -187,3 +196,48 @@
     await reserved(found, course())
     await asyncio.sleep(0.1)
     assert len(agents.models_asked) == 1
+
+
+async def test_request_waits_for_the_restart_of_the_only_agent():
+    # Guards against refusals while an agent restarts whose engine alone holds
+    # the model: requests were refused within milliseconds.
+    found = reservations(Agents(i_0='stopped'), models={0})
+    assert (await reserved(found, course())).hold is not None
+
+
+async def test_request_waits_for_a_stopped_agent_while_others_have_no_room():
+    agents = Agents(i_0='full', i_1='stopped', i_2='stopped')
+    chosen = await reserved(reservations(agents), course())
+    assert chosen.backend.backend_id != 'i-0'
+
+
+async def test_stopped_agent_is_passed_over_while_another_engine_has_room():
+    agents = Agents(i_0='stopped', i_1='stopped')
+    assert await reserved(reservations(agents), course())
+    assert asyncio.get_running_loop().time() < 0.1
+
+
+async def test_agent_that_stays_away_holds_no_request_for_long():
+    # Guards against requests that are held until their callers give up.
+    agents = Agents(**dict.fromkeys(('i_0', 'i_1', 'i_2'), 'gone for good'))
+    with pytest.raises(NoCapacityError) as refused:
+        await reserved(reservations(agents), course())
+    assert refused.value.outcome is Outcome.NOT_RUN
+    passed_s = asyncio.get_running_loop().time()
+    assert passed_s <= MAX_ADAPTER_WAIT_S + 0.2
+
+
+async def test_engine_of_a_stopped_agent_serves_what_it_is_listed_with():
+    held = HeldAdapter(model='m', adapter='a1', version=1)
+    agents = Agents(i_0='gone for good')
+    found = reservations(agents, count=1, adapters=[held])
+    assert (await reserved(found, course())).hold is None
+    assert asyncio.get_running_loop().time() < 0.1
+
+
+async def test_stopped_agents_do_not_use_up_the_attempts():
+    # Guards against a refusal while half of the agents restart together and
+    # the other engines have room.
+    stopped = {f'i_{number}': 'gone for good' for number in range(5)}
+    assert await reserved(reservations(Agents(**stopped), count=6), course())
+    assert asyncio.get_running_loop().time() < 0.1
