Tell restarted agents which adapters running requests use

After the restart of an agent its engine took no new adapter until the last stream from before had ended, up to the timeout of a route: the agent cannot know their adapters from the engine's report. Streams that an entry had sent while the agent did not answer were not known to it at all, so their adapters could be evicted under them.

Now an entry keeps the agent informed as long as a request runs. If the call by which the agent knows of the request ends, or there was none, the entry opens a call AdapterInUse as soon as the agent answers, at most every 0.25 s. It pins the adapter, counts as a user of its version, and ends with the request.

AdapterInUse is a new message, and no field was added to an existing one, so the peer protocol keeps its version; an older agent refuses it, and the entry asks again each 0.25 s as long as the stream runs.

Evidence: without the calls to keep(), and with an agent that does not count the call as a user, test_restarted_agent_is_told_of_running_requests, test_agent_that_was_done_without_is_told_of_the_request and test_older_version_of_a_request_from_before_the_restart_is_in_use failed.

--- a/src/kumquatrun/gateway/agent_calls.py
+++ b/src/kumquatrun/gateway/agent_calls.py
@@ -2,21 +2,30 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncIterator, Callable
-from contextlib import AsyncExitStack, asynccontextmanager
-from dataclasses import dataclass
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
 from functools import partial
 from typing import Any
 
 from kumquatrun.errors import (
     AdapterLoadError,
     ConnectionLostError,
-    DrainingError,
     KumquatrunError,
     NoCapacityError,
 )
+from kumquatrun.gateway.agent_connections import (
+    AGENT_STOPPED,
+    AgentConnections,
+    AgentUnreachableError,
+    cause_of,
+)
 from kumquatrun.gateway.backends import Backend
-from kumquatrun.gateway.messages import AdapterReady, PromptRead, UseAdapter
+from kumquatrun.gateway.messages import (
+    AdapterInUse,
+    AdapterReady,
+    PromptRead,
+    UseAdapter,
+)
 from kumquatrun.membership.cluster_view import ClusterView
 from kumquatrun.peer import Address, PeerClient, PeerStream
 from kumquatrun.peer.messages import Hello
@@ -24,39 +33,14 @@
 
 log = logging.getLogger(__name__)
 
-# An agent that takes no connection, or says nothing, in this time is passed
-# over. It covers the round trip between regions and a busy loop.
-CONNECT_LIMIT_S = 0.5
+# An agent that says nothing in this time is passed over. It covers the round
+# trip between regions and a busy loop.
 SIGN_LIMIT_S = 0.25
-# An agent that was passed over is not asked again for this time.
-SILENT_PAUSE_S = 0.5
-STOPPED_PAUSE_S = 0.1
-# Cause of an error of an agent whose process has stopped, or is about to. Its
-# host answers, so that it is likely to be back soon.
-AGENT_STOPPED = 'agent_stopped'
-SIGNS_OF_A_STOP = (
-    ConnectionLostError,
-    ConnectionRefusedError,
-    ConnectionResetError,
-    DrainingError,
-    EOFError,
-    StopAsyncIteration,
-)
+# Time between tries to tell an agent of a request that runs.
+TELL_AGAIN_S = 0.25
 TELL_TIMEOUT_S = 1.0
 
 
-class AgentUnreachableError(ConnectionLostError):
-    """Reports that the agent beside an engine did not answer."""
-
-
-@dataclass(frozen=True)
-class _Pause:
-    """An agent that is not asked for a while, and why."""
-
-    until_s: float
-    cause: str
-
-
 class AgentHold:
     """An adapter that an agent keeps loaded for a request."""
 
@@ -76,7 +60,7 @@
 
 
 class AgentCalls:
-    """Keeps one connection to each agent.
+    """Asks agents for adapters, and tells them which ones are in use.
 
     Parameters
     ----------
@@ -91,11 +75,8 @@
         view: ClusterView,
         identity: Callable[[], Hello],
     ) -> None:
-        self._view = view
-        self._identity = identity
-        self._clients: dict[Address, PeerClient] = {}
+        self._connections = AgentConnections(view, identity)
         self._told: set[asyncio.Task] = set()
-        self._pauses: dict[Address, _Pause] = {}
 
     @asynccontextmanager
     async def hold(
@@ -113,22 +94,65 @@
         AdapterLoadError, NoCapacityError
             If the agent cannot provide the adapter in time.
         """
-        address = self._address_of(backend)
-        if address is None:
-            raise AgentUnreachableError(
-                f'no agent is registered beside {backend.backend_id}',
-            )
-        self._check_pause(address)
-        client = await self._connected(address)
+        client = await self._connections.client_of(backend)
         async with AsyncExitStack() as stack:
             call = await self._open(client, request, stack)
-            await self._await_sign(call, address)
+            await self._await_sign(call, client.address)
+            ready = await _adapter_ready(call, backend, timeout_s)
+            stack.enter_context(self.keep(backend, request, call))
             yield AgentHold(
-                await _adapter_ready(call, backend, timeout_s),
+                ready,
                 partial(self._tell, client),
                 request.request_id,
             )
 
+    @contextmanager
+    def keep(
+        self,
+        backend: Backend,
+        request: UseAdapter,
+        call: PeerStream | None = None,
+    ) -> Iterator[None]:
+        """Have the agent know inside the block that the request runs.
+
+        ``call`` tells an agent so already; once it has ended, or if there is
+        none, the agent is told when it answers again.
+        """
+        told = AdapterInUse(
+            request_id=request.request_id,
+            model=request.model,
+            adapter=request.adapter,
+        )
+        task = asyncio.create_task(self._keep_told(backend, told, call))
+        self._told.add(task)
+        task.add_done_callback(self._told.discard)
+        try:
+            yield
+        finally:
+            task.cancel()
+
+    async def _keep_told(
+        self,
+        backend: Backend,
+        told: AdapterInUse,
+        call: PeerStream | None,
+    ) -> None:
+        if call is not None:
+            _report_end(told, backend, await _end_of(call))
+        while True:
+            await asyncio.sleep(TELL_AGAIN_S)
+            try:
+                reason = await self._tell_use(backend, told)
+            except KumquatrunError as error:
+                reason = str(error)
+            _report_end(told, backend, reason)
+
+    async def _tell_use(self, backend: Backend, told: AdapterInUse) -> str:
+        """Keep a call open until the agent ends it; return how it ended."""
+        client = await self._connections.client_of(backend)
+        async with client.stream(told) as call:
+            return await _end_of(call)
+
     def _tell(self, client: PeerClient, told: PromptRead) -> None:
         task = asyncio.create_task(_send(client, told))
         self._told.add(task)
@@ -136,27 +160,9 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        for client in self._clients.values():
-            await client.close()
-
-    def _address_of(self, backend: Backend) -> Address | None:
-        for record in self._view.agents_of(backend.record.service):
-            address = Address.parse(record.address)
-            if address.host == backend.record.address.host:
-                return address
-        return None
-
-    def _check_pause(self, address: Address) -> None:
-        pause = self._pauses.get(address)
-        if pause is not None and _now_s() < pause.until_s:
-            raise AgentUnreachableError(
-                f'agent {address} did not answer just now',
-                cause=pause.cause,
-            )
-
-    def _pause(self, address: Address, cause: str) -> None:
-        pause_s = STOPPED_PAUSE_S if cause == AGENT_STOPPED else SILENT_PAUSE_S
-        self._pauses[address] = _Pause(_now_s() + pause_s, cause)
+        for task in self._told:
+            task.cancel()
+        await self._connections.close()
 
     async def _open(
         self,
@@ -177,35 +183,29 @@
         try:
             await _next_item(call, address, SIGN_LIMIT_S)
         except AgentUnreachableError as error:
-            self._pause(address, error.cause)
+            self._connections.pass_over(address, error.cause)
             raise
 
-    async def _connected(self, address: Address) -> PeerClient:
-        client = self._clients.get(address)
-        if client is None:
-            client = PeerClient(address, self._identity())
-            self._clients[address] = client
-        if not client.is_connected:
-            try:
-                async with asyncio.timeout(CONNECT_LIMIT_S):
-                    await client.connect()
-            except (KumquatrunError, TimeoutError) as error:
-                cause = _cause_of(error.__cause__)
-                self._pause(address, cause)
-                raise AgentUnreachableError(
-                    f'agent {address} cannot be reached: {error!r}',
-                    cause=cause,
-                ) from error
-        return client
-
 
-def _now_s() -> float:
-    return asyncio.get_running_loop().time()
+async def _end_of(call: PeerStream) -> str:
+    try:
+        await call.result()
+    except KumquatrunError as error:
+        return str(error)
+    return 'ended by the agent'
 
 
-def _cause_of(error: BaseException | None) -> str:
-    """Tell an agent that has stopped from one that does not answer."""
-    return AGENT_STOPPED if isinstance(error, SIGNS_OF_A_STOP) else ''
+def _report_end(told: AdapterInUse, backend: Backend, reason: str) -> None:
+    # One line for each try and each running request would be too many.
+    log_event(
+        log,
+        'adapter_call_ended',
+        level=logging.DEBUG,
+        request_id=told.request_id,
+        backend=backend.backend_id,
+        adapter=told.adapter,
+        reason=reason,
+    )
 
 
 async def _send(client: PeerClient, told: PromptRead) -> None:
@@ -256,10 +256,10 @@
     except (TimeoutError, StopAsyncIteration) as error:
         raise AgentUnreachableError(
             f'no word of {agent} in {timeout_s:.2f} s',
-            cause=_cause_of(error),
+            cause=cause_of(error),
         ) from None
     except KumquatrunError as error:
         raise AgentUnreachableError(
             f'{agent} failed: {error}',
-            cause=_cause_of(error),
+            cause=cause_of(error),
         ) from error
--- a/src/kumquatrun/gateway/engine_agent.py
+++ b/src/kumquatrun/gateway/engine_agent.py
@@ -9,7 +9,8 @@
 import asyncio
 import logging
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 from kumquatrun.errors import (
@@ -27,6 +28,7 @@
 from kumquatrun.gateway.engine_orders import EngineOrders
 from kumquatrun.gateway.engine_watch import EngineWatch
 from kumquatrun.gateway.messages import (
+    AdapterInUse,
     AdapterQueued,
     AdapterReady,
     AdapterReleased,
@@ -139,32 +141,55 @@
         if isinstance(request, PromptRead):
             self._gate.leave(request.request_id)
             return Ack()
-        if not isinstance(request, UseAdapter):
+        if not isinstance(request, UseAdapter | AdapterInUse):
             raise InvalidRequestError(f'unexpected {type(request).__name__}')
-        await self._use(request, context)
+        name = (request.model, request.adapter)
+        with self._pinned(name, request.request_id):
+            if isinstance(request, UseAdapter):
+                await self._use(name, request, context)
+            else:
+                with self._counted_as_running(name):
+                    await self._stopping.wait()
         return AdapterReleased()
 
     # One call.
 
-    async def _use(self, request: UseAdapter, context: CallContext) -> None:
-        name = (request.model, request.adapter)
+    @contextmanager
+    def _pinned(self, name: AdapterName, request_id: str) -> Iterator[None]:
         residency = self._watch.residency
-        residency.pin(name, request.request_id, self._clock.now_s())
+        residency.pin(name, request_id, self._clock.now_s())
         self._users += 1
         try:
-            await context.send_message(AdapterQueued())
-            ready = await self._prepare(name, request)
-            await self._keep(name, ready, context)
+            yield
         finally:
             self._users -= 1
-            self._gate.leave(request.request_id)
-            residency.unpin(
-                name,
-                request.request_id,
-                self._clock.now_s(),
-            )
+            self._gate.leave(request_id)
+            residency.unpin(name, request_id, self._clock.now_s())
             self._wake.set()
 
+    @contextmanager
+    def _counted_as_running(self, name: AdapterName) -> Iterator[None]:
+        self._running[name] += 1
+        self._orders.record_use(name[0])
+        try:
+            yield
+        finally:
+            self._running[name] -= 1
+            self._orders.record_use(name[0])
+
+    async def _use(
+        self,
+        name: AdapterName,
+        request: UseAdapter,
+        context: CallContext,
+    ) -> None:
+        """Provide an adapter, and keep it until the call ends."""
+        await context.send_message(AdapterQueued())
+        ready = await self._prepare(name, request)
+        with self._counted_as_running(name):
+            await context.send_message(ready)
+            await self._stopping.wait()
+
     async def _prepare(
         self,
         name: AdapterName,
@@ -194,22 +219,6 @@
         )
         return AdapterReady(version=version, load=self._load())
 
-    async def _keep(
-        self,
-        name: AdapterName,
-        ready: AdapterReady,
-        context: CallContext,
-    ) -> None:
-        """Tell the caller, and keep the adapter until the call ends."""
-        self._running[name] += 1
-        self._orders.record_use(name[0])
-        try:
-            await context.send_message(ready)
-            await self._stopping.wait()
-        finally:
-            self._running[name] -= 1
-            self._orders.record_use(name[0])
-
     async def _provide(self, name: AdapterName, request: UseAdapter) -> int:
         if self._stopping.is_set():
             raise _stopping_error()
--- a/src/kumquatrun/gateway/messages.py
+++ b/src/kumquatrun/gateway/messages.py
@@ -22,6 +22,19 @@
     waits_for_model: bool = False
 
 
+@message
+class AdapterInUse:
+    """Tells that a request runs with an adapter while the call is open.
+
+    It is sent for a request that its agent does not know: the agent was
+    restarted, or did not answer when the request began.
+    """
+
+    request_id: str
+    model: str
+    adapter: str
+
+
 @message
 class AdapterQueued:
     """First stream item: the agent has the request and works on it.
--- a/src/kumquatrun/gateway/reservations.py
+++ b/src/kumquatrun/gateway/reservations.py
@@ -8,10 +8,9 @@
 from dataclasses import dataclass
 
 from kumquatrun.errors import KumquatrunError, NoCapacityError
-from kumquatrun.gateway.agent_calls import (
+from kumquatrun.gateway.agent_calls import AgentCalls, AgentHold
+from kumquatrun.gateway.agent_connections import (
     AGENT_STOPPED,
-    AgentCalls,
-    AgentHold,
     AgentUnreachableError,
 )
 from kumquatrun.gateway.backends import Backend, BackendTable
@@ -249,6 +248,7 @@
                 adapter=request.adapter,
                 reason=error.detail,
             )
+            stack.enter_context(self._agents.keep(backend, asked))
             return Reservation(backend, version)
         finally:
             course.adapter_wait_s += self._clock.now_s() - began_s
--- a/tests/test_agent_calls.py
+++ b/tests/test_agent_calls.py
@@ -13,15 +13,16 @@
     NoCapacityError,
 )
 from kumquatrun.gateway.agent import GatewayAgent
-from kumquatrun.gateway.agent_calls import (
+from kumquatrun.gateway.agent_calls import AgentCalls
+from kumquatrun.gateway.agent_connections import (
     AGENT_STOPPED,
     STOPPED_PAUSE_S,
-    AgentCalls,
     AgentUnreachableError,
 )
 from kumquatrun.gateway.backends import Backend, BackendRecord
 from kumquatrun.gateway.connection_pool import ConnectionPool
 from kumquatrun.gateway.messages import (
+    AdapterInUse,
     AdapterQueued,
     AdapterReady,
     PromptRead,
@@ -49,11 +50,18 @@
         self.error = None
         self.told = []
         self.ended = asyncio.Event()
+        self.in_use = []
 
     async def handle(self, request, context):
         if isinstance(request, PromptRead):
             self.told.append(request.request_id)
             return Ack()
+        if isinstance(request, AdapterInUse):
+            self.in_use.append(request.request_id)
+            try:
+                await asyncio.Event().wait()
+            finally:
+                self.in_use.remove(request.request_id)
         try:
             if self.gives_sign:
                 await context.send_message(AdapterQueued())
@@ -235,3 +243,33 @@
             await asyncio.wait_for(waiting, 1)
         await agent.stop()
     await calls.close()
+
+
+async def poll(condition):
+    async with asyncio.timeout(2):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.02)
+
+
+async def test_restarted_agent_is_told_of_running_requests(agent):
+    # Guards against the eviction of adapters under streams that began before
+    # the restart of their agent.
+    calls = calls_to(agent.address)
+    async with calls.hold(backend(), REQUEST, 1):
+        await agent.stop()
+        restarted = Agent()
+        server = PeerServer(HELLO, restarted)
+        await asyncio.sleep(0.4)
+        await server.start(agent.address)
+        await poll(lambda: restarted.in_use == ['r'])
+    await poll(lambda: not restarted.in_use)
+    await calls.close()
+    await server.stop()
+
+
+async def test_agent_that_was_done_without_is_told_when_it_answers(agent):
+    calls = calls_to(agent.address)
+    with calls.keep(backend(), REQUEST):
+        await poll(lambda: agent.in_use == ['r'])
+    await poll(lambda: not agent.in_use)
+    await calls.close()
--- a/tests/test_engine_agent.py
+++ b/tests/test_engine_agent.py
@@ -15,6 +15,7 @@
 from kumquatrun.gateway.configuration import BaseModelSpec, EngineSpec
 from kumquatrun.gateway.engine_agent import EngineAgent
 from kumquatrun.gateway.messages import (
+    AdapterInUse,
     AdapterQueued,
     AdapterReady,
     AdapterReleased,
@@ -520,3 +521,35 @@
                 await use.ready()
             assert refused.value.outcome is Outcome.NOT_RUN
         assert isinstance(await running.task, AdapterReleased)
+
+
+async def test_restarted_agent_evicts_what_its_entries_do_not_use():
+    # Guards against an engine that takes no new adapter until the last stream
+    # from before the restart of its agent has ended.
+    engine = Engine(slots=2)
+    engine.held = {'a1': 1, 'a2': 1}
+    engine.runs = {'r1': 'a1'}
+    async with agent_of(engine) as agent:
+        use = Use(agent, 'a3')
+        await asyncio.sleep(0.5)
+        assert not use.call.ready.done()
+        told = AdapterInUse(request_id='r1', model='m', adapter='a1')
+        call = asyncio.create_task(agent.handle(told, Call()))
+        await use.ready()
+        assert set(engine.held) == {'a1', 'a3'}
+        call.cancel()
+
+
+async def test_older_version_of_a_request_from_before_the_restart_is_in_use():
+    versions = {'a1': 2}
+    engine = Engine()
+    engine.held = {'a1': 1}
+    async with agent_of(engine, versions) as agent:
+        told = AdapterInUse(request_id='r1', model='m', adapter='a1')
+        call = asyncio.create_task(agent.handle(told, Call()))
+        await asyncio.sleep(0)
+        with pytest.raises(NoCapacityError, match='older version'):
+            await Use(agent, 'a1', 'new').ready()
+        call.cancel()
+        await asyncio.sleep(0)
+        assert (await Use(agent, 'a1', 'newer').ready()).version == 2
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -2,14 +2,14 @@
 
 import asyncio
 import random
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, contextmanager
 from dataclasses import replace
 
 import pytest
 from tests.gateway_fakes import course_of
 
 from kumquatrun.errors import AdapterLoadError, NoCapacityError, Outcome
-from kumquatrun.gateway.agent_calls import (
+from kumquatrun.gateway.agent_connections import (
     AGENT_STOPPED,
     AgentUnreachableError,
 )
@@ -34,6 +34,13 @@
         self.answers = answers
         self.asked = []
         self.models_asked = []
+        self.kept = []
+
+    @contextmanager
+    def keep(self, backend, request):
+        self.kept.append(request.request_id)
+        yield
+        self.kept.remove(request.request_id)
 
     @asynccontextmanager
     async def hold(self, backend, request, timeout_s):
@@ -241,3 +248,15 @@
     stopped = {f'i_{number}': 'gone for good' for number in range(5)}
     assert await reserved(reservations(Agents(**stopped), count=6), course())
     assert asyncio.get_running_loop().time() < 0.1
+
+
+async def test_agent_that_was_done_without_is_told_of_the_request():
+    # Guards against the eviction of an adapter under a stream that began while
+    # the agent of its engine restarted.
+    held = HeldAdapter(model='m', adapter='a1', version=1)
+    agents = Agents(i_0='gone for good')
+    found = reservations(agents, count=1, adapters=[held])
+    row = course()
+    async with found.reserve(row):
+        assert agents.kept == [row.request.request_id]
+    assert not agents.kept
