Ask an engine for a model again after its agent restarted

An entry that has a further engine load a busy model took any failure for a lack of room and did not ask that engine for 15 s. An agent that restarts, or an engine that is lost for a moment, has room again at once; only a refusal for lack of capacity counts now.

Evidence: test_engine_whose_agent_restarted_is_asked_for_a_model_again saw one question in place of two before.

--- a/src/kumquatrun/gateway/model_spread.py
+++ b/src/kumquatrun/gateway/model_spread.py
@@ -4,7 +4,7 @@
 import logging
 from collections.abc import Sequence
 
-from kumquatrun.errors import KumquatrunError
+from kumquatrun.errors import KumquatrunError, NoCapacityError
 from kumquatrun.gateway.agent_calls import AgentCalls
 from kumquatrun.gateway.backends import Backend
 from kumquatrun.gateway.messages import UseAdapter
@@ -79,9 +79,10 @@
                 pass
         except KumquatrunError as error:
             problem = str(error)
-            refused = (model, backend.backend_id)
-            now_s = self._clock.now_s()
-            self._no_room_until_s[refused] = now_s + NO_ROOM_PAUSE_S
+            if isinstance(error, NoCapacityError):
+                refused = (model, backend.backend_id)
+                now_s = self._clock.now_s()
+                self._no_room_until_s[refused] = now_s + NO_ROOM_PAUSE_S
         finally:
             self._paused_until_s[model] = self._clock.now_s() + SPREAD_PAUSE_S
             del self._tasks[model]
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -20,6 +20,7 @@
 )
 from kumquatrun.gateway.balancer import Balancer, Place
 from kumquatrun.gateway.messages import AdapterReady
+from kumquatrun.gateway.model_spread import SPREAD_PAUSE_S
 from kumquatrun.gateway.reservations import MAX_ADAPTER_WAIT_S, Reservations
 from kumquatrun.peer.address import Address
 from kumquatrun.runtime.clock import LoopClock
@@ -260,3 +261,16 @@
     async with found.reserve(row):
         assert agents.kept == [row.request.request_id]
     assert not agents.kept
+
+
+async def test_engine_whose_agent_restarted_is_asked_for_a_model_again():
+    # Guards against an engine that is taken for full for 15 s, because its
+    # agent did not run when an entry asked it.
+    agents = Agents(i_2='stopped')
+    found = reservations(agents, models={0, 1})
+    for _ in range(2):
+        for row in found.backends[:2]:
+            row.take_report(60)
+        await reserved(found, course())
+        await asyncio.sleep(SPREAD_PAUSE_S + 0.1)
+    assert len(agents.models_asked) == 2
