Drain on SIGHUP, and ignore it while a platform daemon starts

SIGHUP had its default action in the daemons of the product's own command line: a closed terminal ended them at once with all open requests, also in the middle of a drain. It now counts as SIGTERM does. Where it was ignored before the start, as under nohup, it stays ignored.

The platform daemons reload their settings on SIGHUP from the moment on that the watcher of the file has started, and until then were killed by it. Now they ignore it from the start of the command: the file is read later, and the watcher compares its content each second. During a drain and a stop the watcher's handler stays, so SIGHUP has no effect on open requests there; that was right before.

Evidence: with the former code SIGHUP during a drain ended pytest (exit 129), and the test of the starting platform daemon found the default action. The test of nohup passed before; it guards what must not change.

--- a/src/kumquatrun/command_line/cli_platform.py
+++ b/src/kumquatrun/command_line/cli_platform.py
@@ -1,5 +1,6 @@
 """Commands that start a daemon on the users' platform."""
 
+import signal
 import sys
 
 import click
@@ -17,6 +18,9 @@
 @click.option('--log-level', default='info', show_default=True)
 def platform_command(role: str, log_format: str, log_level: str) -> None:
     """Start a daemon with the settings file of the users' platform."""
+    # The settings file is read later, so a change until then needs no signal,
+    # whose default action would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Imported late: the operator commands need none of the daemons' parts.
     from kumquatrun.platform import daemons
 
--- a/src/kumquatrun/daemon/lifecycle.py
+++ b/src/kumquatrun/daemon/lifecycle.py
@@ -13,7 +13,8 @@
 
 log = logging.getLogger(__name__)
 
-SIGNALS = (signal.SIGTERM, signal.SIGINT)
+# A closed terminal sends SIGHUP to the daemons that were started in it.
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 class Part(Protocol):
@@ -76,7 +77,7 @@
     def terminate(self, signal_name: str) -> None:
         """Handle one signal: the first one drains.
 
-        A repeated SIGTERM changes nothing, since supervisors and overlapping
+        A repeated SIGTERM or SIGHUP changes nothing, since supervisors and overlapping
         rolling restarts send it again while requests are still open. SIGINT
         comes from an operator; after another signal it stops at once.
         """
@@ -189,12 +190,19 @@
 
 
 async def run_daemon(daemon: Daemon) -> None:
-    """Run a daemon that ends on SIGTERM or SIGINT.
+    """Run a daemon that ends on SIGTERM, SIGINT or SIGHUP.
 
-    The handlers stay until the event loop is closed: the default action of a
-    late signal would kill the process before its last log lines are written.
+    SIGHUP stays ignored where it was before, as under ``nohup``. The handlers
+    stay until the event loop is closed: the default action of a late signal
+    would kill the process before its last log lines are written.
     """
     loop = asyncio.get_running_loop()
     for number in SIGNALS:
+        if number is signal.SIGHUP and _is_ignored(number):
+            continue
         loop.add_signal_handler(number, daemon.terminate, number.name)
     await daemon.run()
+
+
+def _is_ignored(number: signal.Signals) -> bool:
+    return signal.getsignal(number) is signal.SIG_IGN
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -10,11 +10,14 @@
 import aiohttp
 import pytest
 from bench.local_cluster import free_ports
+from click.testing import CliRunner
 
 from kumquatrun.command_line import daemons
-from kumquatrun.daemon.lifecycle import Daemon, run_daemon
+from kumquatrun.command_line.cli import main
+from kumquatrun.daemon.lifecycle import SIGNALS, Daemon, run_daemon
 from kumquatrun.daemon.setting_builder import build_settings
 from kumquatrun.daemon.settings import DaemonSettings
+from kumquatrun.platform.settings import PATH_VARIABLE
 from kumquatrun.runtime.clock import LoopClock
 from kumquatrun.runtime.metrics import Metrics
 
@@ -64,12 +67,13 @@
     await poll(lambda: daemon.state == state)
 
 
-async def test_first_signal_drains_before_the_stop():
+@pytest.mark.parametrize('number', SIGNALS)
+async def test_first_signal_drains_before_the_stop(number):
     calls = []
     daemon, server = daemon_of(calls)
     task = asyncio.create_task(run_daemon(daemon))
     await until(daemon, 'running')
-    os.kill(os.getpid(), signal.SIGTERM)
+    os.kill(os.getpid(), number)
     await until(daemon, 'draining')
     await asyncio.sleep(0.02)
     # Guards against a stop that interrupts open requests.
@@ -80,16 +84,18 @@
     assert daemon.state == 'stopped'
 
 
-async def test_repeated_sigterm_does_not_interrupt_the_drain(caplog):
+@pytest.mark.parametrize('name', ['SIGTERM', 'SIGHUP'])
+async def test_repeated_signal_does_not_interrupt_the_drain(caplog, name):
     # Guards against requests that are cut because a supervisor, or a rolling
-    # restart that overlaps another one, sends SIGTERM again.
+    # restart that overlaps another one, sends SIGTERM again, or because a
+    # terminal is closed.
     caplog.set_level(logging.INFO)
     calls = []
     daemon, server = daemon_of(calls)
     task = asyncio.create_task(run_daemon(daemon))
     await until(daemon, 'running')
-    for _ in range(3):
-        os.kill(os.getpid(), signal.SIGTERM)
+    for number in (signal.SIGTERM, signal.Signals[name], signal.Signals[name]):
+        os.kill(os.getpid(), number)
         await until(daemon, 'draining')
         await asyncio.sleep(0.02)
     assert calls == ['start a', 'start b', 'start c', 'drain 7 c']
@@ -100,6 +106,39 @@
     assert calls[4:] == list(STOPS)
 
 
+async def test_hangup_that_was_ignored_before_stays_ignored():
+    # Guards against daemons under nohup that end with their terminal.
+    calls = []
+    daemon, _ = daemon_of(calls)
+    former = signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    try:
+        task = asyncio.create_task(run_daemon(daemon))
+        await until(daemon, 'running')
+        os.kill(os.getpid(), signal.SIGHUP)
+        await asyncio.sleep(0.02)
+        assert daemon.state == 'running'
+    finally:
+        signal.signal(signal.SIGHUP, former)
+    daemon.terminate('SIGTERM')
+    daemon.terminate('SIGINT')
+    await task
+
+
+def test_hangup_does_not_end_a_platform_daemon_that_starts():
+    # Guards against a process that a change of the settings file ends, since
+    # it does not follow the file yet.
+    former = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    try:
+        result = CliRunner(env={PATH_VARIABLE: ''}).invoke(
+            main,
+            ['platform', 'agent'],
+        )
+        assert result.exit_code != 0
+        assert signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
+    finally:
+        signal.signal(signal.SIGHUP, former)
+
+
 @pytest.mark.parametrize('first', [signal.SIGTERM, signal.SIGINT])
 async def test_interrupt_after_a_signal_stops_at_once(first):
     # An operator can end a drain that takes too long.
