Test the restart of an agent with the entry's side

A stream runs, one request waits and another one arrives while the only agent restarts, after SIGTERM and after a kill. The test joins agent, calls and reservations over loopback. Both cases fail without the wait for stopped agents, and without the calls that tell the next agent of running requests.

--- a/tests/test_agent_calls.py
+++ b/tests/test_agent_calls.py
@@ -1,11 +1,12 @@
 """Calls to agents: frozen, unreachable and slow ones."""
 
 import asyncio
+import random
 from dataclasses import replace
 
 import pytest
 from bench.local_cluster import free_ports
-from tests.gateway_fakes import Engine
+from tests.gateway_fakes import Engine, course_of
 
 from kumquatrun.errors import (
     AdapterLoadError,
@@ -19,7 +20,12 @@
     STOPPED_PAUSE_S,
     AgentUnreachableError,
 )
-from kumquatrun.gateway.backends import Backend, BackendRecord
+from kumquatrun.gateway.backends import (
+    Backend,
+    BackendRecord,
+    BackendTable,
+)
+from kumquatrun.gateway.balancer import Balancer, Place
 from kumquatrun.gateway.connection_pool import ConnectionPool
 from kumquatrun.gateway.messages import (
     AdapterInUse,
@@ -28,6 +34,7 @@
     PromptRead,
     UseAdapter,
 )
+from kumquatrun.gateway.reservations import Reservations
 from kumquatrun.gateway.settings import GatewayAgentSettings
 from kumquatrun.membership.cluster_view import ClusterView
 from kumquatrun.peer import PeerServer
@@ -212,9 +219,7 @@
         pass
 
 
-async def test_agent_that_gets_sigterm_refuses_what_waits_unrun():
-    # Guards against a stop that only cuts the connections.
-    address = Address('127.0.0.1', free_ports(1)[0])
+def gateway_agent(address, engine):
     settings = GatewayAgentSettings(
         host_id='side',
         listen=address,
@@ -222,15 +227,21 @@
         engine_address=address,
         listing_address=address,
     )
-    engine = Engine(load_s=100)
-    engine.held = {'a': 1}
-    agent = GatewayAgent(
+    return GatewayAgent(
         settings,
         Session(address),
         PlatformFormat(),
         engine,
         LoopClock(),
     )
+
+
+async def test_agent_that_gets_sigterm_refuses_what_waits_unrun():
+    # Guards against a stop that only cuts the connections.
+    address = Address('127.0.0.1', free_ports(1)[0])
+    engine = Engine(load_s=100)
+    engine.held = {'a': 1}
+    agent = gateway_agent(address, engine)
     await agent.start()
     calls = calls_to(address)
     async with calls.hold(backend(), REQUEST, 5):
@@ -245,6 +256,57 @@
     await calls.close()
 
 
+async def reserve(found, adapter):
+    row = course_of('streaming')
+    row.request = replace(
+        row.request,
+        model='m',
+        adapter=adapter,
+        request_id=adapter,
+    )
+    async with found.reserve(row) as reservation:
+        return reservation
+
+
+@pytest.mark.parametrize('is_planned', [True, False])
+async def test_restart_of_an_agent_loses_no_request(is_planned):
+    # Guards against refused requests and an evicted adapter at the restart of
+    # the agent beside the only engine of a model, planned or not.
+    address = Address('127.0.0.1', free_ports(1)[0])
+    engine = Engine(slots=3, load_s=0.4)
+    engine.held = {'a1': 1, 'idle-1': 1, 'idle-2': 1}
+    engine.runs = {'r1': 'a1'}
+    agent = gateway_agent(address, engine)
+    await agent.start()
+    calls = calls_to(address)
+    table = BackendTable()
+    table.update([replace(backend().record, models=frozenset({'m'}))])
+    found = Reservations(
+        table,
+        Balancer(Place(failure_domain='a', regions={}), random.Random(1)),
+        calls,
+        lambda model, adapter: 0,
+        LoopClock(),
+    )
+    running = replace(REQUEST, adapter='a1', request_id='r1')
+    async with calls.hold(backend(), running, 1):
+        before = asyncio.create_task(reserve(found, 'a2'))
+        await asyncio.sleep(0.1)
+        if is_planned:
+            await agent.drain(8)
+        await agent.stop()
+        during = asyncio.create_task(reserve(found, 'a3'))
+        await asyncio.sleep(0.3)
+        restarted = gateway_agent(address, engine)
+        await restarted.start()
+        for reservation in await asyncio.gather(before, during):
+            assert reservation.hold.ready.version == 1
+    assert set(engine.held) == {'a1', 'a2', 'a3'}
+    assert engine.most_held == 3
+    await calls.close()
+    await restarted.stop()
+
+
 async def poll(condition):
     async with asyncio.timeout(2):
         while not condition():  # noqa: ASYNC110
