--- a/src/kumquatrun/gateway/engine_agent.py
+++ b/src/kumquatrun/gateway/engine_agent.py
@@ -254,7 +254,7 @@
                 # The engine would get no further orders.
                 log.exception('event=agent_step_failed')
             interval_s = REPORT_INTERVAL_S
-            if self._watch.residency.loads_under_way:
+            if self._watch.residency.is_changing:
                 interval_s = BUSY_REPORT_INTERVAL_S
             await self._sleep(interval_s)
 
--- a/src/kumquatrun/gateway/residency.py
+++ b/src/kumquatrun/gateway/residency.py
@@ -82,6 +82,11 @@
         """Return the number of adapters on their way."""
         return len({*self._loading, *self._ordered})
 
+    @property
+    def is_changing(self) -> bool:
+        """Return whether an order to the engine is not complete yet."""
+        return bool(self._loading or self._ordered or self._unloading)
+
     @property
     def used_slots(self) -> int:
         """Return the number of slots that are taken, or may be."""
--- a/tests/test_engine_agent.py
+++ b/tests/test_engine_agent.py
@@ -13,7 +13,10 @@
     Outcome,
 )
 from kumquatrun.gateway.configuration import BaseModelSpec, EngineSpec
-from kumquatrun.gateway.engine_agent import EngineAgent
+from kumquatrun.gateway.engine_agent import (
+    BUSY_REPORT_INTERVAL_S,
+    EngineAgent,
+)
 from kumquatrun.gateway.messages import (
     AdapterInUse,
     AdapterQueued,
@@ -553,3 +556,21 @@
         call.cancel()
         await asyncio.sleep(0)
         assert (await Use(agent, 'a1', 'newer').ready()).version == 2
+
+
+async def test_end_of_an_unload_is_seen_soon():
+    # Guards against a pause of the usual time between reports before each load
+    # where an engine drops an adapter a moment after it accepted the order.
+    engine = Engine(slots=1)
+    engine.names_runs = False
+    engine.held = {'a1': 1}
+    engine.runs = {'r1': 'a1'}
+    async with agent_of(engine) as agent:
+        use = Use(agent, 'a2')
+        await asyncio.sleep(0.002)
+        assert engine.unloading
+        engine.end_run('r1')
+        began_s = asyncio.get_running_loop().time()
+        await use.ready()
+        passed_s = asyncio.get_running_loop().time() - began_s
+    assert passed_s < engine.load_s + 3 * BUSY_REPORT_INTERVAL_S
