--- a/src/kumquatrun/gateway/agent_calls.py
+++ b/src/kumquatrun/gateway/agent_calls.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
 from functools import partial
 from typing import Any
 
@@ -13,8 +13,19 @@
     KumquatrunError,
     NoCapacityError,
 )
+from kumquatrun.gateway.agent_connections import (
+    AGENT_STOPPED,
+    AgentConnections,
+    AgentUnreachableError,
+    cause_of,
+)
 from kumquatrun.gateway.backends import Backend
-from kumquatrun.gateway.messages import AdapterReady, PromptRead, UseAdapter
+from kumquatrun.gateway.messages import (
+    AdapterInUse,
+    AdapterReady,
+    PromptRead,
+    UseAdapter,
+)
 from kumquatrun.membership.cluster_view import ClusterView
 from kumquatrun.peer import Address, PeerClient, PeerStream
 from kumquatrun.peer.messages import Hello
@@ -22,19 +33,14 @@
 
 log = logging.getLogger(__name__)
 
-# An agent that takes no connection, or says nothing, in this time is passed
-# over. It covers the round trip between regions and a busy loop.
-CONNECT_LIMIT_S = 0.5
+# An agent that says nothing in this time is passed over. It covers the round
+# trip between regions and a busy loop.
 SIGN_LIMIT_S = 0.25
-# An agent that was passed over is not asked again for this time.
-SILENT_PAUSE_S = 0.5
+# Time between tries to tell an agent of a request that runs.
+TELL_AGAIN_S = 0.25
 TELL_TIMEOUT_S = 1.0
 
 
-class AgentUnreachableError(ConnectionLostError):
-    """Reports that the agent beside an engine did not answer."""
-
-
 class AgentHold:
     """An adapter that an agent keeps loaded for a request."""
 
@@ -54,7 +60,7 @@
 
 
 class AgentCalls:
-    """Keeps one connection to each agent.
+    """Asks agents for adapters, and tells them which ones are in use.
 
     Parameters
     ----------
@@ -69,11 +75,8 @@
         view: ClusterView,
         identity: Callable[[], Hello],
     ) -> None:
-        self._view = view
-        self._identity = identity
-        self._clients: dict[Address, PeerClient] = {}
+        self._connections = AgentConnections(view, identity)
         self._told: set[asyncio.Task] = set()
-        self._silent_until_s: dict[Address, float] = {}
 
     @asynccontextmanager
     async def hold(
@@ -91,21 +94,65 @@
         AdapterLoadError, NoCapacityError
             If the agent cannot provide the adapter in time.
         """
-        address = self._address_of(backend)
-        if address is None:
-            raise AgentUnreachableError(
-                f'no agent is registered beside {backend.backend_id}',
-            )
-        self._check_silence(address)
-        client = await self._connected(address)
-        async with client.stream(request) as call:
-            await self._await_sign(call, address)
+        client = await self._connections.client_of(backend)
+        async with AsyncExitStack() as stack:
+            call = await self._open(client, request, stack)
+            await self._await_sign(call, client.address)
+            ready = await _adapter_ready(call, backend, timeout_s)
+            stack.enter_context(self.keep(backend, request, call))
             yield AgentHold(
-                await _adapter_ready(call, backend, timeout_s),
+                ready,
                 partial(self._tell, client),
                 request.request_id,
             )
 
+    @contextmanager
+    def keep(
+        self,
+        backend: Backend,
+        request: UseAdapter,
+        call: PeerStream | None = None,
+    ) -> Iterator[None]:
+        """Have the agent know inside the block that the request runs.
+
+        ``call`` tells an agent so already; once it has ended, or if there is
+        none, the agent is told when it answers again.
+        """
+        told = AdapterInUse(
+            request_id=request.request_id,
+            model=request.model,
+            adapter=request.adapter,
+        )
+        task = asyncio.create_task(self._keep_told(backend, told, call))
+        self._told.add(task)
+        task.add_done_callback(self._told.discard)
+        try:
+            yield
+        finally:
+            task.cancel()
+
+    async def _keep_told(
+        self,
+        backend: Backend,
+        told: AdapterInUse,
+        call: PeerStream | None,
+    ) -> None:
+        if call is not None:
+            _report_end(told, backend, await _end_of(call))
+        while True:
+            await asyncio.sleep(TELL_AGAIN_S)
+            try:
+                reason = await self._tell_use(backend, told)
+            except KumquatrunError as error:
+                reason = str(error)
+            _report_end(told, backend, reason)
+
+    async def _tell_use(self, backend: Backend, told: AdapterInUse) -> str:
+        """Keep a call open until the agent ends it; return how it ended."""
+        client = await self._connections.client_of(backend)
+        async with client.stream(told) as call:
+            return await _end_of(call)
+
     def _tell(self, client: PeerClient, told: PromptRead) -> None:
         task = asyncio.create_task(_send(client, told))
         self._told.add(task)
@@ -113,46 +160,52 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        for client in self._clients.values():
-            await client.close()
-
-    def _address_of(self, backend: Backend) -> Address | None:
-        for record in self._view.agents_of(backend.record.service):
-            address = Address.parse(record.address)
-            if address.host == backend.record.address.host:
-                return address
-        return None
+        for task in self._told:
+            task.cancel()
+        await self._connections.close()
 
-    def _check_silence(self, address: Address) -> None:
-        now_s = asyncio.get_running_loop().time()
-        if now_s < self._silent_until_s.get(address, now_s):
-            raise AgentUnreachableError(f'agent {address} was silent just now')
+    async def _open(
+        self,
+        client: PeerClient,
+        request: UseAdapter,
+        stack: AsyncExitStack,
+    ) -> PeerStream:
+        try:
+            return await stack.enter_async_context(client.stream(request))
+        except ConnectionLostError as error:
+            raise AgentUnreachableError(
+                error.detail,
+                cause=AGENT_STOPPED,
+            ) from error
 
     async def _await_sign(self, call: PeerStream, address: Address) -> None:
         """Wait until the agent says that it has the request."""
         try:
             await _next_item(call, address, SIGN_LIMIT_S)
-        except AgentUnreachableError:
-            now_s = asyncio.get_running_loop().time()
-            self._silent_until_s[address] = now_s + SILENT_PAUSE_S
+        except AgentUnreachableError as error:
+            self._connections.pass_over(address, error.cause)
             raise
 
-    async def _connected(self, address: Address) -> PeerClient:
-        client = self._clients.get(address)
-        if client is None:
-            client = PeerClient(address, self._identity())
-            self._clients[address] = client
-        if not client.is_connected:
-            try:
-                async with asyncio.timeout(CONNECT_LIMIT_S):
-                    await client.connect()
-            except (KumquatrunError, TimeoutError) as error:
-                now_s = asyncio.get_running_loop().time()
-                self._silent_until_s[address] = now_s + SILENT_PAUSE_S
-                raise AgentUnreachableError(
-                    f'agent {address} cannot be reached: {error!r}',
-                ) from error
-        return client
+
+async def _end_of(call: PeerStream) -> str:
+    try:
+        await call.result()
+    except KumquatrunError as error:
+        return str(error)
+    return 'ended by the agent'
+
+
+def _report_end(told: AdapterInUse, backend: Backend, reason: str) -> None:
+    # One line for each try and each running request would be too many.
+    log_event(
+        log,
+        'adapter_call_ended',
+        level=logging.DEBUG,
+        request_id=told.request_id,
+        backend=backend.backend_id,
+        adapter=told.adapter,
+        reason=reason,
+    )
 
 
 async def _send(client: PeerClient, told: PromptRead) -> None:
@@ -176,6 +229,8 @@
     try:
         return await _next_item(call, backend.backend_id, timeout_s)
     except AgentUnreachableError as error:
+        if error.cause == AGENT_STOPPED:
+            raise
         raise NoCapacityError(error.detail, cause='adapter_wait') from error
 
 
@@ -189,18 +244,22 @@
     Raises
     ------
     AgentUnreachableError
-        If there is none in time.
+        If there is none in time, or the agent stops.
     AdapterLoadError, NoCapacityError
         If the agent refuses the request.
     """
     try:
         async with asyncio.timeout(timeout_s):
             return await anext(call)
-    except (TimeoutError, StopAsyncIteration):
+    except (AdapterLoadError, NoCapacityError):
+        raise
+    except (TimeoutError, StopAsyncIteration) as error:
         raise AgentUnreachableError(
             f'no word of {agent} in {timeout_s:.2f} s',
+            cause=cause_of(error),
         ) from None
-    except (AdapterLoadError, NoCapacityError):
-        raise
     except KumquatrunError as error:
-        raise AgentUnreachableError(f'{agent} failed: {error}') from error
+        raise AgentUnreachableError(
+            f'{agent} failed: {error}',
+            cause=cause_of(error),
+        ) from error
--- a/src/kumquatrun/gateway/engine_agent.py
+++ b/src/kumquatrun/gateway/engine_agent.py
@@ -9,21 +9,26 @@
 import asyncio
 import logging
 from collections import Counter
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 from kumquatrun.errors import (
     DrainingError,
     InvalidRequestError,
-    KumquatrunError,
     NoCapacityError,
 )
+from kumquatrun.gateway.adapter_waiters import (
+    AdapterWaiter,
+    AdapterWaiters,
+    outwaits,
+)
 from kumquatrun.gateway.configuration import EngineSpec
 from kumquatrun.gateway.engine_api import EngineReport, OrderedEngine
 from kumquatrun.gateway.engine_orders import EngineOrders
-from kumquatrun.gateway.engine_watch import ENGINE_EMPTY, EngineWatch
+from kumquatrun.gateway.engine_watch import EngineWatch
 from kumquatrun.gateway.messages import (
+    AdapterInUse,
     AdapterQueued,
     AdapterReady,
     AdapterReleased,
@@ -46,23 +51,6 @@
 LONG_WAIT_S = 0.1
 
 
-@dataclass(eq=False)
-class _Waiter:
-    name: AdapterName
-    version: int
-    urgency: tuple[int, float]
-    waits_for_model: bool
-    future: asyncio.Future = field(repr=False)
-
-    def answer(self, version: int) -> None:
-        if not self.future.done():
-            self.future.set_result(version)
-
-    def refuse(self, error: KumquatrunError) -> None:
-        if not self.future.done():
-            self.future.set_exception(error)
-
-
 class EngineAgent:
     """Provides adapters of one engine.
 
@@ -93,11 +81,11 @@
         self._watch = EngineWatch(engine, spec, clock)
         self._orders = EngineOrders(holder, engine, self._watch, clock)
         self._gate = PromptGate(clock)
-        self._waiters: list[_Waiter] = []
+        self._waiters = AdapterWaiters(clock)
         self._wake = asyncio.Event()
         self._users = 0
         self._running: Counter[AdapterName] = Counter()
-        self._is_stopping = False
+        self._stopping = asyncio.Event()
         self._task: asyncio.Task | None = None
 
     @property
@@ -106,16 +94,39 @@
         return self._watch.report
 
     async def start(self) -> None:
-        """Begin to follow the engine."""
+        """Read the state of the engine and begin to follow it.
+
+        Requests that come before the first report would be refused.
+        """
+        await self._watch.refresh()
         self._task = asyncio.create_task(self._run())
 
     async def stop(self) -> None:
-        """Stop; waiting calls are refused."""
-        self._is_stopping = True
+        """Stop; all calls are ended."""
+        self.end_calls()
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
-        self._refuse_all(DrainingError('the agent stops'))
+
+    def end_calls(self) -> None:
+        """Take no further calls, refuse the waiting ones and end the others.
+
+        A refused request was not sent to the engine. A request that runs there
+        goes on without its call.
+        """
+        if self._stopping.is_set():
+            return
+        self._stopping.set()
+        log_event(
+            log,
+            'agent_calls_ended',
+            waiting_for_adapter=len(self._waiters),
+            waiting_for_prompt=self._gate.waiting,
+            running=self._running.total(),
+        )
+        problem = _stopping_error()
+        self._waiters.refuse_all(problem)
+        self._gate.refuse_all(problem)
 
     async def handle(self, request: Any, context: CallContext) -> Any:
         """Provide an adapter until the caller cancels the call.
@@ -130,28 +141,55 @@
         if isinstance(request, PromptRead):
             self._gate.leave(request.request_id)
             return Ack()
-        if not isinstance(request, UseAdapter):
+        if not isinstance(request, UseAdapter | AdapterInUse):
             raise InvalidRequestError(f'unexpected {type(request).__name__}')
-        await self._use(request, context)
+        name = (request.model, request.adapter)
+        with self._pinned(name, request.request_id):
+            if isinstance(request, UseAdapter):
+                await self._use(name, request, context)
+            else:
+                with self._counted_as_running(name):
+                    await self._stopping.wait()
         return AdapterReleased()
 
     # One call.
 
-    async def _use(self, request: UseAdapter, context: CallContext) -> None:
-        name = (request.model, request.adapter)
+    @contextmanager
+    def _pinned(self, name: AdapterName, request_id: str) -> Iterator[None]:
         residency = self._watch.residency
-        residency.pin(name, self._clock.now_s())
+        residency.pin(name, request_id, self._clock.now_s())
         self._users += 1
         try:
-            await context.send_message(AdapterQueued())
-            ready = await self._prepare(name, request)
-            await self._keep(name, ready, context)
+            yield
         finally:
             self._users -= 1
-            self._gate.leave(request.request_id)
-            residency.unpin(name, self._clock.now_s())
+            self._gate.leave(request_id)
+            residency.unpin(name, request_id, self._clock.now_s())
             self._wake.set()
 
+    @contextmanager
+    def _counted_as_running(self, name: AdapterName) -> Iterator[None]:
+        self._running[name] += 1
+        self._orders.record_use(name[0])
+        try:
+            yield
+        finally:
+            self._running[name] -= 1
+            self._orders.record_use(name[0])
+
+    async def _use(
+        self,
+        name: AdapterName,
+        request: UseAdapter,
+        context: CallContext,
+    ) -> None:
+        """Provide an adapter, and keep it until the call ends."""
+        await context.send_message(AdapterQueued())
+        ready = await self._prepare(name, request)
+        with self._counted_as_running(name):
+            await context.send_message(ready)
+            await self._stopping.wait()
+
     async def _prepare(
         self,
         name: AdapterName,
@@ -181,27 +219,11 @@
         )
         return AdapterReady(version=version, load=self._load())
 
-    async def _keep(
-        self,
-        name: AdapterName,
-        ready: AdapterReady,
-        context: CallContext,
-    ) -> None:
-        """Tell the caller, and keep the adapter until the call ends."""
-        self._running[name] += 1
-        self._orders.record_use(name[0])
-        try:
-            await context.send_message(ready)
-            await asyncio.Event().wait()
-        finally:
-            self._running[name] -= 1
-            self._orders.record_use(name[0])
-
     async def _provide(self, name: AdapterName, request: UseAdapter) -> int:
-        if self._is_stopping:
-            raise DrainingError('the agent stops')
+        if self._stopping.is_set():
+            raise _stopping_error()
         problem = self._watch.problem()
-        if problem is not None and not _outwaits(request, problem):
+        if problem is not None and not outwaits(request, problem):
             raise problem
         wanted = max(request.version, self._newest_version(*name))
         held = self._watch.held_version(name, wanted)
@@ -215,28 +237,8 @@
                 f'load version {wanted} yet',
                 cause='version_in_use',
             )
-        return await self._wait_for(name, wanted, request)
-
-    async def _wait_for(
-        self,
-        name: AdapterName,
-        wanted: int,
-        request: UseAdapter,
-    ) -> int:
-        waiter = _Waiter(
-            name,
-            wanted,
-            (request.priority, self._clock.now_s()),
-            request.waits_for_model,
-            asyncio.get_running_loop().create_future(),
-        )
-        self._waiters.append(waiter)
         self._wake.set()
-        try:
-            return await waiter.future
-        finally:
-            if waiter in self._waiters:
-                self._waiters.remove(waiter)
+        return await self._waiters.wait(name, wanted, request)
 
     def _load(self) -> int:
         report = self._watch.report
@@ -252,7 +254,7 @@
                 # The engine would get no further orders.
                 log.exception('event=agent_step_failed')
             interval_s = REPORT_INTERVAL_S
-            if self._watch.residency.loads_under_way:
+            if self._watch.residency.is_changing:
                 interval_s = BUSY_REPORT_INTERVAL_S
             await self._sleep(interval_s)
 
@@ -268,8 +270,8 @@
         await self._watch.refresh()
         problem = self._watch.problem()
         if problem is not None:
-            self._refuse_all(problem)
-        self._answer_waiters()
+            self._waiters.refuse_all(problem)
+        self._waiters.answer(self._watch.held_version)
         self._gate.admit()
         if not self._orders.may_order:
             return
@@ -278,22 +280,9 @@
         else:
             await self._orders.restore_model()
 
-    def _answer_waiters(self) -> None:
-        for waiter in list(self._waiters):
-            held = self._watch.held_version(waiter.name, waiter.version)
-            if held is not None:
-                waiter.answer(held)
-                self._waiters.remove(waiter)
-
-    def _refuse_all(self, error: KumquatrunError) -> None:
-        for waiter in list(self._waiters):
-            if not _outwaits(waiter, error):
-                waiter.refuse(error)
-                self._waiters.remove(waiter)
-
     async def _load_for_waiters(self) -> None:
         """Give the orders that are needed now, the most urgent first."""
-        for waiter in self._by_urgency():
+        for waiter in self._waiters.by_urgency():
             model = waiter.name[0]
             if self._watch.report.model(model) is None:
                 await self._load_model_for(waiter)
@@ -306,7 +295,7 @@
             ):
                 return
 
-    async def _load_model_for(self, waiter: _Waiter) -> None:
+    async def _load_model_for(self, waiter: AdapterWaiter) -> None:
         model = waiter.name[0]
         if await self._orders.load_model(model):
             return
@@ -317,16 +306,6 @@
             ),
         )
 
-    def _by_urgency(self) -> list[_Waiter]:
-        first: dict[AdapterName, _Waiter] = {}
-        for waiter in sorted(self._waiters, key=lambda row: row.urgency):
-            first.setdefault(waiter.name, waiter)
-        return list(first.values())
-
 
-def _outwaits(
-    waiting: UseAdapter | _Waiter,
-    problem: KumquatrunError,
-) -> bool:
-    """Return whether a request stays until the engine has a base model."""
-    return waiting.waits_for_model and problem.cause == ENGINE_EMPTY
+def _stopping_error() -> DrainingError:
+    return DrainingError('the agent stops')
--- a/src/kumquatrun/gateway/engine_orders.py
+++ b/src/kumquatrun/gateway/engine_orders.py
@@ -54,6 +54,7 @@
         self._engine = engine
         self._watch = watch
         self._clock = clock
+        self._began_s = clock.now_s()
         self._model_used_at_s: dict[str, float] = {}
         # A base model that another one was unloaded for.
         self._wanted_model = ''
@@ -88,7 +89,7 @@
     async def load_adapter(self, name: AdapterName, version: int) -> bool:
         """Order an adapter; False if no further order is of use now."""
         residency = self._watch.residency
-        if residency.is_loading(name):
+        if residency.is_loading(name) or residency.is_unloading(name):
             return True
         is_replacement = residency.version_of(name) is not None
         if not is_replacement and not await self._make_room():
@@ -120,7 +121,9 @@
     def _idle_model(self, held: list[BaseModelSpec]) -> BaseModelSpec | None:
         oldest_s = self._clock.now_s() - MODEL_IDLE_S
         for row in held:
-            if self._model_used_at_s.get(row.name, 0.0) < oldest_s:
+            used_at_s = self._model_used_at_s.get(row.name, self._began_s)
+            is_in_use = self._watch.residency.uses_model(row.name)
+            if used_at_s < oldest_s and not is_in_use:
                 return row
         return None
 
@@ -144,11 +147,10 @@
         victim = residency.victim(self._clock.now_s())
         if victim is None:
             return False
-        done = await self._order(victim, 0, is_load=False)
-        if done:
-            residency.record_unload(victim)
-            process_metrics().count('adapter_evictions_total')
-        return done
+        if not await self._order(victim, 0, is_load=False):
+            return False
+        process_metrics().count('adapter_evictions_total')
+        return residency.record_unload(victim, self._clock.now_s())
 
     async def _order(
         self,
--- a/tests/test_agent_calls.py
+++ b/tests/test_agent_calls.py
@@ -1,23 +1,48 @@
 """Calls to agents: frozen, unreachable and slow ones."""
 
 import asyncio
+import random
+from dataclasses import replace
 
 import pytest
+from bench.local_cluster import free_ports
+from tests.gateway_fakes import Engine, course_of
 
-from kumquatrun.errors import AdapterLoadError, NoCapacityError
-from kumquatrun.gateway.agent_calls import AgentCalls, AgentUnreachableError
-from kumquatrun.gateway.backends import Backend, BackendRecord
+from kumquatrun.errors import (
+    AdapterLoadError,
+    DrainingError,
+    NoCapacityError,
+)
+from kumquatrun.gateway.agent import GatewayAgent
+from kumquatrun.gateway.agent_calls import AgentCalls
+from kumquatrun.gateway.agent_connections import (
+    AGENT_STOPPED,
+    STOPPED_PAUSE_S,
+    AgentUnreachableError,
+)
+from kumquatrun.gateway.backends import (
+    Backend,
+    BackendRecord,
+    BackendTable,
+)
+from kumquatrun.gateway.balancer import Balancer, Place
 from kumquatrun.gateway.connection_pool import ConnectionPool
 from kumquatrun.gateway.messages import (
+    AdapterInUse,
     AdapterQueued,
     AdapterReady,
     PromptRead,
     UseAdapter,
 )
+from kumquatrun.gateway.reservations import Reservations
+from kumquatrun.gateway.settings import GatewayAgentSettings
+from kumquatrun.membership.cluster_view import ClusterView
 from kumquatrun.peer import PeerServer
 from kumquatrun.peer.address import Address
 from kumquatrun.peer.messages import Ack, Hello
 from kumquatrun.peer.node_messages import HostRecord
+from kumquatrun.platform.requests import PlatformFormat
+from kumquatrun.runtime.clock import LoopClock
 
 REQUEST = UseAdapter(request_id='r', model='m', adapter='a')
 HELLO = Hello(node_id='n', incarnation='i')
@@ -32,11 +57,18 @@
         self.error = None
         self.told = []
         self.ended = asyncio.Event()
+        self.in_use = []
 
     async def handle(self, request, context):
         if isinstance(request, PromptRead):
             self.told.append(request.request_id)
             return Ack()
+        if isinstance(request, AdapterInUse):
+            self.in_use.append(request.request_id)
+            try:
+                await asyncio.Event().wait()
+            finally:
+                self.in_use.remove(request.request_id)
         try:
             if self.gives_sign:
                 await context.send_message(AdapterQueued())
@@ -73,6 +105,7 @@
     found = Agent()
     server = PeerServer(HELLO, found)
     found.address = await server.start(Address('127.0.0.1', 0))
+    found.stop = lambda: asyncio.create_task(server.stop())
     yield found
     await server.stop()
 
@@ -142,3 +175,163 @@
     with pytest.raises(AgentUnreachableError):
         async with calls.hold(backend(), REQUEST, 1):
             pass
+
+
+async def test_stop_of_an_agent_is_told_from_a_long_load(agent):
+    # Guards against a request that passes over an engine which holds its
+    # adapter, because the agent stopped while the request waited there.
+    agent.is_ready = False
+    calls = calls_to(agent.address)
+    asyncio.get_running_loop().call_later(0.1, agent.stop)
+    for _ in range(3):
+        with pytest.raises(AgentUnreachableError) as lost:
+            async with calls.hold(backend(), REQUEST, 5):
+                pass
+        assert lost.value.cause == AGENT_STOPPED
+    await calls.close()
+
+
+async def test_agent_that_refuses_since_it_stops_is_not_silent(agent):
+    agent.error = DrainingError('the agent stops')
+    calls = calls_to(agent.address)
+    with pytest.raises(AgentUnreachableError) as refused:
+        async with calls.hold(backend(), REQUEST, 5):
+            pass
+    assert refused.value.cause == AGENT_STOPPED
+    agent.error = None
+    await asyncio.sleep(STOPPED_PAUSE_S + 0.05)
+    async with calls.hold(backend(), REQUEST, 5):
+        pass
+    await calls.close()
+
+
+class Session:
+    """Stands in for the session of an agent."""
+
+    def __init__(self, address):
+        self.view = ClusterView()
+        self.record = View(address).agents_of('assistant')[0]
+
+    def on_change(self, listener):
+        pass
+
+    def report_agent(self, source):
+        pass
+
+
+def gateway_agent(address, engine):
+    settings = GatewayAgentSettings(
+        host_id='side',
+        listen=address,
+        service='assistant',
+        engine_address=address,
+        listing_address=address,
+    )
+    return GatewayAgent(
+        settings,
+        Session(address),
+        PlatformFormat(),
+        engine,
+        LoopClock(),
+    )
+
+
+async def test_agent_that_gets_sigterm_refuses_what_waits_unrun():
+    # Guards against a stop that only cuts the connections.
+    address = Address('127.0.0.1', free_ports(1)[0])
+    engine = Engine(load_s=100)
+    engine.held = {'a': 1}
+    agent = gateway_agent(address, engine)
+    await agent.start()
+    calls = calls_to(address)
+    async with calls.hold(backend(), REQUEST, 5):
+        missing = replace(REQUEST, adapter='missing', request_id='waits')
+        held = calls.hold(backend(), missing, 5)
+        waiting = asyncio.create_task(held.__aenter__())
+        await asyncio.sleep(0.1)
+        await agent.drain(8)
+        with pytest.raises(AgentUnreachableError, match='the agent stops'):
+            await asyncio.wait_for(waiting, 1)
+        await agent.stop()
+    await calls.close()
+
+
+async def reserve(found, adapter):
+    row = course_of('streaming')
+    row.request = replace(
+        row.request,
+        model='m',
+        adapter=adapter,
+        request_id=adapter,
+    )
+    async with found.reserve(row) as reservation:
+        return reservation
+
+
+@pytest.mark.parametrize('is_planned', [True, False])
+async def test_restart_of_an_agent_loses_no_request(is_planned):
+    # Guards against refused requests and an evicted adapter at the restart of
+    # the agent beside the only engine of a model, planned or not.
+    address = Address('127.0.0.1', free_ports(1)[0])
+    engine = Engine(slots=3, load_s=0.4)
+    engine.held = {'a1': 1, 'idle-1': 1, 'idle-2': 1}
+    engine.runs = {'r1': 'a1'}
+    agent = gateway_agent(address, engine)
+    await agent.start()
+    calls = calls_to(address)
+    table = BackendTable()
+    table.update([replace(backend().record, models=frozenset({'m'}))])
+    found = Reservations(
+        table,
+        Balancer(Place(failure_domain='a', regions={}), random.Random(1)),
+        calls,
+        lambda model, adapter: 0,
+        LoopClock(),
+    )
+    running = replace(REQUEST, adapter='a1', request_id='r1')
+    async with calls.hold(backend(), running, 1):
+        before = asyncio.create_task(reserve(found, 'a2'))
+        await asyncio.sleep(0.1)
+        if is_planned:
+            await agent.drain(8)
+        await agent.stop()
+        during = asyncio.create_task(reserve(found, 'a3'))
+        await asyncio.sleep(0.3)
+        restarted = gateway_agent(address, engine)
+        await restarted.start()
+        for reservation in await asyncio.gather(before, during):
+            assert reservation.hold.ready.version == 1
+    assert set(engine.held) == {'a1', 'a2', 'a3'}
+    assert engine.most_held == 3
+    await calls.close()
+    await restarted.stop()
+
+
+async def poll(condition):
+    async with asyncio.timeout(2):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.02)
+
+
+async def test_restarted_agent_is_told_of_running_requests(agent):
+    # Guards against the eviction of adapters under streams that began before
+    # the restart of their agent.
+    calls = calls_to(agent.address)
+    async with calls.hold(backend(), REQUEST, 1):
+        await agent.stop()
+        restarted = Agent()
+        server = PeerServer(HELLO, restarted)
+        await asyncio.sleep(0.4)
+        await server.start(agent.address)
+        await poll(lambda: restarted.in_use == ['r'])
+    await poll(lambda: not restarted.in_use)
+    await calls.close()
+    await server.stop()
+
+
+async def test_agent_that_was_done_without_is_told_when_it_answers(agent):
+    calls = calls_to(agent.address)
+    with calls.keep(backend(), REQUEST):
+        await poll(lambda: agent.in_use == ['r'])
+    await poll(lambda: not agent.in_use)
+    await calls.close()
--- a/tests/test_engine_agent.py
+++ b/tests/test_engine_agent.py
@@ -6,12 +6,22 @@
 import pytest
 from tests.gateway_fakes import Engine
 
-from kumquatrun.errors import AdapterLoadError, NoCapacityError
+from kumquatrun.errors import (
+    AdapterLoadError,
+    DrainingError,
+    NoCapacityError,
+    Outcome,
+)
 from kumquatrun.gateway.configuration import BaseModelSpec, EngineSpec
-from kumquatrun.gateway.engine_agent import EngineAgent
+from kumquatrun.gateway.engine_agent import (
+    BUSY_REPORT_INTERVAL_S,
+    EngineAgent,
+)
 from kumquatrun.gateway.messages import (
+    AdapterInUse,
     AdapterQueued,
     AdapterReady,
+    AdapterReleased,
     PromptRead,
     UseAdapter,
 )
@@ -34,8 +44,14 @@
 
 
 @asynccontextmanager
-async def agent_of(engine, versions=None, models=('m',), host_id='host'):
-    spec = EngineSpec(
+async def agent_of(
+    engine,
+    versions=None,
+    models=('m',),
+    host_id='host',
+    spec=None,
+):
+    spec = spec or EngineSpec(
         adapter_slots=engine.slots,
         base_models=tuple(BaseModelSpec(name=name) for name in models),
     )
@@ -325,3 +341,236 @@
         engine.restart()
         await asyncio.sleep(0.5)
     assert engine.models == ('n',)
+
+
+async def test_slot_of_an_unloaded_adapter_is_taken_until_its_runs_end():
+    # Guards against an engine that crashes with all its streams: it waits for
+    # the runs of an adapter before it unloads it, and an agent that loaded
+    # another one at once gave it more than it has slots for.
+    engine = Engine(slots=2)
+    engine.names_runs = False
+    engine.held = {'a1': 1, 'a2': 1}
+    engine.runs = {'r1': 'a1', 'r2': 'a2'}
+    async with agent_of(engine) as agent:
+        use = Use(agent, 'a3')
+        await asyncio.sleep(1)
+        assert not use.call.ready.done()
+        engine.end_run('r1')
+        await use.ready()
+    assert engine.most_held <= 2
+
+
+async def test_adapter_that_is_being_unloaded_is_loaded_again():
+    # Guards against requests that are sent to an engine which refuses them
+    # until an adapter is gone.
+    engine = Engine(slots=1)
+    engine.names_runs = False
+    engine.held = {'a1': 1}
+    engine.runs = {'r1': 'a1'}
+    async with agent_of(engine) as agent:
+        other = Use(agent, 'a2', 'other')
+        await asyncio.sleep(0.3)
+        await other.end()
+        use = Use(agent, 'a1', 'again')
+        await asyncio.sleep(0.3)
+        assert not use.call.ready.done()
+        engine.end_run('r1')
+        await use.ready()
+        assert engine.held == {'a1': 1}
+    assert engine.most_held <= 1
+
+
+async def test_restarted_agent_keeps_the_adapters_of_running_streams():
+    # Guards against the eviction of an adapter whose streams began before the
+    # restart of the agent: a new agent has had no calls for them.
+    engine = Engine(slots=2)
+    async with agent_of(engine) as agent:
+        for number in (1, 2):
+            await Use(agent, f'a{number}', f'r{number}').ready()
+        engine.runs = {'r1': 'a1', 'r2': 'a2'}
+    async with agent_of(engine) as agent:
+        use = Use(agent, 'a3')
+        await asyncio.sleep(5)
+        assert set(engine.held) == {'a1', 'a2'}
+        assert all(order.is_load for order in engine.orders)
+        engine.end_run('r1')
+        engine.end_run('r2')
+        await use.ready()
+
+
+async def test_stream_keeps_its_adapter_after_its_call_was_lost():
+    # Guards against an eviction after a connection between hosts was lost: the
+    # stream itself goes over another one.
+    engine = Engine(slots=2)
+    async with agent_of(engine) as agent:
+        lost = Use(agent, 'a1', 'r1')
+        await lost.ready()
+        engine.runs['r1'] = 'a1'
+        await asyncio.sleep(0.2)
+        await lost.end()
+        for number in range(2, 6):
+            await asyncio.sleep(1)
+            use = Use(agent, f'a{number}', str(number))
+            await use.ready()
+            await use.end()
+        unloaded = {row.adapter for row in engine.orders if not row.is_load}
+        assert unloaded == {'a2', 'a3', 'a4'}
+        engine.end_run('r1')
+        await asyncio.sleep(1)
+        for number in (6, 7):
+            use = Use(agent, f'a{number}', str(number))
+            await use.ready()
+            await use.end()
+            await asyncio.sleep(1)
+        assert 'a1' not in engine.held
+
+
+@pytest.mark.parametrize('restarts', [True, False])
+async def test_base_model_of_a_long_stream_does_not_make_way(restarts):
+    # Guards against a base model that is unloaded under its streams: one that
+    # began 5 s ago did not count, and neither did any before a restart.
+    engine = Engine()
+    models = (
+        BaseModelSpec(name='m', weights_mb=40),
+        BaseModelSpec(name='rare', weights_mb=40),
+    )
+    spec = EngineSpec(adapter_slots=4, weights_mb=60, base_models=models)
+    async with agent_of(engine, spec=spec) as agent:
+        await Use(agent, '', 'r1').ready()
+        engine.runs['r1'] = ''
+        await asyncio.sleep(6)
+        if not restarts:
+            with pytest.raises(NoCapacityError, match='no room'):
+                await Use(agent, '', 'r2', model='rare').ready()
+    async with agent_of(engine, spec=spec) as agent:
+        await asyncio.sleep(6)
+        with pytest.raises(NoCapacityError, match='no room'):
+            await Use(agent, '', 'r2', model='rare').ready()
+    assert engine.models == ('m',)
+
+
+async def test_requests_with_the_same_id_keep_both_adapters():
+    # Guards against an eviction under a request whose caller reuses its id.
+    engine = Engine(slots=2)
+    async with agent_of(engine) as agent:
+        for adapter in ('a1', 'a2'):
+            await Use(agent, adapter, 'same').ready()
+        use = Use(agent, 'a3')
+        await asyncio.sleep(2)
+        assert set(engine.held) == {'a1', 'a2'}
+        await use.end()
+
+
+async def test_first_request_after_a_start_is_served():
+    # Guards against refusals by a restarted agent that listens before it has
+    # the first report of its engine.
+    engine = Engine()
+    engine.held = {'a1': 1}
+    engine.report_s = 0.05
+    agent = EngineAgent(
+        'host',
+        engine,
+        lambda: EngineSpec(adapter_slots=4),
+        lambda model, adapter: 0,
+        LoopClock(),
+    )
+    await agent.start()
+    assert (await Use(agent, 'a1').ready()).version == 1
+    await agent.stop()
+
+
+async def test_unknown_capacity_is_not_exceeded():
+    # Guards against a crash of the engine while a restarted agent has no
+    # configuration: it assumed 8 slots.
+    engine = Engine(slots=2)
+    engine.held = {'a1': 1, 'a2': 1}
+    specs = []
+    agent = EngineAgent(
+        'host',
+        engine,
+        lambda: specs[0] if specs else None,
+        lambda model, adapter: 0,
+        LoopClock(),
+    )
+    await agent.start()
+    await asyncio.sleep(0.5)
+    uses = [Use(agent, f'b{number}', str(number)) for number in range(3)]
+    await asyncio.sleep(2)
+    assert engine.most_held == 2
+    for use in uses:
+        await use.end()
+    specs.append(EngineSpec(adapter_slots=3))
+    await asyncio.sleep(0.5)
+    await Use(agent, 'c').ready()
+    await agent.stop()
+    assert engine.most_held == 3
+
+
+async def test_stopping_agent_hands_its_calls_back():
+    # Guards against requests that learn of the end of their agent only from a
+    # lost connection, which does not say that they were not run.
+    engine = Engine(load_s=100)
+    engine.held = {'a1': 1}
+    async with agent_of(engine) as agent:
+        running = Use(agent, 'a1', 'running', prompt_tokens=5000)
+        await running.ready()
+        for_adapter = Use(agent, 'a2', 'adapter')
+        for_prompt = Use(agent, 'a1', 'prompt', prompt_tokens=5000)
+        await asyncio.sleep(0.1)
+        agent.end_calls()
+        late = Use(agent, 'a1', 'late')
+        for use in (for_adapter, for_prompt, late):
+            with pytest.raises(DrainingError) as refused:
+                await use.ready()
+            assert refused.value.outcome is Outcome.NOT_RUN
+        assert isinstance(await running.task, AdapterReleased)
+
+
+async def test_restarted_agent_evicts_what_its_entries_do_not_use():
+    # Guards against an engine that takes no new adapter until the last stream
+    # from before the restart of its agent has ended.
+    engine = Engine(slots=2)
+    engine.held = {'a1': 1, 'a2': 1}
+    engine.runs = {'r1': 'a1'}
+    async with agent_of(engine) as agent:
+        use = Use(agent, 'a3')
+        await asyncio.sleep(0.5)
+        assert not use.call.ready.done()
+        told = AdapterInUse(request_id='r1', model='m', adapter='a1')
+        call = asyncio.create_task(agent.handle(told, Call()))
+        await use.ready()
+        assert set(engine.held) == {'a1', 'a3'}
+        call.cancel()
+
+
+async def test_older_version_of_a_request_from_before_the_restart_is_in_use():
+    versions = {'a1': 2}
+    engine = Engine()
+    engine.held = {'a1': 1}
+    async with agent_of(engine, versions) as agent:
+        told = AdapterInUse(request_id='r1', model='m', adapter='a1')
+        call = asyncio.create_task(agent.handle(told, Call()))
+        await asyncio.sleep(0)
+        with pytest.raises(NoCapacityError, match='older version'):
+            await Use(agent, 'a1', 'new').ready()
+        call.cancel()
+        await asyncio.sleep(0)
+        assert (await Use(agent, 'a1', 'newer').ready()).version == 2
+
+
+async def test_end_of_an_unload_is_seen_soon():
+    # Guards against a pause of the usual time between reports before each load
+    # where an engine drops an adapter a moment after it accepted the order.
+    engine = Engine(slots=1)
+    engine.names_runs = False
+    engine.held = {'a1': 1}
+    engine.runs = {'r1': 'a1'}
+    async with agent_of(engine) as agent:
+        use = Use(agent, 'a2')
+        await asyncio.sleep(0.002)
+        assert engine.unloading
+        engine.end_run('r1')
+        began_s = asyncio.get_running_loop().time()
+        await use.ready()
+        passed_s = asyncio.get_running_loop().time() - began_s
+    assert passed_s < engine.load_s + 3 * BUSY_REPORT_INTERVAL_S
