Bound the bytes of an answer that are not its body

A backend server that sends bytes without end before or around the body held a request for its whole time limit, and the entry parsed what came: line ends before the head, spaces that the parser skips, interim answers, late answers with another id, chunk sizes of zeros, chunk extensions, trailers of spaces. A late answer with a body above 128 KiB stopped the connection for good, since nobody read that body.

Cause: aiohttp's parser bounds each line that it stores (32 KiB) and the number of headers (128), but not the bytes that it skips, nor the number of answers before the awaited one. Ruled out: status line, header name, value and lines, plain bodies and chunks; these were bounded before.

AnswerSize counts what arrives after a request. The line attempt_failed names the bound and the bytes that had come.

tests/test_endless_answers.py, before: 9 of 21 kinds of endless answers ended with the test's time limit of 2 s for a route that may not be repeated, 4 of 21 for one that may. The other 12 ended at once and lacked the byte count in their log line only.

--- a/src/kumquatrun/gateway/answer_relay.py
+++ b/src/kumquatrun/gateway/answer_relay.py
@@ -210,4 +210,6 @@
     try:
         return await read_body(head.body, MAX_WHOLE_BYTES)
     except BodyTooLargeError as error:
-        raise BrokenAnswerError(str(error)) from error
+        raise BrokenAnswerError(
+            f'{error}, {head.body.total_bytes} bytes received',
+        ) from error
--- a/src/kumquatrun/gateway/backend_connection.py
+++ b/src/kumquatrun/gateway/backend_connection.py
@@ -16,6 +16,7 @@
 from aiohttp.streams import StreamReader
 
 from kumquatrun.errors import ConnectionLostError, Outcome
+from kumquatrun.gateway.answer_size import AnswerSize
 from kumquatrun.peer.address import Address
 
 CONNECT_TIMEOUT_S = 0.4
@@ -73,6 +74,7 @@
         self.idle_since_s = loop.time()
         self._is_lost = False
         self._has_extra = False
+        self._size = AnswerSize()
         self._accepts: Callable[[Any], bool] | None = None
         self._head: asyncio.Future[AnswerHead] | None = None
         self._body: StreamReader | None = None
@@ -86,6 +88,11 @@
             and not self.transport.is_closing()
         )
 
+    @property
+    def received_bytes(self) -> int:
+        """Return the number of bytes since the last request was sent."""
+        return self._size.received_bytes
+
     def send(
         self,
         head: bytes,
@@ -111,6 +118,7 @@
             )
         self.is_clean = False
         self._accepts = accepts
+        self._size = AnswerSize()
         self._head = self._loop.create_future()
         self._body = None
         self._parser = HttpResponseParser(
@@ -160,17 +168,22 @@
             # Bytes without a request belong to nothing.
             self.abort()
             return
+        self._size.add(len(data))
         try:
             messages, is_upgraded, _ = self._parser.feed_data(data)
         except Exception as error:
-            self._fail(BrokenAnswerError(f'malformed answer: {error!r}'))
-            self.abort()
+            self._break_off(f'malformed answer: {error!r}')
             return
         for message, body in messages:
             self._on_message(message, body)
-        if is_upgraded:
-            self._fail(BrokenAnswerError('unexpected upgrade'))
-            self.abort()
+        problem = 'unexpected upgrade' if is_upgraded else self._size.excess()
+        if problem:
+            self._break_off(problem)
+
+    def pause_reading(self) -> None:
+        """Wait for the reader of the body; a dropped body has none."""
+        if self._body is not None:
+            super().pause_reading()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the answer; without a length, a clean end completes it."""
@@ -204,8 +217,17 @@
         if self._head.done() or not self._accepts(head):
             return
         self._body = body
+        self._size.end_head(body)
         self._head.set_result(head)
 
+    def _break_off(self, problem: str) -> None:
+        self._fail(
+            BrokenAnswerError(
+                f'{problem}, {self.received_bytes} bytes received',
+            ),
+        )
+        self.abort()
+
     def _fail(self, error: Exception) -> None:
         if self._head is not None and not self._head.done():
             self._head.set_exception(error)
--- a/src/kumquatrun/gateway/connection_pool.py
+++ b/src/kumquatrun/gateway/connection_pool.py
@@ -45,6 +45,11 @@
         self._idle: list[BackendConnection] = []
         self._idle_limit_s = DEFAULT_IDLE_S
 
+    @property
+    def idle_count(self) -> int:
+        """Return the number of connections that are kept."""
+        return len(self._idle)
+
     async def take(self, *, may_repeat: bool) -> BackendConnection:
         """Return an idle connection, or open one.
 
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,132 @@
+"""Answers of backend servers that do not end: bounds, outcomes and memory."""
+
+import asyncio
+import logging
+import re
+
+import pytest
+from tests.endless_server import EndlessServer
+from tests.gateway_fakes import (
+    Caller,
+    Runner,
+    RunnerReservations,
+    answer,
+    course_of,
+)
+
+from kumquatrun.errors import BackendError, Outcome
+from kumquatrun.gateway.forwarder import Forwarder
+from kumquatrun.gateway.retry_shares import RetryShares
+from kumquatrun.platform.requests import PlatformFormat
+from kumquatrun.runtime.clock import LoopClock
+
+# Far below the time limit of a request, which is 5 s in these tests.
+AT_ONCE_S = 2.0
+# Bytes that the network takes beside those that the entry reads.
+NETWORK_BYTES = 6 * 1024 * 1024
+HEAD = b'HTTP/1.1 200 OK\r\nX-Kumquatrun-Attempt-Id: {id}\r\n'
+CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+WHOLE = HEAD + b'Content-Length: 4\r\n\r\ndone'
+INTERIM = b'HTTP/1.1 100 Continue\r\n\r\n'
+LATE = b'HTTP/1.1 200 OK\r\nX-Kumquatrun-Attempt-Id: zero\r\n'
+
+ENDLESS_HEADS = {
+    'line ends before the head': (b'', b'\r\n' * 2048),
+    'status line': (b'HTTP/1.1 200 ', b'x' * 4096),
+    'spaces in the status line': (b'HTTP/1.1 200', b' ' * 4096),
+    'header name': (HEAD, b'x' * 4096),
+    'header value': (HEAD + b'A: ', b'x' * 4096),
+    'spaces before a header value': (HEAD + b'A:', b' ' * 4096),
+    'folded header': (HEAD + b'A: b\r\n', b' x\r\n' * 1024),
+    'header lines': (HEAD, b'A: b\r\n' * 512),
+    'interim answers': (b'', INTERIM * 128),
+    'late answers': (b'', (LATE + b'Content-Length: 0\r\n\r\n') * 64),
+    'body of a late answer': (
+        LATE + b'Content-Length: 99999999\r\n\r\n',
+        b'x' * 4096,
+    ),
+}
+ENDLESS_BODIES = {
+    'no length': (HEAD + b'\r\n', b'x' * 4096),
+    'a length that is a lie': (
+        HEAD + b'Content-Length: 99999999999\r\n\r\n',
+        b'x' * 4096,
+    ),
+    'chunks': (CHUNKED, b'1000\r\n' + b'x' * 4096 + b'\r\n'),
+    'tiny chunks': (CHUNKED, b'1\r\nx\r\n' * 1024),
+    'chunk size': (CHUNKED, b'0' * 4096),
+    'chunk extension': (CHUNKED + b'1;', b'x' * 4096),
+    'spaces after a chunk size': (CHUNKED + b'1', b' ' * 4096),
+    'trailers': (CHUNKED + b'0\r\n', b'A: b\r\n' * 512),
+    'trailer': (CHUNKED + b'0\r\nA: ', b'x' * 4096),
+    'spaces in a trailer': (CHUNKED + b'0\r\nA:', b' ' * 4096),
+}
+ENDLESS = {**ENDLESS_HEADS, **ENDLESS_BODIES}
+endless = pytest.mark.parametrize(
+    ('begin', 'piece'),
+    ENDLESS.values(),
+    ids=ENDLESS,
+)
+
+
+async def forward(course, *servers, caller=None, limit_s=AT_ONCE_S):
+    started = [await server.start() for server in servers]
+    caller = caller or Caller()
+    reservations = RunnerReservations(*started)
+    forwarder = Forwarder(
+        PlatformFormat(),
+        reservations,
+        RetryShares(0.2, 100, 10),
+        LoopClock(),
+    )
+    problem = None
+    try:
+        async with asyncio.timeout(limit_s):
+            await forwarder.run(course, caller)
+    except BackendError as error:
+        problem = error
+    return caller, reservations.backends, problem
+
+
+@endless
+async def test_endless_answer_fails_at_once(begin, piece, caplog):
+    # Guards against bytes without end that hold a request for its whole time,
+    # and the entry's memory or loop for as long.
+    caplog.set_level(logging.INFO)
+    server = EndlessServer(begin, piece)
+    spare = Runner([answer()])
+    caller, backends, problem = await forward(
+        course_of('non_idempotent', max_attempts=2),
+        server,
+        spare,
+    )
+    assert problem.outcome is Outcome.UNKNOWN
+    assert not caller.has_begun
+    assert not spare.requests
+    async with asyncio.timeout(1):
+        await server.closed.wait()
+    assert server.sent_bytes < NETWORK_BYTES
+    assert backends[0].current_failure_rate(LoopClock().now_s()) > 0.1
+    assert not backends[0].pool.idle_count
+    (fields,) = [
+        record.event_fields
+        for record in caplog.records
+        if record.getMessage() == 'attempt_failed'
+    ]
+    assert fields['request_id'] == 'attempt-1'
+    assert fields['backend'] == 'runner-0'
+    assert re.search(r'\d+ bytes received', fields['reason'])
+
+
+@endless
+async def test_endless_answer_is_repeated_where_the_route_allows_it(
+    begin,
+    piece,
+):
+    caller, _, problem = await forward(
+        course_of('idempotent', max_attempts=2),
+        EndlessServer(begin, piece),
+        Runner([answer(b'whole')]),
+    )
+    assert problem is None
+    assert (caller.body, caller.is_finished) == (b'whole', True)
