Give a plain answer as long to end as to begin

A backend server that began a plain answer in time and then sent a byte now and then held a request that may be repeated until its own time was over, although other backend servers were idle. The limit of an attempt covered the head only.

The limit now covers the whole answer, for routes and attempts that may be repeated. A stream must only have begun by then, as before. The reason in attempt_failed gives the number of bytes instead of "silent for too long".

--- a/src/kumquatrun/gateway/answer_relay.py
+++ b/src/kumquatrun/gateway/answer_relay.py
@@ -18,8 +18,8 @@
 from kumquatrun.gateway.wire_format import WireFormat
 from kumquatrun.runtime.clock import Clock
 
-# A repeatable request whose answer does not begin in this many target
-# latencies is tried elsewhere.
+# A repeatable request whose answer does not begin, or whose plain answer does
+# not end, in this many target latencies is tried elsewhere.
 SILENT_TARGETS = 1.5
 SILENT_STREAM_TARGETS = 2.0
 # A resumable stream that pauses for this many gap targets continues elsewhere.
@@ -65,9 +65,10 @@
         BrokenAnswerError
             If the answer ended early.
         TimeoutError
-            If the backend server was silent for too long.
+            If the backend server took too long.
         """
-        async with asyncio.timeout(self._head_limit_s(course)):
+        ends_at_s = self._attempt_ends_at_s(course)
+        async with asyncio.timeout_at(ends_at_s):
             head = await connection.read_head()
         if self._wire.read_answer(head).is_not_run:
             course.runs -= 1
@@ -78,7 +79,8 @@
         if is_stream and head.status in SUCCESS:
             await self._relay_stream(course, channel, head, reservation)
             return Result.DELIVERED, head
-        body = await _read_whole(head)
+        async with asyncio.timeout_at(ends_at_s):
+            body = await _read_whole(head)
         if channel.has_begun or self._is_worth_another(course, head, body):
             course.failure = f'answered {head.status}'
             return Result.FAILED, head
@@ -98,13 +100,17 @@
         course.kept_failure = (head, body)
         return course.may_send_again
 
-    def _head_limit_s(self, course: Course) -> float | None:
-        """Return how long an answer may take to begin; None for no limit."""
+    def _attempt_ends_at_s(self, course: Course) -> float | None:
+        """Return when the answer must have come; None for no limit.
+
+        A stream must have begun by then, any other answer must be whole.
+        """
         if not course.route.may_repeat or not course.may_send_again:
             return None
         is_stream = course.route.kind is RouteKind.STREAMING
         targets = SILENT_STREAM_TARGETS if is_stream else SILENT_TARGETS
-        return targets * course.route.target_latency_ms / 1000
+        limit_s = targets * course.route.target_latency_ms / 1000
+        return self._clock.now_s() + limit_s
 
     async def deliver_whole(
         self,
--- a/src/kumquatrun/gateway/forwarder.py
+++ b/src/kumquatrun/gateway/forwarder.py
@@ -204,7 +204,9 @@
             course.failure = error.detail
             return Result.BROKEN, None
         except TimeoutError:
-            course.failure = 'silent for too long'
+            course.failure = (
+                f'no answer in time, {connection.received_bytes} bytes received'
+            )
             return Result.SILENT, None
 
     def _head_bytes(self, course: Course, reservation: Reservation) -> bytes:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -69,10 +69,18 @@
 )
 
 
-async def forward(course, *servers, caller=None, limit_s=AT_ONCE_S):
+async def forward(
+    course,
+    *servers,
+    caller=None,
+    limit_s=AT_ONCE_S,
+    backends=None,
+):
     started = [await server.start() for server in servers]
     caller = caller or Caller()
     reservations = RunnerReservations(*started)
+    if backends is not None:
+        backends.extend(reservations.backends)
     forwarder = Forwarder(
         PlatformFormat(),
         reservations,
@@ -130,3 +138,30 @@
     )
     assert problem is None
     assert (caller.body, caller.is_finished) == (b'whole', True)
+
+
+LONG = b'Content-Length: 9999\r\n\r\n'
+REFUSED = (
+    b'HTTP/1.1 503 Service Unavailable\r\nX-Kumquatrun-Not-Executed: 1\r\n'
+)
+DRIP_S = 0.02
+
+
+@pytest.mark.parametrize(
+    'begin',
+    [b'', HEAD, HEAD + LONG, CHUNKED],
+    ids=['head', 'headers', 'body', 'chunk size'],
+)
+async def test_drip_does_not_defeat_the_time_limit_of_an_attempt(begin):
+    # Guards against an answer that begins in time and never ends: a request
+    # that may be repeated waited for it until its own time was over.
+    piece = b'\r\n' if not begin else b'1'
+    server = EndlessServer(begin, piece, DRIP_S)
+    caller, backends, problem = await forward(
+        course_of('idempotent', max_attempts=2),
+        server,
+        Runner([answer(b'whole')]),
+    )
+    assert problem is None
+    assert (caller.body, caller.is_finished) == (b'whole', True)
+    assert backends[0].current_failure_rate(LoopClock().now_s()) > 0.1
