Wait no longer than 0.1 s for the body of a refusal

A request that a backend server refused unrun waited for the end of the refusal's body, until its own time was over if the body dripped, although it could go elsewhere at once.

The rest of a refusal gets REFUSAL_BODY_S.

test_refusal_without_an_end_is_still_a_refusal, cases with a drip: failed before with the test's limit of 2 s. The cases without a pause held before.

--- a/src/kumquatrun/gateway/answer_relay.py
+++ b/src/kumquatrun/gateway/answer_relay.py
@@ -24,6 +24,8 @@
 SILENT_STREAM_TARGETS = 2.0
 # A resumable stream that pauses for this many gap targets continues elsewhere.
 SILENT_GAPS = 6.0
+# A refusal comes whole; what follows its head is worth no more waiting.
+REFUSAL_BODY_S = 0.1
 # Largest answer of a plain route, which is read whole before it is passed on.
 MAX_WHOLE_BYTES = 256 * 1024
 SERVER_ERROR = 500
@@ -72,7 +74,8 @@
             head = await connection.read_head()
         if self._wire.read_answer(head).is_not_run:
             course.runs -= 1
-            await _read_whole(head)
+            async with asyncio.timeout(REFUSAL_BODY_S):
+                await _read_whole(head)
             course.failure = f'refused with {head.status}'
             return Result.NOT_RUN, head
         is_stream = course.route.kind is RouteKind.STREAMING
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -165,3 +165,18 @@
     assert problem is None
     assert (caller.body, caller.is_finished) == (b'whole', True)
     assert backends[0].current_failure_rate(LoopClock().now_s()) > 0.1
+
+
+@pytest.mark.parametrize('kind', ['idempotent', 'non_idempotent', 'streaming'])
+@pytest.mark.parametrize('pause_s', [0, DRIP_S])
+async def test_refusal_without_an_end_is_still_a_refusal(kind, pause_s):
+    # Guards against a request that was not run and waits at the backend
+    # server that refused it.
+    caller, backends, problem = await forward(
+        course_of(kind, max_attempts=1),
+        EndlessServer(REFUSED + LONG, b'x', pause_s),
+        Runner([answer(b'whole')]),
+    )
+    assert problem is None
+    assert (caller.body, caller.is_finished) == (b'whole', True)
+    assert not backends[0].pool.idle_count
