Count a plain answer that began and did not end in time as a failure

A backend server that never ends its answers went on getting requests: an answer that was cut by the time limit of its request was neither counted nor logged at the attempt, since the cancellation passed through the forwarder.

Such an answer now counts against the backend server and gives a line attempt_failed with the bytes that had come. Not counted: streams, which an engine that works well may be cut in by their time limit, answers that never began, and whole answers whose caller reads slowly.

test_plain_answer_ends_with_the_time_limit_of_its_request failed before with a failure rate of 0.0. test_slow_caller_is_not_counted_against_the_backend_server guards the exception; it passed before too.

--- a/src/kumquatrun/gateway/backend_connection.py
+++ b/src/kumquatrun/gateway/backend_connection.py
@@ -93,6 +93,12 @@
         """Return the number of bytes since the last request was sent."""
         return self._size.received_bytes
 
+    @property
+    def is_unfinished(self) -> bool:
+        """Return whether an answer has begun and not ended."""
+        has_ended = self._body is not None and self._body.is_eof()
+        return self.received_bytes > 0 and not has_ended
+
     def send(
         self,
         head: bytes,
--- a/src/kumquatrun/gateway/forwarder.py
+++ b/src/kumquatrun/gateway/forwarder.py
@@ -1,5 +1,6 @@
 """Sends one request of a caller to backend servers and relays the answer."""
 
+import asyncio
 import logging
 from dataclasses import replace
 
@@ -15,7 +16,9 @@
     BackendConnection,
     BrokenAnswerError,
 )
+from kumquatrun.gateway.backends import Backend
 from kumquatrun.gateway.caller_channel import CallerChannel
+from kumquatrun.gateway.configuration import RouteKind
 from kumquatrun.gateway.course import Course
 from kumquatrun.gateway.reservations import (
     BUSY_RETRY_AFTER_S,
@@ -79,16 +82,7 @@
                 break
             if result is Result.DELIVERED:
                 return
-            log_event(
-                log,
-                'attempt_failed',
-                request_id=course.request.request_id,
-                backend=course.last_backend,
-                result=result,
-                sends=course.sends,
-                runs=course.runs,
-                reason=course.failure,
-            )
+            _log_failed_attempt(course, result)
         await self._give_up(course, channel, problem)
 
     def _take_retry(self, course: Course) -> bool:
@@ -158,6 +152,9 @@
                 connection,
                 reservation,
             )
+        except asyncio.CancelledError:
+            self._judge_unfinished(course, backend, connection)
+            raise
         finally:
             backend.open_requests -= 1
             if head is None:
@@ -172,6 +169,24 @@
         )
         return result
 
+    def _judge_unfinished(
+        self,
+        course: Course,
+        backend: Backend,
+        connection: BackendConnection,
+    ) -> None:
+        """Count a plain answer that began and did not end in time.
+
+        A stream may be cut by its time limit at an engine that works well.
+        """
+        now_s = self._clock.now_s()
+        is_stream = course.route.kind is RouteKind.STREAMING
+        if is_stream or course.left_s(now_s) or not connection.is_unfinished:
+            return
+        course.failure = _unfinished(connection)
+        backend.record_answer(failed=True, now_s=now_s)
+        _log_failed_attempt(course, Result.SILENT)
+
     async def _exchange(
         self,
         course: Course,
@@ -204,9 +219,7 @@
             course.failure = error.detail
             return Result.BROKEN, None
         except TimeoutError:
-            course.failure = (
-                f'no answer in time, {connection.received_bytes} bytes received'
-            )
+            course.failure = _unfinished(connection)
             return Result.SILENT, None
 
     def _head_bytes(self, course: Course, reservation: Reservation) -> bytes:
@@ -232,3 +245,20 @@
     def _answers(self, request: CallerRequest, head: AnswerHead) -> bool:
         answered = self._wire.read_answer(head).answered_id
         return not answered or answered == request.request_id
+
+
+def _unfinished(connection: BackendConnection) -> str:
+    return f'no answer in time, {connection.received_bytes} bytes received'
+
+
+def _log_failed_attempt(course: Course, result: Result) -> None:
+    log_event(
+        log,
+        'attempt_failed',
+        request_id=course.request.request_id,
+        backend=course.last_backend,
+        result=result,
+        sends=course.sends,
+        runs=course.runs,
+        reason=course.failure,
+    )
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -180,3 +180,44 @@
     assert problem is None
     assert (caller.body, caller.is_finished) == (b'whole', True)
     assert not backends[0].pool.idle_count
+
+
+async def test_plain_answer_ends_with_the_time_limit_of_its_request(caplog):
+    # Guards against a backend server that never ends an answer and goes on
+    # getting requests, since none of them was counted against it.
+    caplog.set_level(logging.INFO)
+    server = EndlessServer(HEAD + LONG, b'x', DRIP_S)
+    course = course_of('non_idempotent')
+    course.ends_at_s = LoopClock().now_s() + 0.2
+    backends = []
+    with pytest.raises(TimeoutError):
+        await forward(course, server, limit_s=0.2, backends=backends)
+    async with asyncio.timeout(1):
+        await server.closed.wait()
+    assert backends[0].current_failure_rate(LoopClock().now_s()) > 0.1
+    (fields,) = [
+        record.event_fields
+        for record in caplog.records
+        if record.getMessage() == 'attempt_failed'
+    ]
+    assert fields['result'] == 'silent'
+    assert re.search(r'\d+ bytes received', fields['reason'])
+
+
+async def test_slow_caller_is_not_counted_against_the_backend_server():
+    class Stalled(Caller):
+        async def write(self, part):
+            await asyncio.sleep(9)
+
+    course = course_of('non_idempotent')
+    course.ends_at_s = LoopClock().now_s() + 0.1
+    backends = []
+    with pytest.raises(TimeoutError):
+        await forward(
+            course,
+            Runner([answer(b'whole')]),
+            caller=Stalled(),
+            limit_s=0.1,
+            backends=backends,
+        )
+    assert not backends[0].current_failure_rate(LoopClock().now_s())
