Treat an endless event of a resumable stream as a broken answer

A resumable stream whose event did not end within 1 MiB ended the request with the outcome "ran", although other backend servers could go on after the last whole event; the backend server was not counted as failing and no line told of the attempt. Cause: the splitter's BackendError passed by the forwarder, which knows BrokenAnswerError.

The relay turns it into a broken answer, with the bytes that had come. The bound for streams of a platform is 64 KiB, since the entry holds that much for each stream.

test_endless_event_of_a_resumable_stream_is_cut and test_endless_event_is_continued_elsewhere failed before. test_endless_stream_does_not_look_complete passed before: a stream that cannot be resumed is passed on until the time of its request is over, and then cut.

--- a/src/kumquatrun/gateway/answer_relay.py
+++ b/src/kumquatrun/gateway/answer_relay.py
@@ -189,7 +189,7 @@
                 reservation.hold.tell_prompt_read()
             read_at_s = now_s
             if course.stream is not None:
-                chunk = course.stream.feed(chunk)
+                chunk = _whole_events(course.stream, chunk, head)
             if chunk:
                 await channel.write(chunk)
 
@@ -215,10 +215,25 @@
         return SILENT_GAPS * gap_ms / 1000
 
 
+def _whole_events(
+    stream: ResumableStream,
+    chunk: bytes,
+    head: AnswerHead,
+) -> bytes:
+    try:
+        return stream.feed(chunk)
+    except BackendError as error:
+        raise _excess(error.detail, head) from error
+
+
+def _excess(problem: str, head: AnswerHead) -> BrokenAnswerError:
+    return BrokenAnswerError(
+        f'{problem}, {head.body.total_bytes} bytes received',
+    )
+
+
 async def _read_whole(head: AnswerHead) -> bytes:
     try:
         return await read_body(head.body, MAX_WHOLE_BYTES)
     except BodyTooLargeError as error:
-        raise BrokenAnswerError(
-            f'{error}, {head.body.total_bytes} bytes received',
-        ) from error
+        raise _excess(str(error), head) from error
--- a/src/kumquatrun/gateway/event_stream.py
+++ b/src/kumquatrun/gateway/event_stream.py
@@ -4,6 +4,8 @@
 
 from kumquatrun.agent.sse import EventSplitter
 
+# Largest event of a stream that may be resumed.
+MAX_EVENT_BYTES = 64 * 1024
 _EVENT_ID = re.compile(rb'^id:[ ]?(.*?)\r?$', re.MULTILINE)
 
 
@@ -18,7 +20,7 @@
 
     def __init__(self, last_event_id: str = '') -> None:
         self.last_event_id = last_event_id
-        self._splitter = EventSplitter()
+        self._splitter = EventSplitter(MAX_EVENT_BYTES)
 
     def feed(self, received: bytes) -> bytes:
         """Return the whole events that are complete now.
@@ -41,4 +43,4 @@
 
     def restart(self) -> None:
         """Drop a part of an event whose backend server broke off."""
-        self._splitter = EventSplitter()
+        self._splitter = EventSplitter(MAX_EVENT_BYTES)
--- a/tests/test_endless_streams.py
+++ b/tests/test_endless_streams.py
@@ -1,10 +1,89 @@
 """Streams of backend servers that do not end, and callers that read slowly."""
 
+import asyncio
+import logging
+import re
 import time
 
 import pytest
+from tests.endless_server import EndlessServer
+from tests.gateway_fakes import (
+    LAST_CHUNK,
+    STREAM_HEAD,
+    Caller,
+    Runner,
+    chunk,
+    course_of,
+    event,
+)
+from tests.test_endless_answers import forward
 
 from kumquatrun.agent.sse import EventSplitter
+from kumquatrun.errors import Outcome
+from kumquatrun.gateway.event_stream import MAX_EVENT_BYTES
+from kumquatrun.runtime.clock import LoopClock
+
+ENDLESS_EVENT = chunk(event(1)) + chunk(b'data: ')
+PIECE = chunk(b'x' * 4096)
+
+
+def resumable(max_attempts):
+    return course_of(
+        'streaming',
+        max_attempts=max_attempts,
+        is_resumable=True,
+    )
+
+
+async def test_endless_event_of_a_resumable_stream_is_cut(caplog):
+    # Guards against a backend server that is not counted as failing, since
+    # the error of the splitter passed by the forwarder.
+    caplog.set_level(logging.INFO)
+    server = EndlessServer(STREAM_HEAD + ENDLESS_EVENT, PIECE)
+    caller, backends, problem = await forward(resumable(1), server)
+    assert problem.outcome is Outcome.UNKNOWN
+    assert caller.body == event(1)
+    assert not caller.is_finished
+    assert backends[0].current_failure_rate(LoopClock().now_s()) > 0.1
+    async with asyncio.timeout(1):
+        await server.closed.wait()
+    (fields,) = [
+        record.event_fields
+        for record in caplog.records
+        if record.getMessage() == 'attempt_failed'
+    ]
+    assert fields['request_id'] == 'attempt-1'
+    assert str(MAX_EVENT_BYTES) in fields['reason']
+    assert re.search(r'\d+ bytes received', fields['reason'])
+
+
+async def test_endless_event_is_continued_elsewhere():
+    caller, _, problem = await forward(
+        resumable(2),
+        EndlessServer(STREAM_HEAD + ENDLESS_EVENT, PIECE),
+        Runner([STREAM_HEAD, chunk(event(2)), LAST_CHUNK]),
+    )
+    assert problem is None
+    assert caller.body == event(1) + event(2)
+    assert caller.is_finished
+
+
+async def test_endless_stream_does_not_look_complete():
+    # A route that may not be resumed passes bytes on as they come, until the
+    # time of its request is over.
+    caller = Caller()
+    server = EndlessServer(STREAM_HEAD + ENDLESS_EVENT, PIECE, 0.01)
+    with pytest.raises(TimeoutError):
+        await forward(
+            course_of('streaming'),
+            server,
+            caller=caller,
+            limit_s=0.2,
+        )
+    assert caller.body.startswith(event(1))
+    assert not caller.is_finished
+    async with asyncio.timeout(1):
+        await server.closed.wait()
 
 
 @pytest.mark.parametrize('line_end', [b'', b'\r', b'\n'])
