Bound the answers of the platform and of engines to the agent

The client of the platform read each body whole with aiohttp's read(), which has no limit: an answer without an end cost what arrives within the time limit of a call (0.8 s), hundreds of MB on a fast link, in processes that have 232 or 300 MB.

Bodies are read up to MAX_ANSWER_BYTES (1 MiB). Beyond it the call fails like one without an answer and its connection is closed; the reason that listing_lost, listing_unreadable and engine_lost carry names the bound and the bytes that had come. An order has no answer then, as after a lost one.

test_endless_body_of_a_list_is_not_kept (3 cases) and test_order_with_an_endless_answer_has_no_answer failed before; the stand-in stops at 8 MiB, and all of it was read. Endless heads and drips ended with the time limit of the call before too; their tests guard that, and that no read holds the loop for 0.1 s.

--- a/src/kumquatrun/gateway/answer_relay.py
+++ b/src/kumquatrun/gateway/answer_relay.py
@@ -223,17 +223,13 @@
     try:
         return stream.feed(chunk)
     except BackendError as error:
-        raise _excess(error.detail, head) from error
-
-
-def _excess(problem: str, head: AnswerHead) -> BrokenAnswerError:
-    return BrokenAnswerError(
-        f'{problem}, {head.body.total_bytes} bytes received',
-    )
+        raise BrokenAnswerError(
+            f'{error.detail}, {head.body.total_bytes} bytes received',
+        ) from error
 
 
 async def _read_whole(head: AnswerHead) -> bytes:
     try:
         return await read_body(head.body, MAX_WHOLE_BYTES)
     except BodyTooLargeError as error:
-        raise _excess(str(error), head) from error
+        raise BrokenAnswerError(str(error)) from error
--- a/src/kumquatrun/gateway/body_reader.py
+++ b/src/kumquatrun/gateway/body_reader.py
@@ -23,5 +23,7 @@
             return b''.join(chunks)
         size_bytes += len(chunk)
         if size_bytes > limit_bytes:
-            raise BodyTooLargeError(f'body above {limit_bytes} bytes')
+            raise BodyTooLargeError(
+                f'body above {limit_bytes} bytes, {size_bytes} bytes received',
+            )
         chunks.append(chunk)
--- a/src/kumquatrun/platform/client.py
+++ b/src/kumquatrun/platform/client.py
@@ -7,9 +7,12 @@
 import aiohttp
 
 from kumquatrun.errors import ConnectionLostError
+from kumquatrun.gateway.body_reader import BodyTooLargeError, read_body
 from kumquatrun.peer.address import Address
 
 CALL_TIMEOUT_S = 0.8
+# Largest answer of the platform or of an engine.
+MAX_ANSWER_BYTES = 1024 * 1024
 OK = 200
 
 
@@ -97,7 +100,12 @@
                     json=fields,
                 ) as answer,
             ):
-                return answer.status, await answer.read()
+                body = await read_body(answer.content, MAX_ANSWER_BYTES)
+                return answer.status, body
+        except BodyTooLargeError as error:
+            raise ConnectionLostError(
+                f'{method} {address}{path}: {error}',
+            ) from error
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise ConnectionLostError(
                 f'{method} {address}{path}: {error!r}',
--- a/tests/endless_server.py
+++ b/tests/endless_server.py
@@ -64,6 +64,6 @@
                 self.sent_bytes += len(self.piece)
                 # Other tasks run between two pieces.
                 await asyncio.sleep(self.pause_s)
-            await asyncio.sleep(60)
+            await reader.read()
         self.closed.set()
         writer.transport.abort()
--- /dev/null
+++ b/tests/test_platform_client.py
@@ -0,0 +1,108 @@
+"""Calls to the platform and to engines whose answers are endless or no JSON."""
+
+import asyncio
+import time
+
+import pytest
+from tests.endless_server import GIVE_UP_BYTES, EndlessServer
+
+from kumquatrun.errors import ConnectionLostError
+from kumquatrun.gateway.engine_api import EngineOrder, OrderVerdict
+from kumquatrun.platform.client import PlatformClient
+from kumquatrun.platform.engine import PlatformEngine
+from kumquatrun.platform.listing import BackendLister
+
+HEAD = b'HTTP/1.1 200 OK\r\n'
+CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+CHUNK = b'1000\r\n' + b' ' * 4096 + b'\r\n'
+ENDLESS_BODIES = {
+    'no length': (HEAD + b'\r\n', b' ' * 4096),
+    'a length that is a lie': (
+        HEAD + b'Content-Length: 99999999999\r\n\r\n',
+        b' ' * 4096,
+    ),
+    'chunks': (CHUNKED, CHUNK),
+}
+ENDLESS_HEADS = {
+    'status line': (b'HTTP/1.1 200 ', b'x' * 4096),
+    'header lines': (HEAD, b'A: b\r\n' * 512),
+    'header value': (HEAD + b'A: ', b'x' * 4096),
+    'interim answers': (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 128),
+    'line ends': (b'', b'\r\n' * 2048),
+    'chunk size': (CHUNKED, b'0' * 4096),
+}
+ORDER = EngineOrder(
+    is_load=True,
+    model='m',
+    adapter='a',
+    holder='h',
+    fencing_number=1,
+    expected_count=0,
+)
+
+
+@pytest.fixture
+async def client():
+    client = PlatformClient()
+    yield client
+    await client.close()
+
+
+async def longest_pause_s(task):
+    """Return the longest time that the loop gave no turn."""
+    longest_s = 0
+    while not task.done():
+        started_s = time.perf_counter()
+        await asyncio.sleep(0.005)
+        longest_s = max(longest_s, time.perf_counter() - started_s)
+    return longest_s
+
+
+@pytest.mark.parametrize(
+    ('begin', 'piece'),
+    ENDLESS_BODIES.values(),
+    ids=ENDLESS_BODIES,
+)
+async def test_endless_body_of_a_list_is_not_kept(client, begin, piece):
+    # Guards against a process that is killed for its memory: the whole body
+    # was read before anything looked at it.
+    server = await EndlessServer(begin, piece).start()
+    with pytest.raises(ConnectionLostError, match='body above'):
+        await BackendLister(client, server.address).read()
+    async with asyncio.timeout(1):
+        await server.closed.wait()
+    assert server.sent_bytes < GIVE_UP_BYTES
+
+
+@pytest.mark.parametrize(
+    ('begin', 'piece'),
+    ENDLESS_HEADS.values(),
+    ids=ENDLESS_HEADS,
+)
+async def test_endless_head_of_a_list_ends_in_time(client, begin, piece):
+    server = await EndlessServer(begin, piece).start()
+    lister = BackendLister(client, server.address)
+    task = asyncio.create_task(lister.read())
+    async with asyncio.timeout(1):
+        pause_s = await longest_pause_s(task)
+        with pytest.raises(ConnectionLostError):
+            await task
+        await server.closed.wait()
+    assert pause_s < 0.1
+
+
+@pytest.mark.parametrize('begin', [b'', HEAD + b'Content-Length: 9\r\n\r\n'])
+async def test_answer_that_drips_ends_in_time(client, begin):
+    piece = b' ' if begin else b'\r'
+    server = await EndlessServer(begin, piece, 0.1).start()
+    engine = PlatformEngine(client, server.address)
+    async with asyncio.timeout(0.6):
+        with pytest.raises(ConnectionLostError):
+            await engine.report()
+
+
+async def test_order_with_an_endless_answer_has_no_answer(client):
+    server = await EndlessServer(*ENDLESS_BODIES['chunks']).start()
+    engine = PlatformEngine(client, server.address)
+    assert await engine.order(ORDER) is OrderVerdict.NO_ANSWER
+    assert server.sent_bytes < GIVE_UP_BYTES
