Take JSON that is nested too deeply for no JSON

A list, a report, a health answer or an event of 100,000 opening brackets raised RecursionError, which is no ValueError. It passed by every handler and ended the task that reads the list at the control leader, the one that reads it at an entry, or the one that checks an engine, for as long as the process ran.

The readers of JSON from outside turn it into the same failure as other bytes that are no JSON.

--- a/src/kumquatrun/agent/completions.py
+++ b/src/kumquatrun/agent/completions.py
@@ -62,7 +62,7 @@
     """Return a JSON object, None if the text is anything else."""
     try:
         content = json.loads(text)
-    except ValueError:
+    except (ValueError, RecursionError):
         return None
     return content if isinstance(content, dict) else None
 
@@ -85,7 +85,7 @@
     """
     try:
         content = json.loads(call.body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise InvalidRequestError(f'body is not JSON: {error}') from error
     if not isinstance(content, dict):
         raise InvalidRequestError('body is not a JSON object')
--- a/src/kumquatrun/platform/client.py
+++ b/src/kumquatrun/platform/client.py
@@ -115,5 +115,5 @@
 def _parse(body: bytes, place: str) -> Any:
     try:
         return json.loads(body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ConnectionLostError(f'{place} sent no JSON: {error}') from None
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -1,17 +1,28 @@
 """Calls to the platform and to engines whose answers are endless or no JSON."""
 
 import asyncio
+import json
 import time
 
 import pytest
 from tests.endless_server import GIVE_UP_BYTES, EndlessServer
+from tests.gateway_fakes import Runner, answer
 
+from kumquatrun.control.backend_listing import BackendListing
 from kumquatrun.errors import ConnectionLostError
 from kumquatrun.gateway.engine_api import EngineOrder, OrderVerdict
+from kumquatrun.gateway.listing_follower import decode_records
 from kumquatrun.platform.client import PlatformClient
 from kumquatrun.platform.engine import PlatformEngine
 from kumquatrun.platform.listing import BackendLister
+from kumquatrun.runtime.clock import LoopClock
 
+ENTRY = {
+    'id': 'i-1',
+    'service': 's',
+    'address': '10.0.0.1:80',
+    'state': 'ready',
+}
 HEAD = b'HTTP/1.1 200 OK\r\n'
 CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
 CHUNK = b'1000\r\n' + b' ' * 4096 + b'\r\n'
@@ -106,3 +117,25 @@
     engine = PlatformEngine(client, server.address)
     assert await engine.order(ORDER) is OrderVerdict.NO_ANSWER
     assert server.sent_bytes < GIVE_UP_BYTES
+
+
+@pytest.mark.parametrize(
+    'body',
+    [b'[' * 100_000, b'{"a":' * 100_000, b'\xff', b'1' * 5000, b'{}}', b'[]'],
+    ids=['lists', 'objects', 'no text', 'number', 'rest', 'no object'],
+)
+async def test_list_that_is_no_json_object_is_only_lost(client, body):
+    # Guards against a leader that reads no list again: an error of another
+    # type ended the task that reads it.
+    script = [answer(body)]
+    page = answer(json.dumps({'instances': [ENTRY]}).encode())
+    runner = await Runner(script, [page]).start()
+    listing = BackendListing(
+        BackendLister(client, runner.address).read,
+        LoopClock(),
+    )
+    await listing.refresh()
+    assert listing.age_s(LoopClock().now_s()) is None
+    await listing.refresh()
+    (record,) = decode_records(listing.encoded)
+    assert record.backend_id == 'i-1'
