Drop unreadable entries of the list instead of the list

One entry with an infinite or very large number, with half of a surrogate pair or with bytes that are no UTF-8 cost all entries: the first two raised OverflowError and UnicodeEncodeError, which ended the task that reads the list, the last one made the whole page unreadable. The platform allows entries of other writers with bytes that cannot be read, and the other entries hold.

Whole numbers are checked to have 64 bits and texts to be valid UTF-8, which is what the list needs to travel to other hosts; an entry that fails is dropped. Bytes that are no UTF-8 are decoded so that only their text fails that check. A configuration is read as strictly as before.

--- a/src/kumquatrun/platform/client.py
+++ b/src/kumquatrun/platform/client.py
@@ -114,6 +114,8 @@
 
 def _parse(body: bytes, place: str) -> Any:
     try:
-        return json.loads(body)
+        # Bytes that are no UTF-8 spoil the text that they are in, not the
+        # whole answer; ``decoding`` refuses such a text.
+        return json.loads(body.decode(errors='surrogateescape'))
     except (ValueError, RecursionError) as error:
         raise ConnectionLostError(f'{place} sent no JSON: {error}') from None
--- a/src/kumquatrun/platform/decoding.py
+++ b/src/kumquatrun/platform/decoding.py
@@ -7,6 +7,9 @@
 from kumquatrun.errors import DocumentError
 
 Fields = Mapping[str, Any]
+# What msgpack can carry to other hosts.
+MIN_WHOLE = -(2**63)
+MAX_WHOLE = 2**63 - 1
 
 
 def parse_object(content: bytes) -> Fields:
@@ -28,15 +31,15 @@
 
 def text(fields: Fields, name: str, default: str | None = None) -> str:
     """Return a text."""
-    return _typed(fields, name, str, default)
+    return checked_text(_typed(fields, name, str, default), name)
 
 
 def whole(fields: Fields, name: str, default: int | None = None) -> int:
     """Return a whole number."""
     value = _typed(fields, name, (int, float), default)
-    if isinstance(value, bool) or value != int(value):
+    if isinstance(value, bool):
         raise DocumentError(f'{name!r} is not a whole number')
-    return int(value)
+    return checked_whole(value, name)
 
 
 def number(fields: Fields, name: str, default: float | None = None) -> float:
@@ -63,6 +66,36 @@
     return found
 
 
+def checked_whole(value: float, name: str) -> int:
+    """Return ``value`` if it is a whole number of 64 bits.
+
+    Raises
+    ------
+    DocumentError
+        If it is not.
+    """
+    if not MIN_WHOLE <= value <= MAX_WHOLE or value != int(value):
+        raise DocumentError(f'{name!r} is not a whole number of 64 bits')
+    return int(value)
+
+
+def checked_text(value: str, name: str) -> str:
+    """Return ``value`` if it is text that UTF-8 can carry.
+
+    JSON may escape half of a pair of surrogates.
+
+    Raises
+    ------
+    DocumentError
+        If it is not.
+    """
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        raise DocumentError(f'{name!r} is no valid text') from None
+    return value
+
+
 def _typed(fields: Fields, name: str, kind: Any, default: Any) -> Any:
     value = fields.get(name)
     if value is None:
--- a/src/kumquatrun/platform/engine.py
+++ b/src/kumquatrun/platform/engine.py
@@ -108,4 +108,7 @@
 def _loading(listed: str) -> tuple[str, str, int]:
     """Split ``MODEL/NAME@VERSION``."""
     model, _, adapter = listed.partition('/')
-    return (model, *split_adapter(adapter))
+    return (
+        decoding.checked_text(model, 'incoming'),
+        *split_adapter(adapter),
+    )
--- a/src/kumquatrun/platform/listing.py
+++ b/src/kumquatrun/platform/listing.py
@@ -102,4 +102,7 @@
 def split_adapter(listed: str) -> tuple[str, int]:
     """Split ``NAME@VERSION``."""
     name, _, version = listed.partition('@')
-    return name, int(version or 0)
+    return (
+        decoding.checked_text(name, 'adapters'),
+        decoding.checked_whole(int(version or 0), 'adapters'),
+    )
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -139,3 +139,27 @@
     await listing.refresh()
     (record,) = decode_records(listing.encoded)
     assert record.backend_id == 'i-1'
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        b'"slots": 1e999',
+        b'"slots": 1000000000000000000000000000000',
+        b'"service": "\\ud800"',
+        b'"models": [{"name": "m", "adapters": ["\\ud800@1"]}]',
+        b'"models": [{"name": "m", "adapters": ["a@9999999999999999999999"]}]',
+        b'"zone": "\xff"',
+    ],
+    ids=['infinite', 'large', 'text', 'adapter', 'version', 'bytes'],
+)
+async def test_unreadable_entry_leaves_the_others(client, change):
+    # Guards against one entry of another writer that hides all backend
+    # servers, or ends the task that reads the list.
+    whole = json.dumps(ENTRY).encode()
+    odd = whole.replace(b'i-1', b'i-2')[:-1] + b', ' + change + b'}'
+    body = b'{"instances": [' + odd + b', ' + whole + b']}'
+    runner = await Runner([answer(body)]).start()
+    encoded = await BackendLister(client, runner.address).read()
+    (record,) = decode_records(encoded)
+    assert record.backend_id == 'i-1'
