Bound the whole list of backend servers in bytes and in time

A list whose last page never comes was read for up to 200 pages and 0.8 s each, by the one reader of the fleet, and all records were kept meanwhile: hundreds of MB for pages that are large.

The whole list may have 1 MiB (as it travels to other hosts) and take 3 s. The last list holds until the next read. The bound of one answer is 512 KiB now, since decoding a page holds the loop: a page of 30,000 adapters took about 0.2 s.

test_list_without_a_last_page_is_lost failed before (the list was read on, 12.8 s for 60 pages); test_slow_pages_without_end_are_given_up needs the new constant. test_page_that_names_no_valid_next_one_is_lost passed before.

--- a/src/kumquatrun/platform/client.py
+++ b/src/kumquatrun/platform/client.py
@@ -12,7 +12,7 @@
 
 CALL_TIMEOUT_S = 0.8
 # Largest answer of the platform or of an engine.
-MAX_ANSWER_BYTES = 1024 * 1024
+MAX_ANSWER_BYTES = 512 * 1024
 OK = 200
 
 
--- a/src/kumquatrun/platform/listing.py
+++ b/src/kumquatrun/platform/listing.py
@@ -1,5 +1,7 @@
 """The platform's list of backend servers."""
 
+import asyncio
+
 from kumquatrun.errors import ConnectionLostError, DocumentError
 from kumquatrun.gateway.backends import (
     DEFAULT_SLOTS,
@@ -18,6 +20,8 @@
 UNREADABLE = (AttributeError, DocumentError, TypeError, ValueError)
 # A list that never ends is broken.
 MAX_PAGES = 200
+MAX_LIST_BYTES = 1024 * 1024
+LIST_TIMEOUT_S = 3.0
 
 
 class BackendLister:
@@ -33,19 +37,38 @@
         Raises
         ------
         ConnectionLostError
-            If a page cannot be read.
+            If a page cannot be read, or the list does not end in time or
+            in size.
         """
+        try:
+            async with asyncio.timeout(LIST_TIMEOUT_S):
+                return await self._read_pages()
+        except TimeoutError:
+            raise ConnectionLostError(
+                f'the list did not end within {LIST_TIMEOUT_S} s',
+            ) from None
+
+    async def _read_pages(self) -> bytes:
         records: list[BackendRecord] = []
+        size_bytes = 0
         query: dict[str, str] = {}
         for _ in range(MAX_PAGES):
             page = await self._client.get(self._address, LIST_PATH, query)
             if not isinstance(page, dict):
                 raise ConnectionLostError('the list is not a JSON object')
-            records.extend(decode_entries(page.get('instances')))
+            found = decode_entries(page.get('instances'))
+            size_bytes += len(encode_records(found))
+            if size_bytes > MAX_LIST_BYTES:
+                raise ConnectionLostError(
+                    f'list above {MAX_LIST_BYTES} bytes, '
+                    f'{size_bytes} bytes received',
+                )
+            records.extend(found)
             following = page.get('next_token')
             if not following:
                 return encode_records(records)
-            query = {PAGE_QUERY: str(following)}
+            token = decoding.checked_text(str(following), 'next_token')
+            query = {PAGE_QUERY: token}
         raise ConnectionLostError(f'the list has more than {MAX_PAGES} pages')
 
 
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -9,9 +9,10 @@
 from tests.gateway_fakes import Runner, answer
 
 from kumquatrun.control.backend_listing import BackendListing
-from kumquatrun.errors import ConnectionLostError
+from kumquatrun.errors import ConnectionLostError, KumquatrunError
 from kumquatrun.gateway.engine_api import EngineOrder, OrderVerdict
 from kumquatrun.gateway.listing_follower import decode_records
+from kumquatrun.platform import listing as listing_module
 from kumquatrun.platform.client import PlatformClient
 from kumquatrun.platform.engine import PlatformEngine
 from kumquatrun.platform.listing import BackendLister
@@ -163,3 +164,32 @@
     encoded = await BackendLister(client, runner.address).read()
     (record,) = decode_records(encoded)
     assert record.backend_id == 'i-1'
+
+
+async def test_list_without_a_last_page_is_lost(client):
+    # Guards against pages without end that fill the memory of the leader.
+    adapters = [f'a{number}@1' for number in range(30_000)]
+    entry = {**ENTRY, 'models': [{'name': 'm', 'adapters': adapters}]}
+    page = {'instances': [entry], 'next_token': 'p'}
+    script = [answer(json.dumps(page).encode())]
+    runner = await Runner(*[script] * 60).start()
+    with pytest.raises(ConnectionLostError, match='list above'):
+        await BackendLister(client, runner.address).read()
+
+
+async def test_page_that_names_no_valid_next_one_is_lost(client):
+    page = {'instances': [ENTRY], 'next_token': '\ud800'}
+    runner = await Runner([answer(json.dumps(page).encode())]).start()
+    with pytest.raises(KumquatrunError):
+        await BackendLister(client, runner.address).read()
+
+
+async def test_slow_pages_without_end_are_given_up(client, monkeypatch):
+    # Guards against a list that is read for MAX_PAGES times the limit of a
+    # call, while nothing reads the changes of the others.
+    monkeypatch.setattr(listing_module, 'LIST_TIMEOUT_S', 0.3)
+    page = answer(json.dumps({'instances': [], 'next_token': 'p'}).encode())
+    runner = await Runner(*[[0.05, page]] * 60).start()
+    with pytest.raises(ConnectionLostError, match='did not end within'):
+        await BackendLister(client, runner.address).read()
+    assert len(runner.requests) < 10
