Read streams ahead of their callers by 48 KiB instead of 384 KiB

An entry held up to 384 KiB of each stream whose caller reads slowly: a buffer that stops the connection at 128 KiB, and one read of up to 256 KiB on top, which is what asyncio reads at once. A few hundred such streams fill the 300 MB of its host.

BackendConnection gives asyncio a buffer of 16 KiB, one for all connections, and stops reading at 32 KiB. Events and plain answers are far smaller, so they still arrive in one read.

--- a/src/kumquatrun/gateway/backend_connection.py
+++ b/src/kumquatrun/gateway/backend_connection.py
@@ -27,10 +27,16 @@
     (socket.TCP_KEEPINTVL, 1),
     (socket.TCP_KEEPCNT, 3),
 )
-READ_BUFFER_BYTES = 64 * 1024
+# A stream whose caller reads slowly holds up to twice the buffer and one read.
+READ_BUFFER_BYTES = 16 * 1024
+READ_BYTES = 16 * 1024
 MAX_HEADER_BYTES = 32 * 1024
 INFORMATIONAL = range(100, 200)
 
+# The loop fills it and hands it over in one step, so one serves all
+# connections.
+_read_buffer = memoryview(bytearray(READ_BYTES))
+
 RawHeaders = tuple[tuple[bytes, bytes], ...]
 
 
@@ -56,9 +62,12 @@
         return ''
 
 
-class BackendConnection(BaseProtocol):
+class BackendConnection(BaseProtocol, asyncio.BufferedProtocol):
     """One TCP connection to a backend server.
 
+    Reads are small, as bytes are held until the caller takes them: asyncio
+    reads up to 256 KiB at once into a protocol without a buffer of its own.
+
     Attributes
     ----------
     is_clean
@@ -168,6 +177,14 @@
 
     # Callbacks of the transport.
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where the next bytes go."""
+        return _read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take the bytes that arrived."""
+        self.data_received(bytes(_read_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse what arrived."""
         if self._parser is None or (self.is_clean and data):
--- a/tests/test_endless_streams.py
+++ b/tests/test_endless_streams.py
@@ -20,6 +20,7 @@
 
 from kumquatrun.agent.sse import EventSplitter
 from kumquatrun.errors import Outcome
+from kumquatrun.gateway.backend_connection import open_connection
 from kumquatrun.gateway.event_stream import MAX_EVENT_BYTES
 from kumquatrun.runtime.clock import LoopClock
 
@@ -97,3 +98,34 @@
     for _ in range(1_000_000 // len(piece)):
         splitter.feed(piece)
     assert time.process_time() - started_s < 0.5
+
+
+# What the entry may hold of a stream before it is written to the caller.
+HELD_BYTES = 64 * 1024
+
+
+@pytest.mark.parametrize(
+    'begin',
+    [
+        b'HTTP/1.1 200 OK\r\n\r\n',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n',
+        STREAM_HEAD,
+    ],
+    ids=['no length', 'length', 'chunks'],
+)
+async def test_little_is_read_ahead_of_a_slow_caller(begin):
+    # Guards against an entry that is killed for its memory by streams whose
+    # callers read slowly.
+    piece = PIECE if begin is STREAM_HEAD else b'x' * 4096
+    server = await EndlessServer(begin, piece).start()
+    connection = await open_connection(server.address)
+    connection.send(b'GET / HTTP/1.1\r\n\r\n', b'', lambda head: True)
+    head = await connection.read_head()
+    await asyncio.sleep(0.2)
+    assert connection.received_bytes <= HELD_BYTES
+    # The stream goes on when its caller reads again.
+    held_bytes = connection.received_bytes
+    for _ in range(20):
+        await head.body.readany()
+    assert connection.received_bytes > held_bytes
+    connection.abort()
