Keep a complete answer when bytes that belong to nothing come with it

An answer that came whole got 502, or was asked for again, if bytes that are no HTTP followed in the same read: the parser raised and dropped the head that it had parsed in the same call. For a booking that means "unknown" although its answer was there.

The connection hands the parser each head by itself, so that the head and the body are known before bytes after them can fail. The connection is closed then and not used again, as before. Ruled out: extra answers that are HTTP, which were always set apart, and extra bytes in a later read.

test_bytes_after_a_complete_answer_do_not_cost_it (6 cases) and test_endless_body_of_an_answer_without_one_closes_it (HEAD, 204, 304) failed before, also the case of test_endless_bytes_on_an_idle_connection_close_it whose bytes come with the answer. The other new tests passed before: endless answers and line ends after an answer close the connection, and an answer is read wherever its reads are cut.

--- a/src/kumquatrun/gateway/backend_connection.py
+++ b/src/kumquatrun/gateway/backend_connection.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -31,6 +31,7 @@
 READ_BUFFER_BYTES = 16 * 1024
 READ_BYTES = 16 * 1024
 MAX_HEADER_BYTES = 32 * 1024
+END_OF_HEAD = b'\r\n\r\n'
 INFORMATIONAL = range(100, 200)
 
 # The loop fills it and hands it over in one step, so one serves all
@@ -84,6 +85,8 @@
         self._is_lost = False
         self._has_extra = False
         self._size = AnswerSize()
+        # Last bytes of earlier reads, where the end of a head may begin.
+        self._recent = b''
         self._accepts: Callable[[Any], bool] | None = None
         self._head: asyncio.Future[AnswerHead] | None = None
         self._body: StreamReader | None = None
@@ -134,6 +137,7 @@
         self.is_clean = False
         self._accepts = accepts
         self._size = AnswerSize()
+        self._recent = b''
         self._head = self._loop.create_future()
         self._body = None
         self._parser = HttpResponseParser(
@@ -192,14 +196,7 @@
             self.abort()
             return
         self._size.add(len(data))
-        try:
-            messages, is_upgraded, _ = self._parser.feed_data(data)
-        except Exception as error:
-            self._break_off(f'malformed answer: {error!r}')
-            return
-        for message, body in messages:
-            self._on_message(message, body)
-        problem = 'unexpected upgrade' if is_upgraded else self._size.excess()
+        problem = self._parse(data) or self._size.excess()
         if problem:
             self._break_off(problem)
 
@@ -223,6 +220,38 @@
         self._fail(error)
         super().connection_lost(exc)
 
+    def _parse(self, data: bytes) -> str:
+        """Return what makes the answer unreadable, or an empty text."""
+        try:
+            for part in self._parts(data):
+                messages, is_upgraded, _ = self._parser.feed_data(part)
+                for message, body in messages:
+                    self._on_message(message, body)
+                if is_upgraded:
+                    return 'unexpected upgrade'
+        except Exception as error:
+            return f'malformed answer: {error!r}'
+        return ''
+
+    def _parts(self, data: bytes) -> Iterator[bytes]:
+        """Cut after each head until the one of the answer.
+
+        The parser drops a head if bytes in the same call are malformed, so
+        bytes after a complete answer would cost the answer.
+        """
+        searched = self._recent + data
+        recent_bytes = len(self._recent)
+        start = 0
+        found = searched.find(END_OF_HEAD)
+        while self._body is None and found >= 0:
+            end = found + len(END_OF_HEAD)
+            yield data[start : end - recent_bytes]
+            start = end - recent_bytes
+            found = searched.find(END_OF_HEAD, end)
+        self._recent = searched[-3:]
+        if start < len(data) or not data:
+            yield data[start:]
+
     def _on_message(self, message: Any, body: StreamReader) -> None:
         if message.code in INFORMATIONAL:
             return
--- a/tests/test_backend_connection.py
+++ b/tests/test_backend_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from tests.endless_server import EndlessServer
 from tests.gateway_fakes import Runner, answer
 
 from kumquatrun.errors import ConnectionLostError, Outcome
@@ -121,3 +122,95 @@
         head, _ = await ask(connection)
         pool.give_back(connection, head)
         assert runner.connections == connections
+
+
+async def idle_connection(runner):
+    pool = ConnectionPool(runner.address)
+    connection = await pool.take(may_repeat=True)
+    connection.send(HEAD, b'', accepts_one)
+    return pool, connection, await connection.read_head()
+
+
+async def test_endless_answers_after_the_answer_close_the_connection():
+    # Guards against a backend server that keeps the loop busy with answers to
+    # no request while the caller of the first one reads slowly.
+    server = await EndlessServer(
+        answer(b'mine', request_id='one'),
+        answer(b'') * 100,
+    ).start()
+    _, connection, head = await idle_connection(server)
+    async with asyncio.timeout(1):
+        await server.closed.wait()
+    assert connection.received_bytes < 64 * 1024
+    assert await head.body.read() == b'mine'
+
+
+@pytest.mark.parametrize('piece', [b'\r\n' * 99, b'x' * 99, answer(b'')])
+async def test_endless_bytes_on_an_idle_connection_close_it(piece):
+    server = await EndlessServer(answer(request_id='one'), piece, 0.02).start()
+    pool, connection, head = await idle_connection(server)
+    await head.body.read()
+    pool.give_back(connection, head)
+    async with asyncio.timeout(1):
+        await server.closed.wait()
+    assert not connection.is_open
+    assert connection.received_bytes < 1024
+
+
+@pytest.mark.parametrize('status', ['200 OK', '204 No Content', '304 None'])
+async def test_endless_body_of_an_answer_without_one_closes_it(status):
+    # Guards against a body that is read as the next answer.
+    begin = answer(b'', status, request_id='one')
+    server = await EndlessServer(begin, b'x' * 4096).start()
+    pool = ConnectionPool(server.address)
+    connection = await pool.take(may_repeat=True)
+    connection.send(HEAD, b'', accepts_one, has_answer_body=False)
+    head = await connection.read_head()
+    assert not await head.body.read()
+    pool.give_back(connection, head)
+    async with asyncio.timeout(1):
+        await server.closed.wait()
+    assert connection.received_bytes < 64 * 1024
+
+
+GARBAGE = b'\x00garbage\r\n\r\n'
+FRAMINGS = {
+    'length': [answer(b'mine') + GARBAGE],
+    'no body': [answer(b'', '204 No Content') + GARBAGE],
+    'chunks': [
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'4\r\nmine\r\n0\r\n\r\n' + GARBAGE,
+    ],
+    'cut end of head': [answer(b'mine')[:-5], 0.02, b'\nmine' + GARBAGE],
+    'interim answer': [
+        b'HTTP/1.1 100 Continue\r\n\r\n' + answer(b'mine') + GARBAGE,
+    ],
+    'late answer': [
+        answer(b'a\r\n\r\nb', request_id='zero') + answer(b'mine') + GARBAGE,
+    ],
+}
+
+
+@pytest.mark.parametrize('script', FRAMINGS.values(), ids=FRAMINGS)
+async def test_bytes_after_a_complete_answer_do_not_cost_it(script):
+    # Guards against a booking whose answer came whole and that gets 502, since
+    # bytes that belong to no request came with it.
+    runner = await Runner(script).start()
+    connection = await open_connection(runner.address)
+    head, body = await ask(connection)
+    assert body in {b'mine', b''}
+    assert head.status == (200 if body else 204)
+    connection.mark_finished(head)
+    assert not connection.is_clean
+
+
+@pytest.mark.parametrize('cut', range(1, len(answer(b'mine'))))
+async def test_answer_is_read_wherever_the_reads_are_cut(cut):
+    whole = answer(b'mine', request_id='one')
+    runner = await Runner([whole[:cut], 0.002, whole[cut:]]).start()
+    connection = await open_connection(runner.address)
+    head, body = await ask(connection)
+    assert (head.status, body) == (200, b'mine')
+    connection.mark_finished(head)
+    assert connection.is_clean
+    connection.abort()
