Quote at most 160 characters of a broken answer

The parser's errors quote the line that they fail at, so a line in the log and the 502 of a caller grew with what a backend server sent: 16,204 and 80,204 characters for 16,000 bytes of text and of other bytes.

test_bytes_of_a_broken_answer_are_not_quoted_at_length failed before in these two cases; the case of a long header passed.

--- a/src/kumquatrun/gateway/backend_connection.py
+++ b/src/kumquatrun/gateway/backend_connection.py
@@ -31,6 +31,7 @@
 READ_BUFFER_BYTES = 16 * 1024
 READ_BYTES = 16 * 1024
 MAX_HEADER_BYTES = 32 * 1024
+MAX_QUOTE_CHARS = 160
 END_OF_HEAD = b'\r\n\r\n'
 INFORMATIONAL = range(100, 200)
 
@@ -216,7 +217,9 @@
             try:
                 parser.feed_eof()
             except Exception as incomplete:
-                error = BrokenAnswerError(f'incomplete answer: {incomplete!r}')
+                error = BrokenAnswerError(
+                    f'incomplete answer: {_quote(incomplete)}',
+                )
         self._fail(error)
         super().connection_lost(exc)
 
@@ -230,7 +233,7 @@
                 if is_upgraded:
                     return 'unexpected upgrade'
         except Exception as error:
-            return f'malformed answer: {error!r}'
+            return f'malformed answer: {_quote(error)}'
         return ''
 
     def _parts(self, data: bytes) -> Iterator[bytes]:
@@ -317,6 +320,11 @@
     return connection
 
 
+def _quote(error: Exception) -> str:
+    """Describe an error of the parser, which quotes the bytes it read."""
+    return repr(error)[:MAX_QUOTE_CHARS]
+
+
 def _set_options(opened: socket.socket | None) -> None:
     if opened is None:
         return
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -221,3 +221,16 @@
             backends=backends,
         )
     assert not backends[0].current_failure_rate(LoopClock().now_s())
+
+
+@pytest.mark.parametrize(
+    'garbage',
+    [b'x' * 16000, b'\x00\xff' * 8000, HEAD + b'A: ' + b'x' * 64000],
+    ids=['text', 'bytes', 'header'],
+)
+async def test_bytes_of_a_broken_answer_are_not_quoted_at_length(garbage):
+    # Guards against log lines and answers to callers that grow with what a
+    # backend server sends.
+    runner = Runner([garbage, 'close'])
+    _, _, problem = await forward(course_of('non_idempotent'), runner)
+    assert len(str(problem)) < 400
