Bound the errors of the other HTTP clients in the same way

The errors of aiohttp's client quote the answer as well, and the request with it: 60,000 bytes that are no HTTP gave an error of 60,493 characters, and of 300,493 where they need escapes, in listing_lost and in the agent's answers.

error_text() names the type and at most 160 characters, for the client of the platform, the clients of the product's agent and BackendConnection.

test_bytes_of_a_broken_list_are_not_quoted_at_length and test_bytes_of_a_broken_answer_are_not_quoted_at_length failed before.

--- a/src/kumquatrun/agent/backend_http.py
+++ b/src/kumquatrun/agent/backend_http.py
@@ -15,6 +15,7 @@
     InvalidRequestError,
     Outcome,
 )
+from kumquatrun.runtime.error_text import error_text
 
 CONNECT_TIMEOUT_S = 2.0
 KEEP_ALIVE = MappingProxyType(
@@ -64,7 +65,7 @@
         ) from e
     except (aiohttp.ClientError, OSError) as error:
         raise ConnectionLostError(
-            f'the backend server closed the connection: {error!r}',
+            f'the backend server closed the connection: {error_text(error)}',
         ) from error
 
 
@@ -212,7 +213,7 @@
             ) from None
         except (aiohttp.ClientError, OSError) as error:
             raise ConnectionLostError(
-                f'the backend server ended the answer early: {error!r}',
+                f'the backend server ended the answer early: {error_text(error)}',
             ) from error
         if not chunk:
             return
--- a/src/kumquatrun/gateway/backend_connection.py
+++ b/src/kumquatrun/gateway/backend_connection.py
@@ -18,6 +18,7 @@
 from kumquatrun.errors import ConnectionLostError, Outcome
 from kumquatrun.gateway.answer_size import AnswerSize
 from kumquatrun.peer.address import Address
+from kumquatrun.runtime.error_text import error_text
 
 CONNECT_TIMEOUT_S = 0.4
 # A peer that acknowledges nothing for this time is taken for unreachable.
@@ -31,7 +32,6 @@
 READ_BUFFER_BYTES = 16 * 1024
 READ_BYTES = 16 * 1024
 MAX_HEADER_BYTES = 32 * 1024
-MAX_QUOTE_CHARS = 160
 END_OF_HEAD = b'\r\n\r\n'
 INFORMATIONAL = range(100, 200)
 
@@ -218,7 +218,7 @@
                 parser.feed_eof()
             except Exception as incomplete:
                 error = BrokenAnswerError(
-                    f'incomplete answer: {_quote(incomplete)}',
+                    f'incomplete answer: {error_text(incomplete)}',
                 )
         self._fail(error)
         super().connection_lost(exc)
@@ -233,7 +233,7 @@
                 if is_upgraded:
                     return 'unexpected upgrade'
         except Exception as error:
-            return f'malformed answer: {_quote(error)}'
+            return f'malformed answer: {error_text(error)}'
         return ''
 
     def _parts(self, data: bytes) -> Iterator[bytes]:
@@ -320,11 +320,6 @@
     return connection
 
 
-def _quote(error: Exception) -> str:
-    """Describe an error of the parser, which quotes the bytes it read."""
-    return repr(error)[:MAX_QUOTE_CHARS]
-
-
 def _set_options(opened: socket.socket | None) -> None:
     if opened is None:
         return
--- a/src/kumquatrun/platform/client.py
+++ b/src/kumquatrun/platform/client.py
@@ -9,6 +9,7 @@
 from kumquatrun.errors import ConnectionLostError
 from kumquatrun.gateway.body_reader import BodyTooLargeError, read_body
 from kumquatrun.peer.address import Address
+from kumquatrun.runtime.error_text import error_text
 
 CALL_TIMEOUT_S = 0.8
 # Largest answer of the platform or of an engine.
@@ -108,7 +109,7 @@
             ) from error
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise ConnectionLostError(
-                f'{method} {address}{path}: {error!r}',
+                f'{method} {address}{path}: {error_text(error)}',
             ) from error
 
 
--- a/tests/test_endless_engines.py
+++ b/tests/test_endless_engines.py
@@ -24,3 +24,15 @@
     with pytest.raises(ConnectionLostError):
         await client.health()
     await client.close()
+
+
+@pytest.mark.parametrize('garbage', [b'x' * 60000, b'\x00\xff' * 30000])
+async def test_bytes_of_a_broken_answer_are_not_quoted_at_length(garbage):
+    # Guards against log lines and answers to callers that grow with what an
+    # engine sends.
+    server = await RawServer([garbage]).start()
+    client = EngineClient(server.url)
+    with pytest.raises(ConnectionLostError) as raised:
+        await client.health()
+    assert len(str(raised.value)) < 400
+    await client.close()
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -193,3 +193,12 @@
     with pytest.raises(ConnectionLostError, match='did not end within'):
         await BackendLister(client, runner.address).read()
     assert len(runner.requests) < 10
+
+
+@pytest.mark.parametrize('garbage', [b'x' * 60000, b'\x00\xff' * 30000])
+async def test_bytes_of_a_broken_list_are_not_quoted_at_length(client, garbage):
+    # Guards against log lines that grow with what the platform sends.
+    runner = await Runner([garbage]).start()
+    with pytest.raises(ConnectionLostError) as raised:
+        await BackendLister(client, runner.address).read()
+    assert len(str(raised.value)) < 400
