Bound what the agent collects of an engine's answers

The answer to a health check or to an order was collected without a limit, and so were the texts of events that are merged into one answer: an engine that sends without an end filled the memory of its agent until the time limit of the check (1 s), of the load or of the request.

Calls are read up to 1 MiB and then fail like one without an answer. Merged answers have the bound that whole ones had, MAX_WHOLE_ANSWER_BYTES, counted by their texts and choices. Errors name the bound and what had come.

test_endless_answer_to_a_call_is_not_kept (health, load, unload) and two cases of test_endless_whole_answer_of_an_engine_fails (events, choices) failed before; one document, one event and drips were bounded before.

--- a/src/kumquatrun/agent/engine_client.py
+++ b/src/kumquatrun/agent/engine_client.py
@@ -38,6 +38,8 @@
 # prompt.
 STREAM_SILENCE_S = 10.0
 MAX_WHOLE_ANSWER_BYTES = 8 * 1024 * 1024
+# Largest answer to a health check or an order.
+MAX_CALL_ANSWER_BYTES = 1024 * 1024
 MAX_ITEM_BYTES = 1024 * 1024
 
 
@@ -125,6 +127,14 @@
         yield body[start : start + MAX_ITEM_BYTES]
 
 
+def _check_size(size_bytes: int) -> None:
+    if size_bytes > MAX_WHOLE_ANSWER_BYTES:
+        raise BackendError(
+            f'the answer is above {MAX_WHOLE_ANSWER_BYTES} bytes, '
+            f'{size_bytes} bytes received',
+        )
+
+
 @dataclass
 class _HttpGeneration:
     """Reads the answer of an engine over HTTP."""
@@ -164,6 +174,7 @@
         async for events in self._events():
             for event in events:
                 answer.add(event_json(event) or {})
+            _check_size(answer.size_bytes)
         body = answer.render()
         self.usage = parse_usage(json_object(body)) or self.usage
         for piece in _pieces(body):
@@ -194,8 +205,7 @@
         body = bytearray()
         async for chunk in read_chunks(self.response):
             body += chunk
-            if len(body) > MAX_WHOLE_ANSWER_BYTES:
-                raise BackendError('the answer of the engine is too large')
+            _check_size(len(body))
         content = json_object(bytes(body))
         self.served_by = parse_served_by(content)
         self.usage = parse_usage(content) or self.usage
@@ -297,6 +307,13 @@
         headers: dict[str, str],
     ) -> tuple[int, dict[str, Any]]:
         async with self._http.open(call, headers=headers) as response:
-            chunks = [chunk async for chunk in read_chunks(response)]
+            body = bytearray()
+            async for chunk in read_chunks(response):
+                body += chunk
+                if len(body) > MAX_CALL_ANSWER_BYTES:
+                    raise ConnectionLostError(
+                        f'the answer is above {MAX_CALL_ANSWER_BYTES} bytes, '
+                        f'{len(body)} bytes received',
+                    )
             status = response.status
-        return status, json_object(b''.join(chunks)) or {}
+        return status, json_object(bytes(body)) or {}
--- a/src/kumquatrun/agent/merged_answer.py
+++ b/src/kumquatrun/agent/merged_answer.py
@@ -24,10 +24,21 @@
     return not any(request.get(name) for name in UNMERGED_FIELDS)
 
 
+# Share of a choice in the size of an answer, beside its text.
+CHOICE_BYTES = 64
+
+
 class MergedAnswer:
-    """Collects the events of one completion."""
+    """Collects the events of one completion.
+
+    Attributes
+    ----------
+    size_bytes
+        Size of what was collected, by the length of its texts.
+    """
 
     def __init__(self) -> None:
+        self.size_bytes = 0
         self._head: dict[str, Any] = {}
         self._texts: dict[int, list[str]] = {}
         self._reasons: dict[int, Any] = {}
@@ -62,13 +73,18 @@
 
     def _add_choice(self, choice: Mapping[str, Any]) -> None:
         index = int(choice.get('index', 0))
-        texts = self._texts.setdefault(index, [])
+        if index not in self._texts:
+            self._texts[index] = []
+            self.size_bytes += CHOICE_BYTES
         delta = choice.get('delta')
         if delta is None:
-            texts.append(choice.get('text') or '')
+            text = choice.get('text') or ''
         else:
             self._is_chat = True
-            texts.append(delta.get('content') or '')
+            text = delta.get('content') or ''
+        if text:
+            self._texts[index].append(text)
+            self.size_bytes += len(text)
         if choice.get('finish_reason') is not None:
             self._reasons[index] = choice['finish_reason']
 
--- a/tests/test_endless_engines.py
+++ b/tests/test_endless_engines.py
@@ -1,12 +1,18 @@
 """Engines and services of the product whose answers are endless or no JSON."""
 
+import asyncio
+
 import pytest
-from tests.raw_server import RawServer, answer
+from tests.endless_server import GIVE_UP_BYTES, EndlessServer
+from tests.raw_server import EVENTS, RawServer, answer, chunk
 
-from kumquatrun.agent.completions import json_object
-from kumquatrun.agent.engine_client import EngineClient
-from kumquatrun.errors import ConnectionLostError
+from kumquatrun.agent import engine_client
+from kumquatrun.agent.adapter_slots import AdapterKey
+from kumquatrun.agent.completions import GenerateCall, json_object
+from kumquatrun.agent.engine_client import HEALTH_TIMEOUT_S, EngineClient
+from kumquatrun.errors import BackendError, ConnectionLostError
 
+AT_ONCE_S = 3.0
 NESTED = [b'[' * 100_000, b'{"a":' * 100_000]
 
 
@@ -36,3 +42,82 @@
         await client.health()
     assert len(str(raised.value)) < 400
     await client.close()
+
+
+HEAD = b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
+LENGTH = b'Content-Length: 999999999\r\n\r\n'
+EVENT = b'data: {"choices": [{"text": "%s"}]}\n\n' % (b'x' * 4096)
+CHOICES = b'data: {"choices": [%s]}\n\n' % b', '.join(
+    b'{"index": %d, "text": ""}' % index for index in range(20_000)
+)
+ENDLESS_GENERATIONS = {
+    'one document': (HEAD + LENGTH, b' ' * 4096),
+    'events': (EVENTS, chunk(EVENT)),
+    'one event': (EVENTS, chunk(b'x' * 4096)),
+    'choices': (EVENTS, chunk(CHOICES)),
+}
+GENERATE = GenerateCall(
+    request_id='r',
+    path='/v1/completions',
+    body=b'{"prompt": "p"}',
+    key=AdapterKey('a', 1),
+)
+
+
+async def run_completion(client):
+    async with client.generate(GENERATE, lambda: None) as generation:
+        async for _ in generation:
+            pass
+
+
+@pytest.fixture
+async def endless():
+    """Return a client of an engine whose answers do not end."""
+    opened = []
+
+    async def start(begin, piece, pause_s=0):
+        server = await EndlessServer(begin, piece, pause_s).start()
+        client = EngineClient(server.url)
+        opened.append(client)
+        return server, client
+
+    yield start
+    for client in opened:
+        await client.close()
+
+
+@pytest.mark.parametrize('call', ['health', 'load', 'unload'])
+async def test_endless_answer_to_a_call_is_not_kept(endless, call):
+    # Guards against an agent that is killed for its memory.
+    server, client = await endless(HEAD + b'\r\n', b' ' * 4096)
+    arguments = () if call == 'health' else (AdapterKey('a', 1), 1)
+    async with asyncio.timeout(AT_ONCE_S):
+        with pytest.raises(ConnectionLostError, match='above'):
+            await getattr(client, call)(*arguments)
+        await server.closed.wait()
+    assert server.sent_bytes < GIVE_UP_BYTES
+
+
+@pytest.mark.parametrize('begin', [b'', HEAD, HEAD + LENGTH])
+async def test_health_answer_that_drips_ends_in_time(endless, begin):
+    _, client = await endless(begin, b'1' if begin else b'\r\n', 0.1)
+    async with asyncio.timeout(2 * HEALTH_TIMEOUT_S):
+        with pytest.raises(ConnectionLostError):
+            await client.health()
+
+
+@pytest.mark.parametrize('name', ENDLESS_GENERATIONS)
+async def test_endless_whole_answer_of_an_engine_fails(
+    endless,
+    name,
+    monkeypatch,
+):
+    # Guards against an answer that the agent collects until it is killed for
+    # its memory.
+    monkeypatch.setattr(engine_client, 'MAX_WHOLE_ANSWER_BYTES', 1024 * 1024)
+    server, client = await endless(*ENDLESS_GENERATIONS[name])
+    async with asyncio.timeout(AT_ONCE_S):
+        with pytest.raises(BackendError):
+            await run_completion(client)
+        await server.closed.wait()
+    assert server.sent_bytes < GIVE_UP_BYTES
