--- a/src/kumquatrun/gateway/answer_relay.py
+++ b/src/kumquatrun/gateway/answer_relay.py
@@ -18,12 +18,14 @@
 from kumquatrun.gateway.wire_format import WireFormat
 from kumquatrun.runtime.clock import Clock
 
-# A repeatable request whose answer does not begin in this many target
-# latencies is tried elsewhere.
+# A repeatable request whose answer does not begin, or whose plain answer does
+# not end, in this many target latencies is tried elsewhere.
 SILENT_TARGETS = 1.5
 SILENT_STREAM_TARGETS = 2.0
 # A resumable stream that pauses for this many gap targets continues elsewhere.
 SILENT_GAPS = 6.0
+# A refusal comes whole; what follows its head is worth no more waiting.
+REFUSAL_BODY_S = 0.1
 # Largest answer of a plain route, which is read whole before it is passed on.
 MAX_WHOLE_BYTES = 256 * 1024
 SERVER_ERROR = 500
@@ -65,20 +67,23 @@
         BrokenAnswerError
             If the answer ended early.
         TimeoutError
-            If the backend server was silent for too long.
+            If the backend server took too long.
         """
-        async with asyncio.timeout(self._head_limit_s(course)):
+        ends_at_s = self._attempt_ends_at_s(course)
+        async with asyncio.timeout_at(ends_at_s):
             head = await connection.read_head()
         if self._wire.read_answer(head).is_not_run:
             course.runs -= 1
-            await _read_whole(head)
+            async with asyncio.timeout(REFUSAL_BODY_S):
+                await _read_whole(head)
             course.failure = f'refused with {head.status}'
             return Result.NOT_RUN, head
         is_stream = course.route.kind is RouteKind.STREAMING
         if is_stream and head.status in SUCCESS:
             await self._relay_stream(course, channel, head, reservation)
             return Result.DELIVERED, head
-        body = await _read_whole(head)
+        async with asyncio.timeout_at(ends_at_s):
+            body = await _read_whole(head)
         if channel.has_begun or self._is_worth_another(course, head, body):
             course.failure = f'answered {head.status}'
             return Result.FAILED, head
@@ -98,13 +103,17 @@
         course.kept_failure = (head, body)
         return course.may_send_again
 
-    def _head_limit_s(self, course: Course) -> float | None:
-        """Return how long an answer may take to begin; None for no limit."""
+    def _attempt_ends_at_s(self, course: Course) -> float | None:
+        """Return when the answer must have come; None for no limit.
+
+        A stream must have begun by then, any other answer must be whole.
+        """
         if not course.route.may_repeat or not course.may_send_again:
             return None
         is_stream = course.route.kind is RouteKind.STREAMING
         targets = SILENT_STREAM_TARGETS if is_stream else SILENT_TARGETS
-        return targets * course.route.target_latency_ms / 1000
+        limit_s = targets * course.route.target_latency_ms / 1000
+        return self._clock.now_s() + limit_s
 
     async def deliver_whole(
         self,
@@ -180,7 +189,7 @@
                 reservation.hold.tell_prompt_read()
             read_at_s = now_s
             if course.stream is not None:
-                chunk = course.stream.feed(chunk)
+                chunk = _whole_events(course.stream, chunk, head)
             if chunk:
                 await channel.write(chunk)
 
@@ -206,6 +215,19 @@
         return SILENT_GAPS * gap_ms / 1000
 
 
+def _whole_events(
+    stream: ResumableStream,
+    chunk: bytes,
+    head: AnswerHead,
+) -> bytes:
+    try:
+        return stream.feed(chunk)
+    except BackendError as error:
+        raise BrokenAnswerError(
+            f'{error.detail}, {head.body.total_bytes} bytes received',
+        ) from error
+
+
 async def _read_whole(head: AnswerHead) -> bytes:
     try:
         return await read_body(head.body, MAX_WHOLE_BYTES)
--- a/src/kumquatrun/gateway/backend_connection.py
+++ b/src/kumquatrun/gateway/backend_connection.py
@@ -8,7 +8,7 @@
 import asyncio
 import socket
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -17,7 +17,9 @@
 from aiohttp.streams import StreamReader
 
 from kumquatrun.errors import ConnectionLostError, Outcome
+from kumquatrun.gateway.answer_size import AnswerSize
 from kumquatrun.peer.address import Address
+from kumquatrun.runtime.error_text import error_text
 
 CONNECT_TIMEOUT_S = 0.4
 # A peer that acknowledges nothing for this time is taken for unreachable.
@@ -29,10 +31,17 @@
 )
 # Value of SO_LINGER that makes a close reset the connection.
 NO_LINGER = struct.pack('ii', 1, 0)
-READ_BUFFER_BYTES = 64 * 1024
+# A stream whose caller reads slowly holds up to twice the buffer and one read.
+READ_BUFFER_BYTES = 16 * 1024
+READ_BYTES = 16 * 1024
 MAX_HEADER_BYTES = 32 * 1024
+END_OF_HEAD = b'\r\n\r\n'
 INFORMATIONAL = range(100, 200)
 
+# The loop fills it and hands it over in one step, so one serves all
+# connections.
+_read_buffer = memoryview(bytearray(READ_BYTES))
+
 RawHeaders = tuple[tuple[bytes, bytes], ...]
 
 
@@ -58,9 +67,12 @@
         return ''
 
 
-class BackendConnection(BaseProtocol):
+class BackendConnection(BaseProtocol, asyncio.BufferedProtocol):
     """One TCP connection to a backend server.
 
+    Reads are small, as bytes are held until the caller takes them: asyncio
+    reads up to 256 KiB at once into a protocol without a buffer of its own.
+
     Attributes
     ----------
     is_clean
@@ -76,6 +88,9 @@
         self.idle_since_s = loop.time()
         self._is_lost = False
         self._has_extra = False
+        self._size = AnswerSize()
+        # Last bytes of earlier reads, where the end of a head may begin.
+        self._recent = b''
         self._accepts: Callable[[Any], bool] | None = None
         self._head: asyncio.Future[AnswerHead] | None = None
         self._body: StreamReader | None = None
@@ -91,8 +106,21 @@
 
     @property
     def _awaits_answer(self) -> bool:
-        has_ended = self._body is not None and self._body.is_eof()
-        return self._head is not None and not has_ended
+        return self._head is not None and not self._has_ended
+
+    @property
+    def received_bytes(self) -> int:
+        """Return the number of bytes since the last request was sent."""
+        return self._size.received_bytes
+
+    @property
+    def is_unfinished(self) -> bool:
+        """Return whether an answer has begun and not ended."""
+        return self.received_bytes > 0 and not self._has_ended
+
+    @property
+    def _has_ended(self) -> bool:
+        return self._body is not None and self._body.is_eof()
 
     def send(
         self,
@@ -119,6 +147,8 @@
             )
         self.is_clean = False
         self._accepts = accepts
+        self._size = AnswerSize()
+        self._recent = b''
         self._head = self._loop.create_future()
         self._body = None
         self._parser = HttpResponseParser(
@@ -165,23 +195,29 @@
 
     # Callbacks of the transport.
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where the next bytes go."""
+        return _read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take the bytes that arrived."""
+        self.data_received(bytes(_read_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse what arrived."""
         if self._parser is None or (self.is_clean and data):
             # Bytes without a request belong to nothing.
             self.abort()
             return
-        try:
-            messages, is_upgraded, _ = self._parser.feed_data(data)
-        except Exception as error:
-            self._fail(BrokenAnswerError(f'malformed answer: {error!r}'))
-            self.abort()
-            return
-        for message, body in messages:
-            self._on_message(message, body)
-        if is_upgraded:
-            self._fail(BrokenAnswerError('unexpected upgrade'))
-            self.abort()
+        self._size.add(len(data))
+        problem = self._parse(data) or self._size.excess()
+        if problem:
+            self._break_off(problem)
+
+    def pause_reading(self) -> None:
+        """Wait for the reader of the body; a dropped body has none."""
+        if self._body is not None:
+            super().pause_reading()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the answer; without a length, a clean end completes it."""
@@ -194,10 +230,44 @@
             try:
                 parser.feed_eof()
             except Exception as incomplete:
-                error = BrokenAnswerError(f'incomplete answer: {incomplete!r}')
+                error = BrokenAnswerError(
+                    f'incomplete answer: {error_text(incomplete)}',
+                )
         self._fail(error)
         super().connection_lost(exc)
 
+    def _parse(self, data: bytes) -> str:
+        """Return what makes the answer unreadable, or an empty text."""
+        try:
+            for part in self._parts(data):
+                messages, is_upgraded, _ = self._parser.feed_data(part)
+                for message, body in messages:
+                    self._on_message(message, body)
+                if is_upgraded:
+                    return 'unexpected upgrade'
+        except Exception as error:
+            return f'malformed answer: {error_text(error)}'
+        return ''
+
+    def _parts(self, data: bytes) -> Iterator[bytes]:
+        """Cut after each head until the one of the answer.
+
+        The parser drops a head if bytes in the same call are malformed, so
+        bytes after a complete answer would cost the answer.
+        """
+        searched = self._recent + data
+        recent_bytes = len(self._recent)
+        start = 0
+        found = searched.find(END_OF_HEAD)
+        while self._body is None and found >= 0:
+            end = found + len(END_OF_HEAD)
+            yield data[start : end - recent_bytes]
+            start = end - recent_bytes
+            found = searched.find(END_OF_HEAD, end)
+        self._recent = searched[-3:]
+        if start < len(data) or not data:
+            yield data[start:]
+
     def _on_message(self, message: Any, body: StreamReader) -> None:
         if message.code in INFORMATIONAL:
             return
@@ -215,6 +285,7 @@
         if self._head.done() or not self._accepts(head):
             return
         self._body = body
+        self._size.end_head(body)
         self._head.set_result(head)
 
     def _reset_on_close(self) -> None:
@@ -222,6 +293,14 @@
             opened = self.transport.get_extra_info('socket')
             opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
 
+    def _break_off(self, problem: str) -> None:
+        self._fail(
+            BrokenAnswerError(
+                f'{problem}, {self.received_bytes} bytes received',
+            ),
+        )
+        self.abort()
+
     def _fail(self, error: Exception) -> None:
         if self._head is not None and not self._head.done():
             self._head.set_exception(error)
--- a/src/kumquatrun/platform/client.py
+++ b/src/kumquatrun/platform/client.py
@@ -7,9 +7,13 @@
 import aiohttp
 
 from kumquatrun.errors import ConnectionLostError
+from kumquatrun.gateway.body_reader import BodyTooLargeError, read_body
 from kumquatrun.peer.address import Address
+from kumquatrun.runtime.error_text import error_text
 
 CALL_TIMEOUT_S = 0.8
+# Largest answer of the platform or of an engine.
+MAX_ANSWER_BYTES = 512 * 1024
 OK = 200
 
 
@@ -97,15 +101,22 @@
                     json=fields,
                 ) as answer,
             ):
-                return answer.status, await answer.read()
+                body = await read_body(answer.content, MAX_ANSWER_BYTES)
+                return answer.status, body
+        except BodyTooLargeError as error:
+            raise ConnectionLostError(
+                f'{method} {address}{path}: {error}',
+            ) from error
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise ConnectionLostError(
-                f'{method} {address}{path}: {error!r}',
+                f'{method} {address}{path}: {error_text(error)}',
             ) from error
 
 
 def _parse(body: bytes, place: str) -> Any:
     try:
-        return json.loads(body)
-    except ValueError as error:
+        # Bytes that are no UTF-8 spoil the text that they are in, not the
+        # whole answer; ``decoding`` refuses such a text.
+        return json.loads(body.decode(errors='surrogateescape'))
+    except (ValueError, RecursionError) as error:
         raise ConnectionLostError(f'{place} sent no JSON: {error}') from None
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,238 @@
+"""Answers of backend servers that do not end: bounds, outcomes and memory."""
+
+import asyncio
+import logging
+import re
+
+import pytest
+from tests.endless_server import EndlessServer
+from tests.gateway_fakes import (
+    Caller,
+    Runner,
+    RunnerReservations,
+    answer,
+    course_of,
+)
+
+from kumquatrun.errors import BackendError, Outcome
+from kumquatrun.gateway.forwarder import Forwarder
+from kumquatrun.gateway.planned_stop import PlannedStop
+from kumquatrun.gateway.retry_shares import RetryShares
+from kumquatrun.platform.requests import PlatformFormat
+from kumquatrun.runtime.clock import LoopClock
+
+# Far below the time limit of a request, which is 5 s in these tests.
+AT_ONCE_S = 2.0
+# Bytes that the network takes beside those that the entry reads.
+NETWORK_BYTES = 6 * 1024 * 1024
+HEAD = b'HTTP/1.1 200 OK\r\nX-Kumquatrun-Attempt-Id: {id}\r\n'
+CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+WHOLE = HEAD + b'Content-Length: 4\r\n\r\ndone'
+INTERIM = b'HTTP/1.1 100 Continue\r\n\r\n'
+LATE = b'HTTP/1.1 200 OK\r\nX-Kumquatrun-Attempt-Id: zero\r\n'
+
+ENDLESS_HEADS = {
+    'line ends before the head': (b'', b'\r\n' * 2048),
+    'status line': (b'HTTP/1.1 200 ', b'x' * 4096),
+    'spaces in the status line': (b'HTTP/1.1 200', b' ' * 4096),
+    'header name': (HEAD, b'x' * 4096),
+    'header value': (HEAD + b'A: ', b'x' * 4096),
+    'spaces before a header value': (HEAD + b'A:', b' ' * 4096),
+    'folded header': (HEAD + b'A: b\r\n', b' x\r\n' * 1024),
+    'header lines': (HEAD, b'A: b\r\n' * 512),
+    'interim answers': (b'', INTERIM * 128),
+    'late answers': (b'', (LATE + b'Content-Length: 0\r\n\r\n') * 64),
+    'body of a late answer': (
+        LATE + b'Content-Length: 99999999\r\n\r\n',
+        b'x' * 4096,
+    ),
+}
+ENDLESS_BODIES = {
+    'no length': (HEAD + b'\r\n', b'x' * 4096),
+    'a length that is a lie': (
+        HEAD + b'Content-Length: 99999999999\r\n\r\n',
+        b'x' * 4096,
+    ),
+    'chunks': (CHUNKED, b'1000\r\n' + b'x' * 4096 + b'\r\n'),
+    'tiny chunks': (CHUNKED, b'1\r\nx\r\n' * 1024),
+    'chunk size': (CHUNKED, b'0' * 4096),
+    'chunk extension': (CHUNKED + b'1;', b'x' * 4096),
+    'spaces after a chunk size': (CHUNKED + b'1', b' ' * 4096),
+    'trailers': (CHUNKED + b'0\r\n', b'A: b\r\n' * 512),
+    'trailer': (CHUNKED + b'0\r\nA: ', b'x' * 4096),
+    'spaces in a trailer': (CHUNKED + b'0\r\nA:', b' ' * 4096),
+}
+ENDLESS = {**ENDLESS_HEADS, **ENDLESS_BODIES}
+endless = pytest.mark.parametrize(
+    ('begin', 'piece'),
+    ENDLESS.values(),
+    ids=ENDLESS,
+)
+
+
+async def forward(
+    course,
+    *servers,
+    caller=None,
+    limit_s=AT_ONCE_S,
+    backends=None,
+):
+    started = [await server.start() for server in servers]
+    caller = caller or Caller()
+    reservations = RunnerReservations(*started)
+    if backends is not None:
+        backends.extend(reservations.backends)
+    forwarder = Forwarder(
+        PlatformFormat(),
+        reservations,
+        RetryShares(0.2, 100, 10),
+        PlannedStop(LoopClock()).check,
+        LoopClock(),
+    )
+    problem = None
+    try:
+        async with asyncio.timeout(limit_s):
+            await forwarder.run(course, caller)
+    except BackendError as error:
+        problem = error
+    return caller, reservations.backends, problem
+
+
+@endless
+async def test_endless_answer_fails_at_once(begin, piece, caplog):
+    # Guards against bytes without end that hold a request for its whole time,
+    # and the entry's memory or loop for as long.
+    caplog.set_level(logging.INFO)
+    server = EndlessServer(begin, piece)
+    spare = Runner([answer()])
+    caller, backends, problem = await forward(
+        course_of('non_idempotent', max_attempts=2),
+        server,
+        spare,
+    )
+    assert problem.outcome is Outcome.UNKNOWN
+    assert not caller.has_begun
+    assert not spare.requests
+    async with asyncio.timeout(1):
+        await server.closed.wait()
+    assert server.sent_bytes < NETWORK_BYTES
+    assert backends[0].current_failure_rate(LoopClock().now_s()) > 0.1
+    assert not backends[0].pool.idle_count
+    (fields,) = [
+        record.event_fields
+        for record in caplog.records
+        if record.getMessage() == 'attempt_failed'
+    ]
+    assert fields['request_id'] == 'attempt-1'
+    assert fields['backend'] == 'runner-0'
+    assert re.search(r'\d+ bytes received', fields['reason'])
+
+
+@endless
+async def test_endless_answer_is_repeated_where_the_route_allows_it(
+    begin,
+    piece,
+):
+    caller, _, problem = await forward(
+        course_of('idempotent', max_attempts=2),
+        EndlessServer(begin, piece),
+        Runner([answer(b'whole')]),
+    )
+    assert problem is None
+    assert (caller.body, caller.is_finished) == (b'whole', True)
+
+
+LONG = b'Content-Length: 9999\r\n\r\n'
+REFUSED = (
+    b'HTTP/1.1 503 Service Unavailable\r\nX-Kumquatrun-Not-Executed: 1\r\n'
+)
+DRIP_S = 0.02
+
+
+@pytest.mark.parametrize(
+    'begin',
+    [b'', HEAD, HEAD + LONG, CHUNKED],
+    ids=['head', 'headers', 'body', 'chunk size'],
+)
+async def test_drip_does_not_defeat_the_time_limit_of_an_attempt(begin):
+    # Guards against an answer that begins in time and never ends: a request
+    # that may be repeated waited for it until its own time was over.
+    piece = b'\r\n' if not begin else b'1'
+    server = EndlessServer(begin, piece, DRIP_S)
+    caller, backends, problem = await forward(
+        course_of('idempotent', max_attempts=2),
+        server,
+        Runner([answer(b'whole')]),
+    )
+    assert problem is None
+    assert (caller.body, caller.is_finished) == (b'whole', True)
+    assert backends[0].current_failure_rate(LoopClock().now_s()) > 0.1
+
+
+@pytest.mark.parametrize('kind', ['idempotent', 'non_idempotent', 'streaming'])
+@pytest.mark.parametrize('pause_s', [0, DRIP_S])
+async def test_refusal_without_an_end_is_still_a_refusal(kind, pause_s):
+    # Guards against a request that was not run and waits at the backend
+    # server that refused it.
+    caller, backends, problem = await forward(
+        course_of(kind, max_attempts=1),
+        EndlessServer(REFUSED + LONG, b'x', pause_s),
+        Runner([answer(b'whole')]),
+    )
+    assert problem is None
+    assert (caller.body, caller.is_finished) == (b'whole', True)
+    assert not backends[0].pool.idle_count
+
+
+async def test_plain_answer_ends_with_the_time_limit_of_its_request(caplog):
+    # Guards against a backend server that never ends an answer and goes on
+    # getting requests, since none of them was counted against it.
+    caplog.set_level(logging.INFO)
+    server = EndlessServer(HEAD + LONG, b'x', DRIP_S)
+    course = course_of('non_idempotent')
+    course.ends_at_s = LoopClock().now_s() + 0.2
+    backends = []
+    with pytest.raises(TimeoutError):
+        await forward(course, server, limit_s=0.2, backends=backends)
+    async with asyncio.timeout(1):
+        await server.closed.wait()
+    assert backends[0].current_failure_rate(LoopClock().now_s()) > 0.1
+    (fields,) = [
+        record.event_fields
+        for record in caplog.records
+        if record.getMessage() == 'attempt_failed'
+    ]
+    assert fields['result'] == 'silent'
+    assert re.search(r'\d+ bytes received', fields['reason'])
+
+
+async def test_slow_caller_is_not_counted_against_the_backend_server():
+    class Stalled(Caller):
+        async def write(self, part):
+            await asyncio.sleep(9)
+
+    course = course_of('non_idempotent')
+    course.ends_at_s = LoopClock().now_s() + 0.1
+    backends = []
+    with pytest.raises(TimeoutError):
+        await forward(
+            course,
+            Runner([answer(b'whole')]),
+            caller=Stalled(),
+            limit_s=0.1,
+            backends=backends,
+        )
+    assert not backends[0].current_failure_rate(LoopClock().now_s())
+
+
+@pytest.mark.parametrize(
+    'garbage',
+    [b'x' * 16000, b'\x00\xff' * 8000, HEAD + b'A: ' + b'x' * 64000],
+    ids=['text', 'bytes', 'header'],
+)
+async def test_bytes_of_a_broken_answer_are_not_quoted_at_length(garbage):
+    # Guards against log lines and answers to callers that grow with what a
+    # backend server sends.
+    runner = Runner([garbage, 'close'])
+    _, _, problem = await forward(course_of('non_idempotent'), runner)
+    assert len(str(problem)) < 400
--- /dev/null
+++ b/tests/test_platform_client.py
@@ -0,0 +1,204 @@
+"""Calls to the platform and to engines whose answers are endless or no JSON."""
+
+import asyncio
+import json
+import time
+
+import pytest
+from tests.endless_server import GIVE_UP_BYTES, EndlessServer
+from tests.gateway_fakes import Runner, answer
+
+from kumquatrun.control.backend_listing import BackendListing
+from kumquatrun.errors import ConnectionLostError, KumquatrunError
+from kumquatrun.gateway.engine_api import EngineOrder, OrderVerdict
+from kumquatrun.gateway.listing_follower import decode_records
+from kumquatrun.platform import listing as listing_module
+from kumquatrun.platform.client import PlatformClient
+from kumquatrun.platform.engine import PlatformEngine
+from kumquatrun.platform.listing import BackendLister
+from kumquatrun.runtime.clock import LoopClock
+
+ENTRY = {
+    'id': 'i-1',
+    'service': 's',
+    'address': '10.0.0.1:80',
+    'state': 'ready',
+}
+HEAD = b'HTTP/1.1 200 OK\r\n'
+CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+CHUNK = b'1000\r\n' + b' ' * 4096 + b'\r\n'
+ENDLESS_BODIES = {
+    'no length': (HEAD + b'\r\n', b' ' * 4096),
+    'a length that is a lie': (
+        HEAD + b'Content-Length: 99999999999\r\n\r\n',
+        b' ' * 4096,
+    ),
+    'chunks': (CHUNKED, CHUNK),
+}
+ENDLESS_HEADS = {
+    'status line': (b'HTTP/1.1 200 ', b'x' * 4096),
+    'header lines': (HEAD, b'A: b\r\n' * 512),
+    'header value': (HEAD + b'A: ', b'x' * 4096),
+    'interim answers': (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 128),
+    'line ends': (b'', b'\r\n' * 2048),
+    'chunk size': (CHUNKED, b'0' * 4096),
+}
+ORDER = EngineOrder(
+    is_load=True,
+    model='m',
+    adapter='a',
+    holder='h',
+    fencing_number=1,
+    expected_count=0,
+)
+
+
+@pytest.fixture
+async def client():
+    client = PlatformClient()
+    yield client
+    await client.close()
+
+
+async def longest_pause_s(task):
+    """Return the longest time that the loop gave no turn."""
+    longest_s = 0
+    while not task.done():
+        started_s = time.perf_counter()
+        await asyncio.sleep(0.005)
+        longest_s = max(longest_s, time.perf_counter() - started_s)
+    return longest_s
+
+
+@pytest.mark.parametrize(
+    ('begin', 'piece'),
+    ENDLESS_BODIES.values(),
+    ids=ENDLESS_BODIES,
+)
+async def test_endless_body_of_a_list_is_not_kept(client, begin, piece):
+    # Guards against a process that is killed for its memory: the whole body
+    # was read before anything looked at it.
+    server = await EndlessServer(begin, piece).start()
+    with pytest.raises(ConnectionLostError, match='body above'):
+        await BackendLister(client, server.address).read()
+    async with asyncio.timeout(1):
+        await server.closed.wait()
+    assert server.sent_bytes < GIVE_UP_BYTES
+
+
+@pytest.mark.parametrize(
+    ('begin', 'piece'),
+    ENDLESS_HEADS.values(),
+    ids=ENDLESS_HEADS,
+)
+async def test_endless_head_of_a_list_ends_in_time(client, begin, piece):
+    server = await EndlessServer(begin, piece).start()
+    lister = BackendLister(client, server.address)
+    task = asyncio.create_task(lister.read())
+    async with asyncio.timeout(1):
+        pause_s = await longest_pause_s(task)
+        with pytest.raises(ConnectionLostError):
+            await task
+        await server.closed.wait()
+    assert pause_s < 0.1
+
+
+@pytest.mark.parametrize('begin', [b'', HEAD + b'Content-Length: 9\r\n\r\n'])
+async def test_answer_that_drips_ends_in_time(client, begin):
+    piece = b' ' if begin else b'\r'
+    server = await EndlessServer(begin, piece, 0.1).start()
+    engine = PlatformEngine(client, server.address)
+    async with asyncio.timeout(0.6):
+        with pytest.raises(ConnectionLostError):
+            await engine.report()
+
+
+async def test_order_with_an_endless_answer_has_no_answer(client):
+    server = await EndlessServer(*ENDLESS_BODIES['chunks']).start()
+    engine = PlatformEngine(client, server.address)
+    assert await engine.order(ORDER) is OrderVerdict.NO_ANSWER
+    assert server.sent_bytes < GIVE_UP_BYTES
+
+
+@pytest.mark.parametrize(
+    'body',
+    [b'[' * 100_000, b'{"a":' * 100_000, b'\xff', b'1' * 5000, b'{}}', b'[]'],
+    ids=['lists', 'objects', 'no text', 'number', 'rest', 'no object'],
+)
+async def test_list_that_is_no_json_object_is_only_lost(client, body):
+    # Guards against a leader that reads no list again: an error of another
+    # type ended the task that reads it.
+    script = [answer(body)]
+    page = answer(json.dumps({'instances': [ENTRY]}).encode())
+    runner = await Runner(script, [page]).start()
+    listing = BackendListing(
+        BackendLister(client, runner.address).read,
+        LoopClock(),
+    )
+    await listing.refresh()
+    assert listing.age_s(LoopClock().now_s()) is None
+    await listing.refresh()
+    (record,) = decode_records(listing.encoded)
+    assert record.backend_id == 'i-1'
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        b'"slots": 1e999',
+        b'"slots": 1000000000000000000000000000000',
+        b'"service": "\\ud800"',
+        b'"models": [{"name": "m", "adapters": ["\\ud800@1"]}]',
+        b'"models": [{"name": "m", "adapters": ["a@9999999999999999999999"]}]',
+        b'"zone": "\xff"',
+    ],
+    ids=['infinite', 'large', 'text', 'adapter', 'version', 'bytes'],
+)
+async def test_unreadable_entry_leaves_the_others(client, change):
+    # Guards against one entry of another writer that hides all backend
+    # servers, or ends the task that reads the list.
+    whole = json.dumps(ENTRY).encode()
+    odd = whole.replace(b'i-1', b'i-2')[:-1] + b', ' + change + b'}'
+    body = b'{"instances": [' + odd + b', ' + whole + b']}'
+    runner = await Runner([answer(body)]).start()
+    encoded = await BackendLister(client, runner.address).read()
+    (record,) = decode_records(encoded)
+    assert record.backend_id == 'i-1'
+
+
+async def test_list_without_a_last_page_is_lost(client):
+    # Guards against pages without end that fill the memory of the leader.
+    adapters = [f'a{number}@1' for number in range(30_000)]
+    entry = {**ENTRY, 'models': [{'name': 'm', 'adapters': adapters}]}
+    page = {'instances': [entry], 'next_token': 'p'}
+    script = [answer(json.dumps(page).encode())]
+    runner = await Runner(*[script] * 60).start()
+    with pytest.raises(ConnectionLostError, match='list above'):
+        await BackendLister(client, runner.address).read()
+
+
+async def test_page_that_names_no_valid_next_one_is_lost(client):
+    page = {'instances': [ENTRY], 'next_token': '\ud800'}
+    runner = await Runner([answer(json.dumps(page).encode())]).start()
+    with pytest.raises(KumquatrunError):
+        await BackendLister(client, runner.address).read()
+
+
+async def test_slow_pages_without_end_are_given_up(client, monkeypatch):
+    # Guards against a list that is read for MAX_PAGES times the limit of a
+    # call, while nothing reads the changes of the others.
+    monkeypatch.setattr(listing_module, 'LIST_TIMEOUT_S', 0.3)
+    page = answer(json.dumps({'instances': [], 'next_token': 'p'}).encode())
+    runner = await Runner(*[[0.05, page]] * 60).start()
+    with pytest.raises(ConnectionLostError, match='did not end within'):
+        await BackendLister(client, runner.address).read()
+    assert len(runner.requests) < 10
+
+
+@pytest.mark.parametrize('garbage', [b'x' * 60000, b'\x00\xff' * 30000])
+async def test_bytes_of_a_broken_list_are_not_quoted_at_length(client, garbage):
+    # Guards against log lines that grow with what the platform sends.
+    runner = await Runner([garbage]).start()
+    with pytest.raises(ConnectionLostError) as raised:
+        await BackendLister(client, runner.address).read()
+    assert len(str(raised.value)) < 400
