Start a failed replica again from its storage

Cause: any error in a step set Replica.failure for good, and nothing outside looked at it on the platform.

A replica that failed now drops its node, waits 0.1 s to 1 s, and opens its storage again with an emptied state machine. A disk is retried without a limit; after other errors (a violated invariant, a damaged file) it starts again three times, 5 s apart, then gives up with an error and a readiness reason. A start while the disk refuses works the same way; a path that cannot be a folder still ends the start.

Weighed: ending the process. The platform prices processes that end by themselves, a disk may refuse for many seconds, and a new process would read the same cache.

After a failed sync the cache can hold bytes that the disk lacks, and a later sync does not repeat them. So each load, also that of a new process, writes the last segment and the term file to new files, syncs them and the folder, and only then returns. Votes and appended entries are answered only after their sync, so nothing answered can be missing. The reload of what an earlier process wrote without a sync was the same fault and is mended with it.

--- a/src/kumquatrun/__init__.py
+++ b/src/kumquatrun/__init__.py
@@ -16,12 +16,13 @@
 
 from kumquatrun.agent.adapter_slots import AdapterSlots
 from kumquatrun.agent.fair_queue import FairQueue
-from kumquatrun.consensus.log_store import FileStorage, Storage
+from kumquatrun.consensus.log_store import FileStorage
 from kumquatrun.consensus.memory_store import MemoryStorage
 from kumquatrun.consensus.quorum_log import QuorumLog
 from kumquatrun.consensus.quorum_node import StateMachine
 from kumquatrun.consensus.replica import Replica
 from kumquatrun.consensus.replica_transport import Transport
+from kumquatrun.consensus.storage import Storage
 from kumquatrun.control.account_budgets import BudgetRegister
 from kumquatrun.control.claims import ClaimRegister
 from kumquatrun.control.leases import LeaseTable
--- a/src/kumquatrun/command_line/daemons.py
+++ b/src/kumquatrun/command_line/daemons.py
@@ -130,14 +130,8 @@
     """Build a dedicated control host."""
     metrics = process_metrics()
     control = _build_control_host(settings, clock, metrics)
-
-    def not_ready_reason() -> str:
-        if control.replica.failure is not None:
-            return f'replica failed: {control.replica.failure}'
-        return '' if control.replica.leader_id else 'no leader known'
-
     metrics.before_render(lambda: _set_process_counts(metrics))
-    admin = _admin_parts(settings, metrics, not_ready_reason)
+    admin = _admin_parts(settings, metrics, control.not_ready_reason)
     return Daemon(settings, [*admin, control])
 
 
--- a/src/kumquatrun/consensus/consensus_messages.py
+++ b/src/kumquatrun/consensus/consensus_messages.py
@@ -163,3 +163,12 @@
     accepted: bool
     leader_id: str = ''
     leader_address: str = ''
+
+
+CONSENSUS_REQUESTS = (
+    AppendRequest,
+    FormationState,
+    JoinRequest,
+    SnapshotChunk,
+    VoteRequest,
+)
--- a/src/kumquatrun/consensus/log_segments.py
+++ b/src/kumquatrun/consensus/log_segments.py
@@ -90,9 +90,7 @@
         for entry in entries:
             content += encode_entry(entry)
             self.ends.append(start + len(content))
-        written = 0
-        while written < len(content):
-            written += os.write(self._file, memoryview(content)[written:])
+        _write_all(self._file, content)
         self.needs_sync = True
 
     def truncate_from(self, index: int) -> None:
@@ -108,6 +106,26 @@
             os.fdatasync(self._file)
             self.needs_sync = False
 
+    def rewrite(self) -> None:
+        """Replace the file with a synced copy of its records.
+
+        The name is durable after a sync of the folder.
+        """
+        content = self.path.read_bytes()[: self.size_bytes]
+        temporary = self.path.with_suffix('.tmp')
+        flags = os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND
+        copy = os.open(temporary, flags, 0o600)
+        try:
+            _write_all(copy, content)
+            os.fsync(copy)
+            temporary.rename(self.path)
+        except OSError:
+            os.close(copy)
+            raise
+        replaced = self._file
+        self._file = copy
+        os.close(replaced)
+
     def close(self) -> None:
         """Close the file without a sync."""
         os.close(self._file)
@@ -125,3 +143,10 @@
         return CorruptLogError(
             f'record at offset {offset} of {self.path} {what}',
         )
+
+
+def _write_all(file: int, content: bytes | bytearray) -> None:
+    view = memoryview(content)
+    written = 0
+    while written < len(content):
+        written += os.write(file, view[written:])
--- a/src/kumquatrun/consensus/log_store.py
+++ b/src/kumquatrun/consensus/log_store.py
@@ -3,6 +3,13 @@
 The folder holds segment files with entries, the newest snapshot, and a file
 with disk identity, term and vote. Snapshot and term files are replaced as a
 whole: written under a temporary name, synced and renamed.
+
+What can be read may not be durable: an earlier process may have ended before
+a sync, and after a failed sync the cache of the operating system can hold
+bytes that never reach the disk, although later syncs succeed. So a load writes
+what may be affected to new files and syncs them before it returns. These are
+the last segment and the term file: a segment is synced before the next one is
+created, and snapshots before they are renamed.
 """
 
 import fcntl
@@ -11,7 +18,6 @@
 import zlib
 from collections.abc import Sequence
 from pathlib import Path
-from typing import Protocol
 
 import msgpack
 
@@ -43,58 +49,6 @@
 LOCK_NAME = 'lock'
 
 
-class Storage(Protocol):
-    """Durable state of one replica.
-
-    ``append`` becomes durable with ``sync``; all other changes are durable
-    when the method returns.
-    """
-
-    def load(self) -> StoredState:
-        """Return what was stored; called once, before anything else."""
-        ...
-
-    def save_meta(self, meta: ReplicaMeta) -> None:
-        """Store disk identity, term and vote."""
-        ...
-
-    def append(self, entries: Sequence[LogEntry]) -> None:
-        """Write entries after the last one."""
-        ...
-
-    def truncate_from(self, index: int) -> None:
-        """Remove the entry at ``index`` and all later ones."""
-        ...
-
-    def sync(self) -> None:
-        """Make all written entries durable."""
-        ...
-
-    def save_snapshot(self, snapshot: Snapshot, first_kept: int) -> None:
-        """Store a snapshot; entries before ``first_kept`` may be dropped."""
-        ...
-
-    def install_snapshot(self, snapshot: Snapshot) -> None:
-        """Store a snapshot from the leader and drop all entries."""
-        ...
-
-    def read_chunk(
-        self,
-        last_index: int,
-        offset: int,
-        size_bytes: int,
-    ) -> tuple[bytes, int] | None:
-        """Return part of the newest snapshot and its total size.
-
-        None if the newest snapshot does not end at ``last_index``.
-        """
-        ...
-
-    def close(self) -> None:
-        """Release files."""
-        ...
-
-
 class FileStorage:
     """``Storage`` in files below ``data_dir``."""
 
@@ -110,7 +64,7 @@
         self._lock: int | None = None
 
     def load(self) -> StoredState:
-        """Read the folder; an empty one is created.
+        """Read the folder and make it durable; an empty one is created.
 
         Raises
         ------
@@ -121,6 +75,7 @@
         """
         self._folder.mkdir(parents=True, exist_ok=True)
         self._acquire_lock()
+        self._snapshot = None
         for unfinished in self._folder.glob('*.tmp'):
             unfinished.unlink()
         meta = self._load_meta()
@@ -130,6 +85,7 @@
             raise CorruptLogError(
                 f'{self._folder / META_NAME} is missing beside log files',
             )
+        self._make_durable(meta)
         return StoredState(meta, snapshot, tuple(entries))
 
     def save_meta(self, meta: ReplicaMeta) -> None:
@@ -207,12 +163,19 @@
 
     def close(self) -> None:
         """Close all files and release the folder."""
-        for segment in self._segments:
-            segment.close()
-        self._segments.clear()
+        while self._segments:
+            self._segments.pop().close()
         if self._lock is not None:
-            os.close(self._lock)
+            lock = self._lock
             self._lock = None
+            os.close(lock)
+
+    def _make_durable(self, meta: ReplicaMeta | None) -> None:
+        if meta is not None:
+            self.save_meta(meta)
+        if self._segments:
+            self._segments[-1].rewrite()
+        sync_directory(self._folder)
 
     def _acquire_lock(self) -> None:
         lock = os.open(self._folder / LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o600)
--- a/src/kumquatrun/consensus/memory_store.py
+++ b/src/kumquatrun/consensus/memory_store.py
@@ -16,7 +16,8 @@
         self._written: list[LogEntry] = []
 
     def load(self) -> StoredState:
-        """Return the durable state."""
+        """Return the durable state; what was only written is lost."""
+        self._written = []
         meta = self.durable.snapshot.meta if self.durable.snapshot else None
         first = meta.last_index + 1 if meta else 1
         entries = [row for row in self.durable.entries if row.index >= first]
--- a/src/kumquatrun/consensus/quorum_node.py
+++ b/src/kumquatrun/consensus/quorum_node.py
@@ -20,7 +20,6 @@
     SnapshotChunk,
 )
 from kumquatrun.consensus.group_formation import FormationStep, GroupFormation
-from kumquatrun.consensus.log_store import Storage
 from kumquatrun.consensus.quorum_log import QuorumLog
 from kumquatrun.consensus.quorum_types import (
     ChunkOrder,
@@ -31,6 +30,7 @@
     SnapshotMeta,
     Timing,
 )
+from kumquatrun.consensus.storage import Storage
 
 log = logging.getLogger(__name__)
 
--- a/src/kumquatrun/consensus/replica.py
+++ b/src/kumquatrun/consensus/replica.py
@@ -3,38 +3,42 @@
 import asyncio
 import logging
 import random
-import uuid
 from collections.abc import Callable
 from typing import Any
 
 from kumquatrun.consensus.consensus_messages import (
-    AppendRequest,
-    FormationState,
+    CONSENSUS_REQUESTS,
     JoinRequest,
-    SnapshotChunk,
-    VoteRequest,
 )
-from kumquatrun.consensus.log_store import Storage
-from kumquatrun.consensus.quorum_node import LogNode, NodeOptions, StateMachine
+from kumquatrun.consensus.quorum_node import NodeOptions, StateMachine
 from kumquatrun.consensus.quorum_types import Envelope, MembershipChange, Output
 from kumquatrun.consensus.replica_addresses import (
     check_address,
     initial_addresses,
     known_addresses,
     node_settings,
+    peer_addresses,
+)
+from kumquatrun.consensus.replica_changes import commit_change
+from kumquatrun.consensus.replica_restart import (
+    PATH_ERRORS,
+    NodeOpener,
+    RestartPolicy,
 )
 from kumquatrun.consensus.replica_status import ReplicaStatus
 from kumquatrun.consensus.replica_transport import Transport
-from kumquatrun.consensus.replica_work import ReplicaWork, Reply
+from kumquatrun.consensus.replica_work import (
+    ReplicaWork,
+    Reply,
+    wait_until,
+)
+from kumquatrun.consensus.storage import Storage
 from kumquatrun.daemon.settings import ReplicaSettings
 from kumquatrun.errors import (
-    DeadlineExceededError,
     InvalidRequestError,
     NotLeaderError,
-    OutcomeUnknownError,
     RequestTooLargeError,
 )
-from kumquatrun.peer import Address
 from kumquatrun.peer.messages import Ack
 from kumquatrun.runtime.clock import Clock
 
@@ -43,18 +47,9 @@
 MIN_TICK_S = 0.005
 # Bounds the delay of a campaign that becomes due earlier than it was expected.
 MAX_TICK_S = 0.05
-CHANGE_RETRY_S = 0.05
 # An entry must fit into a peer frame of 8 MiB together with others.
 MAX_COMMAND_BYTES = 4 * 1024 * 1024
 
-CONSENSUS_REQUESTS = (
-    AppendRequest,
-    FormationState,
-    JoinRequest,
-    SnapshotChunk,
-    VoteRequest,
-)
-
 
 class Replica(ReplicaStatus):
     """One replica of the replicated log.
@@ -64,8 +59,9 @@
     settings
         Replica id, own address and initial members.
     state_machine
-        Empty; gets the snapshot and the committed commands in order. After a
-        stop, a new replica with an empty state machine is created.
+        Empty; gets the snapshot and the committed commands in order. It is
+        emptied if the replica fails and starts again from its storage. After
+        a stop, a new replica with an empty state machine is created.
     transport
         Sends messages to the other replicas; closed by ``stop``.
     storage
@@ -95,6 +91,8 @@
         self._clock = clock
         self._rng = rng
         self._options = options or NodeOptions()
+        self._opener: NodeOpener | None = None
+        self._restarts = RestartPolicy()
         self._work = ReplicaWork()
         self._flushing = False
         self._seen_addresses: dict[str, str] = {}
@@ -103,10 +101,14 @@
     async def start(self) -> None:
         """Load the stored state and take part in the group.
 
+        If the disk refuses writes, the replica takes part as soon as it works.
+
         Raises
         ------
         CorruptLogError
             If the data folder is damaged.
+        OSError
+            If the path of the data folder cannot be used.
         SettingError
             If the initial members do not include this replica.
         """
@@ -116,15 +118,19 @@
         self._transport.set_addresses(
             {name: row for name, row in addresses.items() if name != own_id},
         )
-        self._node = LogNode(
+        self._opener = NodeOpener(
             node_settings(self._settings),
             self._machine,
             self._storage,
             self._rng,
             self._options,
-            uuid.uuid4().hex,
-            self._clock.now_s(),
         )
+        try:
+            self._node = self._opener.open(self._clock.now_s())
+        except PATH_ERRORS:
+            raise
+        except OSError as error:
+            self._fail(error)
         self._ticker = asyncio.create_task(self._tick())
 
     async def stop(self) -> None:
@@ -178,7 +184,7 @@
         self._require_running().require_leader()
         future = self._work.add_proposal(command)
         self._schedule_flush()
-        return await self._wait(future, timeout_s, 'commit')
+        return await wait_until(future, timeout_s, 'commit')
 
     async def read_barrier(self, timeout_s: float) -> int:
         """Wait until the state machine reflects all earlier commits.
@@ -195,7 +201,7 @@
         self._require_running().require_leader()
         future = self._work.add_barrier()
         self._schedule_flush()
-        return await self._wait(future, timeout_s, 'read barrier')
+        return await wait_until(future, timeout_s, 'read barrier')
 
     async def change_membership(
         self,
@@ -216,48 +222,18 @@
         DeadlineExceededError
             If the change could not be committed in time.
         """
-        try:
-            async with asyncio.timeout(timeout_s):
-                term, index = await self._append_change(change)
-                await self._wait_applied(term, index)
-        except TimeoutError:
-            raise DeadlineExceededError(
-                f'{change.action} of {change.replica_id} not committed in '
-                f'{timeout_s} s',
-            ) from None
-
-    async def _append_change(self, change: MembershipChange) -> tuple[int, int]:
-        while True:
-            core = self._require_running()
-            try:
-                index = core.change_membership(change, self._clock.now_s())
-            except NotLeaderError as error:
-                if not error.cause:
-                    raise
-                await asyncio.sleep(CHANGE_RETRY_S)
-                continue
-            self._schedule_flush()
-            return core.term, index
-
-    async def _wait_applied(self, term: int, index: int) -> None:
-        while self.applied_index < index:
-            if self.term != term:
-                raise OutcomeUnknownError('leadership was lost')
-            await asyncio.sleep(CHANGE_RETRY_S)
+        await commit_change(
+            self,
+            lambda: self._append_change(change),
+            change,
+            timeout_s,
+        )
 
-    async def _wait(
-        self,
-        future: asyncio.Future,
-        timeout_s: float,
-        what: str,
-    ) -> Any:
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await future
-        except TimeoutError:
-            raise DeadlineExceededError(
-                f'no {what} in {timeout_s} s',
-            ) from None
+    def _append_change(self, change: MembershipChange) -> tuple[int, int]:
+        core = self._require_running()
+        index = core.change_membership(change, self._clock.now_s())
+        self._schedule_flush()
+        return core.term, index
 
     def _on_reply(self, msg: Any) -> None:
         if self._node is not None and not isinstance(msg, Ack):
@@ -267,11 +243,12 @@
     async def _tick(self) -> None:
         while True:
             self._run(self._tick_once)
-            await asyncio.sleep(self._tick_delay_s())
+            if self.failure is None:
+                await asyncio.sleep(self._tick_delay_s())
+            elif not await self._reopen(self.failure):
+                return
 
     def _tick_delay_s(self) -> float:
-        if not self._is_running:
-            return MAX_TICK_S
         due_in_s = self._node.next_due_s - self._clock.now_s()
         return min(MAX_TICK_S, max(MIN_TICK_S, due_in_s))
 
@@ -285,20 +262,50 @@
             asyncio.get_running_loop().call_soon(self._run, self._begin_flush)
 
     def _run(self, step: Callable[..., None], *arguments: Any) -> None:
-        """Run a step; any error stops the replica.
+        """Run a step; any error ends the node.
 
         After a failed sync it is not known what is durable, and a violated
-        invariant must not spread.
+        invariant must not spread. ``_reopen`` starts again from the storage.
         """
         if not self._is_running:
             return
         try:
             step(*arguments)
         except Exception as error:
-            log.exception('event=replica_failed')
-            self.failure = error
-            self._work.fail_all(NotLeaderError(f'the replica failed: {error}'))
-            self._notify_role()
+            self._fail(error)
+
+    def _fail(self, error: Exception) -> None:
+        log.error(
+            'event=replica_failed error=%r',
+            str(error),
+            exc_info=not isinstance(error, OSError),
+        )
+        self.failure = error
+        self._work.fail_all(NotLeaderError(f'the replica failed: {error}'))
+        self._notify_role()
+
+    async def _reopen(self, failure: Exception) -> bool:
+        """Start again from the storage after a wait; False to give up.
+
+        Steps that the failed node still has in the queue of the loop are
+        dropped during the wait.
+        """
+        if not await self._restarts.wait(failure, self._clock.now_s()):
+            return False
+        try:
+            self._node = self._opener.open(self._clock.now_s())
+        except Exception as error:
+            self._fail(error)
+            return True
+        self._flushing = False
+        self.failure = None
+        log.info(
+            'event=replica_restarted term=%s last_index=%s after_failure=%r',
+            self.term,
+            self._node.core.entries.last_index,
+            str(failure),
+        )
+        return True
 
     def _begin_flush(self) -> None:
         node = self._node
@@ -338,10 +345,5 @@
         addresses = known_addresses(self._node)
         if addresses != self._seen_addresses:
             self._seen_addresses = addresses
-            self._transport.set_addresses(
-                {
-                    replica_id: Address.parse(address)
-                    for replica_id, address in addresses.items()
-                    if address and replica_id != self._settings.replica_id
-                },
-            )
+            own_id = self._settings.replica_id
+            self._transport.set_addresses(peer_addresses(addresses, own_id))
--- a/src/kumquatrun/consensus/replica_addresses.py
+++ b/src/kumquatrun/consensus/replica_addresses.py
@@ -54,6 +54,18 @@
     return addresses
 
 
+def peer_addresses(
+    addresses: Mapping[str, str],
+    own_id: str,
+) -> dict[str, Address]:
+    """Return the addresses of the other replicas that have one."""
+    return {
+        replica_id: Address.parse(address)
+        for replica_id, address in addresses.items()
+        if address and replica_id != own_id
+    }
+
+
 def check_address(text: str) -> None:
     """Refuse a text that is not an address.
 
--- /dev/null
+++ b/src/kumquatrun/consensus/replica_restart.py
@@ -0,0 +1,117 @@
+"""Opening the node of a replica, at its start and after it failed."""
+
+import asyncio
+import logging
+import random
+import uuid
+from dataclasses import dataclass
+
+from kumquatrun.consensus.quorum_node import (
+    LogNode,
+    NodeOptions,
+    NodeSettings,
+    StateMachine,
+)
+from kumquatrun.consensus.storage import Storage
+
+log = logging.getLogger(__name__)
+
+# Short enough that a replica is back within a second of its disk.
+DISK_RETRY_MIN_S = 0.1
+DISK_RETRY_MAX_S = 1.0
+# Waits grow again from the least one after a replica has run this long.
+WELL_AFTER_S = 30.0
+ERROR_RETRY_S = 5.0
+MAX_ERROR_RETRIES = 3
+# Wrong settings rather than a disk that refuses writes for a while.
+PATH_ERRORS = (
+    PermissionError,
+    FileNotFoundError,
+    FileExistsError,
+    NotADirectoryError,
+    IsADirectoryError,
+)
+
+
+class NodeOpener:
+    """Opens the node of one replica from its storage, any number of times.
+
+    Parameters
+    ----------
+    machine
+        Empty state machine; it is emptied again before each open.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        machine: StateMachine,
+        storage: Storage,
+        rng: random.Random,
+        options: NodeOptions,
+    ) -> None:
+        self._settings = settings
+        self._machine = machine
+        self._storage = storage
+        self._rng = rng
+        self._options = options
+        self._empty_state = machine.snapshot()
+
+    def open(self, now_s: float) -> LogNode:
+        """Load the stored state into a new node.
+
+        Raises
+        ------
+        OSError
+            If the disk refuses reads or writes.
+        CorruptLogError
+            If the data folder is damaged.
+        """
+        self._storage.close()
+        self._machine.restore(self._empty_state)
+        return LogNode(
+            self._settings,
+            self._machine,
+            self._storage,
+            self._rng,
+            self._options,
+            uuid.uuid4().hex,
+            now_s,
+        )
+
+
+@dataclass
+class RestartPolicy:
+    """Says when a failed replica is opened again.
+
+    A disk that refuses writes is tried again without a limit, since it may
+    work at any moment. Any other error, for example a violated invariant or a
+    damaged file, is likely to come back: the replica gives up after a few.
+    """
+
+    _delay_s: float = DISK_RETRY_MIN_S
+    _error_count: int = 0
+    _failed_at_s: float = float('-inf')
+
+    async def wait(self, error: Exception, now_s: float) -> bool:
+        """Wait before the next open after ``error``; False to give up."""
+        delay_s = self.next_delay_s(error, now_s)
+        if delay_s is None:
+            log.error('event=replica_given_up error=%r', str(error))
+            return False
+        await asyncio.sleep(delay_s)
+        return True
+
+    def next_delay_s(self, error: Exception, now_s: float) -> float | None:
+        """Return the time to wait after ``error``, None to give up."""
+        if not isinstance(error, OSError):
+            self._error_count += 1
+            if self._error_count > MAX_ERROR_RETRIES:
+                return None
+            return ERROR_RETRY_S
+        if now_s - self._failed_at_s > WELL_AFTER_S:
+            self._delay_s = DISK_RETRY_MIN_S
+        self._failed_at_s = now_s
+        delay_s = self._delay_s
+        self._delay_s = min(2 * delay_s, DISK_RETRY_MAX_S)
+        return delay_s
--- a/src/kumquatrun/consensus/replica_status.py
+++ b/src/kumquatrun/consensus/replica_status.py
@@ -17,7 +17,8 @@
     ----------
     failure
         Error that stopped the replica, for example a failed sync or a
-        violated invariant; None while it is well.
+        violated invariant; None while it is well. After most errors the
+        replica starts again from its storage.
     """
 
     def __init__(self, settings: ReplicaSettings) -> None:
@@ -114,6 +115,8 @@
         return self._node.core
 
     def _notify_role(self) -> None:
+        if self._node is None:
+            return
         election = self._node.core.election
         seen = (election.role, self.leader_id, election.term)
         if seen != self._seen_role:
--- a/src/kumquatrun/consensus/replica_work.py
+++ b/src/kumquatrun/consensus/replica_work.py
@@ -8,6 +8,7 @@
 from kumquatrun.consensus.quorum_node import Applied, LogNode
 from kumquatrun.consensus.quorum_types import Barrier
 from kumquatrun.errors import (
+    DeadlineExceededError,
     KumquatrunError,
     NoCapacityError,
     NotLeaderError,
@@ -170,6 +171,25 @@
                 self._unconfirmed.append((barrier, future))
 
 
+async def wait_until(
+    future: asyncio.Future,
+    timeout_s: float,
+    what: str,
+) -> Any:
+    """Wait for a call.
+
+    Raises
+    ------
+    DeadlineExceededError
+        If it is not complete in time; its outcome is unknown.
+    """
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await future
+    except TimeoutError:
+        raise DeadlineExceededError(f'no {what} in {timeout_s} s') from None
+
+
 def _fail(future: asyncio.Future, error: KumquatrunError) -> None:
     if not future.done():
         future.set_exception(error)
--- a/src/kumquatrun/control/control_host.py
+++ b/src/kumquatrun/control/control_host.py
@@ -3,9 +3,10 @@
 import random
 import uuid
 
-from kumquatrun.consensus.log_store import FileStorage, Storage
+from kumquatrun.consensus.log_store import FileStorage
 from kumquatrun.consensus.replica import Replica
 from kumquatrun.consensus.replica_transport import TcpTransport
+from kumquatrun.consensus.storage import Storage
 from kumquatrun.control.backend_listing import BackendListing
 from kumquatrun.control.control import ControlService
 from kumquatrun.control.control_state import ControlState
@@ -93,6 +94,13 @@
         self._server = PeerServer(identity, self.service)
         self.address: Address | None = None
 
+    def not_ready_reason(self) -> str:
+        """Return why the replica takes no part, or an empty text."""
+        failure = self.replica.failure
+        if failure is not None:
+            return f'replica failed: {failure}'
+        return '' if self.replica.leader_id else 'no leader known'
+
     async def start(self) -> None:
         """Load the stored state, listen and take part in the group."""
         await self.replica.start()
--- a/src/kumquatrun/gateway/control.py
+++ b/src/kumquatrun/gateway/control.py
@@ -54,6 +54,10 @@
         )
         self._tasks: list[asyncio.Task] = []
 
+    def not_ready_reason(self) -> str:
+        """Return why the replica takes no part, or an empty text."""
+        return self._host.not_ready_reason()
+
     async def start(self) -> None:
         """Start the replica and follow the platform's list while it leads."""
         await self._host.start()
--- a/src/kumquatrun/platform/daemons.py
+++ b/src/kumquatrun/platform/daemons.py
@@ -176,7 +176,11 @@
     gate = OperatorGate(control.leader)
     parts = [
         ClosingClient(client),
-        AdminServer(process_metrics(), str, settings.admin_listen),
+        AdminServer(
+            process_metrics(),
+            control.not_ready_reason,
+            settings.admin_listen,
+        ),
         SettingsWatcher(file, control.leader.set_addresses),
         control,
         OperatorApi(gate, settings.operator_listen),
--- /dev/null
+++ b/tests/test_replica_restart.py
@@ -0,0 +1,233 @@
+"""Replicas whose disk refuses writes for a while, or whose node fails."""
+
+import asyncio
+import os
+
+import pytest
+from tests.test_log_store import META, entries
+from tests.test_replica import Group, leader_of, replica_of, wait_for
+
+from kumquatrun.consensus.log_store import FileStorage
+from kumquatrun.consensus.memory_store import MemoryStorage
+from kumquatrun.consensus.replica_restart import (
+    DISK_RETRY_MAX_S,
+    MAX_ERROR_RETRIES,
+)
+from kumquatrun.errors import KumquatrunError, OutcomeUnknownError
+from kumquatrun.runtime.invariants import InvariantError
+
+REFUSED = OSError(28, 'no space left on device')
+
+
+class Disk(MemoryStorage):
+    """Refuses writes with ``error`` while it is set."""
+
+    def __init__(self):
+        super().__init__()
+        self.error = None
+        self.load_count = 0
+
+    def load(self):
+        self.load_count += 1
+        self._check()
+        return super().load()
+
+    def save_meta(self, meta):
+        self._check()
+        super().save_meta(meta)
+
+    def append(self, added):
+        self._check()
+        super().append(added)
+
+    def sync(self):
+        self._check()
+        super().sync()
+
+    def _check(self):
+        if self.error is not None:
+            raise self.error
+
+
+class DiskGroup(Group):
+    """Group whose disks can refuse writes."""
+
+    def build(self, name):
+        if not isinstance(self.storages[name], Disk):
+            self.storages[name] = Disk()
+        return super().build(name)
+
+    def others(self, *names):
+        return [row for name, row in self.network.items() if name not in names]
+
+
+def follower_of(group):
+    return next(
+        name for name in group.network if name != group.leader.leader_id
+    )
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize('role', ['leader', 'follower'])
+@pytest.mark.parametrize('refused_s', [0.05, 4.0])
+async def test_replica_with_a_refused_write_counts_again_when_the_disk_works(
+    role, refused_s
+):
+    # Guards against a replica that stays dead in a live process: the stop of
+    # another one then leaves no majority, and no change is committed.
+    async with DiskGroup() as group:
+        failing = group.leader.leader_id
+        if role == 'follower':
+            failing = follower_of(group)
+        group.storages[failing].error = REFUSED
+        leader = group.leader
+        if role == 'leader':
+            with pytest.raises(OutcomeUnknownError):
+                await leader.propose(b'x', 1)
+            leader = await leader_of(group.others(failing))
+        await leader.propose(b'y', 5)
+        await wait_for(lambda: group.network[failing].failure is REFUSED)
+        await asyncio.sleep(refused_s)
+        group.storages[failing].error = None
+        await asyncio.sleep(DISK_RETRY_MAX_S + 0.5)
+        assert group.network[failing].failure is None
+        stopped = next(
+            name
+            for name in group.network
+            if name not in {failing, leader.leader_id}
+        )
+        await group.crash(stopped)
+        successor = await leader_of(group.network.values())
+        await successor.propose(b'z', 1)
+        await wait_for(
+            lambda: group.network[failing]._machine.commands[-1] == b'z',
+            timeout_s=1,
+        )
+
+
+@pytest.mark.looptime
+async def test_group_commits_again_after_all_disks_refused_writes():
+    async with DiskGroup() as group:
+        await group.leader.propose(b'x', 1)
+        for storage in group.storages.values():
+            storage.error = REFUSED
+        with pytest.raises(KumquatrunError):
+            await group.leader.propose(b'refused', 5)
+        await asyncio.sleep(8)
+        for storage in group.storages.values():
+            storage.error = None
+        await asyncio.sleep(DISK_RETRY_MAX_S)
+        leader = await leader_of(group.network.values())
+        await leader.propose(b'y', 1)
+        assert leader._machine.commands == [b'x', b'y']
+
+
+@pytest.mark.looptime
+async def test_violated_invariant_does_not_repeat_for_ever(caplog):
+    # Guards against a replica that is started again without end although each
+    # start fails in the same way.
+    async with DiskGroup() as group:
+        failing = follower_of(group)
+        group.storages[failing].error = InvariantError('log_order')
+        for count in range(60):
+            leader = await leader_of(group.others(failing))
+            await leader.propose(b'%d' % count, 5)
+            await asyncio.sleep(1)
+        assert isinstance(group.network[failing].failure, InvariantError)
+        assert group.storages[failing].load_count == 1 + MAX_ERROR_RETRIES
+        assert 'event=replica_given_up' in caplog.text
+
+
+@pytest.mark.looptime
+async def test_replica_starts_while_its_disk_refuses_writes():
+    # Guards against a process that ends at its start because of a disk that
+    # works again some seconds later.
+    storage = Disk()
+    storage.error = REFUSED
+    group = Group(size=1)
+    replica = replica_of(
+        group.replicas, 'r0', group.network['r0']._transport, storage
+    )
+    await replica.start()
+    await asyncio.sleep(3)
+    assert not replica.is_leader
+    storage.error = None
+    await leader_of([replica])
+    await replica.propose(b'x', 1)
+    await replica.stop()
+
+
+async def test_path_that_cannot_be_a_folder_ends_the_start(tmp_path):
+    # Guards against a wrong setting that is taken for a disk that refuses.
+    path = tmp_path / 'file'
+    path.write_bytes(b'')
+    group = Group(size=1)
+    replica = replica_of(group.replicas, 'r0', None, FileStorage(path))
+    replica._transport = group.network['r0']._transport
+    with pytest.raises(FileExistsError):
+        await replica.start()
+
+
+def test_load_makes_what_it_returns_durable(tmp_path, monkeypatch):
+    # Guards against entries that an earlier process wrote without a sync, or
+    # with a failed one: they are answered from, and lost with the power.
+    storage = FileStorage(tmp_path)
+    storage.load()
+    storage.save_meta(META)
+    storage.append(entries(1, 3))
+    storage.sync()
+    storage.append(entries(4, 5))
+    storage.close()
+    before = next(tmp_path.glob('log-*.seg')).stat().st_ino
+    synced = set()
+    real_sync = os.fsync
+    monkeypatch.setattr(
+        os,
+        'fsync',
+        lambda file: (synced.add(os.fstat(file).st_ino), real_sync(file)),
+    )
+    assert storage.load().entries == tuple(entries(1, 5))
+    segment = next(tmp_path.glob('log-*.seg')).stat().st_ino
+    # A sync of the same file would not repeat a write that was refused.
+    assert segment != before
+    meta = (tmp_path / 'replica.meta').stat().st_ino
+    assert synced >= {segment, meta, tmp_path.stat().st_ino}
+    storage.append(entries(6, 6))
+    storage.sync()
+    storage.close()
+    assert storage.load().entries == tuple(entries(1, 6))
+    storage.close()
+
+
+@pytest.mark.parametrize('call', ['write', 'fdatasync', 'fsync', 'rename'])
+def test_folder_is_loaded_again_after_a_refused_call(
+    tmp_path, monkeypatch, call
+):
+    # Guards against entries that are lost or damaged by a refused call.
+    storage = FileStorage(tmp_path)
+    storage.load()
+    storage.save_meta(META)
+    storage.append(entries(1, 3))
+    storage.sync()
+
+    def refuse(*_):
+        raise REFUSED
+
+    with monkeypatch.context() as refusing:
+        refusing.setattr(os, call, refuse)
+        with pytest.raises(OSError, match='no space'):
+            storage.append(entries(4, 4))
+            storage.sync()
+            storage.save_meta(META)
+        storage.close()
+        if call != 'fdatasync':
+            with pytest.raises(OSError, match='no space'):
+                storage.load()
+            storage.close()
+    assert storage.load().entries[:3] == tuple(entries(1, 3))
+    storage.truncate_from(4)
+    storage.append(entries(4, 6, term=2))
+    storage.sync()
+    storage.close()
+    assert storage.load().entries[3:] == tuple(entries(4, 6, term=2))
+    storage.close()
