Let control hosts follow the leader that their own replica hears

Operators could wait seconds for an acknowledgement after a leader was lost, frozen or cut off, also long after it: each control host that they asked first called the leader that it remembered, for 1 s, which is as long as they wait for an answer. With the worst order of hosts the next one did the same, and so on.

Cause: LeaderClient knew the leader from earlier calls only. Its other sources were a random choice among the addresses of the settings, which may all be gone after an exchange, and hints of followers, which may point back to the lost leader. Yet each control host runs a replica that hears the leader's heartbeats and has the addresses of all members.

A LeaderClient with a locator asks the leader that the local replica names, and other members when it names none. A call ends early when another leader is known, and goes on with that one. An attempt lasts 0.4 s at first and twice as long each time, so that a large change still gets through a slow link, and the next attempt opens a new connection. Calls whose outcome is unknown are sent again, which is harmless here; a stopping leader now says so in place of an internal error. Nothing is confirmed that the leader has not committed. Sessions of entries and agents, which have no replica, work as before.

--- a/src/kumquatrun/consensus/replica_status.py
+++ b/src/kumquatrun/consensus/replica_status.py
@@ -44,8 +44,22 @@
         member = self._member_of(self.leader_id)
         if member is not None and member.address:
             return Address.parse(member.address)
+        if self._node is not None:
+            # A replica that joins has no membership yet.
+            joined = self._node.leader_addresses.get(self.leader_id)
+            if joined:
+                return Address.parse(joined)
         return dict(self._settings.replicas).get(self.leader_id)
 
+    @property
+    def member_addresses(self) -> tuple[Address, ...]:
+        """Return the addresses of the newest membership."""
+        return tuple(
+            Address.parse(member.address)
+            for member in self.members
+            if member.address
+        )
+
     @property
     def term(self) -> int:
         """Return the current term."""
--- a/src/kumquatrun/control/command_batcher.py
+++ b/src/kumquatrun/control/command_batcher.py
@@ -5,7 +5,11 @@
 from typing import Any, Protocol
 
 from kumquatrun.control.commands import decode_results, encode_batch
-from kumquatrun.errors import KumquatrunError, NotLeaderError
+from kumquatrun.errors import (
+    KumquatrunError,
+    NotLeaderError,
+    OutcomeUnknownError,
+)
 from kumquatrun.peer import reply_to_error
 from kumquatrun.peer.messages import ErrorReply
 from kumquatrun.runtime.clock import Clock
@@ -93,7 +97,7 @@
                 _fail(futures, error)
                 continue
             except asyncio.CancelledError:
-                _fail(futures, KumquatrunError('this replica stops'))
+                _fail(futures, OutcomeUnknownError('this replica stops'))
                 raise
             for future, reply in zip(futures, replies, strict=True):
                 if not future.done():
--- a/src/kumquatrun/gateway/control.py
+++ b/src/kumquatrun/gateway/control.py
@@ -51,6 +51,7 @@
             ),
             clock,
             random.Random(),
+            self._host.replica,
         )
         self._tasks: list[asyncio.Task] = []
 
--- a/src/kumquatrun/membership/leader_client.py
+++ b/src/kumquatrun/membership/leader_client.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from contextlib import suppress
-from typing import Any
+from typing import Any, Protocol
 
 from kumquatrun.errors import (
     ConnectionLostError,
@@ -12,6 +13,7 @@
     KumquatrunError,
     NotLeaderError,
     Outcome,
+    OutcomeUnknownError,
 )
 from kumquatrun.peer import Address, PeerClient
 from kumquatrun.peer.messages import Hello
@@ -21,6 +23,31 @@
 # A leader that went silent must be given up early enough to find its
 # successor within a lease of 3 s.
 ATTEMPT_TIMEOUT_S = 1.0
+# A caller that follows a replica of its own process finds the next leader
+# long before. Each attempt of a call may take longer than the one before, so
+# that a large request gets through a slow link.
+FIRST_LOCATED_ATTEMPT_S = 0.4
+LOCATED_ATTEMPT_GROWTH = 2
+
+RETRIED = (NotLeaderError, ConnectionLostError, DeadlineExceededError)
+
+
+class LeaderLocator(Protocol):
+    """A replica in the same process, which hears the leader's heartbeats."""
+
+    @property
+    def leader_address(self) -> Address | None:
+        """Return the address of the known leader."""
+        ...
+
+    @property
+    def member_addresses(self) -> tuple[Address, ...]:
+        """Return the addresses of all members."""
+        ...
+
+    def on_role_change(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after each change of the leader."""
+        ...
 
 
 class LeaderClient:
@@ -37,6 +64,7 @@
         identity: Hello,
         clock: Clock,
         rng: random.Random,
+        locator: LeaderLocator | None = None,
     ) -> None:
         self._addresses = list(addresses)
         self._identity = identity
@@ -44,6 +72,17 @@
         self._rng = rng
         self._clients: dict[Address, PeerClient] = {}
         self._leader = rng.choice(self._addresses)
+        self._locator = locator
+        self._moved = asyncio.Event()
+        self._closing: set[asyncio.Task] = set()
+        self._retried: tuple[type[KumquatrunError], ...] = RETRIED
+        self._first_attempt_s = ATTEMPT_TIMEOUT_S
+        self._attempt_growth = 1
+        if locator is not None:
+            self._retried = (*RETRIED, OutcomeUnknownError)
+            self._first_attempt_s = FIRST_LOCATED_ATTEMPT_S
+            self._attempt_growth = LOCATED_ATTEMPT_GROWTH
+            locator.on_role_change(self._wake)
 
     @property
     def leader(self) -> PeerClient:
@@ -64,6 +103,7 @@
             request may have reached a leader, else ``not_run``.
         """
         deadline_s = self._clock.now_s() + timeout_s
+        longest_attempt_s = self._first_attempt_s
         outcome = Outcome.NOT_RUN
         while True:
             remaining_s = deadline_s - self._clock.now_s()
@@ -72,18 +112,19 @@
                     f'no control leader answered in {timeout_s} s',
                     outcome=outcome,
                 )
-            attempt_s = min(remaining_s, ATTEMPT_TIMEOUT_S)
+            self._locate()
             leader = self.leader
             try:
-                return await leader.call(request, attempt_s)
-            except (
-                NotLeaderError,
-                ConnectionLostError,
-                DeadlineExceededError,
-            ) as error:
+                return await self._attempt(
+                    leader,
+                    request,
+                    min(remaining_s, longest_attempt_s),
+                )
+            except self._retried as error:
                 if error.outcome is not Outcome.NOT_RUN:
                     outcome = Outcome.UNKNOWN
                 self.follow(error, leader)
+            longest_attempt_s *= self._attempt_growth
             await asyncio.sleep(RETRY_DELAY_S * (1 + self._rng.random()))
 
     def follow(self, error: KumquatrunError, failed: PeerClient) -> None:
@@ -111,10 +152,63 @@
         """Close all connections."""
         for client in self._clients.values():
             await client.close()
+        await asyncio.gather(*self._closing)
+
+    async def _attempt(
+        self,
+        leader: PeerClient,
+        request: Any,
+        timeout_s: float,
+    ) -> Any:
+        """Call a replica; ends early if another one becomes the leader."""
+        if self._locator is None:
+            return await leader.call(request, timeout_s)
+        call = asyncio.create_task(leader.call(request, timeout_s))
+        moved = asyncio.create_task(self._wait_moved(leader.address))
+        try:
+            await asyncio.wait(
+                {call, moved},
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if call.done():
+                return call.result()
+        except DeadlineExceededError:
+            self._replace_connection(leader)
+            raise
+        finally:
+            call.cancel()
+            moved.cancel()
+            await asyncio.gather(call, moved, return_exceptions=True)
+        raise OutcomeUnknownError(f'{leader.address} is the leader no more')
+
+    async def _wait_moved(self, address: Address) -> None:
+        while self._locator.leader_address in {None, address}:
+            await self._moved.wait()
+
+    def _wake(self) -> None:
+        self._moved.set()
+        self._moved = asyncio.Event()
+
+    def _locate(self) -> None:
+        if self._locator is not None:
+            self._leader = self._locator.leader_address or self._leader
+
+    def _replace_connection(self, silent: PeerClient) -> None:
+        """Have the next attempt open a new connection.
+
+        After lost packets, the system may send on the old one again only
+        after seconds.
+        """
+        if self._clients.get(silent.address) is silent:
+            self._clients.pop(silent.address)
+            task = asyncio.create_task(silent.close())
+            self._closing.add(task)
+            task.add_done_callback(self._closing.discard)
 
     def _choose_other(self) -> None:
-        others = [
-            address for address in self._addresses if address != self._leader
-        ]
+        known = list(self._addresses)
+        if self._locator is not None:
+            known.extend(self._locator.member_addresses)
+        others = [address for address in known if address != self._leader]
         if others:
             self._leader = self._rng.choice(others)
--- /dev/null
+++ b/tests/test_leader_client.py
@@ -0,0 +1,262 @@
+"""Operator calls through control hosts that follow their own replica.
+
+Replicas, calls between hosts and cuts run on the clock of the loop.
+"""
+
+import asyncio
+import itertools
+import random
+
+import pytest
+from tests.test_replica import LoopTransport, leader_of, wait_for
+
+from kumquatrun.consensus.memory_store import MemoryStorage
+from kumquatrun.consensus.replica import Replica
+from kumquatrun.control.configuration_register import PutConfiguration
+from kumquatrun.control.control import ControlService
+from kumquatrun.control.control_host import FeedingState
+from kumquatrun.control.control_state import ControlState
+from kumquatrun.control.feed_log import FeedLog
+from kumquatrun.daemon.settings import ReplicaSettings
+from kumquatrun.errors import DeadlineExceededError, KumquatrunError
+from kumquatrun.membership import leader_client
+from kumquatrun.membership.leader_client import LeaderClient
+from kumquatrun.peer import Address
+from kumquatrun.peer.messages import Hello
+from kumquatrun.runtime.clock import LoopClock
+
+# The operator moves on to another control host after this time.
+PATIENCE_S = 1.0
+OPERATOR_BACKOFF_S = 0.2
+# The platform wants the acknowledgement of a valid change within this time.
+ACKNOWLEDGED_S = 4.0
+COMMIT_TIMEOUT_S = 3.0
+GONE = Address('127.0.0.1', 9)
+
+
+class Hosts:
+    """Three control hosts; ``cuts`` names those whose links are silent."""
+
+    def __init__(self, monkeypatch, seed, known_addresses=None):
+        self.rng = random.Random(seed)
+        self.addresses = {
+            f'r{number}': Address('127.0.0.1', 1 + number)
+            for number in range(3)
+        }
+        self.cuts = set()
+        self.replicas = {}
+        self.services = {}
+        self.calls = []
+        monkeypatch.setattr(
+            leader_client,
+            'PeerClient',
+            lambda address, identity: HostLink(self, address, identity),
+        )
+        self.clients = {
+            name: self._build(name, known_addresses) for name in self.addresses
+        }
+
+    def _build(self, name, known_addresses):
+        state = ControlState()
+        feed = FeedLog()
+        replica = Replica(
+            ReplicaSettings(
+                replica_id=name,
+                data_dir='',
+                listen=self.addresses[name],
+                replicas=tuple(self.addresses.items()),
+            ),
+            FeedingState(state, feed),
+            LoopTransport(name, self.replicas, self.cuts),
+            MemoryStorage(),
+            LoopClock(),
+            random.Random(self.rng.random()),
+        )
+        self.replicas[name] = replica
+        self.services[name] = ControlService(replica, state, feed, LoopClock())
+        return LeaderClient(
+            known_addresses or tuple(self.addresses.values()),
+            Hello(node_id=name, incarnation='operator'),
+            LoopClock(),
+            random.Random(self.rng.random()),
+            replica,
+        )
+
+    async def __aenter__(self):
+        for name, replica in self.replicas.items():
+            await replica.start()
+            await self.services[name].start()
+        self.leader = (await leader_of(self.replicas.values())).leader_id
+        await wait_for(lambda: self.services[self.leader].serves)
+        return self
+
+    async def __aexit__(self, *_):
+        for name, replica in self.replicas.items():
+            await self.services[name].stop()
+            await replica.stop()
+
+    def rest(self):
+        return [name for name in self.replicas if name != self.leader]
+
+    async def put(self, name, version):
+        """Return how long the answer of a host took."""
+        started_s = asyncio.get_running_loop().time()
+        reply = await self.clients[name].call(
+            PutConfiguration(version=version, content=b'{}'), COMMIT_TIMEOUT_S
+        )
+        assert reply.version >= version
+        return asyncio.get_running_loop().time() - started_s
+
+    async def operate(self, version, order):
+        """Ask one host after the other, as the operator does.
+
+        A host goes on with a call that the operator has left.
+        """
+        started_s = asyncio.get_running_loop().time()
+        backoff_s = OPERATOR_BACKOFF_S
+        calls = []
+        async with asyncio.timeout(2 * ACKNOWLEDGED_S):
+            for name in itertools.cycle(order):
+                calls.append(asyncio.create_task(self._ask(name, version)))
+                await asyncio.wait(calls[-1:], timeout=PATIENCE_S)
+                if calls[-1].done() and calls[-1].result():
+                    break
+                await asyncio.sleep(backoff_s)
+                backoff_s *= 2
+        for call in calls:
+            call.cancel()
+        return asyncio.get_running_loop().time() - started_s
+
+    async def _ask(self, name, version):
+        if name in self.cuts:
+            await asyncio.Event().wait()
+        try:
+            await self.put(name, version)
+        except KumquatrunError:
+            return False
+        return True
+
+
+class HostLink:
+    """Client of one host: silent if one of both ends is cut off."""
+
+    def __init__(self, hosts, address, identity):
+        self.address = address
+        self._hosts = hosts
+        self._own_name = identity.node_id
+
+    async def call(self, request, timeout_s):
+        hosts = self._hosts
+        hosts.calls.append((self._own_name, self.address))
+        names = {address: name for name, address in hosts.addresses.items()}
+        receiver = names.get(self.address)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await asyncio.sleep(0.005)
+                is_local = receiver == self._own_name
+                if receiver is None or not (
+                    is_local
+                    or hosts.cuts.isdisjoint({receiver, self._own_name})
+                ):
+                    await asyncio.Event().wait()
+                return await hosts.services[receiver].handle(request, None)
+        except TimeoutError:
+            raise DeadlineExceededError(f'no reply in {timeout_s} s') from None
+
+    async def close(self):
+        """Nothing is open."""
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize('seed', range(5))
+async def test_each_host_answers_in_time_once_there_is_a_next_leader(
+    monkeypatch, seed
+):
+    # Guards against hosts that ask a leader that they remember, each for as
+    # long as the operator waits.
+    async with Hosts(monkeypatch, seed) as hosts:
+        for name in hosts.replicas:
+            await hosts.put(name, 1)
+        hosts.cuts.add(hosts.leader)
+        rest = hosts.rest()
+        await leader_of([hosts.replicas[name] for name in rest])
+        for number, name in enumerate(rest):
+            assert await hosts.put(name, 2 + number) < PATIENCE_S / 2
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize('seed', range(5))
+@pytest.mark.parametrize('delay_s', [0, 0.3, 0.8])
+async def test_change_is_acknowledged_in_time_after_the_leader_falls_silent(
+    monkeypatch, seed, delay_s
+):
+    # Guards against calls that outlast the operator's patience at each host.
+    async with Hosts(monkeypatch, seed) as hosts:
+        for name in hosts.replicas:
+            await hosts.put(name, 1)
+        hosts.cuts.add(hosts.leader)
+        await asyncio.sleep(delay_s)
+        # The silent host comes first, as the worst case.
+        order = [hosts.leader, *hosts.rest()]
+        assert await hosts.operate(2, order) < ACKNOWLEDGED_S
+
+
+@pytest.mark.looptime
+async def test_call_moves_on_to_the_next_leader_at_once(monkeypatch):
+    # Guards against a call that waits for a silent leader although its own
+    # replica knows the next one.
+    async with Hosts(monkeypatch, 1) as hosts:
+        name = hosts.rest()[0]
+        hosts.cuts.add(hosts.leader)
+        call = asyncio.create_task(hosts.put(name, 2))
+        await leader_of([hosts.replicas[row] for row in hosts.rest()])
+        elected_s = asyncio.get_running_loop().time()
+        await call
+        assert asyncio.get_running_loop().time() - elected_s < 0.3
+
+
+@pytest.mark.looptime
+async def test_addresses_that_are_gone_do_not_matter(monkeypatch):
+    # Guards against hosts that look for the leader among addresses of a
+    # settings file only, all of which were exchanged.
+    async with Hosts(monkeypatch, 1, (GONE,)) as hosts:
+        for name in hosts.replicas:
+            assert await hosts.put(name, 1) < PATIENCE_S / 2
+        hosts.cuts.add(hosts.leader)
+        rest = hosts.rest()
+        await leader_of([hosts.replicas[name] for name in rest])
+        for name in rest:
+            assert await hosts.put(name, 2) < PATIENCE_S / 2
+
+
+@pytest.mark.looptime
+async def test_host_without_a_replica_that_runs_asks_the_others(monkeypatch):
+    # Guards against a host that follows a replica that knows nothing.
+    async with Hosts(monkeypatch, 1) as hosts:
+        name = hosts.rest()[0]
+        hosts.replicas[name]._restarts.next_delay_s = lambda *_: None
+        hosts.replicas[name]._fail(OSError('input/output error'))
+        assert await hosts.put(name, 1) < PATIENCE_S
+
+
+@pytest.mark.looptime
+async def test_host_that_is_cut_off_confirms_nothing(monkeypatch):
+    # Guards against an acknowledgement without a majority.
+    async with Hosts(monkeypatch, 1) as hosts:
+        hosts.cuts.add(hosts.leader)
+        with pytest.raises(KumquatrunError):
+            await hosts.put(hosts.leader, 2)
+
+
+@pytest.mark.looptime
+async def test_slow_answer_is_awaited_while_the_leader_is_heard(monkeypatch):
+    # Guards against a large change that is given up and sent again for ever.
+    async with Hosts(monkeypatch, 1) as hosts:
+        handle = hosts.services[hosts.leader].handle
+
+        async def handle_slowly(request, context):
+            await asyncio.sleep(1.2)
+            return await handle(request, context)
+
+        hosts.services[hosts.leader].handle = handle_slowly
+        assert await hosts.put(hosts.rest()[0], 2) < COMMIT_TIMEOUT_S
