Bound the wait for operator calls at a planned stop

A control host that was asked to stop could be killed with its replica still running: an operator call whose body did not arrive held the stop for up to twice 60 s, the default of aiohttp, and the platform kills a process after 8 s.

The stop now waits at most twice 3 s for open calls.

Ruled out: that a planned stop cuts open operator calls. aiohttp closes the listener first, answers what is open, and only then the replica stops; the new test of this passed on the code before. The test with the missing body failed there after 7 s and takes 3.1 s now.

--- a/src/kumquatrun/platform/operator.py
+++ b/src/kumquatrun/platform/operator.py
@@ -20,6 +20,10 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 BAD_REQUEST = 400
 UNAVAILABLE = 503
+# Open calls are answered before the stop goes on. aiohttp waits up to twice
+# this long, which leaves time to stop the replica before the platform kills
+# the process.
+STOP_TIMEOUT_S = 3.0
 
 
 class OperatorApi:
@@ -36,7 +40,11 @@
         app.router.add_post(PUT_PATH, self._put)
         app.router.add_get(READ_PATH, self._read)
         app.router.add_post(NAME_VERSION_PATH, self._name_version)
-        self._runner = web.AppRunner(app, access_log=None)
+        self._runner = web.AppRunner(
+            app,
+            access_log=None,
+            shutdown_timeout=STOP_TIMEOUT_S,
+        )
         await self._runner.setup()
         site = web.TCPSite(
             self._runner,
@@ -46,7 +54,7 @@
         await site.start()
 
     async def stop(self) -> None:
-        """Stop listening."""
+        """Stop listening, and answer the open calls."""
         if self._runner is not None:
             await self._runner.cleanup()
 
--- a/tests/test_platform_operator.py
+++ b/tests/test_platform_operator.py
@@ -20,6 +20,8 @@
 from kumquatrun.runtime.clock import LoopClock
 
 CONFIG_APPLY_S = 2.5
+# The platform kills a process this long after it asked it to stop.
+GRACE_S = 8.0
 
 
 def free_port():
@@ -193,3 +195,53 @@
         assert reply.granted == 1
         await asyncio.sleep(0)
         await leader.close()
+
+
+class SlowGate:
+    """Commits after a while."""
+
+    def __init__(self, commit_s):
+        self.commit_s = commit_s
+
+    async def put(self, decoded, content):
+        await asyncio.sleep(self.commit_s)
+        return decoded.version
+
+
+@asynccontextmanager
+async def api_of(gate):
+    port = free_port()
+    api = OperatorApi(gate, Address('127.0.0.1', port))
+    await api.start()
+    async with aiohttp.ClientSession() as http:
+        yield api, Operator(port, http, None)
+    await api.stop()
+
+
+async def test_open_change_is_answered_during_a_planned_stop():
+    # Guards against a committed change without an acknowledgement.
+    async with api_of(SlowGate(0.5)) as (api, operator):
+        change = asyncio.create_task(operator.put(configuration(version=3)))
+        await asyncio.sleep(0.1)
+        stop = asyncio.create_task(api.stop())
+        await asyncio.sleep(0.1)
+        with pytest.raises(aiohttp.ClientConnectorError):
+            await operator.put(configuration(version=4))
+        assert await change == 200
+        await stop
+
+
+async def test_body_that_does_not_arrive_does_not_hold_a_planned_stop():
+    # Guards against a replica that is killed, since its process still waits
+    # for the rest of a body when the platform's time for a stop has passed.
+    async with api_of(SlowGate(0)) as (api, operator):
+        port = int(operator.url.rpartition(':')[2])
+        _, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(
+            b'POST /Config.Put HTTP/1.1\r\nHost: h\r\n'
+            b'Content-Length: 100\r\n\r\n{'
+        )
+        await asyncio.sleep(0.1)
+        async with asyncio.timeout(GRACE_S - 1):
+            await api.stop()
+        writer.close()
