Confirm a committed change from the local replica

An operator whose first acknowledgement was lost sends the change again, to any control host. That host passed it to the leader, which wrote the whole configuration to the log once more, and without a leader nobody confirmed what a majority had long committed.

Cause: only the reply of the leader counted as knowledge of a commit. A replica applies an entry only after it is committed, and a version that is held or passed changes nothing, so the state of the local replica proves as much. The gate asks it before it calls the leader, and again when the call fails. Reads still pass the leader's barrier.

A higher version still gets 503 there.

--- a/src/kumquatrun/control/control_state.py
+++ b/src/kumquatrun/control/control_state.py
@@ -153,6 +153,16 @@
             content=register.content(),
         )
 
+    @property
+    def configuration_version(self) -> int:
+        """Return the version of the routing configuration, 0 if none."""
+        return self._registers.configurations.version
+
+    def adapter_version(self, model: str, adapter: str) -> int:
+        """Return the newest version of an adapter, 0 if none was named."""
+        versions = self._registers.configurations.adapter_versions
+        return versions.get((model, adapter), 0)
+
     def allowances(self) -> tuple[int, tuple[AccountAllowance, ...]]:
         """Return the limits of the accounts, with their version."""
         register = self._registers.configurations
--- a/src/kumquatrun/gateway/control.py
+++ b/src/kumquatrun/gateway/control.py
@@ -7,6 +7,7 @@
 from kumquatrun.consensus.memory_store import MemoryStorage
 from kumquatrun.control.backend_listing import BackendListing
 from kumquatrun.control.control_host import ControlHost
+from kumquatrun.gateway.operator_gate import OperatorGate
 from kumquatrun.gateway.settings import GatewayControlSettings
 from kumquatrun.membership.leader_client import LeaderClient
 from kumquatrun.peer.messages import Hello
@@ -20,6 +21,8 @@
     ----------
     leader
         Connection to the leader, wherever it is.
+    gate
+        Operator calls.
     """
 
     def __init__(
@@ -53,6 +56,7 @@
             random.Random(),
             self._host.replica,
         )
+        self.gate = OperatorGate(self.leader, self._host.state)
         self._tasks: list[asyncio.Task] = []
 
     def not_ready_reason(self) -> str:
--- a/src/kumquatrun/gateway/operator_gate.py
+++ b/src/kumquatrun/gateway/operator_gate.py
@@ -1,5 +1,8 @@
 """Changes and reads of the configuration, from any control host."""
 
+from collections.abc import Callable
+from typing import Any, Protocol
+
 from kumquatrun.control.configuration_register import (
     AccountAllowance,
     ConfigurationReply,
@@ -7,7 +10,7 @@
     PutConfiguration,
     ReadConfiguration,
 )
-from kumquatrun.errors import ControlUnreachableError
+from kumquatrun.errors import ControlUnreachableError, KumquatrunError
 from kumquatrun.gateway.configuration import Configuration
 from kumquatrun.membership.leader_client import LeaderClient
 
@@ -16,17 +19,41 @@
 READ_TIMEOUT_S = 1.5
 
 
+class CommittedVersions(Protocol):
+    """Versions that a replica has applied, so that they are committed."""
+
+    @property
+    def configuration_version(self) -> int:
+        """Return the version of the configuration, 0 if none."""
+        ...
+
+    def adapter_version(self, model: str, adapter: str) -> int:
+        """Return the newest version of an adapter, 0 if none."""
+        ...
+
+
 class OperatorGate:
     """Passes operator calls to the control leader.
 
+    A change that the local replica shows as committed is confirmed without
+    the leader: what is committed stays so, and a change under a version that
+    is held changes nothing.
+
     Parameters
     ----------
     leader
         Finds and calls the leader.
+    committed
+        State of the local replica.
     """
 
-    def __init__(self, leader: LeaderClient) -> None:
+    def __init__(
+        self,
+        leader: LeaderClient,
+        committed: CommittedVersions,
+    ) -> None:
         self._leader = leader
+        self._committed = committed
 
     async def put(self, configuration: Configuration, content: bytes) -> int:
         """Commit a checked configuration; return the version in force.
@@ -36,15 +63,16 @@
         KumquatrunError
             If it is not known to be committed.
         """
-        reply: ConfigurationReply = await self._leader.call(
+        committed = self._committed
+        reply: ConfigurationReply | None = await self._commit(
             PutConfiguration(
                 version=configuration.version,
                 content=content,
                 allowances=_allowances(configuration),
             ),
-            COMMIT_TIMEOUT_S,
+            lambda: committed.configuration_version >= configuration.version,
         )
-        return reply.version
+        return reply.version if reply else committed.configuration_version
 
     async def read(self) -> bytes:
         """Return the newest configuration as the operator sent it.
@@ -70,7 +98,30 @@
         KumquatrunError
             If it is not known to be committed.
         """
-        await self._leader.call(command, COMMIT_TIMEOUT_S)
+        committed = self._committed
+        await self._commit(
+            command,
+            lambda: (
+                committed.adapter_version(command.model, command.adapter)
+                >= command.version
+            ),
+        )
+
+    async def _commit(
+        self,
+        command: Any,
+        is_committed: Callable[[], bool],
+    ) -> Any:
+        """Return the leader's reply, None if the local replica knows more."""
+        if is_committed():
+            return None
+        try:
+            return await self._leader.call(command, COMMIT_TIMEOUT_S)
+        except KumquatrunError:
+            # The leader may be lost after the commit and before its reply.
+            if is_committed():
+                return None
+            raise
 
 
 def _allowances(configuration: Configuration) -> tuple[AccountAllowance, ...]:
--- a/src/kumquatrun/platform/daemons.py
+++ b/src/kumquatrun/platform/daemons.py
@@ -14,7 +14,6 @@
 from kumquatrun.gateway.control import GatewayControl
 from kumquatrun.gateway.entry import GatewayEntry
 from kumquatrun.gateway.listing_follower import ListingFollower
-from kumquatrun.gateway.operator_gate import OperatorGate
 from kumquatrun.gateway.settings import GatewaySettings
 from kumquatrun.membership.control_client import Session
 from kumquatrun.peer.address import Address
@@ -173,7 +172,6 @@
         BackendListing(lister.read, clock),
         clock,
     )
-    gate = OperatorGate(control.leader)
     parts = [
         ClosingClient(client),
         AdminServer(
@@ -183,7 +181,7 @@
         ),
         SettingsWatcher(file, control.leader.set_addresses),
         control,
-        OperatorApi(gate, settings.operator_listen),
+        OperatorApi(control.gate, settings.operator_listen),
     ]
     return Daemon(settings, parts)
 
--- a/tests/test_platform_operator.py
+++ b/tests/test_platform_operator.py
@@ -12,6 +12,7 @@
 from tests.gateway_fakes import configuration
 
 from kumquatrun.control.allowance_pool import TakeAllowance
+from kumquatrun.control.control_state import ControlState
 from kumquatrun.gateway.operator_gate import OperatorGate
 from kumquatrun.membership.leader_client import LeaderClient
 from kumquatrun.peer.address import Address
@@ -56,7 +57,7 @@
 
 
 @asynccontextmanager
-async def operator_of(cluster):
+async def operator_of(cluster, state=None):
     leader = LeaderClient(
         cluster.addresses(),
         Hello(node_id='control', incarnation='i'),
@@ -64,7 +65,10 @@
         random.Random(1),
     )
     port = free_port()
-    api = OperatorApi(OperatorGate(leader), Address('127.0.0.1', port))
+    api = OperatorApi(
+        OperatorGate(leader, state or ControlState()),
+        Address('127.0.0.1', port),
+    )
     await api.start()
     async with aiohttp.ClientSession() as http:
         yield Operator(port, http, leader)
@@ -118,6 +122,29 @@
         assert await operator.put(configuration(version=4)) == 503
 
 
+async def test_committed_change_is_confirmed_again_without_a_majority():
+    # Guards against a committed change whose first acknowledgement was lost
+    # and that no host confirms, and against one that is not committed.
+    async with control_cluster() as cluster:
+        name = next(row for row in cluster.names if row != cluster.leader())
+        state = cluster.hosts[name].state
+        async with operator_of(cluster, state) as operator:
+            content = configuration(version=3)
+            assert await operator.put(content) == 200
+            fields = {'model': 'm', 'adapter': 'a1', 'version': 2}
+            assert await operator.name_version(**fields) == 200
+            await eventually(lambda: state.adapter_version('m', 'a1') == 2, 2)
+            for other in set(cluster.names) - {name}:
+                await cluster.kill_replica(other)
+            assert await operator.put(content) == 200
+            assert await operator.put(configuration(version=2)) == 200
+            assert await operator.name_version(**fields) == 200
+            assert await operator.put(configuration(version=4)) == 503
+            fields['version'] = 3
+            assert await operator.name_version(**fields) == 503
+            assert (await operator.read())[0] == 503
+
+
 async def test_configuration_survives_the_loss_of_its_leader():
     async with control_cluster() as cluster, operator_of(cluster) as operator:
         content = configuration(version=3)
