Bound the log of a replica by bytes as well as by entries

Large configurations could fill the disks of all control replicas at about the same time. Nothing could be acknowledged from then on.

The same entries are held in memory, of which a process has 300 MB.

Evidence: 160 entries of 400 kB took 64.0 MB of files before, now less than half of the disk (test_large_entries_do_not_fill_the_disk).

--- a/src/kumquatrun/__init__.py
+++ b/src/kumquatrun/__init__.py
@@ -19,9 +19,9 @@
 from kumquatrun.consensus.log_store import FileStorage
 from kumquatrun.consensus.memory_store import MemoryStorage
 from kumquatrun.consensus.quorum_log import QuorumLog
-from kumquatrun.consensus.quorum_node import StateMachine
 from kumquatrun.consensus.replica import Replica
 from kumquatrun.consensus.replica_transport import Transport
+from kumquatrun.consensus.state_machine import StateMachine
 from kumquatrun.consensus.storage import Storage
 from kumquatrun.control.account_budgets import BudgetRegister
 from kumquatrun.control.claims import ClaimRegister
--- a/src/kumquatrun/consensus/quorum_entries.py
+++ b/src/kumquatrun/consensus/quorum_entries.py
@@ -190,6 +190,18 @@
         """Record that all entries handed to the store are durable."""
         self.saved_index = self._handed_index
 
+    def count_up_to(self, last: int, max_entries: int, max_bytes: int) -> int:
+        """Return how many entries that end at ``last`` fit both limits."""
+        count = 0
+        size_bytes = 0
+        first = max(self.base_index + 1, last + 1 - max_entries)
+        for entry in reversed(self.entries_between(first, last)):
+            size_bytes += len(entry.data)
+            if size_bytes > max_bytes:
+                break
+            count += 1
+        return count
+
     def compact(self, index: int) -> None:
         """Drop the entries up to ``index``, which becomes the base."""
         if index <= self.base_index:
--- a/src/kumquatrun/consensus/quorum_node.py
+++ b/src/kumquatrun/consensus/quorum_node.py
@@ -9,7 +9,7 @@
 import random
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
-from typing import Any, Protocol
+from typing import Any
 
 from kumquatrun.consensus.consensus_messages import (
     EntryKind,
@@ -30,6 +30,8 @@
     SnapshotMeta,
     Timing,
 )
+from kumquatrun.consensus.snapshot_schedule import SnapshotSchedule
+from kumquatrun.consensus.state_machine import StateMachine
 from kumquatrun.consensus.storage import Storage
 
 log = logging.getLogger(__name__)
@@ -38,33 +40,21 @@
 JOIN_INTERVAL_S = 0.5
 
 
-class StateMachine(Protocol):
-    """Deterministic state that the log's commands change."""
-
-    def apply(self, index: int, command: bytes) -> bytes:
-        """Apply a committed command and return its result."""
-        ...
-
-    def snapshot(self) -> bytes:
-        """Return the whole state."""
-        ...
-
-    def restore(self, snapshot: bytes) -> None:
-        """Replace the whole state."""
-        ...
-
-
 @dataclass(frozen=True)
 class NodeOptions:
     """Sizes and times of one replica.
 
-    ``kept_entries`` remain in the log after a snapshot, so that a follower
-    that is slightly behind does not need the snapshot.
+    A snapshot is taken after so many entries or bytes. ``kept_entries`` remain
+    in the log after it, or fewer if they exceed ``kept_bytes``, so that a
+    follower that is slightly behind does not need the snapshot. The byte
+    limits keep the files below half of a disk of 64 MB.
     """
 
     timing: Timing = field(default_factory=Timing)
     snapshot_entries: int = 10_000
     kept_entries: int = 1000
+    snapshot_bytes: int = 4 * 1024 * 1024
+    kept_bytes: int = 2 * 1024 * 1024
 
 
 @dataclass(frozen=True)
@@ -140,6 +130,10 @@
             now_s,
         )
         self.applied_index = 0
+        self._schedule = SnapshotSchedule(
+            options.snapshot_entries,
+            options.snapshot_bytes,
+        )
         self.leader_addresses: dict[str, str] = {}
         self._formation_due_s = now_s
         self._formation_messages: list[Envelope] = []
@@ -247,6 +241,7 @@
     def _restore(self, snapshot: Snapshot) -> None:
         self._machine.restore(snapshot.content)
         self.applied_index = snapshot.meta.last_index
+        self._schedule.reset()
 
     def _apply_committed(self) -> list[Applied]:
         applied = []
@@ -256,6 +251,7 @@
         last = min(entries.commit_index, entries.saved_index)
         for entry in entries.entries_between(self.applied_index + 1, last):
             self.applied_index = entry.index
+            self._schedule.record(len(entry.data))
             if entry.kind is EntryKind.COMMAND:
                 result = self._machine.apply(entry.index, entry.data)
                 applied.append(Applied(entry, result))
@@ -263,22 +259,26 @@
 
     def _compact(self) -> None:
         entries = self.core.entries
-        limit = self._options.snapshot_entries
+        options = self._options
         leader = self.core.leadership
-        if leader is not None and leader.is_sending_snapshot:
-            # A new snapshot restarts a transfer, which might then never end.
-            limit *= 4
-        if self.applied_index - entries.snapshot_meta.last_index < limit:
+        is_sending = leader is not None and leader.is_sending_snapshot
+        applied = self.applied_index - entries.snapshot_meta.last_index
+        if not self._schedule.is_due(applied, is_sending=is_sending):
             return
         meta = SnapshotMeta(
             self.applied_index,
             entries.term_at(self.applied_index),
             entries.membership_at(self.applied_index).members,
         )
-        first_kept = meta.last_index + 1 - self._options.kept_entries
+        kept = entries.count_up_to(
+            meta.last_index,
+            options.kept_entries,
+            options.kept_bytes,
+        )
         snapshot = Snapshot(meta, self._machine.snapshot())
-        self._storage.save_snapshot(snapshot, first_kept)
-        self.core.compact(meta, self._options.kept_entries)
+        self._storage.save_snapshot(snapshot, meta.last_index + 1 - kept)
+        self.core.compact(meta, kept)
+        self._schedule.reset()
         log.info(
             'event=snapshot_taken index=%s size_bytes=%s',
             meta.last_index,
--- a/src/kumquatrun/consensus/replica.py
+++ b/src/kumquatrun/consensus/replica.py
@@ -10,7 +10,7 @@
     CONSENSUS_REQUESTS,
     JoinRequest,
 )
-from kumquatrun.consensus.quorum_node import NodeOptions, StateMachine
+from kumquatrun.consensus.quorum_node import NodeOptions
 from kumquatrun.consensus.quorum_types import Envelope, MembershipChange, Output
 from kumquatrun.consensus.replica_addresses import (
     check_address,
@@ -32,6 +32,7 @@
     Reply,
     wait_until,
 )
+from kumquatrun.consensus.state_machine import StateMachine
 from kumquatrun.consensus.storage import Storage
 from kumquatrun.daemon.settings import ReplicaSettings
 from kumquatrun.errors import (
@@ -287,8 +288,7 @@
     async def _reopen(self, failure: Exception) -> bool:
         """Start again from the storage after a wait; False to give up.
 
-        Steps that the failed node still has in the queue of the loop are
-        dropped during the wait.
+        During the wait the loop drops the last steps of the failed node.
         """
         if not await self._restarts.wait(failure, self._clock.now_s()):
             return False
@@ -345,5 +345,6 @@
         addresses = known_addresses(self._node)
         if addresses != self._seen_addresses:
             self._seen_addresses = addresses
-            own_id = self._settings.replica_id
-            self._transport.set_addresses(peer_addresses(addresses, own_id))
+            self._transport.set_addresses(
+                peer_addresses(addresses, self._settings.replica_id),
+            )
--- a/src/kumquatrun/consensus/replica_restart.py
+++ b/src/kumquatrun/consensus/replica_restart.py
@@ -10,8 +10,8 @@
     LogNode,
     NodeOptions,
     NodeSettings,
-    StateMachine,
 )
+from kumquatrun.consensus.state_machine import StateMachine
 from kumquatrun.consensus.storage import Storage
 
 log = logging.getLogger(__name__)
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -31,6 +31,9 @@
 from kumquatrun.peer.messages import Ack, Hello
 from kumquatrun.runtime.clock import LoopClock
 
+# Size of a disk on the users' platform.
+DISK_BYTES = 64 * 1024 * 1024
+
 
 class ListMachine:
     def __init__(self):
@@ -174,6 +177,26 @@
         assert group[0]._machine.commands == expected
 
 
+async def test_large_entries_do_not_fill_the_disk(tmp_path):
+    # Guards against a log of large configurations that outgrows the disk: the
+    # disks of all replicas then refuse writes at about the same time.
+    replicas = reserve_addresses(1)
+    async with tcp_replica(tmp_path, replicas, 'r0') as replica:
+        await wait_for(lambda: replica.is_leader)
+        for number in range(160):
+            await replica.propose(b'%d' % number + bytes(400_000), 5)
+            # What only a snapshot of the real state keeps.
+            del replica._machine.commands[:-1]
+        used_bytes = sum(path.stat().st_size for path in tmp_path.iterdir())
+        assert used_bytes < DISK_BYTES / 2
+        held = replica._node.core.entries
+        assert held.last_index - held.base_index < 30
+    async with tcp_replica(tmp_path, replicas, 'r0') as replica:
+        await wait_for(lambda: replica.is_leader)
+        await replica.read_barrier(5)
+        assert replica._machine.commands[-1].startswith(b'159')
+
+
 @pytest.mark.parametrize('at_new_address', [False, True])
 async def test_empty_replacement_gets_the_snapshot_and_votes(
     tmp_path, at_new_address
