--- a/src/kumquatrun/consensus/replica_status.py
+++ b/src/kumquatrun/consensus/replica_status.py
@@ -17,7 +17,8 @@
     ----------
     failure
         Error that stopped the replica, for example a failed sync or a
-        violated invariant; None while it is well.
+        violated invariant; None while it is well. After most errors the
+        replica starts again from its storage.
     """
 
     def __init__(self, settings: ReplicaSettings) -> None:
@@ -43,8 +44,22 @@
         member = self._member_of(self.leader_id)
         if member is not None and member.address:
             return Address.parse(member.address)
+        if self._node is not None:
+            # A replica that joins has no membership yet.
+            joined = self._node.leader_addresses.get(self.leader_id)
+            if joined:
+                return Address.parse(joined)
         return dict(self._settings.replicas).get(self.leader_id)
 
+    @property
+    def member_addresses(self) -> tuple[Address, ...]:
+        """Return the addresses of the newest membership."""
+        return tuple(
+            Address.parse(member.address)
+            for member in self.members
+            if member.address
+        )
+
     @property
     def term(self) -> int:
         """Return the current term."""
@@ -114,6 +129,8 @@
         return self._node.core
 
     def _notify_role(self) -> None:
+        if self._node is None:
+            return
         election = self._node.core.election
         seen = (election.role, self.leader_id, election.term)
         if seen != self._seen_role:
--- a/src/kumquatrun/platform/daemons.py
+++ b/src/kumquatrun/platform/daemons.py
@@ -14,7 +14,6 @@
 from kumquatrun.gateway.control import GatewayControl
 from kumquatrun.gateway.entry import GatewayEntry
 from kumquatrun.gateway.listing_follower import ListingFollower
-from kumquatrun.gateway.operator_gate import OperatorGate
 from kumquatrun.gateway.settings import GatewaySettings
 from kumquatrun.membership.control_client import Session
 from kumquatrun.peer.address import Address
@@ -173,13 +172,16 @@
         BackendListing(lister.read, clock),
         clock,
     )
-    gate = OperatorGate(control.leader)
     parts = [
         ClosingClient(client),
-        AdminServer(process_metrics(), str, settings.admin_listen),
+        AdminServer(
+            process_metrics(),
+            control.not_ready_reason,
+            settings.admin_listen,
+        ),
         SettingsWatcher(file, control.leader.set_addresses),
         control,
-        OperatorApi(gate, settings.operator_listen),
+        OperatorApi(control.gate, settings.operator_listen),
     ]
     return Daemon(settings, parts)
 
--- a/tests/test_platform_operator.py
+++ b/tests/test_platform_operator.py
@@ -12,6 +12,7 @@
 from tests.gateway_fakes import configuration
 
 from kumquatrun.control.allowance_pool import TakeAllowance
+from kumquatrun.control.control_state import ControlState
 from kumquatrun.gateway.operator_gate import OperatorGate
 from kumquatrun.membership.leader_client import LeaderClient
 from kumquatrun.peer.address import Address
@@ -20,6 +21,8 @@
 from kumquatrun.runtime.clock import LoopClock
 
 CONFIG_APPLY_S = 2.5
+# The platform kills a process this long after it asked it to stop.
+GRACE_S = 8.0
 
 
 def free_port():
@@ -54,7 +57,7 @@
 
 
 @asynccontextmanager
-async def operator_of(cluster):
+async def operator_of(cluster, state=None):
     leader = LeaderClient(
         cluster.addresses(),
         Hello(node_id='control', incarnation='i'),
@@ -62,7 +65,10 @@
         random.Random(1),
     )
     port = free_port()
-    api = OperatorApi(OperatorGate(leader), Address('127.0.0.1', port))
+    api = OperatorApi(
+        OperatorGate(leader, state or ControlState()),
+        Address('127.0.0.1', port),
+    )
     await api.start()
     async with aiohttp.ClientSession() as http:
         yield Operator(port, http, leader)
@@ -116,6 +122,29 @@
         assert await operator.put(configuration(version=4)) == 503
 
 
+async def test_committed_change_is_confirmed_again_without_a_majority():
+    # Guards against a committed change whose first acknowledgement was lost
+    # and that no host confirms, and against one that is not committed.
+    async with control_cluster() as cluster:
+        name = next(row for row in cluster.names if row != cluster.leader())
+        state = cluster.hosts[name].state
+        async with operator_of(cluster, state) as operator:
+            content = configuration(version=3)
+            assert await operator.put(content) == 200
+            fields = {'model': 'm', 'adapter': 'a1', 'version': 2}
+            assert await operator.name_version(**fields) == 200
+            await eventually(lambda: state.adapter_version('m', 'a1') == 2, 2)
+            for other in set(cluster.names) - {name}:
+                await cluster.kill_replica(other)
+            assert await operator.put(content) == 200
+            assert await operator.put(configuration(version=2)) == 200
+            assert await operator.name_version(**fields) == 200
+            assert await operator.put(configuration(version=4)) == 503
+            fields['version'] = 3
+            assert await operator.name_version(**fields) == 503
+            assert (await operator.read())[0] == 503
+
+
 async def test_configuration_survives_the_loss_of_its_leader():
     async with control_cluster() as cluster, operator_of(cluster) as operator:
         content = configuration(version=3)
@@ -193,3 +222,53 @@
         assert reply.granted == 1
         await asyncio.sleep(0)
         await leader.close()
+
+
+class SlowGate:
+    """Commits after a while."""
+
+    def __init__(self, commit_s):
+        self.commit_s = commit_s
+
+    async def put(self, decoded, content):
+        await asyncio.sleep(self.commit_s)
+        return decoded.version
+
+
+@asynccontextmanager
+async def api_of(gate):
+    port = free_port()
+    api = OperatorApi(gate, Address('127.0.0.1', port))
+    await api.start()
+    async with aiohttp.ClientSession() as http:
+        yield api, Operator(port, http, None)
+    await api.stop()
+
+
+async def test_open_change_is_answered_during_a_planned_stop():
+    # Guards against a committed change without an acknowledgement.
+    async with api_of(SlowGate(0.5)) as (api, operator):
+        change = asyncio.create_task(operator.put(configuration(version=3)))
+        await asyncio.sleep(0.1)
+        stop = asyncio.create_task(api.stop())
+        await asyncio.sleep(0.1)
+        with pytest.raises(aiohttp.ClientConnectorError):
+            await operator.put(configuration(version=4))
+        assert await change == 200
+        await stop
+
+
+async def test_body_that_does_not_arrive_does_not_hold_a_planned_stop():
+    # Guards against a replica that is killed, since its process still waits
+    # for the rest of a body when the platform's time for a stop has passed.
+    async with api_of(SlowGate(0)) as (api, operator):
+        port = int(operator.url.rpartition(':')[2])
+        _, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(
+            b'POST /Config.Put HTTP/1.1\r\nHost: h\r\n'
+            b'Content-Length: 100\r\n\r\n{'
+        )
+        await asyncio.sleep(0.1)
+        async with asyncio.timeout(GRACE_S - 1):
+            await api.stop()
+        writer.close()
