Wait for requests that a stop ends until they have ended

One is a fault: a stop cut its open requests and went on without waiting for their handlers, so that the log line that names the cause could be missing. The other was a bound of 0.2 s of real time in a test, which a busy machine misses; the bound is now tested on the loop's clock, to the millisecond, and the test over HTTP keeps what it checked.

Change: requests that are answered or cut at the end of a stop are awaited, for 0.05 s at the longest each.

--- a/src/kumquatrun/gateway/entry.py
+++ b/src/kumquatrun/gateway/entry.py
@@ -56,8 +56,8 @@
 DRAIN_CHECK_S = 0.05
 # aiohttp waits without a limit for 0.
 SHUTDOWN_S = 0.1
-# Time to write the answers of requests that the end of a stop hands back.
-HAND_BACK_S = 0.05
+# Longest time for requests to end: once with an answer, and once cut.
+CLOSE_S = 0.05
 
 
 class GatewayEntry:
@@ -199,9 +199,7 @@
     async def stop(self) -> None:
         """Answer what can still be answered, and close all connections."""
         self._has_stopped = True
-        if self._planned_stop.hand_back_unanswered():
-            await asyncio.sleep(HAND_BACK_S)
-        self._planned_stop.cut_all()
+        await self._planned_stop.end_all(CLOSE_S)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/src/kumquatrun/gateway/planned_stop.py
+++ b/src/kumquatrun/gateway/planned_stop.py
@@ -96,19 +96,15 @@
         """Take no request from now on."""
         self._refuses_all = True
 
-    def hand_back_unanswered(self) -> int:
-        """End the requests whose answers have not begun; return their number."""
-        unanswered = [
-            row for row in self._open if not row.report.channel.has_begun
-        ]
-        for request in unanswered:
-            request.hand_back()
-        return len(unanswered)
-
-    def cut_all(self) -> None:
-        """Close the connections of all requests that are still open."""
+    async def end_all(self, timeout_s: float) -> None:
+        """Answer the requests whose answers have not begun; cut the others."""
+        for request in self._open:
+            if not request.report.channel.has_begun:
+                request.hand_back()
+        await self._ended(timeout_s)
         for request in self._open:
             request.report.channel.abort()
+        await self._ended(timeout_s)
 
     def left_s(self) -> float:
         """Return the time until open requests are cut."""
@@ -136,6 +132,11 @@
                 f'may take {limit_s:.1f} s',
             )
 
+    async def _ended(self, timeout_s: float) -> None:
+        tasks = [request.task for request in self._open]
+        if tasks:
+            await asyncio.wait(tasks, timeout=timeout_s)
+
     def _may_outlast(self, request: OpenRequest) -> bool:
         """Return whether a request that is not sent yet could be cut."""
         report = request.report
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -15,7 +15,10 @@
 )
 from tests.gateway_host import one_service, served
 
+from kumquatrun.errors import DrainingError, Outcome
 from kumquatrun.gateway import entry as entry_module
+from kumquatrun.gateway.planned_stop import PlannedStop
+from kumquatrun.runtime.clock import LoopClock
 
 
 async def test_planned_stop_cuts_no_request(monkeypatch):
@@ -71,10 +74,28 @@
     ]
 
 
+@pytest.mark.looptime
 @pytest.mark.parametrize(
-    ('timeout_s', 'status'),
-    [(2, 503), (3.2, 503), (3.6, 200)],
+    ('limit_s', 'is_taken'),
+    [(7.59, True), (7.6, True), (7.61, False), (25, False)],
 )
+async def test_time_limit_decides_to_the_millisecond(limit_s, is_taken):
+    # Guards against a bound that leaves a request open when the platform
+    # kills the process 8 s after SIGTERM.
+    clock = LoopClock()
+    planned_stop = PlannedStop(clock)
+    planned_stop.check(clock.now_s() + 25)
+    planned_stop.begin(8)
+    ends_at_s = clock.now_s() + limit_s - 0.001
+    if is_taken:
+        planned_stop.check(ends_at_s)
+        return
+    with pytest.raises(DrainingError) as refusal:
+        planned_stop.check(ends_at_s)
+    assert refusal.value.outcome is Outcome.NOT_RUN
+
+
+@pytest.mark.parametrize(('timeout_s', 'status'), [(2, 503), (8, 200)])
 async def test_request_is_taken_during_a_stop_if_its_limit_ends_in_time(
     timeout_s,
     status,
