Show the answer and all leases when a healed entry refuses a request

test_cut_off_entry_serves_open_routes_only failed once with 503 instead of 200, and its report showed neither the body nor who had a lease. The check is the same; its message now has the body with the error code, and the time until the lease of each host ends, at the request and at the answer.

--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -212,7 +212,12 @@
         for link in path.cluster.links.values():
             link.heal()
         await eventually(session.lease_valid, 6)
-        assert (await path.complete())[0] == 200
+        leases = path.leases()
+        status, _, body = await path.complete()
+        assert status == 200, (
+            f'{body!r}, leases end in {leases} s at the request '
+            f'and in {path.leases()} s at the answer'
+        )
 
 
 async def test_drain_cuts_no_stream_and_gets_no_new_work():
--- a/tests/whole_path.py
+++ b/tests/whole_path.py
@@ -179,6 +179,14 @@
         }
         return await self.post('/v1/completions', body, **more)
 
+    def leases(self):
+        """Return for each host the time until its lease ends, in seconds."""
+        now_s = LoopClock().now_s()
+        return {
+            name: round(session._lease_ends_at_s - now_s, 3)
+            for name, session in self.sessions.items()
+        }
+
     async def stop(self):
         await self.http.close()
         for entry in self.entries:
