Renew a lease that was regained after an outage before it ends

What callers saw: after a cut of all control links was healed and an entry had its lease again, a request got 503 control_unreachable, "this entry has no valid lease", outcome not_run.

Cause: a lease counts from the start of the call, and a call looked for a leader for up to 2.5 s. So the first lease after an outage could have less than 0.5 s left, and the next renewal came 0.5 s after the answer. In between the lease ended, and with it all open requests of the entry, among them those that were waiting for an agent that had no lease yet. After a failed call a host also did not ask for 0.5 s, though a leader was back.

Now a renewal is given up after 1 s, and a call that took longer than the interval is followed by the next one at once. A regained lease has time for two further renewals. Renewals are not closer to each other than 0.5 s, counted from start to start.

What a caller gets: a request that finds an agent without a lease is sent again until the agent has one or its time is over, as before. A request at an entry whose own lease has ended is still refused: its key may have been revoked.

Ruled out: - The agent's lease alone.

--- a/src/kumquatrun/membership/control_client.py
+++ b/src/kumquatrun/membership/control_client.py
@@ -33,6 +33,9 @@
 log = logging.getLogger(__name__)
 
 CALL_TIMEOUT_S = 2.5
+# A lease counts from the start of the call, whichever attempt to find the
+# leader is answered, so a longer call would leave little of it.
+RENEW_TIMEOUT_S = 1.0
 FEED_RETRY_S = 0.1
 # No feed item has this index, so the leader answers with a snapshot.
 BEFORE_FIRST_INDEX = -1
@@ -140,6 +143,7 @@
     async def _keep_lease(self) -> None:
         registered = False
         while True:
+            began_s = self._clock.now_s()
             try:
                 if registered:
                     await self._renew()
@@ -154,7 +158,10 @@
                 self._start_new_incarnation()
             except KumquatrunError as error:
                 log.info('event=renewal_failed error=%r', str(error))
-            await asyncio.sleep(RENEW_INTERVAL_S)
+            # A call that took longer is followed by the next one at once: a
+            # leader that is back is asked, and a short lease is renewed.
+            passed_s = self._clock.now_s() - began_s
+            await asyncio.sleep(max(0, RENEW_INTERVAL_S - passed_s))
 
     async def _register(self) -> None:
         reply = await self._leader_client.call(
@@ -192,7 +199,7 @@
                 budget_reports=self._budget_reports,
                 listing_version=self._listing_version,
             ),
-            CALL_TIMEOUT_S,
+            RENEW_TIMEOUT_S,
         )
         self._budget_reports = ()
         self._view.update_reports(reply.agent_reports)
