Let a replica that was removed while it was silent join again

The next host that was lost for good then left too few, and changes could go without an acknowledgement while two of three hosts looked well.

Cause: a replica asks to join only until its group was formed. One that the membership keeper removed was never told and asked for votes in vain.

On the platform a replica that has known no leader for 2 s asks to join, twice a second. The leader ignores that of a member; a removed disk is recorded as a learner once it has caught up, and the keeper promotes it. Groups that operators keep themselves are unchanged: a removed replica stays out.

--- a/src/kumquatrun/consensus/quorum_node.py
+++ b/src/kumquatrun/consensus/quorum_node.py
@@ -16,14 +16,15 @@
     FormationState,
     JoinReply,
     JoinRequest,
-    LogEntry,
     SnapshotChunk,
 )
 from kumquatrun.consensus.group_formation import FormationStep, GroupFormation
 from kumquatrun.consensus.quorum_log import QuorumLog
 from kumquatrun.consensus.quorum_types import (
+    Applied,
     ChunkOrder,
     Envelope,
+    FlushResult,
     Output,
     ReplicaMeta,
     Snapshot,
@@ -38,16 +39,19 @@
 
 FORMATION_INTERVAL_S = 0.2
 JOIN_INTERVAL_S = 0.5
+# Longer than an election, so that a member rarely asks.
+REJOIN_AFTER_S = 2.0
 
 
 @dataclass(frozen=True)
 class NodeOptions:
-    """Sizes and times of one replica.
+    """Sizes, times and behaviour of one replica.
 
     A snapshot is taken after so many entries or bytes. ``kept_entries`` remain
     in the log after it, or fewer if they exceed ``kept_bytes``, so that a
     follower that is slightly behind does not need the snapshot. The byte
-    limits keep the files below half of a disk of 64 MB.
+    limits keep the files below half of a disk of 64 MB. A replica that
+    ``rejoins`` asks to join again after it was removed.
     """
 
     timing: Timing = field(default_factory=Timing)
@@ -55,6 +59,7 @@
     kept_entries: int = 1000
     snapshot_bytes: int = 4 * 1024 * 1024
     kept_bytes: int = 2 * 1024 * 1024
+    rejoins: bool = False
 
 
 @dataclass(frozen=True)
@@ -67,22 +72,6 @@
     joining: bool = False
 
 
-@dataclass(frozen=True)
-class Applied:
-    """A committed command and its result."""
-
-    entry: LogEntry
-    result: bytes
-
-
-@dataclass(frozen=True)
-class FlushResult:
-    """What a flush produced: messages to send and applied commands."""
-
-    messages: tuple[Envelope, ...]
-    applied: tuple[Applied, ...]
-
-
 class LogNode:
     """Connects the consensus core with a store and a state machine.
 
@@ -136,6 +125,7 @@
         )
         self.leader_addresses: dict[str, str] = {}
         self._formation_due_s = now_s
+        self._leader_known_s = now_s
         self._formation_messages: list[Envelope] = []
         self._warned_of_conflict = False
         if stored.snapshot is not None:
@@ -168,6 +158,8 @@
 
     def tick(self, now_s: float) -> None:
         """Process the passage of time."""
+        if self.core.election.leader_id:
+            self._leader_known_s = now_s
         if now_s >= self._formation_due_s:
             self._send_formation_messages(now_s)
         self.core.tick(now_s)
@@ -289,28 +281,42 @@
         """Send formation states or join requests until they are not needed."""
         own_id = self._settings.replica_id
         if self._formation.meta.formed:
+            is_lost = now_s - self._leader_known_s > REJOIN_AFTER_S
+            if is_lost and self._options.rejoins:
+                self._ask_to_join(now_s)
             return
         recorded = self.core.entries.committed_membership
         if recorded.includes(own_id, self.disk_id):
-            # From now on it tells replacements that the group exists, and it
-            # does not join again after it is removed. An uncommitted entry is
-            # not enough: another leader may replace it.
+            # From now on it tells replacements that the group exists, and
+            # after it is removed, it joins again only if its settings say so.
+            # An uncommitted entry is not enough: another leader may replace it.
             self._save_meta(self._formation.form())
             return
         self._formation_due_s = now_s + FORMATION_INTERVAL_S
         step = self._advance_formation(now_s)
-        msg: Any = self._formation.state()
-        if step is FormationStep.FORM:
-            return
         if step is FormationStep.JOIN:
-            self._formation_due_s = now_s + JOIN_INTERVAL_S
             self._forget_agreement()
-            msg = JoinRequest(
-                sender=own_id,
-                disk_id=self.disk_id,
-                address=self._settings.address,
-            )
-        peers = {*self._formation.peers, *self.leader_addresses} - {own_id}
+            self._ask_to_join(now_s)
+        elif step is not FormationStep.FORM:
+            self._send_to_peers(self._formation.state())
+
+    def _ask_to_join(self, now_s: float) -> None:
+        """Send join requests; the leader ignores those of its members."""
+        self._formation_due_s = now_s + JOIN_INTERVAL_S
+        request = JoinRequest(
+            sender=self._settings.replica_id,
+            disk_id=self.disk_id,
+            address=self._settings.address,
+        )
+        self._send_to_peers(request)
+
+    def _send_to_peers(self, msg: Any) -> None:
+        peers = {
+            *self._formation.peers,
+            *self.leader_addresses,
+            *self.core.membership.by_id,
+        }
+        peers.discard(self._settings.replica_id)
         self._formation_messages = [
             Envelope(peer, msg) for peer in sorted(peers)
         ]
--- a/src/kumquatrun/consensus/quorum_types.py
+++ b/src/kumquatrun/consensus/quorum_types.py
@@ -146,3 +146,19 @@
     replica_id: str
     disk_id: str = ''
     address: str = ''
+
+
+@dataclass(frozen=True)
+class Applied:
+    """A committed command and its result."""
+
+    entry: LogEntry
+    result: bytes
+
+
+@dataclass(frozen=True)
+class FlushResult:
+    """What a flush produced: messages to send and applied commands."""
+
+    messages: tuple[Envelope, ...]
+    applied: tuple[Applied, ...]
--- a/src/kumquatrun/consensus/replica_work.py
+++ b/src/kumquatrun/consensus/replica_work.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from kumquatrun.consensus.quorum_node import Applied, LogNode
-from kumquatrun.consensus.quorum_types import Barrier
+from kumquatrun.consensus.quorum_node import LogNode
+from kumquatrun.consensus.quorum_types import Applied, Barrier
 from kumquatrun.errors import (
     DeadlineExceededError,
     KumquatrunError,
--- a/src/kumquatrun/control/control_host.py
+++ b/src/kumquatrun/control/control_host.py
@@ -4,6 +4,7 @@
 import uuid
 
 from kumquatrun.consensus.log_store import FileStorage
+from kumquatrun.consensus.quorum_node import NodeOptions
 from kumquatrun.consensus.replica import Replica
 from kumquatrun.consensus.replica_transport import TcpTransport
 from kumquatrun.consensus.storage import Storage
@@ -61,6 +62,7 @@
         storage: Storage | None = None,
         rng: random.Random | None = None,
         listing: BackendListing | None = None,
+        options: NodeOptions | None = None,
     ) -> None:
         replica_settings = settings.replica
         if replica_settings is None:
@@ -82,6 +84,7 @@
             storage or FileStorage(replica_settings.data_dir),
             clock,
             rng,
+            options,
         )
         self.service = ControlService(
             self.replica,
--- a/src/kumquatrun/gateway/control.py
+++ b/src/kumquatrun/gateway/control.py
@@ -5,6 +5,7 @@
 
 from kumquatrun.consensus.membership_keeper import MembershipKeeper
 from kumquatrun.consensus.memory_store import MemoryStorage
+from kumquatrun.consensus.quorum_node import NodeOptions
 from kumquatrun.control.backend_listing import BackendListing
 from kumquatrun.control.control_host import ControlHost
 from kumquatrun.gateway.operator_gate import OperatorGate
@@ -38,6 +39,8 @@
             clock,
             storage=storage,
             listing=listing,
+            # The keeper also removes replicas that were only cut off.
+            options=NodeOptions(rejoins=True),
         )
         self._keeper = MembershipKeeper(
             self._host.replica,
--- a/tests/test_membership_keeper.py
+++ b/tests/test_membership_keeper.py
@@ -4,9 +4,12 @@
 from dataclasses import replace
 
 import pytest
-from tests.test_replica import Group, leader_of
+from tests.test_replica import Group, leader_of, wait_for
 
-from kumquatrun.consensus.membership_keeper import MembershipKeeper
+from kumquatrun.consensus.membership_keeper import (
+    EVEN_SILENT_LIMIT_S,
+    MembershipKeeper,
+)
 from kumquatrun.consensus.memory_store import MemoryStorage
 from kumquatrun.runtime.clock import LoopClock
 
@@ -21,6 +24,17 @@
         super().__init__()
         self.keepers = {}
 
+    def build(self, name):
+        replica = super().build(name)
+        replica._options = replace(replica._options, rejoins=True)
+        return replica
+
+    def voters(self):
+        """Return the voters that the leader knows."""
+        leaders = [row for row in self.network.values() if row.is_leader]
+        newest = max(leaders, key=lambda row: row.term)
+        return {row.replica_id for row in newest.members if row.voter}
+
     def keep(self, name):
         keeper = MembershipKeeper(self.network[name], LoopClock(), 1)
         self.keepers[name] = asyncio.create_task(keeper.run())
@@ -80,3 +94,46 @@
         voters = [row.replica_id for row in leader.members if row.voter]
         assert len(voters) == 3
         assert gone not in voters
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize('frozen', ['r0', 'r1', 'r2', 'r3'])
+async def test_voter_that_was_removed_while_it_was_silent_comes_back(frozen):
+    # Guards against a group that shrinks for good with each host that is cut
+    # off for a while: the next host that is lost for good is then one of too
+    # few.
+    async with KeptGroup() as group:
+        await group.join('r3')
+        await wait_for(lambda: len(group.voters()) == 4)
+        group.cuts.add(frozen)
+        rest = [row for name, row in group.network.items() if name != frozen]
+        await asyncio.sleep(EVEN_SILENT_LIMIT_S + 2)
+        leader = await leader_of(rest)
+        assert {row.replica_id for row in leader.members} == {
+            'r0',
+            'r1',
+            'r2',
+            'r3',
+        } - {frozen}
+        await leader.propose(b'x', 1)
+        group.cuts.clear()
+        await wait_for(lambda: len(group.voters()) == 4, timeout_s=6)
+        assert group.network[frozen].applied_index > 0
+        await wait_for(
+            lambda: group.network[frozen]._machine.commands == [b'x'],
+            timeout_s=1,
+        )
+
+
+@pytest.mark.looptime
+async def test_member_that_asks_to_join_stays_what_it_is():
+    # Guards against requests to join that change the membership when the
+    # group was without a leader for a while.
+    async with KeptGroup() as group:
+        group.cuts.update(group.network)
+        await asyncio.sleep(5)
+        group.cuts.clear()
+        leader = await leader_of(group.network.values())
+        await leader.propose(b'x', 2)
+        await asyncio.sleep(2)
+        assert group.voters() == {'r0', 'r1', 'r2'}
