Close a peer connection that begins without a hello

Something other than a peer behind a peer's address (its port is used again after a restart) that sent bytes without a hello kept its connection: the caller raised WireError or AttributeError without closing it, so it stayed open and its buffers filled. The outcome was "unknown" although nothing was sent. On the accepting side a stranger could have 8 MiB held for it for 2 s, and a first message of another type ended as an unhandled error without a reason.

The caller closes the connection and reports that it cannot connect, not run. The first frame has MAX_FIRST_FRAME_BYTES (16 KiB), and its message must be a hello on both sides.

test_peer_that_sends_no_hello_is_closed_by_its_caller (5 cases) and test_caller_that_sends_no_hello_is_closed (long hello, no hello) failed before; its other 3 cases passed before.

--- a/src/kumquatrun/peer/client.py
+++ b/src/kumquatrun/peer/client.py
@@ -18,6 +18,7 @@
     DeadlineExceededError,
     KumquatrunError,
     Outcome,
+    WireError,
 )
 from kumquatrun.peer.address import Address
 from kumquatrun.peer.errors import reply_to_error
@@ -237,24 +238,34 @@
                     self.address.port,
                 )
                 link = Link(reader, writer)
-                identity = encode_message(self._identity)
-                await link.send(FrameKind.HELLO, 0, identity)
-                frame = await link.read()
-        except (OSError, EOFError, TimeoutError) as error:
+                answer = await self._greet(link)
+        except (OSError, EOFError, WireError) as error:
             raise ConnectionLostError(
                 f'cannot connect to {self.address}: {error!r}',
                 outcome=Outcome.NOT_RUN,
             ) from error
-        answer = decode_message(frame.body)
-        if frame.kind is not FrameKind.HELLO:
-            link.abort()
-            raise reply_to_error(answer)
         link.set_regions(self._identity.region, answer.region)
         self.peer = answer
         self._link = link
         self._spawn(self._read(link))
         self._spawn(link.keep_alive())
 
+    async def _greet(self, link: Link) -> Hello:
+        """Exchange identities; closes the connection if that fails."""
+        try:
+            identity = encode_message(self._identity)
+            await link.send(FrameKind.HELLO, 0, identity)
+            frame = await link.read()
+            answer = decode_message(frame.body)
+            if frame.kind is not FrameKind.HELLO:
+                raise reply_to_error(answer)
+            if not isinstance(answer, Hello):
+                raise WireError('the first message is not a hello')
+        except BaseException:
+            link.abort()
+            raise
+        return answer
+
     async def _read(self, link: Link) -> None:
         reason = 'closed'
         try:
--- a/src/kumquatrun/peer/link.py
+++ b/src/kumquatrun/peer/link.py
@@ -9,7 +9,13 @@
 from kumquatrun.errors import (
     ConnectionLostError,
 )
-from kumquatrun.peer.wire import Frame, FrameKind, FrameReader, encode_frame
+from kumquatrun.peer.wire import (
+    MAX_FIRST_FRAME_BYTES,
+    Frame,
+    FrameKind,
+    FrameReader,
+    encode_frame,
+)
 
 log = logging.getLogger(__name__)
 
@@ -33,7 +39,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        self._frames = FrameReader(reader)
+        self._frames = FrameReader(reader, MAX_FIRST_FRAME_BYTES)
         self._writer = writer
         self._clock = asyncio.get_running_loop().time
         self._last_read_s = self._clock()
--- a/src/kumquatrun/peer/server.py
+++ b/src/kumquatrun/peer/server.py
@@ -186,6 +186,8 @@
         if frame.kind is not FrameKind.HELLO:
             raise WireError('the first frame is not a hello')
         self._peer = decode_message(frame.body)
+        if not isinstance(self._peer, Hello):
+            raise WireError('the first message is not a hello')
         try:
             self._server.check_peer(self._peer)
         except KumquatrunError as error:
--- a/src/kumquatrun/peer/wire.py
+++ b/src/kumquatrun/peer/wire.py
@@ -11,6 +11,8 @@
 from kumquatrun.errors import WireError
 
 MAX_FRAME_BYTES = 8 * 1024 * 1024
+# The first frame of a connection, whose sender is not known yet.
+MAX_FIRST_FRAME_BYTES = 16 * 1024
 _READ_BYTES = 64 * 1024
 _LENGTH = struct.Struct('>I')
 
@@ -64,10 +66,23 @@
 
 
 class FrameReader:
-    """Reads frames from a stream; one read may bring many of them."""
+    """Reads frames from a stream; one read may bring many of them.
+
+    Parameters
+    ----------
+    reader
+        Stream of the connection.
+    first_frame_bytes
+        Largest first frame.
+    """
 
-    def __init__(self, reader: asyncio.StreamReader) -> None:
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        first_frame_bytes: int = MAX_FRAME_BYTES,
+    ) -> None:
         self._reader = reader
+        self._limit_bytes = first_frame_bytes
         self._frames: deque[Frame] = deque()
         self._buffer = bytearray()
 
@@ -94,13 +109,14 @@
         start = 0
         while len(buffer) - start >= _LENGTH.size:
             length = _LENGTH.unpack_from(buffer, start)[0]
-            if length > MAX_FRAME_BYTES:
+            if length > self._limit_bytes:
                 raise WireError(f'frame of {length} bytes is too large')
             end = start + _LENGTH.size + length
             if end > len(buffer):
                 break
             content = buffer[start + _LENGTH.size : end]
             self._frames.append(_decode(content))
+            self._limit_bytes = MAX_FRAME_BYTES
             start = end
         del buffer[:start]
 
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -1,12 +1,15 @@
 """Peer connections: calls, streams, cancellation and lost peers."""
 
 import asyncio
+import logging
+from contextlib import suppress
 
 import pytest
 
 from kumquatrun.errors import (
     ConnectionLostError,
     InvalidRequestError,
+    KumquatrunError,
     Outcome,
     UnauthorizedPeerError,
     WireError,
@@ -183,3 +186,81 @@
     assert kinds[-1] is FrameKind.REPLY
     await idle
     writer.close()
+
+
+# A length prefix that no frame has, and one that a first frame may not have.
+TOO_LONG = b'\xff' * 4096
+LONG_HELLO = b'\x00\x10\x00\x00' + b'x' * 4096
+NOT_MSGPACK = b'\x00\x00\x00\x04' + b'\xc1' * 4
+NO_HELLO = encode_frame(Frame(FrameKind.HELLO, 0, encode_message(Ack())))
+BROKEN_HELLOS = {
+    'endless bytes': TOO_LONG,
+    'long hello': LONG_HELLO,
+    'no msgpack': NOT_MSGPACK,
+    'no hello': NO_HELLO,
+    'no fields': encode_frame(Frame(FrameKind.HELLO, 0, None)),
+}
+first_bytes = pytest.mark.parametrize(
+    'first',
+    BROKEN_HELLOS.values(),
+    ids=BROKEN_HELLOS,
+)
+
+
+async def send_until_closed(writer, first, counts):
+    """Write ``first`` and then bytes without end."""
+    writer.transport.set_write_buffer_limits(high=0)
+    try:
+        writer.write(first)
+        while counts['bytes'] < 8 * 1024 * 1024:
+            await writer.drain()
+            counts['bytes'] += 4096
+            writer.write(b'x' * 4096)
+            await asyncio.sleep(0)
+    except OSError:
+        counts['closed'] = True
+    writer.transport.abort()
+
+
+@first_bytes
+async def test_peer_that_sends_no_hello_is_closed_by_its_caller(first):
+    # Guards against connections that stay open, and are fed, after a call
+    # that could not begin.
+    counts = {'bytes': 0, 'closed': False}
+    done = asyncio.Event()
+
+    async def serve(reader, writer):
+        await send_until_closed(writer, first, counts)
+        done.set()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    address = Address(*server.sockets[0].getsockname())
+    client = PeerClient(address, Hello(node_id='c', incarnation='1'))
+    async with asyncio.timeout(1):
+        with pytest.raises(KumquatrunError) as caught:
+            await client.call(Ack(), 0.9)
+        await done.wait()
+    assert caught.value.outcome is Outcome.NOT_RUN
+    assert counts['closed']
+    await client.close()
+    server.close()
+
+
+@first_bytes
+async def test_caller_that_sends_no_hello_is_closed(server, first, caplog):
+    # Guards against strangers who make a process hold many bytes, or log
+    # errors without a reason.
+    caplog.set_level(logging.INFO)
+    reader, writer = await asyncio.open_connection(
+        server.address.host,
+        server.address.port,
+    )
+    writer.write(first)
+    async with asyncio.timeout(1):
+        with suppress(ConnectionResetError):
+            assert not await reader.read()
+    await asyncio.sleep(0)
+    assert 'event=peer_closed' in caplog.text
+    # asyncio logs an error that the server does not handle.
+    assert not [row for row in caplog.records if row.exc_info]
+    writer.close()
