End operator calls whose body does not end

The body of an operator call had a limit in bytes and none in time: a call that sent a byte now and then, or a chunk extension without an end, kept its task and up to 16 MiB for as long as its caller liked.

A body has BODY_TIMEOUT_S (5 s), then the call gets 408, which operators take for "ask another host", and a line operator_call_unfinished with the bytes that had come.

--- a/src/kumquatrun/platform/operator.py
+++ b/src/kumquatrun/platform/operator.py
@@ -1,5 +1,6 @@
 """The operator's HTTP calls in the platform's format."""
 
+import asyncio
 import logging
 
 from aiohttp import web
@@ -18,6 +19,8 @@
 READ_PATH = '/Config.Get'
 NAME_VERSION_PATH = '/version-put'
 MAX_BODY_BYTES = 16 * 1024 * 1024
+# Callers give up sooner, also with large bodies.
+BODY_TIMEOUT_S = 5.0
 BAD_REQUEST = 400
 UNAVAILABLE = 503
 
@@ -51,7 +54,7 @@
             await self._runner.cleanup()
 
     async def _put(self, request: web.Request) -> web.Response:
-        content = await request.read()
+        content = await _read_body(request)
         try:
             configuration = decode_configuration(content)
         except DocumentError as error:
@@ -78,7 +81,7 @@
 
     async def _name_version(self, request: web.Request) -> web.Response:
         try:
-            fields = decoding.parse_object(await request.read())
+            fields = decoding.parse_object(await _read_body(request))
             command = NameAdapterVersion(
                 model=decoding.text(fields, 'model'),
                 adapter=decoding.text(fields, 'adapter', ''),
@@ -99,6 +102,22 @@
         return web.json_response({})
 
 
+async def _read_body(request: web.Request) -> bytes:
+    """Return the body, or answer 408 if it does not end in time."""
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            return await request.read()
+    except TimeoutError:
+        log_event(
+            log,
+            'operator_call_unfinished',
+            path=request.path,
+            limit_s=BODY_TIMEOUT_S,
+            received_bytes=request.content.total_bytes,
+        )
+        raise web.HTTPRequestTimeout from None
+
+
 def _unavailable(event: str, error: KumquatrunError) -> web.Response:
     log_event(log, event, error=str(error))
     return web.Response(status=UNAVAILABLE, text=f'{error}\n')
