Log the loss of an engine also when calls to it fail at once

engine_lost was logged only if the time without a report became too long while a report was awaited. Calls that fail at once (a refused connection, an answer that is no report) take no time, so the loss had no line, and the regained engine had one.

The watch remembers which of the two it said last.

test_loss_of_an_engine_is_logged_once failed before.

--- a/src/kumquatrun/gateway/engine_watch.py
+++ b/src/kumquatrun/gateway/engine_watch.py
@@ -59,6 +59,8 @@
         self._spec = spec
         self._clock = clock
         self._reported_at_s = float('-inf')
+        # Whether the last line about reports said that they come.
+        self._is_told_up = False
 
     @property
     def spec(self) -> EngineSpec | None:
@@ -105,15 +107,16 @@
 
     async def refresh(self) -> None:
         """Take a new report; a silent engine keeps its last one."""
-        was_lost = self.is_lost
         try:
             report = await self._engine.report()
         except KumquatrunError as error:
-            if self.is_lost and not was_lost:
+            if self.is_lost and self._is_told_up:
+                self._is_told_up = False
                 log_event(log, 'engine_lost', error=str(error))
             return
         self._take(report)
-        if was_lost:
+        if not self._is_told_up:
+            self._is_told_up = True
             log_event(
                 log,
                 'engine_regained',
--- a/tests/test_engine_agent.py
+++ b/tests/test_engine_agent.py
@@ -1,6 +1,7 @@
 """Agent beside an engine: loads, slots, versions, restarts and late orders."""
 
 import asyncio
+import logging
 from contextlib import asynccontextmanager
 
 import pytest
@@ -9,6 +10,7 @@
 from kumquatrun.errors import AdapterLoadError, NoCapacityError
 from kumquatrun.gateway.configuration import BaseModelSpec, EngineSpec
 from kumquatrun.gateway.engine_agent import EngineAgent
+from kumquatrun.gateway.engine_watch import EngineWatch
 from kumquatrun.gateway.messages import (
     AdapterQueued,
     AdapterReady,
@@ -325,3 +327,22 @@
         engine.restart()
         await asyncio.sleep(0.5)
     assert engine.models == ('n',)
+
+
+async def test_loss_of_an_engine_is_logged_once(caplog):
+    # Guards against a loss without a line: it was logged only if it happened
+    # while a report was awaited, and calls that fail at once take no time.
+    caplog.set_level(logging.INFO)
+    engine = Engine()
+    watch = EngineWatch(engine, lambda: None, LoopClock())
+    for is_silent in (False, True, False):
+        engine.is_silent = is_silent
+        for _ in range(10):
+            await watch.refresh()
+            await asyncio.sleep(0.1)
+    events = [
+        record.getMessage()
+        for record in caplog.records
+        if record.getMessage() in {'engine_lost', 'engine_regained'}
+    ]
+    assert events == ['engine_regained', 'engine_lost', 'engine_regained']
