Pass parts of at most 16 KiB from backend servers to entries

The product's agent read whatever had arrived of an answer as one part: up to 786,432 bytes, where the entry gives credit for 64 parts of a call. One caller that reads slowly could make the entry hold some 48 MB of an endless answer.

read_chunks reads at most MAX_CHUNK_BYTES, so that a call holds 1 MiB.

test_parts_of_an_endless_answer_of_a_service_are_small (2 cases) failed before with parts of 589,824 and 786,432 bytes.

--- a/src/kumquatrun/agent/backend_http.py
+++ b/src/kumquatrun/agent/backend_http.py
@@ -18,6 +18,9 @@
 from kumquatrun.runtime.error_text import error_text
 
 CONNECT_TIMEOUT_S = 2.0
+# Largest part of a body that is passed on at once. The credit of a caller
+# counts parts, so their size bounds what is held for a slow one.
+MAX_CHUNK_BYTES = 16 * 1024
 KEEP_ALIVE = MappingProxyType(
     {
         socket.TCP_KEEPIDLE: 2,
@@ -205,7 +208,7 @@
     """
     while True:
         try:
-            chunk = await response.content.readany()
+            chunk = await response.content.read(MAX_CHUNK_BYTES)
         except aiohttp.SocketTimeoutError:
             raise ConnectionLostError(
                 'the backend server went silent within the answer',
--- a/tests/test_endless_engines.py
+++ b/tests/test_endless_engines.py
@@ -8,8 +8,10 @@
 
 from kumquatrun.agent import engine_client
 from kumquatrun.agent.adapter_slots import AdapterKey
+from kumquatrun.agent.backend_http import MAX_CHUNK_BYTES, BackendCall
 from kumquatrun.agent.completions import GenerateCall, json_object
 from kumquatrun.agent.engine_client import HEALTH_TIMEOUT_S, EngineClient
+from kumquatrun.agent.service_client import ServiceClient
 from kumquatrun.errors import BackendError, ConnectionLostError
 
 AT_ONCE_S = 3.0
@@ -121,3 +123,27 @@
             await run_completion(client)
         await server.closed.wait()
     assert server.sent_bytes < GIVE_UP_BYTES
+
+
+@pytest.mark.parametrize(
+    ('begin', 'piece'),
+    [(HEAD + b'\r\n', b'x' * 65536), (EVENTS, chunk(b'x' * 65536))],
+    ids=['no length', 'chunks'],
+)
+async def test_parts_of_an_endless_answer_of_a_service_are_small(begin, piece):
+    # Guards against a process that holds a large part for each item that a
+    # slow caller has credit for.
+    server = await EndlessServer(begin, piece).start()
+    client = ServiceClient(server.url)
+    call = BackendCall(request_id='r', method='GET', path='/')
+    sizes_bytes = []
+    async with client.call(call, lambda: None) as reply:
+        parts = aiter(reply)
+        for _ in range(10):
+            await asyncio.sleep(0.02)
+            sizes_bytes.append(len(await anext(parts)))
+    assert max(sizes_bytes) <= MAX_CHUNK_BYTES
+    assert sum(sizes_bytes) > MAX_CHUNK_BYTES
+    async with asyncio.timeout(1):
+        await server.closed.wait()
+    await client.close()
