Log bytes that a backend server sends after a complete answer

Such bytes close the connection and had no line, so a backend server that garbles its connections showed only as more connections. bytes_after_answer names the request, the backend server and the bytes that had come; the answer is delivered and not counted as a failure.

test_bytes_after_a_complete_answer_leave_a_line failed before.

--- a/src/kumquatrun/gateway/backend_connection.py
+++ b/src/kumquatrun/gateway/backend_connection.py
@@ -77,6 +77,8 @@
         end and nothing came after it.
     idle_since_s
         When the last answer ended.
+    has_extra
+        Whether bytes came after the answer that belong to no request.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -84,7 +86,7 @@
         self.is_clean = True
         self.idle_since_s = loop.time()
         self._is_lost = False
-        self._has_extra = False
+        self.has_extra = False
         self._size = AnswerSize()
         # Last bytes of earlier reads, where the end of a head may begin.
         self._recent = b''
@@ -171,7 +173,7 @@
             head.keeps_alive
             and self.is_open
             and head.body.is_eof()
-            and not self._has_extra
+            and not self.has_extra
         )
 
     def abort(self) -> None:
@@ -260,7 +262,7 @@
             return
         if self._body is not None:
             # A second answer belongs to no request.
-            self._has_extra = True
+            self.has_extra = True
             return
         head = AnswerHead(
             status=message.code,
@@ -276,6 +278,8 @@
         self._head.set_result(head)
 
     def _break_off(self, problem: str) -> None:
+        if not self.is_unfinished:
+            self.has_extra = True
         self._fail(
             BrokenAnswerError(
                 f'{problem}, {self.received_bytes} bytes received',
--- a/src/kumquatrun/gateway/forwarder.py
+++ b/src/kumquatrun/gateway/forwarder.py
@@ -161,6 +161,14 @@
                 connection.abort()
             else:
                 backend.pool.give_back(connection, head)
+        if connection.has_extra:
+            log_event(
+                log,
+                'bytes_after_answer',
+                request_id=course.request.request_id,
+                backend=backend.backend_id,
+                received_bytes=connection.received_bytes,
+            )
         has_failed = head is not None and head.status >= SERVER_ERROR
         backend.record_answer(
             failed=result in FAILURES
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -234,3 +234,25 @@
     runner = Runner([garbage, 'close'])
     _, _, problem = await forward(course_of('non_idempotent'), runner)
     assert len(str(problem)) < 400
+
+
+async def test_bytes_after_a_complete_answer_leave_a_line(caplog):
+    # Guards against a backend server that garbles its connections unseen.
+    caplog.set_level(logging.INFO)
+    runner = Runner([answer(b'whole') + b'garbage'])
+    caller, backends, problem = await forward(
+        course_of('non_idempotent'),
+        runner,
+    )
+    assert problem is None
+    assert caller.body == b'whole'
+    assert not backends[0].pool.idle_count
+    assert not backends[0].current_failure_rate(LoopClock().now_s())
+    (fields,) = [
+        record.event_fields
+        for record in caplog.records
+        if record.getMessage() == 'bytes_after_answer'
+    ]
+    assert fields['request_id'] == 'attempt-1'
+    assert fields['backend'] == 'runner-0'
+    assert fields['received_bytes'] > len(b'wholegarbage')
