--- a/tests/test_engine_agent.py
+++ b/tests/test_engine_agent.py
@@ -1,6 +1,7 @@
 """Agent beside an engine: loads, slots, versions, restarts and late orders."""
 
 import asyncio
+import logging
 from contextlib import asynccontextmanager
 
 import pytest
@@ -17,6 +18,7 @@
     BUSY_REPORT_INTERVAL_S,
     EngineAgent,
 )
+from kumquatrun.gateway.engine_watch import EngineWatch
 from kumquatrun.gateway.messages import (
     AdapterInUse,
     AdapterQueued,
@@ -574,3 +576,22 @@
         await use.ready()
         passed_s = asyncio.get_running_loop().time() - began_s
     assert passed_s < engine.load_s + 3 * BUSY_REPORT_INTERVAL_S
+
+
+async def test_loss_of_an_engine_is_logged_once(caplog):
+    # Guards against a loss without a line: it was logged only if it happened
+    # while a report was awaited, and calls that fail at once take no time.
+    caplog.set_level(logging.INFO)
+    engine = Engine()
+    watch = EngineWatch(engine, lambda: None, LoopClock())
+    for is_silent in (False, True, False):
+        engine.is_silent = is_silent
+        for _ in range(10):
+            await watch.refresh()
+            await asyncio.sleep(0.1)
+    events = [
+        record.getMessage()
+        for record in caplog.records
+        if record.getMessage() in {'engine_lost', 'engine_regained'}
+    ]
+    assert events == ['engine_regained', 'engine_lost', 'engine_regained']
