Read the lines of a failed replica before the logger has them

test_violated_invariant_does_not_repeat_for_ever failed in the whole suite and passed alone: test_package_layers.py runs import-linter in the same process, which disables the loggers that exist, so that caplog stays empty. The test now records the calls of the module's logger and compares the whole list of errors, which is stricter than the search before.

--- a/tests/test_replica_restart.py
+++ b/tests/test_replica_restart.py
@@ -7,6 +7,7 @@
 from tests.test_log_store import META, entries
 from tests.test_replica import Group, leader_of, replica_of, wait_for
 
+from kumquatrun.consensus import replica_restart
 from kumquatrun.consensus.log_store import FileStorage
 from kumquatrun.consensus.memory_store import MemoryStorage
 from kumquatrun.consensus.replica_restart import (
@@ -123,9 +124,16 @@
 
 
 @pytest.mark.looptime
-async def test_violated_invariant_does_not_repeat_for_ever(caplog):
+async def test_violated_invariant_does_not_repeat_for_ever(monkeypatch):
     # Guards against a replica that is started again without end although each
-    # start fails in the same way.
+    # start fails in the same way. The lines are read before the logger has
+    # them: the check of the package layers disables all loggers.
+    lines = []
+    monkeypatch.setattr(
+        replica_restart.log,
+        'error',
+        lambda line, *_: lines.append(line.partition(' ')[0]),
+    )
     async with DiskGroup() as group:
         failing = follower_of(group)
         group.storages[failing].error = InvariantError('log_order')
@@ -135,7 +143,7 @@
             await asyncio.sleep(1)
         assert isinstance(group.network[failing].failure, InvariantError)
         assert group.storages[failing].load_count == 1 + MAX_ERROR_RETRIES
-        assert 'event=replica_given_up' in caplog.text
+        assert lines == ['event=replica_given_up']
 
 
 @pytest.mark.looptime
