Keep loggers enabled after the test of the package layers

import-linter configures logging with dictConfig, which disables all loggers that exist. Tests that run later in the same process saw no log line, so test_peer.py::test_caller_that_sends_no_hello_is_closed failed (5 cases) in the whole suite and passed alone, and a check that nothing was logged held for nothing.

The test enables them again. tests/test_package_layers.py and tests/test_peer.py in one run failed before.

--- a/tests/test_package_layers.py
+++ b/tests/test_package_layers.py
@@ -1,13 +1,28 @@
 """Direction of imports between the packages of the library."""
 
+import logging
 from pathlib import Path
 
+import pytest
 from importlinter.cli import lint_imports
 
 ROOT = Path(__file__).parents[1]
 
 
-def test_packages_import_only_lower_ones(monkeypatch):
+@pytest.fixture
+def kept_loggers():
+    """Enable the loggers again that import-linter disables."""
+    loggers = [
+        logger
+        for logger in logging.root.manager.loggerDict.values()
+        if isinstance(logger, logging.Logger) and not logger.disabled
+    ]
+    yield
+    for logger in loggers:
+        logger.disabled = False
+
+
+def test_packages_import_only_lower_ones(monkeypatch, kept_loggers):
     # Guards against import cycles between packages, and against a package
     # that pyproject.toml gives no layer.
     monkeypatch.chdir(ROOT)
