Report a wrong control address as an error of the settings

An entry of the control addresses that is no text ended the task that follows the settings file, with no line in the log: it handles errors of the settings, and this was a TypeError or AttributeError. The host then never learned of exchanged control hosts. Found in the review of what ends silently.

Four new cases; those with a number in place of an address failed before.

--- a/src/kumquatrun/platform/settings.py
+++ b/src/kumquatrun/platform/settings.py
@@ -142,12 +142,19 @@
 
 
 def seed_addresses(fields: decoding.Fields) -> tuple[Address, ...]:
-    """Return the peer addresses of the control hosts that are named."""
+    """Return the peer addresses of the control hosts that are named.
+
+    Raises
+    ------
+    SettingError
+        If one of them is no address.
+    """
     port = _port(fields, CONTROL_PORT)
-    return tuple(
-        Address(Address.parse(seed).host, port)
-        for seed in fields.get('seeds') or ()
-    )
+    try:
+        hosts = [Address.parse(seed).host for seed in fields.get('seeds') or ()]
+    except (AttributeError, TypeError, ValueError) as error:
+        raise SettingError(f"settings file: 'seeds': {error}") from None
+    return tuple(Address(host, port) for host in hosts)
 
 
 def _shared(fields: decoding.Fields, role: str) -> dict[str, Any]:
@@ -181,4 +188,9 @@
     ports = fields.get('internal_ports')
     if not isinstance(ports, list) or not ports:
         raise SettingError("settings file: 'internal_ports' is empty")
-    return int(ports[0]) + offset
+    try:
+        return int(ports[0]) + offset
+    except (TypeError, ValueError) as error:
+        raise SettingError(
+            f"settings file: 'internal_ports': {error}",
+        ) from None
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -18,6 +18,7 @@
     agent_settings,
     control_settings,
     entry_settings,
+    seed_addresses,
 )
 
 HEADERS = (
@@ -285,6 +286,22 @@
     assert file.has_changed()
 
 
+@pytest.mark.parametrize(
+    ('name', 'wrong'),
+    [
+        ('seeds', [5]),
+        ('seeds', ['10.1.0.14']),
+        ('seeds', 7),
+        ('internal_ports', [{}]),
+    ],
+)
+def test_wrong_address_is_an_error_of_the_settings(name, wrong):
+    # Guards against a daemon that no longer follows its settings file: the
+    # task that does so ended with any other error.
+    with pytest.raises(SettingError, match=name):
+        seed_addresses({**SETTINGS, name: wrong})
+
+
 @pytest.mark.parametrize('environment', [{}, {'KUMQUATRUN_BOOT': '/no/file'}])
 def test_missing_settings_file_is_an_error(environment):
     with pytest.raises(SettingError):
