Check reported outcomes while disks refuse writes

Eight seeded runs let one, two or all three disks refuse writes for up to 3 s, partly beside a cut, under four callers. All replicas end with one log, no command twice, and no outcome that contradicts it. With entries that are answered and never stored the check fails, as a test of its own shows.

--- a/tests/test_replica_restart.py
+++ b/tests/test_replica_restart.py
@@ -2,10 +2,18 @@
 
 import asyncio
 import os
+import random
 
 import pytest
 from tests.test_log_store import META, entries
-from tests.test_replica import Group, leader_of, replica_of, wait_for
+from tests.test_replica import (
+    Group,
+    leader_of,
+    propose_repeatedly,
+    replica_of,
+    wait_for,
+    wrong_outcomes,
+)
 
 from kumquatrun.consensus import replica_restart
 from kumquatrun.consensus.log_store import FileStorage
@@ -14,7 +22,7 @@
     DISK_RETRY_MAX_S,
     MAX_ERROR_RETRIES,
 )
-from kumquatrun.errors import KumquatrunError, OutcomeUnknownError
+from kumquatrun.errors import KumquatrunError, Outcome, OutcomeUnknownError
 from kumquatrun.runtime.invariants import InvariantError
 
 REFUSED = OSError(28, 'no space left on device')
@@ -239,3 +247,55 @@
     storage.close()
     assert storage.load().entries[3:] == tuple(entries(4, 6, term=2))
     storage.close()
+
+
+async def run_with_refusing_disks(seed):
+    """Return the reported outcomes and what the replicas have applied."""
+    rng = random.Random(seed)
+    results = {}
+    async with DiskGroup() as group:
+        clients = [
+            asyncio.create_task(propose_repeatedly(group, number, results))
+            for number in range(4)
+        ]
+        for _ in range(8):
+            names = rng.sample(sorted(group.network), rng.choice((1, 1, 2, 3)))
+            for name in names:
+                group.storages[name].error = REFUSED
+            if rng.random() < 0.3:
+                group.cuts.add(rng.choice([*group.network]))
+            await asyncio.sleep(rng.uniform(0.1, 3))
+            for name in names:
+                group.storages[name].error = None
+            group.cuts.clear()
+            await asyncio.sleep(rng.uniform(0, 2))
+        for client in clients:
+            client.cancel()
+        await asyncio.sleep(4)
+        leader = await leader_of(group.network.values())
+        await leader.read_barrier(1)
+        await asyncio.sleep(2)
+        logs = {tuple(row._machine.commands) for row in group.network.values()}
+        return results, logs
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize('seed', range(8))
+async def test_outcomes_are_accurate_while_disks_refuse_writes(seed):
+    # Guards against a replica that answers from what its disk refused.
+    results, logs = await run_with_refusing_disks(seed)
+    assert len(logs) == 1
+    commands = logs.pop()
+    assert len(commands) == len(set(commands))
+    assert not wrong_outcomes(results, commands)
+    assert set(results.values()) >= {Outcome.RAN, Outcome.UNKNOWN}
+
+
+@pytest.mark.looptime
+async def test_answer_without_a_sync_is_caught(monkeypatch):
+    # Shows that the test above fails without the mechanism: entries that were
+    # never stored are answered, and lost when a replica starts again.
+    monkeypatch.setattr(Disk, 'sync', lambda disk: None)
+    monkeypatch.setattr(Disk, 'append', lambda disk, added: disk._check())
+    results, logs = await run_with_refusing_disks(0)
+    assert len(logs) > 1 or wrong_outcomes(results, logs.pop())
