Refuse credit that no caller of a peer gives

One frame with a large number of items kept the loop busy for as long as the number is large, and a frame with another type ended the connection with an unhandled error. A caller gives back at most STREAM_CREDIT_ITEMS; anything else closes the connection with a reason.

test_credit_that_no_caller_gives_closes_the_connection (4 cases) failed before.

--- a/src/kumquatrun/peer/server.py
+++ b/src/kumquatrun/peer/server.py
@@ -227,8 +227,11 @@
         task.add_done_callback(lambda _: self._calls.pop(frame.call_id, None))
 
     async def _on_credit(self, frame: Frame) -> None:
+        items = frame.body
+        if not isinstance(items, int) or not 0 < items <= STREAM_CREDIT_ITEMS:
+            raise WireError(f'a credit is not 1 to {STREAM_CREDIT_ITEMS} items')
         if frame.call_id in self._calls:
-            self._calls[frame.call_id][1].add_credit(int(frame.body))
+            self._calls[frame.call_id][1].add_credit(items)
 
     async def _on_cancel(self, frame: Frame) -> None:
         if frame.call_id in self._calls:
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -264,3 +264,32 @@
     # asyncio logs an error that the server does not handle.
     assert not [row for row in caplog.records if row.exc_info]
     writer.close()
+
+
+@pytest.mark.parametrize('credit', [10**7, -1, None, 'x'])
+async def test_credit_that_no_caller_gives_closes_the_connection(
+    server,
+    credit,
+    caplog,
+):
+    # Guards against one frame that keeps the loop busy for as long as its
+    # number is large.
+    caplog.set_level(logging.INFO)
+    reader, writer = await asyncio.open_connection(
+        server.address.host,
+        server.address.port,
+    )
+    identity = Hello(node_id='c', incarnation='1', cluster_token='t')
+    feed = FollowFeed(host_id='a', after_index=100_000)
+    frames = [
+        Frame(FrameKind.HELLO, 0, encode_message(identity)),
+        Frame(FrameKind.REQUEST, 1, encode_message(feed)),
+        Frame(FrameKind.CREDIT, 1, credit),
+    ]
+    writer.write(b''.join(map(encode_frame, frames)))
+    async with asyncio.timeout(1):
+        with suppress(ConnectionResetError):
+            await reader.read()
+    assert 'event=peer_closed' in caplog.text
+    assert not [row for row in caplog.records if row.exc_info]
+    writer.close()
