Give a call time to be sent in the test of its unknown outcome

Cause: its deadline of 0.1 s ended before the connection was open; with a connect delayed by 0.15 s it fails in the same way, and NOT_RUN is then true. The deadline is 1 s now, and the test also checks that the service got the request, so it is stricter.

--- a/tests/test_agent_streams.py
+++ b/tests/test_agent_streams.py
@@ -285,7 +285,10 @@
     # Guards against a repeated booking after a deadline or a cancellation.
     server = await RawServer(hold=True).start()
     async with Node(server.url, ServiceKind.PLAIN) as node:
-        _, error = await node.send(service_call(deadline_s=0.1))
+        # Long enough to connect on a busy machine: a call that was not sent
+        # when its time ends is truly not run.
+        _, error = await node.send(service_call(deadline_s=1))
+        assert len(server.requests) == 1
         assert error.code == 'deadline_exceeded'
         assert error.outcome is Outcome.UNKNOWN
         async with node.client.stream(service_call('b2')) as call:
