Keep the cause of an empty engine with the gateway's messages

Entries read this cause from the refusal of an agent, so it belongs to what both exchange. It stood in engine_watch, which only the agent needs, and was the sole reason for an entry's module to import one of the agent.

--- a/src/kumquatrun/gateway/adapter_waiters.py
+++ b/src/kumquatrun/gateway/adapter_waiters.py
@@ -5,8 +5,7 @@
 from dataclasses import dataclass, field
 
 from kumquatrun.errors import KumquatrunError
-from kumquatrun.gateway.engine_watch import ENGINE_EMPTY
-from kumquatrun.gateway.messages import UseAdapter
+from kumquatrun.gateway.messages import ENGINE_EMPTY, UseAdapter
 from kumquatrun.gateway.residency import AdapterName
 from kumquatrun.runtime.clock import Clock
 
--- a/src/kumquatrun/gateway/engine_watch.py
+++ b/src/kumquatrun/gateway/engine_watch.py
@@ -9,6 +9,7 @@
 )
 from kumquatrun.gateway.configuration import EngineSpec
 from kumquatrun.gateway.engine_api import EngineReport, OrderedEngine
+from kumquatrun.gateway.messages import ENGINE_EMPTY
 from kumquatrun.gateway.residency import AdapterName, Residency
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.logs import log_event
@@ -16,8 +17,6 @@
 
 log = logging.getLogger(__name__)
 
-# Cause of a refusal by an engine without a base model.
-ENGINE_EMPTY = 'engine_empty'
 # An engine that gave no report for this time is taken for lost.
 LOST_AFTER_S = 0.7
 DEFAULT_ADAPTER_SLOTS = 8
--- a/src/kumquatrun/gateway/messages.py
+++ b/src/kumquatrun/gateway/messages.py
@@ -2,6 +2,9 @@
 
 from kumquatrun.peer.messages import message
 
+# Cause of a refusal by an engine without a base model.
+ENGINE_EMPTY = 'engine_empty'
+
 
 @message
 class UseAdapter:
--- a/src/kumquatrun/gateway/reservations.py
+++ b/src/kumquatrun/gateway/reservations.py
@@ -16,8 +16,7 @@
 from kumquatrun.gateway.backends import Backend, BackendTable
 from kumquatrun.gateway.balancer import Balancer
 from kumquatrun.gateway.course import Course
-from kumquatrun.gateway.engine_watch import ENGINE_EMPTY
-from kumquatrun.gateway.messages import UseAdapter
+from kumquatrun.gateway.messages import ENGINE_EMPTY, UseAdapter
 from kumquatrun.gateway.model_spread import ModelSpread
 from kumquatrun.gateway.wire_format import CallerRequest
 from kumquatrun.runtime.clock import Clock
