Group the modules of the gateway into packages by job

src/kumquatrun/gateway was one flat folder of 41 modules, in which the request path, the agent beside an engine and plain values stood side by side and nothing kept the direction of their imports.

Its packages, from the top: roles, admission, forwarding, placement beside engine, routing, backends. Each may import those below it. Modules are only moved and imports renamed; the text of the modules is otherwise unchanged. routing stands above backends because wire_format and course use values that connections return (AnswerHead, RawHeaders, ResumableStream).

The logger field of log lines carries the new module names; names of events and metrics stay. The recorded tests/cases/operations.log keeps the names that it was recorded with.

--- a/src/kumquatrun/gateway/admission.py
+++ b/src/kumquatrun/gateway/admission/admission.py
@@ -14,17 +14,20 @@
     RequestTooLargeError,
     RouteNotFoundError,
 )
-from kumquatrun.gateway.allowances import Allowances
-from kumquatrun.gateway.body_reader import BodyTooLargeError, read_body
-from kumquatrun.gateway.configuration import (
+from kumquatrun.gateway.admission.allowances import Allowances
+from kumquatrun.gateway.admission.crash_watch import CrashWatch
+from kumquatrun.gateway.forwarding.body_reader import (
+    BodyTooLargeError,
+    read_body,
+)
+from kumquatrun.gateway.forwarding.request_report import RequestReport
+from kumquatrun.gateway.routing.configuration import (
     Configuration,
     GatewayAccount,
     GatewayRoute,
 )
-from kumquatrun.gateway.course import Course
-from kumquatrun.gateway.crash_watch import CrashWatch
-from kumquatrun.gateway.request_report import RequestReport
-from kumquatrun.gateway.wire_format import CallerRequest
+from kumquatrun.gateway.routing.course import Course
+from kumquatrun.gateway.routing.wire_format import CallerRequest
 
 # Longest wait for the first configuration. After a restart of the whole system
 # the control hosts elect a leader in about this time. The part of the caller's
--- a/src/kumquatrun/gateway/allowances.py
+++ b/src/kumquatrun/gateway/admission/allowances.py
@@ -13,7 +13,7 @@
 
 from kumquatrun.control.allowance_pool import AllowanceReply, TakeAllowance
 from kumquatrun.errors import KumquatrunError, RateLimitedError
-from kumquatrun.gateway.configuration import GatewayAccount
+from kumquatrun.gateway.routing.configuration import GatewayAccount
 from kumquatrun.membership.leader_client import LeaderClient
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.logs import log_event
--- a/src/kumquatrun/gateway/crash_watch.py
+++ b/src/kumquatrun/gateway/admission/crash_watch.py
@@ -6,7 +6,7 @@
 import uuid
 
 from kumquatrun.errors import KumquatrunError, QuarantinedError
-from kumquatrun.gateway.wire_format import CallerRequest
+from kumquatrun.gateway.routing.wire_format import CallerRequest
 from kumquatrun.membership.control_client import Session
 from kumquatrun.peer.node_messages import ReportSuspects
 from kumquatrun.runtime.clock import Clock
--- /dev/null
+++ b/src/kumquatrun/gateway/backends/__init__.py
@@ -0,0 +1,4 @@
+"""Backend servers: their table and listing, connections, answer streams.
+
+May import no other package of ``gateway``.
+"""
--- a/src/kumquatrun/gateway/backend_connection.py
+++ b/src/kumquatrun/gateway/backends/backend_connection.py
@@ -17,7 +17,7 @@
 from aiohttp.streams import StreamReader
 
 from kumquatrun.errors import ConnectionLostError, Outcome
-from kumquatrun.gateway.answer_size import AnswerSize
+from kumquatrun.gateway.backends.answer_size import AnswerSize
 from kumquatrun.peer.address import Address
 from kumquatrun.runtime.error_text import error_text
 
--- a/src/kumquatrun/gateway/backends.py
+++ b/src/kumquatrun/gateway/backends/backends.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from kumquatrun.gateway.connection_pool import (
+from kumquatrun.gateway.backends.connection_pool import (
     DEFAULT_IDLE_S,
     ConnectionPool,
 )
--- a/src/kumquatrun/gateway/connection_pool.py
+++ b/src/kumquatrun/gateway/backends/connection_pool.py
@@ -3,7 +3,7 @@
 import asyncio
 import re
 
-from kumquatrun.gateway.backend_connection import (
+from kumquatrun.gateway.backends.backend_connection import (
     AnswerHead,
     BackendConnection,
     open_connection,
--- a/src/kumquatrun/gateway/listing_follower.py
+++ b/src/kumquatrun/gateway/backends/listing_follower.py
@@ -7,7 +7,7 @@
 import msgpack
 
 from kumquatrun.errors import KumquatrunError
-from kumquatrun.gateway.backends import (
+from kumquatrun.gateway.backends.backends import (
     BackendRecord,
     BackendTable,
     HeldAdapter,
--- a/src/kumquatrun/gateway/adapter_waiters.py
+++ b/src/kumquatrun/gateway/engine/adapter_waiters.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass, field
 
 from kumquatrun.errors import KumquatrunError
-from kumquatrun.gateway.messages import ENGINE_EMPTY, UseAdapter
-from kumquatrun.gateway.residency import AdapterName
+from kumquatrun.gateway.engine.residency import AdapterName
+from kumquatrun.gateway.routing.messages import ENGINE_EMPTY, UseAdapter
 from kumquatrun.runtime.clock import Clock
 
 
--- a/src/kumquatrun/gateway/engine_agent.py
+++ b/src/kumquatrun/gateway/engine/engine_agent.py
@@ -18,16 +18,18 @@
     InvalidRequestError,
     NoCapacityError,
 )
-from kumquatrun.gateway.adapter_waiters import (
+from kumquatrun.gateway.engine.adapter_waiters import (
     AdapterWaiter,
     AdapterWaiters,
     outwaits,
 )
-from kumquatrun.gateway.configuration import EngineSpec
-from kumquatrun.gateway.engine_api import EngineReport, OrderedEngine
-from kumquatrun.gateway.engine_orders import EngineOrders
-from kumquatrun.gateway.engine_watch import EngineWatch
-from kumquatrun.gateway.messages import (
+from kumquatrun.gateway.engine.engine_api import EngineReport, OrderedEngine
+from kumquatrun.gateway.engine.engine_orders import EngineOrders
+from kumquatrun.gateway.engine.engine_watch import EngineWatch
+from kumquatrun.gateway.engine.prompt_gate import PromptGate
+from kumquatrun.gateway.engine.residency import AdapterName
+from kumquatrun.gateway.routing.configuration import EngineSpec
+from kumquatrun.gateway.routing.messages import (
     AdapterInUse,
     AdapterQueued,
     AdapterReady,
@@ -35,8 +37,6 @@
     PromptRead,
     UseAdapter,
 )
-from kumquatrun.gateway.prompt_gate import PromptGate
-from kumquatrun.gateway.residency import AdapterName
 from kumquatrun.peer import CallContext
 from kumquatrun.peer.messages import Ack
 from kumquatrun.runtime.clock import Clock
--- a/src/kumquatrun/gateway/engine_orders.py
+++ b/src/kumquatrun/gateway/engine/engine_orders.py
@@ -3,15 +3,15 @@
 import asyncio
 import logging
 
-from kumquatrun.gateway.configuration import BaseModelSpec
-from kumquatrun.gateway.engine_api import (
+from kumquatrun.gateway.engine.engine_api import (
     EngineOrder,
     OrderedEngine,
     OrderVerdict,
 )
-from kumquatrun.gateway.engine_watch import EngineWatch
-from kumquatrun.gateway.ranking import rank
-from kumquatrun.gateway.residency import AdapterName
+from kumquatrun.gateway.engine.engine_watch import EngineWatch
+from kumquatrun.gateway.engine.residency import AdapterName
+from kumquatrun.gateway.routing.configuration import BaseModelSpec
+from kumquatrun.gateway.routing.ranking import rank
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.logs import log_event
 from kumquatrun.runtime.metrics import process_metrics
--- a/src/kumquatrun/gateway/engine_watch.py
+++ b/src/kumquatrun/gateway/engine/engine_watch.py
@@ -7,10 +7,10 @@
     AdapterLoadError,
     KumquatrunError,
 )
-from kumquatrun.gateway.configuration import EngineSpec
-from kumquatrun.gateway.engine_api import EngineReport, OrderedEngine
-from kumquatrun.gateway.messages import ENGINE_EMPTY
-from kumquatrun.gateway.residency import AdapterName, Residency
+from kumquatrun.gateway.engine.engine_api import EngineReport, OrderedEngine
+from kumquatrun.gateway.engine.residency import AdapterName, Residency
+from kumquatrun.gateway.routing.configuration import EngineSpec
+from kumquatrun.gateway.routing.messages import ENGINE_EMPTY
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.logs import log_event
 from kumquatrun.runtime.metrics import process_metrics
--- a/src/kumquatrun/gateway/residency.py
+++ b/src/kumquatrun/gateway/engine/residency.py
@@ -5,8 +5,8 @@
 not visible in a report yet.
 """
 
-from kumquatrun.gateway.engine_api import EngineReport
-from kumquatrun.gateway.engine_runs import AdapterName, EngineRuns
+from kumquatrun.gateway.engine.engine_api import EngineReport
+from kumquatrun.gateway.engine.engine_runs import AdapterName, EngineRuns
 
 # An adapter stays for this time after its last use, so that a request that
 # was told of it still finds it.
--- a/src/kumquatrun/gateway/answer_relay.py
+++ b/src/kumquatrun/gateway/forwarding/answer_relay.py
@@ -4,18 +4,21 @@
 from enum import StrEnum
 
 from kumquatrun.errors import BackendError, Outcome
-from kumquatrun.gateway.backend_connection import (
+from kumquatrun.gateway.backends.backend_connection import (
     AnswerHead,
     BackendConnection,
     BrokenAnswerError,
 )
-from kumquatrun.gateway.body_reader import BodyTooLargeError, read_body
-from kumquatrun.gateway.caller_channel import CallerChannel
-from kumquatrun.gateway.configuration import RouteKind
-from kumquatrun.gateway.course import Course
-from kumquatrun.gateway.event_stream import ResumableStream
-from kumquatrun.gateway.reservations import Reservation
-from kumquatrun.gateway.wire_format import WireFormat
+from kumquatrun.gateway.backends.event_stream import ResumableStream
+from kumquatrun.gateway.forwarding.body_reader import (
+    BodyTooLargeError,
+    read_body,
+)
+from kumquatrun.gateway.forwarding.caller_channel import CallerChannel
+from kumquatrun.gateway.placement.reservations import Reservation
+from kumquatrun.gateway.routing.configuration import RouteKind
+from kumquatrun.gateway.routing.course import Course
+from kumquatrun.gateway.routing.wire_format import WireFormat
 from kumquatrun.runtime.clock import Clock
 
 # A repeatable request whose answer does not begin, or whose plain answer does
--- a/src/kumquatrun/gateway/forwarder.py
+++ b/src/kumquatrun/gateway/forwarding/forwarder.py
@@ -11,23 +11,27 @@
     NoCapacityError,
     Outcome,
 )
-from kumquatrun.gateway.answer_relay import SERVER_ERROR, AnswerRelay, Result
-from kumquatrun.gateway.backend_connection import (
+from kumquatrun.gateway.backends.backend_connection import (
     AnswerHead,
     BackendConnection,
     BrokenAnswerError,
 )
-from kumquatrun.gateway.backends import Backend
-from kumquatrun.gateway.caller_channel import CallerChannel
-from kumquatrun.gateway.configuration import RouteKind
-from kumquatrun.gateway.course import Course
-from kumquatrun.gateway.reservations import (
+from kumquatrun.gateway.backends.backends import Backend
+from kumquatrun.gateway.forwarding.answer_relay import (
+    SERVER_ERROR,
+    AnswerRelay,
+    Result,
+)
+from kumquatrun.gateway.forwarding.caller_channel import CallerChannel
+from kumquatrun.gateway.forwarding.retry_shares import RetryShares
+from kumquatrun.gateway.placement.reservations import (
     BUSY_RETRY_AFTER_S,
     Reservation,
     Reservations,
 )
-from kumquatrun.gateway.retry_shares import RetryShares
-from kumquatrun.gateway.wire_format import (
+from kumquatrun.gateway.routing.configuration import RouteKind
+from kumquatrun.gateway.routing.course import Course
+from kumquatrun.gateway.routing.wire_format import (
     CallerRequest,
     Forwarding,
     WireFormat,
--- a/src/kumquatrun/gateway/refusals.py
+++ b/src/kumquatrun/gateway/forwarding/refusals.py
@@ -7,9 +7,9 @@
     Outcome,
     QuarantinedError,
 )
-from kumquatrun.gateway.answer_relay import PROMISING_STATUSES
-from kumquatrun.gateway.caller_channel import CallerChannel
-from kumquatrun.gateway.course import Course
+from kumquatrun.gateway.forwarding.answer_relay import PROMISING_STATUSES
+from kumquatrun.gateway.forwarding.caller_channel import CallerChannel
+from kumquatrun.gateway.routing.course import Course
 
 DEFAULT_RETRY_AFTER_S = 0.5
 NO_ANSWER_STATUS = 502
--- a/src/kumquatrun/gateway/request_report.py
+++ b/src/kumquatrun/gateway/forwarding/request_report.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 
 from kumquatrun.errors import KumquatrunError
-from kumquatrun.gateway.caller_channel import CallerChannel
-from kumquatrun.gateway.course import Course
-from kumquatrun.gateway.wire_format import CallerRequest
+from kumquatrun.gateway.forwarding.caller_channel import CallerChannel
+from kumquatrun.gateway.routing.course import Course
+from kumquatrun.gateway.routing.wire_format import CallerRequest
 from kumquatrun.runtime.logs import log_event
 from kumquatrun.runtime.metrics import process_metrics
 
--- a/src/kumquatrun/gateway/agent_calls.py
+++ b/src/kumquatrun/gateway/placement/agent_calls.py
@@ -13,14 +13,14 @@
     KumquatrunError,
     NoCapacityError,
 )
-from kumquatrun.gateway.agent_connections import (
+from kumquatrun.gateway.backends.backends import Backend
+from kumquatrun.gateway.placement.agent_connections import (
     AGENT_STOPPED,
     AgentConnections,
     AgentUnreachableError,
     cause_of,
 )
-from kumquatrun.gateway.backends import Backend
-from kumquatrun.gateway.messages import (
+from kumquatrun.gateway.routing.messages import (
     AdapterInUse,
     AdapterReady,
     PromptRead,
--- a/src/kumquatrun/gateway/agent_connections.py
+++ b/src/kumquatrun/gateway/placement/agent_connections.py
@@ -9,7 +9,7 @@
     DrainingError,
     KumquatrunError,
 )
-from kumquatrun.gateway.backends import Backend
+from kumquatrun.gateway.backends.backends import Backend
 from kumquatrun.membership.cluster_view import ClusterView
 from kumquatrun.peer import Address, PeerClient
 from kumquatrun.peer.messages import Hello
--- a/src/kumquatrun/gateway/balancer.py
+++ b/src/kumquatrun/gateway/placement/balancer.py
@@ -4,8 +4,8 @@
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 
-from kumquatrun.gateway.backends import Backend
-from kumquatrun.gateway.ranking import rank
+from kumquatrun.gateway.backends.backends import Backend
+from kumquatrun.gateway.routing.ranking import rank
 
 # An adapter's first backend server is passed over when it is busy and its load
 # is above this multiple of the mean: a further copy of the adapter costs a load
--- a/src/kumquatrun/gateway/model_spread.py
+++ b/src/kumquatrun/gateway/placement/model_spread.py
@@ -5,10 +5,10 @@
 from collections.abc import Sequence
 
 from kumquatrun.errors import KumquatrunError, NoCapacityError
-from kumquatrun.gateway.agent_calls import AgentCalls
-from kumquatrun.gateway.backends import Backend
-from kumquatrun.gateway.messages import UseAdapter
-from kumquatrun.gateway.ranking import rank
+from kumquatrun.gateway.backends.backends import Backend
+from kumquatrun.gateway.placement.agent_calls import AgentCalls
+from kumquatrun.gateway.routing.messages import UseAdapter
+from kumquatrun.gateway.routing.ranking import rank
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.logs import log_event
 
--- a/src/kumquatrun/gateway/reservations.py
+++ b/src/kumquatrun/gateway/placement/reservations.py
@@ -8,17 +8,17 @@
 from dataclasses import dataclass
 
 from kumquatrun.errors import KumquatrunError, NoCapacityError
-from kumquatrun.gateway.agent_calls import AgentCalls, AgentHold
-from kumquatrun.gateway.agent_connections import (
+from kumquatrun.gateway.backends.backends import Backend, BackendTable
+from kumquatrun.gateway.placement.agent_calls import AgentCalls, AgentHold
+from kumquatrun.gateway.placement.agent_connections import (
     AGENT_STOPPED,
     AgentUnreachableError,
 )
-from kumquatrun.gateway.backends import Backend, BackendTable
-from kumquatrun.gateway.balancer import Balancer
-from kumquatrun.gateway.course import Course
-from kumquatrun.gateway.messages import ENGINE_EMPTY, UseAdapter
-from kumquatrun.gateway.model_spread import ModelSpread
-from kumquatrun.gateway.wire_format import CallerRequest
+from kumquatrun.gateway.placement.balancer import Balancer
+from kumquatrun.gateway.placement.model_spread import ModelSpread
+from kumquatrun.gateway.routing.course import Course
+from kumquatrun.gateway.routing.messages import ENGINE_EMPTY, UseAdapter
+from kumquatrun.gateway.routing.wire_format import CallerRequest
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.logs import log_event
 
--- a/src/kumquatrun/gateway/agent.py
+++ b/src/kumquatrun/gateway/roles/agent.py
@@ -4,11 +4,11 @@
 import logging
 
 from kumquatrun.errors import DocumentError
-from kumquatrun.gateway.configuration import Configuration, EngineSpec
-from kumquatrun.gateway.engine_agent import EngineAgent
-from kumquatrun.gateway.engine_api import OrderedEngine
-from kumquatrun.gateway.settings import GatewayAgentSettings
-from kumquatrun.gateway.wire_format import WireFormat
+from kumquatrun.gateway.engine.engine_agent import EngineAgent
+from kumquatrun.gateway.engine.engine_api import OrderedEngine
+from kumquatrun.gateway.roles.settings import GatewayAgentSettings
+from kumquatrun.gateway.routing.configuration import Configuration, EngineSpec
+from kumquatrun.gateway.routing.wire_format import WireFormat
 from kumquatrun.membership.control_client import Session
 from kumquatrun.peer import PeerServer
 from kumquatrun.peer.messages import Hello
--- a/src/kumquatrun/gateway/control.py
+++ b/src/kumquatrun/gateway/roles/control.py
@@ -8,8 +8,8 @@
 from kumquatrun.consensus.quorum_node import NodeOptions
 from kumquatrun.control.backend_listing import BackendListing
 from kumquatrun.control.control_host import ControlHost
-from kumquatrun.gateway.operator_gate import OperatorGate
-from kumquatrun.gateway.settings import GatewayControlSettings
+from kumquatrun.gateway.roles.operator_gate import OperatorGate
+from kumquatrun.gateway.roles.settings import GatewayControlSettings
 from kumquatrun.membership.leader_client import LeaderClient
 from kumquatrun.peer.messages import Hello
 from kumquatrun.runtime.clock import Clock
--- a/src/kumquatrun/gateway/entry.py
+++ b/src/kumquatrun/gateway/roles/entry.py
@@ -13,37 +13,37 @@
     DocumentError,
     KumquatrunError,
 )
-from kumquatrun.gateway.admission import Admission
-from kumquatrun.gateway.agent_calls import AgentCalls
-from kumquatrun.gateway.allowances import Allowances
-from kumquatrun.gateway.backends import BackendTable
-from kumquatrun.gateway.balancer import Balancer, Place
-from kumquatrun.gateway.caller_channel import CallerChannel
-from kumquatrun.gateway.configuration import Configuration
-from kumquatrun.gateway.connection_pool import (
+from kumquatrun.gateway.admission.admission import Admission
+from kumquatrun.gateway.admission.allowances import Allowances
+from kumquatrun.gateway.admission.crash_watch import CrashWatch
+from kumquatrun.gateway.backends.backends import BackendTable
+from kumquatrun.gateway.backends.connection_pool import (
     DEFAULT_IDLE_S,
     DROPPED_IDLE_S,
 )
-from kumquatrun.gateway.crash_watch import CrashWatch
-from kumquatrun.gateway.forwarder import Forwarder
-from kumquatrun.gateway.listing_follower import ListingFollower
-from kumquatrun.gateway.planned_stop import (
-    TAKE_NEW_S,
-    OpenRequest,
-    PlannedStop,
-    stopped,
-)
-from kumquatrun.gateway.refusals import refuse, timed_out
-from kumquatrun.gateway.request_report import (
+from kumquatrun.gateway.backends.listing_follower import ListingFollower
+from kumquatrun.gateway.forwarding.caller_channel import CallerChannel
+from kumquatrun.gateway.forwarding.forwarder import Forwarder
+from kumquatrun.gateway.forwarding.refusals import refuse, timed_out
+from kumquatrun.gateway.forwarding.request_report import (
     CALLER_LEFT,
     HOST_STOPPED,
     KnownState,
     RequestReport,
 )
-from kumquatrun.gateway.reservations import Reservations
-from kumquatrun.gateway.retry_shares import RetryShares
-from kumquatrun.gateway.settings import GatewayEntrySettings
-from kumquatrun.gateway.wire_format import WireFormat
+from kumquatrun.gateway.forwarding.retry_shares import RetryShares
+from kumquatrun.gateway.placement.agent_calls import AgentCalls
+from kumquatrun.gateway.placement.balancer import Balancer, Place
+from kumquatrun.gateway.placement.reservations import Reservations
+from kumquatrun.gateway.roles.planned_stop import (
+    TAKE_NEW_S,
+    OpenRequest,
+    PlannedStop,
+    stopped,
+)
+from kumquatrun.gateway.roles.settings import GatewayEntrySettings
+from kumquatrun.gateway.routing.configuration import Configuration
+from kumquatrun.gateway.routing.wire_format import WireFormat
 from kumquatrun.membership.control_client import Session
 from kumquatrun.peer.messages import Hello
 from kumquatrun.runtime.clock import Clock
--- a/src/kumquatrun/gateway/operator_gate.py
+++ b/src/kumquatrun/gateway/roles/operator_gate.py
@@ -11,7 +11,7 @@
     ReadConfiguration,
 )
 from kumquatrun.errors import ControlUnreachableError, KumquatrunError
-from kumquatrun.gateway.configuration import Configuration
+from kumquatrun.gateway.routing.configuration import Configuration
 from kumquatrun.membership.leader_client import LeaderClient
 
 # Callers move on after a second without an answer.
--- a/src/kumquatrun/gateway/planned_stop.py
+++ b/src/kumquatrun/gateway/roles/planned_stop.py
@@ -15,7 +15,10 @@
     KumquatrunError,
     Outcome,
 )
-from kumquatrun.gateway.request_report import HOST_STOPPED, RequestReport
+from kumquatrun.gateway.forwarding.request_report import (
+    HOST_STOPPED,
+    RequestReport,
+)
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.logs import log_event
 
--- a/src/kumquatrun/gateway/checks.py
+++ b/src/kumquatrun/gateway/routing/checks.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterator
 
 from kumquatrun.errors import DocumentError
-from kumquatrun.gateway.configuration import Configuration, GatewayRoute
+from kumquatrun.gateway.routing.configuration import Configuration, GatewayRoute
 
 
 def check_configuration(configuration: Configuration) -> None:
--- a/src/kumquatrun/gateway/course.py
+++ b/src/kumquatrun/gateway/routing/course.py
@@ -2,10 +2,10 @@
 
 from dataclasses import dataclass, field
 
-from kumquatrun.gateway.backend_connection import AnswerHead
-from kumquatrun.gateway.configuration import GatewayRoute
-from kumquatrun.gateway.event_stream import ResumableStream
-from kumquatrun.gateway.wire_format import CallerRequest
+from kumquatrun.gateway.backends.backend_connection import AnswerHead
+from kumquatrun.gateway.backends.event_stream import ResumableStream
+from kumquatrun.gateway.routing.configuration import GatewayRoute
+from kumquatrun.gateway.routing.wire_format import CallerRequest
 
 # Sends of one request, those included that a backend server refused unrun.
 MAX_SENDS = 4
--- a/src/kumquatrun/gateway/wire_format.py
+++ b/src/kumquatrun/gateway/routing/wire_format.py
@@ -6,8 +6,11 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from kumquatrun.gateway.backend_connection import AnswerHead, RawHeaders
-from kumquatrun.gateway.configuration import Configuration
+from kumquatrun.gateway.backends.backend_connection import (
+    AnswerHead,
+    RawHeaders,
+)
+from kumquatrun.gateway.routing.configuration import Configuration
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/kumquatrun/platform/client.py
+++ b/src/kumquatrun/platform/client.py
@@ -7,7 +7,10 @@
 import aiohttp
 
 from kumquatrun.errors import ConnectionLostError
-from kumquatrun.gateway.body_reader import BodyTooLargeError, read_body
+from kumquatrun.gateway.forwarding.body_reader import (
+    BodyTooLargeError,
+    read_body,
+)
 from kumquatrun.peer.address import Address
 from kumquatrun.runtime.error_text import error_text
 
--- a/src/kumquatrun/platform/configuration.py
+++ b/src/kumquatrun/platform/configuration.py
@@ -3,8 +3,8 @@
 from typing import Any
 
 from kumquatrun.errors import DocumentError
-from kumquatrun.gateway.checks import check_configuration
-from kumquatrun.gateway.configuration import (
+from kumquatrun.gateway.routing.checks import check_configuration
+from kumquatrun.gateway.routing.configuration import (
     BackendService,
     BaseModelSpec,
     CallerLimits,
--- a/src/kumquatrun/platform/daemons.py
+++ b/src/kumquatrun/platform/daemons.py
@@ -10,11 +10,11 @@
 from kumquatrun.daemon.admin import AdminServer
 from kumquatrun.daemon.lifecycle import Daemon, run_daemon
 from kumquatrun.errors import SettingError
-from kumquatrun.gateway.agent import GatewayAgent
-from kumquatrun.gateway.control import GatewayControl
-from kumquatrun.gateway.entry import GatewayEntry
-from kumquatrun.gateway.listing_follower import ListingFollower
-from kumquatrun.gateway.settings import GatewaySettings
+from kumquatrun.gateway.backends.listing_follower import ListingFollower
+from kumquatrun.gateway.roles.agent import GatewayAgent
+from kumquatrun.gateway.roles.control import GatewayControl
+from kumquatrun.gateway.roles.entry import GatewayEntry
+from kumquatrun.gateway.roles.settings import GatewaySettings
 from kumquatrun.membership.control_client import Session
 from kumquatrun.peer.address import Address
 from kumquatrun.peer.node_messages import HostRecord
--- a/src/kumquatrun/platform/engine.py
+++ b/src/kumquatrun/platform/engine.py
@@ -4,7 +4,7 @@
     ConnectionLostError,
     KumquatrunError,
 )
-from kumquatrun.gateway.engine_api import (
+from kumquatrun.gateway.engine.engine_api import (
     EngineOrder,
     EngineReport,
     HeldModel,
--- a/src/kumquatrun/platform/listing.py
+++ b/src/kumquatrun/platform/listing.py
@@ -3,12 +3,12 @@
 import asyncio
 
 from kumquatrun.errors import ConnectionLostError, DocumentError
-from kumquatrun.gateway.backends import (
+from kumquatrun.gateway.backends.backends import (
     DEFAULT_SLOTS,
     BackendRecord,
     HeldAdapter,
 )
-from kumquatrun.gateway.listing_follower import encode_records
+from kumquatrun.gateway.backends.listing_follower import encode_records
 from kumquatrun.peer.address import Address
 from kumquatrun.platform import decoding
 from kumquatrun.platform.client import PlatformClient
--- a/src/kumquatrun/platform/operator.py
+++ b/src/kumquatrun/platform/operator.py
@@ -7,7 +7,7 @@
 
 from kumquatrun.control.configuration_register import NameAdapterVersion
 from kumquatrun.errors import DocumentError, KumquatrunError
-from kumquatrun.gateway.operator_gate import OperatorGate
+from kumquatrun.gateway.roles.operator_gate import OperatorGate
 from kumquatrun.peer.address import Address
 from kumquatrun.platform import decoding
 from kumquatrun.platform.configuration import decode_configuration
--- a/src/kumquatrun/platform/requests.py
+++ b/src/kumquatrun/platform/requests.py
@@ -1,9 +1,12 @@
 """Headers of requests and answers in the platform's format."""
 
 from kumquatrun.errors import InvalidRequestError
-from kumquatrun.gateway.backend_connection import AnswerHead, RawHeaders
-from kumquatrun.gateway.configuration import Configuration
-from kumquatrun.gateway.wire_format import (
+from kumquatrun.gateway.backends.backend_connection import (
+    AnswerHead,
+    RawHeaders,
+)
+from kumquatrun.gateway.routing.configuration import Configuration
+from kumquatrun.gateway.routing.wire_format import (
     AnswerFacts,
     CallerRequest,
     Forwarding,
--- a/src/kumquatrun/platform/settings.py
+++ b/src/kumquatrun/platform/settings.py
@@ -8,7 +8,7 @@
 
 from kumquatrun.daemon.settings import ReplicaSettings
 from kumquatrun.errors import DocumentError, SettingError
-from kumquatrun.gateway.settings import (
+from kumquatrun.gateway.roles.settings import (
     GatewayAgentSettings,
     GatewayControlSettings,
     GatewayEntrySettings,
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -7,20 +7,20 @@
 from contextlib import asynccontextmanager, suppress
 
 from kumquatrun.errors import ConnectionLostError, NoCapacityError
-from kumquatrun.gateway.backends import Backend, BackendRecord
-from kumquatrun.gateway.configuration import (
-    GatewayRoute,
-    RouteKind,
-    WeightedService,
-)
-from kumquatrun.gateway.connection_pool import ConnectionPool
-from kumquatrun.gateway.course import Course
-from kumquatrun.gateway.engine_api import (
+from kumquatrun.gateway.backends.backends import Backend, BackendRecord
+from kumquatrun.gateway.backends.connection_pool import ConnectionPool
+from kumquatrun.gateway.engine.engine_api import (
     EngineReport,
     HeldModel,
     OrderVerdict,
 )
-from kumquatrun.gateway.reservations import Reservation
+from kumquatrun.gateway.placement.reservations import Reservation
+from kumquatrun.gateway.routing.configuration import (
+    GatewayRoute,
+    RouteKind,
+    WeightedService,
+)
+from kumquatrun.gateway.routing.course import Course
 from kumquatrun.peer.address import Address
 from kumquatrun.platform.requests import PlatformFormat
 
--- a/tests/gateway_host.py
+++ b/tests/gateway_host.py
@@ -11,10 +11,13 @@
 from tests.gateway_fakes import CONFIGURATION, configuration
 
 from kumquatrun.control.allowance_pool import AllowanceReply
-from kumquatrun.gateway.backends import BackendRecord
-from kumquatrun.gateway.entry import GatewayEntry
-from kumquatrun.gateway.listing_follower import ListingFollower, encode_records
-from kumquatrun.gateway.settings import GatewayEntrySettings
+from kumquatrun.gateway.backends.backends import BackendRecord
+from kumquatrun.gateway.backends.listing_follower import (
+    ListingFollower,
+    encode_records,
+)
+from kumquatrun.gateway.roles.entry import GatewayEntry
+from kumquatrun.gateway.roles.settings import GatewayEntrySettings
 from kumquatrun.membership.cluster_view import ClusterView
 from kumquatrun.peer import Address
 from kumquatrun.peer.messages import Ack
--- a/tests/test_agent_calls.py
+++ b/tests/test_agent_calls.py
@@ -13,29 +13,29 @@
     DrainingError,
     NoCapacityError,
 )
-from kumquatrun.gateway.agent import GatewayAgent
-from kumquatrun.gateway.agent_calls import AgentCalls
-from kumquatrun.gateway.agent_connections import (
-    AGENT_STOPPED,
-    STOPPED_PAUSE_S,
-    AgentUnreachableError,
-)
-from kumquatrun.gateway.backends import (
+from kumquatrun.gateway.backends.backends import (
     Backend,
     BackendRecord,
     BackendTable,
 )
-from kumquatrun.gateway.balancer import Balancer, Place
-from kumquatrun.gateway.connection_pool import ConnectionPool
-from kumquatrun.gateway.messages import (
+from kumquatrun.gateway.backends.connection_pool import ConnectionPool
+from kumquatrun.gateway.placement.agent_calls import AgentCalls
+from kumquatrun.gateway.placement.agent_connections import (
+    AGENT_STOPPED,
+    STOPPED_PAUSE_S,
+    AgentUnreachableError,
+)
+from kumquatrun.gateway.placement.balancer import Balancer, Place
+from kumquatrun.gateway.placement.reservations import Reservations
+from kumquatrun.gateway.roles.agent import GatewayAgent
+from kumquatrun.gateway.roles.settings import GatewayAgentSettings
+from kumquatrun.gateway.routing.messages import (
     AdapterInUse,
     AdapterQueued,
     AdapterReady,
     PromptRead,
     UseAdapter,
 )
-from kumquatrun.gateway.reservations import Reservations
-from kumquatrun.gateway.settings import GatewayAgentSettings
 from kumquatrun.membership.cluster_view import ClusterView
 from kumquatrun.peer import PeerServer
 from kumquatrun.peer.address import Address
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -7,8 +7,8 @@
 from kumquatrun.control.allowance_pool import AllowancePool, TakeAllowance
 from kumquatrun.control.configuration_register import AccountAllowance
 from kumquatrun.errors import ControlUnreachableError, RateLimitedError
-from kumquatrun.gateway.allowances import Allowances
-from kumquatrun.gateway.configuration import GatewayAccount
+from kumquatrun.gateway.admission.allowances import Allowances
+from kumquatrun.gateway.routing.configuration import GatewayAccount
 from kumquatrun.runtime.clock import LoopClock
 
 pytestmark = pytest.mark.looptime
--- a/tests/test_backend_connection.py
+++ b/tests/test_backend_connection.py
@@ -8,11 +8,11 @@
 from tests.gateway_fakes import Runner, answer
 
 from kumquatrun.errors import ConnectionLostError, Outcome
-from kumquatrun.gateway.backend_connection import (
+from kumquatrun.gateway.backends.backend_connection import (
     BrokenAnswerError,
     open_connection,
 )
-from kumquatrun.gateway.connection_pool import ConnectionPool
+from kumquatrun.gateway.backends.connection_pool import ConnectionPool
 from kumquatrun.peer.address import Address
 
 HEAD = b'POST / HTTP/1.1\r\nX-Kumquatrun-Attempt-Id: one\r\n\r\n'
--- a/tests/test_endless_streams.py
+++ b/tests/test_endless_streams.py
@@ -20,8 +20,8 @@
 
 from kumquatrun.agent.sse import EventSplitter
 from kumquatrun.errors import Outcome
-from kumquatrun.gateway.backend_connection import open_connection
-from kumquatrun.gateway.event_stream import MAX_EVENT_BYTES
+from kumquatrun.gateway.backends.backend_connection import open_connection
+from kumquatrun.gateway.backends.event_stream import MAX_EVENT_BYTES
 from kumquatrun.runtime.clock import LoopClock
 
 ENDLESS_EVENT = chunk(event(1)) + chunk(b'data: ')
--- a/tests/test_engine_agent.py
+++ b/tests/test_engine_agent.py
@@ -13,13 +13,13 @@
     NoCapacityError,
     Outcome,
 )
-from kumquatrun.gateway.configuration import BaseModelSpec, EngineSpec
-from kumquatrun.gateway.engine_agent import (
+from kumquatrun.gateway.engine.engine_agent import (
     BUSY_REPORT_INTERVAL_S,
     EngineAgent,
 )
-from kumquatrun.gateway.engine_watch import EngineWatch
-from kumquatrun.gateway.messages import (
+from kumquatrun.gateway.engine.engine_watch import EngineWatch
+from kumquatrun.gateway.routing.configuration import BaseModelSpec, EngineSpec
+from kumquatrun.gateway.routing.messages import (
     AdapterInUse,
     AdapterQueued,
     AdapterReady,
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -15,9 +15,9 @@
 )
 
 from kumquatrun.errors import BackendError, NoCapacityError, Outcome
-from kumquatrun.gateway.forwarder import Forwarder
-from kumquatrun.gateway.planned_stop import PlannedStop
-from kumquatrun.gateway.retry_shares import RetryShares
+from kumquatrun.gateway.forwarding.forwarder import Forwarder
+from kumquatrun.gateway.forwarding.retry_shares import RetryShares
+from kumquatrun.gateway.roles.planned_stop import PlannedStop
 from kumquatrun.platform.requests import PlatformFormat
 from kumquatrun.runtime.clock import LoopClock
 
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -18,9 +18,13 @@
     PutConfiguration,
 )
 from kumquatrun.control.control_state import ControlState
-from kumquatrun.gateway.backends import BUSY_PART, BackendRecord, BackendTable
-from kumquatrun.gateway.balancer import Balancer, Place
-from kumquatrun.gateway.retry_shares import RetryShares
+from kumquatrun.gateway.backends.backends import (
+    BUSY_PART,
+    BackendRecord,
+    BackendTable,
+)
+from kumquatrun.gateway.forwarding.retry_shares import RetryShares
+from kumquatrun.gateway.placement.balancer import Balancer, Place
 from kumquatrun.membership.cluster_view import ClusterView
 from kumquatrun.peer.address import Address
 
--- a/tests/test_listings.py
+++ b/tests/test_listings.py
@@ -6,8 +6,8 @@
 
 from kumquatrun.control.backend_listing import BackendListing
 from kumquatrun.errors import ConnectionLostError
-from kumquatrun.gateway.backends import BackendRecord, BackendTable
-from kumquatrun.gateway.listing_follower import (
+from kumquatrun.gateway.backends.backends import BackendRecord, BackendTable
+from kumquatrun.gateway.backends.listing_follower import (
     MAX_AGE_S,
     ListingFollower,
     encode_records,
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -16,8 +16,8 @@
 from tests.gateway_host import one_service, served
 
 from kumquatrun.errors import DrainingError, Outcome
-from kumquatrun.gateway import entry as entry_module
-from kumquatrun.gateway.planned_stop import PlannedStop
+from kumquatrun.gateway.roles import entry as entry_module
+from kumquatrun.gateway.roles.planned_stop import PlannedStop
 from kumquatrun.runtime.clock import LoopClock
 
 
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -10,8 +10,8 @@
 
 from kumquatrun.control.backend_listing import BackendListing
 from kumquatrun.errors import ConnectionLostError, KumquatrunError
-from kumquatrun.gateway.engine_api import EngineOrder, OrderVerdict
-from kumquatrun.gateway.listing_follower import decode_records
+from kumquatrun.gateway.backends.listing_follower import decode_records
+from kumquatrun.gateway.engine.engine_api import EngineOrder, OrderVerdict
 from kumquatrun.platform import listing as listing_module
 from kumquatrun.platform.client import PlatformClient
 from kumquatrun.platform.engine import PlatformEngine
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -7,9 +7,12 @@
 import pytest
 
 from kumquatrun.errors import InvalidRequestError, SettingError
-from kumquatrun.gateway.engine_api import EngineOrder
-from kumquatrun.gateway.listing_follower import decode_records, encode_records
-from kumquatrun.gateway.wire_format import Forwarding
+from kumquatrun.gateway.backends.listing_follower import (
+    decode_records,
+    encode_records,
+)
+from kumquatrun.gateway.engine.engine_api import EngineOrder
+from kumquatrun.gateway.routing.wire_format import Forwarding
 from kumquatrun.platform.engine import decode_report, encode_order
 from kumquatrun.platform.listing import decode_entries
 from kumquatrun.platform.requests import PlatformFormat
--- a/tests/test_platform_operator.py
+++ b/tests/test_platform_operator.py
@@ -13,7 +13,7 @@
 
 from kumquatrun.control.allowance_pool import TakeAllowance
 from kumquatrun.control.control_state import ControlState
-from kumquatrun.gateway.operator_gate import OperatorGate
+from kumquatrun.gateway.roles.operator_gate import OperatorGate
 from kumquatrun.membership.leader_client import LeaderClient
 from kumquatrun.peer.address import Address
 from kumquatrun.peer.messages import Hello
--- a/tests/test_prompt_gate.py
+++ b/tests/test_prompt_gate.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from kumquatrun.gateway.prompt_gate import FORGET_AFTER_S, PromptGate
+from kumquatrun.gateway.engine.prompt_gate import FORGET_AFTER_S, PromptGate
 from kumquatrun.runtime.clock import LoopClock
 
 pytestmark = pytest.mark.looptime
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -9,19 +9,22 @@
 from tests.gateway_fakes import course_of
 
 from kumquatrun.errors import AdapterLoadError, NoCapacityError, Outcome
-from kumquatrun.gateway.agent_connections import (
-    AGENT_STOPPED,
-    AgentUnreachableError,
-)
-from kumquatrun.gateway.backends import (
+from kumquatrun.gateway.backends.backends import (
     BackendRecord,
     BackendTable,
     HeldAdapter,
 )
-from kumquatrun.gateway.balancer import Balancer, Place
-from kumquatrun.gateway.messages import AdapterReady
-from kumquatrun.gateway.model_spread import SPREAD_PAUSE_S
-from kumquatrun.gateway.reservations import MAX_ADAPTER_WAIT_S, Reservations
+from kumquatrun.gateway.placement.agent_connections import (
+    AGENT_STOPPED,
+    AgentUnreachableError,
+)
+from kumquatrun.gateway.placement.balancer import Balancer, Place
+from kumquatrun.gateway.placement.model_spread import SPREAD_PAUSE_S
+from kumquatrun.gateway.placement.reservations import (
+    MAX_ADAPTER_WAIT_S,
+    Reservations,
+)
+from kumquatrun.gateway.routing.messages import AdapterReady
 from kumquatrun.peer.address import Address
 from kumquatrun.runtime.clock import LoopClock
 
