--- a/src/kumquatrun/gateway/engine_watch.py
+++ b/src/kumquatrun/gateway/engine/engine_watch.py
@@ -7,17 +7,16 @@
     AdapterLoadError,
     KumquatrunError,
 )
-from kumquatrun.gateway.configuration import EngineSpec
-from kumquatrun.gateway.engine_api import EngineReport, OrderedEngine
-from kumquatrun.gateway.residency import AdapterName, Residency
+from kumquatrun.gateway.engine.engine_api import EngineReport, OrderedEngine
+from kumquatrun.gateway.engine.residency import AdapterName, Residency
+from kumquatrun.gateway.routing.configuration import EngineSpec
+from kumquatrun.gateway.routing.messages import ENGINE_EMPTY
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.logs import log_event
 from kumquatrun.runtime.metrics import process_metrics
 
 log = logging.getLogger(__name__)
 
-# Cause of a refusal by an engine without a base model.
-ENGINE_EMPTY = 'engine_empty'
 # An engine that gave no report for this time is taken for lost.
 LOST_AFTER_S = 0.7
 DEFAULT_ADAPTER_SLOTS = 8
