--- a/src/kumquatrun/gateway/backends/backend_connection.py
+++ b/src/kumquatrun/gateway/backends/backend_connection.py
@@ -6,8 +6,6 @@
 """
 
 import asyncio
-import socket
-import struct
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
@@ -18,19 +16,14 @@
 
 from kumquatrun.errors import ConnectionLostError, Outcome
 from kumquatrun.gateway.backends.answer_size import AnswerSize
+from kumquatrun.gateway.backends.socket_options import (
+    detect_silence,
+    reset_on_close,
+)
 from kumquatrun.peer.address import Address
 from kumquatrun.runtime.error_text import error_text
 
 CONNECT_TIMEOUT_S = 0.4
-# A peer that acknowledges nothing for this time is taken for unreachable.
-UNACKNOWLEDGED_LIMIT_MS = 3000
-KEEP_ALIVE_OPTIONS = (
-    (socket.TCP_KEEPIDLE, 2),
-    (socket.TCP_KEEPINTVL, 1),
-    (socket.TCP_KEEPCNT, 3),
-)
-# Value of SO_LINGER that makes a close reset the connection.
-NO_LINGER = struct.pack('ii', 1, 0)
 # A stream whose caller reads slowly holds up to twice the buffer and one read.
 READ_BUFFER_BYTES = 16 * 1024
 READ_BYTES = 16 * 1024
@@ -188,9 +181,9 @@
 
     def abort(self) -> None:
         """Close at once, which cancels the request at the backend server."""
-        if self._awaits_answer:
+        if self._awaits_answer and self.is_open:
             # A backend server that stands still drops the request unread.
-            self._reset_on_close()
+            reset_on_close(self.transport)
         self.is_clean = False
         if self.transport is not None:
             self.transport.abort()
@@ -290,11 +283,6 @@
         self._size.end_head(body)
         self._head.set_result(head)
 
-    def _reset_on_close(self) -> None:
-        if self.is_open:
-            opened = self.transport.get_extra_info('socket')
-            opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
-
     def _break_off(self, problem: str) -> None:
         if not self.is_unfinished:
             self.has_extra = True
@@ -338,18 +326,5 @@
             f'cannot connect to {address}: {error!r}',
             outcome=Outcome.NOT_RUN,
         ) from error
-    _set_options(transport.get_extra_info('socket'))
+    detect_silence(transport)
     return connection
-
-
-def _set_options(opened: socket.socket | None) -> None:
-    if opened is None:
-        return
-    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, seconds_or_count in KEEP_ALIVE_OPTIONS:
-        opened.setsockopt(socket.IPPROTO_TCP, option, seconds_or_count)
-    opened.setsockopt(
-        socket.IPPROTO_TCP,
-        socket.TCP_USER_TIMEOUT,
-        UNACKNOWLEDGED_LIMIT_MS,
-    )
