Wait for open requests in one class for entry and agent

The entry and the agent held the same open count, idle event and loop of their drain: wait until idle, log stop_incomplete at each timeout, wait on. A change of one could miss the other. OpenRequests in the package daemon, which both may import, now serves both. The gateway's entry keeps its planned stop, which ends at its timeout and is another rule.

Callers see no change.

--- a/src/kumquatrun/agent/agent.py
+++ b/src/kumquatrun/agent/agent.py
@@ -12,6 +12,7 @@
 from kumquatrun.agent.seen_requests import SeenRequests
 from kumquatrun.agent.service_client import ServiceApi, ServiceClient
 from kumquatrun.agent.service_runner import ServiceRunner
+from kumquatrun.daemon.open_requests import OpenRequests
 from kumquatrun.daemon.settings import AgentSettings
 from kumquatrun.document.document import ServiceKind
 from kumquatrun.errors import (
@@ -111,8 +112,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._forgot_s = clock.now_s()
         self._turns: dict[Job, asyncio.Future[None]] = {}
-        self._open: set[Job] = set()
-        self._idle = asyncio.Event()
+        self._open = OpenRequests()
 
     @property
     def state(self) -> str:
@@ -152,16 +152,7 @@
         ``stop`` ends the remaining requests.
         """
         self._begin_drain()
-        while self._open:
-            self._idle.clear()
-            try:
-                async with asyncio.timeout(timeout_s):
-                    await self._idle.wait()
-            except TimeoutError:
-                log.warning(
-                    'event=stop_incomplete open_requests=%d',
-                    len(self._open),
-                )
+        await self._open.wait_ended(timeout_s)
         if self._server is not None:
             await self._server.wait_idle()
         if self._chart.accepts(self._state, 'idle'):
@@ -214,15 +205,12 @@
         self._seen.accept(request, context, now_s)
         self._forget_old(now_s)
         job = self._runner.make_job(request, now_s)
-        self._open.add(job)
         try:
-            return await self._serve(job, context)
+            with self._open.track():
+                return await self._serve(job, context)
         finally:
             self._seen.close(request)
             self._runner.scheduler.finish(job)
-            self._open.discard(job)
-            if not self._open:
-                self._idle.set()
             self._pump()
 
     def _check(self, dispatch: Dispatch) -> None:
--- a/src/kumquatrun/entry/entry.py
+++ b/src/kumquatrun/entry/entry.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 
+from kumquatrun.daemon.open_requests import OpenRequests
 from kumquatrun.daemon.settings import EntrySettings
 from kumquatrun.document.document import RouteSpec
 from kumquatrun.entry.admission import Admission, HttpRequest
@@ -121,9 +122,8 @@
         self._server: asyncio.Server | None = None
         self._tasks: list[asyncio.Task] = []
         self._open: dict[ResponseSink, Execution] = {}
-        self._open_requests = 0
+        self._open_requests = OpenRequests()
         self._memory = BodyMemory()
-        self._idle = asyncio.Event()
 
     @property
     def is_ready(self) -> bool:
@@ -133,7 +133,7 @@
     @property
     def open_requests(self) -> int:
         """Return the number of requests that have not ended."""
-        return self._open_requests
+        return len(self._open_requests)
 
     async def start(self) -> Address:
         """Listen; returns the bound address."""
@@ -163,17 +163,8 @@
     async def drain(self, timeout_s: float) -> None:
         """Refuse new requests and wait until the open ones have ended."""
         self._step('drain')
-        log.info('event=draining open_requests=%d', self._open_requests)
-        while self._open_requests:
-            self._idle.clear()
-            try:
-                async with asyncio.timeout(timeout_s):
-                    await self._idle.wait()
-            except TimeoutError:
-                log.warning(
-                    'event=stop_incomplete open_requests=%d',
-                    self._open_requests,
-                )
+        log.info('event=draining open_requests=%d', self.open_requests)
+        await self._open_requests.wait_ended(timeout_s)
         await self._relay.idle()
 
     async def stop(self) -> None:
@@ -216,13 +207,10 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         connection = request.protocol
         connection.begin_request()
-        self._open_requests += 1
         try:
-            return await self._answer(request)
+            with self._open_requests.track():
+                return await self._answer(request)
         finally:
-            self._open_requests -= 1
-            if not self._open_requests:
-                self._idle.set()
             connection.end_request()
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
