--- /dev/null
+++ b/tests/test_review_stop.py
@@ -0,0 +1,98 @@
+"""Connections of callers at stops and errors, beyond single requests."""
+
+import asyncio
+
+from tests.gateway_fakes import (
+    LAST_CHUNK,
+    STREAM_HEAD,
+    Runner,
+    answer,
+    chunk,
+    event,
+)
+from tests.gateway_host import one_service, served
+
+from kumquatrun.gateway import entry as entry_module
+from kumquatrun.gateway.answer_relay import AnswerRelay
+
+LONG_S = 5
+
+
+def request_bytes(path, request_id, *extra, body=b''):
+    """Return one request as a caller writes it."""
+    lines = [
+        f'POST {path} HTTP/1.1',
+        'Host: shop.example',
+        'Api-Key: key-1',
+        f'X-Kumquatrun-Attempt-Id: {request_id}',
+        'X-Kumquatrun-Deadline-Ms: 3000',
+        f'Content-Length: {len(body)}',
+        *extra,
+    ]
+    return '\r\n'.join([*lines, '', '']).encode() + body
+
+
+async def test_pipelined_request_is_answered_during_a_stop(monkeypatch):
+    # Guards against a request that was read whole and gets neither an answer
+    # nor a refusal, since the answer before it ended the connection.
+    monkeypatch.setattr(entry_module, 'TAKE_NEW_S', 0.05)
+    runner = Runner([0.5, answer(b'one')], [answer(b'two')])
+    async with served(runner, content=one_service()) as host:
+        reader, writer = await asyncio.open_connection('127.0.0.1', host.port)
+        writer.write(request_bytes('/draft/long/a', 'attempt-1'))
+        writer.write(request_bytes('/draft/long/a', 'attempt-2'))
+        await asyncio.sleep(0.1)
+        await host.entry.drain(5)
+        received = await reader.read()
+        writer.close()
+    assert received.count(b'HTTP/1.1 ') == 2, received
+
+
+async def test_refusal_at_the_start_of_a_stop_announces_the_close():
+    # Guards against a caller that repeats on a connection that is closed.
+    runner = Runner([LONG_S, answer()])
+    async with served(runner, content=one_service()) as host:
+        host.session.charges_in = asyncio.Event()
+        asked = asyncio.create_task(host.ask('/draft/a').__aenter__())
+        await asyncio.sleep(0.1)
+        drain = asyncio.create_task(host.entry.drain(2))
+        response = await asked
+        drain.cancel()
+        host.session.charges_in.set()
+    assert response.status == 503
+    assert response.headers.get('Connection') == 'close'
+
+
+async def test_unexpected_error_in_an_answer_adds_no_second_head(monkeypatch):
+    # Guards against bytes that are no answer: the head of a 500 in the body
+    # of a stream that an unexpected error ends.
+    relay_events = AnswerRelay._relay_events
+
+    async def fail_late(relay, course, channel, head, reservation):
+        await relay_events(relay, course, channel, head, reservation)
+        raise RuntimeError('unexpected')
+
+    monkeypatch.setattr(AnswerRelay, '_relay_events', fail_late)
+    runner = Runner([STREAM_HEAD, chunk(event(1)), LAST_CHUNK])
+    async with served(runner, content=one_service()) as host:
+        reader, writer = await asyncio.open_connection('127.0.0.1', host.port)
+        writer.write(request_bytes('/draft/a', 'attempt-1'))
+        async with asyncio.timeout(2):
+            received = await reader.read()
+        writer.close()
+    assert received.count(b'HTTP/1.1 ') == 1, received
+
+
+async def test_expect_continue_is_answered():
+    # Guards against a body that its caller holds back until it is asked for.
+    runner = Runner([answer(b'one')])
+    async with served(runner, content=one_service()) as host:
+        reader, writer = await asyncio.open_connection('127.0.0.1', host.port)
+        whole = request_bytes(
+            '/draft/long/a', 'attempt-1', 'Expect: 100-continue', body=b'b'
+        )
+        writer.write(whole[:-1])
+        async with asyncio.timeout(2):
+            first = await reader.readline()
+        writer.close()
+    assert b'100' in first
