Count the errors of a replica anew after it has run well

Waits and errors are now counted anew after 30 s without a failure, and the wait is 1 s, below the platform's bound for an acknowledgement.

--- a/src/kumquatrun/consensus/replica_restart.py
+++ b/src/kumquatrun/consensus/replica_restart.py
@@ -21,7 +21,7 @@
 DISK_RETRY_MAX_S = 1.0
 # Waits grow again from the least one after a replica has run this long.
 WELL_AFTER_S = 30.0
-ERROR_RETRY_S = 5.0
+ERROR_RETRY_S = 1.0
 MAX_ERROR_RETRIES = 3
 # Wrong settings rather than a disk that refuses writes for a while.
 PATH_ERRORS = (
@@ -104,14 +104,15 @@
 
     def next_delay_s(self, error: Exception, now_s: float) -> float | None:
         """Return the time to wait after ``error``, None to give up."""
+        if now_s - self._failed_at_s > WELL_AFTER_S:
+            self._delay_s = DISK_RETRY_MIN_S
+            self._error_count = 0
+        self._failed_at_s = now_s
         if not isinstance(error, OSError):
             self._error_count += 1
             if self._error_count > MAX_ERROR_RETRIES:
                 return None
             return ERROR_RETRY_S
-        if now_s - self._failed_at_s > WELL_AFTER_S:
-            self._delay_s = DISK_RETRY_MIN_S
-        self._failed_at_s = now_s
         delay_s = self._delay_s
         self._delay_s = min(2 * delay_s, DISK_RETRY_MAX_S)
         return delay_s
