Drop replies to a node of a replica that has failed

They were kept and handed to the next node. Found in the review; no violated promise was found from it, as votes and entries carry their terms.

--- a/src/kumquatrun/consensus/replica.py
+++ b/src/kumquatrun/consensus/replica.py
@@ -237,7 +237,7 @@
         return core.term, index
 
     def _on_reply(self, msg: Any) -> None:
-        if self._node is not None and not isinstance(msg, Ack):
+        if self._is_running and not isinstance(msg, Ack):
             self._work.add_reply(msg)
             self._schedule_flush()
 
--- a/tests/test_replica_restart.py
+++ b/tests/test_replica_restart.py
@@ -16,15 +16,18 @@
 )
 
 from kumquatrun.consensus import replica_restart
+from kumquatrun.consensus.consensus_messages import VoteReply
 from kumquatrun.consensus.log_store import FileStorage
 from kumquatrun.consensus.memory_store import MemoryStorage
 from kumquatrun.consensus.replica_restart import (
     DISK_RETRY_MAX_S,
     MAX_ERROR_RETRIES,
+    RestartPolicy,
 )
 from kumquatrun.errors import KumquatrunError, Outcome, OutcomeUnknownError
 from kumquatrun.runtime.invariants import InvariantError
 
+DAY_S = 86_400.0
 REFUSED = OSError(28, 'no space left on device')
 
 
@@ -299,3 +302,32 @@
     monkeypatch.setattr(Disk, 'append', lambda disk, added: disk._check())
     results, logs = await run_with_refusing_disks(0)
     assert len(logs) > 1 or wrong_outcomes(results, logs.pop())
+
+
+def test_errors_that_are_days_apart_do_not_end_the_restarts():
+    # Guards against a dead replica in a live process: the group counts a
+    # member less for the rest of the life of the process, and nothing ends it.
+    policy = RestartPolicy()
+    delays = [
+        policy.next_delay_s(ValueError('unexpected'), day * DAY_S)
+        for day in range(MAX_ERROR_RETRIES + 2)
+    ]
+    assert None not in delays
+
+
+@pytest.mark.looptime
+async def test_replies_to_the_failed_node_do_not_reach_the_next_one():
+    # Guards against messages that answer a node that exists no more.
+    async with DiskGroup() as group:
+        failing = group.network[follower_of(group)]
+        failing._fail(REFUSED)
+        failing._on_reply(
+            VoteReply(
+                term=1,
+                sender='x',
+                disk_id='x',
+                granted=True,
+                pre_vote=True,
+            ),
+        )
+        assert not failing._work.is_pending
