Refuse an adapter for a version in use only if the engine holds it

Found in the review: an entry that tells an agent of a running request whose adapter the engine does not hold had new requests refused with version_in_use for as long as the call lasted. The test failed before.

--- a/src/kumquatrun/gateway/engine/engine_agent.py
+++ b/src/kumquatrun/gateway/engine/engine_agent.py
@@ -229,7 +229,8 @@
         held = self._watch.held_version(name, wanted)
         if held is not None:
             return held
-        if self._running[name]:
+        is_held = self._watch.held_version(name, 0) is not None
+        if is_held and self._running[name]:
             # The engine replaces a version once its runs have ended, and
             # takes no other order meanwhile.
             raise NoCapacityError(
