--- a/src/kumquatrun/gateway/admission/admission.py
+++ b/src/kumquatrun/gateway/admission/admission.py
@@ -37,6 +37,7 @@
 # Longest time that a caller waits who does not say how long.
 DEFAULT_PATIENCE_MS = 60_000
 MAX_PRIORITY = 9
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 # Route priorities run from 0 to 2; an account's priority goes before them.
 ACCOUNT_PRIORITY_STEP = 3
 
@@ -159,6 +160,10 @@
 async def _read_body(request: web.BaseRequest, limit_bytes: int) -> bytes:
     if not request.can_read_body:
         return b''
+    if request.headers.get('Expect', '').lower() == '100-continue':
+        await request.writer.write(CONTINUE)
+        # The answer itself has not begun.
+        request.writer.output_size = 0
     try:
         return await read_body(request.content, limit_bytes)
     except BodyTooLargeError as error:
