Answer requests that wait behind others on a connection during a stop

A connection now announces its close with the answer to the last request that was read, and an error after the beginning of an answer ends the connection. The four tests of test_caller_connections.py failed before.

--- a/src/kumquatrun/entry/http_server.py
+++ b/src/kumquatrun/entry/http_server.py
@@ -57,7 +57,12 @@
     @property
     def is_idle(self) -> bool:
         """Return whether no request has begun to arrive or is answered."""
-        return not (self.is_busy or self.has_input)
+        return not (self.is_busy or self.has_input or self.has_next_request)
+
+    @property
+    def has_next_request(self) -> bool:
+        """Return whether a request waits behind the one that is answered."""
+        return bool(self._messages)
 
     def data_received(self, data: bytes) -> None:
         """Take bytes of a request."""
@@ -82,7 +87,16 @@
         exc: BaseException | None = None,
         message: str | None = None,
     ) -> web.StreamResponse:
-        """Answer a malformed HTTP request with a typed error."""
+        """Answer a malformed HTTP request with a typed error.
+
+        Raises
+        ------
+        ConnectionError
+            If an answer has begun; the connection ends without its rest.
+        """
+        if request.writer.output_size:
+            log.error('event=handler_failed', exc_info=exc)
+            raise ConnectionError('the answer has begun') from exc
         if status == HTTP_BAD_REQUEST:
             # The rest of the message repeats what was sent, maybe a key.
             problem = (message or '').partition(':')[0]
--- a/src/kumquatrun/gateway/forwarding/caller_channel.py
+++ b/src/kumquatrun/gateway/forwarding/caller_channel.py
@@ -44,8 +44,7 @@
         response = web.StreamResponse(status=status, reason=reason or None)
         for name, value in headers:
             response.headers.add(name, value)
-        if self.closes_after:
-            response.force_close()
+        self._announce_close(response)
         self._response = response
         self.status = status
         await response.prepare(self._request)
@@ -75,13 +74,17 @@
             headers=headers,
             text=f'{text}\n',
         )
-        if self.closes_after:
-            response.force_close()
+        self._announce_close(response)
         self._response = response
         self.status = status
         await response.prepare(self._request)
         await response.write_eof()
 
+    def _announce_close(self, response: web.StreamResponse) -> None:
+        # A request that waits behind this one is answered first.
+        if self.closes_after and not self._request.protocol.has_next_request:
+            response.force_close()
+
     def abort(self) -> None:
         """Close the connection, the only sign of an incomplete answer."""
         if self._request.transport is not None:
--- a/src/kumquatrun/gateway/roles/entry.py
+++ b/src/kumquatrun/gateway/roles/entry.py
@@ -278,7 +278,7 @@
         finally:
             self._planned_stop.close(opened)
             connection.end_request()
-        if self._planned_stop.has_begun:
+        if self._planned_stop.has_begun and not connection.has_next_request:
             # The head may have gone out before the stop began.
             channel.response.force_close()
         return channel.response
--- a/src/kumquatrun/gateway/roles/planned_stop.py
+++ b/src/kumquatrun/gateway/roles/planned_stop.py
@@ -84,6 +84,8 @@
         be over in time.
         """
         self._ends_at_s = self._clock.now_s() + timeout_s - END_MARGIN_S
+        for request in self._open:
+            request.report.channel.closes_after = True
         handed_back = [row for row in self._open if self._may_outlast(row)]
         for request in handed_back:
             request.hand_back()
--- a/tests/test_review_stop.py
+++ b/tests/test_caller_connections.py
@@ -12,8 +12,8 @@
 )
 from tests.gateway_host import one_service, served
 
-from kumquatrun.gateway import entry as entry_module
-from kumquatrun.gateway.answer_relay import AnswerRelay
+from kumquatrun.gateway.forwarding.answer_relay import AnswerRelay
+from kumquatrun.gateway.roles import entry as entry_module
 
 LONG_S = 5
 
