Start the tests of signals from the default action of SIGHUP

Cause, shown: it was started with nohup, under which SIGHUP is ignored, and a daemon keeps it ignored, as another test asks for.

--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -63,6 +63,14 @@
     raise AssertionError('condition not met in 2 s')
 
 
+@pytest.fixture(autouse=True)
+def default_hangup():
+    """Start from the default action of SIGHUP, which nohup changes."""
+    former = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    yield
+    signal.signal(signal.SIGHUP, former)
+
+
 async def until(daemon, state):
     await poll(lambda: daemon.state == state)
 
