--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -262,3 +262,14 @@
         async with asyncio.timeout(1):
             await stopping
         writer.close()
+
+
+async def test_stream_that_began_before_sigterm_is_not_cut(monkeypatch):
+    # Guards against an answer that ends in the middle because it lasts longer
+    # than the stop of its host.
+    monkeypatch.setattr(entry_module, 'TAKE_NEW_S', 0.05)
+    async with served(Runner(stream_of(2)), content=one_service()) as host:
+        asked = asyncio.create_task(host.answer('/draft/a'))
+        await asyncio.sleep(0.1)
+        await stop(host, 0.9)
+        assert await asked == (200, event(1) + event(2))
