--- /dev/null
+++ b/tests/control_group.py
@@ -0,0 +1,214 @@
+"""Control hosts of the gateway with their operator on a simulated network."""
+
+import asyncio
+import itertools
+import json
+import random
+
+from tests.simulated_network import SimulatedNetwork
+
+from kumquatrun.control.backend_listing import BackendListing
+from kumquatrun.daemon.settings import ReplicaSettings
+from kumquatrun.errors import KumquatrunError
+from kumquatrun.gateway.roles.control import GatewayControl
+from kumquatrun.gateway.roles.settings import GatewayControlSettings
+from kumquatrun.membership.control_client import Session
+from kumquatrun.peer import Address
+from kumquatrun.peer.node_messages import HostRecord
+from kumquatrun.platform.configuration import decode_configuration
+from kumquatrun.runtime.clock import LoopClock
+
+# Bounds of the platform for the acknowledgement of a valid change.
+ACKNOWLEDGED_S = 4.0
+ACKNOWLEDGED_PER_ROUTE_S = 0.003
+# The platform counts a group as calm this long after the last event.
+CALM_AFTER_S = 3.0
+# The operator moves on to another control host after this time.
+PATIENCE_S = 1.0
+OPERATOR_BACKOFF_S = 0.2
+REGIONS = {
+    '10.1.0.1': 'near',
+    '10.2.0.1': 'near',
+    '10.3.0.1': 'far',
+}
+PORT = 7600
+
+
+def bound_s(routes):
+    return ACKNOWLEDGED_S + ACKNOWLEDGED_PER_ROUTE_S * routes
+
+
+def large_configuration(version, routes, seed=1, changed=0):
+    """Return a configuration whose routes have names drawn at random.
+
+    ``changed`` selects other time limits for a few of the routes.
+    """
+    rng = random.Random(seed)
+    rows = [
+        {
+            'name': f'r-{rng.randrange(36**7):07x}',
+            'host': f'{rng.randrange(10**4):04d}.example',
+            'path_prefix': f'/{rng.randrange(16**8):08x}/{number}/',
+            'kind': 'streaming',
+            'timeout_ms': 20000,
+            'target_latency_ms': 1000,
+            'priority': rng.randrange(3),
+            'service': f's{rng.randrange(2)}',
+            'max_attempts': 2,
+            'public': False,
+            'sticky': True,
+            'resumable': True,
+            'gap_target_ms': 300,
+        }
+        for number in range(routes)
+    ]
+    for row in rows[changed : changed + 3]:
+        row['timeout_ms'] = 10000 + version
+    services = [{'name': 's0'}, {'name': 's1'}]
+    return json.dumps(
+        {'version': version, 'routes': rows, 'services': services}
+    ).encode()
+
+
+class ControlGroup:
+    """Three control hosts, one of them in another region."""
+
+    def __init__(self, monkeypatch, seed=1, **network):
+        self.network = SimulatedNetwork(dict(REGIONS), **network)
+        self.network.install(monkeypatch)
+        self.rng = random.Random(seed)
+        self.hosts = {}
+        self.sessions = {}
+        self.seeds = tuple(Address(host, PORT) for host in REGIONS)
+
+    async def __aenter__(self):
+        for host in REGIONS:
+            await self.start_host(host)
+        async with asyncio.timeout(5):
+            while self.leader() is None:
+                await asyncio.sleep(0.01)
+        return self
+
+    async def __aexit__(self, *_):
+        for session in self.sessions.values():
+            await session.stop()
+        for host in list(self.hosts.values()):
+            await host.stop()
+
+    async def start_host(self, host, **replica):
+        random.seed(self.rng.random())
+        settings = GatewayControlSettings(
+            host_id=host,
+            region=self.network.regions[host],
+            control_addresses=self.seeds,
+            listing_address=Address('10.200.0.1', 1),
+            operator_listen=Address(host, 8229),
+            replica=ReplicaSettings(
+                replica_id=host,
+                data_dir='',
+                listen=Address(host, PORT),
+                replicas=tuple((row.host, row) for row in self.seeds),
+                **replica,
+            ),
+        )
+        clock = LoopClock()
+        with self.network.on(host):
+            control = GatewayControl(
+                settings, BackendListing(_empty_list, clock), clock
+            )
+            await control.start()
+        self.hosts[host] = control
+
+    async def join(self, host, region, role='entry'):
+        """Start the session of a node that follows the feed."""
+        self.network.regions[host] = region
+        record = HostRecord(
+            host_id=host,
+            incarnation='',
+            role=role,
+            address=f'{host}:1',
+            region=region,
+            failure_domain=region,
+            service='',
+        )
+        with self.network.on(host):
+            session = Session(
+                record,
+                self.seeds,
+                LoopClock(),
+                rng=random.Random(self.rng.random()),
+            )
+            await session.start()
+        self.sessions[host] = session
+        return session
+
+    def leader(self):
+        serving = [
+            name
+            for name, host in self.hosts.items()
+            if host._host.service.serves
+        ]
+        return max(
+            serving,
+            key=lambda name: self.hosts[name]._host.replica.term,
+            default=None,
+        )
+
+    def followers(self):
+        return [name for name in self.hosts if name != self.leader()]
+
+    async def lead_from(self, region):
+        """Wait for a leader in ``region``; others lose their connections."""
+        async with asyncio.timeout(120):
+            while True:
+                leader = self.leader()
+                if leader and self.network.regions[leader] == region:
+                    break
+                if leader:
+                    self.network.cut_off.add(leader)
+                    await asyncio.sleep(1.5)
+                    self.network.cut_off.clear()
+                await asyncio.sleep(1.0)
+        await asyncio.sleep(CALM_AFTER_S)
+
+    async def ask(self, host, content):
+        """Send a change to one host; true if it is acknowledged."""
+        if not self.network.passes('', host) or host not in self.hosts:
+            await asyncio.Event().wait()
+        with self.network.on(host):
+            change = self.hosts[host].gate.put(
+                decode_configuration(content), content
+            )
+            task = asyncio.ensure_future(change)
+        try:
+            await task
+        except KumquatrunError:
+            return False
+        return True
+
+    async def operate(self, content, order, limit_s=60):
+        """Ask one host after the other as the operator does.
+
+        Returns the time to the acknowledgement. A host goes on with a call
+        that the operator has left.
+        """
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        backoff_s = OPERATOR_BACKOFF_S
+        patience_s = PATIENCE_S + len(content) / 1e6
+        calls = []
+        async with asyncio.timeout(limit_s):
+            for host in itertools.cycle(order):
+                calls.append(asyncio.create_task(self.ask(host, content)))
+                await asyncio.wait(calls[-1:], timeout=patience_s)
+                if calls[-1].done() and calls[-1].result():
+                    break
+                await asyncio.sleep(backoff_s)
+                backoff_s *= 2
+        for call in calls:
+            call.cancel()
+        return loop.time() - started_s
+
+
+async def _empty_list():
+    return b''
