Hand leadership over at a planned stop

The leader now asks a voter that holds its whole log to start an election at once. Voters grant that vote although they heard the leader a moment ago; terms, logs and disks are checked as before.

The randomised runs of the quorum log have the hand-over as one more fault. The override in NoPreVote follows the new parameter of _start_election. Tests that kill a replica by stopping it say that it does not hand over.

--- a/src/kumquatrun/consensus/consensus_messages.py
+++ b/src/kumquatrun/consensus/consensus_messages.py
@@ -46,7 +46,8 @@
 class VoteRequest:
     """Asks for a vote, or for a pre-vote that changes no durable state.
 
-    ``voter_disk_id`` is the disk identity that the candidate's membership
+    A candidate to which the leader has ``handed_over`` gets votes although the
+    voters heard that leader a moment ago. ``voter_disk_id`` is the disk identity that the candidate's membership
     records for the addressed voter. A voter with another disk refuses.
     """
 
@@ -57,6 +58,18 @@
     last_index: int
     last_term: int
     pre_vote: bool
+    handed_over: bool = False
+
+
+@message
+class HandOver:
+    """Asks a follower to start an election at once.
+
+    Sent by a leader that is about to stop to a voter that holds its log.
+    """
+
+    term: int
+    sender: str
 
 
 @message
@@ -168,6 +181,7 @@
 CONSENSUS_REQUESTS = (
     AppendRequest,
     FormationState,
+    HandOver,
     JoinRequest,
     SnapshotChunk,
     VoteRequest,
--- a/src/kumquatrun/consensus/quorum_election.py
+++ b/src/kumquatrun/consensus/quorum_election.py
@@ -4,7 +4,11 @@
 import random
 from dataclasses import replace
 
-from kumquatrun.consensus.consensus_messages import VoteReply, VoteRequest
+from kumquatrun.consensus.consensus_messages import (
+    HandOver,
+    VoteReply,
+    VoteRequest,
+)
 from kumquatrun.consensus.quorum_entries import EntryLog, LogInvariantError
 from kumquatrun.consensus.quorum_types import (
     Envelope,
@@ -169,6 +173,15 @@
             self._campaign.record(reply)
             self._check_campaign(now_s)
 
+    def on_hand_over(self, request: HandOver, now_s: float) -> None:
+        """Start an election if the leader of the term asks for it."""
+        is_current = request.term == self.term
+        if not is_current or request.sender != self.leader_id:
+            return
+        if self._chart.accepts(self.role, 'leadership_offered'):
+            self.leader_id = ''
+            self._start_election('leadership_offered', now_s, handed_over=True)
+
     def _may_grant(self, request: VoteRequest) -> bool:
         return may_grant(request, self.hard_state, self._log)
 
@@ -178,10 +191,10 @@
         heard_s: float,
         now_s: float,
     ) -> bool:
-        return (
-            request.voter_disk_id != self._identity.disk_id
-            or now_s - heard_s < self._timing.election_min_s
-        )
+        if request.voter_disk_id != self._identity.disk_id:
+            return True
+        is_unexpected = request.pre_vote or not request.handed_over
+        return is_unexpected and now_s - heard_s < self._timing.election_min_s
 
     def _give_way(self, rival: VoteRequest, now_s: float) -> None:
         """Let a replica that gets the own pre-vote go first.
@@ -203,21 +216,40 @@
         self._step('election_timeout', now_s)
         self._campaign_for(self.term + 1, now_s, pre_vote=True)
 
-    def _start_election(self, now_s: float) -> None:
-        """Start a real campaign after a won pre-vote."""
-        self._step('pre_votes_won', now_s)
+    def _start_election(
+        self,
+        event: str,
+        now_s: float,
+        *,
+        handed_over: bool = False,
+    ) -> None:
+        """Start a real campaign."""
+        self._step(event, now_s)
         own = self._identity
         own_vote = candidate_key(own.replica_id, own.disk_id)
         self.hard_state = HardState(self.term + 1, own_vote)
-        self._campaign_for(self.term, now_s, pre_vote=False)
+        self._campaign_for(
+            self.term,
+            now_s,
+            pre_vote=False,
+            handed_over=handed_over,
+        )
 
-    def _campaign_for(self, term: int, now_s: float, *, pre_vote: bool) -> None:
+    def _campaign_for(
+        self,
+        term: int,
+        now_s: float,
+        *,
+        pre_vote: bool,
+        handed_over: bool = False,
+    ) -> None:
         self._postpone(now_s)
         self._campaign = Campaign(
             self._identity,
             self._log.membership,
             term,
             pre_vote=pre_vote,
+            handed_over=handed_over,
         )
         self._messages.extend(self._campaign.requests(self._log))
         self._check_campaign(now_s)
@@ -227,7 +259,7 @@
         if campaign is None or not campaign.is_won:
             return
         if campaign.pre_vote:
-            self._start_election(now_s)
+            self._start_election('pre_votes_won', now_s)
         else:
             self._step('votes_won', now_s)
             self.leader_id = self._identity.replica_id
--- a/src/kumquatrun/consensus/quorum_leader.py
+++ b/src/kumquatrun/consensus/quorum_leader.py
@@ -5,6 +5,7 @@
 from kumquatrun.consensus.consensus_messages import (
     AppendReply,
     AppendRequest,
+    HandOver,
     JoinRequest,
     LogEntry,
     SnapshotReply,
@@ -35,6 +36,8 @@
         Replication state by replica id.
     membership
         Membership that the progress was matched with.
+    hands_over_until_s
+        Another replica was asked to lead, and nothing is proposed until then.
     """
 
     def __init__(
@@ -49,6 +52,7 @@
         self.first_index = entries.last_index + 1
         self.progress: dict[str, Progress] = {}
         self.round_number = 0
+        self.hands_over_until_s = float('-inf')
         self.confirmed_at_s = float('-inf')
         self.heartbeat_due_s = now_s
         self._identity = identity
@@ -160,6 +164,29 @@
             known.transfer.sent_s = float('-inf')
         self._send(reply.sender, now_s, heartbeat=False)
 
+    def hand_over(self, now_s: float) -> bool:
+        """Ask the voter that was heard last to lead; False if none may.
+
+        It must hold the whole log, so that it wins the election.
+        """
+        self.hands_over_until_s = now_s + self._timing.election_min_s
+        successor = max(
+            (
+                name
+                for name, row in self.progress.items()
+                if self._log.membership.is_voter(name, row.disk_id)
+                and row.match_index == self._log.last_index
+                and now_s - row.last_reply_s < self._timing.election_min_s
+            ),
+            key=lambda name: self.progress[name].last_reply_s,
+            default=None,
+        )
+        if successor is None:
+            return False
+        request = HandOver(term=self.term, sender=self._identity.replica_id)
+        self._outbox.append(Envelope(successor, request))
+        return True
+
     def confirmed_round(self) -> int:
         """Return the newest round that a majority acknowledged."""
         return self._majority_of('acked_round', self.round_number)
--- a/src/kumquatrun/consensus/quorum_log.py
+++ b/src/kumquatrun/consensus/quorum_log.py
@@ -13,6 +13,7 @@
     AppendReply,
     AppendRequest,
     EntryKind,
+    HandOver,
     JoinReply,
     JoinRequest,
     LogEntry,
@@ -102,6 +103,7 @@
             SnapshotChunk: self._follower.on_snapshot_chunk,
             SnapshotReply: self._on_snapshot_reply,
             JoinRequest: self._on_join_request,
+            HandOver: self.election.on_hand_over,
         }
         self._update_leadership(now_s)
 
@@ -156,11 +158,13 @@
         Raises
         ------
         NotLeaderError
-            If this replica is not the leader.
+            If this replica is not the leader, or hands leadership over.
         NoCapacityError
             If too many entries wait for a majority.
         """
         leader = self.require_leader()
+        if now_s < leader.hands_over_until_s:
+            raise NotLeaderError('another replica was asked to lead')
         first = self.entries.last_index + 1
         waiting = first - self.entries.commit_index
         if waiting > self._timing.max_uncommitted_entries:
@@ -197,6 +201,11 @@
         )
         return self._append_membership(changed, now_s)
 
+    def hand_over(self, now_s: float) -> bool:
+        """Ask another voter to lead; False if none is ready for it."""
+        leader = self.leadership
+        return leader is not None and leader.hand_over(now_s)
+
     def start_barrier(self, now_s: float) -> Barrier:
         """Start a heartbeat round that confirms leadership for a read.
 
--- a/src/kumquatrun/consensus/quorum_votes.py
+++ b/src/kumquatrun/consensus/quorum_votes.py
@@ -25,9 +25,11 @@
         term: int,
         *,
         pre_vote: bool,
+        handed_over: bool = False,
     ) -> None:
         self.term = term
         self.pre_vote = pre_vote
+        self._handed_over = handed_over
         self._identity = identity
         self._membership = membership
         self._granted: set[str] = set()
@@ -52,6 +54,7 @@
                     last_index=log.last_index,
                     last_term=log.last_term,
                     pre_vote=self.pre_vote,
+                    handed_over=self._handed_over,
                 ),
             )
             for voter, disk_id in self._membership.voters.items()
--- a/src/kumquatrun/consensus/replica.py
+++ b/src/kumquatrun/consensus/replica.py
@@ -48,6 +48,8 @@
 MIN_TICK_S = 0.005
 # Bounds the delay of a campaign that becomes due earlier than it was expected.
 MAX_TICK_S = 0.05
+# A few round trips between the regions.
+HAND_OVER_RETRY_S = 0.05
 # An entry must fit into a peer frame of 8 MiB together with others.
 MAX_COMMAND_BYTES = 4 * 1024 * 1024
 
@@ -145,6 +147,24 @@
         await self._transport.close()
         self._storage.close()
 
+    async def hand_over(self, timeout_s: float) -> None:
+        """Let another replica lead before this one stops.
+
+        Returns when this replica does not lead, or after ``timeout_s`` if no
+        other one could take over.
+        """
+        if not self.is_leader:
+            return
+        deadline_s = self._clock.now_s() + timeout_s
+        while self.is_leader and self._clock.now_s() < deadline_s:
+            self._run(self._ask_successor)
+            await asyncio.sleep(HAND_OVER_RETRY_S)
+        log.info(
+            'event=leadership_handed_over leader=%s term=%s',
+            self.leader_id,
+            self.term,
+        )
+
     async def handle(self, request: Any, context: Any) -> Any:
         """Answer a consensus message; mountable into a ``PeerServer``.
 
@@ -249,6 +269,10 @@
             elif not await self._reopen(self.failure):
                 return
 
+    def _ask_successor(self) -> None:
+        self._node.core.hand_over(self._clock.now_s())
+        self._schedule_flush()
+
     def _tick_delay_s(self) -> float:
         due_in_s = self._node.next_due_s - self._clock.now_s()
         return min(MAX_TICK_S, max(MIN_TICK_S, due_in_s))
--- a/src/kumquatrun/control/control_host.py
+++ b/src/kumquatrun/control/control_host.py
@@ -18,6 +18,9 @@
 from kumquatrun.peer.messages import Hello
 from kumquatrun.runtime.clock import Clock
 
+# An election without a hand-over takes about as long.
+HAND_OVER_LIMIT_S = 1.0
+
 
 class FeedingState:
     """State machine that hands its changes to the feed.
@@ -110,8 +113,14 @@
         await self.service.start()
         self.address = await self._server.start(self._listen)
 
-    async def stop(self) -> None:
-        """Stop listening and leave the group without a membership change."""
+    async def stop(self, *, hands_over: bool = True) -> None:
+        """Stop listening and leave the group without a membership change.
+
+        A leader first hands over to another replica, so that no change has to
+        wait for an election.
+        """
+        if hands_over:
+            await self.replica.hand_over(HAND_OVER_LIMIT_S)
         await self._server.stop()
         await self.service.stop()
         await self.replica.stop()
--- a/tests/control_cluster.py
+++ b/tests/control_cluster.py
@@ -75,7 +75,7 @@
 
     async def kill_replica(self, name):
         self.storages[name].crash()
-        await self.hosts.pop(name).stop()
+        await self.hosts.pop(name).stop(hands_over=False)
 
     def leader(self):
         serving = [
@@ -139,7 +139,7 @@
         for session in self.sessions:
             await session.stop()
         for host in self.hosts.values():
-            await host.stop()
+            await host.stop(hands_over=False)
         for link in self.links.values():
             await link.stop()
 
--- a/tests/quorum_sim.py
+++ b/tests/quorum_sim.py
@@ -349,6 +349,13 @@
         host.storage = self._storage_type(self.rng)
         host.disk_number += 1
 
+    def hand_over(self, name):
+        """Have a leader ask another replica to lead."""
+        host = self.hosts[name]
+        if host.node is not None and not host.paused:
+            host.node.core.hand_over(self.now_s)
+            self._wake(host)
+
     def pause(self, name, *, paused=True):
         self.hosts[name].paused = paused
 
--- a/tests/test_quorum_log.py
+++ b/tests/test_quorum_log.py
@@ -80,6 +80,7 @@
     'cut_incoming': cut_incoming,
     'cut_one_pair': cut_one_pair,
     'pause': SimCluster.pause,
+    'hand_over': SimCluster.hand_over,
     'loss': network_fault(loss=0.25),
     'duplication': network_fault(duplication=0.5),
     'reordering': network_fault(delay_s=0.15),
@@ -394,7 +395,7 @@
 class NoPreVote(Election):
     def _start_pre_vote(self, now_s):
         self._step('election_timeout', now_s)
-        self._start_election(now_s)
+        self._start_election('pre_votes_won', now_s)
 
 
 class NoRefusalAfterHeartbeat(Election):
