Send only the newest change of each thing to followers of the feed

Callers saw: after a loss of power, hosts acted on versions that had been superseded long before: the leader had the newest one at 36.3 s, entries put over fifty old ones in force one by one and reached it up to 41.1 s.

A follower names the configuration that it holds and gets the difference to the newest, whatever came between, or the whole if that is not kept. What is above 24 KB goes in parts, so that lease renewals on the same connection do not wait for it. Leases name the configuration in force.

Weighed and not built: sending on within a region.

--- a/src/kumquatrun/control/control.py
+++ b/src/kumquatrun/control/control.py
@@ -24,6 +24,7 @@
 )
 from kumquatrun.control.control_state import ControlState
 from kumquatrun.control.feed_log import FeedLog
+from kumquatrun.control.feed_sender import FeedSender
 from kumquatrun.control.leases import Incarnation, LeaseTable
 from kumquatrun.control.load_slot_queue import LoadSlotQueue
 from kumquatrun.control.operator_actions import OperatorActions
@@ -225,6 +226,7 @@
                 if takes_reports
                 else ()
             ),
+            configuration_version=self._state.configuration_version,
             **self._listing_news(record, request),
         )
 
@@ -259,16 +261,10 @@
         request: FollowFeed,
         context: CallContext,
     ) -> Finished:
-        index = request.after_index
+        sender = FeedSender(self._feed, self._state, request, context)
         while True:
             self._check_leader()
-            newer = self._feed.after(index)
-            if newer is None:
-                newer = [self._state.snapshot_feed()]
-            for feed_item in newer:
-                await context.send_message(feed_item)
-                index = feed_item.index
-            if not newer:
+            if not await sender.send_newer():
                 # Wakes up without an item too, to notice lost leadership.
                 await self._feed.wait(FEED_IDLE_S)
 
--- a/src/kumquatrun/control/feed_log.py
+++ b/src/kumquatrun/control/feed_log.py
@@ -1,39 +1,83 @@
-"""Newest feed items, kept so that a follower can go on where it stopped."""
+"""Newest changes of shared state, so that a follower can go on where it stopped.
+
+Of several changes of one thing, for example of one host record, only the newest
+is kept. So what a follower receives does not grow with the number of changes
+that it missed.
+"""
 
 import asyncio
-from collections import deque
-from collections.abc import Sequence
+from collections import OrderedDict
+from collections.abc import Callable, Hashable, Iterator, Mapping, Sequence
+from itertools import groupby
+from operator import attrgetter
+from typing import Any, NamedTuple
+
+import msgpack
 
 from kumquatrun.peer.node_messages import FeedItem
 
-KEPT_ITEMS = 4096
+KEPT_ROWS = 4096
+
+
+class FeedRow(NamedTuple):
+    """One change; ``key`` is the same for all changes of one thing."""
+
+    key: Hashable
+    index: int
+    kind: str
+    body: Any
+
+
+# What a row of a kind replaces. Documents build on each other, so that no row
+# replaces an earlier one.
+_NAMES: Mapping[str, Callable[[Any], Hashable]] = {
+    'adapter_version': lambda body: tuple(body[:2]),
+    'configuration': lambda body: '',
+    'host': lambda body: body[0],
+    'key': lambda body: body[0],
+    'quarantine': lambda body: body[0],
+}
 
 
 class FeedLog:
-    """A bounded list of feed items with a wake-up for followers."""
+    """Rows in index order, with a wake-up for followers.
 
-    def __init__(self, kept_items: int = KEPT_ITEMS) -> None:
-        self._items: deque[FeedItem] = deque()
-        self._kept_items = kept_items
+    Attributes
+    ----------
+    index
+        Index of the newest change.
+    replaced_rows
+        Grows with each row that a newer one replaced. A sender that sees it
+        grow asks for the items anew.
+    """
+
+    def __init__(self, kept_rows: int = KEPT_ROWS) -> None:
+        self._rows: OrderedDict[Hashable, FeedRow] = OrderedDict()
+        self._kept_rows = kept_rows
         self._start_index = 0
         self._changed = asyncio.Event()
         self.index = 0
+        self.replaced_rows = 0
 
     def reset(self, index: int) -> None:
         """Start at ``index`` after the state was restored."""
-        self._items.clear()
+        self._rows.clear()
         self._start_index = index
         self.index = index
+        self.replaced_rows += 1
         self._wake()
 
     def extend(self, added: Sequence[FeedItem]) -> None:
         """Add items in index order."""
         if not added:
             return
-        self._items.extend(added)
+        for feed_item in added:
+            for row in _rows_of(feed_item):
+                self._add(row)
         self.index = added[-1].index
-        while len(self._items) > self._kept_items:
-            self._start_index = self._items.popleft().index
+        while len(self._rows) > self._kept_rows:
+            _, oldest = self._rows.popitem(last=False)
+            self._start_index = oldest.index
         self._wake()
 
     def after(self, index: int) -> list[FeedItem] | None:
@@ -44,13 +88,16 @@
         """
         if index < self._start_index:
             return None
-        newer = []
-        for feed_item in reversed(self._items):
-            if feed_item.index <= index:
+        newer: list[FeedRow] = []
+        for row in reversed(self._rows.values()):
+            if row.index <= index:
                 break
-            newer.append(feed_item)
+            newer.append(row)
         newer.reverse()
-        return newer
+        return [
+            encode_rows(at, list(rows))
+            for at, rows in groupby(newer, key=attrgetter('index'))
+        ]
 
     async def wait(self, timeout_s: float) -> None:
         """Wait until items were added, at most ``timeout_s``."""
@@ -60,6 +107,30 @@
         except TimeoutError:
             return
 
+    def _add(self, row: FeedRow) -> None:
+        if self._rows.pop(row.key, None) is not None:
+            self.replaced_rows += 1
+        self._rows[row.key] = row
+
     def _wake(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
+
+
+def encode_rows(index: int, rows: Sequence[FeedRow]) -> FeedItem:
+    """Return the item of all rows of one index."""
+    if len(rows) == 1:
+        kind, body = rows[0].kind, rows[0].body
+    else:
+        kind, body = 'batch', [[row.kind, row.body] for row in rows]
+    return FeedItem(index=index, kind=kind, body=msgpack.packb(body))
+
+
+def _rows_of(feed_item: FeedItem) -> Iterator[FeedRow]:
+    body = msgpack.unpackb(feed_item.body)
+    is_batch = feed_item.kind == 'batch'
+    rows = body if is_batch else [(feed_item.kind, body)]
+    for number, (kind, row) in enumerate(rows):
+        name_of = _NAMES.get(kind)
+        key = name_of(row) if name_of else (feed_item.index, number)
+        yield FeedRow((kind, key), feed_item.index, kind, row)
--- a/src/kumquatrun/membership/control_client.py
+++ b/src/kumquatrun/membership/control_client.py
@@ -22,12 +22,15 @@
 from kumquatrun.peer.node_messages import (
     AgentReport,
     BudgetReport,
+    FeedItem,
+    FeedPart,
     FollowFeed,
     HostRecord,
     LeaseReply,
     RegisterHost,
     RenewLease,
 )
+from kumquatrun.peer.parts import PartCollector
 from kumquatrun.runtime.clock import Clock
 
 log = logging.getLogger(__name__)
@@ -37,6 +40,8 @@
 # leader is answered, so a longer call would leave little of it.
 RENEW_TIMEOUT_S = 1.0
 FEED_RETRY_S = 0.1
+# Largest item that arrives in parts.
+MAX_ITEM_BYTES = 64 * 1024 * 1024
 # No feed item has this index, so the leader answers with a snapshot.
 BEFORE_FIRST_INDEX = -1
 
@@ -249,13 +254,31 @@
         request = FollowFeed(
             host_id=self._record.host_id,
             after_index=after_index,
+            configuration_version=self._view.configuration_version,
         )
+        parts = PartCollector(MAX_ITEM_BYTES)
         async with leader.stream(request) as feed:
-            async for feed_item in feed:
-                self._view.apply(feed_item)
-                self._notify()
+            async for received in feed:
+                feed_item = _joined(received, parts)
+                if feed_item is not None:
+                    self._view.apply(feed_item)
+                    self._notify()
 
     def _notify(self) -> None:
         for listener in self._listeners:
             with suppress(KumquatrunError):
                 listener()
+
+
+def _joined(
+    received: FeedItem | FeedPart,
+    parts: PartCollector,
+) -> FeedItem | None:
+    """Return a whole feed item, None if parts of it are still missing."""
+    if isinstance(received, FeedItem):
+        return received
+    key = (received.index, received.kind)
+    body = parts.add(key, received.number, received.count, received.content)
+    if body is None:
+        return None
+    return FeedItem(index=received.index, kind=received.kind, body=body)
--- a/src/kumquatrun/peer/node_messages.py
+++ b/src/kumquatrun/peer/node_messages.py
@@ -83,6 +83,8 @@
     ``listing`` is the platform's list of backend servers, see
     ``backend_listing``; None if the host has this version already.
     ``listing_age_s`` is the time since the leader read it.
+    ``configuration_version`` is the routing configuration in force, 0 for
+    none.
     """
 
     duration_s: float
@@ -91,14 +93,20 @@
     listing_version: str = ''
     listing_age_s: float | None = None
     listing: bytes | None = None
+    configuration_version: int = 0
 
 
 @message
 class FollowFeed:
-    """Opens the feed; items after ``after_index`` follow as stream items."""
+    """Opens the feed; items after ``after_index`` follow as stream items.
+
+    ``configuration_version`` is the routing configuration that the follower
+    holds, 0 for none.
+    """
 
     host_id: str
     after_index: int
+    configuration_version: int = 0
 
 
 @message
@@ -115,6 +123,20 @@
     body: bytes
 
 
+@message
+class FeedPart:
+    """One part of a feed item that is too large to be sent at once.
+
+    The parts of an item follow each other; joined, they are its body.
+    """
+
+    index: int
+    kind: str
+    number: int
+    count: int
+    content: bytes
+
+
 @message
 class GrantTokens:
     """Asks for tokens of an account; committed before it is answered.
--- a/tests/simulated_network.py
+++ b/tests/simulated_network.py
@@ -59,13 +59,24 @@
         self._servers = {}
         self._pipes = {}
         self._endpoints = set()
-        for source in set(regions.values()):
-            for target in set(regions.values()):
-                is_within = source == target
-                self._pipes[source, target] = Pipe(
-                    within_bits_per_s if is_within else between_bits_per_s,
-                    within_s if is_within else between_s,
-                )
+        self._speeds = {
+            True: (within_bits_per_s, within_s),
+            False: (between_bits_per_s, between_s),
+        }
+        for region in dict.fromkeys(regions.values()):
+            self.add_region(region)
+
+    def add_region(self, region):
+        """Link a region to all others; returns what counts its bytes."""
+        known = {row for pair in self._pipes for row in pair} | {region}
+        arriving = []
+        for other in sorted(known):
+            for pair in dict.fromkeys([(other, region), (region, other)]):
+                speed = self._speeds[other == region]
+                self._pipes.setdefault(pair, Pipe(*speed))
+                if pair[1] == region:
+                    arriving.append(self._pipes[pair])
+        return lambda: sum(pipe.carried_bytes for pipe in arriving)
 
     def install(self, monkeypatch):
         monkeypatch.setattr(asyncio, 'open_connection', self.open_connection)
--- /dev/null
+++ b/tests/test_feed.py
@@ -0,0 +1,118 @@
+"""What a follower of the feed receives after a restart or a pause."""
+
+import asyncio
+
+import msgpack
+import pytest
+from tests.control_group import ControlGroup, large_configuration
+
+from kumquatrun.control.feed_log import FeedLog
+from kumquatrun.peer.node_messages import FeedItem
+
+ROUTES = 400
+# Compressed, a configuration of so many routes takes 9 KB.
+WHOLE_BYTES = 16 * 1024
+# A change of three routes, with what the connection itself costs.
+DELTA_BYTES = 4 * 1024
+
+
+async def change(group, versions):
+    hosts = list(group.hosts)
+    for version in versions:
+        content = large_configuration(version, ROUTES, changed=version)
+        await group.operate(content, hosts)
+
+
+async def versions_seen(group, host, region):
+    """Let a node start; returns the versions that it puts in force."""
+    seen = []
+    session = await group.join(host, region)
+    session.on_change(lambda: seen.append(session.view.configuration_version))
+    async with asyncio.timeout(5):
+        newest = max(
+            row._host.state.configuration_version
+            for row in group.hosts.values()
+        )
+        while session.view.configuration_version < newest:  # noqa: ASYNC110
+            await asyncio.sleep(0.001)
+    return [version for version in dict.fromkeys(seen) if version]
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize('past_changes', [2, 60])
+async def test_new_follower_receives_no_superseded_version(
+    monkeypatch, past_changes
+):
+    # Guards against a restarted host that puts every version since the first
+    # in force, one by one, and so acts on an old one for seconds.
+    async with ControlGroup(monkeypatch) as group:
+        await change(group, range(1, past_changes + 1))
+        await asyncio.sleep(1)
+        carried = group.network.add_region('alone')
+        seen = await versions_seen(group, '10.9.0.1', 'alone')
+        assert seen == [past_changes]
+        assert carried() < WHOLE_BYTES
+
+
+@pytest.mark.looptime
+async def test_lagging_follower_receives_one_delta(monkeypatch):
+    # Guards against a host that was cut off for a moment and receives each
+    # version that it missed, or a whole configuration.
+    async with ControlGroup(monkeypatch) as group:
+        carried = group.network.add_region('alone')
+        await change(group, range(1, 3))
+        seen = await versions_seen(group, '10.9.0.1', 'alone')
+        session = group.sessions['10.9.0.1']
+        group.network.cut_off.add('10.9.0.1')
+        await change(group, range(3, 8))
+        await asyncio.sleep(3)
+        before = carried()
+        session.on_change(
+            lambda: seen.append(session.view.configuration_version)
+        )
+        group.network.cut_off.clear()
+        async with asyncio.timeout(5):
+            while session.view.configuration_version < 7:  # noqa: ASYNC110
+                await asyncio.sleep(0.001)
+        assert set(seen) == {2, 7}
+        assert carried() - before < DELTA_BYTES
+        assert session.view.configuration[1] == large_configuration(
+            7, ROUTES, changed=7
+        )
+
+
+def item(index, kind, body):
+    return FeedItem(index=index, kind=kind, body=msgpack.packb(body))
+
+
+def test_only_the_newest_change_of_each_thing_is_kept():
+    log = FeedLog()
+    log.extend(
+        [
+            item(1, 'host', ['a', {'address': '1'}]),
+            item(2, 'batch', [['host', ['b', None]], ['key', ['k', 1, 2, 3]]]),
+            item(3, 'document', [1, 'd', 0, None, b'']),
+            item(4, 'adapter_version', ['m', 'a1', 2]),
+            item(5, 'host', ['b', {'address': '2'}]),
+            item(6, 'document', [2, 'd', 1, b'', None]),
+            item(7, 'adapter_version', ['m', 'a1', 3]),
+        ]
+    )
+    assert log.after(0) == [
+        item(1, 'host', ['a', {'address': '1'}]),
+        item(2, 'key', ['k', 1, 2, 3]),
+        item(3, 'document', [1, 'd', 0, None, b'']),
+        item(5, 'host', ['b', {'address': '2'}]),
+        item(6, 'document', [2, 'd', 1, b'', None]),
+        item(7, 'adapter_version', ['m', 'a1', 3]),
+    ]
+    assert log.replaced_rows == 2
+
+
+def test_follower_that_is_too_far_behind_gets_a_snapshot():
+    log = FeedLog(kept_rows=2)
+    log.extend([item(at, 'document', [at, '', 0, None, b'']) for at in (1, 2)])
+    assert len(log.after(0)) == 2
+    log.extend([item(3, 'document', [3, '', 2, b'', None])])
+    assert log.after(0) is None
+    assert [row.index for row in log.after(1)] == [2, 3]
