Keep each part of a control host at work after unexpected errors

Operators would see: a control host that looks alive while its replica has given up after three errors within 30 s, its ticker has ended with the error of a listener, or its keeper, batcher or feed has ended without a log line. The group counts the host, and the next loss, which the platform counts as calm, leaves no majority: no change is acknowledged any more. The same follows if the keeper tries to promote a learner that lags behind, again and again, and so never removes the voter that is gone.

A replica now starts again for ever, at most every 4 s. Listeners are called each for itself, background work is started again after an error, both with a log line; errors of a listener of a session were swallowed before. The keeper promotes only learners that have caught up.

--- a/src/kumquatrun/consensus/membership_keeper.py
+++ b/src/kumquatrun/consensus/membership_keeper.py
@@ -72,10 +72,9 @@
             for name, row_s in silence_s.items()
             if row_s > self._silent_limit_s(name, voter_ids)
         ]
-        for learner in members:
-            name = learner.replica_id
-            is_waiting = name not in voter_ids and name not in silent
-            if is_waiting and len(voters) < MAX_VOTERS:
+        # A learner that lags behind must not hold up the removal of others.
+        for name in self._replica.ready_learners():
+            if name not in silent and len(voters) < MAX_VOTERS:
                 return MembershipChange('promote', name)
         for replica_id in silent:
             is_spare = len(voters) > self._least_voters
--- a/src/kumquatrun/consensus/quorum_log.py
+++ b/src/kumquatrun/consensus/quorum_log.py
@@ -59,6 +59,8 @@
         Role, term and vote.
     leadership
         State as the leader; None in other roles.
+    timing
+        Time limits and batch sizes.
     """
 
     election_type = Election
@@ -88,7 +90,7 @@
             now_s,
         )
         self.leadership: Leadership | None = None
-        self._timing = timing
+        self.timing = timing
         self._saved_hard_state = meta.hard_state
         self._follower = self.follower_type(
             self.identity,
@@ -167,7 +169,7 @@
             raise NotLeaderError('another replica was asked to lead')
         first = self.entries.last_index + 1
         waiting = first - self.entries.commit_index
-        if waiting > self._timing.max_uncommitted_entries:
+        if waiting > self.timing.max_uncommitted_entries:
             raise NoCapacityError(
                 f'{waiting} entries wait for a majority of replicas',
                 cause='uncommitted_entries',
@@ -197,7 +199,7 @@
             self.entries,
             leader.progress,
             change,
-            self._timing,
+            self.timing,
         )
         return self._append_membership(changed, now_s)
 
@@ -320,7 +322,7 @@
             self.identity,
             self.entries,
             self.term,
-            self._timing,
+            self.timing,
             now_s,
         )
         self._append(EntryKind.NOOP, [b''])
@@ -353,7 +355,7 @@
     def _repair(self, now_s: float) -> None:
         leader = self.leadership
         if leader is not None and self._change_is_allowed(leader):
-            changed = next_repair(self.entries, leader.progress, self._timing)
+            changed = next_repair(self.entries, leader.progress, self.timing)
             if changed is not None:
                 self._append_membership(changed, now_s)
 
--- a/src/kumquatrun/consensus/replica.py
+++ b/src/kumquatrun/consensus/replica.py
@@ -41,6 +41,7 @@
     RequestTooLargeError,
 )
 from kumquatrun.peer.messages import Ack
+from kumquatrun.runtime.background import start_background
 from kumquatrun.runtime.clock import Clock
 
 log = logging.getLogger(__name__)
@@ -134,7 +135,7 @@
             raise
         except OSError as error:
             self._fail(error)
-        self._ticker = asyncio.create_task(self._tick())
+        self._ticker = start_background(self._tick)
 
     async def stop(self) -> None:
         """Stop; pending proposals end with an unknown outcome."""
@@ -266,8 +267,8 @@
             self._run(self._tick_once)
             if self.failure is None:
                 await asyncio.sleep(self._tick_delay_s())
-            elif not await self._reopen(self.failure):
-                return
+            else:
+                await self._reopen(self.failure)
 
     def _ask_successor(self) -> None:
         self._node.core.hand_over(self._clock.now_s())
@@ -309,18 +310,17 @@
         self._work.fail_all(NotLeaderError(f'the replica failed: {error}'))
         self._notify_role()
 
-    async def _reopen(self, failure: Exception) -> bool:
-        """Start again from the storage after a wait; False to give up.
+    async def _reopen(self, failure: Exception) -> None:
+        """Start again from the storage after a wait.
 
         During the wait the loop drops the last steps of the failed node.
         """
-        if not await self._restarts.wait(failure, self._clock.now_s()):
-            return False
+        await self._restarts.wait(failure, self._clock.now_s())
         try:
             self._node = self._opener.open(self._clock.now_s())
         except Exception as error:
             self._fail(error)
-            return True
+            return
         self._flushing = False
         self.failure = None
         log.info(
@@ -329,7 +329,6 @@
             self._node.core.entries.last_index,
             str(failure),
         )
-        return True
 
     def _begin_flush(self) -> None:
         node = self._node
--- a/src/kumquatrun/consensus/replica_restart.py
+++ b/src/kumquatrun/consensus/replica_restart.py
@@ -1,7 +1,6 @@
 """Opening the node of a replica, at its start and after it failed."""
 
 import asyncio
-import logging
 import random
 import uuid
 from dataclasses import dataclass
@@ -14,15 +13,14 @@
 from kumquatrun.consensus.state_machine import StateMachine
 from kumquatrun.consensus.storage import Storage
 
-log = logging.getLogger(__name__)
-
 # Short enough that a replica is back within a second of its disk.
 DISK_RETRY_MIN_S = 0.1
 DISK_RETRY_MAX_S = 1.0
 # Waits grow again from the least one after a replica has run this long.
 WELL_AFTER_S = 30.0
-ERROR_RETRY_S = 1.0
-MAX_ERROR_RETRIES = 3
+# An error that comes back with each start must not cost the host much.
+ERROR_RETRY_MIN_S = 1.0
+ERROR_RETRY_MAX_S = 4.0
 # Wrong settings rather than a disk that refuses writes for a while.
 PATH_ERRORS = (
     PermissionError,
@@ -84,35 +82,30 @@
 class RestartPolicy:
     """Says when a failed replica is opened again.
 
-    A disk that refuses writes is tried again without a limit, since it may
+    A replica never gives up: the group would count a member that does nothing,
+    and the next loss would leave no majority. A disk that refuses writes may
     work at any moment. Any other error, for example a violated invariant or a
-    damaged file, is likely to come back: the replica gives up after a few.
+    damaged file, is likely to come back, so it is tried less often.
     """
 
-    _delay_s: float = DISK_RETRY_MIN_S
-    _error_count: int = 0
+    _disk_delay_s: float = DISK_RETRY_MIN_S
+    _error_delay_s: float = ERROR_RETRY_MIN_S
     _failed_at_s: float = float('-inf')
 
-    async def wait(self, error: Exception, now_s: float) -> bool:
-        """Wait before the next open after ``error``; False to give up."""
-        delay_s = self.next_delay_s(error, now_s)
-        if delay_s is None:
-            log.error('event=replica_given_up error=%r', str(error))
-            return False
-        await asyncio.sleep(delay_s)
-        return True
+    async def wait(self, error: Exception, now_s: float) -> None:
+        """Wait before the next open after ``error``."""
+        await asyncio.sleep(self.next_delay_s(error, now_s))
 
-    def next_delay_s(self, error: Exception, now_s: float) -> float | None:
-        """Return the time to wait after ``error``, None to give up."""
+    def next_delay_s(self, error: Exception, now_s: float) -> float:
+        """Return the time to wait after ``error``."""
         if now_s - self._failed_at_s > WELL_AFTER_S:
-            self._delay_s = DISK_RETRY_MIN_S
-            self._error_count = 0
+            self._disk_delay_s = DISK_RETRY_MIN_S
+            self._error_delay_s = ERROR_RETRY_MIN_S
         self._failed_at_s = now_s
-        if not isinstance(error, OSError):
-            self._error_count += 1
-            if self._error_count > MAX_ERROR_RETRIES:
-                return None
-            return ERROR_RETRY_S
-        delay_s = self._delay_s
-        self._delay_s = min(2 * delay_s, DISK_RETRY_MAX_S)
+        if isinstance(error, OSError):
+            delay_s = self._disk_delay_s
+            self._disk_delay_s = min(2 * delay_s, DISK_RETRY_MAX_S)
+        else:
+            delay_s = self._error_delay_s
+            self._error_delay_s = min(2 * delay_s, ERROR_RETRY_MAX_S)
         return delay_s
--- a/src/kumquatrun/consensus/replica_status.py
+++ b/src/kumquatrun/consensus/replica_status.py
@@ -1,13 +1,15 @@
 """Read-only view of a running replica."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from kumquatrun.consensus.consensus_messages import Member
+from kumquatrun.consensus.quorum_changes import has_caught_up
 from kumquatrun.consensus.quorum_log import QuorumLog
 from kumquatrun.consensus.quorum_node import LogNode
 from kumquatrun.daemon.settings import ReplicaSettings
 from kumquatrun.errors import NotLeaderError
 from kumquatrun.peer import Address
+from kumquatrun.runtime.listeners import Listeners
 
 
 class ReplicaStatus:
@@ -25,7 +27,7 @@
         self.failure: Exception | None = None
         self._settings = settings
         self._node: LogNode | None = None
-        self._role_listeners: list[Callable[[], None]] = []
+        self._role_listeners = Listeners()
         self._seen_role: tuple = ()
 
     @property
@@ -109,9 +111,27 @@
             for replica_id, row in progress.items()
         }
 
+    def ready_learners(self) -> Sequence[str]:
+        """Return the learners that this leader may make voters."""
+        if not self.is_leader:
+            return ()
+        core = self._node.core
+        progress = core.require_leader().progress
+        return [
+            member.replica_id
+            for member in self.members
+            if not member.voter
+            and member.replica_id in progress
+            and has_caught_up(
+                core.entries,
+                progress[member.replica_id],
+                core.timing,
+            )
+        ]
+
     def on_role_change(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after each change of role, leader or term."""
-        self._role_listeners.append(listener)
+        self._role_listeners.add(listener)
 
     @property
     def _is_running(self) -> bool:
@@ -135,5 +155,4 @@
         seen = (election.role, self.leader_id, election.term)
         if seen != self._seen_role:
             self._seen_role = seen
-            for listener in self._role_listeners:
-                listener()
+            self._role_listeners.notify()
--- a/src/kumquatrun/control/control.py
+++ b/src/kumquatrun/control/control.py
@@ -51,6 +51,7 @@
 )
 from kumquatrun.peer.operator_messages import OperatorCall
 from kumquatrun.peer.request_messages import ClaimRequest, FinishClaim, Finished
+from kumquatrun.runtime.background import start_background
 from kumquatrun.runtime.clock import Clock
 
 log = logging.getLogger(__name__)
@@ -120,8 +121,8 @@
     async def start(self) -> None:
         """Start the background work of the leader."""
         self._tasks = [
-            asyncio.create_task(self._lead()),
-            asyncio.create_task(self._expire_hosts()),
+            start_background(self._lead),
+            start_background(self._expire_hosts),
         ]
 
     async def stop(self) -> None:
--- a/src/kumquatrun/gateway/roles/control.py
+++ b/src/kumquatrun/gateway/roles/control.py
@@ -12,6 +12,7 @@
 from kumquatrun.gateway.roles.settings import GatewayControlSettings
 from kumquatrun.membership.leader_client import LeaderClient
 from kumquatrun.peer.messages import Hello
+from kumquatrun.runtime.background import start_background
 from kumquatrun.runtime.clock import Clock
 
 
@@ -70,12 +71,13 @@
         """Start the replica and follow the platform's list while it leads."""
         await self._host.start()
         self._tasks = [
-            asyncio.create_task(self._keeper.run()),
-            asyncio.create_task(
-                self._listing.follow(lambda: self._host.service.serves),
-            ),
+            start_background(self._keeper.run),
+            start_background(self._follow_listing),
         ]
 
+    async def _follow_listing(self) -> None:
+        await self._listing.follow(lambda: self._host.service.serves)
+
     async def stop(self) -> None:
         """Stop the background work and the replica."""
         for task in self._tasks:
--- a/src/kumquatrun/gateway/roles/entry.py
+++ b/src/kumquatrun/gateway/roles/entry.py
@@ -46,6 +46,7 @@
 from kumquatrun.gateway.routing.wire_format import WireFormat
 from kumquatrun.membership.control_client import Session
 from kumquatrun.peer.messages import Hello
+from kumquatrun.runtime.background import start_background
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.logs import log_event
 
@@ -171,8 +172,8 @@
             backlog=1024,
         )
         self._tasks = [
-            asyncio.create_task(self._http.sweep()),
-            asyncio.create_task(self._listing.run()),
+            start_background(self._http.sweep),
+            start_background(self._listing.run),
         ]
 
     async def drain(self, timeout_s: float) -> None:
--- a/src/kumquatrun/membership/control_client.py
+++ b/src/kumquatrun/membership/control_client.py
@@ -31,7 +31,9 @@
     RenewLease,
 )
 from kumquatrun.peer.parts import PartCollector
+from kumquatrun.runtime.background import start_background
 from kumquatrun.runtime.clock import Clock
+from kumquatrun.runtime.listeners import Listeners
 
 log = logging.getLogger(__name__)
 
@@ -75,7 +77,7 @@
         )
         self._lease_ends_at_s = float('-inf')
         self._had_lease = False
-        self._listeners: list[Callable[[], None]] = []
+        self._listeners = Listeners()
         self._agent_source: Callable[[], AgentReport] | None = None
         self._budget_source: Callable[[], tuple[BudgetReport, ...]] | None = (
             None
@@ -107,7 +109,7 @@
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after each feed item and when the lease ends."""
-        self._listeners.append(listener)
+        self._listeners.add(listener)
 
     def report_agent(self, source: Callable[[], AgentReport]) -> None:
         """Set where renewals take the agent's soft state from."""
@@ -133,9 +135,9 @@
     async def start(self) -> None:
         """Register and keep the lease and the feed in the background."""
         self._tasks = [
-            asyncio.create_task(self._keep_lease()),
-            asyncio.create_task(self._follow_feed()),
-            asyncio.create_task(self._watch_lease()),
+            start_background(self._keep_lease),
+            start_background(self._follow_feed),
+            start_background(self._watch_lease),
         ]
 
     async def stop(self) -> None:
@@ -179,14 +181,14 @@
             self._record.host_id,
             self._record.fencing_number,
         )
-        self._notify()
+        self._listeners.notify()
 
     def _start_new_incarnation(self) -> None:
         self._record = replace(self._record, incarnation=uuid.uuid4().hex)
         self._lease_ends_at_s = float('-inf')
         self._budget_reports = ()
         self._sequence = 0
-        self._notify()
+        self._listeners.notify()
 
     async def _renew(self) -> None:
         if not self._budget_reports and self._budget_source is not None:
@@ -223,7 +225,7 @@
         if self.lease_valid() and not self._had_lease:
             self._had_lease = True
             log.info('event=lease_gained host_id=%s', self._record.host_id)
-            self._notify()
+            self._listeners.notify()
 
     async def _watch_lease(self) -> None:
         while True:
@@ -232,7 +234,7 @@
             if self._had_lease and not self.lease_valid():
                 self._had_lease = False
                 log.warning('event=lease_lost host_id=%s', self._record.host_id)
-                self._notify()
+                self._listeners.notify()
 
     async def _follow_feed(self) -> None:
         while True:
@@ -262,12 +264,7 @@
                 feed_item = _joined(received, parts)
                 if feed_item is not None:
                     self._view.apply(feed_item)
-                    self._notify()
-
-    def _notify(self) -> None:
-        for listener in self._listeners:
-            with suppress(KumquatrunError):
-                listener()
+                    self._listeners.notify()
 
 
 def _joined(
--- a/tests/test_membership_keeper.py
+++ b/tests/test_membership_keeper.py
@@ -6,11 +6,14 @@
 import pytest
 from tests.test_replica import Group, leader_of, wait_for
 
+from kumquatrun.consensus.consensus_messages import EntryKind
 from kumquatrun.consensus.membership_keeper import (
     EVEN_SILENT_LIMIT_S,
     MembershipKeeper,
 )
 from kumquatrun.consensus.memory_store import MemoryStorage
+from kumquatrun.consensus.quorum_follower import AppendResult
+from kumquatrun.consensus.quorum_membership import Membership
 from kumquatrun.runtime.clock import LoopClock
 
 # The platform counts a lost host for this long after its successor started.
@@ -137,3 +140,50 @@
         await leader.propose(b'x', 2)
         await asyncio.sleep(2)
         assert group.voters() == {'r0', 'r1', 'r2'}
+
+
+def lag_behind(replica):
+    """Have a learner answer the leader without the entry that records it."""
+    follower = replica._node.core._follower
+    accept = follower._accept_entries
+
+    def accept_some(request):
+        if any(
+            entry.kind is EntryKind.MEMBERS
+            and replica._settings.replica_id
+            in Membership.decode(entry.data).by_id
+            for entry in request.entries
+        ):
+            return AppendResult(success=False, match_index=request.prev_index)
+        return accept(request)
+
+    follower._accept_entries = accept_some
+
+
+@pytest.mark.looptime
+async def test_learner_that_lags_behind_keeps_no_silent_voter_in_the_group():
+    # Guards against a keeper that tries to promote a learner again and again
+    # and never removes the voter that is gone: the next loss leaves two of
+    # four.
+    async with KeptGroup() as group:
+        await group.join('r3')
+        await wait_for(lambda: len(group.voters()) == 4)
+        leader = await leader_of(group.network.values())
+        group.storages['r4'] = MemoryStorage()
+        lagging = group.build('r4')
+        lagging._settings = replace(
+            lagging._settings, join=True, listen=group.replicas[0][1]
+        )
+        await lagging.start()
+        lag_behind(lagging)
+        await wait_for(
+            lambda: any(row.replica_id == 'r4' for row in leader.members)
+        )
+        lost = next(
+            name
+            for name in group.network
+            if name not in {'r3', 'r4', leader.leader_id}
+        )
+        await group.lose(lost)
+        await asyncio.sleep(CATCH_UP_S)
+        assert group.voters() == {'r0', 'r1', 'r2', 'r3'} - {lost}
