Put a false no off until the newest configuration has arrived

Callers saw: after a loss of power, a host answered 404 as a version of seconds ago says, and sent requests on as it says. Since the feed sends no superseded version any more, a host rarely has one; but a whole configuration takes its time over a slow link, and a host may have been cut off before.

Leases name the configuration in force. An entry that starts counts as configured once it holds the version that the leader told it of; until then it answers 503. Later, a missing route or an unknown key is answered 503 with Retry-After while a newer configuration is on its way.

test_restarted_entry_acts_on_no_superseded_configuration and test_no_is_put_off_until_the_newest_configuration_is_here fail without it (503 expected, 200 and 404 seen; the stand-in of the session had no such property before).

--- a/src/kumquatrun/gateway/admission/admission.py
+++ b/src/kumquatrun/gateway/admission/admission.py
@@ -11,6 +11,7 @@
 from kumquatrun.errors import (
     ControlUnreachableError,
     InvalidKeyError,
+    KumquatrunError,
     RequestTooLargeError,
     RouteNotFoundError,
 )
@@ -36,6 +37,8 @@
 CONFIGURATION_WAIT_PART = 0.5
 # Longest time that a caller waits who does not say how long.
 DEFAULT_PATIENCE_MS = 60_000
+# A configuration that the leader told of arrives within some round trips.
+OUTDATED_RETRY_S = 0.2
 MAX_PRIORITY = 9
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 # Route priorities run from 0 to 2; an account's priority goes before them.
@@ -48,18 +51,25 @@
     def __init__(
         self,
         configuration: Callable[[], Configuration | None],
+        lacks_configuration: Callable[[], bool],
         allowances: Allowances,
         crashes: CrashWatch,
         check_stop: Callable[[float], None],
         rng: random.Random,
     ) -> None:
         self._configuration = configuration
+        self._lacks_configuration = lacks_configuration
         self._allowances = allowances
         self._crashes = crashes
         self._check_stop = check_stop
         self._rng = rng
         self._is_configured = asyncio.Event()
 
+    @property
+    def is_configured(self) -> bool:
+        """Return whether a configuration was in force that was the newest."""
+        return self._is_configured.is_set()
+
     def tell_configured(self) -> None:
         """Let requests go on that wait for the first configuration."""
         self._is_configured.set()
@@ -80,10 +90,12 @@
         """
         caller = report.caller
         configuration = await self._first_configuration(caller)
-        route = configuration.route_for(caller.host, caller.path)
-        if route is None:
-            raise RouteNotFoundError(f'no route for {caller.path!r}')
-        account = _account_of(configuration, route, caller)
+        try:
+            route = _route_of(configuration, caller)
+            account = _account_of(configuration, route, caller)
+        except (RouteNotFoundError, InvalidKeyError) as error:
+            self._check_newest(error)
+            raise
         patience_ms = min(
             caller.patience_ms or DEFAULT_PATIENCE_MS,
             route.timeout_ms,
@@ -118,10 +130,25 @@
             async with asyncio.timeout(limit_s):
                 await self._is_configured.wait()
         configuration = self._configuration()
-        if configuration is None:
+        if configuration is None or not self.is_configured:
             raise ControlUnreachableError('no configuration is known yet')
         return configuration
 
+    def _check_newest(self, refusal: KumquatrunError) -> None:
+        """Put off a refusal that a newer configuration may not want.
+
+        Raises
+        ------
+        ControlUnreachableError
+            If the leader has told of a newer configuration that has not
+            arrived yet.
+        """
+        if self._lacks_configuration():
+            raise ControlUnreachableError(
+                f'a newer configuration has not arrived yet: {refusal.detail}',
+                retry_after_s=OUTDATED_RETRY_S,
+            )
+
     def _choose_service(self, route: GatewayRoute) -> str:
         if len(route.targets) == 1:
             return route.targets[0].service
@@ -129,6 +156,16 @@
         return self._rng.choices(route.targets, weights)[0].service
 
 
+def _route_of(
+    configuration: Configuration,
+    caller: CallerRequest,
+) -> GatewayRoute:
+    route = configuration.route_for(caller.host, caller.path)
+    if route is None:
+        raise RouteNotFoundError(f'no route for {caller.path!r}')
+    return route
+
+
 def _account_of(
     configuration: Configuration,
     route: GatewayRoute,
--- a/src/kumquatrun/gateway/roles/entry.py
+++ b/src/kumquatrun/gateway/roles/entry.py
@@ -114,6 +114,7 @@
         self._crashes = CrashWatch(session, clock)
         self._admission = Admission(
             lambda: self._configuration,
+            lambda: session.lacks_configuration,
             self._allowances,
             self._crashes,
             self._planned_stop.check,
@@ -157,7 +158,7 @@
         """Return why this host takes no new connections, or an empty text."""
         if self._planned_stop.has_begun:
             return 'draining'
-        if self._configuration is None:
+        if not self._admission.is_configured:
             return 'no configuration'
         if self._listing.is_empty:
             return 'no list of backend servers'
@@ -245,7 +246,9 @@
                 error=str(error),
             )
             return
-        self._admission.tell_configured()
+        if not self._session.lacks_configuration:
+            # A host that was restarted acts on no superseded configuration.
+            self._admission.tell_configured()
         self._http.set_idle_timeout(
             self._configuration.limits.idle_timeout_ms / 1000,
         )
--- a/src/kumquatrun/membership/control_client.py
+++ b/src/kumquatrun/membership/control_client.py
@@ -86,6 +86,7 @@
         self._sequence = 0
         self._tasks: list[asyncio.Task] = []
         self._listing_version = ''
+        self._told_configuration = 0
         self._listing_sink: Callable[[bytes | None, float], None] | None = None
 
     @property
@@ -103,6 +104,11 @@
         """Return the connection to the leader."""
         return self._leader_client
 
+    @property
+    def lacks_configuration(self) -> bool:
+        """Return whether the leader has told of a newer configuration."""
+        return self._view.configuration_version < self._told_configuration
+
     def lease_valid(self) -> bool:
         """Return whether the lease is valid now."""
         return self._clock.now_s() < self._lease_ends_at_s
@@ -211,6 +217,10 @@
         self._budget_reports = ()
         self._view.update_reports(reply.agent_reports)
         self._take_listing(reply)
+        self._told_configuration = max(
+            self._told_configuration,
+            reply.configuration_version,
+        )
         self._extend_lease(sent_at_s + min(reply.duration_s, LEASE_S), reply)
 
     def _take_listing(self, reply: LeaseReply) -> None:
--- a/src/kumquatrun/peer/messages.py
+++ b/src/kumquatrun/peer/messages.py
@@ -13,7 +13,7 @@
 
 from kumquatrun.errors import Outcome, WireError
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 _registry: dict[str, type] = {}
 
--- a/tests/gateway_host.py
+++ b/tests/gateway_host.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 import random
-import zlib
 from contextlib import asynccontextmanager
 
 import aiohttp
@@ -11,6 +10,7 @@
 from tests.gateway_fakes import CONFIGURATION, configuration
 
 from kumquatrun.control.allowance_pool import AllowanceReply
+from kumquatrun.control.content_delta import encode_delta
 from kumquatrun.gateway.backends.backends import BackendRecord
 from kumquatrun.gateway.backends.listing_follower import (
     ListingFollower,
@@ -38,6 +38,7 @@
         self.calls = []
         # Holds back the answers to charges until it is set.
         self.charges_in = None
+        self.told_version = 0
         self.record = HostRecord(
             host_id='entry-1',
             incarnation='i',
@@ -47,6 +48,10 @@
             failure_domain='a',
         )
 
+    @property
+    def lacks_configuration(self):
+        return self.view.configuration_version < self.told_version
+
     def on_change(self, listener):
         self.listeners.append(listener)
 
@@ -61,7 +66,7 @@
     def configure(self, content):
         index = self.view.applied_index + 1
         version = json.loads(content)['version']
-        body = msgpack.packb([version, zlib.compress(content)])
+        body = msgpack.packb([version, 0, encode_delta(b'', content)])
         self.view.apply(
             FeedItem(index=index, kind='configuration', body=body),
         )
--- a/tests/test_gateway_entry.py
+++ b/tests/test_gateway_entry.py
@@ -1,6 +1,7 @@
 """Gateway entry over HTTP: routes, keys, failures and crash limits."""
 
 import asyncio
+import json
 
 import pytest
 from tests.gateway_fakes import (
@@ -25,6 +26,35 @@
         assert (await asked)[0] == 200
 
 
+async def test_restarted_entry_acts_on_no_superseded_configuration():
+    # Guards against routes, keys and missing routes of an old version after a
+    # restart, although the leader has told the entry of a newer one.
+    async with served(Runner([answer()])) as host:
+        host.session.told_version = 9
+        host.session.configure(one_service())
+        assert host.entry.not_ready_reason()
+        for path in ('/draft/a', '/added/a'):
+            assert (await host.answer(path))[0] == 503
+        routes = json.loads(one_service())['routes']
+        routes[0]['path_prefix'] = '/added/'
+        host.session.configure(configuration(version=9, routes=routes))
+        assert not host.entry.not_ready_reason()
+        assert (await host.answer('/added/a'))[0] == 200
+        assert (await host.answer('/draft/a'))[0] == 404
+
+
+async def test_no_is_put_off_until_the_newest_configuration_is_here():
+    # Guards against a false 404 or 401 while a change that adds the route or
+    # the key is on its way.
+    async with served(Runner([answer()]), content=one_service()) as host:
+        host.session.told_version = 9
+        async with host.ask('/added/a') as response:
+            assert response.status == 503
+            assert float(response.headers['Retry-After']) < 1
+        assert (await host.answer('/draft/a', key='key-9'))[0] == 503
+        assert (await host.answer('/draft/a'))[0] == 200
+
+
 async def test_entry_without_a_configuration_is_not_ready():
     # Guards against a new host that answers 404 for routes it does not know.
     async with served(Runner([answer()])) as host:
