Read configurations at a bounded rate, in one class for entry and agent

Callers saw: pauses in streams and late answers during a series of changes. Each host read each version, 73 ms of its loop for 3,000 routes, so that a series every 60 ms took all of its time and it fell behind.

ConfigurationFollower reads the newest version only, and after each read waits until reading has taken a fifth of the time. Entry and agent had the same code twice. Whether an entry lacks a configuration is decided by the version in force.

test_series_of_changes_takes_a_bounded_part_of_the_time guards the rate; the former code read all 50 versions of its series.

--- a/src/kumquatrun/gateway/roles/agent.py
+++ b/src/kumquatrun/gateway/roles/agent.py
@@ -3,11 +3,13 @@
 import asyncio
 import logging
 
-from kumquatrun.errors import DocumentError
 from kumquatrun.gateway.engine.engine_agent import EngineAgent
 from kumquatrun.gateway.engine.engine_api import OrderedEngine
+from kumquatrun.gateway.roles.configuration_follower import (
+    ConfigurationFollower,
+)
 from kumquatrun.gateway.roles.settings import GatewayAgentSettings
-from kumquatrun.gateway.routing.configuration import Configuration, EngineSpec
+from kumquatrun.gateway.routing.configuration import EngineSpec
 from kumquatrun.gateway.routing.wire_format import WireFormat
 from kumquatrun.membership.control_client import Session
 from kumquatrun.peer import PeerServer
@@ -36,9 +38,11 @@
     ) -> None:
         self._settings = settings
         self._session = session
-        self._wire = wire
-        self._clock = clock
-        self._configuration: Configuration | None = None
+        self._configuration = ConfigurationFollower(
+            session.view,
+            wire,
+            clock,
+        )
         self._engine_agent = EngineAgent(
             settings.host_id,
             engine,
@@ -56,7 +60,7 @@
             ),
             self._engine_agent,
         )
-        session.on_change(self._follow_session)
+        session.on_change(self._configuration.follow)
         session.report_agent(self._report)
 
     async def start(self) -> None:
@@ -79,32 +83,17 @@
 
     async def stop(self) -> None:
         """Stop listening."""
+        self._configuration.close()
         await self._server.stop()
         await self._engine_agent.stop()
 
     def _spec(self) -> EngineSpec | None:
-        if self._configuration is None:
+        configuration = self._configuration.configuration
+        if configuration is None:
             return None
-        service = self._configuration.service(self._settings.service)
+        service = configuration.service(self._settings.service)
         return service.engine if service else None
 
-    def _follow_session(self) -> None:
-        view = self._session.view
-        known = self._configuration.version if self._configuration else 0
-        if view.configuration_version > known:
-            try:
-                self._configuration = self._wire.read_configuration(
-                    view.configuration[1],
-                )
-            except DocumentError as error:
-                log_event(
-                    log,
-                    'configuration_unreadable',
-                    level=logging.ERROR,
-                    version=view.configuration_version,
-                    error=str(error),
-                )
-
     def _report(self) -> AgentReport:
         report = self._engine_agent.report
         record = self._session.record
--- a/src/kumquatrun/gateway/roles/entry.py
+++ b/src/kumquatrun/gateway/roles/entry.py
@@ -10,7 +10,6 @@
 from kumquatrun.entry.http_server import HttpServer
 from kumquatrun.errors import (
     BackendError,
-    DocumentError,
     KumquatrunError,
 )
 from kumquatrun.gateway.admission.admission import Admission
@@ -35,6 +34,9 @@
 from kumquatrun.gateway.placement.agent_calls import AgentCalls
 from kumquatrun.gateway.placement.balancer import Balancer, Place
 from kumquatrun.gateway.placement.reservations import Reservations
+from kumquatrun.gateway.roles.configuration_follower import (
+    ConfigurationFollower,
+)
 from kumquatrun.gateway.roles.planned_stop import (
     TAKE_NEW_S,
     OpenRequest,
@@ -92,7 +94,12 @@
         self._session = session
         self._wire = wire
         self._clock = clock
-        self._configuration: Configuration | None = None
+        self._configuration = ConfigurationFollower(
+            session.view,
+            wire,
+            clock,
+            self._put_in_force,
+        )
         self._planned_stop = PlannedStop(clock)
         self._has_stopped = False
         self._backends = BackendTable(
@@ -113,8 +120,8 @@
         )
         self._crashes = CrashWatch(session, clock)
         self._admission = Admission(
-            lambda: self._configuration,
-            lambda: session.lacks_configuration,
+            lambda: self._configuration.configuration,
+            self._lacks_configuration,
             self._allowances,
             self._crashes,
             self._planned_stop.check,
@@ -201,6 +208,7 @@
     async def stop(self) -> None:
         """Answer what can still be answered, and close all connections."""
         self._has_stopped = True
+        self._configuration.close()
         await self._planned_stop.end_all(CLOSE_S)
         for task in self._tasks:
             task.cancel()
@@ -230,34 +238,18 @@
 
     def _follow_session(self) -> None:
         self._retries.share_among(self._entry_count())
-        view = self._session.view
-        known = self._configuration.version if self._configuration else 0
-        if view.configuration_version <= known:
-            return
-        version, content = view.configuration
-        try:
-            self._configuration = self._wire.read_configuration(content)
-        except DocumentError as error:
-            log_event(
-                log,
-                'configuration_unreadable',
-                level=logging.ERROR,
-                version=version,
-                error=str(error),
-            )
-            return
-        if not self._session.lacks_configuration:
+        self._configuration.follow()
+
+    def _lacks_configuration(self) -> bool:
+        newest = self._session.newest_configuration_version
+        return self._configuration.version < newest
+
+    def _put_in_force(self, configuration: Configuration) -> None:
+        if not self._lacks_configuration():
             # A host that was restarted acts on no superseded configuration.
             self._admission.tell_configured()
         self._http.set_idle_timeout(
-            self._configuration.limits.idle_timeout_ms / 1000,
-        )
-        log_event(
-            log,
-            'configuration_in_force',
-            version=version,
-            routes=len(self._configuration.routes),
-            accounts=len(self._configuration.accounts),
+            configuration.limits.idle_timeout_ms / 1000,
         )
 
     # One request.
@@ -340,7 +332,7 @@
     ) -> None:
         now_s = self._clock.now_s()
         known = KnownState(
-            self._configuration.version if self._configuration else 0,
+            self._configuration.version,
             self._listing.age_s(now_s),
         )
         report.finish(now_s, known, problem, cut_by=cut_by)
--- a/src/kumquatrun/membership/control_client.py
+++ b/src/kumquatrun/membership/control_client.py
@@ -105,9 +105,9 @@
         return self._leader_client
 
     @property
-    def lacks_configuration(self) -> bool:
-        """Return whether the leader has told of a newer configuration."""
-        return self._view.configuration_version < self._told_configuration
+    def newest_configuration_version(self) -> int:
+        """Return the newest version that the leader has told of or sent."""
+        return max(self._view.configuration_version, self._told_configuration)
 
     def lease_valid(self) -> bool:
         """Return whether the lease is valid now."""
--- a/tests/gateway_host.py
+++ b/tests/gateway_host.py
@@ -49,8 +49,8 @@
         )
 
     @property
-    def lacks_configuration(self):
-        return self.view.configuration_version < self.told_version
+    def newest_configuration_version(self):
+        return max(self.view.configuration_version, self.told_version)
 
     def on_change(self, listener):
         self.listeners.append(listener)
--- /dev/null
+++ b/tests/test_configuration_follower.py
@@ -0,0 +1,89 @@
+"""How a host reads configurations that follow each other quickly."""
+
+import asyncio
+
+import pytest
+from tests.gateway_fakes import configuration
+
+from kumquatrun.gateway.roles.configuration_follower import (
+    READING_SHARE,
+    ConfigurationFollower,
+)
+from kumquatrun.platform.requests import PlatformFormat
+
+READ_S = 0.07
+
+
+class Host:
+    """Follower whose reads take ``READ_S`` of the time of its host."""
+
+    def __init__(self):
+        self.spent_s = 0.0
+        self.reads = []
+        self.configuration = (0, b'')
+        self.in_force = []
+        self.follower = ConfigurationFollower(
+            self, self, self, lambda row: self.in_force.append(row.version)
+        )
+
+    def now_s(self):
+        return asyncio.get_running_loop().time() + self.spent_s
+
+    def read_configuration(self, content):
+        self.spent_s += READ_S
+        self.reads.append(content)
+        return PlatformFormat().read_configuration(content)
+
+    def receive(self, version, content=None):
+        self.configuration = (
+            version,
+            content or configuration(version=version),
+        )
+        self.follower.follow()
+
+
+@pytest.mark.looptime
+async def test_series_of_changes_takes_a_bounded_part_of_the_time():
+    # Guards against a host that reads each of a series of large
+    # configurations, falls behind and answers nothing meanwhile.
+    host = Host()
+    for version in range(1, 51):
+        host.receive(version)
+        await asyncio.sleep(0.06)
+    await asyncio.sleep(1)
+    assert host.in_force[-1] == 50
+    assert host.in_force == sorted(set(host.in_force))
+    passed_s = asyncio.get_running_loop().time()
+    assert READ_S * len(host.reads) < READING_SHARE * passed_s * 1.3
+
+
+@pytest.mark.looptime
+async def test_single_change_is_in_force_at_once():
+    host = Host()
+    for version in (1, 2, 3):
+        host.receive(version)
+        assert host.in_force[-1] == version
+        await asyncio.sleep(1)
+
+
+@pytest.mark.looptime
+async def test_unreadable_configuration_is_read_once_and_replaced(caplog):
+    # Guards against a host that stays with what it cannot read.
+    host = Host()
+    host.receive(1)
+    await asyncio.sleep(1)
+    host.receive(2, b'{')
+    await asyncio.sleep(1)
+    host.follower.follow()
+    host.receive(3)
+    assert host.in_force == [1, 3]
+
+
+@pytest.mark.looptime
+async def test_closed_follower_reads_nothing_more():
+    host = Host()
+    host.receive(1)
+    host.receive(2)
+    host.follower.close()
+    await asyncio.sleep(2)
+    assert host.in_force == [1]
