--- a/src/kumquatrun/control/control_registers.py
+++ b/src/kumquatrun/control/control_registers.py
@@ -16,12 +16,9 @@
     ReportBudgets,
     RevokeKey,
 )
+from kumquatrun.control.configuration_commands import ConfigurationCommands
 from kumquatrun.control.configuration_register import (
     ConfigurationRegister,
-    ConfigurationReply,
-    NameAdapterVersion,
-    PutConfiguration,
-    PutConfigurationPart,
 )
 from kumquatrun.control.document_register import DocumentRegister
 from kumquatrun.control.hosts import HostRegister, host_fields, host_summary
@@ -52,8 +49,6 @@
 
 # Author of changes that follow from the passing of time.
 _CONTROL = 'control'
-# The platform's operator calls carry no name of a person.
-_OPERATOR = 'operator'
 
 
 class ControlRegisters:
@@ -83,9 +78,11 @@
             ApplyDocument: self._apply_document,
             IssueKey: self._issue_key,
             RevokeKey: self._revoke_key,
-            PutConfiguration: self._put_configuration,
-            PutConfigurationPart: self._put_configuration_part,
-            NameAdapterVersion: self._name_adapter_version,
+            **ConfigurationCommands(
+                self.configurations,
+                self.changes,
+                lambda: self.now_ms,
+            ).handlers,
         }
 
     def advance(self, elapsed_ms: int) -> None:
@@ -312,50 +309,3 @@
             account=after.account,
             revoked=after.revoked,
         )
-
-    # Routing configuration of gateways.
-
-    def _put_configuration(
-        self,
-        command: PutConfiguration,
-    ) -> ConfigurationReply:
-        before = self.configurations.version
-        if self.configurations.put(command):
-            self._configuration_changed(before)
-        return ConfigurationReply(version=self.configurations.version)
-
-    def _put_configuration_part(
-        self,
-        command: PutConfigurationPart,
-    ) -> ConfigurationReply:
-        before = self.configurations.version
-        reply = self.configurations.put_part(command)
-        if reply.version > before:
-            self._configuration_changed(before)
-        return reply
-
-    def _configuration_changed(self, before: int) -> None:
-        register = self.configurations
-        self.changes.add_row('configuration', register.history.row_for(before))
-        self.changes.record(
-            self.now_ms,
-            'put_configuration',
-            f'version {register.version}',
-            (f'version {before}', f'version {register.version}'),
-            _OPERATOR,
-        )
-
-    def _name_adapter_version(self, command: NameAdapterVersion) -> Ack:
-        register = self.configurations
-        name = (command.model, command.adapter)
-        before = register.adapter_versions.get(name, 0)
-        if register.name_version(command):
-            self.changes.add_row('adapter_version', [*name, command.version])
-            self.changes.record(
-                self.now_ms,
-                'name_adapter_version',
-                '/'.join(name),
-                (str(before), str(command.version)),
-                _OPERATOR,
-            )
-        return Ack()
