Let the leader's state check proposals and start read barriers

No change of behaviour: both decisions use only the state as the leader, which is in quorum_leader.py.

--- a/src/kumquatrun/consensus/quorum_leader.py
+++ b/src/kumquatrun/consensus/quorum_leader.py
@@ -13,11 +13,13 @@
 from kumquatrun.consensus.quorum_entries import EntryLog
 from kumquatrun.consensus.quorum_progress import ChunkTransfer, Progress
 from kumquatrun.consensus.quorum_types import (
+    Barrier,
     ChunkOrder,
     Envelope,
     Identity,
     Timing,
 )
+from kumquatrun.errors import NoCapacityError, NotLeaderError
 
 log = logging.getLogger(__name__)
 
@@ -187,6 +189,32 @@
         self._outbox.append(Envelope(successor, request))
         return True
 
+    def check_may_propose(self, now_s: float) -> None:
+        """Refuse proposals that would not be committed soon.
+
+        Raises
+        ------
+        NotLeaderError
+            If leadership is handed over.
+        NoCapacityError
+            If too many entries wait for a majority.
+        """
+        if now_s < self.hands_over_until_s:
+            raise NotLeaderError('another replica was asked to lead')
+        waiting = self._log.last_index + 1 - self._log.commit_index
+        if waiting > self._timing.max_uncommitted_entries:
+            raise NoCapacityError(
+                f'{waiting} entries wait for a majority of replicas',
+                cause='uncommitted_entries',
+            )
+
+    def start_barrier(self, now_s: float) -> Barrier:
+        """Start a heartbeat round that confirms leadership for a read."""
+        # The first entry of the term is applied after all that earlier
+        # leaders committed, which this leader may not know to be committed.
+        index = max(self._log.commit_index, self.first_index)
+        return Barrier(self.term, self.start_round(now_s), index)
+
     def confirmed_round(self) -> int:
         """Return the newest round that a majority acknowledged."""
         return self._majority_of('acked_round', self.round_number)
--- a/src/kumquatrun/consensus/quorum_log.py
+++ b/src/kumquatrun/consensus/quorum_log.py
@@ -41,7 +41,7 @@
     StoredState,
     Timing,
 )
-from kumquatrun.errors import NoCapacityError, NotLeaderError
+from kumquatrun.errors import NotLeaderError
 
 log = logging.getLogger(__name__)
 
@@ -165,15 +165,8 @@
             If too many entries wait for a majority.
         """
         leader = self.require_leader()
-        if now_s < leader.hands_over_until_s:
-            raise NotLeaderError('another replica was asked to lead')
+        leader.check_may_propose(now_s)
         first = self.entries.last_index + 1
-        waiting = first - self.entries.commit_index
-        if waiting > self.timing.max_uncommitted_entries:
-            raise NoCapacityError(
-                f'{waiting} entries wait for a majority of replicas',
-                cause='uncommitted_entries',
-            )
         self._append(EntryKind.COMMAND, commands)
         leader.replicate(now_s)
         return range(first, first + len(commands))
@@ -216,11 +209,7 @@
         NotLeaderError
             If this replica is not the leader.
         """
-        leader = self.require_leader()
-        # The first entry of the term is applied after all that earlier
-        # leaders committed, which this leader may not know to be committed.
-        index = max(self.entries.commit_index, leader.first_index)
-        return Barrier(self.term, leader.start_round(now_s), index)
+        return self.require_leader().start_barrier(now_s)
 
     def is_confirmed(self, barrier: Barrier) -> bool:
         """Return whether a majority confirmed the round of a barrier.
