--- a/tests/test_acknowledgement_bound.py
+++ b/tests/test_acknowledgement_bound.py
@@ -170,3 +170,68 @@
             group.network.silence_connections()
             await asyncio.sleep(3)
             assert await put_one(group, version, 2, order) < ACKNOWLEDGED_S
+
+
+def away(group, role):
+    """Return the host of a role: the leader or a follower in a region."""
+    if role == 'leader':
+        return group.leader()
+    return next(
+        (
+            host
+            for host in group.followers()
+            if group.network.regions[host] == role
+        ),
+        group.followers()[0],
+    )
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize('role', ['leader', 'near', 'far'])
+@pytest.mark.parametrize('delay_s', [0, 0.3, 0.8, 3])
+@pytest.mark.parametrize('first', range(3))
+async def test_change_is_acknowledged_with_one_host_cut_off(
+    monkeypatch, role, delay_s, first
+):
+    # Guards against a sum of waits above the bound: for the host that does
+    # not answer, for an election, and for what each host asked does meanwhile.
+    async with ControlGroup(monkeypatch, seed=first) as group:
+        order = orders(group.hosts)[first]
+        assert await put_one(group, 1, 400, order) < PATIENCE_S
+        group.network.cut_off.add(away(group, role))
+        await asyncio.sleep(delay_s)
+        assert await put_one(group, 2, 400, order) < ACKNOWLEDGED_S
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize('first', range(3))
+@pytest.mark.parametrize('role', ['leader', 'near', 'far'])
+async def test_change_is_acknowledged_with_silent_connections_and_a_host_away(
+    monkeypatch, role, first
+):
+    # Guards against waits for silent connections on top of those for a host
+    # that is cut off.
+    async with ControlGroup(monkeypatch, seed=first) as group:
+        order = orders(group.hosts)[first]
+        group.network.cut_off.add(away(group, role))
+        await asyncio.sleep(3)
+        group.network.silence_connections()
+        await asyncio.sleep(3)
+        assert await put_one(group, 2, 400, order) < ACKNOWLEDGED_S
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize('role', ['leader', 'near', 'far'])
+async def test_change_is_acknowledged_beside_a_host_that_starts_again(
+    monkeypatch, role
+):
+    # Guards against a host that starts with an empty disk and holds calls
+    # until it has joined.
+    async with ControlGroup(monkeypatch) as group:
+        assert await put_one(group, 1, 400, list(group.hosts)) < PATIENCE_S
+        host = away(group, role)
+        with group.network.on(host):
+            await group.hosts.pop(host).stop()
+        await group.start_host(host, join=True)
+        for version, order in enumerate(orders(group.hosts), 2):
+            assert await put_one(group, version, 400, order) < ACKNOWLEDGED_S
