End a planned stop although a caller left half a head on a connection

A stray byte or half a head kept a connection open, and with it the stop of an entry for all of its 7.6 s. A head that is not complete a second after its first byte now counts as none during the end of a stop; a request that arrives in parts within that second is still answered.

test_part_of_a_head_does_not_hold_up_a_stop: both cases run into their time limit before, and pass after.

--- a/src/kumquatrun/entry/http_server.py
+++ b/src/kumquatrun/entry/http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import uuid
 from collections.abc import Awaitable, Callable
 
@@ -53,12 +54,18 @@
         self.has_input = False
         self.is_surplus = False
         self.idle_since_s = self._loop.time()
+        self.input_since_s = self.idle_since_s
 
     @property
     def is_idle(self) -> bool:
         """Return whether no request has begun to arrive or is answered."""
         return not (self.is_busy or self.has_input or self.has_next_request)
 
+    def lacks_head(self, now_s: float, limit_s: float) -> bool:
+        """Return whether a head was begun so long ago and is not complete."""
+        is_begun = self.has_input and not (self.is_busy or self._messages)
+        return is_begun and now_s - self.input_since_s > limit_s
+
     @property
     def has_next_request(self) -> bool:
         """Return whether a request waits behind the one that is answered."""
@@ -67,7 +74,9 @@
     def data_received(self, data: bytes) -> None:
         """Take bytes of a request."""
         # Bytes that arrive while a request is handled belong to its body.
-        self.has_input = self.has_input or not self.is_busy
+        if not (self.is_busy or self.has_input):
+            self.has_input = True
+            self.input_since_s = self._loop.time()
         super().data_received(data)
 
     def begin_request(self) -> None:
@@ -172,10 +181,15 @@
             )
             transport.abort()
 
-    def close_idle(self) -> None:
-        """Close the connections that carry no request at the moment."""
+    def close_idle(self, head_limit_s: float = math.inf) -> None:
+        """Close the connections that carry no request at the moment.
+
+        The head of a request that takes longer than ``head_limit_s`` counts
+        as none.
+        """
+        now_s = self._loop.time()
         for connection, transport in list(self._connections.items()):
-            if connection.is_idle:
+            if connection.is_idle or connection.lacks_head(now_s, head_limit_s):
                 transport.close()
 
     async def sweep(self) -> None:
--- a/src/kumquatrun/gateway/roles/entry.py
+++ b/src/kumquatrun/gateway/roles/entry.py
@@ -57,6 +57,8 @@
 MAX_CONNECTIONS = 3000
 WRITE_TIMEOUT_S = 20.0
 DRAIN_CHECK_S = 0.05
+# A caller sends a head at once; a stray byte must not hold up a stop.
+STOP_HEAD_S = 1.0
 # aiohttp waits without a limit for 0.
 SHUTDOWN_S = 0.1
 # Longest time for requests to end: once with an answer, and once cut.
@@ -193,7 +195,7 @@
         self._planned_stop.refuse_all()
         self._server.close()
         while self._planned_stop.left_s() > 0:
-            self._http.close_idle()
+            self._http.close_idle(STOP_HEAD_S)
             if not self._http.connections:
                 return
             await asyncio.sleep(DRAIN_CHECK_S)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -264,6 +264,20 @@
         writer.close()
 
 
+@pytest.mark.parametrize('sent', [b'\r', b'POST /draft/a HTTP/1.1\r\nHost:'])
+async def test_part_of_a_head_does_not_hold_up_a_stop(monkeypatch, sent):
+    # Guards against a host that goes on for all of its time to stop, since a
+    # caller left a stray byte or half a head on its connection.
+    monkeypatch.setattr(entry_module, 'TAKE_NEW_S', 0.05)
+    async with served(Runner([answer()]), content=one_service()) as host:
+        _, writer = await asyncio.open_connection('127.0.0.1', host.port)
+        writer.write(sent)
+        await asyncio.sleep(0.1)
+        async with asyncio.timeout(entry_module.STOP_HEAD_S + 1):
+            await host.entry.drain(7.6)
+        writer.close()
+
+
 async def test_stream_that_began_before_sigterm_is_not_cut(monkeypatch):
     # Guards against an answer that ends in the middle because it lasts longer
     # than the stop of its host.
