Read a large configuration back, and send allowances once an upload

Found while reading the diff. A configuration above 8 MiB was acknowledged, but no host could read it back: the leader's answer did not fit a frame. A host now asks the leader which version is newest and answers with the content of its own replica, compressed content crosses only if the replica lags. The limits of the accounts came with each part of an upload; they are part of what is split now.

test_large_configuration_is_acknowledged_by_each_host reads from each host and fails without the change with 45,000 routes.

--- a/src/kumquatrun/control/configuration_register.py
+++ b/src/kumquatrun/control/configuration_register.py
@@ -6,10 +6,15 @@
 """
 
 import zlib
-from typing import Any
+from typing import Any, NamedTuple
+
+import msgpack
 
 from kumquatrun.control.configuration_history import ConfigurationHistory
-from kumquatrun.control.content_delta import apply_content_delta
+from kumquatrun.control.content_delta import (
+    apply_content_delta,
+    encode_delta,
+)
 from kumquatrun.errors import InvalidRequestError
 from kumquatrun.peer.messages import message
 from kumquatrun.peer.parts import PartCollector
@@ -47,9 +52,9 @@
     """Adds one part of a checked configuration.
 
     The parts of one upload, joined, turn version ``base_version`` into what
-    the operator sent (see ``content_delta``; the base of 0 is empty). The last
+    the operator sent, see ``encode_upload``; the base of 0 is empty. The last
     part to arrive puts the configuration into force if its version is the
-    highest; ``allowances`` come with each part.
+    highest.
     """
 
     version: int
@@ -58,7 +63,6 @@
     number: int
     count: int
     content: bytes
-    allowances: tuple[AccountAllowance, ...] = ()
 
 
 @message
@@ -72,22 +76,44 @@
 
 @message
 class ReadConfiguration:
-    """Asks the leader for the configuration in force."""
+    """Asks the leader for the configuration in force.
+
+    The reply has no content if the reader holds that version.
+    """
+
+    known_version: int = 0
 
 
 @message
 class ConfigurationReply:
-    """Returns the version in force, and its content to a reader.
+    """Returns the version in force, and its compressed content to a reader.
 
     ``base_changed`` says that an upload was complete, but that its base is
     not in force any more.
     """
 
     version: int
-    content: bytes = b''
+    compressed: bytes = b''
     base_changed: bool = False
 
 
+class StoredConfiguration(NamedTuple):
+    """A configuration as the operator sent it; a version of 0 is none."""
+
+    version: int
+    content: bytes
+
+
+def encode_upload(
+    base: bytes,
+    content: bytes,
+    allowances: tuple[AccountAllowance, ...],
+) -> bytes:
+    """Return what the parts of an upload carry."""
+    rows = _allowance_rows(allowances)
+    return msgpack.packb([encode_delta(base, content), rows])
+
+
 class ConfigurationRegister:
     """Configuration in force and the newest version of each named adapter.
 
@@ -133,22 +159,24 @@
         if command.version <= self.version:
             self._uploads.discard(key)
             return ConfigurationReply(version=self.version)
-        delta = self._uploads.add(
+        upload = self._uploads.add(
             key,
             command.number,
             command.count,
             command.content,
         )
-        if delta is None:
+        if upload is None:
             return ConfigurationReply(version=self.version)
         if command.base_version not in {0, self.version}:
             return ConfigurationReply(version=self.version, base_changed=True)
         base = self.content() if command.base_version else b''
         try:
+            delta, rows = msgpack.unpackb(upload)
             content = apply_content_delta(base, delta)
+            allowances = _allowances(rows)
         except (TypeError, ValueError) as error:
             raise InvalidRequestError(f'parts do not fit: {error}') from None
-        self._take(command.version, content, command.allowances)
+        self._take(command.version, content, allowances)
         return ConfigurationReply(version=self.version)
 
     def name_version(self, command: NameAdapterVersion) -> bool:
@@ -167,17 +195,13 @@
 
     def snapshot(self) -> Any:
         """Return the register as plain values for msgpack."""
-        allowances = [
-            [row.name, row.rate_tokens_per_s, row.burst_tokens]
-            for row in self.allowances
-        ]
         uploads = [
             [*key, number, part] for key, number, part in self._uploads.rows()
         ]
         return [
             self.version,
             zlib.compress(self.content()) if self.version else b'',
-            allowances,
+            _allowance_rows(self.allowances),
             self.adapter_rows(),
             uploads,
         ]
@@ -190,14 +214,7 @@
         self.history = ConfigurationHistory()
         if version:
             self.history.add(version, zlib.decompress(compressed))
-        self.allowances = tuple(
-            AccountAllowance(
-                name=name,
-                rate_tokens_per_s=rate_tokens_per_s,
-                burst_tokens=burst_tokens,
-            )
-            for name, rate_tokens_per_s, burst_tokens in allowances
-        )
+        self.allowances = _allowances(allowances)
         self.adapter_versions = {
             (model, adapter): version for model, adapter, version in versions
         }
@@ -222,3 +239,21 @@
         for version, upload_id, number, part in rows:
             # No restored upload is complete, whatever its number of parts.
             self._uploads.add((version, upload_id), number, 0, part)
+
+
+def _allowance_rows(allowances: tuple[AccountAllowance, ...]) -> list[list]:
+    return [
+        [row.name, row.rate_tokens_per_s, row.burst_tokens]
+        for row in allowances
+    ]
+
+
+def _allowances(rows: Any) -> tuple[AccountAllowance, ...]:
+    return tuple(
+        AccountAllowance(
+            name=name,
+            rate_tokens_per_s=rate_tokens_per_s,
+            burst_tokens=burst_tokens,
+        )
+        for name, rate_tokens_per_s, burst_tokens in rows
+    )
--- a/src/kumquatrun/control/control.py
+++ b/src/kumquatrun/control/control.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import zlib
 from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
 from typing import Any
@@ -299,7 +300,13 @@
         context: CallContext,
     ) -> ConfigurationReply:
         await self._replica.read_barrier(BARRIER_TIMEOUT_S)
-        return self._state.configuration()
+        stored = self._state.configuration()
+        if stored.version == request.known_version:
+            return ConfigurationReply(version=stored.version)
+        return ConfigurationReply(
+            version=stored.version,
+            compressed=zlib.compress(stored.content),
+        )
 
     async def _on_operator(
         self,
--- a/src/kumquatrun/control/control_state.py
+++ b/src/kumquatrun/control/control_state.py
@@ -13,7 +13,7 @@
 from kumquatrun.control.commands import decode_batch, encode_results
 from kumquatrun.control.configuration_register import (
     AccountAllowance,
-    ConfigurationReply,
+    StoredConfiguration,
 )
 from kumquatrun.control.control_registers import ControlRegisters
 from kumquatrun.control.hosts import Incarnation, host_fields
@@ -146,13 +146,10 @@
         """Return the bytes of the document in force."""
         return self._registers.documents.content()
 
-    def configuration(self) -> ConfigurationReply:
+    def configuration(self) -> StoredConfiguration:
         """Return the routing configuration in force."""
         register = self._registers.configurations
-        return ConfigurationReply(
-            version=register.version,
-            content=register.content(),
-        )
+        return StoredConfiguration(register.version, register.content())
 
     def configuration_row(self, known_version: int) -> list[Any]:
         """Return the feed row for a holder of a version, 0 for none."""
--- a/src/kumquatrun/gateway/roles/configuration_upload.py
+++ b/src/kumquatrun/gateway/roles/configuration_upload.py
@@ -8,8 +8,9 @@
     AccountAllowance,
     ConfigurationReply,
     PutConfigurationPart,
+    StoredConfiguration,
+    encode_upload,
 )
-from kumquatrun.control.content_delta import encode_delta
 from kumquatrun.errors import RevisionConflictError
 from kumquatrun.gateway.routing.configuration import Configuration
 from kumquatrun.membership.leader_client import LeaderClient
@@ -34,7 +35,7 @@
         """Return the version, 0 if there is none."""
         ...
 
-    def configuration(self) -> ConfigurationReply:
+    def configuration(self) -> StoredConfiguration:
         """Return version and content, a version of 0 if there is none."""
         ...
 
@@ -70,35 +71,32 @@
             If it is not known to be committed.
         """
         for number in range(MAX_DELTA_TRIES + MAX_WHOLE_TRIES):
-            held = self._held.configuration()
+            base = self._held.configuration()
             if number >= MAX_DELTA_TRIES:
-                held = ConfigurationReply(version=0)
-            reply = await self._send(configuration, content, held)
+                base = StoredConfiguration(0, b'')
+            reply = await self._send(configuration, content, base)
             if reply.version >= configuration.version:
                 return reply
-            await self._catch_up(reply.version)
+            await catch_up(self._held, reply.version)
         raise RevisionConflictError(
             f'other changes came between all parts of configuration '
             f'{configuration.version}',
         )
 
-    async def _catch_up(self, version: int) -> None:
-        """Wait a moment until the replica holds a version."""
-        for _ in range(CATCH_UP_CHECKS):
-            if self._held.configuration_version >= version:
-                return
-            await asyncio.sleep(CATCH_UP_CHECK_S)
-
     async def _send(
         self,
         configuration: Configuration,
         content: bytes,
-        base: ConfigurationReply,
+        base: StoredConfiguration,
     ) -> ConfigurationReply:
-        delta = encode_delta(base.content, content)
-        parts = split_parts(delta)
+        upload = encode_upload(
+            base.content,
+            content,
+            allowances_of(configuration),
+        )
+        parts = split_parts(upload)
         upload_id = blake2b(
-            delta,
+            upload,
             digest_size=UPLOAD_ID_BYTES,
             salt=base.version.to_bytes(8, 'big'),
         ).digest()
@@ -112,7 +110,6 @@
                     number=number,
                     count=len(parts),
                     content=part,
-                    allowances=allowances_of(configuration),
                 ),
                 PART_TIMEOUT_S,
             )
@@ -121,6 +118,15 @@
         return reply
 
 
+async def catch_up(held: HeldConfiguration, version: int) -> bool:
+    """Wait a moment until the replica holds a version; False if it does not."""
+    for _ in range(CATCH_UP_CHECKS):
+        if held.configuration_version >= version:
+            return True
+        await asyncio.sleep(CATCH_UP_CHECK_S)
+    return False
+
+
 def allowances_of(
     configuration: Configuration,
 ) -> tuple[AccountAllowance, ...]:
--- a/src/kumquatrun/gateway/roles/operator_gate.py
+++ b/src/kumquatrun/gateway/roles/operator_gate.py
@@ -1,5 +1,6 @@
 """Changes and reads of the configuration, from any control host."""
 
+import zlib
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
@@ -12,6 +13,7 @@
 from kumquatrun.gateway.roles.configuration_upload import (
     ConfigurationUpload,
     HeldConfiguration,
+    catch_up,
 )
 from kumquatrun.gateway.routing.configuration import Configuration
 from kumquatrun.membership.leader_client import LeaderClient
@@ -76,13 +78,22 @@
         ControlUnreachableError
             If no leader can be sure, or none was accepted yet.
         """
-        reply: ConfigurationReply = await self._leader.call(
-            ReadConfiguration(),
-            READ_TIMEOUT_S,
+        committed = self._committed
+        request = ReadConfiguration(
+            known_version=committed.configuration_version,
         )
+        reply = await self._read(request)
         if not reply.version:
             raise ControlUnreachableError('no configuration was accepted yet')
-        return reply.content
+        # The content rarely has to cross the link between the regions.
+        if await catch_up(committed, reply.version):
+            return committed.configuration().content
+        if not reply.compressed:
+            reply = await self._read(ReadConfiguration())
+        return zlib.decompress(reply.compressed)
+
+    async def _read(self, request: ReadConfiguration) -> ConfigurationReply:
+        return await self._leader.call(request, READ_TIMEOUT_S)
 
     async def name_version(self, command: NameAdapterVersion) -> None:
         """Commit a new adapter version.
--- a/tests/test_acknowledgement_bound.py
+++ b/tests/test_acknowledgement_bound.py
@@ -104,11 +104,15 @@
     monkeypatch, routes
 ):
     # Guards against a configuration that no frame and no log entry can hold,
-    # and whose transfer the receiver takes for silence.
+    # whose transfer the receiver takes for silence, or that no host can read.
     async with ControlGroup(monkeypatch) as group:
         for version, order in enumerate(orders(group.hosts), 1):
             taken_s = await put_one(group, version, routes, order)
             assert taken_s < bound_s(routes)
+        newest = large_configuration(version, routes)
+        for host, control in group.hosts.items():
+            with group.network.on(host):
+                assert await control.gate.read() == newest
 
 
 @pytest.mark.looptime
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -190,6 +190,7 @@
     learners: str = ''
     silent: str = ''
     away: str = ''
+    lagging: str = ''
     changes: list = field(default_factory=list)
 
     @property
@@ -204,6 +205,9 @@
             for name in self.voters + self.learners
         ]
 
+    def ready_learners(self):
+        return [name for name in self.learners if name not in self.lagging]
+
     def silence_s(self, now_s):
         names = self.voters + self.learners
         return {
@@ -234,6 +238,9 @@
         (Group('abcd', away='c'), ('remove', 'c')),
         (Group('abcde', away='c'), None),
         (Group('abcdef', away='c'), ('remove', 'c')),
+        (Group('abc', learners='d', lagging='d'), None),
+        (Group('abc', learners='de', lagging='d'), ('promote', 'e')),
+        (Group('abcd', learners='e', lagging='e', silent='c'), ('remove', 'c')),
     ],
 )
 def test_group_is_kept_complete(group, change):
