Log how long a confirmation took, and what was sent for it

A confirmation now says how long it took and how much of it was reading; a line for each try says base, size and parts of what was sent and whether another change came between; a silent leader is named. The histogram change_confirmation_seconds counts from call to confirmation.

--- a/src/kumquatrun/gateway/roles/configuration_upload.py
+++ b/src/kumquatrun/gateway/roles/configuration_upload.py
@@ -1,6 +1,7 @@
 """Sends a checked configuration to the control leader in parts."""
 
 import asyncio
+import logging
 from hashlib import blake2b
 from typing import Protocol
 
@@ -15,6 +16,9 @@
 from kumquatrun.gateway.routing.configuration import Configuration
 from kumquatrun.membership.leader_client import LeaderClient
 from kumquatrun.peer.parts import split_parts
+from kumquatrun.runtime.logs import log_event
+
+log = logging.getLogger(__name__)
 
 # A part is small, so that an election and some round trips fit.
 PART_TIMEOUT_S = 3.0
@@ -115,6 +119,16 @@
             )
             if reply.base_changed or reply.version >= configuration.version:
                 break
+        log_event(
+            log,
+            'configuration_sent',
+            version=configuration.version,
+            base_version=base.version,
+            size_bytes=len(upload),
+            parts=len(parts),
+            base_changed=reply.base_changed,
+            in_force=reply.version,
+        )
         return reply
 
 
--- a/src/kumquatrun/membership/leader_client.py
+++ b/src/kumquatrun/membership/leader_client.py
@@ -1,6 +1,7 @@
 """Calls to the control leader, wherever it is."""
 
 import asyncio
+import logging
 import random
 from collections.abc import Callable
 from contextlib import suppress
@@ -18,6 +19,9 @@
 from kumquatrun.peer import Address, PeerClient
 from kumquatrun.peer.messages import Hello
 from kumquatrun.runtime.clock import Clock
+from kumquatrun.runtime.logs import log_event
+
+log = logging.getLogger(__name__)
 
 RETRY_DELAY_S = 0.05
 # A leader that went silent must be given up early enough to find its
@@ -190,6 +194,13 @@
                 task.cancel()
             await asyncio.gather(*waiting, return_exceptions=True)
         if silent.done() and not silent.cancelled():
+            log_event(
+                log,
+                'leader_silent',
+                address=leader.address,
+                silence_s=silence_limit_s,
+                request=type(request).__name__,
+            )
             self._replace_connection(leader)
             raise DeadlineExceededError(
                 f'nothing heard from {leader.address} in {silence_limit_s} s',
--- a/src/kumquatrun/platform/daemons.py
+++ b/src/kumquatrun/platform/daemons.py
@@ -181,7 +181,7 @@
         ),
         SettingsWatcher(file, control.leader.set_addresses),
         control,
-        OperatorApi(control.gate, settings.operator_listen),
+        OperatorApi(control.gate, settings.operator_listen, clock),
     ]
     return Daemon(settings, parts)
 
--- a/src/kumquatrun/platform/operator.py
+++ b/src/kumquatrun/platform/operator.py
@@ -11,7 +11,9 @@
 from kumquatrun.peer.address import Address
 from kumquatrun.platform import decoding
 from kumquatrun.platform.configuration import decode_configuration
+from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.logs import log_event
+from kumquatrun.runtime.metrics import process_metrics
 
 log = logging.getLogger(__name__)
 
@@ -22,6 +24,7 @@
 # Callers give up sooner, also with large bodies.
 BODY_TIMEOUT_S = 5.0
 BAD_REQUEST = 400
+TIME_METRIC = 'change_confirmation_seconds'
 UNAVAILABLE = 503
 # Open calls are answered before the stop goes on. aiohttp waits up to twice
 # this long, which leaves time to stop the replica before the platform kills
@@ -32,8 +35,14 @@
 class OperatorApi:
     """Serves the operator on one address."""
 
-    def __init__(self, gate: OperatorGate, listen: Address) -> None:
+    def __init__(
+        self,
+        gate: OperatorGate,
+        listen: Address,
+        clock: Clock,
+    ) -> None:
         self._gate = gate
+        self._clock = clock
         self._listen = listen
         self._runner: web.AppRunner | None = None
 
@@ -62,21 +71,28 @@
             await self._runner.cleanup()
 
     async def _put(self, request: web.Request) -> web.Response:
+        began_s = self._clock.now_s()
         content = await _read_body(request)
         try:
             configuration = decode_configuration(content)
         except DocumentError as error:
             log_event(log, 'configuration_refused', reason=error.detail)
             return web.Response(status=BAD_REQUEST, text=f'{error}\n')
+        read_s = self._clock.now_s() - began_s
         try:
             version = await self._gate.put(configuration, content)
         except KumquatrunError as error:
             return _unavailable('configuration_not_committed', error)
+        took_s = self._clock.now_s() - began_s
+        process_metrics().observe(TIME_METRIC, took_s, change='configuration')
         log_event(
             log,
             'configuration_confirmed',
             version=configuration.version,
             in_force=version,
+            routes=len(configuration.routes),
+            read_ms=round(1000 * read_s),
+            took_ms=round(1000 * took_s),
         )
         return web.json_response({'version': version})
 
@@ -88,6 +104,7 @@
         return web.Response(body=content, content_type='application/json')
 
     async def _name_version(self, request: web.Request) -> web.Response:
+        began_s = self._clock.now_s()
         try:
             fields = decoding.parse_object(await _read_body(request))
             command = NameAdapterVersion(
@@ -101,11 +118,14 @@
             await self._gate.name_version(command)
         except KumquatrunError as error:
             return _unavailable('adapter_version_not_committed', error)
+        took_s = self._clock.now_s() - began_s
+        process_metrics().observe(TIME_METRIC, took_s, change='adapter_version')
         log_event(
             log,
             'adapter_version_confirmed',
             adapter=command.adapter,
             version=command.version,
+            took_ms=round(1000 * took_s),
         )
         return web.json_response({})
 
--- a/src/kumquatrun/runtime/metrics.py
+++ b/src/kumquatrun/runtime/metrics.py
@@ -154,6 +154,13 @@
         Gauge,
         '1 while the control replica leads, else 0.',
     ),
+    Metric(
+        'change_confirmation_seconds',
+        Histogram,
+        'Time from an operator call to its confirmation at the control host '
+        'that was asked.',
+        ('change',),
+    ),
     Metric(
         'log_sync_seconds',
         Histogram,
--- a/tests/test_operator_limits.py
+++ b/tests/test_operator_limits.py
@@ -8,6 +8,7 @@
 from kumquatrun.peer.address import Address
 from kumquatrun.platform import operator as operator_module
 from kumquatrun.platform.operator import OperatorApi
+from kumquatrun.runtime.clock import LoopClock
 
 BEGIN = b'POST /Config.Put HTTP/1.1\r\nHost: h\r\n'
 CHUNKED = BEGIN + b'Transfer-Encoding: chunked\r\n\r\n'
@@ -26,7 +27,7 @@
     with socket.socket() as opened:
         opened.bind(('127.0.0.1', 0))
         address = Address(*opened.getsockname())
-    api = OperatorApi(NoGate(), address)
+    api = OperatorApi(NoGate(), address, LoopClock())
     await api.start()
     yield address
     await api.stop()
--- a/tests/test_platform_operator.py
+++ b/tests/test_platform_operator.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 import random
 import socket
 from contextlib import asynccontextmanager
@@ -68,6 +69,7 @@
     api = OperatorApi(
         OperatorGate(leader, state or ControlState()),
         Address('127.0.0.1', port),
+        LoopClock(),
     )
     await api.start()
     async with aiohttp.ClientSession() as http:
@@ -83,6 +85,25 @@
         assert await operator.read() == (200, content)
 
 
+async def test_confirmation_says_how_long_each_part_of_it_took(caplog):
+    # Guards against late acknowledgements whose cause no log line tells.
+    caplog.set_level(logging.INFO)
+    async with control_cluster() as cluster, operator_of(cluster) as operator:
+        assert await operator.put(configuration(version=3)) == 200
+    rows = [getattr(row, 'event_fields', {}) for row in caplog.records]
+    lines = {row.get('event'): row for row in rows}
+    sent = lines['configuration_sent']
+    assert (sent['version'], sent['base_version']) == (3, 0)
+    assert (sent['parts'], sent['base_changed'], sent['in_force']) == (
+        1,
+        False,
+        3,
+    )
+    confirmed = lines['configuration_confirmed']
+    assert (confirmed['version'], confirmed['routes']) == (3, 2)
+    assert 0 <= confirmed['read_ms'] <= confirmed['took_ms'] < 1000
+
+
 async def test_accepted_configuration_is_never_refused_and_never_reverted():
     # Guards against a resent change that is refused, and against other
     # content under a version that is held.
@@ -247,7 +268,7 @@
 @asynccontextmanager
 async def api_of(gate):
     port = free_port()
-    api = OperatorApi(gate, Address('127.0.0.1', port))
+    api = OperatorApi(gate, Address('127.0.0.1', port), LoopClock())
     await api.start()
     async with aiohttp.ClientSession() as http:
         yield api, Operator(port, http, None)
