--- a/tests/control_group.py
+++ b/tests/control_group.py
@@ -71,9 +71,13 @@
 
 
 class ControlGroup:
-    """Three control hosts, one of them in another region."""
+    """Three control hosts, one of them in another region.
 
-    def __init__(self, monkeypatch, seed=1, **network):
+    With a folder they keep their logs on disks.
+    """
+
+    def __init__(self, monkeypatch, seed=1, folder=None, **network):
+        self.folder = folder
         self.network = SimulatedNetwork(dict(REGIONS), **network)
         self.network.install(monkeypatch)
         self.rng = random.Random(seed)
@@ -105,7 +109,7 @@
             operator_listen=Address(host, 8229),
             replica=ReplicaSettings(
                 replica_id=host,
-                data_dir='',
+                data_dir=str(self.folder / host) if self.folder else '',
                 listen=Address(host, PORT),
                 replicas=tuple((row.host, row) for row in self.seeds),
                 **replica,
@@ -119,6 +123,15 @@
             await control.start()
         self.hosts[host] = control
 
+    async def restart_all(self):
+        """Let all control hosts lose power, and start them again."""
+        for host in self.hosts:
+            self.network.reset_host(host)
+        for control in self.hosts.values():
+            await control.stop()
+        for host in list(self.hosts):
+            await self.start_host(host)
+
     async def join(self, host, region, role='entry'):
         """Start the session of a node that follows the feed."""
         self.network.regions[host] = region
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -10,6 +10,8 @@
 from kumquatrun.peer.node_messages import FeedItem
 
 ROUTES = 400
+# Time in which the platform wants a change to be in force.
+IN_FORCE_S = 2.5
 # Compressed, a configuration of so many routes takes 9 KB.
 WHOLE_BYTES = 16 * 1024
 # A change of three routes, with what the connection itself costs.
@@ -81,6 +83,37 @@
         )
 
 
+@pytest.mark.looptime
+@pytest.mark.parametrize('routes', [400, 3000])
+async def test_restarted_hosts_act_on_the_newest_version_only(
+    monkeypatch, tmp_path, routes
+):
+    # Guards against hosts that reach the newest version seconds after a loss
+    # of power, and act on superseded ones until then.
+    async with ControlGroup(monkeypatch, folder=tmp_path) as group:
+        hosts = list(group.hosts)
+        for version in range(1, 41):
+            content = large_configuration(version, routes, changed=version)
+            await group.operate(content, hosts)
+        await group.restart_all()
+        restarted_s = asyncio.get_running_loop().time()
+        seen = set()
+        for number in range(14):
+            region = 'near' if number < 9 else 'far'
+            session = await group.join(f'10.9.0.{number}', region)
+            session.on_change(
+                lambda view=session.view: seen.add(view.configuration_version)
+            )
+        async with asyncio.timeout(60):
+            while any(  # noqa: ASYNC110  # polls several views
+                session.view.configuration_version < 40
+                for session in group.sessions.values()
+            ):
+                await asyncio.sleep(0.01)
+        assert asyncio.get_running_loop().time() - restarted_s < IN_FORCE_S
+        assert seen <= {0, 40}
+
+
 def item(index, kind, body):
     return FeedItem(index=index, kind=kind, body=msgpack.packb(body))
 
