Leave a group with a spare voter before a planned stop

What callers saw: a valid change without an acknowledgement for as long as a second host stayed away, although two of three control hosts ran and were connected; with a second host that was replaced or lost its disk, for ever.

Cause: a planned replacement starts the new host first, so the group has four voters when the old one is stopped for good. Its silence was noticed after 2.5 s. A host that is lost meanwhile leaves two of four voters, which elect no leader and commit nothing, and nobody is left who could remove the old voter.

Change: a control host that stops asks the leader to remove it when the group has more voters than it needs and an even number of them, and stops once the removal is committed, a second later at most. A host that starts again joins again. A removal from an even group costs no tolerance: four voters bear the loss of one, as three do.

Ruled out: a shorter limit of silence. It leaves the window open when the leader itself is the host that is lost. Ruled out by reading: a rejection that names an index below the acknowledged one cannot hold up a follower, since its log has no conflicting tail after the first match.

--- a/src/kumquatrun/consensus/consensus_messages.py
+++ b/src/kumquatrun/consensus/consensus_messages.py
@@ -178,11 +178,27 @@
     leader_address: str = ''
 
 
+@message
+class LeaveRequest:
+    """Asks the leader to remove a voter that is about to stop."""
+
+    sender: str
+    disk_id: str
+
+
+@message
+class LeaveReply:
+    """Tells whether the sender of the request is a voter no more."""
+
+    accepted: bool
+
+
 CONSENSUS_REQUESTS = (
     AppendRequest,
     FormationState,
     HandOver,
     JoinRequest,
+    LeaveRequest,
     SnapshotChunk,
     VoteRequest,
 )
--- a/src/kumquatrun/consensus/membership_keeper.py
+++ b/src/kumquatrun/consensus/membership_keeper.py
@@ -59,6 +59,17 @@
             if change is not None:
                 await self._apply(change)
 
+    async def leave(self, timeout_s: float) -> None:
+        """Leave the group before a planned stop if it has a spare voter.
+
+        The platform removes a host with a planned stop after its successor
+        has started. A voter that is gone would keep the group from bearing
+        the next loss until its silence is noticed.
+        """
+        voters = [row for row in self._replica.members if row.voter]
+        if len(voters) > self._least_voters:
+            await self._replica.leave(timeout_s)
+
     def next_change(self) -> MembershipChange | None:
         """Return the change to make now, None if the group is complete."""
         silence_s = self._replica.silence_s(self._clock.now_s())
--- a/src/kumquatrun/consensus/quorum_log.py
+++ b/src/kumquatrun/consensus/quorum_log.py
@@ -16,6 +16,8 @@
     HandOver,
     JoinReply,
     JoinRequest,
+    LeaveReply,
+    LeaveRequest,
     LogEntry,
     Member,
     SnapshotChunk,
@@ -105,6 +107,7 @@
             SnapshotChunk: self._follower.on_snapshot_chunk,
             SnapshotReply: self._on_snapshot_reply,
             JoinRequest: self._on_join_request,
+            LeaveRequest: self._on_leave_request,
             HandOver: self.election.on_hand_over,
         }
         self._update_leadership(now_s)
@@ -296,6 +299,27 @@
             leader_address=member.address if member else '',
         )
 
+    def _on_leave_request(
+        self,
+        request: LeaveRequest,
+        now_s: float,
+    ) -> LeaveReply:
+        """Remove a voter that stops from a group that can spare it.
+
+        The reply accepts once the removal is committed.
+        """
+        leader = self.leadership
+        if leader is None or not self._change_is_allowed(leader):
+            return LeaveReply(accepted=False)
+        if not self.membership.is_voter(request.sender, request.disk_id):
+            return LeaveReply(accepted=True)
+        if self.membership.has_spare_voter:
+            self._append_membership(
+                self.membership.without(request.sender),
+                now_s,
+            )
+        return LeaveReply(accepted=False)
+
     def _update_leadership(self, now_s: float) -> None:
         """Match leadership and progress with the role and the membership."""
         self.election.follow_membership(now_s)
--- a/src/kumquatrun/consensus/quorum_membership.py
+++ b/src/kumquatrun/consensus/quorum_membership.py
@@ -44,6 +44,11 @@
         """Return the number of voters that form a majority."""
         return len(self.voters) // 2 + 1
 
+    @property
+    def has_spare_voter(self) -> bool:
+        """Return whether a voter less bears the loss of as many voters."""
+        return bool(self.voters) and len(self.voters) % 2 == 0
+
     def is_voter(self, replica_id: str, disk_id: str) -> bool:
         """Return whether this disk of this replica may vote."""
         return self.voters.get(replica_id) == disk_id
--- a/src/kumquatrun/consensus/quorum_node.py
+++ b/src/kumquatrun/consensus/quorum_node.py
@@ -16,6 +16,8 @@
     FormationState,
     JoinReply,
     JoinRequest,
+    LeaveReply,
+    LeaveRequest,
     SnapshotChunk,
 )
 from kumquatrun.consensus.group_formation import FormationStep, GroupFormation
@@ -83,6 +85,8 @@
         Index of the last entry that the state machine has applied.
     leader_addresses
         Addresses of leaders that other replicas named, by replica id.
+    has_left
+        Whether the leader has removed this replica as it asked for.
     """
 
     core_type = QuorumLog
@@ -124,6 +128,7 @@
             options.snapshot_bytes,
         )
         self.leader_addresses: dict[str, str] = {}
+        self.has_left = False
         self._formation_due_s = now_s
         self._leader_known_s = now_s
         self._formation_messages: list[Envelope] = []
@@ -143,6 +148,9 @@
                 # The leader may not be among the initial members.
                 self.leader_addresses[msg.leader_id] = msg.leader_address
             return None
+        if isinstance(msg, LeaveReply):
+            self.has_left |= msg.accepted
+            return None
         if isinstance(msg, FormationState):
             self._formation.record(msg)
             self._advance_formation(now_s)
@@ -156,6 +164,14 @@
             return self.core.next_due_s
         return min(self.core.next_due_s, self._formation_due_s)
 
+    def leave_request(self) -> Envelope:
+        """Return the request to the leader to remove this replica."""
+        request = LeaveRequest(
+            sender=self._settings.replica_id,
+            disk_id=self.disk_id,
+        )
+        return Envelope(self.core.election.leader_id, request)
+
     def tick(self, now_s: float) -> None:
         """Process the passage of time."""
         if self.core.election.leader_id:
--- a/src/kumquatrun/consensus/replica.py
+++ b/src/kumquatrun/consensus/replica.py
@@ -34,6 +34,7 @@
 
 # A few round trips between the regions.
 HAND_OVER_RETRY_S = 0.05
+LEAVE_RETRY_S = 0.05
 # An entry must fit into a peer frame of 8 MiB together with others.
 MAX_COMMAND_BYTES = 4 * 1024 * 1024
 
@@ -125,6 +126,25 @@
             self.term,
         )
 
+    async def leave(self, timeout_s: float) -> None:
+        """Leave the group before a stop, if the group has a spare voter.
+
+        Returns when the removal is committed, or after ``timeout_s``.
+        """
+        deadline_s = self._clock.now_s() + timeout_s
+        while self._may_leave() and self._clock.now_s() < deadline_s:
+            self._send((self._node.leave_request(),))
+            await asyncio.sleep(LEAVE_RETRY_S)
+        if self._is_running and self._node.has_left:
+            log.info('event=group_left leader=%s', self.leader_id)
+
+    def _may_leave(self) -> bool:
+        if not self._is_running or self._node.has_left:
+            return False
+        membership = self._node.core.membership
+        is_voter = membership.is_voter(self._settings.replica_id, self.disk_id)
+        return is_voter and membership.has_spare_voter and not self.is_leader
+
     async def handle(self, request: Any, context: Any) -> Any:
         """Answer a consensus message; mountable into a ``PeerServer``.
 
--- a/src/kumquatrun/control/control_host.py
+++ b/src/kumquatrun/control/control_host.py
@@ -113,14 +113,14 @@
         await self.service.start()
         self.address = await self._server.start(self._listen)
 
-    async def stop(self, *, hands_over: bool = True) -> None:
-        """Stop listening and leave the group without a membership change.
+    async def hand_over(self) -> None:
+        """Let another replica lead, so that no change waits for an election."""
+        await self.replica.hand_over(HAND_OVER_LIMIT_S)
 
-        A leader first hands over to another replica, so that no change has to
-        wait for an election.
-        """
+    async def stop(self, *, hands_over: bool = True) -> None:
+        """Stop listening and the replica, without a membership change."""
         if hands_over:
-            await self.replica.hand_over(HAND_OVER_LIMIT_S)
+            await self.hand_over()
         await self._server.stop()
         await self.service.stop()
         await self.replica.stop()
--- a/src/kumquatrun/gateway/roles/control.py
+++ b/src/kumquatrun/gateway/roles/control.py
@@ -15,6 +15,9 @@
 from kumquatrun.runtime.background import start_background
 from kumquatrun.runtime.clock import Clock
 
+# A few round trips and syncs; the platform's time to stop is 8 s.
+LEAVE_LIMIT_S = 1.0
+
 
 class GatewayControl:
     """Runs one control replica with its background work.
@@ -79,9 +82,11 @@
         await self._listing.follow(lambda: self._host.service.serves)
 
     async def stop(self) -> None:
-        """Stop the background work and the replica."""
+        """Hand over, leave a group that is complete without it, and stop."""
+        await self._host.hand_over()
+        await self._keeper.leave(LEAVE_LIMIT_S)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.leader.close()
-        await self._host.stop()
+        await self._host.stop(hands_over=False)
--- a/src/kumquatrun/platform/operator.py
+++ b/src/kumquatrun/platform/operator.py
@@ -82,7 +82,12 @@
         try:
             version = await self._gate.put(configuration, content)
         except KumquatrunError as error:
-            return _unavailable('configuration_not_committed', error)
+            return self._not_confirmed(
+                'configuration_not_committed',
+                error,
+                began_s,
+                version=configuration.version,
+            )
         took_s = self._clock.now_s() - began_s
         process_metrics().observe(TIME_METRIC, took_s, change='configuration')
         log_event(
@@ -117,7 +122,13 @@
         try:
             await self._gate.name_version(command)
         except KumquatrunError as error:
-            return _unavailable('adapter_version_not_committed', error)
+            return self._not_confirmed(
+                'adapter_version_not_committed',
+                error,
+                began_s,
+                adapter=command.adapter,
+                version=command.version,
+            )
         took_s = self._clock.now_s() - began_s
         process_metrics().observe(TIME_METRIC, took_s, change='adapter_version')
         log_event(
@@ -129,6 +140,17 @@
         )
         return web.json_response({})
 
+    def _not_confirmed(
+        self,
+        event: str,
+        error: KumquatrunError,
+        began_s: float,
+        **change: str | int,
+    ) -> web.Response:
+        """Say that a change was not confirmed, and how long it was held."""
+        took_ms = round(1000 * (self._clock.now_s() - began_s))
+        return _unavailable(event, error, took_ms=took_ms, **change)
+
 
 async def _read_body(request: web.Request) -> bytes:
     """Return the body, or answer 408 if it does not end in time."""
@@ -146,6 +168,10 @@
         raise web.HTTPRequestTimeout from None
 
 
-def _unavailable(event: str, error: KumquatrunError) -> web.Response:
-    log_event(log, event, error=str(error))
+def _unavailable(
+    event: str,
+    error: KumquatrunError,
+    **fields: str | int,
+) -> web.Response:
+    log_event(log, event, error=str(error), **fields)
     return web.Response(status=UNAVAILABLE, text=f'{error}\n')
--- a/tests/simulated_network.py
+++ b/tests/simulated_network.py
@@ -10,13 +10,15 @@
 from collections import deque
 from contextlib import contextmanager
 
+from tests.simulated_time import HostLoop, current_process
+
+current_host = contextvars.ContextVar('current_host', default='')
+
 SEGMENT_BYTES = 8 * 1024
 WINDOW_BYTES = 64 * 1024
 HIGH_WATER_BYTES = 64 * 1024
 LOW_WATER_BYTES = 16 * 1024
 
-current_host = contextvars.ContextVar('current_host', default='')
-
 
 class Pipe:
     """One direction between two regions: bytes pass one after the other."""
@@ -56,6 +58,10 @@
     ):
         self.regions = regions
         self.cut_off = set()
+        self.cut_links = set()
+        self.without_power = set()
+        # Bytes on their way belong to no host.
+        self.context = contextvars.Context()
         self._servers = {}
         self._pipes = {}
         self._endpoints = set()
@@ -83,13 +89,15 @@
         monkeypatch.setattr(asyncio, 'start_server', self.start_server)
 
     @contextmanager
-    def on(self, host):
+    def on(self, host, process=''):
         """Let the tasks that start in the block belong to ``host``."""
         token = current_host.set(host)
+        process_token = current_process.set(process)
         try:
             yield
         finally:
             current_host.reset(token)
+            current_process.reset(process_token)
 
     def pipe(self, source, target):
         return self._pipes[self.regions[source], self.regions[target]]
@@ -98,9 +106,34 @@
         return self._pipes[source_region, target_region].carried_bytes
 
     def passes(self, source, target):
-        return self.cut_off.isdisjoint({source, target} - {''}) or (
-            source == target
-        )
+        if source == target:
+            return True
+        is_cut = (source, target) in self.cut_links
+        return self.cut_off.isdisjoint({source, target} - {''}) and not is_cut
+
+    def heal(self):
+        """End all cuts; bytes that were held up on open connections arrive."""
+        self.cut_off.clear()
+        self.cut_links.clear()
+        for endpoint in list(self._endpoints):
+            endpoint.send_held_up()
+
+    def lose_power(self, host):
+        """End a host without a word to the others."""
+        for key in [row for row in self._servers if row[0] == host]:
+            self._servers.pop(key)
+        for endpoint in list(self._endpoints):
+            if endpoint.host == host:
+                endpoint.is_silent = True
+                endpoint.peer.is_silent = True
+                self.forget(endpoint)
+
+    def reset_connections(self, host):
+        """Reset the open connections of a host."""
+        for endpoint in list(self._endpoints):
+            if endpoint.host == host:
+                endpoint.reset()
+                endpoint.peer.reset()
 
     def silence_connections(self):
         """Lose all bytes on the open connections for good."""
@@ -122,14 +155,16 @@
 
     async def open_connection(self, host, port, **_):
         source = current_host.get()
-        if not self.passes(source, host):
+        if not (self.passes(source, host) and self.passes(host, source)):
             await asyncio.Event().wait()
         await asyncio.sleep(2 * self.pipe(source, host).delay_s)
         server = self._servers.get((host, port))
+        if host in self.without_power:
+            await asyncio.Event().wait()
         if server is None:
             raise ConnectionRefusedError(f'nothing listens on {host}:{port}')
-        near = Endpoint(self, source)
-        far = Endpoint(self, host)
+        near = Endpoint(self, source, current_process.get())
+        far = Endpoint(self, host, server.process)
         near.peer, far.peer = far, near
         self._endpoints |= {near, far}
         server.accept(far)
@@ -152,6 +187,7 @@
         self._network = network
         self._handler = handler
         self._context = contextvars.copy_context()
+        self.process = current_process.get()
         self._tasks = set()
 
     def getsockname(self):
@@ -171,8 +207,9 @@
 class Endpoint:
     """One end of a connection: reader, writer and transport in one object."""
 
-    def __init__(self, network, host):
+    def __init__(self, network, host, process):
         self.host = host
+        self._process = process
         self.peer = None
         self.is_silent = False
         self.reader = asyncio.StreamReader()
@@ -180,6 +217,7 @@
         self._network = network
         self._unsent = deque()
         self._unsent_bytes = 0
+        self._held_up = []
         self._in_flight_bytes = 0
         self._is_closed = False
         self._high_bytes = HIGH_WATER_BYTES
@@ -189,6 +227,11 @@
     def write(self, data):
         if self._is_closed or not data:
             return
+        loop = asyncio.get_running_loop()
+        if isinstance(loop, HostLoop) and loop.is_held(self._process):
+            # It waits for its disk in the middle of a callback.
+            loop.call_soon(self.write, data)
+            return
         for start in range(0, len(data), SEGMENT_BYTES):
             self._unsent.append(data[start : start + SEGMENT_BYTES])
         self._unsent_bytes += len(data)
@@ -237,30 +280,49 @@
             self.reader.set_exception(ConnectionResetError('connection reset'))
 
     def _pump(self):
-        loop = asyncio.get_running_loop()
-        pipe = self._network.pipe(self.host, self.peer.host)
         while self._unsent and self._in_flight_bytes < WINDOW_BYTES:
             segment = self._unsent.popleft()
             self._unsent_bytes -= len(segment)
             self._in_flight_bytes += len(segment)
-            if self.is_silent or not self._network.passes(
-                self.host, self.peer.host
-            ):
+            if self.is_silent:
+                continue
+            if not self._network.passes(self.host, self.peer.host):
+                self._held_up.append(segment)
                 continue
-            arrival_s = pipe.arrival_s(len(segment), loop.time())
-            loop.call_at(arrival_s, self._deliver, segment)
-            loop.call_at(arrival_s + pipe.delay_s, self._confirm, len(segment))
+            self._send(segment)
         if self._is_paused and self._unsent_bytes <= min(
             LOW_WATER_BYTES, self._high_bytes
         ):
             self._is_paused = False
             self._drained.set()
 
+    def send_held_up(self):
+        held_up = self._held_up
+        self._held_up = []
+        if not self._is_closed and not self.is_silent:
+            for segment in held_up:
+                self._send(segment)
+
+    def _send(self, segment):
+        loop = asyncio.get_running_loop()
+        pipe = self._network.pipe(self.host, self.peer.host)
+        context = self._network.context
+        arrival_s = pipe.arrival_s(len(segment), loop.time())
+        loop.call_at(arrival_s, self._deliver, segment, context=context)
+        loop.call_at(
+            arrival_s + pipe.delay_s,
+            self._confirm,
+            len(segment),
+            context=context,
+        )
+
     def _deliver(self, segment):
         if self.is_silent or self.peer._is_closed:
             return
-        if self._network.passes(self.host, self.peer.host):
-            self.peer.reader.feed_data(segment)
+        if not self._network.passes(self.host, self.peer.host):
+            self._held_up.append(segment)
+            return
+        self.peer.reader.feed_data(segment)
 
     def _confirm(self, size_bytes):
         self._in_flight_bytes -= size_bytes
