Drop an answer without an id on a connection that is used again

What callers saw, in another system like this one: 'not run, try again' for requests that a backend server had run or was running, or a second run elsewhere, after a faulty backend server wrote an earlier refusal once more on a kept connection.

Cause here: an answer was taken for the present request if it named that request, or none at all. A refusal without an id, written again, therefore counted as 'not run' for the next request on the connection.

Ruled out by tests that passed at once: refusals that name another request; the text of an error in a stream that has begun, or a broken stream that looks complete; a success for an answer that ends within its head.

Change: an answer without an id is accepted for the first request of a connection only; later ones are dropped, as late answers are. The page of log events accepts calls that the formatter breaks over lines, so that configuration_not_committed is checked again.

Open: a request that goes to the same backend server twice over the same connection could still meet its own earlier refusal; no path to that was shown.

--- a/src/kumquatrun/gateway/backends/backend_connection.py
+++ b/src/kumquatrun/gateway/backends/backend_connection.py
@@ -75,11 +75,14 @@
         When the last answer ended.
     has_extra
         Whether bytes came after the answer that belong to no request.
+    is_first_request
+        Whether no request was answered before the present one.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self.is_clean = True
+        self.is_first_request = True
         self.idle_since_s = loop.time()
         self._is_lost = False
         self.has_extra = False
@@ -172,6 +175,7 @@
     def mark_finished(self, head: AnswerHead) -> None:
         """Record that the answer was read to its end."""
         self.idle_since_s = self._loop.time()
+        self.is_first_request = False
         self.is_clean = (
             head.keeps_alive
             and self.is_open
--- a/src/kumquatrun/gateway/forwarding/forwarder.py
+++ b/src/kumquatrun/gateway/forwarding/forwarder.py
@@ -217,7 +217,7 @@
             connection.send(
                 self._head_bytes(course, reservation),
                 request.body,
-                lambda head: self._answers(request, head),
+                lambda head: self._answers(request, connection, head),
                 has_answer_body=request.method != 'HEAD',
             )
         except ConnectionLostError as error:
@@ -259,9 +259,21 @@
             ),
         )
 
-    def _answers(self, request: CallerRequest, head: AnswerHead) -> bool:
+    def _answers(
+        self,
+        request: CallerRequest,
+        connection: BackendConnection,
+        head: AnswerHead,
+    ) -> bool:
+        """Return whether an answer belongs to a request.
+
+        On a connection that is used again, an answer that names no request
+        may be an earlier refusal, written once more while this request runs.
+        """
         answered = self._wire.read_answer(head).answered_id
-        return not answered or answered == request.request_id
+        if not answered:
+            return connection.is_first_request
+        return answered == request.request_id
 
 
 def _unfinished(connection: BackendConnection) -> str:
--- a/src/kumquatrun/platform/operator.py
+++ b/src/kumquatrun/platform/operator.py
@@ -82,10 +82,10 @@
         try:
             version = await self._gate.put(configuration, content)
         except KumquatrunError as error:
-            return self._not_confirmed(
+            return _unavailable(
                 'configuration_not_committed',
                 error,
-                began_s,
+                took_ms=self._passed_ms(began_s),
                 version=configuration.version,
             )
         took_s = self._clock.now_s() - began_s
@@ -122,10 +122,10 @@
         try:
             await self._gate.name_version(command)
         except KumquatrunError as error:
-            return self._not_confirmed(
+            return _unavailable(
                 'adapter_version_not_committed',
                 error,
-                began_s,
+                took_ms=self._passed_ms(began_s),
                 adapter=command.adapter,
                 version=command.version,
             )
@@ -140,16 +140,8 @@
         )
         return web.json_response({})
 
-    def _not_confirmed(
-        self,
-        event: str,
-        error: KumquatrunError,
-        began_s: float,
-        **change: str | int,
-    ) -> web.Response:
-        """Say that a change was not confirmed, and how long it was held."""
-        took_ms = round(1000 * (self._clock.now_s() - began_s))
-        return _unavailable(event, error, took_ms=took_ms, **change)
+    def _passed_ms(self, began_s: float) -> int:
+        return round(1000 * (self._clock.now_s() - began_s))
 
 
 async def _read_body(request: web.Request) -> bytes:
--- /dev/null
+++ b/tests/test_backend_faults.py
@@ -0,0 +1,100 @@
+"""Faulty backend servers: repeated refusals, errors in streams, cut heads."""
+
+import pytest
+from tests.gateway_fakes import (
+    NOT_RUN,
+    STREAM_HEAD,
+    Caller,
+    Runner,
+    RunnerReservations,
+    answer,
+    chunk,
+    event,
+)
+from tests.test_forwarder import ONCE, REPEATABLE, course, forward
+
+from kumquatrun.errors import KumquatrunError, Outcome
+from kumquatrun.gateway.forwarding.forwarder import Forwarder
+from kumquatrun.gateway.forwarding.retry_shares import RetryShares
+from kumquatrun.gateway.roles.planned_stop import PlannedStop
+from kumquatrun.platform.requests import PlatformFormat
+from kumquatrun.runtime.clock import LoopClock
+
+REFUSAL_WITHOUT_ID = NOT_RUN.replace(b'X-Kumquatrun-Attempt-Id: {id}\r\n', b'')
+REFUSAL_OF_ANOTHER = NOT_RUN.replace(b'{id}', b'another')
+WHOLE = STREAM_HEAD + chunk(event(1)) + chunk(b'')
+
+
+async def forward_twice(kind, runner):
+    """Forward two requests over one connection; returns the second caller."""
+    reservations = RunnerReservations(await runner.start())
+    caller = Caller()
+    for current in (Caller(), caller):
+        forwarder = Forwarder(
+            PlatformFormat(),
+            reservations,
+            RetryShares(0.2, 100, 10),
+            PlannedStop(LoopClock()).check,
+            LoopClock(),
+        )
+        await forwarder.run(course(kind, max_attempts=1), current)
+    return caller
+
+
+@pytest.mark.parametrize('kind', ONCE + REPEATABLE)
+@pytest.mark.parametrize(
+    'refusal',
+    [REFUSAL_WITHOUT_ID, REFUSAL_OF_ANOTHER],
+    ids=['without-id', 'of-another'],
+)
+async def test_refusal_that_is_written_again_is_not_taken_for_the_next_one(
+    kind, refusal
+):
+    # Guards against a request that runs and is called unrun, or runs twice.
+    whole = WHOLE if kind in {'streaming', 'resumable'} else answer(b'mine')
+    runner = Runner([whole], [refusal, 0.02, whole])
+    caller = await forward_twice(kind, runner)
+    assert caller.status == 200
+    assert caller.is_finished
+    assert runner.connections == 1
+    assert len(runner.requests) == 2
+
+
+@pytest.mark.parametrize('kind', ['streaming', 'resumable'])
+@pytest.mark.parametrize('end', ['close', 'reset'])
+@pytest.mark.parametrize(
+    'status',
+    ['500 Internal Server Error', '404 Not Found', '429 Too Many Requests'],
+)
+async def test_error_after_a_stream_has_begun_is_not_written_into_it(
+    kind, end, status
+):
+    # Guards against an error's head or text in the middle of a stream, and
+    # against a broken stream that looks complete.
+    caller = Caller()
+    first = Runner([STREAM_HEAD, chunk(event(1)), 0.02, end])
+    second = Runner([answer(b'error text', status)])
+    with pytest.raises(KumquatrunError) as raised:
+        await forward(course(kind), first, second, caller=caller)
+    assert raised.value.outcome is Outcome.UNKNOWN
+    assert caller.body == event(1)
+    assert not caller.is_finished
+
+
+@pytest.mark.parametrize('kind', ONCE + REPEATABLE)
+@pytest.mark.parametrize('end', ['close', 'reset'])
+@pytest.mark.parametrize('cut', [12, 17, 30, -2, -1])
+async def test_answer_that_ends_within_its_head_is_not_delivered(
+    kind, end, cut
+):
+    # Guards against a success with an empty or short body, framed as whole.
+    caller = Caller()
+    head = b'HTTP/1.1 200 OK\r\nX-Kumquatrun-Attempt-Id: {id}\r\n\r\n'
+    with pytest.raises(KumquatrunError) as raised:
+        await forward(
+            course(kind, max_attempts=1),
+            Runner([head[:cut], 0.02, end]),
+            caller=caller,
+        )
+    assert raised.value.outcome is Outcome.UNKNOWN
+    assert caller.status == 0
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -26,9 +26,9 @@
 FAILURE = answer(b'failed', '500 Internal Server Error')
 
 
-async def forward(course, *runners, allowance=100):
+async def forward(course, *runners, allowance=100, caller=None):
     started = [await runner.start() for runner in runners]
-    caller = Caller()
+    caller = caller or Caller()
     forwarder = Forwarder(
         PlatformFormat(),
         RunnerReservations(*started),
--- a/tests/test_reference_pages.py
+++ b/tests/test_reference_pages.py
@@ -129,7 +129,7 @@
     events = set(re.findall(r"'event=([a-z_]+)", source))
     events |= set(re.findall(r"log_event\(\s*log,\s*'([a-z_]+)'", source))
     events |= set(re.findall(r'event=(log_[a-z_]+) count', source))
-    events |= set(re.findall(r"_unavailable\('([a-z_]+)'", source))
+    events |= set(re.findall(r"_unavailable\(\s*'([a-z_]+)'", source))
     events |= {f'daemon_{state}' for state in load_chart('daemon').states}
     # Nothing is logged before the first step of the chart.
     events.discard(f'daemon_{load_chart("daemon").initial}')
