Keep a write of a process that waits for its disk with that process

In the simulated network such a write was scheduled for whoever had called it, and could spin without any time passing.

--- a/tests/acknowledgement_search.py
+++ b/tests/acknowledgement_search.py
@@ -23,6 +23,7 @@
 from tests.simulated_time import HostLoop, run_simulated
 from tests.troubled_group import (
     CATCH_UP_S,
+    MAX_OPEN_ORDERS,
     RESTART_S,
     START_S,
     TroubledGroup,
@@ -227,7 +228,7 @@
 
 
 async def _eight_orders(group, host):
-    for number in range(8):
+    for number in range(MAX_OPEN_ORDERS):
         group.send_change(('configuration', 'version')[number % 2])
     await asyncio.sleep(0.1)
 
--- a/tests/simulated_network.py
+++ b/tests/simulated_network.py
@@ -230,7 +230,9 @@
         loop = asyncio.get_running_loop()
         if isinstance(loop, HostLoop) and loop.is_held(self._process):
             # It waits for its disk in the middle of a callback.
-            loop.call_soon(self.write, data)
+            context = contextvars.copy_context()
+            context.run(current_process.set, self._process)
+            loop.call_soon(self.write, data, context=context)
             return
         for start in range(0, len(data), SEGMENT_BYTES):
             self._unsent.append(data[start : start + SEGMENT_BYTES])
