--- a/tests/acknowledgement_search.py
+++ b/tests/acknowledgement_search.py
@@ -158,7 +158,7 @@
 
 
 async def _split(group, host):
-    # Half of the hosts that count from the other half: none has a majority.
+    # No host reaches another one, so that none has a majority.
     pairs = itertools.permutations(list(group.processes), 2)
     await _cut_links(group, list(pairs))
 
@@ -234,7 +234,7 @@
 
 
 class Trouble(NamedTuple):
-    """A kind of trouble; ``role`` says which host it meets."""
+    """A kind of trouble of one host, or of the whole group."""
 
     play: Callable
     # Whether its host counts as lost meanwhile, so that the platform lets no
