Keep the list when an entry has a number of too many digits

What callers saw: a reported list of backend servers that was followed no more, because one entry of another writer had a number of 5,000 digits.

Cause: Python's parser refuses whole numbers of more than 4,300 digits with a ValueError, so one number made the whole page unreadable. Whole numbers of more than 20 characters now become fractions; fields that want a whole number of 64 bits refuse them, as they refused 1e999 and 2**70 before, and the entry alone is left out. A field that nothing reads costs nothing.

The same parser reads the operator's bodies and the settings file. A configuration with such a number in an unread field was refused and is now valid. In a read field the number would be infinite, so `decoding.number` now refuses values that are not finite. 1e999, NaN and Infinity were accepted there before as time limits, gap targets, weights and rates.

Ruled out: a slow conversion.

--- a/src/kumquatrun/platform/client.py
+++ b/src/kumquatrun/platform/client.py
@@ -1,7 +1,6 @@
 """The one HTTP client for calls to the platform and to engines."""
 
 import asyncio
-import json
 from typing import Any
 
 import aiohttp
@@ -12,6 +11,7 @@
     read_body,
 )
 from kumquatrun.peer.address import Address
+from kumquatrun.platform.json_text import parse_json
 from kumquatrun.runtime.error_text import error_text
 
 CALL_TIMEOUT_S = 0.8
@@ -120,6 +120,6 @@
     try:
         # Bytes that are no UTF-8 spoil the text that they are in, not the
         # whole answer; ``decoding`` refuses such a text.
-        return json.loads(body.decode(errors='surrogateescape'))
+        return parse_json(body.decode(errors='surrogateescape'))
     except (ValueError, RecursionError) as error:
         raise ConnectionLostError(f'{place} sent no JSON: {error}') from None
--- a/src/kumquatrun/platform/decoding.py
+++ b/src/kumquatrun/platform/decoding.py
@@ -1,10 +1,11 @@
 """Reads fields of JSON objects with checks of their types."""
 
-import json
+import math
 from collections.abc import Mapping
 from typing import Any
 
 from kumquatrun.errors import DocumentError
+from kumquatrun.platform.json_text import parse_json
 
 Fields = Mapping[str, Any]
 # What msgpack can carry to other hosts.
@@ -21,7 +22,7 @@
         If it is not one complete JSON object.
     """
     try:
-        fields = json.loads(content)
+        fields = parse_json(content)
     except (ValueError, RecursionError) as error:
         raise DocumentError(f'not valid JSON: {error}') from None
     if not isinstance(fields, dict):
@@ -43,10 +44,10 @@
 
 
 def number(fields: Fields, name: str, default: float | None = None) -> float:
-    """Return a number."""
+    """Return a finite number."""
     value = _typed(fields, name, (int, float), default)
-    if isinstance(value, bool):
-        raise DocumentError(f'{name!r} is not a number')
+    if isinstance(value, bool) or not math.isfinite(value):
+        raise DocumentError(f'{name!r} is not a finite number')
     return float(value)
 
 
--- a/tests/test_gateway_configuration.py
+++ b/tests/test_gateway_configuration.py
@@ -49,6 +49,26 @@
         decode_configuration(changed(INVALID[name]))
 
 
+LARGE_NUMBERS = ['1e999', '-1e999', 'NaN', 'Infinity', '1' * 400, '1' * 5000]
+
+
+@pytest.mark.parametrize('number', LARGE_NUMBERS)
+@pytest.mark.parametrize('name', ['timeout_ms', 'gap_target_ms', 'priority'])
+def test_number_without_a_finite_value_is_refused(name, number):
+    # Guards against a time limit that breaks the timers of each request.
+    content = changed(lambda row: row['routes'][0].update({name: '@'}))
+    with pytest.raises(DocumentError):
+        decode_configuration(content.replace(b'"@"', number.encode()))
+
+
+@pytest.mark.parametrize('number', LARGE_NUMBERS)
+def test_large_number_in_an_unread_field_is_ignored(number):
+    # Guards against a valid configuration that is refused for a field that
+    # nothing reads.
+    content = configuration(new_field='@').replace(b'"@"', number.encode())
+    assert decode_configuration(content).version == 7
+
+
 @pytest.mark.parametrize('length', [1, 40, -1])
 def test_cut_configuration_is_refused(length):
     with pytest.raises(DocumentError):
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -24,6 +24,22 @@
     'address': '10.0.0.1:80',
     'state': 'ready',
 }
+# What another writer may add to an entry.
+LARGE_NUMBER = b'1' * 5000
+NUMBER_FIELDS = {
+    'slots': b'"slots": ' + LARGE_NUMBER,
+    'negative slots': b'"slots": -' + LARGE_NUMBER,
+    'slots of 70 bits': b'"slots": %d' % 2**70,
+    'infinite slots': b'"slots": 1e999',
+    'no number': b'"slots": NaN',
+    'Infinity': b'"slots": Infinity',
+    'fraction': b'"slots": 1.' + LARGE_NUMBER,
+    'zone': b'"zone": ' + LARGE_NUMBER,
+    'id': b'"id": ' + LARGE_NUMBER,
+    'models': b'"models": [{"name": ' + LARGE_NUMBER + b'}]',
+    'version': b'"models": [{"name": "m", "adapters": ["a@%s"]}]'
+    % LARGE_NUMBER,
+}
 HEAD = b'HTTP/1.1 200 OK\r\n'
 CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
 CHUNK = b'1000\r\n' + b' ' * 4096 + b'\r\n'
@@ -166,6 +182,41 @@
     assert record.backend_id == 'i-1'
 
 
+async def backends_listed(client, *fields):
+    """Return the ids on a page whose entries have more fields each."""
+    entries = []
+    for number, field in enumerate(fields):
+        entry = json.dumps({**ENTRY, 'id': f'i-{number}'}).encode()
+        entries.append(entry[:-1] + (b', ' + field if field else b'') + b'}')
+    body = b'{"instances": [' + b', '.join(entries) + b']}'
+    runner = await Runner([answer(body)]).start()
+    listing = BackendListing(
+        BackendLister(client, runner.address).read,
+        LoopClock(),
+    )
+    await listing.refresh()
+    records = decode_records(listing.encoded) if listing.encoded else ()
+    return [record.backend_id for record in records]
+
+
+@pytest.mark.parametrize('field', NUMBER_FIELDS.values(), ids=NUMBER_FIELDS)
+async def test_entry_with_a_large_number_leaves_the_others(client, field):
+    # Guards against a list that is followed no more because the parser
+    # refuses whole numbers of more than 4,300 digits.
+    assert await backends_listed(client, b'', field, b'') == ['i-0', 'i-2']
+
+
+@pytest.mark.parametrize(
+    'number',
+    [LARGE_NUMBER, b'1e999', b'-Infinity', b'NaN', b'%d' % 2**70],
+)
+async def test_large_number_in_an_unread_field_costs_nothing(client, number):
+    # Guards against a working backend server that is left out for a field
+    # that nothing reads.
+    listed = await backends_listed(client, b'"x": [{"y": ' + number + b'}]')
+    assert listed == ['i-0']
+
+
 async def test_list_without_a_last_page_is_lost(client):
     # Guards against pages without end that fill the memory of the leader.
     adapters = [f'a{number}@1' for number in range(30_000)]
