Keep the list when an entry is nested too deep

What callers saw: a reported list of backend servers that was followed no more, because one entry of another writer was nested 100,000 levels deep.

Cause: Python's parser recurses once a level and raises RecursionError at about 1,000, so one entry made the whole page unreadable. After that error the page is now scanned by depth, aware of texts, and each entry that is more than 200 levels deep (counted from the page) becomes null, which names no backend server. Nothing changes for pages that the parser can read.

Ruled out: a scan of one bracket a step. Runs of brackets, with the keys between them, are now one step.

--- a/src/kumquatrun/platform/client.py
+++ b/src/kumquatrun/platform/client.py
@@ -11,7 +11,7 @@
     read_body,
 )
 from kumquatrun.peer.address import Address
-from kumquatrun.platform.json_text import parse_json
+from kumquatrun.platform.json_text import parse_json_entries
 from kumquatrun.runtime.error_text import error_text
 
 CALL_TIMEOUT_S = 0.8
@@ -120,6 +120,6 @@
     try:
         # Bytes that are no UTF-8 spoil the text that they are in, not the
         # whole answer; ``decoding`` refuses such a text.
-        return parse_json(body.decode(errors='surrogateescape'))
+        return parse_json_entries(body.decode(errors='surrogateescape'))
     except (ValueError, RecursionError) as error:
         raise ConnectionLostError(f'{place} sent no JSON: {error}') from None
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -25,6 +25,18 @@
     'state': 'ready',
 }
 # What another writer may add to an entry.
+DEEP_FIELDS = {
+    'lists': b'"x": ' + b'[' * 100_000 + b']' * 100_000,
+    'objects': b'"x": ' + b'{"a":' * 80_000 + b'1' + b'}' * 80_000,
+    'both': b'"x": ' + b'[{"a": ' * 40_000 + b'1' + b'}]' * 40_000,
+    'brackets in texts': (
+        b'"x": ' + b'["]]]", "\\"]", ' * 10_000 + b'1' + b']' * 10_000
+    ),
+    'keys with brackets': b'"x": ' + b'{"}":' * 60_000 + b'1' + b'}' * 60_000,
+    'lines': b'"x": ' + b'[\n' * 50_000 + b'\n]' * 50_000,
+    'slots': b'"slots": ' + b'[' * 100_000 + b']' * 100_000,
+    'models': b'"models": ' + b'[' * 100_000 + b']' * 100_000,
+}
 LARGE_NUMBER = b'1' * 5000
 NUMBER_FIELDS = {
     'slots': b'"slots": ' + LARGE_NUMBER,
@@ -199,6 +211,13 @@
     return [record.backend_id for record in records]
 
 
+@pytest.mark.parametrize('field', DEEP_FIELDS.values(), ids=DEEP_FIELDS)
+async def test_entry_that_is_nested_deep_leaves_the_others(client, field):
+    # Guards against a list that is followed no more because one entry of
+    # another writer is nested deeper than the parser can go.
+    assert await backends_listed(client, b'', field, b'') == ['i-0', 'i-2']
+
+
 @pytest.mark.parametrize('field', NUMBER_FIELDS.values(), ids=NUMBER_FIELDS)
 async def test_entry_with_a_large_number_leaves_the_others(client, field):
     # Guards against a list that is followed no more because the parser
@@ -217,6 +236,13 @@
     assert listed == ['i-0']
 
 
+async def test_odd_entries_of_each_kind_leave_the_others(client):
+    # Guards against a mend of one kind that another kind undoes.
+    fields = [DEEP_FIELDS['lists'], *NUMBER_FIELDS.values()]
+    listed = await backends_listed(client, *fields, b'')
+    assert listed == [f'i-{len(fields)}']
+
+
 async def test_list_without_a_last_page_is_lost(client):
     # Guards against pages without end that fill the memory of the leader.
     adapters = [f'a{number}@1' for number in range(30_000)]
