Refuse a next page that is named by a list or an object

A page whose next page was named by a nested list was asked for by its Python text, and the text of a list that is nested nearly too deep raises RecursionError, which the readers of the list do not expect.

Texts and whole numbers name a page as before; anything else is an error of the page.

Failing before: 3 cases in tests/test_platform_client.py; the list went on with a page that nobody named.

--- a/src/kumquatrun/platform/listing.py
+++ b/src/kumquatrun/platform/listing.py
@@ -67,11 +67,16 @@
             following = page.get('next_token')
             if not following:
                 return encode_records(records)
-            token = decoding.checked_text(str(following), 'next_token')
-            query = {PAGE_QUERY: token}
+            query = {PAGE_QUERY: _page_name(following)}
         raise ConnectionLostError(f'the list has more than {MAX_PAGES} pages')
 
 
+def _page_name(following: object) -> str:
+    if not isinstance(following, str | int):
+        raise ConnectionLostError('the next page is named by no text')
+    return decoding.checked_text(str(following), 'next_token')
+
+
 def decode_entries(entries: object) -> list[BackendRecord]:
     """Return the records of a page.
 
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -243,6 +243,19 @@
     assert listed == [f'i-{len(fields)}']
 
 
+@pytest.mark.parametrize(
+    'token', [b'[' * 900 + b']' * 900, b'{"a": 1}', b'[1]']
+)
+async def test_page_without_a_name_is_lost(client, token):
+    # Guards against an error of another type, which the reader of the list
+    # does not expect.
+    page = b'{"instances": [], "next_token": ' + token + b'}'
+    runner = await Runner(*[[answer(page)]] * 3).start()
+    with pytest.raises(ConnectionLostError, match='next page'):
+        await BackendLister(client, runner.address).read()
+    assert len(runner.requests) == 1
+
+
 async def test_list_without_a_last_page_is_lost(client):
     # Guards against pages without end that fill the memory of the leader.
     adapters = [f'a{number}@1' for number in range(30_000)]
