Refuse addresses that no connection can go to

What callers saw: an entry of another writer with port 99999, 0 or -5 was taken for a backend server and got requests.

Cause: `Address.parse` took whatever `int` takes: ports out of range, signs, spaces, underscores and digits of other scripts. The list also wants an IPv4 number other than 0.0.0.0 and a port above 0, so no name is looked up: a lookup occupies a thread, and the platform answers none.

The same check for the first of the ports between hosts in the settings file: 65536 was accepted, and an infinite one ended the task that follows the file.

Ruled out: names in the list. The platform lists IPv4 numbers only.

--- a/src/kumquatrun/daemon/setting_kinds.py
+++ b/src/kumquatrun/daemon/setting_kinds.py
@@ -11,9 +11,8 @@
 
 import click
 
-from kumquatrun.peer import Address
+from kumquatrun.peer.address import MAX_PORT, Address
 
-MAX_PORT = 65535
 # The same limit as for names in documents.
 MAX_NAME_CHARACTERS = 128
 
--- a/src/kumquatrun/platform/listing.py
+++ b/src/kumquatrun/platform/listing.py
@@ -1,6 +1,7 @@
 """The platform's list of backend servers."""
 
 import asyncio
+from ipaddress import IPv4Address
 
 from kumquatrun.errors import ConnectionLostError, DocumentError
 from kumquatrun.gateway.backends.backends import (
@@ -102,7 +103,7 @@
     return BackendRecord(
         backend_id=decoding.text(fields, 'id'),
         service=decoding.text(fields, 'service'),
-        address=Address.parse(decoding.text(fields, 'address')),
+        address=_address(decoding.text(fields, 'address')),
         failure_domain=decoding.text(fields, 'zone', ''),
         slots=decoding.whole(fields, 'slots', DEFAULT_SLOTS),
         is_draining=DRAINING[state] or fields.get('remaining_ms') is not None,
@@ -117,6 +118,14 @@
     )
 
 
+def _address(listed: str) -> Address:
+    """Return an address that a connection can go to."""
+    address = Address.parse(listed)
+    if IPv4Address(address.host).is_unspecified or not address.port:
+        raise DocumentError(f'{listed!r} names no host or no port')
+    return address
+
+
 def held_adapters(fields: decoding.Fields) -> list[tuple[str, str, int]]:
     """Return model, adapter and version of what an engine holds."""
     found = []
--- a/src/kumquatrun/platform/settings.py
+++ b/src/kumquatrun/platform/settings.py
@@ -13,7 +13,7 @@
     GatewayControlSettings,
     GatewayEntrySettings,
 )
-from kumquatrun.peer.address import Address
+from kumquatrun.peer.address import MAX_PORT, Address
 from kumquatrun.platform import decoding
 
 # Environment variable with the path of the settings file.
@@ -189,8 +189,11 @@
     if not isinstance(ports, list) or not ports:
         raise SettingError("settings file: 'internal_ports' is empty")
     try:
-        return int(ports[0]) + offset
-    except (TypeError, ValueError) as error:
+        port = int(ports[0]) + offset
+    except (OverflowError, TypeError, ValueError) as error:
         raise SettingError(
             f"settings file: 'internal_ports': {error}",
         ) from None
+    if not 0 <= port <= MAX_PORT:
+        raise SettingError(f"settings file: 'internal_ports' gives {port}")
+    return port
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -13,6 +13,7 @@
 )
 from kumquatrun.gateway.engine.engine_api import EngineOrder
 from kumquatrun.gateway.routing.wire_format import Forwarding
+from kumquatrun.peer.address import Address
 from kumquatrun.platform.engine import decode_report, encode_order
 from kumquatrun.platform.listing import decode_entries
 from kumquatrun.platform.requests import PlatformFormat
@@ -153,6 +154,38 @@
     assert [record.backend_id for record in records] == ['i-1']
 
 
+@pytest.mark.parametrize(
+    'address',
+    [
+        *('10.0.0.9:0', '10.0.0.9:-5', '10.0.0.9:65536', '10.0.0.9:99999'),
+        *('10.0.0.9:+80', '10.0.0.9: 80', '10.0.0.9:80 ', '10.0.0.9:8_0'),
+        *(
+            '10.0.0.9:8\n',
+            '10.0.0.9:\u0668\u0660',
+            '10.0.0.9:\xb2',
+            '10.0.0.9:',
+        ),
+        *('10.0.0.9:' + '1' * 5000, '10.0.0.9:' + '0' * 5000, '10.0.0.9'),
+        *('10.0.0:80', '10.0.0.256:80', '010.0.0.9:80', ' 10.0.0.9:80'),
+        *('[::1]:80', '::1:80', 'localhost:80', 'a..b:80', 'a\0b:80'),
+        *('x' * 300 + ':80', '10.0.0.9/8:80', '0.0.0.0:80', ':80', ''),
+    ],
+)
+def test_entry_without_an_address_names_no_backend_server(address):
+    # Guards against requests that are sent to an address that no connection
+    # can go to, and against lookups of names.
+    records = decode_entries(
+        [{**ENTRY, 'id': 'odd', 'address': address}, ENTRY]
+    )
+    assert [record.backend_id for record in records] == ['i-1']
+
+
+@pytest.mark.parametrize('port', [1, 80, 65535])
+def test_every_port_of_an_entry_is_read(port):
+    (record,) = decode_entries([{**ENTRY, 'address': f'10.0.0.9:{port}'}])
+    assert record.address == Address('10.0.0.9', port)
+
+
 def test_list_survives_its_own_encoding():
     records = decode_entries([ENTRY, {**ENTRY, 'id': 'i-0', 'remaining_ms': 5}])
     assert set(decode_records(encode_records(records))) == set(records)
@@ -294,6 +327,11 @@
     [
         ('seeds', [5]),
         ('seeds', ['10.1.0.14']),
+        ('seeds', ['10.1.0.14:99999']),
+        ('seeds', ['10.1.0.14:-5']),
+        ('seeds', ['10.1.0.14:' + '1' * 5000]),
+        ('internal_ports', [float('inf')]),
+        ('internal_ports', [65536]),
         ('seeds', 7),
         ('internal_ports', [{}]),
     ],
