End one attempt, not the request, on a connect error of another type

What callers saw: not reported by itself. With an entry at port 99999 or -5 an OverflowError left the forwarder (test), so that the request was not tried elsewhere and the entry was not passed over.

Cause: a port out of range raises OverflowError in the socket, a host with a null character ValueError and a name of the wrong form UnicodeError; only OSError and TimeoutError were taken for a failed connection.

Ruled out: port 0, which raises ConnectionRefusedError, an OSError. Calls to the platform and to engines: aiohttp makes these ports an error of its own, which was already caught.

Failing before: 6 of the new cases in tests/test_backend_connection.py, 2 in tests/test_forwarder.py, 2 in tests/test_peer.py.

--- a/src/kumquatrun/gateway/backends/backend_connection.py
+++ b/src/kumquatrun/gateway/backends/backend_connection.py
@@ -30,6 +30,9 @@
 MAX_HEADER_BYTES = 32 * 1024
 END_OF_HEAD = b'\r\n\r\n'
 INFORMATIONAL = range(100, 200)
+# A port out of range is an OverflowError, a host that is no text of the network
+# a ValueError.
+UNREACHABLE = (OSError, OverflowError, TimeoutError, ValueError)
 
 # The loop fills it and hands it over in one step, so one serves all
 # connections.
@@ -325,7 +328,7 @@
                 address.host,
                 address.port,
             )
-    except (OSError, TimeoutError) as error:
+    except UNREACHABLE as error:
         raise ConnectionLostError(
             f'cannot connect to {address}: {error!r}',
             outcome=Outcome.NOT_RUN,
--- a/src/kumquatrun/peer/client.py
+++ b/src/kumquatrun/peer/client.py
@@ -29,6 +29,8 @@
 log = logging.getLogger(__name__)
 
 CANCEL_ACK_TIMEOUT_S = 1.0
+# A port out of range is an OverflowError.
+UNREACHABLE = (OSError, OverflowError, EOFError, WireError)
 
 
 class PeerStream:
@@ -258,7 +260,7 @@
                 )
                 link = Link(reader, writer)
                 answer = await self._greet(link)
-        except (OSError, EOFError, WireError) as error:
+        except UNREACHABLE as error:
             raise ConnectionLostError(
                 f'cannot connect to {self.address}: {error!r}',
                 outcome=Outcome.NOT_RUN,
--- a/tests/test_backend_connection.py
+++ b/tests/test_backend_connection.py
@@ -115,6 +115,26 @@
     assert raised.value.outcome is Outcome.NOT_RUN
 
 
+UNUSABLE = [
+    Address('127.0.0.1', 99999),
+    Address('127.0.0.1', -5),
+    Address('127.0.0.1', 2**70),
+    Address('127.0.0.1', 0),
+    Address('a\0b', 80),
+    Address('a..b', 80),
+    Address('\ud800', 80),
+]
+
+
+@pytest.mark.parametrize('address', UNUSABLE, ids=repr)
+async def test_address_that_cannot_be_used_ran_nothing(address):
+    # Guards against a request that fails as a whole: the socket raises errors
+    # of other types for a port that is out of range.
+    with pytest.raises(ConnectionLostError) as raised:
+        await open_connection(address)
+    assert raised.value.outcome is Outcome.NOT_RUN
+
+
 async def test_unrepeatable_request_takes_no_connection_that_was_idle():
     runner = await Runner([answer()], [answer()], [answer()]).start()
     pool = ConnectionPool(runner.address, unrepeatable_idle_s=0.02)
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -18,6 +18,7 @@
 from kumquatrun.gateway.forwarding.forwarder import Forwarder
 from kumquatrun.gateway.forwarding.retry_shares import RetryShares
 from kumquatrun.gateway.roles.planned_stop import PlannedStop
+from kumquatrun.peer.address import Address
 from kumquatrun.platform.requests import PlatformFormat
 from kumquatrun.runtime.clock import LoopClock
 
@@ -40,6 +41,16 @@
     return caller
 
 
+class Unreachable:
+    """Backend server at an address that no connection can go to."""
+
+    def __init__(self, address):
+        self.address = address
+
+    async def start(self):
+        return self
+
+
 def course(kind, max_attempts=2, **more):
     if kind == 'resumable':
         return course_of(
@@ -69,6 +80,16 @@
     assert caller.body == b'ok'
 
 
+@pytest.mark.parametrize('port', [99999, -5, 0])
+async def test_address_that_cannot_be_used_costs_one_attempt(port):
+    # Guards against a request that fails although another backend server
+    # could answer it.
+    odd = Unreachable(Address('127.0.0.1', port))
+    spare = Runner([answer(b'ok')])
+    caller = await forward(course('non_idempotent'), odd, spare)
+    assert caller.body == b'ok'
+
+
 @pytest.mark.parametrize('status', ['421 Misdirected Request'])
 async def test_misdirected_request_was_not_run(status):
     spare = Runner([answer(b'ok')])
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -91,6 +91,16 @@
     assert caught.value.outcome is Outcome.UNKNOWN
 
 
+@pytest.mark.parametrize('port', [99999, -5])
+async def test_peer_at_a_port_out_of_range_is_not_run(port):
+    # Guards against an error of another type, which callers do not expect.
+    identity = Hello(node_id='client', incarnation='1', cluster_token='t')
+    client = PeerClient(Address('127.0.0.1', port), identity)
+    with pytest.raises(ConnectionLostError) as caught:
+        await client.call(Ack(), 1)
+    assert caught.value.outcome is Outcome.NOT_RUN
+
+
 async def test_unreachable_peer_is_not_run(server, client):
     await server.stop()
     with pytest.raises(ConnectionLostError) as caught:
