Answer 400 to a configuration whose limits or keys have another type

What callers saw: nothing yet; found by trying odd values in each field. A configuration whose limits are a list, a text or a number raised AttributeError, which is not an error of the document, so the call failed without a 400 and would be sent again. API keys given as a text or an object were taken letter by letter or name by name, and the change acknowledged.

Both are now errors of the document. A configuration without limits, or with null, is valid as before.

Failing before: 5 cases in tests/test_gateway_configuration.py.

--- a/src/kumquatrun/platform/configuration.py
+++ b/src/kumquatrun/platform/configuration.py
@@ -1,7 +1,5 @@
 """The operator's configuration in the platform's format."""
 
-from typing import Any
-
 from kumquatrun.errors import DocumentError
 from kumquatrun.gateway.routing.checks import check_configuration
 from kumquatrun.gateway.routing.configuration import (
@@ -39,7 +37,7 @@
             services=tuple(map(_service, decoding.rows(fields, 'services'))),
             accounts=tuple(map(_account, decoding.rows(fields, 'tenants', []))),
             requires_keys='tenants' in fields,
-            limits=_limits(fields.get('limits') or {}),
+            limits=_limits(decoding.table(fields, 'limits')),
         )
     except (TypeError, ValueError, OverflowError) as error:
         raise DocumentError(f'cannot be read: {error}') from None
@@ -111,6 +109,8 @@
 
 def _account(fields: Fields) -> GatewayAccount:
     keys = fields.get('api_keys') or []
+    if not isinstance(keys, list):
+        raise DocumentError("'api_keys' is not a list")
     if not all(isinstance(key, str) for key in keys):
         raise DocumentError("'api_keys' has an entry that is no text")
     return GatewayAccount(
@@ -128,7 +128,7 @@
     return None if fields.get(name) is None else decoding.whole(fields, name)
 
 
-def _limits(fields: Any) -> CallerLimits:
+def _limits(fields: Fields) -> CallerLimits:
     return CallerLimits(
         max_body_bytes=decoding.whole(
             fields,
--- a/src/kumquatrun/platform/decoding.py
+++ b/src/kumquatrun/platform/decoding.py
@@ -56,6 +56,11 @@
     return _typed(fields, name, bool, default)
 
 
+def table(fields: Fields, name: str) -> Fields:
+    """Return an object, empty if it is missing."""
+    return _typed(fields, name, dict, {})
+
+
 def rows(
     fields: Fields, name: str, default: list | None = None
 ) -> list[Fields]:
--- a/tests/test_gateway_configuration.py
+++ b/tests/test_gateway_configuration.py
@@ -36,6 +36,13 @@
     'version is a text': lambda row: row.update(version='7'),
     'routes are no list': lambda row: row.update(routes={}),
     'unknown kind': lambda row: row['routes'][0].update(kind='odd'),
+    'limits are a list': lambda row: row.update(limits=[1]),
+    'limits are a text': lambda row: row.update(limits='x'),
+    'limits are a number': lambda row: row.update(limits=1e999),
+    'keys are a text': lambda row: row['tenants'][0].update(api_keys='ab'),
+    'keys are an object': lambda row: row['tenants'][0].update(
+        api_keys={'a': 1},
+    ),
     'prefix without slash': lambda row: row['routes'][0].update(
         path_prefix='/draft',
     ),
