Read the host list again after an answer that is nested too deep

What callers saw: nothing yet; found while looking for the class of the odd entries in other readers. A host list that is nested 100,000 levels deep raised RecursionError, which ended the task that reads it, so that the host would not drain itself when it is listed as leaving.

Ruled out: a number of 5,000 digits, another type and bytes that are no text, which were caught (test).

Failing before: 1 case in tests/test_host_list.py.

--- a/src/kumquatrun/daemon/host_list.py
+++ b/src/kumquatrun/daemon/host_list.py
@@ -14,6 +14,8 @@
 POLL_TIMEOUT_S = 1.0
 HOSTS_PATH = '/hosts'
 LEAVING = 'leaving'
+# JSON that is nested too deep is a RecursionError.
+UNREADABLE = (aiohttp.ClientError, RecursionError, TimeoutError, ValueError)
 
 
 class HostListWatcher:
@@ -68,7 +70,7 @@
         try:
             async with http.get(self._url) as answer:
                 listed = await answer.json()
-        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+        except UNREADABLE as error:
             log.warning('event=host_list_unreachable error=%r', str(error))
             return False
         return isinstance(listed, dict) and listed.get(self._host_id) == LEAVING
--- a/tests/test_host_list.py
+++ b/tests/test_host_list.py
@@ -1,9 +1,11 @@
 """The platform's host list: a leaving host drains itself."""
 
 import asyncio
+import json
 
 import pytest
 from tests.control_cluster import eventually
+from tests.gateway_fakes import Runner, answer
 
 from kumquatrun.daemon.host_list import HostListWatcher
 from kumquatrun_standins.host_list import HostList
@@ -49,3 +51,22 @@
     await asyncio.sleep(1.2)
     assert not calls
     await watcher.stop()
+
+
+@pytest.mark.parametrize('body', [b'[' * 100_000, b'1' * 5000, b'[]', b'\xff'])
+async def test_unreadable_list_is_read_again(body):
+    # Guards against a host that goes on although the platform removes it: an
+    # error of another type ended the task that reads the list.
+    listed = json.dumps({'agent-1': 'leaving'}).encode()
+    json_type = 'Content-Type: application/json\r\n'
+    runner = await Runner(
+        [answer(body, headers=json_type), 'close'],
+        *[[answer(listed, headers=json_type)]] * 3,
+    ).start()
+    calls = []
+    watcher = HostListWatcher(
+        f'http://{runner.address}', 'agent-1', lambda: calls.append(1)
+    )
+    await watcher.start()
+    await eventually(lambda: calls, BOUND_S)
+    await watcher.stop()
