Take an infinite number in a health answer for no answer

What callers saw: nothing yet; found while looking for the class of the odd entries in other readers. A health answer of an engine with 1e999 slots raised OverflowError, which ended the task that checks the engine.

Ruled out: NaN, a number of 5,000 digits and another type, which were caught (test).

Failing before: 1 case in tests/test_endless_engines.py.

--- a/src/kumquatrun/agent/engine_client.py
+++ b/src/kumquatrun/agent/engine_client.py
@@ -41,6 +41,8 @@
 # Largest answer to a health check or an order.
 MAX_CALL_ANSWER_BYTES = 1024 * 1024
 MAX_ITEM_BYTES = 1024 * 1024
+# An infinite number has no whole value, which is an OverflowError.
+UNREADABLE = (LookupError, OverflowError, TypeError, ValueError)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -246,7 +248,7 @@
                 running=int(content.get('running', 0)),
                 waiting=int(content.get('waiting', 0)),
             )
-        except (LookupError, TypeError, ValueError) as error:
+        except UNREADABLE as error:
             raise ConnectionLostError(f'bad health answer: {error!r}') from None
 
     async def load(self, key: AdapterKey, fencing_number: int) -> str:
--- a/tests/test_endless_engines.py
+++ b/tests/test_endless_engines.py
@@ -34,6 +34,18 @@
     await client.close()
 
 
+@pytest.mark.parametrize('number', [b'1e999', b'NaN', b'1' * 5000, b'[]'])
+async def test_health_with_an_odd_number_is_no_answer(number):
+    # Guards against an agent that checks its engine no more: an infinite
+    # number has no whole value.
+    body = b'{"incarnation": "1", "adapters": [], "slots": %s}' % number
+    server = await RawServer([answer(body)]).start()
+    client = EngineClient(server.url)
+    with pytest.raises(ConnectionLostError):
+        await client.health()
+    await client.close()
+
+
 @pytest.mark.parametrize('garbage', [b'x' * 60000, b'\x00\xff' * 30000])
 async def test_bytes_of_a_broken_answer_are_not_quoted_at_length(garbage):
     # Guards against log lines and answers to callers that grow with what an
