Test reports and a followed list with odd values of each kind

Deep nesting and numbers of too many digits in an engine's report: the state is read where no field that matters is affected, else there is no report. A list whose odd entry changes its kind from page to page is followed on.

--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -256,6 +256,55 @@
     assert len(runner.requests) == 1
 
 
+@pytest.mark.parametrize('name', DEEP_FIELDS)
+async def test_report_that_is_nested_deep_is_lost_if_it_is_read(client, name):
+    # Guards against an agent that reads its engine's state no more.
+    body = b'{"born": 1, ' + DEEP_FIELDS[name] + b'}'
+    runner = await Runner([answer(body)]).start()
+    engine = PlatformEngine(client, runner.address)
+    if name == 'models':
+        with pytest.raises(ConnectionLostError):
+            await engine.report()
+    else:
+        assert (await engine.report()).started_ms == 1
+
+
+@pytest.mark.parametrize('number', [LARGE_NUMBER, b'1e999', b'%d' % 2**70])
+async def test_report_with_a_large_number_is_lost_if_it_is_read(client, number):
+    # Guards against an engine that takes no orders for a field that nothing
+    # reads.
+    scripts = [
+        [answer(b'{"%s": %s, "models": []}' % (name, number))]
+        for name in (b'born', b'sequence', b'other')
+    ]
+    engine = PlatformEngine(client, (await Runner(*scripts).start()).address)
+    for _ in range(2):
+        with pytest.raises(ConnectionLostError):
+            await engine.report()
+    assert (await engine.report()).order_count == 0
+
+
+async def test_list_is_followed_while_entries_are_odd(client):
+    # Guards against a reader of the list that ends, or stands still.
+    odd = json.dumps({**ENTRY, 'id': 'odd'}).encode()[:-1]
+    pages = [
+        b'{"instances": [%s, %s}, %s]}'
+        % (odd, field, json.dumps({**ENTRY, 'id': f'i-{number}'}).encode())
+        for number, field in enumerate(
+            (*DEEP_FIELDS.values(), *NUMBER_FIELDS.values()),
+        )
+    ]
+    runner = await Runner(*[[answer(page)] for page in pages]).start()
+    listing = BackendListing(
+        BackendLister(client, runner.address).read,
+        LoopClock(),
+    )
+    for number in range(len(pages)):
+        await listing.refresh()
+        records = decode_records(listing.encoded)
+        assert f'i-{number}' in {record.backend_id for record in records}
+
+
 async def test_list_without_a_last_page_is_lost(client):
     # Guards against pages without end that fill the memory of the leader.
     adapters = [f'a{number}@1' for number in range(30_000)]
