Take a leader's list without rows whose address cannot be used

Since addresses are checked more, a list from a leader of an earlier version with port 99999 raised ValueError at an entry: the renewal of its lease ended before the lease was extended, and the entry had noted the version of a list that it never took, so it would get no other until the list changed.

Rows whose address cannot be parsed are now left out, the others hold.

Ruled out: lists of this version, whose leader checks each address.

Failing before: 1 case in tests/test_listings.py. That the renewal ends is read from membership/control_client.py, not run.

--- a/src/kumquatrun/gateway/backends/listing_follower.py
+++ b/src/kumquatrun/gateway/backends/listing_follower.py
@@ -22,6 +22,8 @@
 # server must get no work 3 s after the list shows it.
 MAX_AGE_S = 1.6
 CHECK_INTERVAL_S = 0.25
+# Of a row of an encoded list.
+ADDRESS_COLUMN = 2
 
 
 def encode_records(records: Iterable[BackendRecord]) -> bytes:
@@ -46,8 +48,23 @@
 
 
 def decode_records(encoded: bytes) -> tuple[BackendRecord, ...]:
-    """Rebuild a list."""
-    return tuple(_decode_record(*row) for row in msgpack.unpackb(encoded))
+    """Rebuild a list, without the rows whose address cannot be used.
+
+    A leader of an earlier version checks addresses less.
+    """
+    return tuple(
+        _decode_record(*row)
+        for row in msgpack.unpackb(encoded)
+        if _is_address(row[ADDRESS_COLUMN])
+    )
+
+
+def _is_address(text: str) -> bool:
+    try:
+        Address.parse(text)
+    except ValueError:
+        return False
+    return True
 
 
 def _decode_record(
--- a/tests/test_listings.py
+++ b/tests/test_listings.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgpack
 import pytest
 
 from kumquatrun.control.backend_listing import BackendListing
@@ -90,3 +91,14 @@
     assert not table.by_id()
     assert follower.is_empty
     task.cancel()
+
+
+async def test_row_with_an_unusable_port_leaves_the_others():
+    # Guards against an entry that takes no list of a leader of an earlier
+    # version, which checks the ports less.
+    (row,) = msgpack.unpackb(encode_records([RECORD]))
+    odd = ['i-0', row[1], '10.0.0.1:99999', *row[3:]]
+    table = BackendTable()
+    follower = ListingFollower(table, Platform().read, LoopClock())
+    follower.take(msgpack.packb([odd, row]), 0)
+    assert list(table.by_id()) == ['i-1']
