--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -24,6 +24,34 @@
     'address': '10.0.0.1:80',
     'state': 'ready',
 }
+# What another writer may add to an entry.
+DEEP_FIELDS = {
+    'lists': b'"x": ' + b'[' * 100_000 + b']' * 100_000,
+    'objects': b'"x": ' + b'{"a":' * 80_000 + b'1' + b'}' * 80_000,
+    'both': b'"x": ' + b'[{"a": ' * 40_000 + b'1' + b'}]' * 40_000,
+    'brackets in texts': (
+        b'"x": ' + b'["]]]", "\\"]", ' * 10_000 + b'1' + b']' * 10_000
+    ),
+    'keys with brackets': b'"x": ' + b'{"}":' * 60_000 + b'1' + b'}' * 60_000,
+    'lines': b'"x": ' + b'[\n' * 50_000 + b'\n]' * 50_000,
+    'slots': b'"slots": ' + b'[' * 100_000 + b']' * 100_000,
+    'models': b'"models": ' + b'[' * 100_000 + b']' * 100_000,
+}
+LARGE_NUMBER = b'1' * 5000
+NUMBER_FIELDS = {
+    'slots': b'"slots": ' + LARGE_NUMBER,
+    'negative slots': b'"slots": -' + LARGE_NUMBER,
+    'slots of 70 bits': b'"slots": %d' % 2**70,
+    'infinite slots': b'"slots": 1e999',
+    'no number': b'"slots": NaN',
+    'Infinity': b'"slots": Infinity',
+    'fraction': b'"slots": 1.' + LARGE_NUMBER,
+    'zone': b'"zone": ' + LARGE_NUMBER,
+    'id': b'"id": ' + LARGE_NUMBER,
+    'models': b'"models": [{"name": ' + LARGE_NUMBER + b'}]',
+    'version': b'"models": [{"name": "m", "adapters": ["a@%s"]}]'
+    % LARGE_NUMBER,
+}
 HEAD = b'HTTP/1.1 200 OK\r\n'
 CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
 CHUNK = b'1000\r\n' + b' ' * 4096 + b'\r\n'
@@ -166,6 +194,117 @@
     assert record.backend_id == 'i-1'
 
 
+async def backends_listed(client, *fields):
+    """Return the ids on a page whose entries have more fields each."""
+    entries = []
+    for number, field in enumerate(fields):
+        entry = json.dumps({**ENTRY, 'id': f'i-{number}'}).encode()
+        entries.append(entry[:-1] + (b', ' + field if field else b'') + b'}')
+    body = b'{"instances": [' + b', '.join(entries) + b']}'
+    runner = await Runner([answer(body)]).start()
+    listing = BackendListing(
+        BackendLister(client, runner.address).read,
+        LoopClock(),
+    )
+    await listing.refresh()
+    records = decode_records(listing.encoded) if listing.encoded else ()
+    return [record.backend_id for record in records]
+
+
+@pytest.mark.parametrize('field', DEEP_FIELDS.values(), ids=DEEP_FIELDS)
+async def test_entry_that_is_nested_deep_leaves_the_others(client, field):
+    # Guards against a list that is followed no more because one entry of
+    # another writer is nested deeper than the parser can go.
+    assert await backends_listed(client, b'', field, b'') == ['i-0', 'i-2']
+
+
+@pytest.mark.parametrize('field', NUMBER_FIELDS.values(), ids=NUMBER_FIELDS)
+async def test_entry_with_a_large_number_leaves_the_others(client, field):
+    # Guards against a list that is followed no more because the parser
+    # refuses whole numbers of more than 4,300 digits.
+    assert await backends_listed(client, b'', field, b'') == ['i-0', 'i-2']
+
+
+@pytest.mark.parametrize(
+    'number',
+    [LARGE_NUMBER, b'1e999', b'-Infinity', b'NaN', b'%d' % 2**70],
+)
+async def test_large_number_in_an_unread_field_costs_nothing(client, number):
+    # Guards against a working backend server that is left out for a field
+    # that nothing reads.
+    listed = await backends_listed(client, b'"x": [{"y": ' + number + b'}]')
+    assert listed == ['i-0']
+
+
+async def test_odd_entries_of_each_kind_leave_the_others(client):
+    # Guards against a mend of one kind that another kind undoes.
+    fields = [DEEP_FIELDS['lists'], *NUMBER_FIELDS.values()]
+    listed = await backends_listed(client, *fields, b'')
+    assert listed == [f'i-{len(fields)}']
+
+
+@pytest.mark.parametrize(
+    'token', [b'[' * 900 + b']' * 900, b'{"a": 1}', b'[1]']
+)
+async def test_page_without_a_name_is_lost(client, token):
+    # Guards against an error of another type, which the reader of the list
+    # does not expect.
+    page = b'{"instances": [], "next_token": ' + token + b'}'
+    runner = await Runner(*[[answer(page)]] * 3).start()
+    with pytest.raises(ConnectionLostError, match='next page'):
+        await BackendLister(client, runner.address).read()
+    assert len(runner.requests) == 1
+
+
+@pytest.mark.parametrize('name', DEEP_FIELDS)
+async def test_report_that_is_nested_deep_is_lost_if_it_is_read(client, name):
+    # Guards against an agent that reads its engine's state no more.
+    body = b'{"born": 1, ' + DEEP_FIELDS[name] + b'}'
+    runner = await Runner([answer(body)]).start()
+    engine = PlatformEngine(client, runner.address)
+    if name == 'models':
+        with pytest.raises(ConnectionLostError):
+            await engine.report()
+    else:
+        assert (await engine.report()).started_ms == 1
+
+
+@pytest.mark.parametrize('number', [LARGE_NUMBER, b'1e999', b'%d' % 2**70])
+async def test_report_with_a_large_number_is_lost_if_it_is_read(client, number):
+    # Guards against an engine that takes no orders for a field that nothing
+    # reads.
+    scripts = [
+        [answer(b'{"%s": %s, "models": []}' % (name, number))]
+        for name in (b'born', b'sequence', b'other')
+    ]
+    engine = PlatformEngine(client, (await Runner(*scripts).start()).address)
+    for _ in range(2):
+        with pytest.raises(ConnectionLostError):
+            await engine.report()
+    assert (await engine.report()).order_count == 0
+
+
+async def test_list_is_followed_while_entries_are_odd(client):
+    # Guards against a reader of the list that ends, or stands still.
+    odd = json.dumps({**ENTRY, 'id': 'odd'}).encode()[:-1]
+    pages = [
+        b'{"instances": [%s, %s}, %s]}'
+        % (odd, field, json.dumps({**ENTRY, 'id': f'i-{number}'}).encode())
+        for number, field in enumerate(
+            (*DEEP_FIELDS.values(), *NUMBER_FIELDS.values()),
+        )
+    ]
+    runner = await Runner(*[[answer(page)] for page in pages]).start()
+    listing = BackendListing(
+        BackendLister(client, runner.address).read,
+        LoopClock(),
+    )
+    for number in range(len(pages)):
+        await listing.refresh()
+        records = decode_records(listing.encoded)
+        assert f'i-{number}' in {record.backend_id for record in records}
+
+
 async def test_list_without_a_last_page_is_lost(client):
     # Guards against pages without end that fill the memory of the leader.
     adapters = [f'a{number}@1' for number in range(30_000)]
