--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 
 import aiohttp
 import pytest
@@ -204,6 +205,51 @@
         writer.close()
 
 
+async def close_idle_at_every_turn(host, head_limit_s=math.inf):
+    """Close idle connections at each turn of the loop for a while."""
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + 0.3
+    while loop.time() < until_s:
+        host.entry._http.close_idle(head_limit_s)
+        await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize('pause_s', [0, 0.05])
+async def test_request_behind_an_answered_one_is_not_cut(pause_s):
+    # Guards against a connection that counts as idle between the end of one
+    # request and the handler of the next, which was read before: the request
+    # was passed on and cut.
+    runner = Runner([answer()], [0.1, answer()], [answer()])
+    async with served(runner, content=one_service()) as host:
+        await host.answer('/draft/long/a')
+        reader, writer = await asyncio.open_connection('127.0.0.1', host.port)
+        writer.write(kept_request())
+        await asyncio.sleep(pause_s)
+        writer.write(kept_request())
+        await asyncio.sleep(0.05)
+        await close_idle_at_every_turn(host)
+        received = await reader.read()
+        assert received.count(b'HTTP/1.1 200') == 2, (
+            received,
+            len(runner.requests),
+        )
+        writer.close()
+
+
+async def test_request_whose_head_came_slowly_is_answered():
+    # Guards against a connection that is taken for one with half a head
+    # between the moment its request is whole and the moment it is handled.
+    async with served(Runner([answer()]), content=one_service()) as host:
+        reader, writer = await asyncio.open_connection('127.0.0.1', host.port)
+        writer.write(kept_request()[:20])
+        await asyncio.sleep(0.05)
+        (connection,) = host.entry._http.connections
+        connection.data_received(kept_request()[20:])
+        await close_idle_at_every_turn(host, head_limit_s=0.01)
+        assert (await reader.readline()).startswith(b'HTTP/1.1 200')
+        writer.close()
+
+
 async def test_kept_connection_ends_with_its_answer_during_a_stop():
     # Guards against a request that arrives on a kept connection, late in a
     # stop, at a host that can no longer serve it.
