Count a request that was read and not begun as work on its connection

Callers saw: during a planned stop a kept connection ended without an answer to a request that had been read. With time left it had been passed on before, also one of a kind that may not be repeated.

Cause: between the end of one request and the start of the next one's handler the HTTP server holds the next request in a task that has not begun, for one turn of the event loop. Nothing counted it, so the connection seemed idle, and a stop closes idle connections when it begins and every 50 ms after 2.8 s. A head that took longer than a second to arrive met the same gap. Requests are now counted from their reading to the start of their handler.

Ruled out: a request that arrives on a connection that is being closed (it was read, and waited behind another one); the time limit (it had 1.9 s); a busy machine (the tests need no load).

--- a/src/kumquatrun/entry/http_server.py
+++ b/src/kumquatrun/entry/http_server.py
@@ -45,7 +45,8 @@
 
     ``is_surplus`` is true for a connection over the limit; its first request
     is refused. ``has_input`` is true from the first byte of a request until
-    its handler begins.
+    its handler begins. ``unhandled_requests`` counts the requests whose heads
+    were read and whose handlers have not begun.
     """
 
     def __init__(self, *args, **kwargs) -> None:
@@ -53,6 +54,7 @@
         self.is_busy = False
         self.has_input = False
         self.is_surplus = False
+        self.unhandled_requests = 0
         self.idle_since_s = self._loop.time()
         self.input_since_s = self.idle_since_s
 
@@ -63,13 +65,14 @@
 
     def lacks_head(self, now_s: float, limit_s: float) -> bool:
         """Return whether a head was begun so long ago and is not complete."""
-        is_begun = self.has_input and not (self.is_busy or self._messages)
-        return is_begun and now_s - self.input_since_s > limit_s
+        if self.is_busy or self.has_next_request:
+            return False
+        return self.has_input and now_s - self.input_since_s > limit_s
 
     @property
     def has_next_request(self) -> bool:
         """Return whether a request waits behind the one that is answered."""
-        return bool(self._messages)
+        return self.unhandled_requests > 0
 
     def data_received(self, data: bytes) -> None:
         """Take bytes of a request."""
@@ -77,12 +80,15 @@
         if not (self.is_busy or self.has_input):
             self.has_input = True
             self.input_since_s = self._loop.time()
+        queued = len(self._messages)
         super().data_received(data)
+        self.unhandled_requests += len(self._messages) - queued
 
     def begin_request(self) -> None:
         """Record that a request is handled."""
         self.is_busy = True
         self.has_input = False
+        self.unhandled_requests -= 1
 
     def end_request(self) -> None:
         """Record that the request is answered."""
