Guard planned stops against requests that come late

The test stops an entry on loopback, in 2.4 s and in the platform's 8 s, beside callers that send requests of four kinds in four ways (new, kept and pipelined connections, bodies in parts) with no deadline, short and long ones, while backend servers answer late, refuse late or stay silent. A request that came after SIGTERM gets its answer, its time limit or a refusal that is true. Single tests cover a request without a deadline, a send that was refused unrun, a repeat late in the stop, a wait for tokens and a stream that moves.

--- /dev/null
+++ b/tests/late_requests.py
@@ -0,0 +1,364 @@
+"""Callers and backend servers of a planned stop, with what became of them."""
+
+import asyncio
+import random
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+from tests.gateway_fakes import (
+    CONFIGURATION,
+    LAST_CHUNK,
+    NOT_RUN,
+    STREAM_HEAD,
+    answer,
+    chunk,
+    configuration,
+    event,
+)
+
+from kumquatrun.peer.address import Address
+
+TIMEOUT_MS = 20_000
+END_OF_HEAD = b'\r\n\r\n'
+# A caller that was cut sees it this soon.
+MARGIN_S = 0.1
+# Time after the last byte of a request in which a close may cross it.
+CROSSING_S = 0.2
+REFUSED_AFTER_S = 0.2
+REFUSALS = (429, 503)
+# Text of a 502 that a stop gives instead of an answer.
+ENDED_BY_STOP = b'before this host stopped'
+
+
+def four_kinds():
+    """Return a configuration with a route for each kind of request."""
+    shared = {
+        'host': 'shop.example',
+        'timeout_ms': TIMEOUT_MS,
+        'target_latency_ms': 300,
+        'priority': 1,
+        'service': 'assistant',
+        'public': False,
+    }
+    stream = {**shared, 'kind': 'streaming'}
+    routes = [
+        {
+            **stream,
+            'name': 'resumable',
+            'max_attempts': 2,
+            'resumable': True,
+            'gap_target_ms': 50,
+        },
+        {**stream, 'name': 'stream', 'max_attempts': 1},
+        {
+            **shared,
+            'name': 'idempotent',
+            'kind': 'idempotent',
+            'max_attempts': 2,
+        },
+        {
+            **shared,
+            'name': 'once',
+            'kind': 'non_idempotent',
+            'max_attempts': 1,
+        },
+    ]
+    for row in routes:
+        row['path_prefix'] = f'/{row["name"]}/'
+    accounts = [dict(row) for row in CONFIGURATION['tenants']]
+    for row in accounts:
+        row.update(rate_per_s=10**6, burst=10**6)
+    return configuration(routes=routes, tenants=accounts)
+
+
+KINDS = ('resumable', 'stream', 'idempotent', 'once')
+
+
+@dataclass
+class Run:
+    """A request at a backend server; ``ended_s`` is None while it works."""
+
+    request_id: str
+    began_s: float
+    ended_s: float | None = None
+    is_complete: bool = False
+
+
+class SlowServer:
+    """Backend server that answers each request as late as a draw says.
+
+    It refuses ``refused_share`` of them unrun after a while, and is silent
+    towards ``silent_share``.
+    """
+
+    def __init__(self, rng, durations_s, refused_share=0.0, silent_share=0.0):
+        self.runs = []
+        self._rng = rng
+        self._durations_s = durations_s
+        self._refused_share = refused_share
+        self._silent_share = silent_share
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        self.address = Address(*self._server.sockets[0].getsockname())
+        return self
+
+    async def _serve(self, reader, writer):
+        with suppress(EOFError, OSError):
+            while True:
+                await self._answer(reader, writer)
+        writer.close()
+
+    async def _answer(self, reader, writer):
+        lines = (await reader.readuntil(END_OF_HEAD)).decode().split('\r\n')
+        headers = dict(line.lower().split(': ', 1) for line in lines[1:-2])
+        await reader.readexactly(int(headers.get('content-length', 0)))
+        request_id = headers['x-kumquatrun-attempt-id']
+        if self._rng.random() < self._refused_share:
+            await asyncio.sleep(REFUSED_AFTER_S)
+            writer.write(NOT_RUN.replace(b'{id}', request_id.encode()))
+            return
+        run = Run(request_id, _now_s())
+        self.runs.append(run)
+        first = int(headers.get('last-event-id', 0)) + 1
+        working = asyncio.create_task(
+            self._work(lines[0], request_id.encode(), first, writer),
+        )
+        left = asyncio.create_task(reader.read(1))
+        done, _ = await asyncio.wait(
+            (working, left),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        run.ended_s = _now_s()
+        run.is_complete = working in done
+        working.cancel()
+        left.cancel()
+        await asyncio.gather(working, left, return_exceptions=True)
+        if not run.is_complete:
+            raise EOFError
+
+    async def _work(self, line, request_id, first, writer):
+        if self._rng.random() < self._silent_share:
+            await asyncio.Event().wait()
+        duration_s = self._rng.choice(self._durations_s)
+        if 'stream' not in line and 'resumable' not in line:
+            await asyncio.sleep(duration_s)
+            writer.write(answer().replace(b'{id}', request_id))
+            return
+        writer.write(STREAM_HEAD.replace(b'{id}', request_id))
+        last = max(first, round(duration_s / 0.05))
+        for number in range(first, last + 1):
+            writer.write(chunk(event(number)))
+            await asyncio.sleep(0.05)
+        writer.write(LAST_CHUNK)
+
+
+@dataclass
+class Asked:
+    """One request of a caller and how it ended; status 0 for no answer."""
+
+    kind: str
+    request_id: str
+    deadline_ms: int | None
+    way: str
+    began_s: float = field(default_factory=lambda: _now_s())
+    sent_s: float | None = None
+    ended_s: float | None = None
+    status: int = 0
+    body: bytes = b''
+    is_complete: bool = False
+    keeps_alive: bool = False
+
+    @property
+    def limit_s(self):
+        """Return the time after which an end without an answer is due."""
+        return min(self.deadline_ms or TIMEOUT_MS, TIMEOUT_MS) / 1000
+
+    def head(self, body_bytes=0):
+        lines = [
+            f'POST /{self.kind}/a HTTP/1.1',
+            'Host: shop.example',
+            'Api-Key: key-1',
+            f'X-Kumquatrun-Attempt-Id: {self.request_id}',
+            f'Content-Length: {body_bytes}',
+        ]
+        if self.deadline_ms is not None:
+            lines.append(f'X-Kumquatrun-Deadline-Ms: {self.deadline_ms}')
+        return '\r\n'.join([*lines, '', '']).encode()
+
+    async def receive(self, reader):
+        """Read the answer; it stays incomplete if the connection ends."""
+        try:
+            await self._read_answer(reader)
+        except (EOFError, OSError):
+            self.keeps_alive = False
+        self.ended_s = _now_s()
+
+    async def _read_answer(self, reader):
+        head = (await reader.readuntil(END_OF_HEAD)).decode()
+        self.status = int(head.split()[1])
+        headers = dict(
+            line.lower().split(': ', 1) for line in head.split('\r\n')[1:-2]
+        )
+        if 'content-length' in headers:
+            body_bytes = int(headers['content-length'])
+            self.body = await reader.readexactly(body_bytes)
+        else:
+            await _read_chunks(reader)
+        self.is_complete = True
+        self.keeps_alive = headers.get('connection') != 'close'
+
+
+async def _read_chunks(reader):
+    while True:
+        size = int(await reader.readuntil(b'\r\n'), 16)
+        await reader.readexactly(size + 2)
+        if not size:
+            return
+
+
+class Callers:
+    """Callers that send requests of every kind, in every way."""
+
+    def __init__(self, port, rng):
+        self.asked = []
+        self._port = port
+        self._rng = rng
+        self._kept = []
+        self._tasks = set()
+
+    async def run(self, until_s, pause_s):
+        """Send requests until then, and wait for their ends."""
+        self._kept = [await self._connect() for _ in range(8 * len(KINDS))]
+        while _now_s() < until_s:
+            for kind in KINDS:
+                self._ask_all_ways(kind)
+            await asyncio.sleep(pause_s * self._rng.uniform(0.5, 1.5))
+        await asyncio.gather(*self._tasks)
+
+    def _ask_all_ways(self, kind):
+        self._start(self._ask_anew(kind, 'new', _send_whole))
+        self._start(self._ask_anew(kind, 'slow body', _send_slowly))
+        self._start(self._ask_pipelined(kind))
+        if self._kept:
+            at = self._rng.randrange(len(self._kept))
+            self._start(self._ask_kept(kind, self._kept.pop(at)))
+
+    def _start(self, coroutine):
+        self._tasks.add(asyncio.create_task(coroutine))
+
+    def _new(self, kind, way):
+        deadline_ms = self._rng.choice((None, 300, 1000, 1900, 3000, 60_000))
+        asked = Asked(kind, f'{way}-{len(self.asked)}', deadline_ms, way)
+        self.asked.append(asked)
+        return asked
+
+    async def _connect(self):
+        return await asyncio.open_connection('127.0.0.1', self._port)
+
+    async def _ask_anew(self, kind, way, send):
+        try:
+            reader, writer = await self._connect()
+        except OSError:
+            return
+        asked = self._new(kind, way)
+        await self._exchange(asked, reader, writer, send)
+        writer.close()
+
+    async def _ask_kept(self, kind, connection):
+        reader, writer = connection
+        asked = self._new(kind, 'kept')
+        await self._exchange(asked, reader, writer, _send_whole)
+        if asked.keeps_alive:
+            self._kept.append(connection)
+        else:
+            writer.close()
+
+    async def _exchange(self, asked, reader, writer, send):
+        try:
+            await send(asked, writer)
+        except OSError:
+            asked.ended_s = _now_s()
+            return
+        asked.sent_s = _now_s()
+        await asked.receive(reader)
+
+    async def _ask_pipelined(self, kind):
+        """Send two requests at once on one connection."""
+        try:
+            reader, writer = await self._connect()
+        except OSError:
+            return
+        pair = [self._new(kind, 'pipelined') for _ in range(2)]
+        writer.write(b''.join(asked.head() for asked in pair))
+        for asked in pair:
+            asked.sent_s = _now_s()
+        for asked in pair:
+            # It is handled once the one before it is answered.
+            asked.began_s = _now_s()
+            await asked.receive(reader)
+            if not asked.keeps_alive:
+                break
+        writer.close()
+
+
+async def _send_whole(asked, writer):
+    writer.write(asked.head())
+
+
+async def _send_slowly(asked, writer):
+    writer.write(asked.head(body_bytes=3))
+    for _ in range(3):
+        await asyncio.sleep(0.1)
+        if writer.is_closing():
+            raise ConnectionResetError
+        writer.write(b'x')
+
+
+def faults(asked_all, runs, sigterm_s, stop_s):
+    """Return what the stop did wrong, one line a request."""
+    by_id = {}
+    for run in runs:
+        by_id.setdefault(run.request_id, []).append(run)
+    found = []
+    for asked in asked_all:
+        own = by_id.get(asked.request_id, ())
+        problem = _problem(asked, own, sigterm_s, stop_s)
+        if problem:
+            at_s = (asked.sent_s or asked.began_s) - sigterm_s
+            found.append(f'{problem}: sent at {at_s:.2f} s, {asked}, {own}')
+    return found
+
+
+def _problem(asked, runs, sigterm_s, stop_s):
+    if asked.kind in ('once', 'stream') and len(runs) > 1:
+        return 'ran twice'
+    is_late = asked.began_s > sigterm_s
+    if asked.is_complete:
+        if asked.status in REFUSALS and runs:
+            return 'refused although it was passed on'
+        if ENDED_BY_STOP in asked.body and is_late:
+            return 'passed on and ended by the stop'
+        return ''
+    if asked.sent_s is None:
+        return 'passed on before it was whole' if runs else ''
+    if not runs:
+        waited_s = (asked.ended_s or asked.sent_s) - asked.sent_s
+        return 'read and closed' if waited_s > CROSSING_S else ''
+    if asked.ended_s - asked.began_s >= asked.limit_s - MARGIN_S:
+        return ''
+    if is_late or not asked.status:
+        return 'passed on and cut'
+    # A stream that began before SIGTERM may last longer than the stop.
+    ended_s = max(run.ended_s or asked.ended_s for run in runs)
+    is_excused = ended_s >= sigterm_s + stop_s * 5 / 6
+    return '' if is_excused else 'cut before the end of the stop'
+
+
+def _now_s():
+    return asyncio.get_running_loop().time()
+
+
+def draws(seed):
+    """Return the source of draws of one play."""
+    return random.Random(seed)
--- /dev/null
+++ b/tests/test_late_requests.py
@@ -0,0 +1,203 @@
+"""Requests that arrive late in a planned stop of an entry, of every kind."""
+
+import asyncio
+
+import pytest
+from tests.gateway_fakes import (
+    LAST_CHUNK,
+    NOT_RUN,
+    STREAM_HEAD,
+    Runner,
+    answer,
+    chunk,
+    event,
+)
+from tests.gateway_host import served
+from tests.late_requests import (
+    KINDS,
+    Asked,
+    Callers,
+    SlowServer,
+    draws,
+    faults,
+    four_kinds,
+)
+
+from kumquatrun.control.allowance_pool import AllowanceReply
+from kumquatrun.gateway.roles import entry as entry_module
+
+# The platform's 8 s with 2.8 s in which requests are taken, and a short one.
+STOPS = ((2.4, 0.8), (8.0, 2.8))
+PAUSE_PART = 1 / 12
+DURATIONS_S = (0.01, 0.2, 0.6, 1.5, 3, 30)
+
+
+async def play(monkeypatch, seed, stop_s, take_new_s):
+    """Stop an entry beside callers; return what they saw and what ran."""
+    monkeypatch.setattr(entry_module, 'TAKE_NEW_S', take_new_s)
+    rng = draws(seed)
+    servers = [
+        SlowServer(rng, DURATIONS_S),
+        SlowServer(rng, DURATIONS_S, refused_share=0.5),
+        SlowServer(rng, DURATIONS_S, silent_share=0.3),
+    ]
+    async with served(*servers, content=four_kinds()) as host:
+
+        async def charge(request, timeout_s):
+            await asyncio.sleep(rng.choice((0, 0, 0.05, 0.25)))
+            return AllowanceReply(granted=len(request.amounts))
+
+        host.session.call = charge
+        loop = asyncio.get_running_loop()
+        callers = Callers(host.port, rng)
+        before_s = 0.1 * stop_s
+        sigterm_s = loop.time() + before_s
+        asking = asyncio.create_task(
+            callers.run(sigterm_s + stop_s, PAUSE_PART * stop_s),
+        )
+        await asyncio.sleep(before_s)
+        sigterm_s = loop.time()
+        await host.entry.drain(stop_s)
+        await host.entry.stop()
+        stopped_s = loop.time() - sigterm_s
+        await asking
+    runs = [run for server in servers for run in server.runs]
+    return callers.asked, runs, sigterm_s, stopped_s
+
+
+@pytest.mark.parametrize(('stop_s', 'take_new_s'), STOPS)
+@pytest.mark.parametrize('seed', [1])
+async def test_late_request_is_answered_or_refused_unrun(
+    monkeypatch,
+    seed,
+    stop_s,
+    take_new_s,
+):
+    # Guards against requests that a stopping host takes late and cuts at its
+    # end, among them ones that may not be repeated.
+    asked, runs, sigterm_s, _ = await play(
+        monkeypatch,
+        seed,
+        stop_s,
+        take_new_s,
+    )
+    late = [row for row in asked if row.began_s > sigterm_s]
+    assert {row.way for row in late} == {
+        'new',
+        'kept',
+        'pipelined',
+        'slow body',
+    }
+    assert any(row.status == 200 for row in late)
+    assert any(row.status == 503 for row in late)
+    found = faults(asked, runs, sigterm_s, stop_s)
+    assert not found, '\n'.join(found)
+
+
+async def ask(host, kind, deadline_ms):
+    """Send one request on a new connection and read its answer."""
+    reader, writer = await asyncio.open_connection('127.0.0.1', host.port)
+    asked = Asked(kind, 'attempt-1', deadline_ms, 'new')
+    writer.write(asked.head())
+    await asked.receive(reader)
+    writer.close()
+    return asked
+
+
+def servers_in_turn(*scripts):
+    """Return two backend servers that share the scripts of their answers."""
+    first, second = Runner(*scripts), Runner()
+    second.scripts = first.scripts
+    return first, second
+
+
+async def stop(host, stop_s):
+    """Stop the entry as the daemon does."""
+    await host.entry.drain(stop_s)
+    await host.entry.stop()
+
+
+@pytest.fixture
+def short_taking(monkeypatch):
+    """Have stops refuse everything after a moment."""
+    monkeypatch.setattr(entry_module, 'TAKE_NEW_S', 0.1)
+
+
+@pytest.mark.parametrize('kind', KINDS)
+@pytest.mark.parametrize('deadline_ms', [None, 60_000])
+async def test_request_whose_limit_is_beyond_the_stop_is_refused_unrun(
+    kind,
+    deadline_ms,
+):
+    # Guards against a request without a deadline, whose only limit is its
+    # route's timeout, that is passed on and meets the end of the process.
+    runner = Runner([5])
+    async with served(runner, content=four_kinds()) as host:
+        stopping = asyncio.create_task(stop(host, 8))
+        await asyncio.sleep(0.01)
+        asked = await ask(host, kind, deadline_ms)
+        assert (asked.status, asked.is_complete) == (503, True)
+        assert not runner.requests
+        stopping.cancel()
+
+
+async def test_request_that_is_refused_unrun_is_not_sent_again_in_a_stop(
+    short_taking,
+):
+    # Guards against a request that is sent for the first time that counts
+    # late in a stop: the send before SIGTERM was refused.
+    servers = servers_in_turn([0.3, NOT_RUN], [5])
+    async with served(*servers, content=four_kinds()) as host:
+        asking = asyncio.create_task(ask(host, 'once', None))
+        await asyncio.sleep(0.1)
+        stopping = asyncio.create_task(stop(host, 1.4))
+        asked = await asking
+        assert (asked.status, asked.is_complete) == (503, True)
+        assert sum(len(server.requests) for server in servers) == 1
+        await stopping
+
+
+async def test_request_that_is_repeated_late_in_a_stop_is_answered(
+    short_taking,
+):
+    # Guards against a connection that ends without an answer, since a second
+    # backend server got the request in the last part of the stop.
+    servers = servers_in_turn([5], [5])
+    async with served(*servers, content=four_kinds()) as host:
+        asking = asyncio.create_task(ask(host, 'idempotent', None))
+        await asyncio.sleep(0.1)
+        await stop(host, 1.2)
+        asked = await asking
+        assert (asked.status, asked.is_complete) == (502, True)
+        assert sum(len(server.requests) for server in servers) == 2
+
+
+async def test_request_that_waits_for_tokens_is_not_sent_late(short_taking):
+    # Guards against a request that is charged late in a stop and sent then.
+    runner = Runner([answer()])
+    async with served(runner, content=four_kinds()) as host:
+        host.session.charges_in = asyncio.Event()
+        asking = asyncio.create_task(ask(host, 'once', 900))
+        await asyncio.sleep(0.05)
+        stopping = asyncio.create_task(stop(host, 1.6))
+        await asyncio.sleep(0.2)
+        host.session.charges_in.set()
+        assert (await asking).status == 503
+        assert not runner.requests
+        await stopping
+
+
+async def test_stream_that_is_moved_in_a_stop_is_complete(short_taking):
+    # Guards against a stream that is cut in the middle because its backend
+    # server fell silent during the stop of the host.
+    servers = servers_in_turn(
+        [STREAM_HEAD, chunk(event(1)), 5],
+        [STREAM_HEAD, chunk(event(2)), LAST_CHUNK],
+    )
+    async with served(*servers, content=four_kinds()) as host:
+        stopping = asyncio.create_task(stop(host, 2))
+        await asyncio.sleep(0.01)
+        asked = await ask(host, 'resumable', 1500)
+        assert (asked.status, asked.is_complete) == (200, True)
+        assert sum(len(server.requests) for server in servers) == 2
+        await stopping
