Show requests that are sent after their time, and guard the waits before

The tests play engines that stand still and wake on the paused clock: requests over their time limit and requests whose callers left, of four kinds, a wait for a connection, the time limit passed on at a send and at a resend, and adapters that nobody waits for any more.

Fails on every run: a request whose time is over when its turn comes is sent with 1 ms if a connection to the backend server is idle. The trials of late requests no longer wait without an end for a caller.

--- /dev/null
+++ b/tests/test_given_up_requests.py
@@ -0,0 +1,234 @@
+"""Requests whose callers gave up, towards engines that stand still and wake."""
+
+import asyncio
+
+import pytest
+from tests.gateway_fakes import Caller, Engine, RunnerReservations, course_of
+from tests.test_engine_agent import Use, agent_of
+
+from kumquatrun.errors import KumquatrunError
+from kumquatrun.gateway.backends import connection_pool
+from kumquatrun.gateway.backends.backend_connection import BackendConnection
+from kumquatrun.gateway.forwarding.forwarder import (
+    ANSWER_MARGIN_MS,
+    Forwarder,
+)
+from kumquatrun.gateway.forwarding.retry_shares import RetryShares
+from kumquatrun.gateway.roles.planned_stop import PlannedStop
+from kumquatrun.peer.address import Address
+from kumquatrun.platform.requests import PlatformFormat
+from kumquatrun.runtime.clock import LoopClock
+
+pytestmark = pytest.mark.looptime
+
+LIMIT_S = 2.0
+DEADLINE = 'x-kumquatrun-deadline-ms: '
+
+
+class Line:
+    """Transport to a ``StillEngine``; what it has not read may be reset."""
+
+    def __init__(self, engine):
+        self.engine = engine
+        self.unread = b''
+        self.is_aborted = False
+
+    def write(self, data):
+        self.unread += data
+        self.engine.sent.append((_now_s(), data.decode()))
+        if not self.engine.stands_still:
+            self.engine.read(self)
+
+    def abort(self):
+        self.is_aborted = True
+        self.unread = b''
+
+    def is_closing(self):
+        return self.is_aborted
+
+    def get_extra_info(self, name):
+        return None
+
+
+class StillEngine:
+    """Engine that stands still until it wakes, and then reads what is left.
+
+    It accepts no connection either before ``accepts_s``.
+    """
+
+    def __init__(self, accepts_s=0.0):
+        self.address = Address('10.0.0.1', 8000)
+        self.accepts_s = accepts_s
+        self.stands_still = True
+        self.lines = []
+        self.sent = []
+        self.begun = []
+
+    async def connect(self):
+        await asyncio.sleep(self.accepts_s)
+        connection = BackendConnection(asyncio.get_running_loop())
+        line = Line(self)
+        connection.connection_made(line)
+        self.lines.append(line)
+        return connection
+
+    def wake(self):
+        self.stands_still = False
+        for line in self.lines:
+            self.read(line)
+
+    def read(self, line):
+        if line.unread:
+            self.begun.append(line.unread)
+            line.unread = b''
+
+    def limits_ms(self):
+        """Return when each send was made, and the time limit in it."""
+        return [
+            (at_s, int(head.lower().partition(DEADLINE)[2].split('\r\n')[0]))
+            for at_s, head in self.sent
+        ]
+
+
+@pytest.fixture
+def engines(monkeypatch):
+    found = [StillEngine(), StillEngine()]
+    found[1].address = Address('10.0.0.2', 8000)
+    by_address = {engine.address: engine for engine in found}
+
+    async def open_connection(address):
+        return await by_address[address].connect()
+
+    monkeypatch.setattr(connection_pool, 'open_connection', open_connection)
+    return found
+
+
+async def forward(course, engines, *, has_idle=False):
+    """Forward as an entry does: until the time limit ends the work."""
+    reservations = RunnerReservations(*engines)
+    if has_idle:
+        for engine, backend in zip(engines, reservations.backends, strict=True):
+            backend.pool._idle.append(await engine.connect())
+    forwarder = Forwarder(
+        PlatformFormat(),
+        reservations,
+        RetryShares(0.2, 100, 10),
+        PlannedStop(LoopClock()).check,
+        LoopClock(),
+    )
+    async with asyncio.timeout_at(course.ends_at_s):
+        await forwarder.run(course, Caller())
+
+
+def course(kind):
+    is_resumable = kind == 'resumable'
+    row = course_of(
+        'streaming' if is_resumable else kind,
+        max_attempts=2,
+        is_resumable=is_resumable,
+    )
+    row.ends_at_s = _now_s() + LIMIT_S
+    return row
+
+
+KINDS = ('idempotent', 'non_idempotent', 'streaming', 'resumable')
+
+
+@pytest.mark.parametrize('kind', KINDS)
+async def test_request_over_its_limit_does_not_begin_at_a_woken_engine(
+    kind,
+    engines,
+):
+    # Guards against a run at an engine that stood still and wakes after the
+    # time of the caller is over.
+    with pytest.raises((TimeoutError, KumquatrunError)):
+        await forward(course(kind), engines)
+    assert any(engine.sent for engine in engines)
+    for engine in engines:
+        engine.wake()
+        assert not engine.begun
+
+
+@pytest.mark.parametrize('kind', KINDS)
+async def test_request_whose_caller_left_does_not_begin_at_a_woken_engine(
+    kind,
+    engines,
+):
+    # Guards against a run for a caller that has closed its connection.
+    work = asyncio.create_task(forward(course(kind), engines))
+    await asyncio.sleep(0.1)
+    assert any(engine.sent for engine in engines)
+    work.cancel()
+    await asyncio.gather(work, return_exceptions=True)
+    for engine in engines:
+        engine.wake()
+        assert not engine.begun
+
+
+async def test_request_whose_caller_left_is_not_sent_once_connected(engines):
+    # Guards against a send after the connection that a caller waited for is
+    # there at last.
+    for engine in engines:
+        engine.accepts_s = 1
+    work = asyncio.create_task(forward(course('non_idempotent'), engines))
+    await asyncio.sleep(0.5)
+    work.cancel()
+    await asyncio.sleep(1)
+    assert not any(engine.sent for engine in engines)
+
+
+@pytest.mark.parametrize('kind', ['idempotent', 'resumable'])
+async def test_limit_that_is_passed_on_is_what_is_left(kind, engines):
+    # Guards against an engine that works for longer than the caller waits:
+    # the second one gets less time than the first one got.
+    row = course(kind)
+    with pytest.raises((TimeoutError, KumquatrunError)):
+        await forward(row, engines)
+    limits = [engine.limits_ms() for engine in engines]
+    assert [len(sends) for sends in limits] == [1, 1]
+    for ((sent_s, limit_ms),) in limits:
+        left_ms = (row.ends_at_s - sent_s) * 1000 - ANSWER_MARGIN_MS
+        assert limit_ms == pytest.approx(left_ms, abs=1)
+    assert limits[0][0][1] > limits[1][0][1] + 100
+
+
+@pytest.mark.parametrize('late_s', [0, 0.5])
+async def test_request_over_its_limit_is_not_sent(late_s, engines):
+    # Guards against a request that is sent after its time on a connection that
+    # was idle: its body came slowly, or it waited for its tokens.
+    row = course('non_idempotent')
+    row.ends_at_s = _now_s() - late_s
+    with pytest.raises((TimeoutError, KumquatrunError)):
+        await forward(row, engines, has_idle=True)
+    assert not any(engine.sent for engine in engines)
+
+
+async def test_adapter_of_a_caller_that_left_is_not_loaded():
+    # Guards against a load for nobody by an agent that reads a call and its
+    # end together, since its host stood still.
+    engine = Engine()
+    async with agent_of(engine) as agent:
+        use = Use(agent, 'a1')
+        await asyncio.sleep(0)
+        await use.end()
+        await asyncio.sleep(1)
+        assert not engine.orders
+
+
+async def test_adapter_that_nobody_waits_for_is_not_loaded():
+    # Guards against a load for a caller that left while its adapter waited
+    # for the slot of another one.
+    engine = Engine(slots=1)
+    async with agent_of(engine) as agent:
+        first = Use(agent, 'a1', 'first')
+        await first.ready()
+        second = Use(agent, 'a2', 'second')
+        await asyncio.sleep(0.5)
+        await second.end()
+        await first.end()
+        await asyncio.sleep(1)
+        assert [order.adapter for order in engine.orders] == ['a1']
+
+
+def _now_s():
+    return asyncio.get_running_loop().time()
--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -29,6 +29,8 @@
 # The platform's 8 s with 2.8 s in which requests are taken, and a short one.
 STOPS = ((2.4, 0.8), (8.0, 2.8))
 PAUSE_PART = 1 / 12
+# A caller that waits on a connection that nobody answers or closes.
+CALLERS_END_S = 10
 DURATIONS_S = (0.01, 0.2, 0.6, 1.5, 3, 30)
 
 
@@ -60,7 +62,8 @@
         await host.entry.drain(stop_s)
         await host.entry.stop()
         stopped_s = loop.time() - sigterm_s
-        await asking
+        async with asyncio.timeout(CALLERS_END_S):
+            await asking
     runs = [run for server in servers for run in server.runs]
     return callers.asked, runs, sigterm_s, stopped_s
 
