Send no request whose time limit is over

Backend servers saw: a request with 1 ms left, cut at once, whose caller had reached its time limit while its body arrived or its tokens were asked for.

Cause: a timeout that is over when it is set acts at the next wait. With an idle connection and no adapter to ask for, the send comes before any wait.

Ruled out: requests that wait for a connection, an agent or a resend; there the timeout acts first, which tests show.

--- a/src/kumquatrun/gateway/forwarding/forwarder.py
+++ b/src/kumquatrun/gateway/forwarding/forwarder.py
@@ -76,6 +76,8 @@
             If no answer was delivered; its outcome says whether the request
             may have run. Nothing was sent to the caller unless the channel
             has begun.
+        TimeoutError
+            If the time limit was over before a send.
         """
         self._retries.record_request(course.service, self._clock.now_s())
         problem: NoCapacityError | None = None
@@ -134,6 +136,7 @@
         backend = reservation.backend
         course.last_backend = backend.backend_id
         course.tried.add(backend.backend_id)
+        self._check_time(course)
         try:
             connection = await backend.pool.take(
                 may_repeat=course.route.may_repeat,
@@ -186,6 +189,20 @@
         )
         return result
 
+    def _check_time(self, course: Course) -> None:
+        """Check that the caller still waits.
+
+        A timeout acts at the next wait only, and a send on an idle connection
+        comes before that.
+
+        Raises
+        ------
+        TimeoutError
+            If the time limit is over.
+        """
+        if not course.left_s(self._clock.now_s()):
+            raise TimeoutError
+
     def _judge_unfinished(
         self,
         course: Course,
