Show a connection that a planned stop neither answers nor closes

A caller whose connection is accepted in the turn of the loop before the listener closes gets nothing until its own time is over. Fails on every run with no turn between the connection and the stop; with one to five turns it passes.

--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -3,6 +3,8 @@
 import asyncio
 import logging
 import math
+import socket
+from contextlib import suppress
 
 import aiohttp
 import pytest
@@ -310,6 +312,34 @@
         writer.close()
 
 
+@pytest.mark.parametrize('turns', range(6))
+async def test_connection_that_is_accepted_as_a_stop_goes_on_ends(
+    monkeypatch,
+    turns,
+):
+    # Guards against a caller that waits on a connection that nobody answers
+    # or closes, accepted in the turn of the loop before the listener closes.
+    monkeypatch.setattr(entry_module, 'TAKE_NEW_S', 0)
+    async with served(Runner([answer()]), content=one_service()) as host:
+        # The kernel has the request before the loop runs again.
+        with socket.create_connection(('127.0.0.1', host.port)) as caller:
+            caller.sendall(kept_request())
+            caller.setblocking(False)
+            stopping = asyncio.create_task(stop_after(host, turns))
+            with suppress(ConnectionError):
+                async with asyncio.timeout(1):
+                    loop = asyncio.get_running_loop()
+                    received = await loop.sock_recv(caller, 1024)
+                    assert not received or received.startswith(b'HTTP/1.1 ')
+            await stopping
+
+
+async def stop_after(host, turns):
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    await stop(host, 2)
+
+
 @pytest.mark.parametrize('sent', [b'\r', b'POST /draft/a HTTP/1.1\r\nHost:'])
 async def test_part_of_a_head_does_not_hold_up_a_stop(monkeypatch, sent):
     # Guards against a host that goes on for all of its time to stop, since a
