Serve connections that were accepted before the listener closes

Callers saw: a connection that was made as a planned stop ceased to take new ones (2.8 s after SIGTERM) was neither answered nor closed until the end of the process or of their patience.

Cause: asyncio gives an accepted connection its protocol one turn of the loop later, and fails without a word if its server has closed meanwhile. Accepting now ends one turn before the listener closes.

Ruled out: connections that the listener has not accepted; their callers see a reset at once.

--- a/src/kumquatrun/entry/http_server.py
+++ b/src/kumquatrun/entry/http_server.py
@@ -220,6 +220,20 @@
             transport.abort()
 
 
+async def stop_listening(server: asyncio.Server) -> None:
+    """Close the listener after the connections that it has accepted.
+
+    ``Server.close`` alone drops a connection that was accepted in this turn of
+    the event loop: it is neither served nor closed.
+    """
+    loop = server.get_loop()
+    for listener in server.sockets:
+        loop.remove_reader(listener)
+    # Connections that were accepted before get their protocols.
+    await asyncio.sleep(0)
+    server.close()
+
+
 class ResponseSink:
     """Writes one answer to the caller's connection."""
 
--- a/src/kumquatrun/gateway/roles/entry.py
+++ b/src/kumquatrun/gateway/roles/entry.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from kumquatrun.entry.http_server import HttpServer
+from kumquatrun.entry.http_server import HttpServer, stop_listening
 from kumquatrun.errors import (
     BackendError,
     KumquatrunError,
@@ -193,7 +193,7 @@
         self._http.close_idle()
         await asyncio.sleep(min(TAKE_NEW_S, timeout_s))
         self._planned_stop.refuse_all()
-        self._server.close()
+        await stop_listening(self._server)
         while self._planned_stop.left_s() > 0:
             self._http.close_idle(STOP_HEAD_S)
             if not self._http.connections:
