--- a/src/kumquatrun/consensus/group_formation.py
+++ b/src/kumquatrun/consensus/group_formation.py
@@ -4,6 +4,11 @@
 identity, stores that membership, and takes part once every member has stored
 the same one. An empty replacement can therefore never found a second group:
 its disk is not in the membership that the others stored.
+
+Replicas that learn of each other one by one may store memberships of different
+sizes. A replica only ever replaces a stored membership by one that includes it.
+Two groups cannot form if any two memberships share a replica: it cannot have
+stored the one after the other in both orders.
 """
 
 from collections.abc import Mapping
@@ -43,7 +48,7 @@
     ) -> None:
         self.meta = meta
         self._replica_id = replica_id
-        self._addresses = addresses
+        self._addresses = dict(addresses)
         self._joining = joining
         self._states: dict[str, FormationState] = {}
 
@@ -52,6 +57,11 @@
         """Return the other initial members."""
         return [name for name in self._addresses if name != self._replica_id]
 
+    def add_founder(self, replica_id: str, address: str) -> None:
+        """Add an initial member; without effect after the group has formed."""
+        if not self.meta.formed:
+            self._addresses.setdefault(replica_id, address)
+
     def state(self) -> FormationState:
         """Return what this replica tells its peers."""
         return FormationState(
@@ -71,10 +81,8 @@
         """Return what to do now; see ``FormationStep``."""
         if self._joining:
             return FormationStep.JOIN
-        formed = [state for state in self._states.values() if state.formed]
-        if formed:
-            agreed = formed[0].initial
-            is_included = bool(agreed) and agreed == self.meta.initial
+        if any(state.formed for state in self._states.values()):
+            is_included = bool(self._formed_with_this_disk())
             return FormationStep.FORM if is_included else FormationStep.JOIN
         if len(self._states) < len(self.peers):
             return FormationStep.WAIT
@@ -87,9 +95,19 @@
 
     def form(self) -> ReplicaMeta:
         """Return the facts to store after ``FORM``."""
-        self.meta = replace(self.meta, formed=True)
+        initial = self._formed_with_this_disk() or self.meta.initial
+        self.meta = replace(self.meta, initial=initial, formed=True)
         return self.meta
 
+    def _formed_with_this_disk(self) -> tuple[Member, ...]:
+        """Return the membership of a formed group that has this disk."""
+        own = self._replica_id, self.meta.disk_id
+        for state in self._states.values():
+            disks = {(row.replica_id, row.disk_id) for row in state.initial}
+            if state.formed and own in disks:
+                return state.initial
+        return ()
+
     def _proposal(self) -> tuple[Member, ...]:
         disks = {name: state.disk_id for name, state in self._states.items()}
         disks[self._replica_id] = self.meta.disk_id
@@ -105,10 +123,16 @@
     def _step_after_all_answered(self) -> FormationStep:
         proposal = self._proposal()
         answers = {state.initial for state in self._states.values()}
-        if answers - {(), proposal} or self.meta.initial not in {(), proposal}:
+        stored = {row for members in answers for row in members}
+        stored.update(self.meta.initial)
+        known = [row for row in stored if row.replica_id in self._addresses]
+        if not set(known) <= set(proposal):
             return FormationStep.CONFLICT
-        if not self.meta.initial:
+        if len(known) < len(stored):
+            # Another replica knows a founder that this one has yet to meet.
+            return FormationStep.WAIT
+        if self.meta.initial != proposal:
             return FormationStep.AGREE
-        if answers <= {proposal}:
+        if answers == {proposal} or not answers:
             return FormationStep.FORM
         return FormationStep.WAIT
--- a/src/kumquatrun/consensus/quorum_node.py
+++ b/src/kumquatrun/consensus/quorum_node.py
@@ -83,8 +83,8 @@
         The consensus core.
     applied_index
         Index of the last entry that the state machine has applied.
-    leader_addresses
-        Addresses of leaders that other replicas named, by replica id.
+    contacts
+        Addresses of replicas that others named, by replica id.
     has_left
         Whether the leader has removed this replica as it asked for.
     """
@@ -127,7 +127,7 @@
             options.snapshot_entries,
             options.snapshot_bytes,
         )
-        self.leader_addresses: dict[str, str] = {}
+        self.contacts: dict[str, str] = {}
         self.has_left = False
         self._formation_due_s = now_s
         self._leader_known_s = now_s
@@ -146,7 +146,7 @@
         if isinstance(msg, JoinReply):
             if msg.leader_address:
                 # The leader may not be among the initial members.
-                self.leader_addresses[msg.leader_id] = msg.leader_address
+                self.contacts[msg.leader_id] = msg.leader_address
             return None
         if isinstance(msg, LeaveReply):
             self.has_left |= msg.accepted
@@ -157,6 +157,16 @@
             return self._formation.state()
         return self.core.receive(msg, now_s)
 
+    @property
+    def is_formed(self) -> bool:
+        """Return whether this replica belongs to a group or once did."""
+        return self._formation.meta.formed
+
+    def add_founder(self, replica_id: str, address: str) -> None:
+        """Let a replica found the group with this one."""
+        self.contacts.setdefault(replica_id, address)
+        self._formation.add_founder(replica_id, address)
+
     @property
     def next_due_s(self) -> float:
         """Return the time at which ``tick`` has something to do next."""
@@ -329,7 +339,7 @@
     def _send_to_peers(self, msg: Any) -> None:
         peers = {
             *self._formation.peers,
-            *self.leader_addresses,
+            *self.contacts,
             *self.core.membership.by_id,
         }
         peers.discard(self._settings.replica_id)
--- a/src/kumquatrun/consensus/replica.py
+++ b/src/kumquatrun/consensus/replica.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Mapping
 from typing import Any
 
 from kumquatrun.consensus.consensus_messages import (
@@ -28,6 +29,7 @@
     NotLeaderError,
     RequestTooLargeError,
 )
+from kumquatrun.peer import Address
 from kumquatrun.runtime.background import start_background
 
 log = logging.getLogger(__name__)
@@ -145,6 +147,21 @@
         is_voter = membership.is_voter(self._settings.replica_id, self.disk_id)
         return is_voter and membership.has_spare_voter and not self.is_leader
 
+    def introduce(self, addresses: Mapping[str, Address]) -> None:
+        """Name members of the group, whom this replica may ask to join."""
+        if self._is_running:
+            self._node.contacts.update(_texts(addresses))
+
+    def add_founders(self, addresses: Mapping[str, Address]) -> None:
+        """Let more replicas found the group with this one.
+
+        Has no effect once the group is formed.
+        """
+        if not self._is_running or self._settings.join:
+            return
+        for replica_id, address in _texts(addresses).items():
+            self._node.add_founder(replica_id, address)
+
     async def handle(self, request: Any, context: Any) -> Any:
         """Answer a consensus message; mountable into a ``PeerServer``.
 
@@ -239,3 +256,7 @@
     def _ask_successor(self) -> None:
         self._node.core.hand_over(self._clock.now_s())
         self._schedule_flush()
+
+
+def _texts(addresses: Mapping[str, Address]) -> dict[str, str]:
+    return {name: str(address) for name, address in addresses.items()}
--- a/src/kumquatrun/consensus/replica_addresses.py
+++ b/src/kumquatrun/consensus/replica_addresses.py
@@ -46,7 +46,7 @@
     the disk that it replaces.
     """
     core = node.core
-    addresses = dict(node.leader_addresses)
+    addresses = dict(node.contacts)
     for member in core.membership.members:
         addresses[member.replica_id] = member.address
     if core.leadership is not None:
--- a/src/kumquatrun/consensus/replica_status.py
+++ b/src/kumquatrun/consensus/replica_status.py
@@ -9,6 +9,7 @@
 from kumquatrun.daemon.settings import ReplicaSettings
 from kumquatrun.errors import NotLeaderError
 from kumquatrun.peer import Address
+from kumquatrun.peer.directory_messages import ControlGroup, ControlMember
 from kumquatrun.runtime.listeners import Listeners
 
 
@@ -48,7 +49,7 @@
             return Address.parse(member.address)
         if self._node is not None:
             # A replica that joins has no membership yet.
-            joined = self._node.leader_addresses.get(self.leader_id)
+            joined = self._node.contacts.get(self.leader_id)
             if joined:
                 return Address.parse(joined)
         return dict(self._settings.replicas).get(self.leader_id)
@@ -67,6 +68,11 @@
         """Return the current term."""
         return self._node.core.term if self._node else 0
 
+    @property
+    def is_formed(self) -> bool:
+        """Return whether the replica belongs to a group or once did."""
+        return self._node is not None and self._node.is_formed
+
     @property
     def commit_index(self) -> int:
         """Return the last index known to be committed."""
@@ -82,6 +88,27 @@
         """Return the newest membership, committed or not."""
         return self._node.core.membership.members if self._node else ()
 
+    @property
+    def group(self) -> ControlGroup:
+        """Return where the group is, a term of 0 before this is a member."""
+        members = self.members
+        if not members:
+            return ControlGroup()
+        leader = self.leader_address
+        return ControlGroup(
+            term=self.term,
+            index=self._node.core.entries.membership_index,
+            leader=str(leader) if leader else '',
+            members=tuple(
+                ControlMember(
+                    replica_id=member.replica_id,
+                    address=member.address,
+                )
+                for member in members
+                if member.address
+            ),
+        )
+
     @property
     def disk_id(self) -> str:
         """Return the identity of the data folder, empty before the start."""
--- a/src/kumquatrun/control/configuration_register.py
+++ b/src/kumquatrun/control/configuration_register.py
@@ -78,10 +78,12 @@
 class ReadConfiguration:
     """Asks the leader for the configuration in force.
 
-    The reply has no content if the reader holds that version.
+    The reply has no content if the reader holds that version or expects it
+    with the feed.
     """
 
     known_version: int = 0
+    wants_content: bool = True
 
 
 @message
--- a/src/kumquatrun/control/control.py
+++ b/src/kumquatrun/control/control.py
@@ -26,6 +26,7 @@
 from kumquatrun.control.control_state import ControlState
 from kumquatrun.control.feed_log import FeedLog
 from kumquatrun.control.feed_sender import FeedSender
+from kumquatrun.control.group_announcer import GroupAnnouncer
 from kumquatrun.control.leases import Incarnation, LeaseTable
 from kumquatrun.control.load_slot_queue import LoadSlotQueue
 from kumquatrun.control.operator_actions import OperatorActions
@@ -36,6 +37,7 @@
     NotLeaderError,
 )
 from kumquatrun.peer import CallContext
+from kumquatrun.peer.directory_messages import ControlGroup
 from kumquatrun.peer.messages import Ack
 from kumquatrun.peer.node_messages import (
     AcquireLoadSlot,
@@ -80,7 +82,9 @@
         clock: Clock,
         operator_token: str = '',
         listing: BackendListing | None = None,
+        announcer: GroupAnnouncer | None = None,
     ) -> None:
+        self._announcer = announcer
         self._listing = listing
         self._replica = replica
         self._state = state
@@ -125,6 +129,8 @@
             start_background(self._lead),
             start_background(self._expire_hosts),
         ]
+        if self._announcer is not None:
+            self._tasks.append(start_background(self._announcer.run))
 
     async def stop(self) -> None:
         """Stop the background work; the replica is stopped by its owner."""
@@ -177,6 +183,8 @@
         self._reports = ReportBoard()
         self._allowances = AllowancePool()
         self._served_term = term
+        if self._announcer is not None:
+            self._announcer.begin_term(self._state.hosts())
         log.info('event=leadership_started term=%s', term)
 
     async def _on_command(self, request: Any, context: CallContext) -> Any:
@@ -191,6 +199,7 @@
         record = request.record
         holder = (record.host_id, record.incarnation)
         self._leases.start(holder, self._feed.index, self._clock.now_s())
+        self._note_heard(record)
         return reply
 
     async def _on_renew(
@@ -209,6 +218,7 @@
         if request.agent_report is not None:
             self._reports.put(request.agent_report)
         self._check_leader()
+        self._note_heard(record)
         duration_s = self._leases.renew(
             (request.host_id, request.incarnation),
             applied_index=request.feed_index,
@@ -229,9 +239,19 @@
                 else ()
             ),
             configuration_version=self._state.configuration_version,
+            group=self._group_news(request),
             **self._listing_news(record, request),
         )
 
+    def _note_heard(self, record: HostRecord) -> None:
+        if self._announcer is not None:
+            self._announcer.note_heard(record)
+
+    def _group_news(self, request: RenewLease) -> ControlGroup | None:
+        group = self._replica.group
+        known = (request.group_term, request.group_index)
+        return None if known == (group.term, group.index) else group
+
     def _listing_news(
         self,
         record: HostRecord,
@@ -301,7 +321,8 @@
     ) -> ConfigurationReply:
         await self._replica.read_barrier(BARRIER_TIMEOUT_S)
         stored = self._state.configuration()
-        if stored.version == request.known_version:
+        is_known = stored.version == request.known_version
+        if is_known or not request.wants_content:
             return ConfigurationReply(version=stored.version)
         return ConfigurationReply(
             version=stored.version,
--- a/src/kumquatrun/control/control_host.py
+++ b/src/kumquatrun/control/control_host.py
@@ -12,6 +12,7 @@
 from kumquatrun.control.control import ControlService
 from kumquatrun.control.control_state import ControlState
 from kumquatrun.control.feed_log import FeedLog
+from kumquatrun.control.group_announcer import GroupAnnouncer
 from kumquatrun.daemon.settings import DaemonSettings
 from kumquatrun.errors import SettingError
 from kumquatrun.peer import Address, PeerServer
@@ -96,6 +97,12 @@
             clock,
             settings.operator_token,
             listing,
+            GroupAnnouncer(
+                lambda: self.replica.group,
+                lambda: self.service.serves,
+                identity,
+                clock,
+            ),
         )
         self._server = PeerServer(identity, self.service)
         self.address: Address | None = None
--- /dev/null
+++ b/src/kumquatrun/control/group_announcer.py
@@ -0,0 +1,147 @@
+"""Tells hosts that the leader misses where the control group is.
+
+A new leader misses all hosts. Each learns of it at once and does not find out
+by waiting for the former leader. Hosts that have lost their memory may know no
+replica at all: their settings name hosts that answer the operator.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+
+from kumquatrun.errors import KumquatrunError
+from kumquatrun.peer import Address, PeerClient
+from kumquatrun.peer.directory_messages import (
+    ControlGroup,
+    ControlHosts,
+    TellControlHosts,
+)
+from kumquatrun.peer.messages import Hello
+from kumquatrun.peer.node_messages import HostRecord
+from kumquatrun.runtime.clock import Clock
+from kumquatrun.runtime.logs import log_event
+
+log = logging.getLogger(__name__)
+
+CHECK_INTERVAL_S = 0.25
+# Two renewals.
+MISSED_AFTER_S = 1.0
+CALL_TIMEOUT_S = 0.5
+RETRY_MIN_S = 0.25
+RETRY_MAX_S = 4.0
+# A host that is not back by then starts anew with the settings of that time.
+REMEMBERED_S = 120.0
+# Bounds the work of a leader of hundreds of hosts beside its heartbeats.
+MAX_OPEN_CALLS = 32
+
+
+@dataclass(frozen=True)
+class _KnownHost:
+    address: Address
+    heard_s: float
+    forget_s: float
+    next_call_s: float
+    delay_s: float = RETRY_MIN_S
+
+    def is_due(self, now_s: float) -> bool:
+        """Return whether the host is missed and to be called now."""
+        is_missed = now_s - self.heard_s > MISSED_AFTER_S
+        return is_missed and now_s >= self.next_call_s
+
+
+class GroupAnnouncer:
+    """Keeps in touch with the hosts of one leader.
+
+    Parameters
+    ----------
+    group
+        Returns the control group as this replica knows it.
+    leads
+        Returns whether this replica leads.
+    identity
+        Identity of this replica.
+    clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        group: Callable[[], ControlGroup],
+        leads: Callable[[], bool],
+        identity: Hello,
+        clock: Clock,
+    ) -> None:
+        self._group = group
+        self._leads = leads
+        self._identity = identity
+        self._clock = clock
+        self._hosts: dict[str, _KnownHost] = {}
+        self._wake = asyncio.Event()
+        self._open_calls = asyncio.Semaphore(MAX_OPEN_CALLS)
+
+    def begin_term(self, records: Iterable[HostRecord]) -> None:
+        """Miss all registered hosts until they renew their leases."""
+        self._hosts.clear()
+        for record in records:
+            self._note(record, float('-inf'))
+        self._wake.set()
+
+    def note_heard(self, record: HostRecord) -> None:
+        """Record that a host has registered or renewed its lease."""
+        self._note(record, self._clock.now_s())
+
+    async def run(self) -> None:
+        """Call missed hosts while this replica leads; never returns."""
+        while True:
+            if self._leads():
+                await self._call_missed()
+            try:
+                async with asyncio.timeout(CHECK_INTERVAL_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+            self._wake.clear()
+
+    def _note(self, record: HostRecord, heard_s: float) -> None:
+        if not record.directory_address:
+            return
+        now_s = self._clock.now_s()
+        self._hosts[record.host_id] = _KnownHost(
+            address=Address.parse(record.directory_address),
+            heard_s=heard_s,
+            forget_s=now_s + REMEMBERED_S,
+            next_call_s=heard_s,
+        )
+
+    async def _call_missed(self) -> None:
+        now_s = self._clock.now_s()
+        due = []
+        for host_id, host in list(self._hosts.items()):
+            if now_s > host.forget_s:
+                del self._hosts[host_id]
+            elif host.is_due(now_s):
+                due.append((host_id, host))
+        await asyncio.gather(*(self._call(*row) for row in due))
+
+    async def _call(self, host_id: str, host: _KnownHost) -> None:
+        self._hosts[host_id] = replace(
+            host,
+            next_call_s=self._clock.now_s() + host.delay_s,
+            delay_s=min(2 * host.delay_s, RETRY_MAX_S),
+        )
+        client = PeerClient(host.address, self._identity)
+        told = ControlHosts(group=self._group())
+        try:
+            async with self._open_calls:
+                await client.call(TellControlHosts(hosts=told), CALL_TIMEOUT_S)
+        except KumquatrunError as error:
+            log_event(
+                log,
+                'host_not_told',
+                level=logging.DEBUG,
+                host_id=host_id,
+                error=str(error),
+            )
+        finally:
+            await client.close()
--- a/src/kumquatrun/gateway/roles/agent.py
+++ b/src/kumquatrun/gateway/roles/agent.py
@@ -12,6 +12,7 @@
 from kumquatrun.gateway.routing.configuration import EngineSpec
 from kumquatrun.gateway.routing.wire_format import WireFormat
 from kumquatrun.membership.control_client import Session
+from kumquatrun.membership.control_directory import DirectoryHandler
 from kumquatrun.peer import PeerServer
 from kumquatrun.peer.messages import Hello
 from kumquatrun.peer.node_messages import AgentReport
@@ -58,7 +59,7 @@
                 cluster_token=settings.cluster_token,
                 region=record.region,
             ),
-            self._engine_agent,
+            DirectoryHandler(session.directory, self._engine_agent),
         )
         session.on_change(self._configuration.follow)
         session.report_agent(self._report)
--- a/src/kumquatrun/gateway/roles/configuration_upload.py
+++ b/src/kumquatrun/gateway/roles/configuration_upload.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from dataclasses import dataclass
 from hashlib import blake2b
 from typing import Protocol
 
@@ -26,13 +27,13 @@
 MAX_DELTA_TRIES = 3
 MAX_WHOLE_TRIES = 3
 UPLOAD_ID_BYTES = 16
-# A replica in the other region applies a commit within some round trips.
 CATCH_UP_CHECK_S = 0.01
-CATCH_UP_CHECKS = 10
+# A host in the other region learns of a commit within some round trips.
+CATCH_UP_S = 0.1
 
 
 class HeldConfiguration(Protocol):
-    """The configuration that a replica has applied."""
+    """The committed configuration that this host holds."""
 
     @property
     def configuration_version(self) -> int:
@@ -44,8 +45,20 @@
         ...
 
 
+@dataclass(frozen=True)
+class ConfigurationChange:
+    """A checked configuration on its way to the leader.
+
+    Without the decoded routes, which would take memory until the commit.
+    """
+
+    version: int
+    content: bytes
+    allowances: tuple[AccountAllowance, ...] = ()
+
+
 class ConfigurationUpload:
-    """Sends what a configuration changes against the one that a replica holds.
+    """Sends what a configuration changes against the one that this host holds.
 
     Each part is committed for itself, so that small changes do not wait for a
     large one.
@@ -55,18 +68,14 @@
     leader
         Finds and calls the leader.
     held
-        State of the local replica.
+        Committed state that this host holds.
     """
 
     def __init__(self, leader: LeaderClient, held: HeldConfiguration) -> None:
         self._leader = leader
         self._held = held
 
-    async def commit(
-        self,
-        configuration: Configuration,
-        content: bytes,
-    ) -> ConfigurationReply:
+    async def commit(self, change: ConfigurationChange) -> ConfigurationReply:
         """Commit a configuration; returns the version in force.
 
         Raises
@@ -78,26 +87,21 @@
             base = self._held.configuration()
             if number >= MAX_DELTA_TRIES:
                 base = StoredConfiguration(0, b'')
-            reply = await self._send(configuration, content, base)
-            if reply.version >= configuration.version:
+            reply = await self._send(change, base)
+            if reply.version >= change.version:
                 return reply
-            await catch_up(self._held, reply.version)
+            await catch_up(self._held, reply.version, CATCH_UP_S)
         raise RevisionConflictError(
             f'other changes came between all parts of configuration '
-            f'{configuration.version}',
+            f'{change.version}',
         )
 
     async def _send(
         self,
-        configuration: Configuration,
-        content: bytes,
+        change: ConfigurationChange,
         base: StoredConfiguration,
     ) -> ConfigurationReply:
-        upload = encode_upload(
-            base.content,
-            content,
-            allowances_of(configuration),
-        )
+        upload = encode_upload(base.content, change.content, change.allowances)
         parts = split_parts(upload)
         upload_id = blake2b(
             upload,
@@ -108,7 +112,7 @@
         for number, part in enumerate(parts):
             reply = await self._leader.call(
                 PutConfigurationPart(
-                    version=configuration.version,
+                    version=change.version,
                     base_version=base.version,
                     upload_id=upload_id,
                     number=number,
@@ -117,12 +121,12 @@
                 ),
                 PART_TIMEOUT_S,
             )
-            if reply.base_changed or reply.version >= configuration.version:
+            if reply.base_changed or reply.version >= change.version:
                 break
         log_event(
             log,
             'configuration_sent',
-            version=configuration.version,
+            version=change.version,
             base_version=base.version,
             size_bytes=len(upload),
             parts=len(parts),
@@ -132,16 +136,32 @@
         return reply
 
 
-async def catch_up(held: HeldConfiguration, version: int) -> bool:
-    """Wait a moment until the replica holds a version; False if it does not."""
-    for _ in range(CATCH_UP_CHECKS):
+async def catch_up(
+    held: HeldConfiguration,
+    version: int,
+    limit_s: float,
+) -> bool:
+    """Wait until this host holds a version; False if it does not in time."""
+    for _ in range(round(limit_s / CATCH_UP_CHECK_S)):
         if held.configuration_version >= version:
             return True
         await asyncio.sleep(CATCH_UP_CHECK_S)
-    return False
+    return held.configuration_version >= version
+
+
+def change_of(
+    configuration: Configuration,
+    content: bytes,
+) -> ConfigurationChange:
+    """Return what the leader needs of a checked configuration."""
+    return ConfigurationChange(
+        version=configuration.version,
+        content=content,
+        allowances=_allowances_of(configuration),
+    )
 
 
-def allowances_of(
+def _allowances_of(
     configuration: Configuration,
 ) -> tuple[AccountAllowance, ...]:
     """Return the limits of the accounts that have one."""
--- a/src/kumquatrun/gateway/roles/control.py
+++ b/src/kumquatrun/gateway/roles/control.py
@@ -1,33 +1,53 @@
 """Control daemon part: replica, list of backend servers, membership."""
 
 import asyncio
-import random
+import logging
+import uuid
+from dataclasses import replace
 
-from kumquatrun.consensus.membership_keeper import MembershipKeeper
+from kumquatrun.consensus.log_store import FileStorage
+from kumquatrun.consensus.membership_keeper import (
+    MAX_VOTERS,
+    MembershipKeeper,
+)
 from kumquatrun.consensus.memory_store import MemoryStorage
 from kumquatrun.consensus.quorum_node import NodeOptions
+from kumquatrun.consensus.quorum_types import ReplicaMeta
+from kumquatrun.consensus.replica_restart import DISK_RETRY_MAX_S, PATH_ERRORS
+from kumquatrun.consensus.storage import Storage
 from kumquatrun.control.backend_listing import BackendListing
 from kumquatrun.control.control_host import ControlHost
-from kumquatrun.gateway.roles.operator_gate import OperatorGate
+from kumquatrun.daemon.settings import ReplicaSettings
+from kumquatrun.gateway.roles.control_search import ControlSearch, Founding
 from kumquatrun.gateway.roles.settings import GatewayControlSettings
-from kumquatrun.membership.leader_client import LeaderClient
+from kumquatrun.membership.control_directory import ControlDirectory
+from kumquatrun.peer import Address
+from kumquatrun.peer.directory_messages import ControlHosts, FoundingReplica
 from kumquatrun.peer.messages import Hello
 from kumquatrun.runtime.background import start_background
 from kumquatrun.runtime.clock import Clock
+from kumquatrun.runtime.logs import log_event
+
+log = logging.getLogger(__name__)
 
 # A few round trips and syncs; the platform's time to stop is 8 s.
 LEAVE_LIMIT_S = 1.0
+FOLLOW_INTERVAL_S = 0.2
 
 
 class GatewayControl:
     """Runs one control replica with its background work.
 
-    Attributes
+    Parameters
     ----------
-    leader
-        Connection to the leader, wherever it is.
-    gate
-        Operator calls.
+    settings
+        Addresses and limits.
+    listing
+        List of backend servers, which the leader reads.
+    clock
+        Source of time.
+    storage
+        Durable state of the replica; by default what the settings name.
     """
 
     def __init__(
@@ -35,58 +55,159 @@
         settings: GatewayControlSettings,
         listing: BackendListing,
         clock: Clock,
+        storage: Storage | None = None,
     ) -> None:
+        self._settings = settings
         self._listing = listing
-        storage = None if settings.replica.data_dir else MemoryStorage()
-        self._host = ControlHost(
-            settings,
-            clock,
-            storage=storage,
-            listing=listing,
-            # The keeper also removes replicas that were only cut off.
-            options=NodeOptions(rejoins=True),
-        )
-        self._keeper = MembershipKeeper(
-            self._host.replica,
-            clock,
-            settings.max_lost_replicas,
-        )
-        self.leader = LeaderClient(
-            settings.control_addresses,
+        self._clock = clock
+        self._storage = storage or _storage(settings.replica)
+        self._directory = ControlDirectory(clock)
+        self._search = ControlSearch(
+            self._directory,
+            settings.directory_addresses,
             Hello(
                 node_id=settings.host_id,
-                incarnation='operator',
+                incarnation=uuid.uuid4().hex,
                 cluster_token=settings.cluster_token,
                 region=settings.region,
             ),
+            self._hears_leader,
+        )
+        replica = settings.replica
+        self._founding = Founding(
+            FoundingReplica(
+                replica_id=replica.replica_id,
+                address=str(replica.listen),
+                failure_domain=settings.failure_domain,
+            ),
+            _founding_domains(settings),
+            self._directory,
             clock,
-            random.Random(),
-            self._host.replica,
         )
-        self.gate = OperatorGate(self.leader, self._host.state)
+        self._host: ControlHost | None = None
+        self._keeper: MembershipKeeper | None = None
         self._tasks: list[asyncio.Task] = []
 
     def not_ready_reason(self) -> str:
         """Return why the replica takes no part, or an empty text."""
+        if self._host is None:
+            return 'the founding replicas are not known'
         return self._host.not_ready_reason()
 
-    async def start(self) -> None:
-        """Start the replica and follow the platform's list while it leads."""
-        await self._host.start()
-        self._tasks = [
-            start_background(self._keeper.run),
-            start_background(self._follow_listing),
-        ]
+    def set_addresses(self, addresses: tuple[Address, ...]) -> None:
+        """Replace the directories through which the group is found."""
+        self._search.set_addresses(addresses)
 
-    async def _follow_listing(self) -> None:
-        await self._listing.follow(lambda: self._host.service.serves)
+    async def start(self) -> None:
+        """Find the group or found it, and take part in it."""
+        self._tasks = [start_background(self._search.run)]
+        replica_settings = await self._replica_settings()
+        host = ControlHost(
+            replace(self._settings, replica=replica_settings),
+            self._clock,
+            storage=self._storage,
+            listing=self._listing,
+            # The keeper also removes replicas that were only cut off.
+            options=NodeOptions(rejoins=True),
+        )
+        self._host = host
+        self._keeper = MembershipKeeper(
+            host.replica,
+            self._clock,
+            self._settings.max_lost_replicas,
+        )
+        await host.start()
+        self._tasks.extend(
+            (
+                start_background(self._keeper.run),
+                start_background(self._follow_group),
+                start_background(self._follow_listing),
+            ),
+        )
 
     async def stop(self) -> None:
         """Hand over, leave a group that is complete without it, and stop."""
-        await self._host.hand_over()
-        await self._keeper.leave(LEAVE_LIMIT_S)
+        if self._host is not None:
+            await self._host.hand_over()
+            await self._keeper.leave(LEAVE_LIMIT_S)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self.leader.close()
-        await self._host.stop(hands_over=False)
+        if self._host is not None:
+            await self._host.stop(hands_over=False)
+
+    async def _replica_settings(self) -> ReplicaSettings:
+        """Return the settings of a replica that founds the group or joins it.
+
+        A replica that has stored a membership before it was killed goes on
+        founding with the replicas in it.
+        """
+        own = self._settings.replica
+        is_founder = self._settings.failure_domain in _founding_domains(
+            self._settings,
+        )
+        if not (self._settings.is_first_start and is_founder):
+            return replace(own, join=True)
+        meta = await self._stored_meta()
+        if meta.formed:
+            return replace(own, join=True)
+        self._search.founder = self._founding.own
+        founders = await self._founding.wait()
+        if not founders:
+            self._search.founder = None
+            return replace(own, join=True)
+        stored = {
+            member.replica_id: Address.parse(member.address)
+            for member in meta.initial
+        }
+        replicas = tuple((stored | founders).items())
+        return replace(own, replicas=replicas, join=False)
+
+    async def _stored_meta(self) -> ReplicaMeta:
+        while True:
+            try:
+                return self._storage.load().meta or ReplicaMeta('')
+            except PATH_ERRORS:
+                raise
+            except OSError as error:
+                log_event(log, 'disk_unreadable', error=str(error))
+            await asyncio.sleep(DISK_RETRY_MAX_S)
+
+    def _hears_leader(self) -> bool:
+        return self._host is not None and bool(self._host.replica.leader_id)
+
+    async def _follow_group(self) -> None:
+        """Pass on what the replica and other hosts know of the group."""
+        replica = self._host.replica
+        while True:
+            self._directory.take(ControlHosts(group=replica.group))
+            if replica.is_formed:
+                self._search.founder = None
+            else:
+                replica.add_founders(self._founding.founders())
+            if not replica.leader_id:
+                members = self._directory.group.members
+                replica.introduce(
+                    {
+                        member.replica_id: Address.parse(member.address)
+                        for member in members
+                    },
+                )
+            await asyncio.sleep(FOLLOW_INTERVAL_S)
+
+    async def _follow_listing(self) -> None:
+        await self._listing.follow(lambda: self._host.service.serves)
+
+
+def _founding_domains(settings: GatewayControlSettings) -> list[str]:
+    """Return the same failure domains on each host.
+
+    The deploy file places one control host in each failure domain.
+    """
+    return sorted(dict(settings.regions))[:MAX_VOTERS]
+
+
+def _storage(settings: ReplicaSettings) -> Storage:
+    if settings.data_dir:
+        return FileStorage(settings.data_dir)
+    return MemoryStorage()
--- /dev/null
+++ b/src/kumquatrun/gateway/roles/control_search.py
@@ -0,0 +1,170 @@
+"""How a control host finds the other ones, through any hosts that it knows."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+
+from kumquatrun.errors import KumquatrunError
+from kumquatrun.membership.control_directory import ControlDirectory
+from kumquatrun.membership.directory_exchange import exchange
+from kumquatrun.peer import Address
+from kumquatrun.peer.directory_messages import (
+    ControlGroup,
+    ControlHosts,
+    FoundingReplica,
+)
+from kumquatrun.peer.messages import Hello
+from kumquatrun.runtime.clock import Clock
+from kumquatrun.runtime.logs import log_event
+
+log = logging.getLogger(__name__)
+
+EXCHANGE_INTERVAL_S = 0.25
+# All hosts start within a fraction of a second. A failure domain whose control
+# host has not been heard of by then may have none.
+FOUNDING_WAIT_S = 4.0
+
+
+class ControlSearch:
+    """Exchanges what is known of the control group with other hosts.
+
+    Parameters
+    ----------
+    directory
+        What this host knows.
+    addresses
+        Directories of other hosts.
+    identity
+        Identity of this replica.
+    is_led
+        Returns whether the replica hears a leader.
+
+    Attributes
+    ----------
+    founder
+        This replica while it waits to found the group.
+    """
+
+    def __init__(
+        self,
+        directory: ControlDirectory,
+        addresses: Iterable[Address],
+        identity: Hello,
+        is_led: Callable[[], bool],
+    ) -> None:
+        self._directory = directory
+        self._addresses = tuple(addresses)
+        self._identity = identity
+        self._is_led = is_led
+        self._told: dict[Address, ControlGroup] = {}
+        self.founder: FoundingReplica | None = None
+
+    def set_addresses(self, addresses: Iterable[Address]) -> None:
+        """Replace the directories."""
+        self._addresses = tuple(addresses)
+
+    async def run(self) -> None:
+        """Tell each directory what it was not told; never returns.
+
+        While the replica hears no leader, all of them are asked each time.
+        """
+        while True:
+            group = self._directory.group
+            due = [
+                address
+                for address in self._addresses
+                if not self._is_led() or self._told.get(address) != group
+            ]
+            await asyncio.gather(*(self._exchange(row, group) for row in due))
+            await asyncio.sleep(EXCHANGE_INTERVAL_S)
+
+    async def _exchange(self, address: Address, group: ControlGroup) -> None:
+        founders = () if self.founder is None else (self.founder,)
+        known = ControlHosts(group=group, founders=founders)
+        try:
+            found = await exchange(address, self._identity, known)
+            self._directory.take(found)
+        except KumquatrunError as error:
+            log.debug(
+                'event=directory_unreachable address=%s error=%r',
+                address,
+                str(error),
+            )
+            return
+        self._told[address] = group
+
+
+class Founding:
+    """Decides which replicas found the group.
+
+    Each founding failure domain has one control host at the first start. The
+    group may form without some of them, but only with more than half, so that
+    no two groups form.
+
+    Parameters
+    ----------
+    own
+        Replica of this host.
+    failure_domains
+        Those whose control hosts found the group.
+    directory
+        What is known of the others.
+    clock
+        Source of time.
+
+    Attributes
+    ----------
+    own
+        The replica of this host.
+    """
+
+    def __init__(
+        self,
+        own: FoundingReplica,
+        failure_domains: Iterable[str],
+        directory: ControlDirectory,
+        clock: Clock,
+    ) -> None:
+        self.own = own
+        self._failure_domains = frozenset(failure_domains)
+        self._directory = directory
+        self._clock = clock
+
+    async def wait(self) -> dict[str, Address]:
+        """Return the founders by replica id, none if the group exists."""
+        began_s = self._clock.now_s()
+        while not self._directory.group.term:
+            founders = self.founders()
+            waited_s = self._clock.now_s() - began_s
+            if self._is_enough(founders, waited_s):
+                log_event(
+                    log,
+                    'founders_known',
+                    founders=','.join(sorted(founders)),
+                    waited_ms=round(1000 * waited_s),
+                )
+                return founders
+            await asyncio.sleep(EXCHANGE_INTERVAL_S / 2)
+        return {}
+
+    def founders(self) -> dict[str, Address]:
+        """Return the replicas that are known to found the group."""
+        return {
+            row.replica_id: Address.parse(row.address) for row in self._rows()
+        }
+
+    def _rows(self) -> list[FoundingReplica]:
+        rows = {row.replica_id: row for row in self._directory.hosts.founders}
+        rows[self.own.replica_id] = self.own
+        return [
+            row
+            for row in rows.values()
+            if row.failure_domain in self._failure_domains
+        ]
+
+    def _is_enough(self, founders: dict[str, Address], waited_s: float) -> bool:
+        heard_of = {row.failure_domain for row in self._rows()}
+        if heard_of == self._failure_domains:
+            return True
+        is_majority = 2 * len(heard_of) > len(self._failure_domains)
+        return is_majority and waited_s > FOUNDING_WAIT_S
--- a/src/kumquatrun/gateway/roles/operator_gate.py
+++ b/src/kumquatrun/gateway/roles/operator_gate.py
@@ -1,4 +1,4 @@
-"""Changes and reads of the configuration, from any control host."""
+"""Changes and reads of the configuration, from any host."""
 
 import zlib
 from collections.abc import Awaitable, Callable
@@ -11,20 +11,24 @@
 )
 from kumquatrun.errors import ControlUnreachableError, KumquatrunError
 from kumquatrun.gateway.roles.configuration_upload import (
+    ConfigurationChange,
     ConfigurationUpload,
     HeldConfiguration,
     catch_up,
 )
-from kumquatrun.gateway.routing.configuration import Configuration
 from kumquatrun.membership.leader_client import LeaderClient
 
 # Callers move on after a second without an answer.
 COMMIT_TIMEOUT_S = 3.0
 READ_TIMEOUT_S = 1.5
+# The largest configuration crosses the link between the regions in this time.
+CONTENT_TIMEOUT_S = 3.0
+# The feed brings a new configuration as a small change, mostly in less time.
+FEED_WAIT_S = 0.6
 
 
 class CommittedState(HeldConfiguration, Protocol):
-    """State that a replica has applied, so that it is committed."""
+    """What this host holds of the state that is committed."""
 
     def adapter_version(self, model: str, adapter: str) -> int:
         """Return the newest version of an adapter, 0 if none."""
@@ -34,16 +38,17 @@
 class OperatorGate:
     """Passes operator calls to the control leader.
 
-    A change that the local replica shows as committed is confirmed without
-    the leader: what is committed stays so, and a change under a version that
-    is held changes nothing.
+    A change that this host holds as committed is confirmed without the
+    leader: what is committed stays so, and a change under a version that is
+    held changes nothing. A host that no leader has answered for a while
+    refuses other calls at once, since the operator can ask the next host.
 
     Parameters
     ----------
     leader
         Finds and calls the leader.
     committed
-        State of the local replica.
+        Committed state that this host holds.
     """
 
     def __init__(
@@ -55,7 +60,7 @@
         self._committed = committed
         self._upload = ConfigurationUpload(leader, committed)
 
-    async def put(self, configuration: Configuration, content: bytes) -> int:
+    async def put(self, change: ConfigurationChange) -> int:
         """Commit a checked configuration; return the version in force.
 
         Raises
@@ -65,8 +70,8 @@
         """
         committed = self._committed
         reply: ConfigurationReply | None = await self._commit(
-            lambda: self._upload.commit(configuration, content),
-            lambda: committed.configuration_version >= configuration.version,
+            lambda: self._upload.commit(change),
+            lambda: committed.configuration_version >= change.version,
         )
         return reply.version if reply else committed.configuration_version
 
@@ -79,21 +84,24 @@
             If no leader can be sure, or none was accepted yet.
         """
         committed = self._committed
-        request = ReadConfiguration(
-            known_version=committed.configuration_version,
+        self._require_leader()
+        newest = await self._leader.call(
+            ReadConfiguration(wants_content=False),
+            READ_TIMEOUT_S,
         )
-        reply = await self._read(request)
-        if not reply.version:
+        if not newest.version:
             raise ControlUnreachableError('no configuration was accepted yet')
         # The content rarely has to cross the link between the regions.
-        if await catch_up(committed, reply.version):
+        if await catch_up(committed, newest.version, FEED_WAIT_S):
             return committed.configuration().content
-        if not reply.compressed:
-            reply = await self._read(ReadConfiguration())
+        reply = await self._leader.call(ReadConfiguration(), CONTENT_TIMEOUT_S)
         return zlib.decompress(reply.compressed)
 
-    async def _read(self, request: ReadConfiguration) -> ConfigurationReply:
-        return await self._leader.call(request, READ_TIMEOUT_S)
+    def _require_leader(self) -> None:
+        if not self._leader.is_led:
+            raise ControlUnreachableError(
+                'no control leader has answered this host lately',
+            )
 
     async def name_version(self, command: NameAdapterVersion) -> None:
         """Commit a new adapter version.
@@ -117,9 +125,10 @@
         commit: Callable[[], Awaitable[Any]],
         is_committed: Callable[[], bool],
     ) -> Any:
-        """Return the leader's reply, None if the local replica knows more."""
+        """Return the leader's reply, None if this host holds the change."""
         if is_committed():
             return None
+        self._require_leader()
         try:
             return await commit()
         except KumquatrunError:
--- a/src/kumquatrun/gateway/roles/settings.py
+++ b/src/kumquatrun/gateway/roles/settings.py
@@ -16,9 +16,12 @@
         Region of each failure domain.
     listing_address
         Where the platform lists the backend servers.
+    directory_addresses
+        Hosts that are asked for the control group.
     """
 
     listing_address: Address
+    directory_addresses: tuple[Address, ...] = ()
     regions: tuple[tuple[str, str], ...] = ()
 
 
@@ -26,13 +29,16 @@
 class GatewayEntrySettings(GatewaySettings):
     """Settings of an entry.
 
-    ``retry_ratio`` and ``retry_allowance`` bound the retries of the whole
+    It answers the operator at ``operator_listen`` and other hosts at
+    ``directory_listen``. ``retry_ratio`` and ``retry_allowance`` bound the retries of the whole
     fleet to one service within ``retry_window_s``. ``drops_idle_connections`` says
     that backend servers close idle connections without notice.
     """
 
     http_listen: Address
     ready_listen: Address
+    operator_listen: Address
+    directory_listen: Address
     max_header_bytes: int = 32 * 1024
     retry_ratio: float = 0.1
     retry_allowance: float = 50
@@ -42,9 +48,13 @@
 
 @dataclass(frozen=True, kw_only=True)
 class GatewayAgentSettings(GatewaySettings):
-    """Settings of the agent beside an engine."""
+    """Settings of the agent beside an engine.
+
+    It answers the operator at ``operator_listen``.
+    """
 
     listen: Address
+    operator_listen: Address
     service: str
     engine_address: Address
 
@@ -53,10 +63,11 @@
 class GatewayControlSettings(GatewaySettings):
     """Settings of a control host.
 
-    ``max_lost_replicas`` replicas may be lost at the same time. Without a
+    ``is_first_start`` says that the whole system starts for the first time,
+    so that a group has to be founded. ``max_lost_replicas`` replicas may be lost at the same time. Without a
     data directory the replica keeps its log in memory, and a restart is the
     loss of a disk.
     """
 
-    operator_listen: Address
+    is_first_start: bool = False
     max_lost_replicas: int = 1
--- a/src/kumquatrun/membership/control_client.py
+++ b/src/kumquatrun/membership/control_client.py
@@ -16,8 +16,11 @@
     StaleIncarnationError,
 )
 from kumquatrun.membership.cluster_view import ClusterView
+from kumquatrun.membership.control_directory import ControlDirectory
+from kumquatrun.membership.directory_exchange import ControlFinder
 from kumquatrun.membership.leader_client import LeaderClient
 from kumquatrun.peer import Address, PeerClient
+from kumquatrun.peer.directory_messages import ControlHosts
 from kumquatrun.peer.messages import Hello
 from kumquatrun.peer.node_messages import (
     AgentReport,
@@ -49,7 +52,19 @@
 
 
 class Session:
-    """Implements ``control_api.NodeSession`` over the control leader."""
+    """Implements ``control_api.NodeSession`` over the control leader.
+
+    Parameters
+    ----------
+    record
+        Describes this host.
+    control_addresses
+        Hosts that may have a control replica.
+    clock
+        Source of time.
+    directory_addresses
+        Hosts that are asked for the control group while no leader answers.
+    """
 
     def __init__(
         self,
@@ -57,23 +72,28 @@
         control_addresses: tuple[Address, ...],
         clock: Clock,
         *,
+        directory_addresses: tuple[Address, ...] = (),
         cluster_token: str = '',
         rng: random.Random | None = None,
     ) -> None:
         self._clock = clock
         self._rng = rng or random.Random()
         self._record = replace(record, incarnation=uuid.uuid4().hex)
+        self._cluster_token = cluster_token
         self._view = ClusterView()
+        self._directory = ControlDirectory(clock)
         self._leader_client = LeaderClient(
             control_addresses,
-            Hello(
-                node_id=record.host_id,
-                incarnation=self._record.incarnation,
-                cluster_token=cluster_token,
-                region=record.region,
-            ),
+            self.identity(),
             clock,
             self._rng,
+            self._directory,
+        )
+        self._finder = ControlFinder(
+            self._directory,
+            directory_addresses,
+            self.identity,
+            lambda: self._leader_client.is_led,
         )
         self._lease_ends_at_s = float('-inf')
         self._had_lease = False
@@ -104,11 +124,34 @@
         """Return the connection to the leader."""
         return self._leader_client
 
+    @property
+    def directory(self) -> ControlDirectory:
+        """Return what this host knows of the control group."""
+        return self._directory
+
     @property
     def newest_configuration_version(self) -> int:
         """Return the newest version that the leader has told of or sent."""
         return max(self._view.configuration_version, self._told_configuration)
 
+    def identity(self) -> Hello:
+        """Return how this host introduces itself to others."""
+        return Hello(
+            node_id=self._record.host_id,
+            incarnation=self._record.incarnation,
+            cluster_token=self._cluster_token,
+            region=self._record.region,
+        )
+
+    def set_addresses(
+        self,
+        control_addresses: tuple[Address, ...],
+        directory_addresses: tuple[Address, ...],
+    ) -> None:
+        """Replace the hosts that are asked where no leader is known."""
+        self._leader_client.set_addresses(control_addresses)
+        self._finder.set_addresses(directory_addresses)
+
     def lease_valid(self) -> bool:
         """Return whether the lease is valid now."""
         return self._clock.now_s() < self._lease_ends_at_s
@@ -144,6 +187,7 @@
             start_background(self._keep_lease),
             start_background(self._follow_feed),
             start_background(self._watch_lease),
+            start_background(self._finder.run),
         ]
 
     async def stop(self) -> None:
@@ -201,6 +245,7 @@
             self._budget_reports = self._budget_source()
             self._sequence += bool(self._budget_reports)
         incarnation = self._record.incarnation
+        group = self._directory.group
         sent_at_s = self._clock.now_s()
         reply: LeaseReply = await self._leader_client.call(
             RenewLease(
@@ -211,12 +256,16 @@
                 agent_report=self._agent_source and self._agent_source(),
                 budget_reports=self._budget_reports,
                 listing_version=self._listing_version,
+                group_term=group.term,
+                group_index=group.index,
             ),
             RENEW_TIMEOUT_S,
         )
         self._budget_reports = ()
         self._view.update_reports(reply.agent_reports)
         self._take_listing(reply)
+        if reply.group is not None:
+            self._directory.take(ControlHosts(group=reply.group))
         self._told_configuration = max(
             self._told_configuration,
             reply.configuration_version,
@@ -248,7 +297,7 @@
 
     async def _follow_feed(self) -> None:
         while True:
-            leader = self._leader_client.leader
+            leader = self._leader_client.feed_leader
             try:
                 await self._read_feed(leader, self._view.applied_index)
             except FeedGapError as error:
--- /dev/null
+++ b/src/kumquatrun/membership/control_directory.py
@@ -0,0 +1,149 @@
+"""What a host knows of the control group, and the answer to those who ask."""
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from kumquatrun.errors import InvalidRequestError
+from kumquatrun.peer import Address, CallContext, PeerHandler
+from kumquatrun.peer.directory_messages import (
+    ControlGroup,
+    ControlHosts,
+    FoundingReplica,
+    TellControlHosts,
+)
+from kumquatrun.runtime.clock import Clock
+from kumquatrun.runtime.listeners import Listeners
+from kumquatrun.runtime.logs import log_event
+
+log = logging.getLogger(__name__)
+
+# A founding replica tells the directories of its settings several times a
+# second until the group is formed.
+FOUNDER_TTL_S = 10.0
+
+
+class ControlDirectory:
+    """Newest known control group, and replicas that are about to found one.
+
+    Parameters
+    ----------
+    clock
+        Source of time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._group = ControlGroup()
+        self._founders: dict[str, FoundingReplica] = {}
+        self._told_s: dict[str, float] = {}
+        self._listeners = Listeners()
+
+    @property
+    def group(self) -> ControlGroup:
+        """Return the newest known group; its term is 0 if none is known."""
+        return self._group
+
+    @property
+    def hosts(self) -> ControlHosts:
+        """Return everything that other hosts may want to know."""
+        return ControlHosts(group=self._group, founders=self._fresh_founders())
+
+    @property
+    def leader_address(self) -> Address | None:
+        """Return the address of the leader, None if none is known."""
+        leader = self._group.leader
+        return Address.parse(leader) if leader else None
+
+    @property
+    def member_addresses(self) -> tuple[Address, ...]:
+        """Return the addresses of all members."""
+        members = self._group.members
+        return tuple(Address.parse(member.address) for member in members)
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after a change of the leader or the members."""
+        self._listeners.add(listener)
+
+    def take(self, told: ControlHosts) -> None:
+        """Learn what another host knows.
+
+        Raises
+        ------
+        InvalidRequestError
+            If it names something that is no address.
+        """
+        _check_addresses(told)
+        if told.group.is_newer_than(self._group):
+            self._take_group(told.group)
+        if self._group.term:
+            self._founders.clear()
+            return
+        now_s = self._clock.now_s()
+        for founder in told.founders:
+            self._founders[founder.replica_id] = founder
+            self._told_s[founder.replica_id] = now_s
+
+    def _take_group(self, group: ControlGroup) -> None:
+        former = self._group
+        self._group = group
+        is_changed = (group.leader, group.members) != (
+            former.leader,
+            former.members,
+        )
+        if not is_changed:
+            return
+        log_event(
+            log,
+            'control_group_known',
+            term=group.term,
+            leader=group.leader,
+            members=','.join(row.address for row in group.members),
+            former_term=former.term,
+        )
+        self._listeners.notify()
+
+    def _fresh_founders(self) -> tuple[FoundingReplica, ...]:
+        oldest_s = self._clock.now_s() - FOUNDER_TTL_S
+        return tuple(
+            founder
+            for name, founder in self._founders.items()
+            if self._told_s[name] >= oldest_s
+        )
+
+
+class DirectoryHandler:
+    """Answers questions for the control group, and passes other calls on.
+
+    Fits the ``PeerHandler`` protocol.
+    """
+
+    def __init__(
+        self,
+        directory: ControlDirectory,
+        other_calls: PeerHandler | None = None,
+    ) -> None:
+        self._directory = directory
+        self._other_calls = other_calls
+
+    async def handle(self, request: Any, context: CallContext) -> Any:
+        """Return the reply message, or raise a ``KumquatrunError``."""
+        if isinstance(request, TellControlHosts):
+            self._directory.take(request.hosts)
+            return self._directory.hosts
+        if self._other_calls is None:
+            raise InvalidRequestError(f'unexpected {type(request).__name__}')
+        return await self._other_calls.handle(request, context)
+
+
+def _check_addresses(told: ControlHosts) -> None:
+    group = told.group
+    rows = (*group.members, *told.founders)
+    texts = [row.address for row in rows]
+    if group.leader:
+        texts.append(group.leader)
+    try:
+        for text in texts:
+            Address.parse(text)
+    except ValueError as error:
+        raise InvalidRequestError(f'control hosts: {error}') from None
--- /dev/null
+++ b/src/kumquatrun/membership/directory_exchange.py
@@ -0,0 +1,92 @@
+"""Exchanges knowledge of the control group with other hosts."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+
+from kumquatrun.errors import KumquatrunError
+from kumquatrun.membership.control_directory import ControlDirectory
+from kumquatrun.peer import Address, PeerClient
+from kumquatrun.peer.directory_messages import ControlHosts, TellControlHosts
+from kumquatrun.peer.messages import Hello
+
+log = logging.getLogger(__name__)
+
+# A few round trips between the regions and the work of a busy host.
+EXCHANGE_TIMEOUT_S = 0.5
+FIND_INTERVAL_S = 0.25
+
+
+async def exchange(
+    address: Address,
+    identity: Hello,
+    hosts: ControlHosts,
+) -> ControlHosts:
+    """Tell a host what is known here, and return what it knows.
+
+    The connection is closed afterwards: a host rarely asks the same one again.
+
+    Raises
+    ------
+    KumquatrunError
+        If there is no answer in time.
+    """
+    client = PeerClient(address, identity)
+    try:
+        return await client.call(
+            TellControlHosts(hosts=hosts),
+            EXCHANGE_TIMEOUT_S,
+        )
+    finally:
+        await client.close()
+
+
+class ControlFinder:
+    """Asks for the control group while no leader answers this host.
+
+    Parameters
+    ----------
+    directory
+        Takes what is learned.
+    addresses
+        Directories of other hosts.
+    identity
+        Returns the identity of this host.
+    is_led
+        Returns whether a leader has answered a moment ago.
+    """
+
+    def __init__(
+        self,
+        directory: ControlDirectory,
+        addresses: Iterable[Address],
+        identity: Callable[[], Hello],
+        is_led: Callable[[], bool],
+    ) -> None:
+        self._directory = directory
+        self._addresses = tuple(addresses)
+        self._identity = identity
+        self._is_led = is_led
+
+    def set_addresses(self, addresses: Iterable[Address]) -> None:
+        """Replace the directories that are asked."""
+        self._addresses = tuple(addresses)
+
+    async def run(self) -> None:
+        """Ask again and again while there is need; never returns."""
+        while True:
+            if not self._is_led():
+                await asyncio.gather(*map(self._ask, self._addresses))
+            await asyncio.sleep(FIND_INTERVAL_S)
+
+    async def _ask(self, address: Address) -> None:
+        known = ControlHosts(group=self._directory.group)
+        try:
+            found = await exchange(address, self._identity(), known)
+            self._directory.take(found)
+        except KumquatrunError as error:
+            log.debug(
+                'event=directory_unreachable address=%s error=%r',
+                address,
+                str(error),
+            )
--- a/src/kumquatrun/membership/leader_client.py
+++ b/src/kumquatrun/membership/leader_client.py
@@ -3,9 +3,8 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable
-from contextlib import suppress
-from typing import Any, Protocol
+from collections.abc import Coroutine
+from typing import Any
 
 from kumquatrun.errors import (
     ConnectionLostError,
@@ -16,6 +15,7 @@
     Outcome,
     OutcomeUnknownError,
 )
+from kumquatrun.membership.control_directory import ControlDirectory
 from kumquatrun.peer import Address, PeerClient
 from kumquatrun.peer.messages import Hello
 from kumquatrun.runtime.clock import Clock
@@ -24,37 +24,25 @@
 log = logging.getLogger(__name__)
 
 RETRY_DELAY_S = 0.05
-# A leader that went silent must be given up early enough to find its
-# successor within a lease of 3 s.
-ATTEMPT_TIMEOUT_S = 1.0
-# A caller that follows a replica of its own process finds the next leader
-# long before. Its attempts end only if the leader gives no sign of life for so
-# long, and each may stay silent for longer than the one before.
-FIRST_SILENCE_S = 0.4
+# An answer that comes at once needs no watch over the leader.
+PROMPT_S = 0.1
+# An attempt ends if the leader gives no sign of life for so long; the next one
+# may stay silent for longer.
+FIRST_SILENCE_S = 0.3
 SILENCE_GROWTH = 2
-# Longer than an election. A member without a leader for so long is cut off
-# from the majority, and another host can answer the caller.
+# A silent replica that others still name as the leader is not asked again for
+# this time, in which an election may end.
+SHUN_S = 0.5
+# Longer than an election. A host that no leader has answered for so long is
+# cut off from the majority, and another host can answer its caller.
 LEADERLESS_LIMIT_S = 1.5
 
-RETRIED = (NotLeaderError, ConnectionLostError, DeadlineExceededError)
-
-
-class LeaderLocator(Protocol):
-    """A replica in the same process, which hears the leader's heartbeats."""
-
-    @property
-    def leader_address(self) -> Address | None:
-        """Return the address of the known leader."""
-        ...
-
-    @property
-    def member_addresses(self) -> tuple[Address, ...]:
-        """Return the addresses of all members, empty before it is one."""
-        ...
-
-    def on_role_change(self, listener: Callable[[], None]) -> None:
-        """Call ``listener`` after each change of the leader."""
-        ...
+RETRIED = (
+    NotLeaderError,
+    ConnectionLostError,
+    DeadlineExceededError,
+    OutcomeUnknownError,
+)
 
 
 class LeaderClient:
@@ -63,6 +51,13 @@
     All messages to the leader can be sent again: they carry an operation id,
     a request id or a sequence number that the state machine recognizes, or
     their repetition changes nothing.
+
+    Parameters
+    ----------
+    addresses
+        Hosts that may have a replica.
+    directory
+        Learns of the next leader from others. All open calls move to it.
     """
 
     def __init__(
@@ -71,32 +66,43 @@
         identity: Hello,
         clock: Clock,
         rng: random.Random,
-        locator: LeaderLocator | None = None,
+        directory: ControlDirectory | None = None,
     ) -> None:
         self._addresses = list(addresses)
         self._identity = identity
         self._clock = clock
         self._rng = rng
         self._clients: dict[Address, PeerClient] = {}
+        self._feed_clients: dict[Address, PeerClient] = {}
         self._leader = rng.choice(self._addresses)
-        self._locator = locator
-        self._moved = asyncio.Event()
+        self._directory = directory
+        self._moved: asyncio.Future[None] | None = None
         self._closing: set[asyncio.Task] = set()
-        self._retried: tuple[type[KumquatrunError], ...] = RETRIED
-        self._leader_known_s = clock.now_s()
-        self._knew_leader = False
-        if locator is not None:
-            self._retried = (*RETRIED, OutcomeUnknownError)
-            locator.on_role_change(self._wake)
+        self._retired: set[PeerClient] = set()
+        self._led_by: Address | None = None
+        self._heard_s = float('-inf')
+        self._silent: Address | None = None
+        self._shunned_until_s = float('-inf')
+        if directory is not None:
+            directory.on_change(self._follow_directory)
+
+    @property
+    def is_led(self) -> bool:
+        """Return whether a leader has answered a moment ago."""
+        return self._clock.now_s() - self._heard_s < LEADERLESS_LIMIT_S
 
     @property
     def leader(self) -> PeerClient:
         """Return the connection to the replica that was last the leader."""
-        client = self._clients.get(self._leader)
-        if client is None:
-            client = PeerClient(self._leader, self._identity)
-            self._clients[self._leader] = client
-        return client
+        return self._client_of(self._clients)
+
+    @property
+    def feed_leader(self) -> PeerClient:
+        """Return another connection to it, for what may fill a connection.
+
+        A small call must not wait behind a large change of the shared state.
+        """
+        return self._client_of(self._feed_clients)
 
     async def call(self, request: Any, timeout_s: float) -> Any:
         """Send a request to the leader and return its reply.
@@ -104,10 +110,8 @@
         Raises
         ------
         ControlUnreachableError
-            If no leader answered in time, or the local replica has known
-            none for so long that a majority cannot be reached. The outcome is
-            ``unknown`` if the request may have reached a leader, else
-            ``not_run``.
+            If no leader answered in time. The outcome is ``unknown`` if the
+            request may have reached a leader, else ``not_run``.
         """
         deadline_s = self._clock.now_s() + timeout_s
         silence_limit_s = FIRST_SILENCE_S
@@ -119,7 +123,6 @@
                     f'no control leader answered in {timeout_s} s',
                     outcome=outcome,
                 )
-            self._locate(outcome)
             leader = self.leader
             try:
                 return await self._attempt(
@@ -128,7 +131,7 @@
                     remaining_s,
                     silence_limit_s,
                 )
-            except self._retried as error:
+            except RETRIED as error:
                 if error.outcome is not Outcome.NOT_RUN:
                     outcome = Outcome.UNKNOWN
                 self.follow(error, leader)
@@ -144,12 +147,12 @@
         """
         if failed.address != self._leader:
             return
-        if isinstance(error, NotLeaderError):
-            hint = error.detail.rsplit(' ', 1)[-1]
-            with suppress(ValueError):
-                self._leader = Address.parse(hint)
-        if failed.address == self._leader:
-            self._choose_other()
+        hint = _leader_hint(error)
+        if hint is None or self._is_shunned(hint):
+            self._choose_other(failed.address)
+        else:
+            # A replica that has just been elected names itself.
+            self._leader = hint
 
     def set_addresses(self, addresses: tuple[Address, ...]) -> None:
         """Replace the addresses that are tried without a hint."""
@@ -161,7 +164,7 @@
         for task in self._closing:
             task.cancel()
         await asyncio.gather(*self._closing, return_exceptions=True)
-        for client in self._clients.values():
+        for client in self._open_clients():
             await client.close()
 
     async def _attempt(
@@ -176,70 +179,116 @@
         Ends early if another one becomes the leader, or if nothing is heard
         from this one. A slow answer over a connection that lives is awaited.
         """
-        if self._locator is None:
-            return await leader.call(
-                request,
-                min(remaining_s, ATTEMPT_TIMEOUT_S),
-            )
-        call = asyncio.create_task(leader.call(request, remaining_s))
-        moved = asyncio.create_task(self._wait_moved(leader.address))
-        silent = asyncio.create_task(_wait_silent(leader, silence_limit_s))
-        waiting = {call, moved, silent}
+        call = asyncio.ensure_future(leader.call(request, remaining_s))
+        waiting: set[asyncio.Future] = {call, self._next_move()}
+        silent: asyncio.Task | None = None
         try:
-            await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.wait(
+                waiting,
+                timeout=PROMPT_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not any(row.done() for row in waiting):
+                silent = asyncio.create_task(
+                    _wait_silent(leader, silence_limit_s),
+                )
+                await asyncio.wait(
+                    {*waiting, silent},
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
             if call.done():
-                return call.result()
+                return self._result_of(call, leader.address)
         finally:
-            for task in waiting:
-                task.cancel()
-            await asyncio.gather(*waiting, return_exceptions=True)
-        if silent.done() and not silent.cancelled():
-            log_event(
-                log,
-                'leader_silent',
-                address=leader.address,
-                silence_s=silence_limit_s,
-                request=type(request).__name__,
-            )
-            self._replace_connection(leader)
+            await _cancel(call, silent)
+        if silent is not None and silent.done() and not silent.cancelled():
+            self._note_silence(leader, request, silence_limit_s)
             raise DeadlineExceededError(
                 f'nothing heard from {leader.address} in {silence_limit_s} s',
             )
         raise OutcomeUnknownError(f'{leader.address} is the leader no more')
 
-    async def _wait_moved(self, address: Address) -> None:
-        while self._locator.leader_address in {None, address}:
-            await self._moved.wait()
-
-    def _wake(self) -> None:
-        self._moved.set()
-        self._moved = asyncio.Event()
-        knows_leader = self._locator.leader_address is not None
-        if knows_leader or self._knew_leader:
-            self._leader_known_s = self._clock.now_s()
-        self._knew_leader = knows_leader
-
-    def _locate(self, outcome: Outcome) -> None:
-        """Follow the local replica.
-
-        Raises
-        ------
-        ControlUnreachableError
-            If it is a member and has known no leader for too long.
-        """
-        if self._locator is None:
+    def _result_of(self, call: asyncio.Future, address: Address) -> Any:
+        try:
+            answer = call.result()
+        except RETRIED:
+            raise
+        except KumquatrunError:
+            # A leader has refused the request.
+            self._note_leader(address)
+            raise
+        self._note_leader(address)
+        return answer
+
+    def _note_leader(self, address: Address) -> None:
+        """Record who answers, and leave the connections to former leaders."""
+        self._heard_s = self._clock.now_s()
+        if address == self._led_by:
             return
-        known = self._locator.leader_address
-        if known is not None:
-            self._leader = known
-            self._leader_known_s = self._clock.now_s()
+        self._led_by = address
+        self._leave(
+            [row for row in self._open_clients() if row.address != address]
+        )
+
+    def _open_clients(self) -> list[PeerClient]:
+        return [
+            *self._clients.values(),
+            *self._feed_clients.values(),
+            *self._retired,
+        ]
+
+    def _client_of(self, clients: dict[Address, PeerClient]) -> PeerClient:
+        if self._leader not in clients:
+            clients[self._leader] = PeerClient(self._leader, self._identity)
+        return clients[self._leader]
+
+    def _leave(self, left: list[PeerClient]) -> None:
+        """Close connections; open calls and the feed move to the leader."""
+        for client in left:
+            for clients in (self._clients, self._feed_clients):
+                if clients.get(client.address) is client:
+                    clients.pop(client.address)
+            self._start_closing(client.close())
+
+    def _next_move(self) -> asyncio.Future[None]:
+        """Return what ends when another replica becomes the leader."""
+        if self._moved is None:
+            self._moved = asyncio.get_running_loop().create_future()
+        return self._moved
+
+    def _follow_directory(self) -> None:
+        """Move to a new leader, together with all open calls."""
+        known = self._directory.leader_address
+        if known is None or known == self._leader:
             return
-        leaderless_s = self._clock.now_s() - self._leader_known_s
-        if self._locator.member_addresses and leaderless_s > LEADERLESS_LIMIT_S:
-            raise ControlUnreachableError(
-                f'no leader is known since {leaderless_s:.1f} s',
-                outcome=outcome,
-            )
+        former = self._leader
+        self._leader = known
+        if self._moved is not None:
+            self._moved.set_result(None)
+            self._moved = None
+        self._leave(
+            [row for row in self._open_clients() if row.address == former]
+        )
+
+    def _note_silence(
+        self,
+        leader: PeerClient,
+        request: Any,
+        silence_s: float,
+    ) -> None:
+        log_event(
+            log,
+            'leader_silent',
+            address=leader.address,
+            silence_s=silence_s,
+            request=type(request).__name__,
+        )
+        self._silent = leader.address
+        self._shunned_until_s = self._clock.now_s() + SHUN_S
+        self._replace_connection(leader)
+
+    def _is_shunned(self, address: Address) -> bool:
+        is_recent = self._clock.now_s() < self._shunned_until_s
+        return is_recent and address == self._silent
 
     def _replace_connection(self, silent: PeerClient) -> None:
         """Have the next attempt open a new connection.
@@ -249,25 +298,53 @@
         """
         if self._clients.get(silent.address) is silent:
             self._clients.pop(silent.address)
-            task = asyncio.create_task(_retire(silent))
-            self._closing.add(task)
-            task.add_done_callback(self._closing.discard)
-
-    def _choose_other(self) -> None:
-        known = list(self._addresses)
-        if self._locator is not None:
-            known.extend(self._locator.member_addresses)
-        others = [address for address in known if address != self._leader]
-        if others:
+            self._retired.add(silent)
+            self._start_closing(self._retire(silent))
+
+    async def _retire(self, client: PeerClient) -> None:
+        """Close a connection once its open calls have ended."""
+        try:
+            await client.wait_idle()
+        finally:
+            self._retired.discard(client)
+            await client.close()
+
+    def _start_closing(self, closing: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(closing)
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+    def _choose_other(self, failed: Address) -> None:
+        """Choose the leader that the directory names, or else any replica."""
+        known = dict.fromkeys(self._addresses)
+        if self._directory is not None:
+            known.update(dict.fromkeys(self._directory.member_addresses))
+        others = [
+            address
+            for address in known
+            if address != failed and not self._is_shunned(address)
+        ]
+        if self._directory and self._directory.leader_address in others:
+            self._leader = self._directory.leader_address
+        elif others:
             self._leader = self._rng.choice(others)
 
 
-async def _retire(client: PeerClient) -> None:
-    """Close a connection once its open calls have ended."""
+def _leader_hint(error: KumquatrunError) -> Address | None:
+    """Return the leader that a replica has named."""
+    if not isinstance(error, NotLeaderError):
+        return None
     try:
-        await client.wait_idle()
-    finally:
-        await client.close()
+        return Address.parse(error.detail.rsplit(' ', 1)[-1])
+    except ValueError:
+        return None
+
+
+async def _cancel(*tasks: asyncio.Future | None) -> None:
+    open_tasks = [task for task in tasks if task is not None]
+    for task in open_tasks:
+        task.cancel()
+    await asyncio.gather(*open_tasks, return_exceptions=True)
 
 
 async def _wait_silent(leader: PeerClient, limit_s: float) -> None:
--- a/src/kumquatrun/peer/messages.py
+++ b/src/kumquatrun/peer/messages.py
@@ -13,7 +13,7 @@
 
 from kumquatrun.errors import Outcome, WireError
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 
 _registry: dict[str, type] = {}
 
--- a/src/kumquatrun/peer/node_messages.py
+++ b/src/kumquatrun/peer/node_messages.py
@@ -1,11 +1,16 @@
 """Messages between nodes and the control service."""
 
+from kumquatrun.peer.directory_messages import ControlGroup
 from kumquatrun.peer.messages import message
 
 
 @message
 class HostRecord:
-    """Describes one entry or agent host."""
+    """Describes one entry or agent host.
+
+    ``directory_address`` is where the host takes ``TellControlHosts``, empty
+    if it does not.
+    """
 
     host_id: str
     incarnation: str
@@ -16,6 +21,7 @@
     service: str = ''
     fencing_number: int = 0
     draining: bool = False
+    directory_address: str = ''
 
 
 @message
@@ -63,7 +69,8 @@
     """Extends a host's lease and reports its soft state.
 
     ``sequence`` numbers the reports of one incarnation, so that a report that
-    is sent again after a lost answer is counted once.
+    is sent again after a lost answer is counted once. ``group_term`` and
+    ``group_index`` say which control group the host knows.
     """
 
     host_id: str
@@ -73,6 +80,8 @@
     agent_report: AgentReport | None = None
     budget_reports: tuple[BudgetReport, ...] = ()
     listing_version: str = ''
+    group_term: int = 0
+    group_index: int = 0
 
 
 @message
@@ -84,7 +93,7 @@
     ``backend_listing``; None if the host has this version already.
     ``listing_age_s`` is the time since the leader read it.
     ``configuration_version`` is the routing configuration in force, 0 for
-    none.
+    none. ``group`` is the control group if the host knows another one.
     """
 
     duration_s: float
@@ -94,6 +103,7 @@
     listing_age_s: float | None = None
     listing: bytes | None = None
     configuration_version: int = 0
+    group: ControlGroup | None = None
 
 
 @message
--- a/src/kumquatrun/peer/server.py
+++ b/src/kumquatrun/peer/server.py
@@ -129,7 +129,9 @@
         try:
             await session.run()
         except (OSError, EOFError, KumquatrunError) as error:
-            log.info('event=peer_closed error=%r', str(error))
+            # A peer that has only asked something leaves in order.
+            level = logging.INFO if session.has_calls else logging.DEBUG
+            log.log(level, 'event=peer_closed error=%r', str(error))
         except asyncio.CancelledError:
             # asyncio logs a cancelled connection callback as an error.
             log.debug('event=peer_cancelled')
--- a/src/kumquatrun/platform/daemons.py
+++ b/src/kumquatrun/platform/daemons.py
@@ -4,7 +4,6 @@
 import logging
 import signal
 from collections.abc import Callable
-from typing import Any
 
 from kumquatrun.control.backend_listing import BackendListing
 from kumquatrun.daemon.admin import AdminServer
@@ -13,13 +12,18 @@
 from kumquatrun.gateway.backends.listing_follower import ListingFollower
 from kumquatrun.gateway.roles.agent import GatewayAgent
 from kumquatrun.gateway.roles.control import GatewayControl
+from kumquatrun.gateway.roles.directory_server import DirectoryServer
 from kumquatrun.gateway.roles.entry import GatewayEntry
+from kumquatrun.gateway.roles.operator_gate import OperatorGate
+from kumquatrun.gateway.roles.server_group import ServerGroup
 from kumquatrun.gateway.roles.settings import GatewaySettings
+from kumquatrun.gateway.roles.viewed_state import ViewedState
 from kumquatrun.membership.control_client import Session
 from kumquatrun.peer.address import Address
 from kumquatrun.peer.node_messages import HostRecord
 from kumquatrun.platform import settings as platform_settings
 from kumquatrun.platform.client import PlatformClient
+from kumquatrun.platform.decoding import Fields
 from kumquatrun.platform.engine import PlatformEngine
 from kumquatrun.platform.listing import BackendLister
 from kumquatrun.platform.operator import OperatorApi
@@ -33,18 +37,18 @@
 
 SETTINGS_CHECK_S = 1.0
 
-SetAddresses = Callable[[tuple[Address, ...]], None]
+FollowSettings = Callable[[Fields], None]
 
 
 class SettingsWatcher:
-    """Follows the control addresses in the settings file.
+    """Passes on the settings file each time it changes.
 
     The file may change with a signal or without one.
     """
 
-    def __init__(self, file: SettingsFile, set_addresses: SetAddresses) -> None:
+    def __init__(self, file: SettingsFile, follow: FollowSettings) -> None:
         self._file = file
-        self._set_addresses = set_addresses
+        self._take = follow
         self._wake = asyncio.Event()
         self._task: asyncio.Task | None = None
 
@@ -81,12 +85,13 @@
     def _follow(self) -> None:
         if not self._file.has_changed():
             return
-        addresses = platform_settings.seed_addresses(self._file.read())
-        self._set_addresses(addresses)
+        fields = self._file.read()
+        self._take(fields)
+        addresses = platform_settings.directory_addresses(fields)
         log_event(
             log,
             'settings_reloaded',
-            control_addresses=','.join(map(str, addresses)),
+            directory_addresses=','.join(map(str, addresses)),
         )
 
 
@@ -109,7 +114,13 @@
     settings = platform_settings.entry_settings(file.read())
     client = PlatformClient()
     lister = BackendLister(client, settings.listing_address)
-    session = _session(settings, clock, 'entry', settings.http_listen)
+    session = _session(
+        settings,
+        clock,
+        'entry',
+        settings.http_listen,
+        directory_address=str(settings.directory_listen),
+    )
     followers: list[ListingFollower] = []
 
     def follow(table) -> ListingFollower:
@@ -123,15 +134,18 @@
     metrics.before_render(
         lambda: metrics.set_gauge('open_requests', entry.open_requests),
     )
+    operator = _operator_api(session, settings.operator_listen, clock)
+    servers = ServerGroup(entry, operator)
     parts = [
         ClosingClient(client),
         AdminServer(metrics, entry.not_ready_reason, settings.admin_listen),
         AdminServer(metrics, entry.not_ready_reason, settings.ready_listen),
-        SettingsWatcher(file, session.control.set_addresses),
+        SettingsWatcher(file, _follow_addresses(session)),
+        DirectoryServer(session, settings.directory_listen),
         session,
-        entry,
+        servers,
     ]
-    return Daemon(settings, parts, entry)
+    return Daemon(settings, parts, servers)
 
 
 def build_agent(file: SettingsFile, clock: Clock) -> Daemon:
@@ -144,6 +158,7 @@
         'agent',
         settings.listen,
         service=settings.service,
+        directory_address=str(settings.listen),
     )
     agent = GatewayAgent(
         settings,
@@ -152,14 +167,16 @@
         PlatformEngine(client, settings.engine_address),
         clock,
     )
+    operator = _operator_api(session, settings.operator_listen, clock)
+    servers = ServerGroup(agent, operator)
     parts = [
         ClosingClient(client),
         AdminServer(process_metrics(), str, settings.admin_listen),
-        SettingsWatcher(file, session.control.set_addresses),
+        SettingsWatcher(file, _follow_addresses(session)),
         session,
-        agent,
+        servers,
     ]
-    return Daemon(settings, parts, agent)
+    return Daemon(settings, parts, servers)
 
 
 def build_control(file: SettingsFile, clock: Clock) -> Daemon:
@@ -172,6 +189,11 @@
         BackendListing(lister.read, clock),
         clock,
     )
+
+    def follow(fields: Fields) -> None:
+        addresses = platform_settings.directory_addresses(fields)
+        control.set_addresses(addresses)
+
     parts = [
         ClosingClient(client),
         AdminServer(
@@ -179,9 +201,8 @@
             control.not_ready_reason,
             settings.admin_listen,
         ),
-        SettingsWatcher(file, control.leader.set_addresses),
+        SettingsWatcher(file, follow),
         control,
-        OperatorApi(control.gate, settings.operator_listen, clock),
     ]
     return Daemon(settings, parts)
 
@@ -203,15 +224,39 @@
     clock: Clock,
     role: str,
     address: Address,
-    service: str = '',
+    **record_fields: str,
 ) -> Session:
-    record: Any = HostRecord(
+    record = HostRecord(
         host_id=settings.host_id,
         incarnation='',
         role=role,
         address=str(address),
         region=settings.region,
         failure_domain=settings.failure_domain,
-        service=service,
+        **record_fields,
+    )
+    return Session(
+        record,
+        settings.control_addresses,
+        clock,
+        directory_addresses=settings.directory_addresses,
     )
-    return Session(record, settings.control_addresses, clock)
+
+
+def _operator_api(
+    session: Session,
+    listen: Address,
+    clock: Clock,
+) -> OperatorApi:
+    gate = OperatorGate(session.control, ViewedState(session.view))
+    return OperatorApi(gate, listen, clock)
+
+
+def _follow_addresses(session: Session) -> FollowSettings:
+    def follow(fields: Fields) -> None:
+        session.set_addresses(
+            platform_settings.control_addresses(fields),
+            platform_settings.directory_addresses(fields),
+        )
+
+    return follow
--- a/src/kumquatrun/platform/operator.py
+++ b/src/kumquatrun/platform/operator.py
@@ -2,11 +2,18 @@
 
 import asyncio
 import logging
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 
 from kumquatrun.control.configuration_register import NameAdapterVersion
-from kumquatrun.errors import DocumentError, KumquatrunError
+from kumquatrun.errors import (
+    DocumentError,
+    DrainingError,
+    KumquatrunError,
+    NoCapacityError,
+)
+from kumquatrun.gateway.roles.configuration_upload import change_of
 from kumquatrun.gateway.roles.operator_gate import OperatorGate
 from kumquatrun.peer.address import Address
 from kumquatrun.platform import decoding
@@ -17,6 +24,8 @@
 
 log = logging.getLogger(__name__)
 
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
 PUT_PATH = '/Config.Put'
 READ_PATH = '/Config.Get'
 NAME_VERSION_PATH = '/version-put'
@@ -26,14 +35,27 @@
 BAD_REQUEST = 400
 TIME_METRIC = 'change_confirmation_seconds'
 UNAVAILABLE = 503
-# Open calls are answered before the stop goes on. aiohttp waits up to twice
-# this long, which leaves time to stop the replica before the platform kills
-# the process.
-STOP_TIMEOUT_S = 3.0
+# The operator has left every call by then.
+DRAIN_LIMIT_S = 4.0
+# Open calls were answered before; aiohttp waits without a limit for 0.
+STOP_TIMEOUT_S = 0.1
+# Bodies above this size are taken one at a time, so that several of them at
+# once do not exceed the memory of a host that serves callers as well.
+LARGE_BODY_BYTES = 1024 * 1024
 
 
 class OperatorApi:
-    """Serves the operator on one address."""
+    """Serves the operator on one address.
+
+    Parameters
+    ----------
+    gate
+        Changes and reads of the configuration.
+    listen
+        Own address.
+    clock
+        Source of time.
+    """
 
     def __init__(
         self,
@@ -45,10 +67,18 @@
         self._clock = clock
         self._listen = listen
         self._runner: web.AppRunner | None = None
+        self._is_draining = False
+        self._open_calls = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._large_body = asyncio.Lock()
 
     async def start(self) -> None:
         """Listen for the operator."""
-        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app = web.Application(
+            client_max_size=MAX_BODY_BYTES,
+            middlewares=[self._count_open],
+        )
         app.router.add_post(PUT_PATH, self._put)
         app.router.add_get(READ_PATH, self._read)
         app.router.add_post(NAME_VERSION_PATH, self._name_version)
@@ -65,12 +95,52 @@
         )
         await site.start()
 
+    async def drain(self, timeout_s: float) -> None:
+        """Refuse new calls at once, and answer the open ones."""
+        self._is_draining = True
+        try:
+            async with asyncio.timeout(min(timeout_s, DRAIN_LIMIT_S)):
+                await self._idle.wait()
+        except TimeoutError:
+            log_event(
+                log,
+                'operator_calls_cut',
+                level=logging.WARNING,
+                open_calls=self._open_calls,
+            )
+
     async def stop(self) -> None:
-        """Stop listening, and answer the open calls."""
+        """Stop listening."""
         if self._runner is not None:
             await self._runner.cleanup()
 
+    @web.middleware
+    async def _count_open(
+        self,
+        request: web.Request,
+        handler: Handler,
+    ) -> web.StreamResponse:
+        if self._is_draining:
+            return _unavailable('operator_call_refused', _stopping())
+        self._open_calls += 1
+        self._idle.clear()
+        try:
+            return await handler(request)
+        finally:
+            self._open_calls -= 1
+            if not self._open_calls:
+                self._idle.set()
+
     async def _put(self, request: web.Request) -> web.Response:
+        size_bytes = request.content_length
+        if size_bytes is not None and size_bytes <= LARGE_BODY_BYTES:
+            return await self._put_body(request)
+        if self._large_body.locked():
+            return _unavailable('configuration_not_read', _reads_another())
+        async with self._large_body:
+            return await self._put_body(request)
+
+    async def _put_body(self, request: web.Request) -> web.Response:
         began_s = self._clock.now_s()
         content = await _read_body(request)
         try:
@@ -79,23 +149,26 @@
             log_event(log, 'configuration_refused', reason=error.detail)
             return web.Response(status=BAD_REQUEST, text=f'{error}\n')
         read_s = self._clock.now_s() - began_s
+        routes = len(configuration.routes)
+        change = change_of(configuration, content)
+        del configuration
         try:
-            version = await self._gate.put(configuration, content)
+            version = await self._gate.put(change)
         except KumquatrunError as error:
             return _unavailable(
                 'configuration_not_committed',
                 error,
                 took_ms=self._passed_ms(began_s),
-                version=configuration.version,
+                version=change.version,
             )
         took_s = self._clock.now_s() - began_s
         process_metrics().observe(TIME_METRIC, took_s, change='configuration')
         log_event(
             log,
             'configuration_confirmed',
-            version=configuration.version,
+            version=change.version,
             in_force=version,
-            routes=len(configuration.routes),
+            routes=routes,
             read_ms=round(1000 * read_s),
             took_ms=round(1000 * took_s),
         )
@@ -160,6 +233,14 @@
         raise web.HTTPRequestTimeout from None
 
 
+def _stopping() -> KumquatrunError:
+    return DrainingError('this host is about to stop')
+
+
+def _reads_another() -> KumquatrunError:
+    return NoCapacityError('this host is taking another large configuration')
+
+
 def _unavailable(
     event: str,
     error: KumquatrunError,
--- a/src/kumquatrun/platform/settings.py
+++ b/src/kumquatrun/platform/settings.py
@@ -21,9 +21,10 @@
 # Part of the platform's rules under which backend servers drop idle
 # connections without notice.
 DROPS_IDLE = 'pool'
-# Of the ports between hosts, which one each kind of process listens on.
+# Of the ports between hosts, which one each kind of process listens on. No
+# host runs both an entry and an agent, so any host is asked at one port.
 CONTROL_PORT = 0
-AGENT_PORT = 1
+NODE_PORT = 1
 # Fixed, because the deploy file states them; the other ports change each day.
 METRICS_PORTS = {'entry': 9610, 'control': 9611, 'agent': 9612}
 
@@ -96,6 +97,11 @@
         **_shared(fields, 'entry'),
         http_listen=_address(listen, 'front'),
         ready_listen=_address(listen, 'ready'),
+        operator_listen=_address(listen, 'control'),
+        directory_listen=Address(
+            decoding.text(fields, 'ip'),
+            _port(fields, NODE_PORT),
+        ),
         retry_ratio=decoding.number(bounds, 'budget_ratio', 0.1),
         retry_allowance=decoding.number(bounds, 'budget_extra', 50),
         retry_window_s=decoding.number(bounds, 'budget_window_s', 10.0),
@@ -109,7 +115,8 @@
     """Return the settings of an agent."""
     return GatewayAgentSettings(
         **_shared(fields, 'agent'),
-        listen=Address(decoding.text(fields, 'ip'), _port(fields, AGENT_PORT)),
+        listen=Address(decoding.text(fields, 'ip'), _port(fields, NODE_PORT)),
+        operator_listen=_address(_object(fields, 'listen'), 'control'),
         service=decoding.text(fields, 'service'),
         engine_address=_address(fields, 'app'),
     )
@@ -119,30 +126,26 @@
 def control_settings(fields: decoding.Fields) -> GatewayControlSettings:
     """Return the settings of a control host.
 
-    A replica is named by its IP address, since the seeds name no hosts.
+    A replica is named by its IP address, since no file names its host.
     """
     own_ip = decoding.text(fields, 'ip')
-    members = tuple(
-        (address.host, address) for address in seed_addresses(fields)
-    )
-    founds = decoding.flag(fields, 'bootstrap') and own_ip in dict(members)
     tolerated = _object(fields, 'tolerate')
     return GatewayControlSettings(
         **_shared(fields, 'control'),
-        operator_listen=_address(_object(fields, 'listen'), 'control'),
+        is_first_start=decoding.flag(fields, 'bootstrap'),
         max_lost_replicas=decoding.whole(tolerated, 'machines', 1),
         replica=ReplicaSettings(
             replica_id=own_ip,
             data_dir=decoding.text(fields, 'data_dir', ''),
             listen=Address(own_ip, _port(fields, CONTROL_PORT)),
-            replicas=members,
-            join=not founds,
         ),
     )
 
 
-def seed_addresses(fields: decoding.Fields) -> tuple[Address, ...]:
-    """Return the peer addresses of the control hosts that are named.
+def control_addresses(fields: decoding.Fields) -> tuple[Address, ...]:
+    """Return where replicas listen on the hosts that the settings name.
+
+    These hosts answer the operator. Some of them may have a replica.
 
     Raises
     ------
@@ -150,11 +153,27 @@
         If one of them is no address.
     """
     port = _port(fields, CONTROL_PORT)
+    return tuple(Address(host, port) for host in _seed_hosts(fields))
+
+
+def directory_addresses(fields: decoding.Fields) -> tuple[Address, ...]:
+    """Return where hosts are asked for the control group, this one included.
+
+    Raises
+    ------
+    SettingError
+        If one of them is no address.
+    """
+    port = _port(fields, NODE_PORT)
+    hosts = dict.fromkeys((*_seed_hosts(fields), decoding.text(fields, 'ip')))
+    return tuple(Address(host, port) for host in hosts)
+
+
+def _seed_hosts(fields: decoding.Fields) -> list[str]:
     try:
-        hosts = [Address.parse(seed).host for seed in fields.get('seeds') or ()]
+        return [Address.parse(seed).host for seed in fields.get('seeds') or ()]
     except (AttributeError, TypeError, ValueError) as error:
         raise SettingError(f"settings file: 'seeds': {error}") from None
-    return tuple(Address(host, port) for host in hosts)
 
 
 def _shared(fields: decoding.Fields, role: str) -> dict[str, Any]:
@@ -164,7 +183,8 @@
         'region': decoding.text(fields, 'region'),
         'failure_domain': decoding.text(fields, 'zone'),
         'regions': tuple(_object(fields, 'zones').items()),
-        'control_addresses': seed_addresses(fields),
+        'control_addresses': control_addresses(fields),
+        'directory_addresses': directory_addresses(fields),
         'admin_listen': Address(ip, METRICS_PORTS[role]),
         'listing_address': _address(_object(fields, 'cloud'), 'address'),
     }
--- a/src/kumquatrun/runtime/metrics.py
+++ b/src/kumquatrun/runtime/metrics.py
@@ -157,7 +157,7 @@
     Metric(
         'change_confirmation_seconds',
         Histogram,
-        'Time from an operator call to its confirmation at the control host '
+        'Time from an operator call to its confirmation at the host '
         'that was asked.',
         ('change',),
     ),
--- a/tests/acknowledgement_search.py
+++ b/tests/acknowledgement_search.py
@@ -14,19 +14,17 @@
 import signal
 import sys
 import traceback
-import uuid
 from collections.abc import Callable
 from typing import NamedTuple
 
-import pytest
 from tests.control_group import ACKNOWLEDGED_S, CALM_AFTER_S
-from tests.simulated_time import HostLoop, run_simulated
 from tests.troubled_group import (
     CATCH_UP_S,
     MAX_OPEN_ORDERS,
     RESTART_S,
     START_S,
     TroubledGroup,
+    play_group,
 )
 
 STANDING_S = (1.5, 4.0, 7.5)
@@ -144,13 +142,13 @@
 
 
 async def _cut_from_core(group, host):
-    others = [row for row in group.processes if row != host]
+    others = [row for row in group.replicas() if row != host]
     ways = [(host, row) for row in others] + [(row, host) for row in others]
     await _cut_links(group, ways)
 
 
 async def _cut_one_way(group, host):
-    others = [row for row in group.processes if row != host]
+    others = [row for row in group.replicas() if row != host]
     ways = [(host, row) for row in others]
     if group.rng.random() < 0.5:
         ways = [(target, source) for source, target in ways]
@@ -159,7 +157,7 @@
 
 async def _split(group, host):
     # No host reaches another one, so that none has a majority.
-    pairs = itertools.permutations(list(group.processes), 2)
+    pairs = itertools.permutations(group.replicas(), 2)
     await _cut_links(group, list(pairs))
 
 
@@ -197,7 +195,7 @@
     group.network.cut_off.add(host)
     group.note()
     await asyncio.sleep(3)
-    others = [row for row in group.processes if row != host]
+    others = [row for row in group.replicas() if row != host]
     await asyncio.gather(
         _wipe(group, others[0]),
         *(_power(group, row) for row in others[1:]),
@@ -210,7 +208,7 @@
     running = sorted(group.processes)
     group.seeds = group.rng.sample(running, min(3, len(running)))
     for process in group.processes.values():
-        process.control.leader.set_addresses(group.seed_addresses())
+        process.host.set_seeds(group.seeds)
     await asyncio.sleep(0.1)
 
 
@@ -298,7 +296,7 @@
         await asyncio.sleep(before.counts_after_s + rng.choice((0, 0.4)))
     elif rng.random() < 0.5:
         await playing
-    others = [row for row in group.processes if row != host]
+    others = [row for row in group.replicas() if row != host]
     if host not in group.processes or (rng.random() < 0.7 and not before.lasts):
         host = rng.choice([group.pick('leader'), rng.choice(others)])
     if rng.random() < 0.5:
@@ -319,19 +317,13 @@
 def play(first, second, seed):
     """Return the longest time in calm to an acknowledgement, in seconds."""
 
-    async def run(monkeypatch):
-        group = TroubledGroup(monkeypatch, f'{first} {second} {seed}')
-        try:
-            return await _play_pair(group, first, second)
-        finally:
-            await group.stop()
-
-    ids = random.Random(seed)
-    with pytest.MonkeyPatch.context() as monkeypatch:
-        monkeypatch.setattr(
-            uuid, 'uuid4', lambda: uuid.UUID(int=ids.getrandbits(128))
-        )
-        return run_simulated(run(monkeypatch), HostLoop)
+    return play_group(
+        lambda monkeypatch: TroubledGroup(
+            monkeypatch, f'{first} {second} {seed}'
+        ),
+        lambda group: _play_pair(group, first, second),
+        seed,
+    )
 
 
 def _give_up(_signal, frame):
--- a/tests/control_group.py
+++ b/tests/control_group.py
@@ -5,13 +5,11 @@
 import json
 import random
 
+from tests.operator_host import CONTROL_PORT, OperatorHost, build_control
 from tests.simulated_network import SimulatedNetwork
 
-from kumquatrun.control.backend_listing import BackendListing
-from kumquatrun.daemon.settings import ReplicaSettings
 from kumquatrun.errors import KumquatrunError
-from kumquatrun.gateway.roles.control import GatewayControl
-from kumquatrun.gateway.roles.settings import GatewayControlSettings
+from kumquatrun.gateway.roles.configuration_upload import change_of
 from kumquatrun.membership.control_client import Session
 from kumquatrun.peer import Address
 from kumquatrun.peer.node_messages import HostRecord
@@ -31,7 +29,6 @@
     '10.2.0.1': 'near',
     '10.3.0.1': 'far',
 }
-PORT = 7600
 
 
 def bound_s(routes):
@@ -71,9 +68,9 @@
 
 
 class ControlGroup:
-    """Three control hosts, one of them in another region.
+    """Three hosts with a replica, one of them in another region.
 
-    With a folder they keep their logs on disks.
+    Each answers the operator. With a folder they keep their logs on disks.
     """
 
     def __init__(self, monkeypatch, seed=1, folder=None, **network):
@@ -83,45 +80,47 @@
         self.rng = random.Random(seed)
         self.hosts = {}
         self.sessions = {}
-        self.seeds = tuple(Address(host, PORT) for host in REGIONS)
+        self.seeds = tuple(Address(host, CONTROL_PORT) for host in REGIONS)
 
     async def __aenter__(self):
-        for host in REGIONS:
-            await self.start_host(host)
+        await asyncio.gather(
+            *(self.start_host(host, is_first_start=True) for host in REGIONS)
+        )
         async with asyncio.timeout(5):
-            while self.leader() is None:  # noqa: ASYNC110  # polls hosts
+            while not self.is_led():  # noqa: ASYNC110  # polls hosts
                 await asyncio.sleep(0.01)
         return self
 
+    def is_led(self):
+        return self.leader() is not None and all(
+            host.session.control.is_led for host in self.hosts.values()
+        )
+
     async def __aexit__(self, *_):
         for session in self.sessions.values():
             await session.stop()
         for host in list(self.hosts.values()):
             await host.stop()
 
-    async def start_host(self, host, **replica):
+    async def start_host(self, host, is_first_start=False):
         random.seed(self.rng.random())
-        settings = GatewayControlSettings(
-            host_id=host,
-            region=self.network.regions[host],
-            control_addresses=self.seeds,
-            listing_address=Address('10.200.0.1', 1),
-            operator_listen=Address(host, 8229),
-            replica=ReplicaSettings(
-                replica_id=host,
-                data_dir=str(self.folder / host) if self.folder else '',
-                listen=Address(host, PORT),
-                replicas=tuple((row.host, row) for row in self.seeds),
-                **replica,
-            ),
-        )
-        clock = LoopClock()
         with self.network.on(host):
-            control = GatewayControl(
-                settings, BackendListing(_empty_list, clock), clock
+            control = build_control(
+                host,
+                REGIONS,
+                REGIONS,
+                is_first_start=is_first_start,
+                data_dir=str(self.folder / host) if self.folder else '',
+            )
+            started = OperatorHost(
+                host,
+                self.network.regions[host],
+                REGIONS,
+                random.Random(self.rng.random()),
+                control,
             )
-            await control.start()
-        self.hosts[host] = control
+            self.hosts[host] = started
+            await asyncio.create_task(started.start())
 
     async def restart_all(self):
         """Let all control hosts lose power, and start them again."""
@@ -156,11 +155,7 @@
         return session
 
     def leader(self):
-        serving = [
-            name
-            for name, host in self.hosts.items()
-            if host._host.service.serves
-        ]
+        serving = [name for name, host in self.hosts.items() if host.serves]
         return max(
             serving,
             key=lambda name: self.hosts[name]._host.replica.term,
@@ -189,10 +184,8 @@
         if not self.network.passes('', host) or host not in self.hosts:
             await asyncio.Event().wait()
         with self.network.on(host):
-            change = self.hosts[host].gate.put(
-                decode_configuration(content), content
-            )
-            task = asyncio.ensure_future(change)
+            change = change_of(decode_configuration(content), content)
+            task = asyncio.ensure_future(self.hosts[host].gate.put(change))
         try:
             await task
         except KumquatrunError:
@@ -221,7 +214,3 @@
         for call in calls:
             call.cancel()
         return loop.time() - started_s
-
-
-async def _empty_list():
-    return b''
--- a/tests/gateway_host.py
+++ b/tests/gateway_host.py
@@ -135,6 +135,8 @@
             listing_address=LOOPBACK,
             http_listen=LOOPBACK,
             ready_listen=LOOPBACK,
+            operator_listen=LOOPBACK,
+            directory_listen=LOOPBACK,
             failure_domain='a',
         ),
         session,
--- a/tests/test_acknowledgement_bound.py
+++ b/tests/test_acknowledgement_bound.py
@@ -236,6 +236,6 @@
         host = away(group, role)
         with group.network.on(host):
             await group.hosts.pop(host).stop()
-        await group.start_host(host, join=True)
+        await group.start_host(host)
         for version, order in enumerate(orders(group.hosts), 2):
             assert await put_one(group, version, 400, order) < ACKNOWLEDGED_S
--- a/tests/test_agent_calls.py
+++ b/tests/test_agent_calls.py
@@ -37,6 +37,7 @@
     UseAdapter,
 )
 from kumquatrun.membership.cluster_view import ClusterView
+from kumquatrun.membership.control_directory import ControlDirectory
 from kumquatrun.peer import PeerServer
 from kumquatrun.peer.address import Address
 from kumquatrun.peer.messages import Ack, Hello
@@ -210,6 +211,7 @@
 
     def __init__(self, address):
         self.view = ClusterView()
+        self.directory = ControlDirectory(LoopClock())
         self.record = View(address).agents_of('assistant')[0]
 
     def on_change(self, listener):
@@ -223,6 +225,7 @@
     settings = GatewayAgentSettings(
         host_id='side',
         listen=address,
+        operator_listen=address,
         service='assistant',
         engine_address=address,
         listing_address=address,
--- /dev/null
+++ b/tests/test_founding.py
@@ -0,0 +1,279 @@
+"""How the control group is founded once, and found on every later start."""
+
+import asyncio
+import itertools
+import random
+
+import pytest
+from tests.control_group import REGIONS
+from tests.test_operator_hosts import play, put
+
+from kumquatrun.consensus.consensus_messages import Member
+from kumquatrun.consensus.group_formation import FormationStep, GroupFormation
+from kumquatrun.consensus.quorum_types import ReplicaMeta
+
+FORMED_S = 5.0
+FOUND_S = 3.0
+JOINED_S = 6.0
+REPLICAS = sorted(REGIONS)
+WITHOUT = ['10.1.9.0', '10.2.9.1', '10.3.9.2']
+SEEDS = {
+    'no replica': WITHOUT,
+    'one replica': [*WITHOUT[:2], REPLICAS[2]],
+    'all replicas': REPLICAS,
+    'hosts that are gone': [WITHOUT[0], '10.1.7.7', '10.3.7.7'],
+}
+
+
+def is_led(group, hosts):
+    return all(
+        group.processes[host].host.session.control.is_led for host in hosts
+    )
+
+
+async def found(group, hosts, limit_s):
+    """Wait until all hosts have found the leader."""
+    async with asyncio.timeout(limit_s):
+        while not is_led(group, hosts):  # noqa: ASYNC110  # polls hosts
+            await asyncio.sleep(0.05)
+
+
+def memberships(group):
+    """Return the voters, as each replica that takes part knows them."""
+    hosts = [group.processes[name].host._host for name in group.replicas()]
+    return {
+        tuple(
+            sorted(row.replica_id for row in host.replica.members if row.voter)
+        )
+        for host in hosts
+        if host is not None
+    }
+
+
+async def started(group, seeds):
+    group.seeds = seeds
+    await group.start()
+    await found(group, group.processes, FORMED_S)
+
+
+@pytest.mark.parametrize('seeds', SEEDS.values(), ids=SEEDS)
+@pytest.mark.parametrize('seed', range(3))
+def test_one_group_is_founded_whatever_hosts_the_settings_name(seeds, seed):
+    # Guards against control hosts that wait for seeds without a replica.
+    async def run(group):
+        await started(group, seeds)
+        assert memberships(group) == {tuple(REPLICAS)}
+        for version, host in enumerate(group.processes, 1):
+            await put(group, host, version)
+
+    play(run, seed)
+
+
+@pytest.mark.parametrize('seeds', [WITHOUT, [WITHOUT[1], '10.1.7.7']])
+def test_replaced_host_joins_through_hosts_without_a_replica(seeds):
+    # Guards against a replacement that never finds its group.
+    async def run(group):
+        await started(group, WITHOUT)
+        group.seeds = seeds
+        lost = group.pick('other')
+        region = group.network.regions[lost]
+        group.remove_host(lost)
+        await asyncio.sleep(1)
+        new = group.add_host(region)
+        await group.start_host(new)
+        async with asyncio.timeout(JOINED_S):
+            while not any(new in row for row in memberships(group)):  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+        await found(group, group.processes, FOUND_S)
+
+    play(run)
+
+
+@pytest.mark.parametrize('seeds', SEEDS.values(), ids=SEEDS)
+def test_all_hosts_find_the_group_after_all_lost_their_power(seeds):
+    # Guards against entries and agents that know no replica after a restart,
+    # since none of them remembers anything.
+    async def run(group):
+        await started(group, seeds)
+        for host in list(group.processes):
+            group.end_process(host, power=True)
+        await asyncio.sleep(1)
+        for host in list(group.processes):
+            await group.start_host(host)
+        await found(group, group.processes, 2 * FORMED_S)
+        assert memberships(group) == {tuple(REPLICAS)}
+
+    play(run)
+
+
+@pytest.mark.parametrize('seeds', [WITHOUT, ['10.1.7.7', '10.3.7.7']])
+@pytest.mark.parametrize('away_s', [0.5, 5.0])
+def test_hosts_that_lost_their_memory_find_a_group_that_runs_on(seeds, away_s):
+    # Guards against hosts whose settings name only each other, or hosts that
+    # are gone, while all replicas run on.
+    async def run(group):
+        await started(group, WITHOUT)
+        group.seeds = seeds
+        for host in WITHOUT:
+            group.end_process(host, power=True)
+        await asyncio.sleep(away_s)
+        for host in WITHOUT:
+            await group.start_host(host)
+        await found(group, group.processes, 2 * FOUND_S)
+
+    play(run)
+
+
+def test_host_finds_the_group_after_its_seeds_were_exchanged():
+    # Guards against a host that follows only the seeds of its start.
+    async def run(group):
+        await started(group, REPLICAS)
+        host = WITHOUT[0]
+        group.seeds = ['10.1.7.7']
+        group.end_process(host)
+        group.network.cut_links |= {(row, host) for row in group.replicas()}
+        await group.start_host(host)
+        await asyncio.sleep(1)
+        assert not is_led(group, [host])
+        group.network.heal()
+        group.processes[host].host.set_seeds([WITHOUT[1]])
+        await found(group, [host], FOUND_S)
+
+    play(run)
+
+
+def test_empty_control_hosts_found_no_second_group():
+    # Guards against a new group without what was acknowledged, when more disks
+    # were lost than can be borne.
+    async def run(group):
+        await started(group, REPLICAS)
+        for host in group.replicas():
+            group.end_process(host, power=True)
+            group.disks.pop(host)
+        await asyncio.sleep(1)
+        for host in group.replicas():
+            await group.start_host(host)
+        await asyncio.sleep(20)
+        assert group.leader() is None
+
+    play(run)
+
+
+def test_group_is_founded_without_the_host_of_one_failure_domain():
+    # Guards against a deployment that waits for ever for a failure domain
+    # without a control host; the late host joins.
+    async def run(group):
+        late = REPLICAS[1]
+        await group.start_hosts(set(group.network.regions) - {late})
+        await found(group, group.processes, 2 * FORMED_S)
+        await group.start_host(late, is_first_start=True)
+        async with asyncio.timeout(JOINED_S):
+            while memberships(group) != {tuple(REPLICAS)}:  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+
+    play(run)
+
+
+def test_minority_of_the_failure_domains_founds_no_group():
+    # Guards against two groups, one on each side of a cut at the first start.
+    async def run(group):
+        alone = REPLICAS[0]
+        others = set(group.network.regions) - {alone}
+        group.network.cut_links |= {
+            pair
+            for other in others
+            for pair in ((alone, other), (other, alone))
+        }
+        await group.start_hosts(group.network.regions)
+        await asyncio.sleep(10)
+        replica = group.processes[alone].host.control._host
+        assert replica is None
+        assert group.leader() in others
+        group.network.heal()
+        async with asyncio.timeout(JOINED_S):
+            while memberships(group) != {tuple(REPLICAS)}:  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+
+    play(run)
+
+
+class Founder:
+    """One replica that founds a group; its disk survives a restart."""
+
+    def __init__(self, name, known):
+        self.meta = ReplicaMeta(f'disk {name}')
+        self.name = name
+        self.known = set(known) | {name}
+        self.open()
+
+    def open(self):
+        addresses = {name: f'{name}:1' for name in self.known}
+        self.formation = GroupFormation(
+            self.name, addresses, self.meta, joining=False
+        )
+
+    def learn(self, name):
+        self.known.add(name)
+        self.formation.add_founder(name, f'{name}:1')
+
+    def hear(self, state):
+        if self.meta.formed:
+            return
+        self.formation.record(state)
+        step = self.formation.next_step()
+        if step is FormationStep.AGREE:
+            self.meta = self.formation.agree()
+            step = self.formation.next_step()
+        if step is FormationStep.FORM:
+            self.meta = self.formation.form()
+        assert step is not FormationStep.CONFLICT
+
+
+@pytest.mark.parametrize('seed', range(200))
+def test_replicas_that_learn_of_each_other_one_by_one_form_one_group(seed):
+    # Guards against two groups, and against replicas that wait for ever since
+    # they have stored memberships of different sizes.
+    rng = random.Random(seed)
+    names = ['a', 'b', 'c', 'd', 'e'][: rng.choice((3, 5))]
+    majority = len(names) // 2 + 1
+    founders = {
+        name: Founder(
+            name, rng.sample(names, rng.randint(majority, len(names)))
+        )
+        for name in names
+    }
+    for _ in range(300):
+        sender, receiver = rng.sample(names, 2)
+        action = rng.random()
+        if action < 0.1:
+            founders[receiver].learn(sender)
+        elif action < 0.15:
+            founders[receiver].open()
+        else:
+            founders[receiver].hear(founders[sender].formation.state())
+    for sender, receiver in itertools.permutations(names, 2):
+        founders[receiver].learn(sender)
+    for _ in range(4):
+        for sender, receiver in itertools.permutations(names, 2):
+            founders[receiver].hear(founders[sender].formation.state())
+    formed = {row.meta.initial for row in founders.values() if row.meta.formed}
+    assert len(formed) == 1
+    (members,) = formed
+    # Others join the group that has formed.
+    assert all(founders[member.replica_id].meta.formed for member in members)
+    assert len(members) >= majority
+
+
+def test_replaced_disk_before_the_group_has_formed_is_a_conflict():
+    # Guards against a group that counts a disk which has stored nothing.
+    first = Founder('a', ['b'])
+    second = Founder('b', ['a'])
+    first.hear(second.formation.state())
+    assert first.meta.initial
+    replaced = Founder('b', ['a'])
+    replaced.meta = ReplicaMeta('another disk')
+    replaced.open()
+    first.formation.record(replaced.formation.state())
+    assert first.formation.next_step() is FormationStep.CONFLICT
+    own = Member(replica_id='a', disk_id='disk a', address='a:1')
+    assert own in first.meta.initial
--- a/tests/test_leader_client.py
+++ b/tests/test_leader_client.py
@@ -1,6 +1,7 @@
-"""Operator calls through control hosts that follow their own replica.
+"""Calls to the leader from hosts that are told of the next one.
 
-Replicas, calls between hosts and cuts run on the clock of the loop.
+Each host is told by a replica beside it. Replicas, calls between hosts and
+cuts run on the clock of the loop.
 """
 
 import asyncio
@@ -20,8 +21,10 @@
 from kumquatrun.daemon.settings import ReplicaSettings
 from kumquatrun.errors import DeadlineExceededError, KumquatrunError
 from kumquatrun.membership import leader_client
+from kumquatrun.membership.control_directory import ControlDirectory
 from kumquatrun.membership.leader_client import LeaderClient
 from kumquatrun.peer import Address
+from kumquatrun.peer.directory_messages import ControlHosts
 from kumquatrun.peer.messages import Hello
 from kumquatrun.runtime.clock import LoopClock
 
@@ -74,12 +77,16 @@
         )
         self.replicas[name] = replica
         self.services[name] = ControlService(replica, state, feed, LoopClock())
+        directory = ControlDirectory(LoopClock())
+        replica.on_role_change(
+            lambda: directory.take(ControlHosts(group=replica.group))
+        )
         return LeaderClient(
             known_addresses or tuple(self.addresses.values()),
             Hello(node_id=name, incarnation='operator'),
             LoopClock(),
             random.Random(self.rng.random()),
-            replica,
+            directory,
         )
 
     async def __aenter__(self):
@@ -220,8 +227,8 @@
 
 @pytest.mark.looptime
 async def test_call_moves_on_to_the_next_leader_at_once(monkeypatch):
-    # Guards against a call that waits for a silent leader although its own
-    # replica knows the next one.
+    # Guards against a call that waits for a silent leader although its host
+    # has been told of the next one.
     async with Hosts(monkeypatch, 1) as hosts:
         name = hosts.rest()[0]
         hosts.cuts.add(hosts.leader)
@@ -248,7 +255,7 @@
 
 @pytest.mark.looptime
 async def test_host_without_a_replica_that_runs_asks_the_others(monkeypatch):
-    # Guards against a host that follows a replica that knows nothing.
+    # Guards against a host that follows one that knows nothing.
     async with Hosts(monkeypatch, 1) as hosts:
         name = hosts.rest()[0]
         hosts.replicas[name]._restarts.next_delay_s = lambda *_: 60
--- /dev/null
+++ b/tests/test_operator_hosts.py
@@ -0,0 +1,186 @@
+"""What hosts without a replica answer the operator, and when."""
+
+import asyncio
+
+import pytest
+from tests.control_group import PATIENCE_S, large_configuration
+from tests.troubled_group import TroubledGroup, play_group
+
+from kumquatrun.control.configuration_register import NameAdapterVersion
+from kumquatrun.errors import ControlUnreachableError
+from kumquatrun.gateway.roles.configuration_upload import change_of
+from kumquatrun.platform.configuration import decode_configuration
+
+ROUTES = 3
+VERSION = NameAdapterVersion(model='m', adapter='a', version=2)
+# After an election, which itself takes about a second.
+MOVED_S = 0.3
+AT_ONCE_S = 0.05
+RECOVERED_S = 12.0
+
+
+def play(test, seed=1, more_hosts=3):
+    return play_group(
+        lambda monkeypatch: TroubledGroup(monkeypatch, seed, more_hosts),
+        test,
+        seed,
+    )
+
+
+def content_of(version):
+    return large_configuration(version, ROUTES)
+
+
+def on_host(group, host, call):
+    """Start a call of the operator at a host."""
+    process = group.processes[host]
+    with group.network.on(host, process.name):
+        return group.loop.create_task(call(process.host.gate))
+
+
+def put(group, host, version):
+    content = content_of(version)
+    change = change_of(decode_configuration(content), content)
+    return on_host(group, host, lambda gate: gate.put(change))
+
+
+async def started(group):
+    await group.start()
+    await asyncio.sleep(1)
+    await put(group, next(iter(group.processes)), 1)
+
+
+def cut_from_control(group, host):
+    for other in group.replicas():
+        group.network.cut_links |= {(host, other), (other, host)}
+
+
+@pytest.mark.parametrize('role', ['leader', 'other'])
+@pytest.mark.parametrize('seed', range(4))
+def test_every_other_host_answers_while_a_control_host_stands_still(role, seed):
+    # Guards against a host with a replica whose stop closes the way through
+    # other hosts, or makes them wait for longer than the operator does.
+    async def run(group):
+        await started(group)
+        standing = group.pick(role)
+        group.hold(standing)
+        await asyncio.sleep(1.5)
+        taken_s = []
+        for version, host in enumerate(group.processes, 2):
+            if host != standing:
+                began_s = group.loop.time()
+                await put(group, host, version)
+                taken_s.append(group.loop.time() - began_s)
+        assert len(taken_s) == 5
+        assert max(taken_s) < MOVED_S
+
+    play(run, seed)
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_open_calls_move_to_the_next_leader_as_soon_as_there_is_one(seed):
+    # Guards against hosts without a replica that learn of the next leader by
+    # waiting for the one that stands still.
+    async def run(group):
+        await started(group)
+        standing = group.pick('leader')
+        group.hold(standing)
+        group_rest = [host for host in group.processes if host != standing]
+        calls = [
+            on_host(group, host, lambda gate: gate.name_version(VERSION))
+            for host in group_rest
+        ]
+        while group.leader() in {None, standing}:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+        await asyncio.wait_for(asyncio.gather(*calls), MOVED_S)
+
+    play(run, seed)
+
+
+def test_host_that_is_cut_off_from_the_leader_refuses_at_once():
+    # Guards against a host that holds calls which any other host can answer.
+    async def run(group):
+        await started(group)
+        host = sorted(group.without_replica)[0]
+        cut_from_control(group, host)
+        await asyncio.sleep(2)
+        calls = [
+            put(group, host, 2),
+            on_host(group, host, lambda gate: gate.read()),
+        ]
+        await asyncio.wait(calls, timeout=AT_ONCE_S)
+        for call in calls:
+            assert isinstance(call.exception(), ControlUnreachableError)
+        await put(group, group.replicas()[0], 3)
+        # What it holds as committed it confirms, also now.
+        assert await put(group, host, 1) == 1
+
+    play(run)
+
+
+def test_host_that_loses_the_leader_answers_within_the_patience():
+    # Guards against a call that is held although the operator has left.
+    async def run(group):
+        await started(group)
+        host = sorted(group.without_replica)[0]
+        cut_from_control(group, host)
+        began_s = group.loop.time()
+        for version in range(2, 9):
+            call = put(group, host, version)
+            await asyncio.wait([call], timeout=PATIENCE_S)
+            if call.done():
+                break
+        assert isinstance(call.exception(), ControlUnreachableError)
+        assert group.loop.time() - began_s < 3 * PATIENCE_S
+
+    play(run)
+
+
+def test_reader_gets_the_newest_configuration_or_none():
+    # Guards against a host that shows the configuration of its own view after
+    # a newer one was acknowledged by another host.
+    async def run(group):
+        await started(group)
+        host = sorted(group.without_replica)[0]
+        # The feed does not reach the host any more, but its calls do.
+        session = group.processes[host].host.session
+        session._view.apply = lambda item: False
+        for version in (2, 3):
+            await put(group, group.replicas()[version % 3], version)
+            read = on_host(group, host, lambda gate: gate.read())
+            assert await read == content_of(version)
+        assert session.view.configuration_version == 1
+
+    play(run)
+
+
+@pytest.mark.parametrize('seed', range(6))
+@pytest.mark.parametrize('wiped', [False, True])
+def test_change_survives_the_power_of_all_hosts_after_its_acknowledgement(
+    seed, wiped
+):
+    # Guards against an acknowledgement by a host without a disk that holds
+    # only there, or on disks one of which is lost at the same moment.
+    async def run(group):
+        await started(group)
+        host = group.rng.choice(sorted(group.without_replica))
+        await put(group, host, 2)
+        for name in list(group.processes):
+            group.end_process(name, power=True)
+        if wiped:
+            group.disks.pop(group.rng.choice(group.replicas()))
+        await asyncio.sleep(1)
+        for name in list(group.processes):
+            await group.start_host(name)
+        began_s = group.loop.time()
+        for name in group.processes:
+            while True:
+                read = on_host(group, name, lambda gate: gate.read())
+                await asyncio.wait([read])
+                if read.exception() is None:
+                    break
+                await asyncio.sleep(0.1)
+            assert read.result() == content_of(2)
+        assert group.loop.time() - began_s < RECOVERED_S
+
+    play(run, seed)
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -20,9 +20,10 @@
 from kumquatrun.platform.settings import (
     SettingsFile,
     agent_settings,
+    control_addresses,
     control_settings,
+    directory_addresses,
     entry_settings,
-    seed_addresses,
 )
 
 HEADERS = (
@@ -257,20 +258,32 @@
 
 
 def test_settings_of_each_role_are_read():
-    assert entry_settings(SETTINGS).retry_allowance == 64
-    assert str(agent_settings(SETTINGS).engine_address) == '10.1.0.14:8228'
+    entry = entry_settings(SETTINGS)
+    assert entry.retry_allowance == 64
+    assert str(entry.control_addresses[1]) == '10.2.0.4:7600'
+    assert str(entry.directory_addresses[1]) == '10.2.0.4:7601'
+    agent = agent_settings(SETTINGS)
+    assert str(agent.engine_address) == '10.1.0.14:8228'
+    for node in (entry, agent):
+        assert str(node.operator_listen) == '10.1.0.14:8229'
     control = control_settings(SETTINGS)
-    assert not control.replica.join
-    assert str(control.control_addresses[1]) == '10.2.0.4:7600'
+    assert control.is_first_start
+    assert not control_settings({**SETTINGS, 'bootstrap': False}).is_first_start
 
 
-@pytest.mark.parametrize(
-    'change',
-    [{'bootstrap': False}, {'ip': '10.9.0.1'}],
-)
-def test_control_host_that_founds_nothing_joins(change):
-    # Guards against a replaced host that founds a second group.
-    assert control_settings({**SETTINGS, **change}).replica.join
+def test_control_host_needs_no_address_for_the_operator():
+    # Guards against a control host that does not start, since the platform
+    # lists addresses only for what a program serves.
+    fields = {**SETTINGS, 'listen': {}}
+    assert control_settings(fields).replica.replica_id == '10.1.0.14'
+
+
+def test_host_whose_settings_name_no_other_asks_its_own_entry():
+    # Guards against a control host that knows nobody, not even the entry on
+    # its own host, because the settings name no other host.
+    fields = {**SETTINGS, 'seeds': []}
+    asked = control_settings(fields).directory_addresses
+    assert list(map(str, asked)) == ['10.1.0.14:7601']
 
 
 @pytest.mark.parametrize(
@@ -340,7 +353,9 @@
     # Guards against a daemon that no longer follows its settings file: the
     # task that does so ended with any other error.
     with pytest.raises(SettingError, match=name):
-        seed_addresses({**SETTINGS, name: wrong})
+        directory_addresses({**SETTINGS, name: wrong})
+    with pytest.raises(SettingError, match=name):
+        control_addresses({**SETTINGS, name: wrong})
 
 
 @pytest.mark.parametrize('environment', [{}, {'KUMQUATRUN_BOOT': '/no/file'}])
--- a/tests/test_platform_operator.py
+++ b/tests/test_platform_operator.py
@@ -5,6 +5,7 @@
 import logging
 import random
 import socket
+import time
 from contextlib import asynccontextmanager
 
 import aiohttp
@@ -13,12 +14,13 @@
 from tests.gateway_fakes import configuration
 
 from kumquatrun.control.allowance_pool import TakeAllowance
+from kumquatrun.control.configuration_register import ReadConfiguration
 from kumquatrun.control.control_state import ControlState
 from kumquatrun.gateway.roles.operator_gate import OperatorGate
 from kumquatrun.membership.leader_client import LeaderClient
 from kumquatrun.peer.address import Address
 from kumquatrun.peer.messages import Hello
-from kumquatrun.platform.operator import OperatorApi
+from kumquatrun.platform.operator import LARGE_BODY_BYTES, OperatorApi
 from kumquatrun.runtime.clock import LoopClock
 
 CONFIG_APPLY_S = 2.5
@@ -65,6 +67,8 @@
         LoopClock(),
         random.Random(1),
     )
+    # A session renews its lease all the time, so that it knows a leader.
+    await leader.call(ReadConfiguration(), 3)
     port = free_port()
     api = OperatorApi(
         OperatorGate(leader, state or ControlState()),
@@ -260,9 +264,9 @@
     def __init__(self, commit_s):
         self.commit_s = commit_s
 
-    async def put(self, decoded, content):
+    async def put(self, change):
         await asyncio.sleep(self.commit_s)
-        return decoded.version
+        return change.version
 
 
 @asynccontextmanager
@@ -276,21 +280,29 @@
 
 
 async def test_open_change_is_answered_during_a_planned_stop():
-    # Guards against a committed change without an acknowledgement.
+    # Guards against a committed change without an acknowledgement, and against
+    # new changes that a host takes which is about to end.
     async with api_of(SlowGate(0.5)) as (api, operator):
         change = asyncio.create_task(operator.put(configuration(version=3)))
         await asyncio.sleep(0.1)
-        stop = asyncio.create_task(api.stop())
+        drain = asyncio.create_task(api.drain(GRACE_S))
         await asyncio.sleep(0.1)
-        with pytest.raises(aiohttp.ClientConnectorError):
-            await operator.put(configuration(version=4))
+        started_s = time.monotonic()
+        assert await operator.put(configuration(version=4)) == 503
+        assert (await operator.read())[0] == 503
+        assert time.monotonic() - started_s < 0.2
         assert await change == 200
-        await stop
+        await drain
+        await api.stop()
+        async with aiohttp.ClientSession() as http:
+            operator.http = http
+            with pytest.raises(aiohttp.ClientConnectorError):
+                await operator.put(configuration(version=5))
 
 
 async def test_body_that_does_not_arrive_does_not_hold_a_planned_stop():
-    # Guards against a replica that is killed, since its process still waits
-    # for the rest of a body when the platform's time for a stop has passed.
+    # Guards against a process that is killed, since it still waits for the
+    # rest of a body when the platform's time for a stop has passed.
     async with api_of(SlowGate(0)) as (api, operator):
         port = int(operator.url.rpartition(':')[2])
         _, writer = await asyncio.open_connection('127.0.0.1', port)
@@ -300,5 +312,19 @@
         )
         await asyncio.sleep(0.1)
         async with asyncio.timeout(GRACE_S - 1):
+            await api.drain(GRACE_S)
             await api.stop()
         writer.close()
+
+
+async def test_second_large_body_at_once_is_refused():
+    # Guards against a host that serves callers and ends, since several of the
+    # largest bodies exceed its memory. The operator asks another host.
+    large = configuration(version=3, filler='x' * LARGE_BODY_BYTES)
+    async with api_of(SlowGate(0.5)) as (_, operator):
+        first = asyncio.create_task(operator.put(large))
+        await asyncio.sleep(0.2)
+        assert await operator.put(large) == 503
+        assert await operator.put(configuration(version=4)) == 200
+        assert await first == 200
+        assert await operator.put(large) == 200
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -40,7 +40,7 @@
     """
 
     def __init__(self, began_s, outage_s, feed_delay_s):
-        self.leader = self
+        self.feed_leader = self
         self.renewals_s = []
         self._began_s = began_s
         self._ended_s = began_s + outage_s
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -32,13 +32,13 @@
         return Ack()
 
 
-class Locator:
-    """Replica that knows the server as the leader."""
+class Directory:
+    """Names the server as the leader."""
 
     leader_address = SERVER
     member_addresses = (SERVER,)
 
-    def on_role_change(self, listener):
+    def on_change(self, listener):
         """The leader stays the same."""
 
 
@@ -75,7 +75,7 @@
         Hello(node_id='c', incarnation='1'),
         LoopClock(),
         random.Random(1),
-        Locator(),
+        Directory(),
     )
 
 
--- a/tests/test_standing_host.py
+++ b/tests/test_standing_host.py
@@ -5,52 +5,46 @@
 """
 
 import asyncio
-import random
-import uuid
 
 import pytest
 from tests.control_group import ACKNOWLEDGED_S
-from tests.simulated_time import HostLoop, run_simulated
-from tests.troubled_group import TroubledGroup
+from tests.troubled_group import TroubledGroup, play_group
 
 # As in the plays that showed the fault: the operator notices a lost answer
 # soon, loses one for each change at most, and may ask the same host again.
 ANSWERS_LOST = 0.6
 LOSS_NOTICED_S = 0.1
 CHANGES = 6
+# Entries and agents that answer the operator beside the three control hosts.
+MORE_HOSTS = 11
 SEEDS = 20
 
 
-async def slowest_acknowledgement_s(monkeypatch, role, seed):
-    group = TroubledGroup(monkeypatch, f'{role} {seed}')
+async def slowest_acknowledgement_s(group, role):
     rng = group.rng
-    try:
-        await group.start()
-        group.send_change()
-        await asyncio.sleep(1)
-        group.most_answers_lost = 1
-        group.loss_noticed_s = LOSS_NOTICED_S
-        group.asks_host_again = True
-        group.answers_lost = ANSWERS_LOST
-        group.hold(group.pick(role))
-        group.note()
-        for _ in range(CHANGES):
-            await asyncio.sleep(rng.uniform(0.6, 1.6))
-            group.send_change(rng.choice(('configuration', 'version')))
-        return await group.slowest_s()
-    finally:
-        await group.stop()
+    await group.start()
+    group.send_change()
+    await asyncio.sleep(1)
+    group.most_answers_lost = 1
+    group.loss_noticed_s = LOSS_NOTICED_S
+    group.asks_host_again = True
+    group.answers_lost = ANSWERS_LOST
+    group.hold(group.pick(role))
+    group.note()
+    for _ in range(CHANGES):
+        await asyncio.sleep(rng.uniform(0.6, 1.6))
+        group.send_change(rng.choice(('configuration', 'version')))
+    return await group.slowest_s()
 
 
 def play(role, seed):
-    ids = random.Random(seed)
-    with pytest.MonkeyPatch.context() as monkeypatch:
-        monkeypatch.setattr(
-            uuid, 'uuid4', lambda: uuid.UUID(int=ids.getrandbits(128))
-        )
-        return run_simulated(
-            slowest_acknowledgement_s(monkeypatch, role, seed), HostLoop
-        )
+    return play_group(
+        lambda monkeypatch: TroubledGroup(
+            monkeypatch, f'{role} {seed}', MORE_HOSTS
+        ),
+        lambda group: slowest_acknowledgement_s(group, role),
+        seed,
+    )
 
 
 @pytest.mark.parametrize('role', ['leader', 'other'])
--- a/tests/troubled_group.py
+++ b/tests/troubled_group.py
@@ -1,6 +1,6 @@
 """A control group with its operator under troubles, in simulated time.
 
-Hosts stand still, lose power or their disks, are replaced or cut off; disks
+Three hosts have a replica, others answer the operator only. Hosts stand still, lose power or their disks, are replaced or cut off; disks
 stall or are full; settings name other hosts. The operator tries one host after
 the other, and its answers may be lost.
 """
@@ -9,30 +9,27 @@
 import errno
 import math
 import random
+import uuid
 from collections import deque
 from typing import NamedTuple
 
+import pytest
 from tests.control_group import (
     ACKNOWLEDGED_S,
     CALM_AFTER_S,
     PATIENCE_S,
-    PORT,
     REGIONS,
-    _empty_list,
     large_configuration,
 )
+from tests.operator_host import OperatorHost, build_control
 from tests.simulated_network import SimulatedNetwork
+from tests.simulated_time import HostLoop, run_simulated
 
 from kumquatrun.consensus.memory_store import MemoryStorage
-from kumquatrun.control.backend_listing import BackendListing
 from kumquatrun.control.configuration_register import NameAdapterVersion
-from kumquatrun.daemon.settings import ReplicaSettings
 from kumquatrun.errors import KumquatrunError
-from kumquatrun.gateway.roles.control import GatewayControl
-from kumquatrun.gateway.roles.settings import GatewayControlSettings
-from kumquatrun.peer import Address
+from kumquatrun.gateway.roles.configuration_upload import change_of
 from kumquatrun.platform.configuration import decode_configuration
-from kumquatrun.runtime.clock import LoopClock
 
 # Times of the platform.
 SEED_LAG_S = 3.0
@@ -92,32 +89,47 @@
     sent_s: float
 
 
-class ControlProcess:
-    """One run of the control role on a host."""
+class HostProcess:
+    """One run of the processes on a host, which stop and start together."""
 
-    def __init__(self, name, control):
+    def __init__(self, name, host):
         self.name = name
-        self.control = control
+        self.host = host
         self.is_stopping = False
         self.is_dead = False
 
+    @property
+    def has_replica(self):
+        return self.host.control is not None
+
     @property
     def serves(self):
-        return not self.is_dead and self.control._host.service.serves
+        return not self.is_dead and self.host.serves
 
 
 class TroubledGroup:
-    """Control hosts by address; addresses are never used for other hosts."""
+    """Hosts by address; addresses are never used for other hosts.
 
-    def __init__(self, monkeypatch, seed):
+    ``more_hosts`` answer the operator without a replica. The processes start
+    with the settings of their time, which name ``seeds``.
+    """
+
+    def __init__(self, monkeypatch, seed, more_hosts=2):
         self.loop = asyncio.get_running_loop()
         self.rng = random.Random(seed)
         self.network = SimulatedNetwork(dict(REGIONS))
+        self.without_replica = {
+            f'10.{1 + number % 3}.9.{number}': list(REGIONS.values())[
+                number % 3
+            ]
+            for number in range(more_hosts)
+        }
+        self.network.regions.update(self.without_replica)
         self.network.install(monkeypatch)
         self.disks = {}
         self.processes = {}
         self.listed = []
-        self.seeds = list(REGIONS)
+        self.seeds = self.rng.sample(sorted(self.network.regions), 3)
         self.last_event_s = 0.0
         self.answers_lost = 0.0
         self.most_answers_lost = math.inf
@@ -130,14 +142,22 @@
         self._started = 0
 
     async def start(self):
-        for host in REGIONS:
-            await self.start_host(host, founds=True)
-        self.listed = list(REGIONS)
-        self._tasks.append(self.loop.create_task(self._follow_hosts()))
+        await self.start_hosts(self.network.regions)
         async with asyncio.timeout(5):
             while self.leader() is None:  # noqa: ASYNC110  # polls hosts
                 await asyncio.sleep(0.05)
 
+    async def start_hosts(self, hosts):
+        """Start hosts for the first time, all at once."""
+        self.listed = sorted(hosts)
+        await asyncio.gather(
+            *(
+                self.start_host(host, is_first_start=True)
+                for host in self.listed
+            )
+        )
+        self._tasks.append(self.loop.create_task(self._follow_hosts()))
+
     async def stop(self):
         for task in (*self._tasks, *(row.task for row in self._orders)):
             task.cancel()
@@ -146,62 +166,63 @@
         self.loop.release_all()
         self.network.heal()
         for process in (*self._ended, *self.processes.values()):
-            await process.control.stop()
+            await process.host.stop()
 
-    async def start_host(self, host, founds=False):
-        """Start the process of a host with the settings in force."""
+    async def start_host(self, host, is_first_start=False):
+        """Start the processes of a host with the settings in force."""
         self.network.without_power.discard(host)
         self._started += 1
         name = f'{host}#{self._started}'
-        disk = self.disks.setdefault(host, FaultyDisk(self.loop, self.rng))
-        disk.process = name
         random.seed(self.rng.random())
-        seeds = self.seed_addresses()
-        settings = GatewayControlSettings(
-            host_id=host,
-            region=self.network.regions[host],
-            control_addresses=seeds,
-            listing_address=Address('10.200.0.1', 1),
-            operator_listen=Address(host, 8229),
-            replica=ReplicaSettings(
-                replica_id=host,
-                data_dir='',
-                listen=Address(host, PORT),
-                replicas=tuple((row.host, row) for row in seeds),
-                join=not founds,
-            ),
-        )
-        clock = LoopClock()
         with self.network.on(host, name):
-            control = GatewayControl(
-                settings, BackendListing(_empty_list, clock), clock
+            control = None
+            if host not in self.without_replica:
+                control = self._build_control(host, name, is_first_start)
+            built = OperatorHost(
+                host,
+                self.network.regions[host],
+                self.seeds,
+                random.Random(self.rng.random()),
+                control,
             )
-            control._host.replica._storage = disk
-            self.processes[host] = ControlProcess(name, control)
-            started = self.loop.create_task(control.start())
+            self.processes[host] = HostProcess(name, built)
+            started = self.loop.create_task(built.start())
         await asyncio.wait([started], timeout=1)
 
-    def seed_addresses(self):
-        return tuple(Address(row, PORT) for row in self.seeds)
+    def _build_control(self, host, name, is_first_start):
+        disk = self.disks.setdefault(host, FaultyDisk(self.loop, self.rng))
+        disk.process = name
+        return build_control(
+            host,
+            REGIONS,
+            self.seeds,
+            is_first_start=is_first_start,
+            storage=disk,
+        )
+
+    def replicas(self):
+        """Return the hosts that have a replica."""
+        rows = self.processes.items()
+        return [host for host, row in rows if row.has_replica]
 
     def leader(self):
         serving = [host for host, row in self.processes.items() if row.serves]
         return max(serving, key=self._term_of, default=None)
 
     def _term_of(self, host):
-        return self.processes[host].control._host.replica.term
+        return self.processes[host].host._host.replica.term
 
     def pick(self, role):
-        """Return a host: the leader, or another one by lot."""
+        """Return a host with a replica: the leader, or another one by lot."""
         leader = self.leader()
         if role == 'leader' and leader is not None:
             return leader
         running = [
             host
-            for host, row in self.processes.items()
-            if not row.is_dead and host != leader
+            for host in self.replicas()
+            if not self.processes[host].is_dead and host != leader
         ]
-        return self.rng.choice(sorted(running or self.processes))
+        return self.rng.choice(sorted(running or self.replicas()))
 
     def note(self):
         """Record that an event ends the calm."""
@@ -221,24 +242,29 @@
         if process.is_dead:
             return
         process.is_dead = True
-        disk = self.disks[host]
-        disk.is_stalled = False
         self.loop.hold(process.name)
         self._ended.append(process)
+        if process.has_replica:
+            self._end_writes(self.disks[host], power)
         if power:
             self.network.without_power.add(host)
             self.network.lose_power(host)
+        else:
+            self.network.reset_host(host)
+
+    def _end_writes(self, disk, power):
+        disk.is_stalled = False
+        if power:
             disk.lose_power()
         else:
             disk.crash(len(disk._written))
-            self.network.reset_host(host)
 
     async def stop_process(self, host):
         """Ask a process to stop, as the platform does with SIGTERM."""
         process = self.processes[host]
         process.is_stopping = True
         with self.network.on(host, process.name):
-            stopping = self.loop.create_task(process.control.stop())
+            stopping = self.loop.create_task(process.host.stop())
         await asyncio.wait([stopping], timeout=8)
         self.end_process(host)
 
@@ -301,7 +327,7 @@
             return False
         with self.network.on(host, process.name):
             answer = self.loop.create_task(
-                self._answer(process.control.gate, version, kind)
+                self._answer(process.host.gate, version, kind)
             )
         await asyncio.wait([answer])
         return answer.result()
@@ -314,7 +340,9 @@
                 )
             else:
                 content = large_configuration(version, 3, changed=0)
-                await gate.put(decode_configuration(content), content)
+                await gate.put(
+                    change_of(decode_configuration(content), content)
+                )
         except KumquatrunError:
             return False
         return True
@@ -331,3 +359,24 @@
             - max(row.sent_s, calm_s)
             for row in sent
         )
+
+
+def play_group(build, play, seed):
+    """Return the result of ``play`` with a group, in simulated time.
+
+    ``build`` takes what installs the simulated network.
+    """
+
+    async def run(monkeypatch):
+        group = build(monkeypatch)
+        try:
+            return await play(group)
+        finally:
+            await group.stop()
+
+    ids = random.Random(seed)
+    with pytest.MonkeyPatch.context() as monkeypatch:
+        monkeypatch.setattr(
+            uuid, 'uuid4', lambda: uuid.UUID(int=ids.getrandbits(128))
+        )
+        return run_simulated(run(monkeypatch), HostLoop)
