Go on founding after a restart with a stored membership

What would be seen: no leader at all, and no configuration is ever confirmed. Cause: a replica that had stored a membership and was killed before the group formed only asked to join after its restart, if its settings did not say any more that the system starts for the first time; the others wait for it for ever. With a group that had formed without it, it forgot its membership and was a voter that never votes. Before: the new test fails for two of the three replicas if the settings do not say any more that it is the first start. After: it passes, and the group bears the next loss. Conclusion: a stored membership decides, not the settings. Open: a replica that is lost with its disk, or replaced, before the group has formed.

--- a/src/kumquatrun/consensus/group_formation.py
+++ b/src/kumquatrun/consensus/group_formation.py
@@ -95,6 +95,8 @@
 
     def form(self) -> ReplicaMeta:
         """Return the facts to store after ``FORM``."""
+        # The others may have formed with a smaller membership than the one
+        # that this replica stored last.
         initial = self._formed_with_this_disk() or self.meta.initial
         self.meta = replace(self.meta, initial=initial, formed=True)
         return self.meta
--- a/src/kumquatrun/consensus/log_store.py
+++ b/src/kumquatrun/consensus/log_store.py
@@ -78,7 +78,7 @@
         self._snapshot = None
         for unfinished in self._folder.glob('*.tmp'):
             unfinished.unlink()
-        meta = self._load_meta()
+        meta = self.load_meta()
         snapshot = self._load_snapshot()
         entries = self._load_entries(snapshot)
         if meta is None and (snapshot is not None or entries):
@@ -88,6 +88,26 @@
         self._make_durable(meta)
         return StoredState(meta, snapshot, tuple(entries))
 
+    def load_meta(self) -> ReplicaMeta | None:
+        """Return the stored facts without the log, None if there are none.
+
+        Raises
+        ------
+        CorruptLogError
+            If the file is damaged.
+        """
+        path = self._folder / META_NAME
+        if not path.exists():
+            return None
+        record = decode_record(path.read_bytes(), 0)
+        if record is None:
+            raise CorruptLogError(f'record at offset 0 of {path} is damaged')
+        disk_id, term, voted_for, initial, formed = msgpack.unpackb(
+            record.content,
+        )
+        members = Membership.decode(initial).members
+        return ReplicaMeta(disk_id, HardState(term, voted_for), members, formed)
+
     def save_meta(self, meta: ReplicaMeta) -> None:
         """Replace the file with disk identity, term and vote."""
         content = msgpack.packb(
@@ -188,19 +208,6 @@
             ) from None
         self._lock = lock
 
-    def _load_meta(self) -> ReplicaMeta | None:
-        path = self._folder / META_NAME
-        if not path.exists():
-            return None
-        record = decode_record(path.read_bytes(), 0)
-        if record is None:
-            raise CorruptLogError(f'record at offset 0 of {path} is damaged')
-        disk_id, term, voted_for, initial, formed = msgpack.unpackb(
-            record.content,
-        )
-        members = Membership.decode(initial).members
-        return ReplicaMeta(disk_id, HardState(term, voted_for), members, formed)
-
     def _load_snapshot(self) -> Snapshot | None:
         paths = sorted(self._folder.glob(SNAPSHOT_PATTERN))
         if not paths:
--- a/src/kumquatrun/consensus/memory_store.py
+++ b/src/kumquatrun/consensus/memory_store.py
@@ -23,6 +23,10 @@
         entries = [row for row in self.durable.entries if row.index >= first]
         return replace(self.durable, entries=tuple(entries))
 
+    def load_meta(self) -> ReplicaMeta | None:
+        """Return the stored facts without the log, None if there are none."""
+        return self.durable.meta
+
     def save_meta(self, meta: ReplicaMeta) -> None:
         """Store disk identity, term and vote."""
         self.durable = replace(self.durable, meta=meta)
--- a/src/kumquatrun/consensus/storage.py
+++ b/src/kumquatrun/consensus/storage.py
@@ -25,6 +25,10 @@
         """
         ...
 
+    def load_meta(self) -> ReplicaMeta | None:
+        """Return the stored facts without the log, None if there are none."""
+        ...
+
     def save_meta(self, meta: ReplicaMeta) -> None:
         """Store disk identity, term and vote."""
         ...
--- a/src/kumquatrun/gateway/roles/control.py
+++ b/src/kumquatrun/gateway/roles/control.py
@@ -140,33 +140,36 @@
         """Return the settings of a replica that founds the group or joins it.
 
         A replica that has stored a membership before it was killed goes on
-        founding with the replicas in it.
+        founding, whatever the settings say by then: the others wait for it.
         """
         own = self._settings.replica
-        is_founder = self._settings.failure_domain in _founding_domains(
-            self._settings,
-        )
-        if not (self._settings.is_first_start and is_founder):
-            return replace(own, join=True)
         meta = await self._stored_meta()
-        if meta.formed:
+        founders = {
+            member.replica_id: Address.parse(member.address)
+            for member in meta.initial
+        }
+        if meta.formed or not (founders or self._is_founder):
             return replace(own, join=True)
         self._search.founder = self._founding.own
-        founders = await self._founding.wait()
+        if not founders:
+            founders = await self._founding.wait()
         if not founders:
             self._search.founder = None
             return replace(own, join=True)
-        stored = {
-            member.replica_id: Address.parse(member.address)
-            for member in meta.initial
-        }
-        replicas = tuple((stored | founders).items())
-        return replace(own, replicas=replicas, join=False)
+        return replace(own, replicas=tuple(founders.items()), join=False)
+
+    @property
+    def _is_founder(self) -> bool:
+        settings = self._settings
+        is_founding_domain = settings.failure_domain in _founding_domains(
+            settings,
+        )
+        return settings.is_first_start and is_founding_domain
 
     async def _stored_meta(self) -> ReplicaMeta:
         while True:
             try:
-                return self._storage.load().meta or ReplicaMeta('')
+                return self._storage.load_meta() or ReplicaMeta('')
             except PATH_ERRORS:
                 raise
             except OSError as error:
--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -174,6 +174,41 @@
     play(run)
 
 
+@pytest.mark.parametrize('is_first_start', [False, True])
+@pytest.mark.parametrize('stop', REPLICAS)
+def test_replica_that_is_killed_while_the_group_is_founded_takes_part(
+    stop, is_first_start
+):
+    # Guards against founders that wait for ever for one which has stored a
+    # membership and only asks to join after its restart.
+    async def run(group):
+        starting = group.loop.create_task(
+            group.start_hosts(group.network.regions)
+        )
+        while not initial_of(group, stop):  # noqa: ASYNC110  # polls a disk
+            await asyncio.sleep(0.001)
+        group.end_process(stop)
+        await starting
+        await asyncio.sleep(1)
+        await group.start_host(stop, is_first_start=is_first_start)
+        await found(group, group.processes, 2 * FORMED_S)
+        assert memberships(group) == {tuple(REPLICAS)}
+        # It is a voter, so that the group bears the loss of another one.
+        group.end_process(
+            next(row for row in REPLICAS if row != stop), power=True
+        )
+        await asyncio.sleep(FORMED_S)
+        assert group.leader() is not None
+
+    play(run)
+
+
+def initial_of(group, host):
+    disk = group.disks.get(host)
+    meta = disk.durable.meta if disk is not None else None
+    return meta.initial if meta is not None else ()
+
+
 def test_minority_of_the_failure_domains_founds_no_group():
     # Guards against two groups, one on each side of a cut at the first start.
     async def run(group):
