Lengthen the wait for a leader after silence only

Cause: each attempt doubled how long the next replica may stay silent, also after a refusal of a millisecond. After eight refusals during an election the call waited 153 s at the old leader, if it chose that one again by lot. Conclusion: only silence lengthens the wait, and the replica that was silent last is not preferred because the directory still names it.

--- a/src/kumquatrun/membership/leader_client.py
+++ b/src/kumquatrun/membership/leader_client.py
@@ -134,8 +134,9 @@
             except RETRIED as error:
                 if error.outcome is not Outcome.NOT_RUN:
                     outcome = Outcome.UNKNOWN
+                if isinstance(error, DeadlineExceededError):
+                    silence_limit_s *= SILENCE_GROWTH
                 self.follow(error, leader)
-            silence_limit_s *= SILENCE_GROWTH
             await asyncio.sleep(RETRY_DELAY_S * (1 + self._rng.random()))
 
     def follow(self, error: KumquatrunError, failed: PeerClient) -> None:
@@ -222,6 +223,8 @@
     def _note_leader(self, address: Address) -> None:
         """Record who answers, and leave the connections to former leaders."""
         self._heard_s = self._clock.now_s()
+        if address == self._silent:
+            self._silent = None
         if address == self._led_by:
             return
         self._led_by = address
@@ -324,8 +327,9 @@
             for address in known
             if address != failed and not self._is_shunned(address)
         ]
-        if self._directory and self._directory.leader_address in others:
-            self._leader = self._directory.leader_address
+        named = self._directory.leader_address if self._directory else None
+        if named in others and named != self._silent:
+            self._leader = named
         elif others:
             self._leader = self._rng.choice(others)
 
--- a/tests/test_leader_client.py
+++ b/tests/test_leader_client.py
@@ -19,13 +19,17 @@
 from kumquatrun.control.control_state import ControlState
 from kumquatrun.control.feed_log import FeedLog
 from kumquatrun.daemon.settings import ReplicaSettings
-from kumquatrun.errors import DeadlineExceededError, KumquatrunError
+from kumquatrun.errors import (
+    DeadlineExceededError,
+    KumquatrunError,
+    NotLeaderError,
+)
 from kumquatrun.membership import leader_client
 from kumquatrun.membership.control_directory import ControlDirectory
 from kumquatrun.membership.leader_client import LeaderClient
 from kumquatrun.peer import Address
 from kumquatrun.peer.directory_messages import ControlHosts
-from kumquatrun.peer.messages import Hello
+from kumquatrun.peer.messages import Ack, Hello
 from kumquatrun.runtime.clock import LoopClock
 
 # The operator moves on to another control host after this time.
@@ -284,3 +288,64 @@
 
         hosts.services[hosts.leader].handle = handle_slowly
         assert await hosts.put(hosts.rest()[0], 2) < COMMIT_TIMEOUT_S
+
+
+class Refusing:
+    """Peer clients of a group whose leader is silent during an election."""
+
+    def __init__(self, silent, elected_s):
+        self.silent = silent
+        self.elected_s = elected_s
+        self.leader = Address('10.0.0.2', 1)
+
+    def connect(self, address, _identity):
+        return RefusingClient(self, address)
+
+
+class RefusingClient:
+    def __init__(self, group, address):
+        self.address = address
+        self._group = group
+        self.heard_at_s = float('-inf')
+
+    def ping(self):
+        """Nothing answers but to calls."""
+
+    async def wait_idle(self):
+        """Nothing is open."""
+
+    async def close(self):
+        """Nothing is open."""
+
+    async def call(self, request, timeout_s):
+        group = self._group
+        if self.address == group.silent:
+            await asyncio.Event().wait()
+        await asyncio.sleep(0.001)
+        now_s = asyncio.get_running_loop().time()
+        if now_s < group.elected_s:
+            raise NotLeaderError(f'the leader is at {group.silent}')
+        if self.address != group.leader:
+            raise NotLeaderError(f'the leader is at {group.leader}')
+        return Ack()
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize('seed', range(10))
+async def test_refusals_do_not_lengthen_the_wait_for_a_silent_leader(
+    monkeypatch, seed
+):
+    # Guards against a call that waits out its time at the silent leader after
+    # a few quick refusals, although a new one answers.
+    loop = asyncio.get_running_loop()
+    addresses = tuple(Address(f'10.0.0.{number}', 1) for number in range(3))
+    group = Refusing(addresses[0], loop.time() + 1.3)
+    monkeypatch.setattr(leader_client, 'PeerClient', group.connect)
+    client = LeaderClient(
+        addresses,
+        Hello(node_id='n', incarnation='i'),
+        LoopClock(),
+        random.Random(seed),
+    )
+    assert await client.call(Ack(), COMMIT_TIMEOUT_S) == Ack()
+    await client.close()
