Call missed hosts side by side, and later

Before: both new tests fail. After: all hosts that run are told within 1 s of simulated time; none is called that renews each 1.4 s. Conclusion: calls are tasks, 128 at once; a host is missed after 2 s, and at once in a new term.

--- a/src/kumquatrun/control/group_announcer.py
+++ b/src/kumquatrun/control/group_announcer.py
@@ -25,15 +25,15 @@
 log = logging.getLogger(__name__)
 
 CHECK_INTERVAL_S = 0.25
-# Two renewals.
-MISSED_AFTER_S = 1.0
+# Several renewals; a slow leader must not call hosts that only wait for it.
+MISSED_AFTER_S = 2.0
 CALL_TIMEOUT_S = 0.5
 RETRY_MIN_S = 0.25
 RETRY_MAX_S = 4.0
 # A host that is not back by then starts anew with the settings of that time.
 REMEMBERED_S = 120.0
 # Bounds the work of a leader of hundreds of hosts beside its heartbeats.
-MAX_OPEN_CALLS = 32
+MAX_OPEN_CALLS = 128
 
 
 @dataclass(frozen=True)
@@ -51,7 +51,7 @@
 
 
 class GroupAnnouncer:
-    """Keeps in touch with the hosts of one leader.
+    """Calls the hosts that do not renew their leases at this leader.
 
     Parameters
     ----------
@@ -79,6 +79,7 @@
         self._hosts: dict[str, _KnownHost] = {}
         self._wake = asyncio.Event()
         self._open_calls = asyncio.Semaphore(MAX_OPEN_CALLS)
+        self._calls: set[asyncio.Task] = set()
 
     def begin_term(self, records: Iterable[HostRecord]) -> None:
         """Miss all registered hosts until they renew their leases."""
@@ -95,7 +96,7 @@
         """Call missed hosts while this replica leads; never returns."""
         while True:
             if self._leads():
-                await self._call_missed()
+                self._call_missed()
             try:
                 async with asyncio.timeout(CHECK_INTERVAL_S):
                     await self._wake.wait()
@@ -111,25 +112,27 @@
             address=Address.parse(record.directory_address),
             heard_s=heard_s,
             forget_s=now_s + REMEMBERED_S,
+            # It is due as soon as it is missed.
             next_call_s=heard_s,
         )
 
-    async def _call_missed(self) -> None:
+    def _call_missed(self) -> None:
         now_s = self._clock.now_s()
-        due = []
         for host_id, host in list(self._hosts.items()):
             if now_s > host.forget_s:
                 del self._hosts[host_id]
             elif host.is_due(now_s):
-                due.append((host_id, host))
-        await asyncio.gather(*(self._call(*row) for row in due))
+                self._hosts[host_id] = replace(
+                    host,
+                    next_call_s=now_s + host.delay_s,
+                    delay_s=min(2 * host.delay_s, RETRY_MAX_S),
+                )
+                # A host that does not answer must not hold up the others.
+                call = asyncio.create_task(self._call(host_id, host))
+                self._calls.add(call)
+                call.add_done_callback(self._calls.discard)
 
     async def _call(self, host_id: str, host: _KnownHost) -> None:
-        self._hosts[host_id] = replace(
-            host,
-            next_call_s=self._clock.now_s() + host.delay_s,
-            delay_s=min(2 * host.delay_s, RETRY_MAX_S),
-        )
         client = PeerClient(host.address, self._identity)
         told = ControlHosts(group=self._group())
         try:
--- /dev/null
+++ b/tests/test_group_announcer.py
@@ -0,0 +1,90 @@
+"""Calls of a leader to the hosts that it misses, on the clock of the loop."""
+
+import asyncio
+
+import pytest
+
+from kumquatrun.control import group_announcer
+from kumquatrun.control.group_announcer import GroupAnnouncer
+from kumquatrun.errors import DeadlineExceededError
+from kumquatrun.peer.directory_messages import ControlGroup
+from kumquatrun.peer.messages import Ack, Hello
+from kumquatrun.peer.node_messages import HostRecord
+from kumquatrun.runtime.clock import LoopClock
+
+HOSTS = 390
+SILENT = 130
+TOLD_S = 1.0
+
+
+def record(number):
+    return HostRecord(
+        host_id=str(number),
+        incarnation='i',
+        role='entry',
+        address='10.0.0.1:1',
+        region='r',
+        failure_domain='d',
+        directory_address=f'10.0.{number}.1:{1 + number}',
+    )
+
+
+class Client:
+    """Reaches all hosts but the first ones."""
+
+    told_s = {}
+    opened = 0
+
+    def __init__(self, address, identity):
+        self.number = address.port - 1
+        Client.opened += 1
+
+    async def call(self, request, timeout_s):
+        if self.number < SILENT:
+            await asyncio.sleep(timeout_s)
+            raise DeadlineExceededError('no reply')
+        await asyncio.sleep(0.02)
+        Client.told_s.setdefault(self.number, asyncio.get_running_loop().time())
+        return Ack()
+
+    async def close(self):
+        """Nothing is open."""
+
+
+@pytest.fixture
+def announcer(monkeypatch):
+    monkeypatch.setattr(group_announcer, 'PeerClient', Client)
+    Client.told_s = {}
+    Client.opened = 0
+    return GroupAnnouncer(
+        ControlGroup,
+        lambda: True,
+        Hello(node_id='n', incarnation='i'),
+        LoopClock(),
+    )
+
+
+@pytest.mark.looptime
+async def test_silent_hosts_do_not_hold_up_the_others(announcer):
+    # Guards against hosts that learn late of the next leader, since those of a
+    # lost failure domain are called before them.
+    began_s = asyncio.get_running_loop().time()
+    announcer.begin_term(map(record, range(HOSTS)))
+    running = asyncio.create_task(announcer.run())
+    await asyncio.sleep(3)
+    running.cancel()
+    assert len(Client.told_s) == HOSTS - SILENT
+    assert max(Client.told_s.values()) - began_s < TOLD_S
+
+
+@pytest.mark.looptime
+async def test_leader_does_not_call_hosts_that_renew_slowly(announcer):
+    # Guards against a leader under load that makes itself slower by calling
+    # all hosts whose renewals wait for it.
+    running = asyncio.create_task(announcer.run())
+    for _ in range(10):
+        for number in range(SILENT, HOSTS):
+            announcer.note_heard(record(number))
+        await asyncio.sleep(1.4)
+    running.cancel()
+    assert Client.opened == 0
