--- a/src/kumquatrun/peer/server.py
+++ b/src/kumquatrun/peer/server.py
@@ -28,6 +28,9 @@
 
 log = logging.getLogger(__name__)
 
+# All hosts open connections to a new leader at the same moment.
+BACKLOG = 1024
+
 
 class CallContext:
     """Server side of one call.
@@ -90,6 +93,7 @@
             self._serve,
             address.host,
             address.port,
+            backlog=BACKLOG,
         )
         host, port = self._server.sockets[0].getsockname()[:2]
         return Address(host, port)
@@ -129,8 +133,9 @@
         try:
             await session.run()
         except (OSError, EOFError, KumquatrunError) as error:
-            # A peer that has only asked something leaves in order.
-            level = logging.INFO if session.has_calls else logging.DEBUG
+            # A peer whose calls were answered leaves in order.
+            leaves = isinstance(error, EOFError) and not session.has_calls
+            level = logging.DEBUG if leaves else logging.INFO
             log.log(level, 'event=peer_closed error=%r', str(error))
         except asyncio.CancelledError:
             # asyncio logs a cancelled connection callback as an error.
