Report a wrong address of this host as an error of the settings

Cause: the settings watcher reads the address of its own host since it asks its own entry, and an error of a document ended its task without a line. Before: the new test fails. After: it passes; the task is started again if it fails in another way.

--- a/src/kumquatrun/platform/daemons.py
+++ b/src/kumquatrun/platform/daemons.py
@@ -29,6 +29,7 @@
 from kumquatrun.platform.operator import OperatorApi
 from kumquatrun.platform.requests import PlatformFormat
 from kumquatrun.platform.settings import SettingsFile
+from kumquatrun.runtime.background import start_background
 from kumquatrun.runtime.clock import Clock, LoopClock
 from kumquatrun.runtime.logs import log_event
 from kumquatrun.runtime.metrics import process_metrics
@@ -56,7 +57,7 @@
         """Begin to follow the file."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._wake.set)
-        self._task = asyncio.create_task(self._run())
+        self._task = start_background(self._run)
 
     async def stop(self) -> None:
         """Stop following."""
--- a/src/kumquatrun/platform/settings.py
+++ b/src/kumquatrun/platform/settings.py
@@ -142,6 +142,7 @@
     )
 
 
+@_with_setting_errors
 def control_addresses(fields: decoding.Fields) -> tuple[Address, ...]:
     """Return where replicas listen on the hosts that the settings name.
 
@@ -156,6 +157,7 @@
     return tuple(Address(host, port) for host in _seed_hosts(fields))
 
 
+@_with_setting_errors
 def directory_addresses(fields: decoding.Fields) -> tuple[Address, ...]:
     """Return where hosts are asked for the control group, this one included.
 
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -358,6 +358,13 @@
         control_addresses({**SETTINGS, name: wrong})
 
 
+def test_wrong_own_address_is_an_error_of_the_settings():
+    # Guards against the same end of that task; an error of a document is not
+    # one of the settings.
+    with pytest.raises(SettingError, match='ip'):
+        directory_addresses({**SETTINGS, 'ip': 5})
+
+
 @pytest.mark.parametrize('environment', [{}, {'KUMQUATRUN_BOOT': '/no/file'}])
 def test_missing_settings_file_is_an_error(environment):
     with pytest.raises(SettingError):
