Stop the servers of a process side by side

Cause: the operator's listener was stopped before the entry, up to 0.2 s of the 0.4 s in which open requests get their last answer, and an error in it skipped the entry. An open operator call kept an agent away for 4 s, while requests for its engine wait. Conclusion: no server of a process has time to wait for another.

--- a/src/kumquatrun/gateway/roles/server_group.py
+++ b/src/kumquatrun/gateway/roles/server_group.py
@@ -1,12 +1,13 @@
 """Several servers of one process that drain together."""
 
 import asyncio
+from collections.abc import Awaitable, Iterable
 
 from kumquatrun.daemon.lifecycle import Server
 
 
 class ServerGroup:
-    """Starts servers in order, drains them at once, and stops the last first.
+    """Starts servers in order, and drains and stops them together.
 
     Fits the ``Server`` protocol of the daemon.
     """
@@ -21,10 +22,16 @@
 
     async def drain(self, timeout_s: float) -> None:
         """Let all servers finish their open requests."""
-        drains = (server.drain(timeout_s) for server in self._servers)
-        await asyncio.gather(*drains)
+        await _together(server.drain(timeout_s) for server in self._servers)
 
     async def stop(self) -> None:
-        """Stop the servers."""
-        for server in reversed(self._servers):
-            await server.stop()
+        """Stop the servers at once; none has time to wait for another."""
+        await _together(server.stop() for server in self._servers)
+
+
+async def _together(steps: Iterable[Awaitable[None]]) -> None:
+    """Run all steps to their end, then raise the first error, if any."""
+    outcomes = await asyncio.gather(*steps, return_exceptions=True)
+    for outcome in outcomes:
+        if isinstance(outcome, BaseException):
+            raise outcome
--- a/src/kumquatrun/platform/operator.py
+++ b/src/kumquatrun/platform/operator.py
@@ -35,8 +35,9 @@
 BAD_REQUEST = 400
 TIME_METRIC = 'change_confirmation_seconds'
 UNAVAILABLE = 503
-# The operator has left every call by then.
-DRAIN_LIMIT_S = 4.0
+# The operator leaves a call after a second. An agent must be back soon, since
+# requests for its engine wait meanwhile.
+DRAIN_LIMIT_S = 1.2
 # Open calls were answered before; aiohttp waits without a limit for 0.
 STOP_TIMEOUT_S = 0.1
 # Bodies above this size are taken one at a time, so that several of them at
@@ -136,7 +137,7 @@
         if size_bytes is not None and size_bytes <= LARGE_BODY_BYTES:
             return await self._put_body(request)
         if self._large_body.locked():
-            return _unavailable('configuration_not_read', _reads_another())
+            return _unavailable('operator_call_refused', _reads_another())
         async with self._large_body:
             return await self._put_body(request)
 
