Ask for the control group less often after three seconds

Conclusion: four times a second for three seconds, then once, spread; founders tell of themselves only. The lease is extended before the group is read.

--- a/src/kumquatrun/membership/control_client.py
+++ b/src/kumquatrun/membership/control_client.py
@@ -94,6 +94,7 @@
             directory_addresses,
             self.identity,
             lambda: self._leader_client.is_led,
+            self._rng,
         )
         self._lease_ends_at_s = float('-inf')
         self._had_lease = False
@@ -264,13 +265,13 @@
         self._budget_reports = ()
         self._view.update_reports(reply.agent_reports)
         self._take_listing(reply)
-        if reply.group is not None:
-            self._directory.take(ControlHosts(group=reply.group))
         self._told_configuration = max(
             self._told_configuration,
             reply.configuration_version,
         )
         self._extend_lease(sent_at_s + min(reply.duration_s, LEASE_S), reply)
+        if reply.group is not None:
+            self._directory.take(ControlHosts(group=reply.group))
 
     def _take_listing(self, reply: LeaseReply) -> None:
         if self._listing_sink is None or reply.listing_age_s is None:
--- a/src/kumquatrun/membership/directory_exchange.py
+++ b/src/kumquatrun/membership/directory_exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Callable, Iterable
 
 from kumquatrun.errors import KumquatrunError
@@ -15,6 +16,10 @@
 # A few round trips between the regions and the work of a busy host.
 EXCHANGE_TIMEOUT_S = 0.5
 FIND_INTERVAL_S = 0.25
+# After a longer time without a leader all hosts ask, which must not take a
+# host's processor from the streams that it carries.
+SLOW_FIND_INTERVAL_S = 1.0
+QUICK_ROUNDS = 12
 
 
 async def exchange(
@@ -54,6 +59,8 @@
         Returns the identity of this host.
     is_led
         Returns whether a leader has answered a moment ago.
+    rng
+        Spreads the questions of many hosts.
     """
 
     def __init__(
@@ -62,11 +69,13 @@
         addresses: Iterable[Address],
         identity: Callable[[], Hello],
         is_led: Callable[[], bool],
+        rng: random.Random,
     ) -> None:
         self._directory = directory
         self._addresses = tuple(addresses)
         self._identity = identity
         self._is_led = is_led
+        self._rng = rng
 
     def set_addresses(self, addresses: Iterable[Address]) -> None:
         """Replace the directories that are asked."""
@@ -74,16 +83,23 @@
 
     async def run(self) -> None:
         """Ask again and again while there is need; never returns."""
+        rounds = 0
         while True:
-            if not self._is_led():
+            rounds += 1
+            if self._is_led():
+                rounds = 0
+            else:
                 await asyncio.gather(*map(self._ask, self._addresses))
-            await asyncio.sleep(FIND_INTERVAL_S)
+            is_quick = rounds < QUICK_ROUNDS
+            pause_s = FIND_INTERVAL_S if is_quick else SLOW_FIND_INTERVAL_S
+            await asyncio.sleep(pause_s * self._rng.uniform(0.75, 1.25))
 
     async def _ask(self, address: Address) -> None:
         known = ControlHosts(group=self._directory.group)
         try:
             found = await exchange(address, self._identity(), known)
-            self._directory.take(found)
+            # Founders tell of themselves only, so that old news ends.
+            self._directory.take(ControlHosts(group=found.group))
         except KumquatrunError as error:
             log.debug(
                 'event=directory_unreachable address=%s error=%r',
