--- a/src/kumquatrun/consensus/replica.py
+++ b/src/kumquatrun/consensus/replica.py
@@ -128,6 +128,21 @@
             self.term,
         )
 
+    def introduce(self, addresses: Mapping[str, Address]) -> None:
+        """Name members of the group, whom this replica may ask to join."""
+        if self._is_running:
+            self._node.contacts.update(_texts(addresses))
+
+    def add_founders(self, addresses: Mapping[str, Address]) -> None:
+        """Let more replicas found the group with this one.
+
+        Has no effect once the group is formed.
+        """
+        if not self._is_running or self._settings.join:
+            return
+        for replica_id, address in _texts(addresses).items():
+            self._node.add_founder(replica_id, address)
+
     async def leave(self, timeout_s: float) -> None:
         """Leave the group before a stop, if the group has a spare voter.
 
@@ -147,21 +162,6 @@
         is_voter = membership.is_voter(self._settings.replica_id, self.disk_id)
         return is_voter and membership.has_spare_voter and not self.is_leader
 
-    def introduce(self, addresses: Mapping[str, Address]) -> None:
-        """Name members of the group, whom this replica may ask to join."""
-        if self._is_running:
-            self._node.contacts.update(_texts(addresses))
-
-    def add_founders(self, addresses: Mapping[str, Address]) -> None:
-        """Let more replicas found the group with this one.
-
-        Has no effect once the group is formed.
-        """
-        if not self._is_running or self._settings.join:
-            return
-        for replica_id, address in _texts(addresses).items():
-            self._node.add_founder(replica_id, address)
-
     async def handle(self, request: Any, context: Any) -> Any:
         """Answer a consensus message; mountable into a ``PeerServer``.
 
--- a/src/kumquatrun/gateway/roles/settings.py
+++ b/src/kumquatrun/gateway/roles/settings.py
@@ -30,7 +30,9 @@
     """Settings of an entry.
 
     It answers the operator at ``operator_listen`` and other hosts at
-    ``directory_listen``. ``retry_ratio`` and ``retry_allowance`` bound the retries of the whole
+    ``directory_listen``.
+
+    ``retry_ratio`` and ``retry_allowance`` bound the retries of the whole
     fleet to one service within ``retry_window_s``. ``drops_idle_connections`` says
     that backend servers close idle connections without notice.
     """
