Count ended backend servers for the whole fleet

Callers saw nothing themselves; a request that crashes each backend server that runs it went on being sent: with E entries at least E + 2 times, without a body or at a time limit for ever.

Cause: each entry kept its first broken response to itself, counted requests in place of runs, left out requests without a body and runs that ended at a time limit or with their caller, and dropped reports that failed. A bound of the fleet was kept by each process for itself.

Now each run is watched. A run with which its backend server may have ended is reported at once and until it is delivered; the control state counts ends per fingerprint (path, account, body) and blocks it at the third. Entries check before each attempt. A completed run clears the count, an answer on an older connection refutes an end, and two trial runs, 5 s and 60 s after the block, bring back a harmless request. A host that can't report counts by itself.

Ruled out: a count of broken responses alone (equal harmless requests whose responses break off would be blocked); waiting for proof that a process ended (the list lags by seconds, and a silent server gives none).

--- a/src/kumquatrun/control/control.py
+++ b/src/kumquatrun/control/control.py
@@ -41,6 +41,7 @@
 from kumquatrun.peer.messages import Ack
 from kumquatrun.peer.node_messages import (
     AcquireLoadSlot,
+    ClearEndedRuns,
     ClearSuspect,
     FollowFeed,
     GrantTokens,
@@ -51,6 +52,7 @@
     ReleaseLoadSlot,
     RenewLease,
     ReportSuspects,
+    TakeTrialRun,
 )
 from kumquatrun.peer.operator_messages import OperatorCall
 from kumquatrun.peer.request_messages import ClaimRequest, FinishClaim, Finished
@@ -113,6 +115,8 @@
             FinishClaim: self._on_command,
             ReportSuspects: self._on_command,
             ClearSuspect: self._on_command,
+            ClearEndedRuns: self._on_command,
+            TakeTrialRun: self._on_command,
             AcquireLoadSlot: self._on_acquire_slot,
             ReleaseLoadSlot: self._on_release_slot,
             OperatorCall: self._on_operator,
--- a/src/kumquatrun/control/control_registers.py
+++ b/src/kumquatrun/control/control_registers.py
@@ -20,6 +20,7 @@
 from kumquatrun.control.configuration_register import (
     ConfigurationRegister,
 )
+from kumquatrun.control.crash_register import CrashRegister
 from kumquatrun.control.document_register import DocumentRegister
 from kumquatrun.control.hosts import HostRegister, host_fields, host_summary
 from kumquatrun.control.operations import OperationRegister
@@ -33,6 +34,7 @@
 from kumquatrun.peer.errors import error_to_reply
 from kumquatrun.peer.messages import Ack
 from kumquatrun.peer.node_messages import (
+    ClearEndedRuns,
     ClearSuspect,
     GrantReply,
     GrantTokens,
@@ -40,6 +42,8 @@
     RegisterHost,
     RegisterReply,
     ReportSuspects,
+    TakeTrialRun,
+    TrialRunReply,
 )
 from kumquatrun.peer.request_messages import (
     ClaimReply,
@@ -62,6 +66,7 @@
         self.budgets = BudgetRegister()
         self.claims = ClaimRegister(self.hosts.is_live)
         self.quarantine = QuarantineRegister()
+        self.crashes = CrashRegister(self.quarantine)
         self.changes = ChangeLog()
         self.operations = OperationRegister()
         self.configurations = ConfigurationRegister()
@@ -75,6 +80,8 @@
             FinishClaim: self._finish_claim,
             ReportSuspects: self._report_suspects,
             ClearSuspect: self._clear_suspect,
+            ClearEndedRuns: self._clear_ended_runs,
+            TakeTrialRun: self._take_trial_run,
             ApplyDocument: self._apply_document,
             IssueKey: self._issue_key,
             RevokeKey: self._revoke_key,
@@ -89,8 +96,7 @@
         """Advance the state machine time; expire claims and quarantines."""
         self.now_ms += elapsed_ms
         self.claims.expire(self.now_ms)
-        changes = self.quarantine.expire(self.now_ms)
-        self._record_fingerprints(changes, _CONTROL)
+        self._record_fingerprints(self._expire_fingerprints(), _CONTROL)
 
     def run(self, command: Any) -> Any:
         """Run a command; return its result or an ``ErrorReply``."""
@@ -111,7 +117,9 @@
         """Replace all registers with a snapshot."""
         self.now_ms = content['now_ms']
         for name, register in self._registers().items():
-            register.restore(content[name])
+            # Snapshots of earlier versions lack some registers.
+            if name in content:
+                register.restore(content[name])
         self.changes.take_rows()
 
     def _registers(self) -> dict[str, Any]:
@@ -122,6 +130,7 @@
             'budgets': self.budgets,
             'claims': self.claims,
             'quarantine': self.quarantine,
+            'crashes': self.crashes,
             'audit': self.changes.audit,
             'operations': self.operations,
             'configurations': self.configurations,
@@ -214,16 +223,35 @@
     # Quarantine.
 
     def _report_suspects(self, command: ReportSuspects) -> Ack:
+        if command.backend_id:
+            changes = self.crashes.report(command, self.now_ms)
+        else:
+            changes = self._count_crash(command)
+        changes.extend(self._expire_fingerprints())
+        self._record_fingerprints(changes, f'host:{command.host_id}')
+        return Ack()
+
+    def _count_crash(self, command: ReportSuspects) -> list[FingerprintChange]:
         event = 'crash_alone' if command.alone else 'crash_shared'
         # One crash counts once for a fingerprint that ran twice in the batch.
-        changes = [
+        return [
             self.quarantine.handle(fingerprint, event, self.now_ms)
             for fingerprint in dict.fromkeys(command.fingerprints)
         ]
-        changes.extend(self.quarantine.expire(self.now_ms))
+
+    def _expire_fingerprints(self) -> list[FingerprintChange]:
+        changes = self.quarantine.expire(self.now_ms)
+        self.crashes.follow(changes)
+        return changes
+
+    def _clear_ended_runs(self, command: ClearEndedRuns) -> Ack:
+        changes = self.crashes.clear(command, self.now_ms)
         self._record_fingerprints(changes, f'host:{command.host_id}')
         return Ack()
 
+    def _take_trial_run(self, command: TakeTrialRun) -> TrialRunReply:
+        return self.crashes.take_trial(command, self.now_ms)
+
     def _clear_suspect(self, command: ClearSuspect) -> Ack:
         change = self.quarantine.handle(
             command.fingerprint,
--- /dev/null
+++ b/src/kumquatrun/control/crash_register.py
@@ -0,0 +1,139 @@
+"""Decides which requests are refused because backend servers ended under them.
+
+Entries report each run that ended with its backend server. A completed run
+shows that a request is harmless and removes what was counted. A fingerprint at
+the limit is blocked: no entry sends the request. A request can reach the limit
+by accident, when several backend servers end for another reason, so single
+trial runs are granted, one at a time in the whole fleet.
+"""
+
+from dataclasses import dataclass, replace
+from typing import Any
+
+from kumquatrun.control.ended_runs import EndedRun, EndedRuns
+from kumquatrun.control.quarantine import FingerprintChange, QuarantineRegister
+from kumquatrun.peer.node_messages import (
+    ClearEndedRuns,
+    ReportSuspects,
+    TakeTrialRun,
+    TrialRunReply,
+)
+
+# Time from the block to each trial run. Together with a run that was under way
+# at the block they stay within the three runs that the users allow after the
+# third end.
+TRIAL_DELAYS_MS = (5_000, 60_000)
+BLOCKED = 'blocked'
+
+
+@dataclass(frozen=True, slots=True)
+class Trials:
+    """When a fingerprint was blocked, and its granted trial runs."""
+
+    blocked_at_ms: int
+    granted: int = 0
+
+    def is_due(self, now_ms: int) -> bool:
+        """Return whether a trial run may be granted now."""
+        if self.granted >= len(TRIAL_DELAYS_MS):
+            return False
+        return now_ms >= self.blocked_at_ms + TRIAL_DELAYS_MS[self.granted]
+
+
+class CrashRegister:
+    """Ended runs and trial runs; sets the states of the quarantine register."""
+
+    def __init__(self, quarantine: QuarantineRegister) -> None:
+        self._quarantine = quarantine
+        self._runs = EndedRuns()
+        self._trials: dict[str, Trials] = {}
+
+    def report(
+        self, command: ReportSuspects, now_ms: int
+    ) -> list[FingerprintChange]:
+        """Count the runs that ended with one backend server."""
+        changes = []
+        rows = zip(
+            command.fingerprints,
+            command.run_ages_ms,
+            command.end_ages_ms,
+            strict=True,
+        )
+        for fingerprint, run_age_ms, end_age_ms in rows:
+            run = EndedRun(
+                command.backend_id, now_ms - run_age_ms, now_ms - end_age_ms
+            )
+            self._runs.add(fingerprint, run)
+            changes.extend(self._follow_count(fingerprint, now_ms))
+        return changes
+
+    def clear(
+        self, command: ClearEndedRuns, now_ms: int
+    ) -> list[FingerprintChange]:
+        """Remove or refute what was counted for a fingerprint."""
+        fingerprint = command.fingerprint
+        if command.backend_id:
+            if fingerprint not in self._runs:
+                return []
+            self._runs.refute(fingerprint, command.backend_id)
+            return self._follow_count(fingerprint, now_ms)
+        self._forget(fingerprint)
+        return [self._quarantine.handle(fingerprint, 'completed', now_ms)]
+
+    def take_trial(self, command: TakeTrialRun, now_ms: int) -> TrialRunReply:
+        """Grant a trial run if one is due."""
+        trials = self._trials.get(command.fingerprint)
+        is_granted = trials is not None and trials.is_due(now_ms)
+        if is_granted:
+            self._trials[command.fingerprint] = replace(
+                trials, granted=trials.granted + 1
+            )
+        return TrialRunReply(is_granted=is_granted)
+
+    def follow(self, changes: list[FingerprintChange]) -> None:
+        """Remove what was counted for fingerprints that became clear."""
+        for fingerprint, _, after in changes:
+            if after == 'clear':
+                self._forget(fingerprint)
+
+    def snapshot(self) -> Any:
+        """Return the register as plain values for msgpack."""
+        return {
+            'runs': self._runs.snapshot(),
+            'trials': [
+                [fingerprint, trials.blocked_at_ms, trials.granted]
+                for fingerprint, trials in self._trials.items()
+            ],
+        }
+
+    def restore(self, content: Any) -> None:
+        """Replace the register with a snapshot."""
+        self._runs.restore(content['runs'])
+        self._trials = {
+            fingerprint: Trials(blocked_at_ms, granted)
+            for fingerprint, blocked_at_ms, granted in content['trials']
+        }
+
+    def _follow_count(
+        self, fingerprint: str, now_ms: int
+    ) -> list[FingerprintChange]:
+        """Set the state of a fingerprint after its count has changed."""
+        if not self._runs.is_over_limit(fingerprint):
+            self._trials.pop(fingerprint, None)
+            return [self._quarantine.handle(fingerprint, 'run_ended', now_ms)]
+        change = self._quarantine.handle(fingerprint, 'limit_reached', now_ms)
+        if change[1] == BLOCKED:
+            return [change]
+        self._trials[fingerprint] = Trials(now_ms)
+        cleared = self._runs.explain_by(fingerprint)
+        return [
+            change,
+            *(
+                self._quarantine.handle(other, 'completed', now_ms)
+                for other in cleared
+            ),
+        ]
+
+    def _forget(self, fingerprint: str) -> None:
+        self._runs.forget(fingerprint)
+        self._trials.pop(fingerprint, None)
--- a/src/kumquatrun/control/quarantine.py
+++ b/src/kumquatrun/control/quarantine.py
@@ -20,10 +20,18 @@
 QUARANTINE_MS = 10 * 60 * 1000
 # A suspect that causes no further crash is cleared after this time.
 SUSPECT_MS = 60 * 60 * 1000
+# A blocked fingerprint is clear again after this time without further ends.
+BLOCKED_MS = 24 * 60 * 60 * 1000
 # A batch has at most tens of requests, so this limit covers hundreds of crashes
 # within one hour. Only a flood of new fingerprints reaches it.
 MAX_FINGERPRINTS = 20_000
-_STATE_DURATION_MS = {'suspect': SUSPECT_MS, 'quarantined': QUARANTINE_MS}
+_STATE_DURATION_MS = {
+    'suspect': SUSPECT_MS,
+    'quarantined': QUARANTINE_MS,
+    'blocked': BLOCKED_MS,
+}
+# These events do not restart the time of a state that they leave unchanged.
+_HARMLESS_EVENTS = frozenset(('finished_alone', 'completed'))
 
 FingerprintChange = tuple[str, str, str]
 
@@ -40,7 +48,7 @@
         }
 
     def state(self, fingerprint: str) -> str:
-        """Return ``clear``, ``suspect`` or ``quarantined``."""
+        """Return ``clear``, ``suspect``, ``quarantined`` or ``blocked``."""
         for state, ends_ms in self._ends_ms.items():
             if fingerprint in ends_ms:
                 return state
@@ -60,7 +68,7 @@
         """Process an event; return fingerprint, old and new state."""
         before = self.state(fingerprint)
         after = self._chart.next_state(before, event)
-        if before == after and event == 'finished_alone':
+        if before == after and event in _HARMLESS_EVENTS:
             return fingerprint, before, after
         if before in self._ends_ms:
             # A repeated crash restarts the time of the quarantine.
@@ -72,17 +80,18 @@
         return fingerprint, before, after
 
     def expire(self, now_ms: int) -> list[FingerprintChange]:
-        """End expired states, and the oldest suspects above the limit."""
+        """End expired states, and the oldest ones above the limit."""
         changes = []
-        for state in ('quarantined', 'suspect'):
+        for state in ('quarantined', 'suspect', 'blocked'):
             ends_ms = self._ends_ms[state]
             while ends_ms and next(iter(ends_ms.values())) <= now_ms:
                 oldest = next(iter(ends_ms))
                 changes.append(self.handle(oldest, 'expired', now_ms))
-        suspects = self._ends_ms['suspect']
-        while len(suspects) > self._max_fingerprints:
-            oldest = next(iter(suspects))
-            changes.append(self.handle(oldest, 'expired', now_ms))
+        for state in ('suspect', 'blocked'):
+            ends_ms = self._ends_ms[state]
+            while len(ends_ms) > self._max_fingerprints:
+                oldest = next(iter(ends_ms))
+                changes.append(self.handle(oldest, 'expired', now_ms))
         return changes
 
     def snapshot(self) -> Any:
@@ -95,6 +104,6 @@
     def restore(self, content: Any) -> None:
         """Replace the register with a snapshot."""
         self._ends_ms = {
-            state: OrderedDict(map(tuple, content[state]))
+            state: OrderedDict(map(tuple, content.get(state, ())))
             for state in _STATE_DURATION_MS
         }
--- a/src/kumquatrun/gateway/admission/admission.py
+++ b/src/kumquatrun/gateway/admission/admission.py
@@ -16,7 +16,10 @@
     RouteNotFoundError,
 )
 from kumquatrun.gateway.admission.allowances import Allowances
-from kumquatrun.gateway.admission.crash_watch import CrashWatch
+from kumquatrun.gateway.crashes.crash_watch import (
+    CrashWatch,
+    fingerprint_of,
+)
 from kumquatrun.gateway.forwarding.body_reader import (
     BodyTooLargeError,
     read_body,
@@ -105,7 +108,9 @@
         report.deadline_s = deadline_s
         body = await _read_body(request, configuration.limits.max_body_bytes)
         caller = replace(caller, body=body)
-        self._crash_watch.check(caller)
+        account_name = account.name if account else ''
+        fingerprint = fingerprint_of(caller, account_name)
+        is_trial = await self._crash_watch.admit(caller.request_id, fingerprint)
         self._check_stop(deadline_s)
         if account is not None:
             await self._allowances.charge(
@@ -115,9 +120,11 @@
             request=caller,
             route=route,
             service=self._choose_service(route),
-            account=account.name if account else '',
+            account=account_name,
             priority=_priority(route, account),
             deadline_s=deadline_s,
+            fingerprint=fingerprint,
+            is_trial=is_trial,
         )
 
     async def _await_configuration(
--- a/src/kumquatrun/gateway/backends/backend_connection.py
+++ b/src/kumquatrun/gateway/backends/backend_connection.py
@@ -45,6 +45,10 @@
     """A response ended early or was not valid HTTP."""
 
 
+class MalformedResponseError(BrokenResponseError):
+    """A response was not valid; the backend server still sent bytes."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class ResponseHead:
     """Status and headers of a response, with its body stream."""
@@ -77,6 +81,10 @@
         its end and no further bytes arrived.
     idle_since_s
         Time at which the last response ended.
+    opened_at_s
+        Time at which the connection was opened.
+    received_at_s
+        Time of the last received bytes.
     has_extra_bytes
         Whether bytes that belong to no request arrived after the response.
     is_first_request
@@ -88,6 +96,8 @@
         self.is_reusable = True
         self.is_first_request = True
         self.idle_since_s = loop.time()
+        self.opened_at_s = self.idle_since_s
+        self.received_at_s = float('-inf')
         self._is_lost = False
         self.has_extra_bytes = False
         self._response_size = ResponseSize()
@@ -209,6 +219,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
+        self.received_at_s = self._loop.time()
         if self._parser is None or (self.is_reusable and data):
             # No request is pending, so the bytes are unexpected.
             self.abort()
@@ -302,7 +313,7 @@
         if not self.is_response_incomplete:
             self.has_extra_bytes = True
         self._fail(
-            BrokenResponseError(
+            MalformedResponseError(
                 f'{problem}, {self.received_bytes} bytes received',
             ),
         )
--- a/src/kumquatrun/gateway/backends/backends.py
+++ b/src/kumquatrun/gateway/backends/backends.py
@@ -1,7 +1,7 @@
 """Backend servers known to the gateway, with their load and health."""
 
 import asyncio
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from kumquatrun.gateway.backends.connection_pool import (
@@ -133,6 +133,14 @@
         self._backends: dict[str, Backend] = {}
         self._services: dict[str, tuple[Backend, ...]] = {}
         self._changed = asyncio.Event()
+        self._on_end: Callable[[str], None] | None = None
+
+    def on_end(self, listener: Callable[[str], None]) -> None:
+        """Call ``listener`` with the id of each backend server that is gone.
+
+        That includes one that restarted at another address.
+        """
+        self._on_end = listener
 
     def update(self, records: Iterable[BackendRecord]) -> None:
         """Apply a new listing; keep the state of servers that remain listed."""
@@ -140,7 +148,11 @@
         self._backends = {}
         for record in records:
             backend = previous.pop(record.backend_id, None)
-            if backend is None or backend.record.address != record.address:
+            if backend is not None and backend.record.address != record.address:
+                backend.pool.close()
+                self._notify_end(backend.backend_id)
+                backend = None
+            if backend is None:
                 pool = ConnectionPool(
                     record.address,
                     self._unrepeatable_request_idle_s,
@@ -150,6 +162,7 @@
             self._backends[record.backend_id] = backend
         for unlisted in previous.values():
             unlisted.pool.close()
+            self._notify_end(unlisted.backend_id)
         services: dict[str, list[Backend]] = {}
         for backend in self._backends.values():
             if not backend.record.is_draining:
@@ -158,6 +171,10 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def _notify_end(self, backend_id: str) -> None:
+        if self._on_end is not None:
+            self._on_end(backend_id)
+
     async def wait_for_change(self, timeout_s: float) -> None:
         """Wait at most ``timeout_s`` for an update of the listing."""
         try:
--- /dev/null
+++ b/src/kumquatrun/gateway/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash backend servers: watching, counting, refusing."""
--- a/src/kumquatrun/gateway/forwarding/forwarder.py
+++ b/src/kumquatrun/gateway/forwarding/forwarder.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 
 from kumquatrun.errors import (
@@ -10,13 +10,17 @@
     ConnectionLostError,
     NoCapacityError,
     Outcome,
+    QuarantinedError,
 )
 from kumquatrun.gateway.backends.backend_connection import (
     BackendConnection,
     BrokenResponseError,
+    MalformedResponseError,
     ResponseHead,
 )
 from kumquatrun.gateway.backends.backends import Backend
+from kumquatrun.gateway.crashes.crash_watch import CrashWatch
+from kumquatrun.gateway.crashes.watched_run import RunEnding
 from kumquatrun.gateway.forwarding.response_relay import (
     SERVER_ERROR,
     AttemptResult,
@@ -50,6 +54,16 @@
 FAILURES = frozenset(
     (AttemptResult.FAILED, AttemptResult.BROKEN, AttemptResult.SILENT)
 )
+_ENDINGS = {
+    AttemptResult.DELIVERED: RunEnding.COMPLETED,
+    AttemptResult.FAILED: RunEnding.COMPLETED,
+    AttemptResult.NOT_RUN: RunEnding.ANSWERED,
+}
+_FAILED_RUNS: Mapping[type, tuple[AttemptResult, RunEnding]] = {
+    MalformedResponseError: (AttemptResult.BROKEN, RunEnding.ANSWERED),
+    BrokenResponseError: (AttemptResult.BROKEN, RunEnding.BROKEN),
+    TimeoutError: (AttemptResult.SILENT, RunEnding.SILENT),
+}
 
 
 class Forwarder:
@@ -61,6 +75,7 @@
         reservations: Reservations,
         retries: SharedRetryBudgets,
         check_stop: Callable[[float], None],
+        crashes: CrashWatch,
         clock: Clock,
     ) -> None:
         self._wire = wire
@@ -68,6 +83,7 @@
         self._reservations = reservations
         self._retries = retries
         self._check_stop = check_stop
+        self._crashes = crashes
         self._clock = clock
 
     async def run(
@@ -85,7 +101,7 @@
             If the deadline had passed before an attempt.
         """
         self._retries.record_request(request_state.service, self._clock.now_s())
-        problem: NoCapacityError | None = None
+        problem: NoCapacityError | QuarantinedError | None = None
         while request_state.may_send_again:
             if not request_state.may_have_run:
                 self._check_stop(request_state.deadline_s)
@@ -93,7 +109,7 @@
                 break
             try:
                 result = await self._try_once(request_state, writer)
-            except NoCapacityError as error:
+            except (NoCapacityError, QuarantinedError) as error:
                 problem = error
                 break
             if result is AttemptResult.DELIVERED:
@@ -114,7 +130,7 @@
         self,
         request_state: RequestState,
         writer: ResponseWriter,
-        problem: NoCapacityError | None,
+        problem: NoCapacityError | QuarantinedError | None,
     ) -> None:
         if request_state.fallback_response is not None and not writer.has_begun:
             head, body = request_state.fallback_response
@@ -144,12 +160,14 @@
         request_state.last_backend = backend.backend_id
         request_state.tried_backends.add(backend.backend_id)
         self._check_deadline(request_state)
+        self._crashes.check(request_state)
         try:
             connection = await backend.pool.acquire(
                 may_repeat=request_state.route.may_repeat,
             )
         except ConnectionLostError as error:
             pause_s = backend.record_unreachable(self._clock.now_s())
+            self._crashes.record_backend_end(backend.backend_id)
             request_state.failure = error.detail
             log_event(
                 log,
@@ -257,19 +275,45 @@
             return AttemptResult.NOT_RUN, None
         request_state.sends += 1
         request_state.runs += 1
+        return await self._receive(
+            request_state, writer, connection, reservation
+        )
+
+    async def _receive(
+        self,
+        request_state: RequestState,
+        writer: ResponseWriter,
+        connection: BackendConnection,
+        reservation: Reservation,
+    ) -> tuple[AttemptResult, ResponseHead | None]:
+        """Relay the response and record how the run ended."""
+        run = self._crashes.begin(
+            request_state, reservation.backend.backend_id, connection
+        )
+        ending = RunEnding.ABANDONED
         try:
-            return await self._relay.receive(
+            result, head = await self._relay.receive(
                 request_state,
                 writer,
                 connection,
                 reservation,
             )
-        except BrokenResponseError as error:
-            request_state.failure = error.detail
-            return AttemptResult.BROKEN, None
-        except TimeoutError:
-            request_state.failure = _no_response_reason(connection)
-            return AttemptResult.SILENT, None
+            ending = _ENDINGS[result]
+        except (BrokenResponseError, TimeoutError) as error:
+            result, ending = _FAILED_RUNS[type(error)]
+            request_state.failure = _failure_reason(error, connection)
+            return result, None
+        except BackendError:
+            # The response was complete but can't be relayed.
+            ending = RunEnding.COMPLETED
+            raise
+        except asyncio.CancelledError:
+            if not request_state.remaining_s(self._clock.now_s()):
+                ending = RunEnding.SILENT
+            raise
+        finally:
+            self._crashes.end(run, ending)
+        return result, head
 
     def _head_bytes(
         self, request_state: RequestState, reservation: Reservation
@@ -316,6 +360,14 @@
         return id_in_response == request.request_id
 
 
+def _failure_reason(
+    error: BrokenResponseError | TimeoutError, connection: BackendConnection
+) -> str:
+    if isinstance(error, BrokenResponseError):
+        return error.detail
+    return _no_response_reason(connection)
+
+
 def _no_response_reason(connection: BackendConnection) -> str:
     return f'no answer in time, {connection.received_bytes} bytes received'
 
--- a/src/kumquatrun/gateway/forwarding/response_relay.py
+++ b/src/kumquatrun/gateway/forwarding/response_relay.py
@@ -6,7 +6,7 @@
 from kumquatrun.errors import BackendError, Outcome
 from kumquatrun.gateway.backends.backend_connection import (
     BackendConnection,
-    BrokenResponseError,
+    MalformedResponseError,
     ResponseHead,
 )
 from kumquatrun.gateway.backends.event_stream import ResumableStream
@@ -246,7 +246,7 @@
     try:
         return stream.feed(chunk)
     except BackendError as error:
-        raise BrokenResponseError(
+        raise MalformedResponseError(
             f'{error.detail}, {head.body.total_bytes} bytes received',
         ) from error
 
@@ -255,4 +255,4 @@
     try:
         return await read_body(head.body, MAX_BUFFERED_RESPONSE_BYTES)
     except BodyTooLargeError as error:
-        raise BrokenResponseError(str(error)) from error
+        raise MalformedResponseError(str(error)) from error
--- a/src/kumquatrun/gateway/roles/entry.py
+++ b/src/kumquatrun/gateway/roles/entry.py
@@ -8,19 +8,16 @@
 from aiohttp import web
 
 from kumquatrun.entry.http_server import HttpServer, stop_listening
-from kumquatrun.errors import (
-    BackendError,
-    KumquatrunError,
-)
+from kumquatrun.errors import KumquatrunError
 from kumquatrun.gateway.admission.admission import Admission
 from kumquatrun.gateway.admission.allowances import Allowances
-from kumquatrun.gateway.admission.crash_watch import CrashWatch
 from kumquatrun.gateway.backends.backends import BackendTable
 from kumquatrun.gateway.backends.connection_pool import (
     DEFAULT_IDLE_S,
     DROPPED_IDLE_S,
 )
 from kumquatrun.gateway.backends.listing_follower import ListingFollower
+from kumquatrun.gateway.crashes.crash_watch import CrashWatch
 from kumquatrun.gateway.forwarding.error_responses import refuse, timeout_error
 from kumquatrun.gateway.forwarding.forwarder import Forwarder
 from kumquatrun.gateway.forwarding.request_report import (
@@ -67,6 +64,8 @@
 # Longest wait for open requests to end; it applies twice, before and after the
 # remaining connections are aborted.
 CLOSE_TIMEOUT_S = 0.05
+# Longest wait at the end of a stop for reports of runs that ended.
+REPORT_LIMIT_S = 0.2
 
 
 class GatewayEntry:
@@ -125,6 +124,7 @@
             settings.retry_window_s,
         )
         self._crashes = CrashWatch(session, clock)
+        self._backends.on_end(self._crashes.record_backend_end)
         self._admission = Admission(
             lambda: self._configuration.configuration,
             self._is_configuration_outdated,
@@ -150,6 +150,7 @@
             self._reservations,
             self._retries,
             self._planned_stop.check,
+            self._crashes,
             clock,
         )
         self._http = HttpServer(
@@ -222,6 +223,7 @@
         if self._server is not None:
             self._server.close()
         await self._http.shutdown(SHUTDOWN_TIMEOUT_S)
+        await self._crashes.close(REPORT_LIMIT_S)
         self._allowances.close()
         self._reservations.close()
         await self._agents.close()
@@ -319,12 +321,8 @@
         )
         request_state = await self._admission.admit(request, report)
         report.request_state = request_state
-        try:
-            async with asyncio.timeout_at(request_state.deadline_s):
-                await self._forwarder.run(request_state, report.writer)
-        except BackendError:
-            self._crashes.report(request_state.request)
-            raise
+        async with asyncio.timeout_at(request_state.deadline_s):
+            await self._forwarder.run(request_state, report.writer)
 
     def _aborted_by(self) -> str:
         return HOST_STOPPED if self._has_stopped else CALLER_LEFT
--- a/src/kumquatrun/gateway/routing/request_state.py
+++ b/src/kumquatrun/gateway/routing/request_state.py
@@ -24,6 +24,10 @@
         Number of times that the request was sent to a backend server.
     runs
         Number of sends that ran, or may have run, on a backend server.
+    fingerprint
+        Hash that is the same for equal requests of one caller.
+    is_trial
+        Whether only one run is allowed, although the request is blocked.
     tried_backends
         Ids of the backend servers that are not tried again.
     waits_for_model
@@ -46,6 +50,8 @@
     deadline_s: float
     sends: int = 0
     runs: int = 0
+    fingerprint: str = ''
+    is_trial: bool = False
     tried_backends: set[str] = field(default_factory=set)
     stream: ResumableStream | None = None
     last_backend: str = ''
--- a/src/kumquatrun/peer/node_messages.py
+++ b/src/kumquatrun/peer/node_messages.py
@@ -205,15 +205,28 @@
 class ReportSuspects:
     """Reports fingerprints of requests that ran when a backend server crashed.
 
-    ``alone`` is true if the fingerprint was the only one in the batch.
-    ``report_id`` makes a resend idempotent: without it, a resent report counts
-    as a second crash.
+    Attributes
+    ----------
+    alone
+        Whether the fingerprint was the only one in the batch.
+    report_id
+        Makes a resend idempotent: without it and without ``backend_id``, a
+        resent report counts as a second crash.
+    backend_id
+        Backend server that ended; empty in the reports of agents.
+    run_ages_ms
+        Time since the run of each fingerprint began, when the report is sent.
+    end_ages_ms
+        Time since each run was seen to have ended.
     """
 
     host_id: str
     fingerprints: tuple[str, ...]
     alone: bool = False
     report_id: str = ''
+    backend_id: str = ''
+    run_ages_ms: tuple[int, ...] = ()
+    end_ages_ms: tuple[int, ...] = ()
 
 
 @message
@@ -224,6 +237,34 @@
     fingerprint: str
 
 
+@message
+class ClearEndedRuns:
+    """Reports that a suspected request is harmless.
+
+    Without ``backend_id``, a run of the request was completed. With it, that
+    backend server is known to have been alive after a run was broken off.
+    """
+
+    host_id: str
+    fingerprint: str
+    backend_id: str = ''
+
+
+@message
+class TakeTrialRun:
+    """Asks for permission to run a blocked request once."""
+
+    host_id: str
+    fingerprint: str
+
+
+@message
+class TrialRunReply:
+    """Says whether a blocked request may run once."""
+
+    is_granted: bool
+
+
 @message
 class QuarantineRecord:
     """State of one fingerprint: ``suspect``, ``quarantined`` or ``clear``."""
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -118,7 +118,7 @@
         self.sessions = []
         self.cut_off = set()
         self.commands = []
-        self._sent = 0
+        self._committed_at_s = asyncio.get_running_loop().time()
 
     def join(self, session):
         number = len(self.sessions)
@@ -133,12 +133,18 @@
             # The reply arrives in a later turn of the loop, as over a network.
             await asyncio.sleep(0)
             self.commands.append(request)
-            reply = self.cluster.run(request)
+            reply = self.cluster.run(request, elapsed_ms=self._elapsed_ms())
             self.publish()
             return reply
 
         session.call = call
 
+    def _elapsed_ms(self):
+        now_s = asyncio.get_running_loop().time()
+        elapsed_ms = int(1000 * (now_s - self._committed_at_s))
+        self._committed_at_s += elapsed_ms / 1000
+        return elapsed_ms
+
     def publish(self):
         """Send the new feed items to the entries that reach control."""
         for number, session in enumerate(self.sessions):
--- a/tests/gateway_host.py
+++ b/tests/gateway_host.py
@@ -16,6 +16,7 @@
     ListingFollower,
     encode_records,
 )
+from kumquatrun.gateway.crashes.crash_watch import CrashWatch
 from kumquatrun.gateway.roles.entry import GatewayEntry
 from kumquatrun.gateway.roles.settings import GatewayEntrySettings
 from kumquatrun.membership.cluster_view import ClusterView
@@ -74,6 +75,11 @@
             listener()
 
 
+def crash_watch():
+    """Return a watch whose reports are accepted."""
+    return CrashWatch(Session(), LoopClock())
+
+
 class Served:
     """A running entry with an HTTP session for its callers."""
 
--- a/tests/test_backend_faults.py
+++ b/tests/test_backend_faults.py
@@ -11,6 +11,7 @@
     event,
     http_response,
 )
+from tests.gateway_host import crash_watch
 from tests.test_forwarder import ONCE, REPEATABLE, forward, request_state
 
 from kumquatrun.errors import KumquatrunError, Outcome
@@ -37,6 +38,7 @@
             reservations,
             SharedRetryBudgets(0.2, 100, 10),
             PlannedStop(LoopClock()).check,
+            crash_watch(),
             LoopClock(),
         )
         await forwarder.run(request_state(kind, max_attempts=1), current)
--- /dev/null
+++ b/tests/test_crash_register.py
@@ -0,0 +1,154 @@
+"""Counts of ended backend servers, blocks and trial runs."""
+
+import msgpack
+import pytest
+from tests.shared_state import Cluster
+
+from kumquatrun.control.control_state import ControlState
+from kumquatrun.control.crash_register import TRIAL_DELAYS_MS
+from kumquatrun.control.ended_runs import BREAK_LIMIT, EndedRun, EndedRuns
+from kumquatrun.control.quarantine import BLOCKED_MS, SUSPECT_MS
+from kumquatrun.peer.node_messages import (
+    ClearEndedRuns,
+    ReportSuspects,
+    TakeTrialRun,
+)
+
+
+def ended(backend_id, *fingerprints, run_age_ms=5, end_age_ms=1, host='e-1'):
+    names = fingerprints or ('f',)
+    return ReportSuspects(
+        host_id=host,
+        fingerprints=names,
+        backend_id=backend_id,
+        run_ages_ms=(run_age_ms,) * len(names),
+        end_ages_ms=(end_age_ms,) * len(names),
+    )
+
+
+COMPLETED = ClearEndedRuns(host_id='e-1', fingerprint='f')
+TRIAL = TakeTrialRun(host_id='e-1', fingerprint='f')
+THREE_ENDS = [ended('b1'), 1000, ended('b2'), 1000, ended('b3')]
+
+
+def alive(backend_id):
+    return ClearEndedRuns(host_id='e-1', fingerprint='f', backend_id=backend_id)
+
+
+def played(steps):
+    cluster = Cluster()
+    for step in steps:
+        if isinstance(step, int):
+            cluster.run(elapsed_ms=step)
+        else:
+            cluster.run(step)
+    return cluster
+
+
+def fingerprints_of(cluster):
+    return cluster.state.status()['fingerprints']
+
+
+@pytest.mark.parametrize(
+    ('steps', 'state'),
+    [
+        ([ended('b1')], 'suspect'),
+        ([ended('b1'), 1000, ended('b2')], 'suspect'),
+        (THREE_ENDS, 'blocked'),
+        # Three copies of the request end three backend servers at once.
+        ([ended('b1'), ended('b2'), ended('b3')], 'blocked'),
+        # Several entries see one end, and a report that is sent again.
+        ([ended('b1'), ended('b1', host='e-2'), ended('b1')], 'suspect'),
+        ([ended('b1'), ended('b2'), ended('b2', host='e-2')], 'suspect'),
+        # A backend server that starts again under its id ends again.
+        ([ended('b1'), 3000, ended('b1'), 3000, ended('b1')], 'blocked'),
+        # A late report of a run that ended with an end that is counted.
+        ([ended('b1'), 3000, ended('b1', run_age_ms=3100)], 'suspect'),
+        ([*THREE_ENDS, COMPLETED], 'clear'),
+        ([ended('b1'), 1000, ended('b2'), COMPLETED, ended('b3')], 'suspect'),
+        ([*THREE_ENDS, alive('b2')], 'suspect'),
+        ([alive('b2')], 'clear'),
+        ([*THREE_ENDS, BLOCKED_MS - 1], 'blocked'),
+        ([*THREE_ENDS, BLOCKED_MS], 'clear'),
+        ([ended('b1'), SUSPECT_MS], 'clear'),
+        # What was counted is gone after that time.
+        ([ended('b1'), ended('b2'), SUSPECT_MS, ended('b3')], 'suspect'),
+    ],
+)
+def test_state_follows_counted_ends(steps, state):
+    cluster = played(steps)
+    assert fingerprints_of(cluster).get('f', 'clear') == state
+    restored = cluster.restored().status()['fingerprints']
+    assert restored.get('f', 'clear') == state
+
+
+def test_responses_that_always_break_off_are_limited():
+    # Guards against a request whose every response breaks off, and that is
+    # sent again for ever because the backend servers stay alive.
+    steps = []
+    for number in range(BREAK_LIMIT):
+        steps += [ended(f'b{number}'), 100, alive(f'b{number}'), 1000]
+    cluster = played(steps[:-4])
+    assert fingerprints_of(cluster) == {'f': 'suspect'}
+    for step in steps[-4:]:
+        if isinstance(step, int):
+            cluster.run(elapsed_ms=step)
+        else:
+            cluster.run(step)
+    assert fingerprints_of(cluster) == {'f': 'blocked'}
+
+
+def test_requests_beside_the_crashing_one_are_cleared():
+    # Guards against harmless requests that stay suspects of ends that another
+    # request explains, and so reach the limit sooner.
+    cluster = played(
+        [
+            ended('b1', 'f', 'g', 'h'),
+            1000,
+            ended('b2', 'f', 'g'),
+            1000,
+            ended('b9', 'h'),
+            1000,
+            ended('b3', 'f'),
+        ]
+    )
+    assert fingerprints_of(cluster) == {'f': 'blocked', 'h': 'suspect'}
+
+
+def test_trial_runs_are_granted_one_at_a_time():
+    # Guards against a blocked request that every entry tries again at the same
+    # moment, and against a harmless one that stays blocked.
+    cluster = played(THREE_ENDS)
+    granted = []
+    for elapsed_ms in (0, TRIAL_DELAYS_MS[0] - 1, 1, 0, TRIAL_DELAYS_MS[1]):
+        cluster.run(elapsed_ms=elapsed_ms)
+        granted.append(cluster.run(TRIAL).is_granted)
+    cluster.run(ended('b4'))
+    cluster.run(elapsed_ms=10 * TRIAL_DELAYS_MS[1])
+    granted.append(cluster.run(TRIAL).is_granted)
+    assert granted == [False, False, True, False, True, False]
+    assert fingerprints_of(cluster) == {'f': 'blocked'}
+
+
+def test_unknown_request_gets_no_trial():
+    assert not played([]).run(TRIAL).is_granted
+
+
+def test_snapshot_of_an_earlier_version_is_restored():
+    # Guards against an update that can't read the state of the old version.
+    content = msgpack.unpackb(played([]).state.snapshot())
+    registers = content['registers']
+    del registers['crashes']
+    del registers['quarantine']['blocked']
+    state = ControlState()
+    state.restore(msgpack.packb(content))
+    assert state.status()['fingerprints'] == {}
+
+
+def test_oldest_counts_are_dropped_one_by_one():
+    runs = EndedRuns()
+    for number in range(3):
+        runs.add(f'f{number}', EndedRun('b', 0, 1))
+    runs.add('f0', EndedRun('c', 2, 3))
+    assert runs.forget_oldest() == 'f1'
+    assert len(runs) == 2
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -13,6 +13,7 @@
     http_response,
     request_state_of,
 )
+from tests.gateway_host import crash_watch
 
 from kumquatrun.errors import BackendError, Outcome
 from kumquatrun.gateway.forwarding.forwarder import Forwarder
@@ -90,6 +91,7 @@
         reservations,
         SharedRetryBudgets(0.2, 100, 10),
         PlannedStop(LoopClock()).check,
+        crash_watch(),
         LoopClock(),
     )
     problem = None
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -13,6 +13,7 @@
     http_response,
     request_state_of,
 )
+from tests.gateway_host import crash_watch
 
 from kumquatrun.errors import BackendError, NoCapacityError, Outcome
 from kumquatrun.gateway.forwarding.forwarder import Forwarder
@@ -37,6 +38,7 @@
         FixedReservations(*started),
         SharedRetryBudgets(0.2, allowance, 10),
         PlannedStop(LoopClock()).check,
+        crash_watch(),
         LoopClock(),
     )
     await forwarder.run(request_state, caller)
@@ -194,6 +196,7 @@
         FixedReservations(backend),
         SharedRetryBudgets(0.2, 100, 10),
         PlannedStop(LoopClock()).check,
+        crash_watch(),
         LoopClock(),
     )
     with pytest.raises(BackendError):
@@ -249,6 +252,7 @@
             reservations,
             SharedRetryBudgets(0.2, 0, 10),
             PlannedStop(LoopClock()).check,
+            crash_watch(),
             LoopClock(),
         )
         await forwarder.run(request_state(kind, max_attempts=1), Caller())
--- a/tests/test_given_up_requests.py
+++ b/tests/test_given_up_requests.py
@@ -9,6 +9,7 @@
     FixedReservations,
     request_state_of,
 )
+from tests.gateway_host import crash_watch
 from tests.test_engine_agent import AdapterCall, agent_of
 
 from kumquatrun.errors import KumquatrunError
@@ -126,6 +127,7 @@
         reservations,
         SharedRetryBudgets(0.2, 100, 10),
         PlannedStop(LoopClock()).check,
+        crash_watch(),
         LoopClock(),
     )
     async with asyncio.timeout_at(request_state.deadline_s):
