Keep membership, a known leader and the need to join apart

What operators saw: after a control host lost its disk, the next lost disk left no majority; nothing was served and no configuration could be read back.

Cause: the leader's heartbeat for the lost disk made the new replica count as having a leader, so it was given no addresses and used no directory; without a vote it kept that leader for ever. One value (leader_id) stood for membership, for a known leader and for the need to join.

Now a replica uses directories and addresses until it is a member with its own disk and knows a leader; a replica without a vote forgets its leader at the election timeout; a formed replica that is no member asks to join again. The standing of replicas, missing voters and a group without a leader are logged, measured and shown by status. The search of acknowledgements fails if a working host is no voter 8 s after the last fault.

Ruled out: a lost join request (it is repeated every 0.5 s; that test passed before). The one changed condition alone leaves the stale leader.

--- a/src/kumquatrun/command_line/daemons.py
+++ b/src/kumquatrun/command_line/daemons.py
@@ -245,16 +245,12 @@
     metrics: Metrics,
 ) -> Any:
     from kumquatrun.control.control_host import ControlHost
+    from kumquatrun.control.replica_gauges import set_replica_gauges
 
     control = ControlHost(settings, clock)
-    replica = control.replica
-
-    def set_gauges() -> None:
-        metrics.set_gauge('replica_term', replica.term)
-        metrics.set_gauge('replica_commit_index', replica.commit_index)
-        metrics.set_gauge('replica_is_leader', int(replica.is_leader))
-
-    metrics.before_render(set_gauges)
+    metrics.before_render(
+        lambda: set_replica_gauges(metrics, control.replica, clock)
+    )
     return control
 
 
--- a/src/kumquatrun/consensus/membership_keeper.py
+++ b/src/kumquatrun/consensus/membership_keeper.py
@@ -51,11 +51,14 @@
         self._replica = replica
         self._clock = clock
         self._min_voters = 2 * max_lost_replicas + 1
+        self._silent_voters: list[str] = []
+        self._silent_since_s = 0.0
 
     async def run(self) -> None:
         """Check the membership at a fixed interval; never returns."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
+            self._report_silent_voters()
             change = self.next_change()
             if change is not None:
                 await self._apply(change)
@@ -94,6 +97,21 @@
                 return MembershipChange('remove', replica_id)
         return None
 
+    def _report_silent_voters(self) -> None:
+        """Log when the group begins to run with fewer voters, and how long."""
+        now_s = self._clock.now_s()
+        silent = self._replica.silent_voters(now_s)
+        if silent == self._silent_voters:
+            return
+        log.warning(
+            'event=silent_voters replicas=%s before=%s lasted_ms=%d',
+            ','.join(silent),
+            ','.join(self._silent_voters),
+            1000 * (now_s - self._silent_since_s),
+        )
+        self._silent_voters = silent
+        self._silent_since_s = now_s
+
     def _silence_limit_s(self, name: str, voter_ids: set[str]) -> float:
         count = len(voter_ids)
         is_even = count % 2 == 0 and count > self._min_voters
--- a/src/kumquatrun/consensus/quorum_election.py
+++ b/src/kumquatrun/consensus/quorum_election.py
@@ -84,6 +84,9 @@
         if self._chart.accepts(self.role, 'election_timeout'):
             self._start_pre_vote(now_s)
         else:
+            # A replica without a vote can't replace the leader, but it must
+            # look for the group again.
+            self.leader_id = ''
             self._reset_timeout(now_s)
 
     def match_role_to_membership(self, now_s: float) -> None:
--- a/src/kumquatrun/consensus/quorum_node.py
+++ b/src/kumquatrun/consensus/quorum_node.py
@@ -160,6 +160,17 @@
             return self._formation.state()
         return self.core.receive(msg, now_s)
 
+    @property
+    def is_member(self) -> bool:
+        """Return whether the group includes this disk, as far as is known.
+
+        A message of a leader is no sign of it: the leader may mean the disk
+        that this one replaces.
+        """
+        return self._formation.meta.formed and self.core.membership.includes(
+            self._settings.replica_id, self.disk_id
+        )
+
     @property
     def is_formed(self) -> bool:
         """Return whether this replica is or was a member of a group."""
@@ -187,7 +198,7 @@
 
     def tick(self, now_s: float) -> None:
         """Process the timeouts that have expired."""
-        if self.core.election.leader_id:
+        if self.core.election.leader_id and self.is_member:
             self._leader_known_s = now_s
         if now_s >= self._formation_due_s:
             self._send_formation_messages(now_s)
@@ -315,8 +326,9 @@
         """Send formation states or join requests while they are needed."""
         own_id = self._settings.replica_id
         if self._formation.meta.formed:
-            is_without_leader = now_s - self._leader_known_s > REJOIN_AFTER_S
-            if is_without_leader and self._options.rejoins:
+            is_outside = now_s - self._leader_known_s > REJOIN_AFTER_S
+            may_rejoin = self._options.rejoins and not self.has_left
+            if is_outside and may_rejoin:
                 self._send_join_requests(now_s)
             return
         committed = self.core.entries.committed_membership
--- a/src/kumquatrun/consensus/replica_driver.py
+++ b/src/kumquatrun/consensus/replica_driver.py
@@ -60,6 +60,26 @@
         self._transport_addresses: dict[str, str] = {}
         self._ticker: asyncio.Task | None = None
 
+    def standings(self) -> dict[str, str]:
+        """Return how the leader counts each replica, for operators.
+
+        There are none if this replica is not the leader.
+        """
+        now_s = self._clock.now_s()
+        silent = self.silent_voters(now_s)
+        silence_s = self.silence_s(now_s)
+        rows = dict.fromkeys(silence_s, 'joining')
+        for member in self.members if self.is_leader else ():
+            name = member.replica_id
+            standing = 'voter' if member.voter else 'learner'
+            rows[name] = 'missing voter' if name in silent else standing
+        return {
+            name: f'{standing}, last reply {silence_s[name]:.1f} s ago'
+            if name in silence_s
+            else standing
+            for name, standing in rows.items()
+        }
+
     def _on_reply(self, msg: Any) -> None:
         if self._is_running and not isinstance(msg, Ack):
             self._calls.add_reply(msg)
@@ -157,6 +177,7 @@
         self._send(result.messages)
         self._calls.resolve(node, result.applied)
         self._update_transport_addresses()
+        self.standing_record.update(node, self._clock.now_s())
         self._notify_role_listeners()
         self._flushing = False
         if self._calls.is_pending:
--- a/src/kumquatrun/consensus/replica_status.py
+++ b/src/kumquatrun/consensus/replica_status.py
@@ -6,12 +6,17 @@
 from kumquatrun.consensus.quorum_changes import has_caught_up
 from kumquatrun.consensus.quorum_log import QuorumLog
 from kumquatrun.consensus.quorum_node import LogNode
+from kumquatrun.consensus.quorum_progress import Progress
+from kumquatrun.consensus.replica_standing import StandingRecord
 from kumquatrun.daemon.settings import ReplicaSettings
 from kumquatrun.errors import NotLeaderError
 from kumquatrun.peer import Address
 from kumquatrun.peer.directory_messages import ControlGroup, ControlMember
 from kumquatrun.runtime.listeners import Listeners
 
+# Silence after which a voter counts as missing.
+VOTER_SILENCE_S = 1.0
+
 
 class ReplicaStatus:
     """Role, log positions and membership of a replica.
@@ -22,10 +27,13 @@
         Error that stopped the node, for example a failed sync or a violated
         invariant; None while the node is working. The replica restarts from
         its storage after a delay.
+    standing_record
+        How the group counts this replica, and since when.
     """
 
     def __init__(self, settings: ReplicaSettings) -> None:
         self.failure: Exception | None = None
+        self.standing_record = StandingRecord(settings.replica_id)
         self._settings = settings
         self._node: LogNode | None = None
         self._role_listeners = Listeners()
@@ -73,6 +81,11 @@
         """Return whether the replica is or was a member of a group."""
         return self._node is not None and self._node.is_formed
 
+    @property
+    def is_member(self) -> bool:
+        """Return whether the group includes this replica, as it knows."""
+        return self._is_running and self._node.is_member
+
     @property
     def commit_index(self) -> int:
         """Return the last index known to be committed."""
@@ -143,6 +156,24 @@
             for replica_id, replica_progress in progress.items()
         }
 
+    def silent_voters(self, now_s: float) -> list[str]:
+        """Return the voters that do not count towards a majority now.
+
+        These gave the leader no reply for VOTER_SILENCE_S, or their disk was
+        lost and another one joins in its place. There are none if this replica
+        is not the leader.
+        """
+        if not self.is_leader:
+            return []
+        progress = self._node.core.require_leader().progress
+        return [
+            member.replica_id
+            for member in self.members
+            if member.voter
+            and member.replica_id in progress
+            and _is_silent(member, progress[member.replica_id], now_s)
+        ]
+
     def ready_learners(self) -> Sequence[str]:
         """Return the learners that may be promoted; empty if not the leader."""
         if not self.is_leader:
@@ -188,3 +219,8 @@
         if current != self._last_notified:
             self._last_notified = current
             self._role_listeners.notify()
+
+
+def _is_silent(member: Member, progress: Progress, now_s: float) -> bool:
+    is_replaced = progress.disk_id != member.disk_id
+    return is_replaced or now_s - progress.last_reply_s > VOTER_SILENCE_S
--- a/src/kumquatrun/control/operator_actions.py
+++ b/src/kumquatrun/control/operator_actions.py
@@ -162,6 +162,7 @@
             'leader': self._replica.leader_id,
             'term': self._replica.term,
             'commit_index': self._replica.commit_index,
+            'replicas': self._replica.standings(),
         }
 
     def _keys(self) -> Fields:
--- a/src/kumquatrun/gateway/roles/control.py
+++ b/src/kumquatrun/gateway/roles/control.py
@@ -17,11 +17,13 @@
 from kumquatrun.consensus.storage import Storage
 from kumquatrun.control.backend_listing import BackendListing
 from kumquatrun.control.control_host import ControlHost
+from kumquatrun.control.replica_gauges import set_replica_gauges
 from kumquatrun.daemon.settings import ReplicaSettings
 from kumquatrun.gateway.roles.control_search import (
     ControlSearch,
     GroupBootstrap,
 )
+from kumquatrun.gateway.roles.leader_watch import LeaderWatch
 from kumquatrun.gateway.roles.settings import GatewayControlSettings
 from kumquatrun.membership.control_directory import ControlDirectory
 from kumquatrun.peer import Address
@@ -30,6 +32,7 @@
 from kumquatrun.runtime.background import start_background
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.logs import log_event
+from kumquatrun.runtime.metrics import Metrics
 
 log = logging.getLogger(__name__)
 
@@ -75,7 +78,7 @@
                 cluster_token=settings.cluster_token,
                 region=settings.region,
             ),
-            self._has_leader,
+            self._is_settled,
         )
         replica = settings.replica
         self._bootstrap = GroupBootstrap(
@@ -98,6 +101,11 @@
             return 'the founding replicas are not known'
         return self._host.not_ready_reason()
 
+    def set_gauges(self, metrics: Metrics) -> None:
+        """Set the gauges of the replica once it runs."""
+        if self._host is not None:
+            set_replica_gauges(metrics, self._host.replica, self._clock)
+
     def set_addresses(self, addresses: tuple[Address, ...]) -> None:
         """Replace the directory addresses used to find the group."""
         self._search.set_addresses(addresses)
@@ -182,19 +190,29 @@
                 log_event(log, 'disk_unreadable', error=str(error))
             await asyncio.sleep(DISK_RETRY_MAX_S)
 
-    def _has_leader(self) -> bool:
-        return self._host is not None and bool(self._host.replica.leader_id)
+    def _is_settled(self) -> bool:
+        """Return whether the replica needs no directory.
+
+        A replica that hears a leader may still be outside the group: the
+        leader also calls the address of a replica whose disk was lost.
+        """
+        if self._host is None:
+            return False
+        replica = self._host.replica
+        return replica.is_member and bool(replica.leader_id)
 
     async def _follow_group(self) -> None:
         """Exchange group information between replica and directory."""
         replica = self._host.replica
+        leader_watch = LeaderWatch(self._clock.now_s())
         while True:
+            leader_watch.check(replica, self._clock.now_s())
             self._directory.update(ControlHosts(group=replica.group))
             if replica.is_formed:
                 self._search.founder = None
             else:
                 replica.add_initial_members(self._bootstrap.founders())
-            if not replica.leader_id:
+            if not self._is_settled():
                 members = self._directory.group.members
                 replica.add_peer_addresses(
                     {
--- a/src/kumquatrun/gateway/roles/control_search.py
+++ b/src/kumquatrun/gateway/roles/control_search.py
@@ -36,8 +36,8 @@
         Directory addresses to exchange with.
     identity
         Identity of this replica.
-    has_leader
-        Returns whether the replica knows a leader.
+    is_settled
+        Returns whether the replica is in a group and knows its leader.
 
     Attributes
     ----------
@@ -50,12 +50,12 @@
         directory: ControlDirectory,
         addresses: Iterable[Address],
         identity: Hello,
-        has_leader: Callable[[], bool],
+        is_settled: Callable[[], bool],
     ) -> None:
         self._directory = directory
         self._addresses = tuple(addresses)
         self._identity = identity
-        self._has_leader = has_leader
+        self._is_settled = is_settled
         self._last_sent: dict[Address, ControlGroup] = {}
         self.founder: FoundingReplica | None = None
 
@@ -66,7 +66,7 @@
     async def run(self) -> None:
         """Exchange with each directory that lacks the newest group.
 
-        While the replica knows no leader, each round includes every directory.
+        Each round includes every directory until the replica is settled.
         Never returns.
         """
         while True:
@@ -74,7 +74,7 @@
             due = [
                 address
                 for address in self._addresses
-                if not self._has_leader()
+                if not self._is_settled()
                 or self._last_sent.get(address) != group
             ]
             await asyncio.gather(*(self._exchange(row, group) for row in due))
--- a/src/kumquatrun/platform/daemons.py
+++ b/src/kumquatrun/platform/daemons.py
@@ -197,10 +197,12 @@
         addresses = platform_settings.directory_addresses(fields)
         control.set_addresses(addresses)
 
+    metrics = process_metrics()
+    metrics.before_render(lambda: control.set_gauges(metrics))
     parts = [
         ClientCloser(client),
         AdminServer(
-            process_metrics(),
+            metrics,
             control.not_ready_reason,
             settings.admin_listen,
         ),
--- a/src/kumquatrun/runtime/metrics.py
+++ b/src/kumquatrun/runtime/metrics.py
@@ -154,6 +154,16 @@
         Gauge,
         '1 while the control replica leads, else 0.',
     ),
+    Metric(
+        'replica_outside_seconds',
+        Gauge,
+        'Time for which the control replica has been outside its group.',
+    ),
+    Metric(
+        'replica_silent_voters',
+        Gauge,
+        'Voters without a reply to the leader for a second or more.',
+    ),
     Metric(
         'change_confirmation_seconds',
         Histogram,
--- a/tests/acknowledgement_search.py
+++ b/tests/acknowledgement_search.py
@@ -319,7 +319,10 @@
         max(0, group.last_event_s + STABLE_AFTER_S - group.loop.time())
     )
     group.send_change()
-    return await group.slowest_s()
+    slowest_s = await group.slowest_s()
+    outside = await group.outside_hosts()
+    assert not outside, f'outside the group: {outside}'
+    return slowest_s
 
 
 def slowest_acknowledgement_s(first, second, seed):
--- a/tests/faulty_group.py
+++ b/tests/faulty_group.py
@@ -39,6 +39,9 @@
 BACKOFF_MIN_S = 0.1
 BACKOFF_MAX_S = 0.7
 MAX_OPEN_CHANGES = 8
+# No working host stays outside its group for longer than this after the last
+# fault: it finds a directory and joins, and a silent member is removed.
+OUTSIDE_LIMIT_S = 8.0
 # Time from the start of a process to its first callback.
 START_S = 0.4
 RESTART_S = 0.2
@@ -353,6 +356,41 @@
             return False
         return True
 
+    async def outside_hosts(self):
+        """Return the running hosts that the group leaves outside.
+
+        Waits until OUTSIDE_LIMIT_S after the last event; a group without a
+        leader has no majority.
+        """
+        limit_s = self.last_event_s + OUTSIDE_LIMIT_S
+        await asyncio.sleep(max(0, limit_s - self.loop.time()))
+        leader = self.leader()
+        if leader is None:
+            return []
+        members = self.processes[leader].host._host.replica.members
+        voters = {row.disk_id for row in members if row.voter}
+        return [
+            host
+            for host in self._settled_replicas()
+            if self._disk_id(host) not in voters
+        ]
+
+    def _disk_id(self, host):
+        control = self.processes[host].host._host
+        return control.replica.disk_id if control else ''
+
+    def _settled_replicas(self):
+        """Return the hosts whose replica and disk work."""
+        return [
+            host
+            for host in self.replicas()
+            if not self.processes[host].is_dead
+            and not self.processes[host].is_stopping
+            and not self.disks[host].is_stalled
+            and not self.disks[host].is_full
+            and not self.loop.is_held(self.processes[host].name)
+        ]
+
     async def slowest_s(self):
         """Return the longest time to an acknowledgement in a stable group."""
         stable_s = self.last_event_s + STABLE_AFTER_S
