--- a/src/kumquatrun/control/ended_runs.py
+++ b/src/kumquatrun/control/ended_runs.py
@@ -90,17 +90,18 @@
     def explain_by(self, fingerprint: str) -> list[str]:
         """Remove runs of other fingerprints that this one explains.
 
-        Requests that ran beside the one that ended a backend server are not to
-        blame for that end. Returns the fingerprints that have no runs left.
+        A request that ran once beside the one that ended a backend server is
+        not to blame for that end. One that shares more ends may be the cause
+        itself, and this one the request beside it. Returns the fingerprints
+        that have no runs left.
         """
         causes = self._runs.get(fingerprint, ())
         cleared = []
         for other, runs in self._runs.items():
-            if other == fingerprint or self.is_over_limit(other):
-                continue
             left = tuple(run for run in runs if not _is_explained(run, causes))
-            if left != runs:
-                self._runs[other] = left
+            if other == fingerprint or len(runs) - len(left) != 1:
+                continue
+            self._runs[other] = left
             if not left:
                 cleared.append(other)
         for other in cleared:
