Keep the leader when a call runs out of its own time

An attempt that the caller's time limit ends within the shortest silence limit says nothing about the replica and no longer changes the choice.

--- a/src/kumquatrun/membership/leader_client.py
+++ b/src/kumquatrun/membership/leader_client.py
@@ -137,6 +137,10 @@
                     outcome = Outcome.UNKNOWN
                 if isinstance(error, DeadlineExceededError):
                     silence_limit_s *= SILENCE_LIMIT_FACTOR
+                    if remaining_s < INITIAL_SILENCE_LIMIT_S:
+                        # The caller's time limit ended the attempt, which says
+                        # nothing about the replica.
+                        continue
                 self.choose_next(error, leader)
             await asyncio.sleep(RETRY_DELAY_S * (1 + self._rng.random()))
 
--- a/tests/test_leader_client.py
+++ b/tests/test_leader_client.py
@@ -347,3 +347,45 @@
     )
     assert await client.call(Ack(), COMMIT_TIMEOUT_S) == Ack()
     await client.close()
+
+
+class SlowLink:
+    """Fake ``PeerClient`` of a live replica that answers after ``answer_s``."""
+
+    answer_s = 0.05
+
+    def __init__(self, address, identity):
+        self.address = address
+        self.last_received_at_s = float('inf')
+
+    async def call(self, request, timeout_s):
+        if timeout_s < self.answer_s:
+            await asyncio.sleep(timeout_s)
+            raise DeadlineExceededError(f'no reply in {timeout_s} s')
+        await asyncio.sleep(self.answer_s)
+        return Ack()
+
+    def ping(self):
+        """Do nothing; the replica is alive."""
+
+    async def close(self):
+        """Do nothing."""
+
+
+async def test_call_that_runs_out_of_time_keeps_the_leader(monkeypatch):
+    # Guards against a call with little time left that turns all other calls
+    # away from the leader that has just been found, to one that stands still.
+    monkeypatch.setattr(leader_client, 'PeerClient', SlowLink)
+    addresses = tuple(Address('127.0.0.1', port) for port in (1, 2, 3))
+    client = LeaderClient(
+        addresses,
+        Hello(node_id='e', incarnation='i'),
+        LoopClock(),
+        random.Random(1),
+    )
+    found = client.leader.address
+    for _ in range(5):
+        with pytest.raises(KumquatrunError):
+            await client.call(Ack(), 0.002)
+        assert client.leader.address == found
+    assert await client.call(Ack(), 1.0) == Ack()
