Take only recent bytes for a sign that a backend server lives

A request may wait at a backend server before it runs. If the server then falls silent, bytes for other requests that came in between counted as a sign of life, and the end was not counted. Only bytes of the last half second count now.

--- a/src/kumquatrun/gateway/crashes/backend_signs.py
+++ b/src/kumquatrun/gateway/crashes/backend_signs.py
@@ -10,6 +10,9 @@
 # A backend server that gave no response at all for this long may have ended.
 # Callers abandon a stream without events after two seconds or more.
 SILENCE_S = 2.0
+# Bytes from a backend server show that it is alive for this long. A request may
+# wait there before it runs, so bytes that came earlier show nothing.
+SIGN_OF_LIFE_S = 0.5
 # How long an abandoned run waits for a sign that its backend server has ended,
 # and a suspected one for a sign that it has not.
 UNDECIDED_S = 10.0
@@ -27,10 +30,11 @@
     def is_known_to_have_ended(self, run: WatchedRun) -> bool:
         return self.ended_at_s >= run.last_sign_at_s
 
-    def may_have_ended(self, run: WatchedRun) -> bool:
+    def may_have_ended(self, run: WatchedRun, now_s: float) -> bool:
+        alive_since_s = max(run.last_sign_at_s, now_s - SIGN_OF_LIFE_S)
         return (
             self.is_known_to_have_ended(run)
-            or self._last_sign_at_s() <= run.last_sign_at_s
+            or self._last_sign_at_s() <= alive_since_s
         )
 
     def _last_sign_at_s(self) -> float:
@@ -123,13 +127,13 @@
 
 
 def _is_silent(signs: _Signs, run: WatchedRun, now_s: float) -> bool:
-    return signs.may_have_ended(run)
+    return signs.may_have_ended(run, now_s)
 
 
 def _is_abandoned_by_backend(
     signs: _Signs, run: WatchedRun, now_s: float
 ) -> bool:
-    if not signs.may_have_ended(run):
+    if not signs.may_have_ended(run, now_s):
         return False
     is_silent = now_s - run.last_sign_at_s >= SILENCE_S
     if is_silent or signs.is_known_to_have_ended(run):
--- a/src/kumquatrun/membership/leader_client.py
+++ b/src/kumquatrun/membership/leader_client.py
@@ -137,11 +137,8 @@
                     outcome = Outcome.UNKNOWN
                 if isinstance(error, DeadlineExceededError):
                     silence_limit_s *= SILENCE_LIMIT_FACTOR
-                    if remaining_s < INITIAL_SILENCE_LIMIT_S:
-                        # The caller's time limit ended the attempt, which says
-                        # nothing about the replica.
-                        continue
-                self.choose_next(error, leader)
+                if _is_replica_failure(error, remaining_s):
+                    self.choose_next(error, leader)
             await asyncio.sleep(RETRY_DELAY_S * (1 + self._rng.random()))
 
     def choose_next(self, error: KumquatrunError, failed: PeerClient) -> None:
@@ -354,6 +351,16 @@
             self._leader = self._rng.choice(others)
 
 
+def _is_replica_failure(error: KumquatrunError, time_limit_s: float) -> bool:
+    """Return whether another replica should be tried after an attempt.
+
+    An attempt that the caller's time limit ended early says nothing about the
+    replica.
+    """
+    is_timeout = isinstance(error, DeadlineExceededError)
+    return not is_timeout or time_limit_s >= INITIAL_SILENCE_LIMIT_S
+
+
 def _leader_hint(error: KumquatrunError) -> Address | None:
     """Return the leader address that a replica sent with ``not_leader``."""
     if not isinstance(error, NotLeaderError):
