--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -4,7 +4,7 @@
 import itertools
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 
-from tests.gateway_fakes import http_response, reset
+from tests.gateway_fakes import http_response, read_request, reset
 from tests.gateway_host import one_service, served
 from tests.shared_state import Cluster
 
@@ -71,13 +71,7 @@
         self._writers.discard(writer)
 
     async def _respond(self, reader, writer):
-        head = (await reader.readuntil(b'\r\n\r\n')).decode()
-        headers = dict(
-            line.lower().split(': ', 1)
-            for line in head.split('\r\n')[1:]
-            if line
-        )
-        body = await reader.readexactly(int(headers.get('content-length', 0)))
+        head, headers, body = await read_request(reader)
         if self._is_down:
             await asyncio.Event().wait()
         if POISON_PATH in head or body == POISON:
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -101,6 +101,16 @@
     return json.dumps({**CONFIGURATION, **changes}).encode()
 
 
+async def read_request(reader):
+    """Return head, headers by lower-case name, and body of a request."""
+    head = (await reader.readuntil(b'\r\n\r\n')).decode()
+    headers = dict(
+        line.lower().split(': ', 1) for line in head.split('\r\n')[1:] if line
+    )
+    body = await reader.readexactly(int(headers.get('content-length', 0)))
+    return head, headers, body
+
+
 class ScriptedBackend:
     """Backend server with one scripted response for each request, in order.
 
@@ -130,13 +140,7 @@
                 await self._respond(reader, writer)
 
     async def _respond(self, reader, writer):
-        head = (await reader.readuntil(b'\r\n\r\n')).decode()
-        headers = dict(
-            line.lower().split(': ', 1)
-            for line in head.split('\r\n')[1:]
-            if line
-        )
-        body = await reader.readexactly(int(headers.get('content-length', 0)))
+        head, headers, body = await read_request(reader)
         self.requests.append((head, body))
         request_id = headers.get('x-kumquatrun-attempt-id', '')
         for step in self.scripts.pop(0):
