--- a/src/kumquatrun/gateway/backends/backend_connection.py
+++ b/src/kumquatrun/gateway/backends/backend_connection.py
@@ -8,11 +8,12 @@
 import asyncio
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Any
 
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http_parser import HttpResponseParser
-from aiohttp.streams import StreamReader
+from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
 from kumquatrun.errors import ConnectionLostError, Outcome
 from kumquatrun.gateway.backends.response_size import ResponseSize
@@ -49,6 +50,16 @@
     """A response was not valid; the backend server still sent bytes."""
 
 
+class Framing(StrEnum):
+    """What marks the end of a response body."""
+
+    EMPTY = 'empty'
+    LENGTH = 'length'
+    CHUNKS = 'chunks'
+    # The end of the connection.
+    CLOSE = 'close'
+
+
 @dataclass(frozen=True, kw_only=True)
 class ResponseHead:
     """Status and headers of a response, with its body stream."""
@@ -57,6 +68,7 @@
     reason: str
     headers: RawHeaders
     body: StreamReader
+    framing: Framing
     keeps_alive: bool
 
     def header(self, name: bytes) -> str:
@@ -301,6 +313,7 @@
             reason=message.reason or '',
             headers=message.raw_headers,
             body=body,
+            framing=_framing_of(message, body),
             keeps_alive=not message.should_close,
         )
         if self._head.done() or not self._matches_request(head):
@@ -328,6 +341,16 @@
             self._body.set_exception(error)
 
 
+def _framing_of(message: Any, body: StreamReader) -> Framing:
+    if body is EMPTY_PAYLOAD:
+        return Framing.EMPTY
+    if message.chunked:
+        return Framing.CHUNKS
+    if 'Content-Length' in message.headers:
+        return Framing.LENGTH
+    return Framing.CLOSE
+
+
 async def open_connection(
     address: Address,
     timeout_s: float = CONNECT_TIMEOUT_S,
--- a/src/kumquatrun/gateway/forwarding/forwarder.py
+++ b/src/kumquatrun/gateway/forwarding/forwarder.py
@@ -275,6 +275,7 @@
             return AttemptResult.NOT_RUN, None
         request_state.sends += 1
         request_state.runs += 1
+        request_state.framing = ''
         return await self._receive(
             request_state, writer, connection, reservation
         )
@@ -383,5 +384,6 @@
         result=result,
         sends=request_state.sends,
         runs=request_state.runs,
+        framing=request_state.framing,
         reason=request_state.failure,
     )
--- a/src/kumquatrun/gateway/forwarding/request_report.py
+++ b/src/kumquatrun/gateway/forwarding/request_report.py
@@ -90,6 +90,7 @@
             'backend': request_state.last_backend,
             'sends': request_state.sends,
             'runs': request_state.runs,
+            'framing': request_state.framing,
             'adapter_wait_ms': round(request_state.adapter_wait_s * 1000),
             'longest_pause_ms': round(request_state.longest_pause_s * 1000),
         }
--- a/src/kumquatrun/gateway/forwarding/response_relay.py
+++ b/src/kumquatrun/gateway/forwarding/response_relay.py
@@ -77,6 +77,7 @@
         deadline_s = self._attempt_deadline_s(request_state)
         async with asyncio.timeout_at(deadline_s):
             head = await connection.read_head()
+        request_state.framing = head.framing
         if self._wire.read_response(head).is_not_run:
             request_state.runs -= 1
             async with asyncio.timeout(REFUSAL_BODY_TIMEOUT_S):
--- a/src/kumquatrun/gateway/routing/request_state.py
+++ b/src/kumquatrun/gateway/routing/request_state.py
@@ -35,6 +35,8 @@
         because no other engine has it either.
     waits_for_agents
         Whether the request has waited for stopped agents.
+    framing
+        How the last response was framed; empty before its head.
     failure
         Why the last attempt failed.
     fallback_response
@@ -59,6 +61,7 @@
     waits_for_model: bool = False
     waits_for_agents: bool = False
     longest_pause_s: float = 0.0
+    framing: str = ''
     failure: str = ''
     fallback_response: tuple[ResponseHead, bytes] | None = None
 
--- a/tests/test_backend_connection.py
+++ b/tests/test_backend_connection.py
@@ -10,6 +10,7 @@
 from kumquatrun.errors import ConnectionLostError, Outcome
 from kumquatrun.gateway.backends.backend_connection import (
     BrokenResponseError,
+    Framing,
     open_connection,
 )
 from kumquatrun.gateway.backends.connection_pool import ConnectionPool
@@ -89,6 +90,28 @@
     assert body == b'half'
 
 
+@pytest.mark.parametrize(
+    ('response', 'framing'),
+    [
+        (UNFRAMED, Framing.CLOSE),
+        (http_response(b'whole'), Framing.LENGTH),
+        (http_response(b''), Framing.EMPTY),
+        (b'HTTP/1.1 204 No Content\r\n\r\n', Framing.EMPTY),
+        (
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+            Framing.CHUNKS,
+        ),
+    ],
+    ids=['close', 'length', 'length zero', 'no body', 'chunks'],
+)
+async def test_framing_of_a_response_is_known(response, framing):
+    # Guards against log lines that do not say how a response was framed, so
+    # that a cut stream without a length is not told from other broken ones.
+    scripted = await ScriptedBackend([response, 'close']).start()
+    head, _ = await exchange(await open_connection(scripted.address))
+    assert head.framing is framing
+
+
 @pytest.mark.parametrize(
     'script',
     [
