--- a/src/kumquatrun/gateway/backends/backend_connection.py
+++ b/src/kumquatrun/gateway/backends/backend_connection.py
@@ -13,7 +13,7 @@
 
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http_parser import HttpResponseParser
-from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
+from aiohttp.streams import StreamReader
 
 from kumquatrun.errors import ConnectionLostError, Outcome
 from kumquatrun.gateway.backends.response_size import ResponseSize
@@ -32,6 +32,7 @@
 MAX_HEADER_LINE_BYTES = 32 * 1024
 END_OF_HEAD = b'\r\n\r\n'
 INFORMATIONAL_STATUSES = range(100, 200)
+BODYLESS_STATUSES = frozenset((204, 304))
 # A port out of range raises OverflowError, an invalid host name ValueError.
 CONNECT_ERRORS = (OSError, OverflowError, TimeoutError, ValueError)
 
@@ -113,6 +114,7 @@
         self._is_lost = False
         self.has_extra_bytes = False
         self._response_size = ResponseSize()
+        self._has_response_body = True
         # Last bytes of earlier reads, which may contain the start of the
         # delimiter at the end of a head.
         self._search_overlap = b''
@@ -172,6 +174,7 @@
             )
         self.is_reusable = False
         self._matches_request = matches_request
+        self._has_response_body = has_response_body
         self._response_size = ResponseSize()
         self._search_overlap = b''
         self._head = self._loop.create_future()
@@ -313,7 +316,7 @@
             reason=message.reason or '',
             headers=message.raw_headers,
             body=body,
-            framing=_framing_of(message, body),
+            framing=self._framing_of(message),
             keeps_alive=not message.should_close,
         )
         if self._head.done() or not self._matches_request(head):
@@ -322,6 +325,15 @@
         self._response_size.end_head(body)
         self._head.set_result(head)
 
+    def _framing_of(self, message: Any) -> Framing:
+        length = message.headers.get('Content-Length')
+        is_bodyless = message.code in BODYLESS_STATUSES or length == '0'
+        if is_bodyless or not self._has_response_body:
+            return Framing.EMPTY
+        if message.chunked:
+            return Framing.CHUNKS
+        return Framing.CLOSE if length is None else Framing.LENGTH
+
     def _fail_and_abort(self, problem: str) -> None:
         if not self.is_response_incomplete:
             self.has_extra_bytes = True
@@ -341,16 +353,6 @@
             self._body.set_exception(error)
 
 
-def _framing_of(message: Any, body: StreamReader) -> Framing:
-    if body is EMPTY_PAYLOAD:
-        return Framing.EMPTY
-    if message.chunked:
-        return Framing.CHUNKS
-    if 'Content-Length' in message.headers:
-        return Framing.LENGTH
-    return Framing.CLOSE
-
-
 async def open_connection(
     address: Address,
     timeout_s: float = CONNECT_TIMEOUT_S,
