Reset a connection whose response ends with it and is incomplete

What a caller would see: on a connection without chunks (HTTP/1.0) a response that the entry broke off ended with a clean close, which is how a whole one ends there.

Cause: aborting a transport closes its socket in order unless bytes were left unread. Both products did so: the gateway's response writer and the loopback entry's sink.

Now the socket is set to reset on close while such a response is open and back to a close in order after its end, so that a killed process is covered too. reset_on_close moves to the runtime package, since the loopback entry must not import from the gateway.

Ruled out: responses with a length or chunks, whose incomplete end is visible.

--- a/src/kumquatrun/entry/http_server.py
+++ b/src/kumquatrun/entry/http_server.py
@@ -22,6 +22,7 @@
     Outcome,
 )
 from kumquatrun.peer.request_messages import StoredAnswer
+from kumquatrun.runtime.connection_close import close_in_order, reset_on_close
 
 log = logging.getLogger(__name__)
 
@@ -250,6 +251,7 @@
         self._request_id = request_id
         self._time = asyncio.get_running_loop().time
         self._is_event_stream = False
+        self._ends_with_connection = False
         self._transport: asyncio.Transport | None = None
 
     @property
@@ -266,6 +268,11 @@
             self.response.headers['Cache-Control'] = 'no-cache'
         await self.response.prepare(self._request)
         is_chunked = self.response.headers.get('Transfer-Encoding') == 'chunked'
+        self._ends_with_connection = not is_chunked
+        if self._ends_with_connection:
+            # A caller that does not know chunks takes a clean close for the end
+            # of the body, also if this process is killed.
+            reset_on_close(self._request.transport)
         if is_chunked and self._request.method != 'HEAD':
             self._transport = self._request.transport
 
@@ -295,6 +302,8 @@
         self.blocked_since_s = self._time()
         await self.response.write_eof()
         self.blocked_since_s = None
+        if self._ends_with_connection:
+            close_in_order(self._request.transport)
 
     async def send(self, answer: StoredAnswer) -> None:
         """Send a complete response."""
--- a/src/kumquatrun/gateway/backends/backend_connection.py
+++ b/src/kumquatrun/gateway/backends/backend_connection.py
@@ -17,11 +17,9 @@
 
 from kumquatrun.errors import ConnectionLostError, Outcome
 from kumquatrun.gateway.backends.response_size import ResponseSize
-from kumquatrun.gateway.backends.socket_options import (
-    detect_dead_peer,
-    reset_on_close,
-)
+from kumquatrun.gateway.backends.socket_options import detect_dead_peer
 from kumquatrun.peer.address import Address
+from kumquatrun.runtime.connection_close import reset_on_close
 from kumquatrun.runtime.error_text import error_text
 
 CONNECT_TIMEOUT_S = 0.4
--- a/src/kumquatrun/gateway/backends/socket_options.py
+++ b/src/kumquatrun/gateway/backends/socket_options.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import socket
-import struct
 
 # A peer that acknowledges no data for this time is considered unreachable.
 USER_TIMEOUT_MS = 3000
@@ -11,8 +10,6 @@
     (socket.TCP_KEEPINTVL, 1),
     (socket.TCP_KEEPCNT, 3),
 )
-# SO_LINGER value that makes close send a reset.
-NO_LINGER = struct.pack('ii', 1, 0)
 
 
 def detect_dead_peer(transport: asyncio.BaseTransport) -> None:
@@ -28,10 +25,3 @@
         socket.TCP_USER_TIMEOUT,
         USER_TIMEOUT_MS,
     )
-
-
-def reset_on_close(transport: asyncio.BaseTransport) -> None:
-    """Reset on close, so that the peer drops bytes that it has not read."""
-    sock = transport.get_extra_info('socket')
-    if sock is not None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
--- a/src/kumquatrun/gateway/forwarding/response_writer.py
+++ b/src/kumquatrun/gateway/forwarding/response_writer.py
@@ -4,6 +4,10 @@
 
 from aiohttp import web
 
+from kumquatrun.runtime.connection_close import close_in_order, reset_on_close
+
+FRAMING_HEADERS = ('Content-Length', 'Transfer-Encoding')
+
 
 class ResponseWriter:
     """Writes the response to one request.
@@ -24,6 +28,7 @@
         self.closes_connection = False
         self._request = request
         self._response: web.StreamResponse | None = None
+        self._ends_with_connection = False
         self._time = asyncio.get_running_loop().time
 
     @property
@@ -50,6 +55,11 @@
         self._response = response
         self.status = status
         await response.prepare(self._request)
+        if not any(field in response.headers for field in FRAMING_HEADERS):
+            # A caller that does not know chunks takes a clean close for the end
+            # of the body, also if this process is killed.
+            self._ends_with_connection = True
+            reset_on_close(self._request.transport)
 
     async def write(self, chunk: bytes) -> None:
         """Send a part of the body; waits while the send buffer is full."""
@@ -60,6 +70,8 @@
     async def finish(self) -> None:
         """End the body."""
         await self._response.write_eof()
+        if self._ends_with_connection:
+            close_in_order(self._request.transport)
 
     async def refuse(
         self,
--- a/tests/test_broken_off_streams.py
+++ b/tests/test_broken_off_streams.py
@@ -1,5 +1,7 @@
 """Streams that a backend server broke off inside an event."""
 
+import asyncio
+
 import pytest
 from tests.gateway_fakes import (
     LAST_CHUNK,
@@ -183,3 +185,38 @@
             row for row in host.session.calls if isinstance(row, ReportSuspects)
         ]
         assert len(reports) == 1
+
+
+async def read_to_end(port, version):
+    """Send one request; return the response and whether it was cut off."""
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(
+        b'POST /draft/a HTTP/%s\r\nHost: shop.example\r\nApi-Key: key-1\r\n'
+        b'Connection: close\r\nX-Kumquatrun-Attempt-Id: attempt-1\r\n'
+        b'X-Kumquatrun-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n' % version
+    )
+    received = b''
+    try:
+        while part := await reader.read(4096):
+            received += part
+    except ConnectionResetError:
+        return received, True
+    finally:
+        writer.close()
+    is_chunked = b'transfer-encoding: chunked' in received.lower()
+    return received, is_chunked and not received.endswith(LAST_CHUNK)
+
+
+@pytest.mark.parametrize('version', [b'1.0', b'1.1'])
+@pytest.mark.parametrize('is_cut', [False, True])
+async def test_caller_sees_whether_a_stream_was_cut(version, is_cut):
+    # Guards against a caller that does not know chunks and takes the close of
+    # its connection for the end of a stream that was broken off.
+    backend = unframed(EVENTS[:-4] if is_cut else EVENTS)
+    async with served(backend, content=one_service()) as host:
+        async with asyncio.timeout(2):
+            received, was_cut = await read_to_end(host.port, version)
+    assert received.startswith(b'HTTP/%s 200' % version)
+    assert was_cut is is_cut
+    if not is_cut:
+        assert b'id: 2' in received
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -422,6 +422,23 @@
             await response.read()
 
 
+async def test_incomplete_response_without_chunks_is_reset(entry, ledger):
+    # Guards against a caller that does not know chunks and takes the close of
+    # its connection for the end of a body that was broken off.
+    ledger.chunks = (b'x' * 200_000,)
+
+    async def fail(step, agent, context):
+        if step == 'end':
+            raise BackendError('lost the service')
+
+    ledger.hook = fail
+    sent = http(path='/ledger/').replace(b'HTTP/1.1', b'HTTP/1.0')
+    # ``send_raw`` returns nothing after a reset.
+    assert not await send_raw(entry, sent)
+    ledger.hook = None
+    assert (await send_raw(entry, sent)).endswith(ledger.chunks[0])
+
+
 async def test_total_body_memory_is_bounded(client, entry, ledger):
     # Guards against many bodies below the size limit that fill the memory.
     entry._body_memory = BodyMemory(250_000)
