--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -12,6 +12,8 @@
 from kumquatrun.peer import Address
 
 POISON = b'poison'
+# A part of prompts that crashes each backend server that begins to answer it.
+DEADLY_PART = 'dead0001'
 POISON_PATH = '/draft/long/poison'
 
 
@@ -24,11 +26,16 @@
         Time after which it listens again at the same address.
     is_dark
         Whether it falls silent instead of resetting its connections.
+    deadly_parts
+        Ids of the prompt parts that crash it.
     """
 
-    def __init__(self, down_s=0.05, *, is_dark=False):
+    def __init__(
+        self, down_s=0.05, *, is_dark=False, deadly_parts=(DEADLY_PART,)
+    ):
         self.crash_times_s = []
         self.completed = 0
+        self.deadly_parts = set(deadly_parts)
         self._down_s = down_s
         self._is_dark = is_dark
         self._writers = set()
@@ -74,7 +81,9 @@
         head, headers, body = await read_request(reader)
         if self._is_down:
             await asyncio.Event().wait()
-        if POISON_PATH in head or body == POISON:
+        parts = headers.get('x-kumquatrun-prompt-prefix', '')
+        is_deadly = any(part in parts for part in self.deadly_parts)
+        if POISON_PATH in head or body == POISON or is_deadly:
             return await self._crash()
         await asyncio.sleep(0.01)
         if self._is_down:
@@ -174,6 +183,15 @@
         )
         return status
 
+    async def try_parts(self, host_number, *parts, path='/draft/long/a'):
+        """Send a request like no other whose prompt has these parts."""
+        number = next(self._numbers)
+        own = f'{number:08x}'
+        prefix = ','.join(f'{part}:100' for part in (*parts, own))
+        return await self.try_at(
+            host_number, path, data=own.encode(), parts=prefix
+        )
+
     async def try_in_turn(self, tries, pause_s=0.06, **more):
         """Send a request to one entry after the other."""
         statuses = []
--- a/tests/gateway_host.py
+++ b/tests/gateway_host.py
@@ -95,6 +95,7 @@
         key='key-1',
         request_id='attempt-1',
         tokens='',
+        parts='',
         **more,
     ):
         headers = {
@@ -106,6 +107,8 @@
             headers['Api-Key'] = key
         if tokens:
             headers['X-Kumquatrun-Token-Usage'] = tokens
+        if parts:
+            headers['X-Kumquatrun-Prompt-Prefix'] = parts
         return self.http.request(
             'POST',
             f'http://127.0.0.1:{self.port}{path}',
