Count ended backend servers by prompt part

Cause: ends were counted by a hash of path, account and body. No two of these requests have the same, so no count passed one and nothing was ever blocked; the parts of a prompt never reached the count. Class: the count was kept for a thing that does not repeat, not for what the ends have in common.

Any answer to a request clears the parts that it holds, at any entry, as of the time of that answer; a late message about it does not clear later ends. A part is blocked for the fleet at the second end that is evidence of its own: another backend server's end, another request, at least half a second apart. A refused request gets a 503 with the part's name and 30 s; three trial runs follow after 30 s, 5 min and 1 h. The key names neither model nor adapter, since a part crashes backend servers whatever else its request holds.

Tried and dropped: leaving out parts that were answered within the last second at the same entry. Ruled out: a limit of three, which costs one more server and its runs; an answer clears a sound part before its second end.

Messages: ReportSuspects gains requests, ClearEndedRuns gains age_ms; earlier versions ignore both and count parts like requests. Update control replicas before entries, as before.

--- a/src/kumquatrun/control/crash_register.py
+++ b/src/kumquatrun/control/crash_register.py
@@ -1,6 +1,7 @@
 """Decides which requests are refused because backend servers ended under them.
 
-Entries report each run that ended with its backend server. A completed run
+What is counted and blocked is the fingerprint of a request or the key of a
+prompt part; both are called fingerprints here. Entries report each run that ended with its backend server. A completed run
 shows that a request is harmless and removes what was counted. A fingerprint at
 the limit is blocked: no entry sends the request. A request can reach the limit
 by accident, when several backend servers end for another reason, so single
@@ -11,6 +12,7 @@
 from typing import Any
 
 from kumquatrun.control.ended_runs import EndedRun, EndedRuns
+from kumquatrun.control.part_keys import is_part_key
 from kumquatrun.control.quarantine import FingerprintChange, QuarantineRegister
 from kumquatrun.peer.node_messages import (
     ClearEndedRuns,
@@ -23,6 +25,9 @@
 # third end. A trial run may end without a result, for example for want of
 # capacity, so a harmless request gets more than one.
 TRIAL_DELAYS_MS = (5_000, 60_000, 600_000)
+# A trial run of a prompt part that does crash backend servers ends all runs of
+# one more, so a part that was blocked by mistake waits longer.
+PART_TRIAL_DELAYS_MS = (30_000, 300_000, 3_600_000)
 BLOCKED = 'blocked'
 
 
@@ -33,11 +38,11 @@
     blocked_at_ms: int
     granted: int = 0
 
-    def is_due(self, now_ms: int) -> bool:
+    def is_due(self, now_ms: int, delays_ms: tuple[int, ...]) -> bool:
         """Return whether a trial run may be granted now."""
-        if self.granted >= len(TRIAL_DELAYS_MS):
+        if self.granted >= len(delays_ms):
             return False
-        return now_ms >= self.blocked_at_ms + TRIAL_DELAYS_MS[self.granted]
+        return now_ms >= self.blocked_at_ms + delays_ms[self.granted]
 
 
 class CrashRegister:
@@ -53,15 +58,21 @@
     ) -> list[FingerprintChange]:
         """Count the runs that ended with one backend server."""
         changes = []
+        # Earlier versions report no requests.
+        requests = command.requests or ('',) * len(command.fingerprints)
         rows = zip(
             command.fingerprints,
             command.run_ages_ms,
             command.end_ages_ms,
+            requests,
             strict=True,
         )
-        for fingerprint, run_age_ms, end_age_ms in rows:
+        for fingerprint, run_age_ms, end_age_ms, request in rows:
             run = EndedRun(
-                command.backend_id, now_ms - run_age_ms, now_ms - end_age_ms
+                command.backend_id,
+                now_ms - run_age_ms,
+                now_ms - end_age_ms,
+                request=request,
             )
             self._runs.add(fingerprint, run)
             changes.extend(self._follow_count(fingerprint, now_ms))
@@ -77,13 +88,21 @@
                 return []
             self._runs.refute(fingerprint, command.backend_id)
             return self._follow_count(fingerprint, now_ms)
+        self._runs.forget_until(fingerprint, now_ms - command.age_ms)
+        if fingerprint in self._runs:
+            return self._follow_count(fingerprint, now_ms)
         self._forget(fingerprint)
         return [self._quarantine.handle(fingerprint, 'completed', now_ms)]
 
     def take_trial(self, command: TakeTrialRun, now_ms: int) -> TrialRunReply:
         """Grant a trial run if one is due."""
         trials = self._trials.get(command.fingerprint)
-        is_granted = trials is not None and trials.is_due(now_ms)
+        delays_ms = (
+            PART_TRIAL_DELAYS_MS
+            if is_part_key(command.fingerprint)
+            else TRIAL_DELAYS_MS
+        )
+        is_granted = trials is not None and trials.is_due(now_ms, delays_ms)
         if is_granted:
             self._trials[command.fingerprint] = replace(
                 trials, granted=trials.granted + 1
--- a/src/kumquatrun/control/ended_runs.py
+++ b/src/kumquatrun/control/ended_runs.py
@@ -1,12 +1,24 @@
-"""Counts backend servers that ended while they ran equal requests."""
+"""Counts backend servers that ended while they ran similar requests.
+
+Runs are counted by the fingerprint of their request and by the keys of the
+prompt parts that no run has shown to be harmless.
+"""
 
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from typing import Any
 
+from kumquatrun.control.part_keys import is_part_key
+
 # A request is refused once this many backend servers ended while they ran it.
 # Fewer may have ended for other reasons.
 END_LIMIT = 3
+# Limit for a prompt part. It is lower, since only runs without an event count
+# and any event of a run with the part clears it.
+PART_END_LIMIT = 2
+# Ends within this time count once for a prompt part: they may have a common
+# cause, such as a lost rack, or come from requests that were sent together.
+COMMON_CAUSE_MS = 500
 # Limit that also counts runs whose backend server was seen to be alive
 # afterwards: every response to the request broke off.
 BREAK_LIMIT = 6
@@ -22,12 +34,15 @@
     ----------
     is_refuted
         Whether the backend server was seen to be alive after the run.
+    request
+        Identity of the request, for a run that is counted for a prompt part.
     """
 
     backend_id: str
     began_ms: int
     ended_ms: int
     is_refuted: bool = False
+    request: str = ''
 
     def is_same_end(self, other: 'EndedRun') -> bool:
         """Return whether both runs ended with one end of a backend server.
@@ -39,6 +54,19 @@
             and other.began_ms <= self.ended_ms
         )
 
+    def is_same_evidence(self, other: 'EndedRun') -> bool:
+        """Return whether another run adds nothing against a prompt part.
+
+        A request that crashes backend servers by itself does so with any of
+        its parts, so only different requests are evidence against a part.
+        """
+        if not other.request or self.is_refuted:
+            return False
+        return (
+            self.request == other.request
+            or abs(self.ended_ms - other.ended_ms) < COMMON_CAUSE_MS
+        )
+
 
 class EndedRuns:
     """Ended runs by the fingerprint of the request."""
@@ -55,7 +83,10 @@
     def add(self, fingerprint: str, run: EndedRun) -> None:
         """Count a run, unless its backend server's end is counted already."""
         known = self._runs.pop(fingerprint, ())
-        is_new = not any(other.is_same_end(run) for other in known)
+        is_new = not any(
+            other.is_same_end(run) or other.is_same_evidence(run)
+            for other in known
+        )
         if is_new and len(known) < BREAK_LIMIT:
             known = (*known, run)
         self._runs[fingerprint] = known
@@ -64,7 +95,8 @@
         """Return whether requests with this fingerprint must be refused."""
         runs = self._runs.get(fingerprint, ())
         ends = sum(not run.is_refuted for run in runs)
-        return ends >= END_LIMIT or len(runs) >= BREAK_LIMIT
+        limit = PART_END_LIMIT if is_part_key(fingerprint) else END_LIMIT
+        return ends >= limit or len(runs) >= BREAK_LIMIT
 
     def refute(self, fingerprint: str, backend_id: str) -> None:
         """Record that a backend server was alive after its runs."""
@@ -81,6 +113,16 @@
         """Remove the runs of a fingerprint."""
         self._runs.pop(fingerprint, None)
 
+    def forget_until(self, fingerprint: str, until_ms: int) -> None:
+        """Remove the runs of a fingerprint that ended by a time."""
+        left = tuple(
+            run
+            for run in self._runs.pop(fingerprint, ())
+            if run.ended_ms > until_ms
+        )
+        if left:
+            self._runs[fingerprint] = left
+
     def forget_oldest(self) -> str:
         """Remove and return the fingerprint without news for longest."""
         oldest = next(iter(self._runs))
@@ -114,7 +156,13 @@
             [
                 fingerprint,
                 [
-                    [run.backend_id, run.began_ms, run.ended_ms, run.is_refuted]
+                    [
+                        run.backend_id,
+                        run.began_ms,
+                        run.ended_ms,
+                        run.is_refuted,
+                        run.request,
+                    ]
                     for run in runs
                 ],
             ]
--- a/src/kumquatrun/gateway/admission/admission.py
+++ b/src/kumquatrun/gateway/admission/admission.py
@@ -19,6 +19,8 @@
 from kumquatrun.gateway.crashes.crash_watch import (
     CrashWatch,
     fingerprint_of,
+    identity_of,
+    part_keys_of,
 )
 from kumquatrun.gateway.forwarding.body_reader import (
     BodyTooLargeError,
@@ -110,7 +112,10 @@
         caller = replace(caller, body=body)
         account_name = account.name if account else ''
         fingerprint = fingerprint_of(caller, account_name)
-        is_trial = await self._crash_watch.admit(caller.request_id, fingerprint)
+        part_keys = part_keys_of(caller)
+        is_trial = await self._crash_watch.admit(
+            caller.request_id, fingerprint, part_keys
+        )
         self._check_stop(deadline_s)
         if account is not None:
             await self._allowances.charge(
@@ -124,6 +129,8 @@
             priority=_priority(route, account),
             deadline_s=deadline_s,
             fingerprint=fingerprint,
+            part_keys=part_keys,
+            identity=identity_of(caller, fingerprint),
             is_trial=is_trial,
         )
 
--- a/src/kumquatrun/gateway/backends/event_stream.py
+++ b/src/kumquatrun/gateway/backends/event_stream.py
@@ -1,6 +1,7 @@
 """Where events of a stream end, and how it resumes after a failure."""
 
 import re
+from collections.abc import Callable
 
 from kumquatrun.agent.sse import EventSplitter
 
@@ -15,10 +16,17 @@
 
 
 class EventBoundary:
-    """Tells whether a stream ends at the end of an event; stores no event."""
+    """Tells whether a stream ends at the end of an event; stores no event.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    on_event
+        Called once, when received bytes end with the end of an event.
+    """
+
+    def __init__(self, on_event: Callable[[], None]) -> None:
         self._tail = b''
+        self._on_event: Callable[[], None] | None = on_event
 
     @property
     def is_empty(self) -> bool:
@@ -33,6 +41,9 @@
     def add(self, received: bytes) -> None:
         """Add received bytes."""
         self._tail = (self._tail + received)[-_LONGEST_EVENT_END:]
+        if self._on_event is not None and self.is_at_end:
+            self._on_event()
+            self._on_event = None
 
 
 class ResumableStream:
--- a/src/kumquatrun/gateway/crashes/crash_watch.py
+++ b/src/kumquatrun/gateway/crashes/crash_watch.py
@@ -1,17 +1,23 @@
-"""Refuses requests that crash backend servers.
+"""Refuses requests and prompt parts that crash backend servers.
 
 Each run is watched until it ends. A run whose backend server ended with it, as
 far as this host can tell, is reported to the control leader, which counts the
 ends for the whole fleet. Until the report is delivered, this host counts by
 itself.
+
+An end counts for the fingerprint of the request and, if no event had come, for
+the parts of its prompt; an answer to any request clears the parts that it holds.
+The methods call both fingerprints.
 """
 
 import hashlib
 import logging
 from collections import OrderedDict
 from dataclasses import dataclass
+from itertools import islice
 
 from kumquatrun.control.ended_runs import EndedRun, EndedRuns
+from kumquatrun.control.part_keys import is_part_key, part_key
 from kumquatrun.errors import KumquatrunError, QuarantinedError
 from kumquatrun.gateway.crashes.backend_signs import BackendSigns
 from kumquatrun.gateway.crashes.suspect_reports import SuspectReports
@@ -40,6 +46,10 @@
 LOCAL_WINDOW_S = 60.0
 FEED_DELAY_S = 2.0
 MAX_LOCAL_FINGERPRINTS = 2000
+# Parts of one prompt that are watched; the first ones are shared most.
+MAX_PART_KEYS = 32
+# Time until a blocked prompt part may get its first trial run.
+PART_RETRY_AFTER_S = 30.0
 
 
 def fingerprint_of(request: CallerRequest, account: str) -> str:
@@ -57,6 +67,28 @@
     return digest.hexdigest()
 
 
+def part_keys_of(request: CallerRequest) -> tuple[str, ...]:
+    """Return the keys of the prompt parts that other requests may share.
+
+    Neither model nor adapter is part of a key: a part crashes backend servers
+    whatever else its request holds.
+    """
+    shared = islice(request.prompt_parts[:-1], MAX_PART_KEYS)
+    return tuple(dict.fromkeys(map(part_key, shared)))
+
+
+def identity_of(request: CallerRequest, fingerprint: str) -> str:
+    """Return a hash that differs between requests with other prompts.
+
+    Requests with other prompts may have equal bodies, and so one fingerprint.
+    """
+    digest = hashlib.blake2b(fingerprint.encode(), digest_size=12)
+    for part_id in request.prompt_parts:
+        digest.update(part_id.encode('utf-8', 'surrogateescape'))
+        digest.update(b'\0')
+    return digest.hexdigest()
+
+
 @dataclass(frozen=True, slots=True)
 class TrialSchedule:
     """When this host asks for the next trial run of a fingerprint."""
@@ -66,37 +98,47 @@
 
 
 class CrashWatch:
-    """Watches runs, and refuses requests under which backend servers ended."""
+    """Watches runs, and refuses what backend servers ended under."""
 
     def __init__(self, session: Session, clock: Clock) -> None:
         self._session = session
         self._clock = clock
         self._signs = BackendSigns()
         self._reports = SuspectReports(session, clock, self._on_delivered)
+        # Runs that are being answered.
+        self._answering: set[WatchedRun] = set()
         self._local_runs = EndedRuns()
         # Times until which the local counts are in force.
         self._local_ends_s: dict[str, float] = {}
         self._schedules: OrderedDict[str, TrialSchedule] = OrderedDict()
 
-    async def admit(self, request_id: str, fingerprint: str) -> bool:
+    async def admit(
+        self,
+        request_id: str,
+        fingerprint: str,
+        part_keys: tuple[str, ...] = (),
+    ) -> bool:
         """Check a request; return whether it is admitted for one trial run.
 
         Raises
         ------
         QuarantinedError
-            If backend servers ended under equal requests too often.
+            If backend servers ended under equal requests, or under requests
+            with one of its prompt parts, too often.
         """
-        if not self._is_refused(fingerprint):
+        refused = tuple(filter(self._is_refused, (fingerprint, *part_keys)))
+        if not refused:
             return False
-        if await self._take_trial(fingerprint):
+        # A trial run tells nothing about two suspects.
+        if len(refused) == 1 and await self._take_trial(refused[0]):
             log_event(
                 log,
                 'trial_run_granted',
                 request_id=request_id,
-                fingerprint=fingerprint,
+                fingerprint=refused[0],
             )
             return True
-        raise self._refusal(fingerprint)
+        raise self._refusal(refused[0])
 
     def check(self, request_state: RequestState) -> None:
         """Check a request again before it is sent.
@@ -106,12 +148,9 @@
         QuarantinedError
             If the request must not be sent.
         """
-        if request_state.is_trial:
-            is_refused = request_state.may_have_run
-        else:
-            is_refused = self._is_refused(request_state.fingerprint)
-        if is_refused:
-            raise self._refusal(request_state.fingerprint)
+        fingerprint = self._refused_fingerprint(request_state)
+        if fingerprint:
+            raise self._refusal(fingerprint)
 
     def begin(
         self,
@@ -123,6 +162,8 @@
         run = WatchedRun(
             request_id=request_state.request.request_id,
             fingerprint=request_state.fingerprint,
+            part_keys=request_state.part_keys,
+            identity=request_state.identity,
             backend_id=backend_id,
             connection=connection,
             began_at_s=self._clock.now_s(),
@@ -130,6 +171,12 @@
         self._signs.begin(run)
         return run
 
+    def record_answer(self, run: WatchedRun) -> None:
+        """Record that a run is answered: its prompt parts are harmless."""
+        self._answering.add(run)
+        for key in run.part_keys:
+            self._clear(key)
+
     def end(self, run: WatchedRun, ending: RunEnding) -> None:
         """Record how a run ended."""
         now_s = self._clock.now_s()
@@ -140,6 +187,7 @@
                 self._refute(refuted)
         if ending is RunEnding.COMPLETED:
             self._clear(run.fingerprint)
+        self._answering.discard(run)
 
     def record_backend_end(self, backend_id: str) -> None:
         """Record that a backend server can't be reached or was replaced."""
@@ -151,6 +199,21 @@
         """Deliver the reports that wait, for at most ``timeout_s``."""
         await self._reports.close(timeout_s)
 
+    def _refused_fingerprint(self, request_state: RequestState) -> str:
+        """Return what a request must not be sent for, or an empty string."""
+        if request_state.is_trial:
+            return request_state.fingerprint * request_state.may_have_run
+        fingerprints = (request_state.fingerprint, *request_state.part_keys)
+        refused = next(filter(self._is_refused, fingerprints), '')
+        if refused or not request_state.may_have_run:
+            return refused
+        # A part that may have ended a backend server is not tried on the next
+        # one by the same request.
+        return next(filter(self._is_suspect, request_state.part_keys), '')
+
+    def _is_suspect(self, fingerprint: str) -> bool:
+        return self._session.view.fingerprint_state(fingerprint) != 'clear'
+
     def _is_refused(self, fingerprint: str) -> bool:
         state = self._session.view.fingerprint_state(fingerprint)
         if state in REFUSED_STATES:
@@ -162,11 +225,13 @@
 
     def _refusal(self, fingerprint: str) -> QuarantinedError:
         state = self._session.view.fingerprint_state(fingerprint)
+        is_part = is_part_key(fingerprint)
+        similar = 'with one prompt part' if is_part else 'that are equal'
         return QuarantinedError(
-            'backend servers ended under equal requests, '
+            f'backend servers ended under requests {similar}, '
             f'fingerprint {fingerprint}, state in the fleet {state}',
-            retry_after_s=FIRST_TRIAL_S,
-            cause='blocked',
+            retry_after_s=PART_RETRY_AFTER_S if is_part else FIRST_TRIAL_S,
+            cause='part_blocked' if is_part else 'blocked',
         )
 
     async def _take_trial(self, fingerprint: str) -> bool:
@@ -202,7 +267,25 @@
     def _suspect(
         self, run: WatchedRun, now_s: float, ending: RunEnding
     ) -> None:
-        fingerprint = run.fingerprint
+        # A part crashes the backend server that begins to answer it, so a run
+        # that is being answered has no suspect parts.
+        parts = () if run in self._answering else run.part_keys
+        for fingerprint in (*parts, run.fingerprint):
+            self._count(run, fingerprint, now_s)
+        self._signs.watch_for_refutation(run)
+        log_event(
+            log,
+            'request_suspected',
+            request_id=run.request_id,
+            fingerprint=run.fingerprint,
+            parts=','.join(parts),
+            backend=run.backend_id,
+            ending=ending,
+            ran_ms=round(1000 * (now_s - run.began_at_s)),
+            state=self._session.view.fingerprint_state(run.fingerprint),
+        )
+
+    def _count(self, run: WatchedRun, fingerprint: str, now_s: float) -> None:
         if now_s >= self._local_ends_s.get(fingerprint, now_s):
             # The fleet has counted the earlier ends, or cleared them.
             self._local_runs.forget(fingerprint)
@@ -212,44 +295,44 @@
                 run.backend_id,
                 round(run.began_at_s * 1000),
                 round(now_s * 1000),
+                request=run.identity if is_part_key(fingerprint) else '',
             ),
         )
         self._local_ends_s[fingerprint] = now_s + LOCAL_WINDOW_S
         if len(self._local_runs) > MAX_LOCAL_FINGERPRINTS:
             del self._local_ends_s[self._local_runs.forget_oldest()]
-        self._signs.watch_for_refutation(run)
-        self._reports.add_run(run, now_s)
-        log_event(
-            log,
-            'request_suspected',
-            request_id=run.request_id,
-            fingerprint=fingerprint,
-            backend=run.backend_id,
-            ending=ending,
-            ran_ms=round(1000 * (now_s - run.began_at_s)),
-            state=self._session.view.fingerprint_state(fingerprint),
-        )
+        self._reports.add_run(run, fingerprint, now_s)
 
     def _refute(self, run: WatchedRun) -> None:
-        self._local_runs.refute(run.fingerprint, run.backend_id)
-        self._reports.add_clear(run.fingerprint, run.backend_id)
+        parts = tuple(filter(self._is_counted, run.part_keys))
+        for fingerprint in (*parts, run.fingerprint):
+            self._local_runs.refute(fingerprint, run.backend_id)
+            self._reports.add_clear(fingerprint, run.backend_id)
         log_event(
             log,
             'suspicion_refuted',
             request_id=run.request_id,
             fingerprint=run.fingerprint,
+            parts=','.join(parts),
             backend=run.backend_id,
         )
 
+    def _is_counted(self, fingerprint: str) -> bool:
+        return fingerprint in self._local_runs or self._is_suspect(fingerprint)
+
     def _clear(self, fingerprint: str) -> None:
-        is_local = fingerprint in self._local_runs
-        state = self._session.view.fingerprint_state(fingerprint)
-        if is_local:
-            self._local_runs.forget(fingerprint)
-            del self._local_ends_s[fingerprint]
-        if is_local or state != 'clear':
-            self._schedules.pop(fingerprint, None)
-            self._reports.add_clear(fingerprint)
+        if not self._is_counted(fingerprint):
+            return
+        self._local_runs.forget(fingerprint)
+        self._local_ends_s.pop(fingerprint, None)
+        self._schedules.pop(fingerprint, None)
+        self._reports.add_clear(fingerprint)
+        log_event(
+            log,
+            'suspicion_cleared',
+            fingerprint=fingerprint,
+            state=self._session.view.fingerprint_state(fingerprint),
+        )
 
     def _on_delivered(self, fingerprint: str) -> None:
         """Let the count of the fleet replace that of this host."""
--- a/src/kumquatrun/gateway/crashes/suspect_reports.py
+++ b/src/kumquatrun/gateway/crashes/suspect_reports.py
@@ -23,9 +23,24 @@
 
 @dataclass(frozen=True, slots=True)
 class _EndReport:
+    """A run that ended, for the fingerprint or one part of its request."""
+
     run: WatchedRun
+    fingerprint: str
     ended_at_s: float
 
+    @property
+    def request(self) -> str:
+        is_part = self.fingerprint != self.run.fingerprint
+        return self.run.identity if is_part else ''
+
+
+@dataclass(frozen=True, slots=True)
+class _ClearReport:
+    fingerprint: str
+    backend_id: str
+    at_s: float
+
 
 class SuspectReports:
     """Sends reports in order, one at a time, and again after a failure.
@@ -37,7 +52,7 @@
     clock
         Source of time.
     on_delivered
-        Called with the fingerprint of each ended run that was delivered.
+        Called with the fingerprint of each report that was delivered.
     """
 
     def __init__(
@@ -49,22 +64,34 @@
         self._session = session
         self._clock = clock
         self._on_delivered = on_delivered
-        self._pending: deque[_EndReport | ClearEndedRuns] = deque()
+        self._pending: deque[_EndReport | _ClearReport] = deque()
         self._task: asyncio.Task | None = None
 
-    def add_run(self, run: WatchedRun, ended_at_s: float) -> None:
-        """Report a run that ended with its backend server."""
-        self._add(_EndReport(run, ended_at_s))
+    def add_run(
+        self, run: WatchedRun, fingerprint: str, ended_at_s: float
+    ) -> None:
+        """Report a run that ended with its backend server.
+
+        The run counts for ``fingerprint``: that of its request, or the key of
+        one of its prompt parts.
+        """
+        self._add(_EndReport(run, fingerprint, ended_at_s))
 
     def add_clear(self, fingerprint: str, backend_id: str = '') -> None:
-        """Report that a request is harmless, see ``ClearEndedRuns``."""
-        clear = ClearEndedRuns(
-            host_id=self._session.record.host_id,
-            fingerprint=fingerprint,
-            backend_id=backend_id,
-        )
-        if clear not in self._pending:
-            self._add(clear)
+        """Report that a request or part is harmless, see ``ClearEndedRuns``.
+
+        Replaces an earlier report of the same that waits: the later one also
+        covers the runs that ended before the earlier one.
+        """
+        clear = _ClearReport(fingerprint, backend_id, self._clock.now_s())
+        for pending in self._pending:
+            if isinstance(pending, _ClearReport) and (
+                pending.fingerprint == fingerprint
+                and pending.backend_id == backend_id
+            ):
+                self._pending.remove(pending)
+                break
+        self._add(clear)
 
     async def close(self, timeout_s: float) -> None:
         """Deliver what is pending, for at most ``timeout_s``, and stop."""
@@ -76,7 +103,7 @@
         if self._pending:
             log_event(log, 'suspects_not_reported', pending=len(self._pending))
 
-    def _add(self, item: _EndReport | ClearEndedRuns) -> None:
+    def _add(self, item: _EndReport | _ClearReport) -> None:
         self._pending.append(item)
         if len(self._pending) > MAX_PENDING:
             self._pending.popleft()
@@ -87,7 +114,8 @@
     async def _send_all(self) -> None:
         while self._pending:
             ends = self._next_ends()
-            message = self._report_of(ends) if ends else self._pending[0]
+            sent = tuple(ends) or (self._pending[0],)
+            message = self._report_of(ends) if ends else self._clear_of(sent[0])
             try:
                 await self._session.control.call(message, REPORT_TIMEOUT_S)
             except KumquatrunError as error:
@@ -99,11 +127,11 @@
                 )
                 await asyncio.sleep(RETRY_S)
                 continue
-            for sent in ends or (message,):
-                if sent in self._pending:
-                    self._pending.remove(sent)
+            for item in sent:
+                if item in self._pending:
+                    self._pending.remove(item)
             for end in ends:
-                self._on_delivered(end.run.fingerprint)
+                self._on_delivered(end.fingerprint)
 
     def _next_ends(self) -> list[_EndReport]:
         """Return the next ends on one backend server.
@@ -113,17 +141,27 @@
         """
         ends: list[_EndReport] = []
         for item in self._pending:
-            if isinstance(item, ClearEndedRuns):
+            if isinstance(item, _ClearReport):
                 break
             if not ends or item.run.backend_id == ends[0].run.backend_id:
                 ends.append(item)
         return ends[:MAX_REPORTED_RUNS]
 
+    def _clear_of(self, clear: _ClearReport) -> ClearEndedRuns:
+        age_s = self._clock.now_s() - clear.at_s
+        return ClearEndedRuns(
+            host_id=self._session.record.host_id,
+            fingerprint=clear.fingerprint,
+            backend_id=clear.backend_id,
+            age_ms=round(1000 * age_s),
+        )
+
     def _report_of(self, ends: list[_EndReport]) -> ReportSuspects:
         now_s = self._clock.now_s()
         return ReportSuspects(
             host_id=self._session.record.host_id,
-            fingerprints=tuple(end.run.fingerprint for end in ends),
+            fingerprints=tuple(end.fingerprint for end in ends),
+            requests=tuple(end.request for end in ends),
             backend_id=ends[0].run.backend_id,
             run_ages_ms=tuple(
                 round(1000 * (now_s - end.run.began_at_s)) for end in ends
--- a/src/kumquatrun/gateway/crashes/watched_run.py
+++ b/src/kumquatrun/gateway/crashes/watched_run.py
@@ -40,6 +40,8 @@
 
     request_id: str
     fingerprint: str
+    part_keys: tuple[str, ...]
+    identity: str
     backend_id: str
     connection: RunConnection
     began_at_s: float
--- a/src/kumquatrun/gateway/forwarding/forwarder.py
+++ b/src/kumquatrun/gateway/forwarding/forwarder.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import Callable, Mapping
 from dataclasses import replace
+from functools import partial
 
 from kumquatrun.errors import (
     BackendError,
@@ -298,6 +299,7 @@
                 writer,
                 connection,
                 reservation,
+                partial(self._crashes.record_answer, run),
             )
             ending = _ENDINGS[result]
         except (BrokenResponseError, TimeoutError) as error:
--- a/src/kumquatrun/gateway/forwarding/response_relay.py
+++ b/src/kumquatrun/gateway/forwarding/response_relay.py
@@ -1,6 +1,7 @@
 """Relays the response of a backend server to the caller."""
 
 import asyncio
+from collections.abc import Callable
 from enum import StrEnum
 
 from kumquatrun.errors import BackendError, Outcome
@@ -69,10 +70,12 @@
         writer: ResponseWriter,
         connection: BackendConnection,
         reservation: Reservation,
+        on_answer: Callable[[], None],
     ) -> tuple[AttemptResult, ResponseHead | None]:
         """Relay the response to a request that was sent.
 
-        Returns how the attempt ended, and the head of a complete response.
+        ``on_answer`` is called once the first event of a stream, or a
+        successful response that is no stream, has arrived in full. Returns how the attempt ended, and the head of a complete response.
 
         Raises
         ------
@@ -93,10 +96,14 @@
             return AttemptResult.NOT_RUN, head
         is_stream = request_state.route.kind is RouteKind.STREAMING
         if is_stream and head.status in SUCCESS:
-            await self._relay_stream(request_state, writer, head, reservation)
+            await self._relay_stream(
+                request_state, writer, head, reservation, on_answer
+            )
             return AttemptResult.DELIVERED, head
         async with asyncio.timeout_at(deadline_s):
             body = await _read_buffered(head)
+        if head.status in SUCCESS:
+            on_answer()
         if writer.has_begun or self._should_try_another(
             request_state, head, body
         ):
@@ -175,6 +182,7 @@
         writer: ResponseWriter,
         head: ResponseHead,
         reservation: Reservation,
+        on_answer: Callable[[], None],
     ) -> None:
         if request_state.route.may_repeat and request_state.stream is None:
             request_state.stream = ResumableStream(
@@ -189,7 +197,7 @@
                 head.reason,
                 self._stream_headers(request_state, head),
             )
-        boundary = EventBoundary()
+        boundary = EventBoundary(on_answer)
         await self._relay_events(
             request_state, writer, head, reservation, boundary
         )
--- a/src/kumquatrun/gateway/routing/request_state.py
+++ b/src/kumquatrun/gateway/routing/request_state.py
@@ -26,6 +26,10 @@
         Number of sends that ran, or may have run, on a backend server.
     fingerprint
         Hash that is the same for equal requests of one caller.
+    part_keys
+        Keys of the prompt parts that other requests may share.
+    identity
+        Hash that differs between requests with other prompts.
     is_trial
         Whether only one run is allowed, although the request is blocked.
     tried_backends
@@ -53,6 +57,8 @@
     sends: int = 0
     runs: int = 0
     fingerprint: str = ''
+    part_keys: tuple[str, ...] = ()
+    identity: str = ''
     is_trial: bool = False
     tried_backends: set[str] = field(default_factory=set)
     stream: ResumableStream | None = None
--- a/src/kumquatrun/gateway/routing/wire_format.py
+++ b/src/kumquatrun/gateway/routing/wire_format.py
@@ -30,6 +30,9 @@
         does not state them.
     last_event_id
         Id of the last event that the caller received, if it resumes a stream.
+    prompt_parts
+        Ids of the parts of the prompt, in order. Other requests may share all
+        but the last one.
     """
 
     request_id: str
@@ -45,6 +48,7 @@
     prompt_tokens: int | None = None
     output_tokens: int | None = None
     last_event_id: str = ''
+    prompt_parts: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
--- a/src/kumquatrun/peer/node_messages.py
+++ b/src/kumquatrun/peer/node_messages.py
@@ -218,6 +218,9 @@
         Time since the run of each fingerprint began, when the report is sent.
     end_ages_ms
         Time since each run was seen to have ended.
+    requests
+        Identity of the request of each run that is reported under the key of a
+        prompt part, else an empty string.
     """
 
     host_id: str
@@ -227,6 +230,7 @@
     backend_id: str = ''
     run_ages_ms: tuple[int, ...] = ()
     end_ages_ms: tuple[int, ...] = ()
+    requests: tuple[str, ...] = ()
 
 
 @message
@@ -239,15 +243,17 @@
 
 @message
 class ClearEndedRuns:
-    """Reports that a suspected request is harmless.
+    """Reports that a suspected request or prompt part is harmless.
 
-    Without ``backend_id``, a run of the request was completed. With it, that
-    backend server is known to have been alive after a run was broken off.
+    Without ``backend_id``, a run of the request was completed, or one with the
+    prompt part was answered, ``age_ms`` ago. With it, that backend server is
+    known to have been alive after a run was broken off.
     """
 
     host_id: str
     fingerprint: str
     backend_id: str = ''
+    age_ms: int = 0
 
 
 @message
--- a/src/kumquatrun/platform/requests.py
+++ b/src/kumquatrun/platform/requests.py
@@ -24,6 +24,8 @@
 MODEL = 'x-kumquatrun-model'
 # Prompt tokens and maximum number of output tokens, separated by a comma.
 TOKENS = 'x-kumquatrun-token-usage'
+# Parts of the prompt as ID:TOKENS pairs, separated by commas.
+PROMPT_PARTS = 'x-kumquatrun-prompt-prefix'
 LAST_EVENT_ID = 'last-event-id'
 NOT_RUN = 'x-kumquatrun-not-executed'
 MISDIRECTED_REQUEST = 421
@@ -97,6 +99,7 @@
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
             last_event_id=by_name.get(LAST_EVENT_ID, ''),
+            prompt_parts=_parse_prompt_parts(headers),
         )
 
     def write_request(
@@ -190,6 +193,20 @@
         ) from None
 
 
+def _parse_prompt_parts(headers: RawHeaders) -> tuple[str, ...]:
+    """Return the ids of the parts; a list may be spread over several headers.
+
+    Nothing is refused: the backend server decides what it can read.
+    """
+    pairs = [
+        pair.strip().lower()
+        for name, value in headers
+        if name.decode(HEADER_ENCODING).lower() == PROMPT_PARTS
+        for pair in value.decode(HEADER_ENCODING).split(',')
+    ]
+    return tuple(pair.partition(':')[0].strip() for pair in pairs if pair)
+
+
 def _parse_token_counts(value: str | None) -> tuple[int | None, int | None]:
     if value is None:
         return None, None
--- a/tests/test_crash_register.py
+++ b/tests/test_crash_register.py
@@ -5,8 +5,12 @@
 from tests.shared_state import Cluster
 
 from kumquatrun.control.control_state import ControlState
-from kumquatrun.control.crash_register import TRIAL_DELAYS_MS
+from kumquatrun.control.crash_register import (
+    PART_TRIAL_DELAYS_MS,
+    TRIAL_DELAYS_MS,
+)
 from kumquatrun.control.ended_runs import BREAK_LIMIT, EndedRun, EndedRuns
+from kumquatrun.control.part_keys import part_key
 from kumquatrun.control.quarantine import BLOCKED_MS, SUSPECT_MS
 from kumquatrun.peer.node_messages import (
     ClearEndedRuns,
@@ -26,6 +30,7 @@
     )
 
 
+PART = part_key('5c1e07a2')
 COMPLETED = ClearEndedRuns(host_id='e-1', fingerprint='f')
 TRIAL = TakeTrialRun(host_id='e-1', fingerprint='f')
 THREE_ENDS = [ended('b1'), 1000, ended('b2'), 1000, ended('b3')]
@@ -35,6 +40,28 @@
     return ClearEndedRuns(host_id='e-1', fingerprint='f', backend_id=backend_id)
 
 
+def part_ended(backend_id, request, *parts, age_ms=1, run_age_ms=None):
+    names = parts or (PART,)
+    return ReportSuspects(
+        host_id='e-1',
+        fingerprints=names,
+        backend_id=backend_id,
+        run_ages_ms=(run_age_ms or age_ms + 4,) * len(names),
+        end_ages_ms=(age_ms,) * len(names),
+        requests=(request,) * len(names),
+    )
+
+
+def answered(age_ms=0, part=PART):
+    return ClearEndedRuns(host_id='e-1', fingerprint=part, age_ms=age_ms)
+
+
+def part_alive(backend_id):
+    return ClearEndedRuns(
+        host_id='e-1', fingerprint=PART, backend_id=backend_id
+    )
+
+
 def played(steps):
     cluster = Cluster()
     for step in steps:
@@ -82,6 +109,72 @@
     assert restored.get('f', 'clear') == state
 
 
+PART_ENDS = [part_ended('b1', 'r1'), 1000, part_ended('b2', 'r2')]
+
+
+@pytest.mark.parametrize(
+    ('steps', 'state'),
+    [
+        ([part_ended('b1', 'r1')], 'suspect'),
+        (PART_ENDS, 'blocked'),
+        # One backend server ends twice.
+        ([part_ended('b1', 'r1'), 3000, part_ended('b1', 'r2')], 'blocked'),
+        # Ends that may have one cause, such as a lost rack.
+        ([part_ended('b1', 'r1'), 400, part_ended('b2', 'r2')], 'suspect'),
+        # Several runs on one backend server.
+        ([part_ended('b1', 'r1'), part_ended('b1', 'r2')], 'suspect'),
+        # One request that crashes backend servers whatever its parts are.
+        ([part_ended('b1', 'r1'), 1000, part_ended('b2', 'r1')], 'suspect'),
+        ([part_ended('b1', 'r1'), answered()], 'clear'),
+        ([part_ended('b1', 'r1'), answered(), *PART_ENDS[1:]], 'suspect'),
+        ([*PART_ENDS, answered()], 'clear'),
+        # A late message about an answer before the ends.
+        ([*PART_ENDS, 500, answered(age_ms=5000)], 'blocked'),
+        # An answer between the ends, reported after them.
+        ([*PART_ENDS, 500, answered(age_ms=1000)], 'suspect'),
+        # A response broke off, and the backend server lives.
+        (
+            [part_ended('b1', 'r1'), part_alive('b1'), 1000, PART_ENDS[-1]],
+            'suspect',
+        ),
+        ([*PART_ENDS, part_alive('b2')], 'suspect'),
+        ([*PART_ENDS, BLOCKED_MS], 'clear'),
+    ],
+)
+def test_state_of_a_part_follows_counted_ends(steps, state):
+    # Guards against a part that crashes backend servers for ever, and against
+    # a sound one that is blocked for ends with another cause.
+    cluster = played(steps)
+    assert fingerprints_of(cluster).get(PART, 'clear') == state
+    restored = cluster.restored().status()['fingerprints']
+    assert restored.get(PART, 'clear') == state
+
+
+def test_sound_parts_beside_a_deadly_one_are_cleared():
+    # Guards against sound parts that stay suspects of ends that a blocked part
+    # explains, and are blocked by the next end with another cause.
+    sound = part_key('aa')
+    cluster = played(
+        [part_ended('b1', 'r1', sound, PART), 1000, part_ended('b2', 'r2')]
+    )
+    assert fingerprints_of(cluster) == {PART: 'blocked'}
+
+
+def test_trial_runs_of_a_part_are_bounded():
+    # Guards against trial runs that crash more backend servers than the users
+    # allow, and against a sound part that stays blocked.
+    cluster = played(PART_ENDS)
+    trial = TakeTrialRun(host_id='e-1', fingerprint=PART)
+    first_ms, second_ms, third_ms = PART_TRIAL_DELAYS_MS
+    granted = []
+    for elapsed_ms in (first_ms - 1, 1, second_ms, third_ms, third_ms):
+        cluster.run(elapsed_ms=elapsed_ms)
+        granted.append(cluster.run(trial).is_granted)
+    assert granted == [False, True, True, True, False]
+    cluster.run(answered())
+    assert fingerprints_of(cluster) == {}
+
+
 def test_responses_that_always_break_off_are_limited():
     # Guards against a request whose every response breaks off, and that is
     # sent again for ever because the backend servers stay alive.
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -1,8 +1,9 @@
 """What a host takes for the end of a backend server."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
+import msgpack
 import pytest
 from tests.gateway_fakes import request_state_of
 from tests.gateway_host import Session
@@ -10,8 +11,12 @@
 from kumquatrun.errors import ControlUnreachableError, QuarantinedError
 from kumquatrun.gateway.crashes.crash_watch import (
     FIRST_TRIAL_S,
+    MAX_PART_KEYS,
+    PART_RETRY_AFTER_S,
     CrashWatch,
     fingerprint_of,
+    identity_of,
+    part_keys_of,
 )
 from kumquatrun.gateway.crashes.watched_run import RunEnding
 from kumquatrun.peer.node_messages import (
@@ -47,14 +52,25 @@
         self.state = request_state_of('non_idempotent')
         self.state.fingerprint = 'f'
 
-    def begin(self, backend_id='b', connected_s=None, fingerprint='f'):
+    def begin(
+        self, backend_id='b', connected_s=None, fingerprint='f', parts=()
+    ):
         opened_at_s = self.clock.time_s if connected_s is None else connected_s
         self.state.fingerprint = fingerprint
+        self.state.part_keys = parts
+        self.state.identity = f'identity of {fingerprint}'
         return self.watch.begin(self.state, backend_id, Connection(opened_at_s))
 
     def end(self, run, ending):
         self.watch.end(run, ending)
 
+    def show(self, fingerprint, state):
+        """Apply a feed item with the state of a fingerprint."""
+        view = self.session.view
+        body = msgpack.packb([fingerprint, state])
+        index = view.applied_index + 1
+        view.apply(FeedItem(index=index, kind='quarantine', body=body))
+
     async def sent(self, kind):
         await asyncio.sleep(0.01)
         return [row for row in self.session.calls if isinstance(row, kind)]
@@ -206,6 +222,128 @@
         host.watch.check(host.state)
 
 
+async def test_run_without_an_event_makes_its_parts_suspects():
+    # Guards against a part that is not counted, because no two requests with it
+    # are equal.
+    host = Watch()
+    host.end(host.begin(parts=('part:a', 'part:b')), RunEnding.BROKEN)
+    [report] = await host.sent(ReportSuspects)
+    assert report.fingerprints == ('part:a', 'part:b', 'f')
+    assert report.requests == ('identity of f', 'identity of f', '')
+
+
+async def test_run_that_is_answered_has_no_suspect_parts():
+    # Guards against sound parts that are blocked because the backend server
+    # ended for another request while it was answering theirs.
+    host = Watch()
+    run = host.begin(parts=('part:a',))
+    host.watch.record_answer(run)
+    host.end(run, RunEnding.BROKEN)
+    [report] = await host.sent(ReportSuspects)
+    assert report.fingerprints == ('f',)
+
+
+@pytest.mark.parametrize('is_local', [True, False])
+async def test_answer_clears_the_parts_of_its_request(is_local):
+    host = Watch()
+    if is_local:
+        host.end(host.begin(parts=('part:a',)), RunEnding.BROKEN)
+    else:
+        host.show('part:a', 'suspect')
+    run = host.begin('c', fingerprint='g', parts=('part:a', 'part:b'))
+    host.watch.record_answer(run)
+    host.clock.time_s += 0.25
+    [clear] = await host.sent(ClearEndedRuns)
+    assert (clear.fingerprint, clear.backend_id) == ('part:a', '')
+    assert clear.age_ms == 250
+
+
+async def test_living_server_refutes_the_suspicion_of_parts():
+    host = Watch()
+    host.end(host.begin(parts=('part:a',)), RunEnding.BROKEN)
+    host.clock.time_s += 1
+    older = host.begin(connected_s=50, fingerprint='g')
+    host.end(older, RunEnding.COMPLETED)
+    clears = await host.sent(ClearEndedRuns)
+    assert [(row.fingerprint, row.backend_id) for row in clears] == [
+        ('part:a', 'b'),
+        ('f', 'b'),
+    ]
+
+
+async def test_blocked_part_is_refused_with_its_name():
+    # Guards against a refusal that names neither the part nor when to return.
+    host = Watch()
+    host.show('part:a', 'blocked')
+    with pytest.raises(QuarantinedError, match='part:a') as refused:
+        await host.watch.admit('r', 'f', ('part:b', 'part:a'))
+    assert refused.value.cause == 'part_blocked'
+    assert refused.value.retry_after_s == PART_RETRY_AFTER_S
+    assert not await host.watch.admit('r', 'f', ('part:b',))
+
+
+async def test_request_does_not_carry_a_suspect_part_to_the_next_server():
+    host = Watch()
+    host.state.part_keys = ('part:a',)
+    host.show('part:a', 'suspect')
+    host.watch.check(host.state)
+    host.state.runs = 1
+    with pytest.raises(QuarantinedError):
+        host.watch.check(host.state)
+
+
+async def test_host_counts_parts_until_control_answers():
+    host = Watch()
+
+    async def refuse(request, timeout_s):
+        raise ControlUnreachableError('no leader')
+
+    host.session.call = refuse
+    for number in range(2):
+        host.clock.time_s += 1
+        run = host.begin(
+            f'b{number}', fingerprint=f'{number}', parts=('part:a',)
+        )
+        host.end(run, RunEnding.BROKEN)
+    with pytest.raises(QuarantinedError):
+        await host.watch.admit('r', 'f', ('part:a',))
+    await host.watch.close(0.01)
+
+
+async def test_later_clearing_message_replaces_an_earlier_one():
+    # Guards against a clearing message that waits for delivery and hides a
+    # later one, so that an end between the two stays counted.
+    host = Watch()
+    answer = host.session.call
+
+    async def refuse(request, timeout_s):
+        raise ControlUnreachableError('no leader')
+
+    host.session.call = refuse
+    for number in range(2):
+        host.end(host.begin(f'b{number}'), RunEnding.BROKEN)
+        host.end(host.begin('c'), RunEnding.COMPLETED)
+        host.clock.time_s += 1
+    host.session.call = answer
+    await asyncio.sleep(0.3)
+    sent = [type(row) for row in host.session.calls]
+    assert sent == [ReportSuspects, ReportSuspects, ClearEndedRuns]
+
+
+async def test_shared_parts_are_bounded_and_leave_out_the_last():
+    # Guards against a prompt of many parts that fills the reports, and against
+    # the part of the request itself, which no other request shares.
+    caller = request_state_of('streaming').request
+    parts = tuple(f'{number:04x}' for number in range(MAX_PART_KEYS + 8))
+    many = replace(caller, prompt_parts=parts)
+    assert len(part_keys_of(many)) == MAX_PART_KEYS
+    few = replace(caller, prompt_parts=('a', 'b' * 400, 'a', 'own'))
+    first, second = part_keys_of(few)
+    assert first == 'part:a'
+    assert len(second) < 64
+    assert identity_of(few, 'f') != identity_of(many, 'f')
+
+
 async def test_requests_of_several_accounts_differ():
     caller = request_state_of('non_idempotent').request
     same = {
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -399,3 +399,22 @@
     dropping = entry_settings({**SETTINGS, 'contracts': ['base', 'pool']})
     assert dropping.drops_idle_connections
     assert not usual.drops_idle_connections
+
+
+@pytest.mark.parametrize(
+    ('values', 'parts'),
+    [
+        ([], ()),
+        ([b''], ()),
+        ([b'5C1E:800, 91bd:410 ,e4:250'], ('5c1e', '91bd', 'e4')),
+        ([b'5c1e:800', b'91bd:410'], ('5c1e', '91bd')),
+        ([b'5c1e,,:4,x:y:z'], ('5c1e', '', 'x')),
+    ],
+    ids=['none', 'empty', 'list', 'two headers', 'malformed'],
+)
+def test_parts_of_a_prompt_are_read(values, parts):
+    # Guards against a part that can't be recognized because requests write it
+    # in another form, and against requests that are refused for the header.
+    headers = tuple((b'X-Kumquatrun-Prompt-Prefix', text) for text in values)
+    caller = PlatformFormat().read_request('POST', '/a/', headers)
+    assert caller.prompt_parts == parts
