Bound what a host reads of its own calls, also of packed answers

Tried on every reader that the earlier tests leave out. Found: the list of leaving hosts was read without any limit for the second of its poll (the test's server stops after 8 MiB, all of which was kept), and a packed list was unpacked: 256 MiB of blanks in a body of 0.25 MB took 537 MB of memory (tracemalloc peak), in every daemon that polls the list. The platform client bounded bodies, but asked for packed answers as well.

Cause: the limit stood at the reader of bodies, and this caller did not use it; aiohttp unpacks by default. Now both ask for no encoding, unpack nothing and read at most 1 MiB and 512 KiB. The body reader moves to the runtime package for that.

Evidence: 4 cases of tests/test_endless_platform.py failed before (list of hosts: body, chunks, packed; platform: encoding) and pass. Not faults: 21 kinds of endless heads and bodies to the platform client (at most 8 MiB and 0.8 s each, tested), and the sum of 390 endless answers at once to one entry, as bodies, heads and events (below 150 MB, with all requests beside them served, tested). Forwarded answers, streams and the engine client were bounded before (test_endless_answers, test_endless_streams, test_endless_engines). Read, not tried: peer frames (8 MiB, 16 KiB before a peer is known), operator bodies and callers' heads have limits of their own.

--- a/src/kumquatrun/daemon/host_list.py
+++ b/src/kumquatrun/daemon/host_list.py
@@ -1,11 +1,14 @@
 """Polls the platform's list of live and leaving hosts."""
 
 import asyncio
+import json
 import logging
 from collections.abc import Callable
 
 import aiohttp
 
+from kumquatrun.runtime.body_reader import read_body
+
 log = logging.getLogger(__name__)
 
 # A leaving host must receive no more requests after 4 s. Polling takes up to
@@ -14,6 +17,8 @@
 POLL_INTERVAL_S = 1.0
 POLL_TIMEOUT_S = 1.0
 HOSTS_PATH = '/hosts'
+# Largest list that is read; a record of a host takes about 50 bytes.
+MAX_LIST_BYTES = 1024 * 1024
 LEAVING = 'leaving'
 # Deeply nested JSON raises RecursionError.
 FETCH_ERRORS = (aiohttp.ClientError, RecursionError, TimeoutError, ValueError)
@@ -59,7 +64,12 @@
 
     async def _watch(self) -> None:
         timeout = aiohttp.ClientTimeout(total=POLL_TIMEOUT_S)
-        async with aiohttp.ClientSession(timeout=timeout) as http:
+        async with aiohttp.ClientSession(
+            timeout=timeout,
+            # A packed list could take far more memory than its size says.
+            headers={'Accept-Encoding': 'identity'},
+            auto_decompress=False,
+        ) as http:
             is_leaving = False
             while not is_leaving:
                 await asyncio.sleep(POLL_INTERVAL_S)
@@ -70,7 +80,8 @@
     async def _is_leaving(self, http: aiohttp.ClientSession) -> bool:
         try:
             async with http.get(self._url) as answer:
-                listed = await answer.json()
+                body = await read_body(answer.content, MAX_LIST_BYTES)
+            listed = json.loads(body)
         except FETCH_ERRORS as error:
             log.warning('event=host_list_unreachable error=%r', str(error))
             return False
--- a/src/kumquatrun/gateway/admission/admission.py
+++ b/src/kumquatrun/gateway/admission/admission.py
@@ -22,10 +22,6 @@
     identity_of,
     part_keys_of,
 )
-from kumquatrun.gateway.forwarding.body_reader import (
-    BodyTooLargeError,
-    read_body,
-)
 from kumquatrun.gateway.forwarding.request_report import RequestReport
 from kumquatrun.gateway.routing.configuration import (
     Configuration,
@@ -34,6 +30,10 @@
 )
 from kumquatrun.gateway.routing.request_state import RequestState
 from kumquatrun.gateway.routing.wire_format import CallerRequest
+from kumquatrun.runtime.body_reader import (
+    BodyTooLargeError,
+    read_body,
+)
 
 # Maximum wait for the first configuration: about the time that the control
 # hosts need to elect a leader after a full restart. The wait is also limited to
--- a/src/kumquatrun/gateway/forwarding/response_relay.py
+++ b/src/kumquatrun/gateway/forwarding/response_relay.py
@@ -17,15 +17,15 @@
     EventBoundary,
     ResumableStream,
 )
-from kumquatrun.gateway.forwarding.body_reader import (
-    BodyTooLargeError,
-    read_body,
-)
 from kumquatrun.gateway.forwarding.response_writer import ResponseWriter
 from kumquatrun.gateway.placement.reservations import Reservation
 from kumquatrun.gateway.routing.configuration import RouteKind
 from kumquatrun.gateway.routing.request_state import RequestState
 from kumquatrun.gateway.routing.wire_format import WireFormat
+from kumquatrun.runtime.body_reader import (
+    BodyTooLargeError,
+    read_body,
+)
 from kumquatrun.runtime.clock import Clock
 
 # Time limits of one attempt at a repeatable request, as multiples of the target
--- a/src/kumquatrun/platform/client.py
+++ b/src/kumquatrun/platform/client.py
@@ -6,12 +6,12 @@
 import aiohttp
 
 from kumquatrun.errors import ConnectionLostError
-from kumquatrun.gateway.forwarding.body_reader import (
+from kumquatrun.peer.address import Address
+from kumquatrun.platform.json_text import parse_json_entries
+from kumquatrun.runtime.body_reader import (
     BodyTooLargeError,
     read_body,
 )
-from kumquatrun.peer.address import Address
-from kumquatrun.platform.json_text import parse_json_entries
 from kumquatrun.runtime.error_text import error_text
 
 CALL_TIMEOUT_S = 0.8
@@ -94,6 +94,10 @@
             self._session = aiohttp.ClientSession(
                 connector=aiohttp.TCPConnector(limit=0),
                 cookie_jar=aiohttp.DummyCookieJar(),
+                # A packed response could take far more memory than its size
+                # says.
+                headers={'Accept-Encoding': 'identity'},
+                auto_decompress=False,
             )
         try:
             async with (
