Let operators unblock a request or prompt part

A sound part that is blocked by mistake, for example while all backend servers of a service kept ending, stayed blocked until a trial run or 24 h. The new command unblock removes what was counted, names the former state and stands in the audit trail. Tests: test_operator_unblocks_a_part and a row of test_cli; before, there was no such action.

--- a/src/kumquatrun/command_line/cli_operator.py
+++ b/src/kumquatrun/command_line/cli_operator.py
@@ -250,6 +250,12 @@
         'Drain a host: it gets no new work and finishes what it has.',
         (_argument('host_id'),),
     ),
+    SimpleAction(
+        'unblock',
+        'unblock',
+        'Allow a blocked request or prompt part that status lists.',
+        (_argument('fingerprint', click.STRING),),
+    ),
     SimpleAction(
         'replica add',
         'add_replica',
--- a/src/kumquatrun/control/commands.py
+++ b/src/kumquatrun/control/commands.py
@@ -61,6 +61,23 @@
     operation_id: str
 
 
+@message
+class Unblock:
+    """Removes what was counted for a request or a prompt part."""
+
+    fingerprint: str
+    operator: str
+    operation_id: str
+
+
+@message
+class UnblockReply:
+    """Returns the state of the fingerprint before it was removed."""
+
+    fingerprint: str
+    former_state: str
+
+
 @message
 class ApplyDocument:
     """Replaces the configuration document."""
--- a/src/kumquatrun/control/control_registers.py
+++ b/src/kumquatrun/control/control_registers.py
@@ -15,6 +15,8 @@
     KeyReply,
     ReportBudgets,
     RevokeKey,
+    Unblock,
+    UnblockReply,
 )
 from kumquatrun.control.configuration_commands import ConfigurationCommands
 from kumquatrun.control.configuration_register import (
@@ -82,6 +84,7 @@
             ClearSuspect: self._clear_suspect,
             ClearEndedRuns: self._clear_ended_runs,
             TakeTrialRun: self._take_trial_run,
+            Unblock: self._unblock,
             ApplyDocument: self._apply_document,
             IssueKey: self._issue_key,
             RevokeKey: self._revoke_key,
@@ -252,6 +255,15 @@
     def _take_trial_run(self, command: TakeTrialRun) -> TrialRunReply:
         return self.crashes.take_trial(command, self.now_ms)
 
+    def _unblock(self, command: Unblock) -> UnblockReply:
+        change = self.crashes.unblock(command.fingerprint, self.now_ms)
+        self._record_fingerprints([change], command.operator)
+        _, former_state, _ = change
+        return UnblockReply(
+            fingerprint=command.fingerprint,
+            former_state=former_state,
+        )
+
     def _clear_suspect(self, command: ClearSuspect) -> Ack:
         change = self.quarantine.handle(
             command.fingerprint,
--- a/src/kumquatrun/control/crash_register.py
+++ b/src/kumquatrun/control/crash_register.py
@@ -94,6 +94,11 @@
         self._forget(fingerprint)
         return [self._quarantine.handle(fingerprint, 'completed', now_ms)]
 
+    def unblock(self, fingerprint: str, now_ms: int) -> FingerprintChange:
+        """Remove what was counted, as an operator has decided."""
+        self._forget(fingerprint)
+        return self._quarantine.handle(fingerprint, 'unblocked', now_ms)
+
     def take_trial(self, command: TakeTrialRun, now_ms: int) -> TrialRunReply:
         """Grant a trial run if one is due."""
         trials = self._trials.get(command.fingerprint)
--- a/src/kumquatrun/control/operator_actions.py
+++ b/src/kumquatrun/control/operator_actions.py
@@ -13,6 +13,7 @@
     DrainHost,
     IssueKey,
     RevokeKey,
+    Unblock,
 )
 from kumquatrun.control.control_state import ControlState
 from kumquatrun.document.document_transfer import pack_content, unpack_arguments
@@ -52,6 +53,7 @@
             'issue_key': IssueKey,
             'revoke_key': RevokeKey,
             'drain_host': DrainHost,
+            'unblock': Unblock,
         }
         self._reads: Mapping[str, Callable[..., Fields]] = {
             'get_document': self._document,
--- a/tests/fake_control.py
+++ b/tests/fake_control.py
@@ -33,6 +33,7 @@
     'list_adapters': {'adapters': []},
     'list_audit': {'records': [{'number': 1, 'operator': 'ada'}]},
     'list_replicas': {'replicas': [{'replica_id': 'a', 'voter': True}]},
+    'unblock': {'fingerprint': 'part:5c', 'former_state': 'blocked'},
     'drain_host': {'record': {'host_id': 'e1', 'draining': True}},
     'add_replica': {},
     'remove_replica': {},
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -89,6 +89,12 @@
         {'after': 7, 'limit': 20},
         'number  operator',
     ),
+    (
+        ('unblock', 'part:5c'),
+        'unblock',
+        {'fingerprint': 'part:5c'},
+        'former_state: blocked',
+    ),
     (('drain', 'e1'), 'drain_host', {'host_id': 'e1'}, 'draining: yes'),
     (
         ('replica', 'add', 'd', '10.0.0.4:7400', 'disk-4'),
--- a/tests/test_crash_register.py
+++ b/tests/test_crash_register.py
@@ -4,6 +4,7 @@
 import pytest
 from tests.shared_state import Cluster
 
+from kumquatrun.control.commands import Unblock
 from kumquatrun.control.control_state import ControlState
 from kumquatrun.control.crash_register import (
     PART_TRIAL_DELAYS_MS,
@@ -150,6 +151,21 @@
     assert restored.get(PART, 'clear') == state
 
 
+@pytest.mark.parametrize('steps', [PART_ENDS, PART_ENDS[:1], []])
+def test_operator_unblocks_a_part(steps):
+    # Guards against a sound part that stays blocked although an operator knows
+    # that it is sound, and against ends that are still counted afterwards.
+    cluster = played(steps)
+    reply = cluster.run(
+        Unblock(fingerprint=PART, operator='amina', operation_id='u1')
+    )
+    former = {3: 'blocked', 1: 'suspect', 0: 'clear'}[len(steps)]
+    assert reply.former_state == former
+    assert fingerprints_of(cluster) == {}
+    cluster.run(part_ended('b7', 'r7'))
+    assert fingerprints_of(cluster) == {PART: 'suspect'}
+
+
 def test_sound_parts_beside_a_deadly_one_are_cleared():
     # Guards against sound parts that stay suspects of ends that a blocked part
     # explains, and are blocked by the next end with another cause.
