Block a part at its third end under one request, and grant joint trial runs

Cause, from the log: one request was sent again until its fingerprint was blocked, and that block explained away the only end that counted for its part, so the next request began to count anew. An end under a request no longer explains what counts for its own parts, and three ends block a part even if all are of one request. Order: all rows of a report are counted before one of them is blocked, since the first part of a prompt could else clear the deadly one behind it.

A reset of many servers arrives within a round trip, so 0.2 s is enough.

Tests: test_blocked_request_does_not_explain_ends_of_its_own_parts, test_order_of_parts_does_not_decide_which_is_blocked, test_request_with_several_blocked_parts_gets_a_trial, test_request_with_two_blocked_parts_asks_for_a_joint_trial; each failed before. 276 tests of these files pass.

--- a/src/kumquatrun/control/crash_register.py
+++ b/src/kumquatrun/control/crash_register.py
@@ -28,6 +28,9 @@
 # A trial run of a prompt part that does crash backend servers ends all runs of
 # one more, so a part that was blocked by mistake waits longer.
 PART_TRIAL_DELAYS_MS = (30_000, 300_000, 3_600_000)
+# A request with several blocked parts waits this many times as long: the answer
+# to one with a single blocked part tells more.
+JOINT_TRIAL_FACTOR = 2
 BLOCKED = 'blocked'
 
 
@@ -38,11 +41,13 @@
     blocked_at_ms: int
     granted: int = 0
 
-    def is_due(self, now_ms: int, delays_ms: tuple[int, ...]) -> bool:
+    def is_due(
+        self, now_ms: int, delays_ms: tuple[int, ...], factor: int
+    ) -> bool:
         """Return whether a trial run may be granted now."""
         if self.granted >= len(delays_ms):
             return False
-        return now_ms >= self.blocked_at_ms + delays_ms[self.granted]
+        return now_ms >= self.blocked_at_ms + factor * delays_ms[self.granted]
 
 
 class CrashRegister:
@@ -57,7 +62,6 @@
         self, command: ReportSuspects, now_ms: int
     ) -> list[FingerprintChange]:
         """Count the runs that ended with one backend server."""
-        changes = []
         # Earlier versions report no requests.
         requests = command.requests or ('',) * len(command.fingerprints)
         rows = zip(
@@ -75,8 +79,13 @@
                 request=request,
             )
             self._runs.add(fingerprint, run)
-            changes.extend(self._follow_count(fingerprint, now_ms))
-        return changes
+        # All are counted before one is blocked: what it explains must not
+        # depend on the order of the parts in a prompt.
+        return [
+            change
+            for counted in dict.fromkeys(command.fingerprints)
+            for change in self._follow_count(counted, now_ms)
+        ]
 
     def clear(
         self, command: ClearEndedRuns, now_ms: int
@@ -100,18 +109,19 @@
         return self._quarantine.handle(fingerprint, 'unblocked', now_ms)
 
     def take_trial(self, command: TakeTrialRun, now_ms: int) -> TrialRunReply:
-        """Grant a trial run if one is due."""
-        trials = self._trials.get(command.fingerprint)
-        delays_ms = (
-            PART_TRIAL_DELAYS_MS
-            if is_part_key(command.fingerprint)
-            else TRIAL_DELAYS_MS
+        """Grant a trial run if one is due for all that blocks the request."""
+        fingerprints = (command.fingerprint, *command.others)
+        factor = JOINT_TRIAL_FACTOR if command.others else 1
+        is_granted = all(
+            self._is_trial_due(fingerprint, now_ms, factor)
+            for fingerprint in fingerprints
         )
-        is_granted = trials is not None and trials.is_due(now_ms, delays_ms)
         if is_granted:
-            self._trials[command.fingerprint] = replace(
-                trials, granted=trials.granted + 1
-            )
+            for fingerprint in fingerprints:
+                trials = self._trials[fingerprint]
+                self._trials[fingerprint] = replace(
+                    trials, granted=trials.granted + 1
+                )
         return TrialRunReply(is_granted=is_granted)
 
     def follow(self, changes: list[FingerprintChange]) -> None:
@@ -158,6 +168,15 @@
             ),
         ]
 
+    def _is_trial_due(self, fingerprint: str, now_ms: int, factor: int) -> bool:
+        trials = self._trials.get(fingerprint)
+        delays_ms = (
+            PART_TRIAL_DELAYS_MS
+            if is_part_key(fingerprint)
+            else TRIAL_DELAYS_MS
+        )
+        return trials is not None and trials.is_due(now_ms, delays_ms, factor)
+
     def _forget(self, fingerprint: str) -> None:
         self._runs.forget(fingerprint)
         self._trials.pop(fingerprint, None)
--- a/src/kumquatrun/control/ended_runs.py
+++ b/src/kumquatrun/control/ended_runs.py
@@ -8,17 +8,19 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from kumquatrun.control.part_keys import is_part_key
+from kumquatrun.control.part_keys import is_request_of
 
 # A request is refused once this many backend servers ended while they ran it.
 # Fewer may have ended for other reasons.
 END_LIMIT = 3
-# Limit for a prompt part. It is lower, since only runs without an event count
-# and any event of a run with the part clears it.
+# Limit for a prompt part if its runs are of different requests. It is lower,
+# since only runs without an event count and any event of a run with the part
+# clears it. A request that crashes backend servers by itself does so with any
+# of its parts, so ends under one request need ``END_LIMIT``.
 PART_END_LIMIT = 2
 # Ends within this time count once for a prompt part: they may have a common
 # cause, such as a lost rack, or come from requests that were sent together.
-COMMON_CAUSE_MS = 500
+COMMON_CAUSE_MS = 200
 # Limit that also counts runs whose backend server was seen to be alive
 # afterwards: every response to the request broke off.
 BREAK_LIMIT = 6
@@ -54,18 +56,11 @@
             and other.began_ms <= self.ended_ms
         )
 
-    def is_same_evidence(self, other: 'EndedRun') -> bool:
-        """Return whether another run adds nothing against a prompt part.
-
-        A request that crashes backend servers by itself does so with any of
-        its parts, so only different requests are evidence against a part.
-        """
+    def may_have_cause_of(self, other: 'EndedRun') -> bool:
+        """Return whether another run adds nothing against a prompt part."""
         if not other.request or self.is_refuted:
             return False
-        return (
-            self.request == other.request
-            or abs(self.ended_ms - other.ended_ms) < COMMON_CAUSE_MS
-        )
+        return abs(self.ended_ms - other.ended_ms) < COMMON_CAUSE_MS
 
 
 class EndedRuns:
@@ -84,7 +79,7 @@
         """Count a run, unless its backend server's end is counted already."""
         known = self._runs.pop(fingerprint, ())
         is_new = not any(
-            other.is_same_end(run) or other.is_same_evidence(run)
+            other.is_same_end(run) or other.may_have_cause_of(run)
             for other in known
         )
         if is_new and len(known) < BREAK_LIMIT:
@@ -94,9 +89,13 @@
     def is_over_limit(self, fingerprint: str) -> bool:
         """Return whether requests with this fingerprint must be refused."""
         runs = self._runs.get(fingerprint, ())
-        ends = sum(not run.is_refuted for run in runs)
-        limit = PART_END_LIMIT if is_part_key(fingerprint) else END_LIMIT
-        return ends >= limit or len(runs) >= BREAK_LIMIT
+        ends = [run for run in runs if not run.is_refuted]
+        requests = {run.request for run in ends}
+        return (
+            len(ends) >= END_LIMIT
+            or len(requests) >= PART_END_LIMIT
+            or len(runs) >= BREAK_LIMIT
+        )
 
     def refute(self, fingerprint: str, backend_id: str) -> None:
         """Record that a backend server was alive after its runs."""
@@ -134,13 +133,19 @@
 
         A request that ran once beside the one that ended a backend server is
         not to blame for that end. One that shares more ends may be the cause
-        itself, and this one the request beside it. Returns the fingerprints
-        that have no runs left.
+        itself, and this one the request beside it. Neither does a request
+        explain an end under itself that counts for its prompt parts. Returns
+        the fingerprints that have no runs left.
         """
         causes = self._runs.get(fingerprint, ())
         cleared = []
         for other, runs in self._runs.items():
-            left = tuple(run for run in runs if not _is_explained(run, causes))
+            left = tuple(
+                run
+                for run in runs
+                if is_request_of(run.request, fingerprint)
+                or not _is_explained(run, causes)
+            )
             if other == fingerprint or len(runs) - len(left) != 1:
                 continue
             self._runs[other] = left
--- a/src/kumquatrun/gateway/admission/admission.py
+++ b/src/kumquatrun/gateway/admission/admission.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 
+from kumquatrun.control.part_keys import request_identity
 from kumquatrun.errors import (
     ControlUnreachableError,
     InvalidKeyError,
@@ -19,7 +20,6 @@
 from kumquatrun.gateway.crashes.crash_watch import (
     CrashWatch,
     fingerprint_of,
-    identity_of,
     part_keys_of,
 )
 from kumquatrun.gateway.forwarding.request_report import RequestReport
@@ -130,7 +130,7 @@
             deadline_s=deadline_s,
             fingerprint=fingerprint,
             part_keys=part_keys,
-            identity=identity_of(caller, fingerprint),
+            identity=request_identity(fingerprint, caller.prompt_parts),
             is_trial=is_trial,
         )
 
--- a/src/kumquatrun/gateway/crashes/crash_watch.py
+++ b/src/kumquatrun/gateway/crashes/crash_watch.py
@@ -77,18 +77,6 @@
     return tuple(dict.fromkeys(map(part_key, shared)))
 
 
-def identity_of(request: CallerRequest, fingerprint: str) -> str:
-    """Return a hash that differs between requests with other prompts.
-
-    Requests with other prompts may have equal bodies, and so one fingerprint.
-    """
-    digest = hashlib.blake2b(fingerprint.encode(), digest_size=12)
-    for part_id in request.prompt_parts:
-        digest.update(part_id.encode('utf-8', 'surrogateescape'))
-        digest.update(b'\0')
-    return digest.hexdigest()
-
-
 @dataclass(frozen=True, slots=True)
 class TrialSchedule:
     """When this host asks for the next trial run of a fingerprint."""
@@ -129,13 +117,12 @@
         refused = tuple(filter(self._is_refused, (fingerprint, *part_keys)))
         if not refused:
             return False
-        # A trial run tells nothing about two suspects.
-        if len(refused) == 1 and await self._take_trial(refused[0]):
+        if await self._take_trial(refused):
             log_event(
                 log,
                 'trial_run_granted',
                 request_id=request_id,
-                fingerprint=refused[0],
+                fingerprint=','.join(refused),
             )
             return True
         raise self._refusal(refused[0])
@@ -234,7 +221,8 @@
             cause='part_blocked' if is_part else 'blocked',
         )
 
-    async def _take_trial(self, fingerprint: str) -> bool:
+    async def _take_trial(self, refused: tuple[str, ...]) -> bool:
+        fingerprint = refused[0]
         now_s = self._clock.now_s()
         schedule = self._schedules.get(fingerprint)
         if schedule is None:
@@ -251,6 +239,7 @@
         request = TakeTrialRun(
             host_id=self._session.record.host_id,
             fingerprint=fingerprint,
+            others=refused[1:],
         )
         try:
             reply = await self._session.control.call(request, TRIAL_TIMEOUT_S)
--- a/src/kumquatrun/gateway/routing/request_state.py
+++ b/src/kumquatrun/gateway/routing/request_state.py
@@ -29,7 +29,7 @@
     part_keys
         Keys of the prompt parts that other requests may share.
     identity
-        Hash that differs between requests with other prompts.
+        Text that differs between requests with other prompts.
     is_trial
         Whether only one run is allowed, although the request is blocked.
     tried_backends
--- a/src/kumquatrun/peer/node_messages.py
+++ b/src/kumquatrun/peer/node_messages.py
@@ -258,10 +258,14 @@
 
 @message
 class TakeTrialRun:
-    """Asks for permission to run a blocked request once."""
+    """Asks for permission to run a blocked request once.
+
+    ``others`` are further fingerprints that the request is blocked for.
+    """
 
     host_id: str
     fingerprint: str
+    others: tuple[str, ...] = ()
 
 
 @message
