Log a request that is not sent for a suspect part, and watch up to 255 parts

A retry that is withheld because a part of the prompt is a suspect left no line of its own: the cause of request_finished names the broken attempt only. send_refused names the part, the runs so far and the state. A deadly part behind the 32nd of a prompt was not counted; a report holds 256 rows, so 255 parts and the request itself fit. Found by reading the diff; test_shared_parts_are_bounded_and_leave_out_the_last covers the bound.

--- a/src/kumquatrun/gateway/crashes/crash_watch.py
+++ b/src/kumquatrun/gateway/crashes/crash_watch.py
@@ -46,8 +46,9 @@
 LOCAL_WINDOW_S = 60.0
 FEED_DELAY_S = 2.0
 MAX_LOCAL_FINGERPRINTS = 2000
-# Parts of one prompt that are watched; the first ones are shared most.
-MAX_PART_KEYS = 32
+# Parts of one prompt that are watched. Headers hold more, but all parts of a run
+# must fit into one report.
+MAX_PART_KEYS = 255
 # Time until a blocked prompt part may get its first trial run.
 PART_RETRY_AFTER_S = 30.0
 
@@ -137,6 +138,14 @@
         """
         fingerprint = self._refused_fingerprint(request_state)
         if fingerprint:
+            log_event(
+                log,
+                'send_refused',
+                request_id=request_state.request.request_id,
+                fingerprint=fingerprint,
+                runs=request_state.runs,
+                state=self._session.view.fingerprint_state(fingerprint),
+            )
             raise self._refusal(fingerprint)
 
     def begin(
@@ -189,7 +198,8 @@
     def _refused_fingerprint(self, request_state: RequestState) -> str:
         """Return what a request must not be sent for, or an empty string."""
         if request_state.is_trial:
-            return request_state.fingerprint * request_state.may_have_run
+            is_spent = request_state.may_have_run
+            return request_state.fingerprint if is_spent else ''
         fingerprints = (request_state.fingerprint, *request_state.part_keys)
         refused = next(filter(self._is_refused, fingerprints), '')
         if refused or not request_state.may_have_run:
