Refuse a part by a host's own count for at most 0.3 s after its report

The feed brings the fleet's state within a few round trips, so a part is refused by the own count for 0.3 s after delivery; while a report is not delivered, as before. The test failed before.

--- a/src/kumquatrun/gateway/crashes/crash_watch.py
+++ b/src/kumquatrun/gateway/crashes/crash_watch.py
@@ -45,6 +45,9 @@
 # delivered, and until the feed has brought the count of the fleet.
 LOCAL_WINDOW_S = 60.0
 FEED_DELAY_S = 2.0
+# The same for a prompt part. Other hosts may have cleared a part that sound
+# requests share, so this host must not refuse it for long by its own count.
+PART_FEED_DELAY_S = 0.3
 MAX_LOCAL_FINGERPRINTS = 2000
 # Parts of one prompt that are watched. Headers hold more, but all parts of a run
 # must fit into one report.
@@ -336,7 +339,10 @@
     def _on_delivered(self, fingerprint: str) -> None:
         """Let the count of the fleet replace that of this host."""
         ends_s = self._local_ends_s.get(fingerprint)
-        if ends_s is not None:
-            self._local_ends_s[fingerprint] = min(
-                ends_s, self._clock.now_s() + FEED_DELAY_S
-            )
+        if ends_s is None:
+            return
+        is_part = is_part_key(fingerprint)
+        delay_s = PART_FEED_DELAY_S if is_part else FEED_DELAY_S
+        self._local_ends_s[fingerprint] = min(
+            ends_s, self._clock.now_s() + delay_s
+        )
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -331,6 +331,23 @@
     await host.watch.close(0.01)
 
 
+async def test_part_that_the_fleet_has_cleared_is_not_refused_for_long():
+    # Guards against a host that refuses all requests with a sound part for
+    # seconds, because it alone saw two ends and others have cleared them.
+    host = Watch()
+    for number in range(2):
+        host.clock.time_s += 1
+        run = host.begin(
+            f'b{number}', fingerprint=f'{number}', parts=('part:a',)
+        )
+        host.end(run, RunEnding.BROKEN)
+    with pytest.raises(QuarantinedError):
+        await host.watch.admit('r', 'f', ('part:a',))
+    await host.sent(ReportSuspects)
+    host.clock.time_s += 0.5
+    assert not await host.watch.admit('r', 'f', ('part:a',))
+
+
 async def test_later_clearing_message_replaces_an_earlier_one():
     # Guards against a clearing message that waits for delivery and hides a
     # later one, so that an end between the two stays counted.
