Move the head of a response to a module of its own

ResponseHead, Framing and RawHeaders move to response_head.py without a change of behaviour; two doc comments are wrapped, one shows what clears a part. Tests of the connection, the register, the streams and the layers pass.

--- a/src/kumquatrun/control/control_registers.py
+++ b/src/kumquatrun/control/control_registers.py
@@ -258,11 +258,7 @@
     def _unblock(self, command: Unblock) -> UnblockReply:
         change = self.crashes.unblock(command.fingerprint, self.now_ms)
         self._record_fingerprints([change], command.operator)
-        _, former_state, _ = change
-        return UnblockReply(
-            fingerprint=command.fingerprint,
-            former_state=former_state,
-        )
+        return UnblockReply(fingerprint=change[0], former_state=change[1])
 
     def _clear_suspect(self, command: ClearSuspect) -> Ack:
         change = self.quarantine.handle(
--- a/src/kumquatrun/control/crash_register.py
+++ b/src/kumquatrun/control/crash_register.py
@@ -1,10 +1,11 @@
 """Decides which requests are refused because backend servers ended under them.
 
 What is counted and blocked is the fingerprint of a request or the key of a
-prompt part; both are called fingerprints here. Entries report each run that ended with its backend server. A completed run
-shows that a request is harmless and removes what was counted. A fingerprint at
-the limit is blocked: no entry sends the request. A request can reach the limit
-by accident, when several backend servers end for another reason, so single
+prompt part; both are called fingerprints here. Entries report each run that
+ended with its backend server. A completed run shows that a request is harmless,
+and an answer that the parts of its prompt are; what was counted is removed. A
+fingerprint at the limit is blocked: no entry sends the request. It can reach the
+limit by accident, when several backend servers end for another reason, so single
 trial runs are granted, one at a time in the whole fleet.
 """
 
--- a/src/kumquatrun/gateway/backends/backend_connection.py
+++ b/src/kumquatrun/gateway/backends/backend_connection.py
@@ -7,8 +7,6 @@
 
 import asyncio
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
-from enum import StrEnum
 from typing import Any
 
 from aiohttp.base_protocol import BaseProtocol
@@ -16,6 +14,10 @@
 from aiohttp.streams import StreamReader
 
 from kumquatrun.errors import ConnectionLostError, Outcome
+from kumquatrun.gateway.backends.response_head import (
+    ResponseHead,
+    framing_of,
+)
 from kumquatrun.gateway.backends.response_size import ResponseSize
 from kumquatrun.gateway.backends.socket_options import detect_dead_peer
 from kumquatrun.peer.address import Address
@@ -30,7 +32,6 @@
 MAX_HEADER_LINE_BYTES = 32 * 1024
 END_OF_HEAD = b'\r\n\r\n'
 INFORMATIONAL_STATUSES = range(100, 200)
-BODYLESS_STATUSES = frozenset((204, 304))
 # A port out of range raises OverflowError, an invalid host name ValueError.
 CONNECT_ERRORS = (OSError, OverflowError, TimeoutError, ValueError)
 
@@ -38,8 +39,6 @@
 # to the protocol in one step.
 _read_buffer = memoryview(bytearray(SOCKET_READ_BYTES))
 
-RawHeaders = tuple[tuple[bytes, bytes], ...]
-
 
 class BrokenResponseError(ConnectionLostError):
     """A response ended early or was not valid HTTP."""
@@ -49,35 +48,6 @@
     """A response was not valid; the backend server still sent bytes."""
 
 
-class Framing(StrEnum):
-    """What marks the end of a response body."""
-
-    EMPTY = 'empty'
-    LENGTH = 'length'
-    CHUNKS = 'chunks'
-    # The end of the connection.
-    CLOSE = 'close'
-
-
-@dataclass(frozen=True, kw_only=True)
-class ResponseHead:
-    """Status and headers of a response, with its body stream."""
-
-    status: int
-    reason: str
-    headers: RawHeaders
-    body: StreamReader
-    framing: Framing
-    keeps_alive: bool
-
-    def header(self, name: bytes) -> str:
-        """Return the first value of a header, or an empty string."""
-        for key, value in self.headers:
-            if key.lower() == name:
-                return value.decode('latin-1')
-        return ''
-
-
 class BackendConnection(BaseProtocol, asyncio.BufferedProtocol):
     """One TCP connection to a backend server.
 
@@ -314,7 +284,9 @@
             reason=message.reason or '',
             headers=message.raw_headers,
             body=body,
-            framing=self._framing_of(message),
+            framing=framing_of(
+                message, has_response_body=self._has_response_body
+            ),
             keeps_alive=not message.should_close,
         )
         if self._head.done() or not self._matches_request(head):
@@ -323,15 +295,6 @@
         self._response_size.end_head(body)
         self._head.set_result(head)
 
-    def _framing_of(self, message: Any) -> Framing:
-        length = message.headers.get('Content-Length')
-        is_bodyless = message.code in BODYLESS_STATUSES or length == '0'
-        if is_bodyless or not self._has_response_body:
-            return Framing.EMPTY
-        if message.chunked:
-            return Framing.CHUNKS
-        return Framing.CLOSE if length is None else Framing.LENGTH
-
     def _fail_and_abort(self, problem: str) -> None:
         if not self.is_response_incomplete:
             self.has_extra_bytes = True
--- a/src/kumquatrun/gateway/backends/connection_pool.py
+++ b/src/kumquatrun/gateway/backends/connection_pool.py
@@ -5,9 +5,11 @@
 
 from kumquatrun.gateway.backends.backend_connection import (
     BackendConnection,
-    ResponseHead,
     open_connection,
 )
+from kumquatrun.gateway.backends.response_head import (
+    ResponseHead,
+)
 from kumquatrun.peer.address import Address
 
 # Idle time after which a connection is not reused if the backend server states
--- a/src/kumquatrun/gateway/forwarding/forwarder.py
+++ b/src/kumquatrun/gateway/forwarding/forwarder.py
@@ -17,9 +17,11 @@
     BackendConnection,
     BrokenResponseError,
     MalformedResponseError,
-    ResponseHead,
 )
 from kumquatrun.gateway.backends.backends import Backend
+from kumquatrun.gateway.backends.response_head import (
+    ResponseHead,
+)
 from kumquatrun.gateway.crashes.crash_watch import CrashWatch
 from kumquatrun.gateway.crashes.watched_run import RunEnding
 from kumquatrun.gateway.forwarding.response_relay import (
--- a/src/kumquatrun/gateway/forwarding/response_relay.py
+++ b/src/kumquatrun/gateway/forwarding/response_relay.py
@@ -8,15 +8,17 @@
 from kumquatrun.gateway.backends.backend_connection import (
     BackendConnection,
     BrokenResponseError,
-    Framing,
     MalformedResponseError,
-    ResponseHead,
 )
 from kumquatrun.gateway.backends.event_stream import (
     EVENT_STREAM,
     EventBoundary,
     ResumableStream,
 )
+from kumquatrun.gateway.backends.response_head import (
+    Framing,
+    ResponseHead,
+)
 from kumquatrun.gateway.forwarding.response_writer import ResponseWriter
 from kumquatrun.gateway.placement.reservations import Reservation
 from kumquatrun.gateway.routing.configuration import RouteKind
@@ -74,8 +76,9 @@
     ) -> tuple[AttemptResult, ResponseHead | None]:
         """Relay the response to a request that was sent.
 
-        ``on_answer`` is called once the first event of a stream, or a
-        successful response that is no stream, has arrived in full. Returns how the attempt ended, and the head of a complete response.
+        Calls ``on_answer`` once the first event of a stream, or a successful
+        response that is no stream, has arrived in full. Returns how the
+        attempt ended, and the head of a complete response.
 
         Raises
         ------
--- a/src/kumquatrun/gateway/routing/request_state.py
+++ b/src/kumquatrun/gateway/routing/request_state.py
@@ -2,8 +2,10 @@
 
 from dataclasses import dataclass, field
 
-from kumquatrun.gateway.backends.backend_connection import ResponseHead
 from kumquatrun.gateway.backends.event_stream import ResumableStream
+from kumquatrun.gateway.backends.response_head import (
+    ResponseHead,
+)
 from kumquatrun.gateway.routing.configuration import GatewayRoute
 from kumquatrun.gateway.routing.wire_format import CallerRequest
 
--- a/src/kumquatrun/gateway/routing/wire_format.py
+++ b/src/kumquatrun/gateway/routing/wire_format.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from kumquatrun.gateway.backends.backend_connection import (
+from kumquatrun.gateway.backends.response_head import (
     RawHeaders,
     ResponseHead,
 )
--- a/src/kumquatrun/platform/requests.py
+++ b/src/kumquatrun/platform/requests.py
@@ -1,7 +1,7 @@
 """Headers of requests and responses in the platform's format."""
 
 from kumquatrun.errors import InvalidRequestError
-from kumquatrun.gateway.backends.backend_connection import (
+from kumquatrun.gateway.backends.response_head import (
     RawHeaders,
     ResponseHead,
 )
--- a/tests/test_backend_connection.py
+++ b/tests/test_backend_connection.py
@@ -10,10 +10,12 @@
 from kumquatrun.errors import ConnectionLostError, Outcome
 from kumquatrun.gateway.backends.backend_connection import (
     BrokenResponseError,
-    Framing,
     open_connection,
 )
 from kumquatrun.gateway.backends.connection_pool import ConnectionPool
+from kumquatrun.gateway.backends.response_head import (
+    Framing,
+)
 from kumquatrun.peer.address import Address
 
 HEAD = b'POST / HTTP/1.1\r\nX-Kumquatrun-Attempt-Id: one\r\n\r\n'
