Begin all endless answers of the test at the same time

Traced: 390 servers, their readers and tracemalloc share one event loop, so a connection took longer than the connect limit of 0.4 s, the fake had no other server and the test ended with no_capacity. The fault is the test's, not the entry's: between hosts the servers have loops of their own.

The replacement is stricter: the server answers only once all 390 requests have arrived, so that all answers run at the same time; each must end with an error, and the connect limit is raised for the test.

--- a/tests/test_endless_platform.py
+++ b/tests/test_endless_platform.py
@@ -4,6 +4,7 @@
 import gzip
 import tracemalloc
 from contextlib import contextmanager, suppress
+from functools import partial
 
 import pytest
 from tests.endless_server import EndlessServer
@@ -20,6 +21,8 @@
 
 from kumquatrun.daemon.host_list import HostListWatcher
 from kumquatrun.errors import BackendError, ConnectionLostError
+from kumquatrun.gateway.backends import connection_pool
+from kumquatrun.gateway.backends.backend_connection import open_connection
 from kumquatrun.gateway.forwarding.forwarder import Forwarder
 from kumquatrun.gateway.forwarding.shared_retry_budgets import (
     SharedRetryBudgets,
@@ -36,6 +39,7 @@
 # 300 MB of an entry.
 SUM_BYTES = 150 * 1024 * 1024
 CONNECTIONS = 390
+LIMIT_S = 60
 BOMB_BYTES = 256 * 1024 * 1024
 
 
@@ -115,10 +119,14 @@
 
 
 class EndlessConnections:
-    """Backend server that answers every request without end."""
+    """Backend server that answers all requests without end, at the same time.
+
+    It begins once ``CONNECTIONS`` requests have arrived.
+    """
 
     def __init__(self, begin, piece):
         self.requests = 0
+        self.all_arrived = asyncio.Event()
         self._begin = begin
         self._piece = piece
 
@@ -133,12 +141,15 @@
         with suppress(OSError, EOFError):
             await read_request(reader)
             self.requests += 1
+            if self.requests == CONNECTIONS:
+                self.all_arrived.set()
+            await self.all_arrived.wait()
             writer.write(self._begin.replace(b'{id}', b'attempt-1'))
             while True:
                 writer.write(self._piece)
                 await writer.drain()
                 # Leaves the loop time for the requests beside it.
-                await asyncio.sleep(0.2)
+                await asyncio.sleep(0.05)
         writer.transport.abort()
 
 
@@ -162,36 +173,43 @@
     ],
     ids=['body', 'head', 'event'],
 )
-async def test_sum_of_endless_answers_is_bounded(kind, begin, piece):
+async def test_sum_of_endless_answers_is_bounded(
+    kind, begin, piece, monkeypatch
+):
     # Guards against an entry that bounds one endless answer and is killed for
     # its memory use by many at once; requests beside them stay served.
+    # The servers share the event loop of the entry, so connecting takes longer
+    # than between hosts.
+    monkeypatch.setattr(
+        connection_pool,
+        'open_connection',
+        partial(open_connection, timeout_s=LIMIT_S),
+    )
     endless_server = await EndlessConnections(begin, piece).start()
     sound = await ScriptedBackend(*[[http_response(b'whole')]] * 20).start()
 
-    async def run_endless(number):
-        # A connection must be open within 0.4 s.
-        await asyncio.sleep(number / 500)
+    async def run_endless():
         request_state = request_state_of(kind, is_resumable=True)
-        with suppress(BackendError, TimeoutError):
+        request_state.deadline_s += LIMIT_S
+        with pytest.raises(BackendError):
             await forwarder_to(endless_server).run(request_state, Caller())
 
     async def run_sound():
         served = 0
-        # All connections to the faulty server have been opened by then.
-        await asyncio.sleep(0.8)
+        await endless_server.all_arrived.wait()
         for _ in range(20):
             caller = Caller()
-            await forwarder_to(sound).run(
-                request_state_of('non_idempotent'), caller
-            )
+            request_state = request_state_of('non_idempotent')
+            request_state.deadline_s += LIMIT_S
+            await forwarder_to(sound).run(request_state, caller)
             served += caller.body == b'whole'
             await asyncio.sleep(0.02)
         return served
 
     with peak_below(SUM_BYTES):
-        async with asyncio.timeout(60):
+        async with asyncio.timeout(LIMIT_S):
             served, *_ = await asyncio.gather(
-                run_sound(), *map(run_endless, range(CONNECTIONS))
+                run_sound(), *(run_endless() for _ in range(CONNECTIONS))
             )
     assert served == 20
     assert endless_server.requests == CONNECTIONS
