Let an answer since a run began clear its parts, also one before the feed told

Once such a part is blocked, no request with it runs and nothing clears it until a trial run.

Now a part that was answered at the same entry since a run began is not counted for that run; a clearing message removes all runs that began before its answer, not only those that were seen to end before it; and an entry that refuses a part reports when it last answered it, so a popular part is free again after a round trip. A part that begins to crash backend servers is not answered after its runs began, so its count is as before.

Tests that failed before: test_part_that_is_answered_beside_a_silent_run_is_not_counted, test_earlier_answer_is_reported_once_its_part_is_blocked, a case of test_state_of_a_part_follows_counted_ends.

--- a/src/kumquatrun/control/ended_runs.py
+++ b/src/kumquatrun/control/ended_runs.py
@@ -113,11 +113,15 @@
         self._runs.pop(fingerprint, None)
 
     def forget_until(self, fingerprint: str, until_ms: int) -> None:
-        """Remove the runs of a fingerprint that ended by a time."""
+        """Remove the runs of a fingerprint that began by a time.
+
+        An answer after a run began shows that the run is not to blame; when it
+        ended may be noticed seconds later.
+        """
         left = tuple(
             run
             for run in self._runs.pop(fingerprint, ())
-            if run.ended_ms > until_ms
+            if run.began_ms > until_ms
         )
         if left:
             self._runs[fingerprint] = left
--- a/src/kumquatrun/gateway/crashes/crash_watch.py
+++ b/src/kumquatrun/gateway/crashes/crash_watch.py
@@ -19,6 +19,7 @@
 from kumquatrun.control.ended_runs import EndedRun, EndedRuns
 from kumquatrun.control.part_keys import is_part_key, part_key
 from kumquatrun.errors import KumquatrunError, QuarantinedError
+from kumquatrun.gateway.crashes.answered_parts import AnsweredParts
 from kumquatrun.gateway.crashes.backend_signs import BackendSigns
 from kumquatrun.gateway.crashes.suspect_reports import SuspectReports
 from kumquatrun.gateway.crashes.watched_run import (
@@ -97,6 +98,7 @@
         self._clock = clock
         self._signs = BackendSigns()
         self._reports = SuspectReports(session, clock, self._on_delivered)
+        self._answered_parts = AnsweredParts()
         # Runs that are being answered.
         self._answering: set[WatchedRun] = set()
         self._local_runs = EndedRuns()
@@ -121,6 +123,8 @@
         refused = tuple(filter(self._is_refused, (fingerprint, *part_keys)))
         if not refused:
             return False
+        for key in refused:
+            self._report_known_answer(key)
         if await self._take_trial(refused):
             log_event(
                 log,
@@ -173,7 +177,9 @@
     def record_answer(self, run: WatchedRun) -> None:
         """Record that a run is answered: its prompt parts are harmless."""
         self._answering.add(run)
+        now_s = self._clock.now_s()
         for key in run.part_keys:
+            self._answered_parts.record(key, now_s)
             self._clear(key)
 
     def end(self, run: WatchedRun, ending: RunEnding) -> None:
@@ -269,9 +275,15 @@
     def _suspect(
         self, run: WatchedRun, now_s: float, ending: RunEnding
     ) -> None:
-        # A part crashes the backend server that begins to answer it, so a run
-        # that is being answered has no suspect parts.
-        parts = () if run in self._answering else run.part_keys
+        # A part crashes the backend server that begins to answer it, so neither
+        # a run that is being answered has suspect parts, nor is a part suspect
+        # that was answered elsewhere since the run began.
+        parts = tuple(
+            key
+            for key in run.part_keys
+            if run not in self._answering
+            and not self._answered_parts.is_answered_since(key, run.began_at_s)
+        )
         for fingerprint in (*parts, run.fingerprint):
             self._count(run, fingerprint, now_s)
         self._signs.watch_for_refutation(run)
@@ -319,6 +331,15 @@
             backend=run.backend_id,
         )
 
+    def _report_known_answer(self, fingerprint: str) -> None:
+        """Report when a blocked part was last answered here, if it was.
+
+        The answer may have come before the feed told of the suspicion.
+        """
+        answered_at_s = self._answered_parts.take(fingerprint)
+        if answered_at_s is not None:
+            self._reports.add_clear(fingerprint, at_s=answered_at_s)
+
     def _is_counted(self, fingerprint: str) -> bool:
         return fingerprint in self._local_runs or self._is_suspect(fingerprint)
 
--- a/src/kumquatrun/gateway/crashes/suspect_reports.py
+++ b/src/kumquatrun/gateway/crashes/suspect_reports.py
@@ -77,13 +77,21 @@
         """
         self._add(_EndReport(run, fingerprint, ended_at_s))
 
-    def add_clear(self, fingerprint: str, backend_id: str = '') -> None:
+    def add_clear(
+        self,
+        fingerprint: str,
+        backend_id: str = '',
+        at_s: float | None = None,
+    ) -> None:
         """Report that a request or part is harmless, see ``ClearEndedRuns``.
 
         Replaces an earlier report of the same that waits: the later one also
-        covers the runs that ended before the earlier one.
+        covers the runs that ended before the earlier one. ``at_s`` is the time
+        of the answer, now if it is left out.
         """
-        clear = _ClearReport(fingerprint, backend_id, self._clock.now_s())
+        if at_s is None:
+            at_s = self._clock.now_s()
+        clear = _ClearReport(fingerprint, backend_id, at_s)
         for pending in self._pending:
             if isinstance(pending, _ClearReport) and (
                 pending.fingerprint == fingerprint
--- a/tests/test_crash_register.py
+++ b/tests/test_crash_register.py
@@ -136,6 +136,16 @@
         ([*PART_ENDS, 500, answered(age_ms=5000)], 'blocked'),
         # An answer between the ends, reported after them.
         ([*PART_ENDS, 500, answered(age_ms=1000)], 'suspect'),
+        # Answers since the runs began, which were noticed to end much later.
+        (
+            [
+                part_ended('b1', 'r1', run_age_ms=4000),
+                1000,
+                part_ended('b2', 'r2', run_age_ms=4000),
+                answered(age_ms=2000),
+            ],
+            'clear',
+        ),
         # A response broke off, and the backend server lives.
         (
             [part_ended('b1', 'r1'), part_alive('b1'), 1000, PART_ENDS[-1]],
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -243,6 +243,34 @@
     assert report.fingerprints == ('f',)
 
 
+async def test_part_that_is_answered_beside_a_silent_run_is_not_counted():
+    # Guards against parts that all requests of a route share and that are
+    # blocked for runs that time out at silent backend servers.
+    host = Watch()
+    silent = host.begin(parts=('part:a', 'part:b'))
+    host.clock.time_s += 1
+    host.watch.record_answer(host.begin('c', 50, 'g', parts=('part:a',)))
+    host.clock.time_s += 1
+    host.end(silent, RunEnding.SILENT)
+    [report] = await host.sent(ReportSuspects)
+    assert report.fingerprints == ('part:b', 'f')
+
+
+async def test_earlier_answer_is_reported_once_its_part_is_blocked():
+    # Guards against a sound part that stays blocked: nobody sends a request
+    # with it, and the answers came before the feed told of the suspicion.
+    host = Watch()
+    run = host.begin(parts=('part:a',))
+    host.watch.record_answer(run)
+    host.clock.time_s += 1
+    host.show('part:a', 'blocked')
+    for _ in range(2):
+        with pytest.raises(QuarantinedError):
+            await host.watch.admit('r', 'h', ('part:a',))
+    [clear] = await host.sent(ClearEndedRuns)
+    assert (clear.fingerprint, clear.age_ms) == ('part:a', 1000)
+
+
 @pytest.mark.parametrize('is_local', [True, False])
 async def test_answer_clears_the_parts_of_its_request(is_local):
     host = Watch()
