Ask the agent whether an engine outlived a run before prompt parts count

Cause: a reset connection counted as the end of a backend server, refuted only by an answer on a connection that is older than the run. With 70 entries and 60 engines hardly any entry has one, so lost answers blocked sound prompt parts for the whole fleet until a trial run.

An entry now asks the agent beside the engine, which reads a new report and says for how long it has observed the running process. A process observed since before the run has outlived it. Without an answer in 0.25 s the run counts as before. Silent and abandoned runs go the same way.

Ruled out: counting by wall-clock start times (clocks step), a longer window for older connections (no entry has one), more ends before a block (the bound on deadly parts would go).

--- a/src/kumquatrun/gateway/crashes/crash_watch.py
+++ b/src/kumquatrun/gateway/crashes/crash_watch.py
@@ -3,7 +3,8 @@
 Each run is watched until it ends. A run whose backend server ended with it, as
 far as this host can tell, is reported to the control leader, which counts the
 ends for the whole fleet. Until the report is delivered, this host counts by
-itself.
+itself. Before that, the host that sees the process of the backend server is
+asked whether it ended, see ``end_checks``.
 
 An end counts for the fingerprint of the request and, if no event had come, for
 the parts of its prompt; an answer to any request clears the parts that it holds.
@@ -12,16 +13,23 @@
 
 import hashlib
 import logging
-from collections import OrderedDict
-from dataclasses import dataclass
 from itertools import islice
 
 from kumquatrun.control.ended_runs import EndedRun, EndedRuns
 from kumquatrun.control.part_keys import is_part_key, part_key
-from kumquatrun.errors import KumquatrunError, QuarantinedError
+from kumquatrun.errors import QuarantinedError
 from kumquatrun.gateway.crashes.answered_parts import AnsweredParts
 from kumquatrun.gateway.crashes.backend_signs import BackendSigns
+from kumquatrun.gateway.crashes.end_checks import (
+    EndCheck,
+    EndChecks,
+    ProcessObserver,
+)
 from kumquatrun.gateway.crashes.suspect_reports import SuspectReports
+from kumquatrun.gateway.crashes.trial_requests import (
+    FIRST_TRIAL_S,
+    TrialRequests,
+)
 from kumquatrun.gateway.crashes.watched_run import (
     RunConnection,
     RunEnding,
@@ -30,18 +38,12 @@
 from kumquatrun.gateway.routing.request_state import RequestState
 from kumquatrun.gateway.routing.wire_format import CallerRequest
 from kumquatrun.membership.control_client import Session
-from kumquatrun.peer.node_messages import TakeTrialRun
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.logs import log_event
 
 log = logging.getLogger(__name__)
 
 REFUSED_STATES = frozenset(('quarantined', 'blocked'))
-TRIAL_TIMEOUT_S = 0.5
-# Time from the first refusal to the first request for a trial run, doubled with
-# each further one.
-FIRST_TRIAL_S = 5.0
-MAX_REFUSED_FINGERPRINTS = 2000
 # How long this host refuses by its own count: while the report is not
 # delivered, and until the feed has brought the count of the fleet.
 LOCAL_WINDOW_S = 60.0
@@ -82,21 +84,26 @@
     return tuple(dict.fromkeys(map(part_key, shared)))
 
 
-@dataclass(frozen=True, slots=True)
-class TrialSchedule:
-    """When this host asks for the next trial run of a fingerprint."""
-
-    next_at_s: float
-    delay_s: float
-
-
 class CrashWatch:
-    """Watches runs, and refuses what backend servers ended under."""
+    """Watches runs, and refuses what backend servers ended under.
+
+    Parameters
+    ----------
+    session
+        Membership session of this host.
+    clock
+        Source of time.
+    observer
+        Observes the processes of backend servers.
+    """
 
-    def __init__(self, session: Session, clock: Clock) -> None:
+    def __init__(
+        self, session: Session, clock: Clock, observer: ProcessObserver
+    ) -> None:
         self._session = session
         self._clock = clock
         self._signs = BackendSigns()
+        self._checks = EndChecks(observer, clock, self._count_end)
         self._reports = SuspectReports(session, clock, self._on_delivered)
         self._answered_parts = AnsweredParts()
         # Runs that are being answered.
@@ -104,7 +111,7 @@
         self._local_runs = EndedRuns()
         # Times until which the local counts are in force.
         self._local_ends_s: dict[str, float] = {}
-        self._schedules: OrderedDict[str, TrialSchedule] = OrderedDict()
+        self._trials = TrialRequests(session, clock)
 
     async def admit(
         self,
@@ -125,7 +132,7 @@
             return False
         for key in refused:
             self._report_known_answer(key)
-        if await self._take_trial(refused):
+        if await self._trials.take(refused):
             log_event(
                 log,
                 'trial_run_granted',
@@ -189,7 +196,8 @@
             self._suspect(run, now_s, ending)
         if ending in {RunEnding.COMPLETED, RunEnding.ANSWERED}:
             for refuted in self._signs.record_answer(run, now_s):
-                self._refute(refuted)
+                parts = filter(self._is_counted, refuted.part_keys)
+                self._refute(refuted, tuple(parts), 'older connection')
         if ending is RunEnding.COMPLETED:
             self._clear(run.fingerprint)
         self._answering.discard(run)
@@ -201,8 +209,10 @@
             self._suspect(run, now_s, RunEnding.ABANDONED)
 
     async def close(self, timeout_s: float) -> None:
-        """Deliver the reports that wait, for at most ``timeout_s``."""
-        await self._reports.close(timeout_s)
+        """End the checks and deliver the reports, within ``timeout_s``."""
+        until_s = self._clock.now_s() + timeout_s
+        await self._checks.close(timeout_s / 2)
+        await self._reports.close(max(0.0, until_s - self._clock.now_s()))
 
     def _refused_fingerprint(self, request_state: RequestState) -> str:
         """Return what a request must not be sent for, or an empty string."""
@@ -240,64 +250,50 @@
             cause='part_blocked' if is_part else 'blocked',
         )
 
-    async def _take_trial(self, refused: tuple[str, ...]) -> bool:
-        fingerprint = refused[0]
-        now_s = self._clock.now_s()
-        schedule = self._schedules.get(fingerprint)
-        if schedule is None:
-            self._schedules[fingerprint] = TrialSchedule(
-                now_s + FIRST_TRIAL_S, FIRST_TRIAL_S
-            )
-            if len(self._schedules) > MAX_REFUSED_FINGERPRINTS:
-                self._schedules.popitem(last=False)
-            return False
-        if now_s < schedule.next_at_s:
-            return False
-        delay_s = 2 * schedule.delay_s
-        self._schedules[fingerprint] = TrialSchedule(now_s + delay_s, delay_s)
-        request = TakeTrialRun(
-            host_id=self._session.record.host_id,
-            fingerprint=fingerprint,
-            others=refused[1:],
-        )
-        try:
-            reply = await self._session.control.call(request, TRIAL_TIMEOUT_S)
-        except KumquatrunError as error:
-            log_event(
-                log,
-                'trial_run_not_granted',
-                fingerprint=fingerprint,
-                reason=str(error),
-            )
-            return False
-        return reply.is_granted
-
     def _suspect(
         self, run: WatchedRun, now_s: float, ending: RunEnding
     ) -> None:
-        # A part crashes the backend server that begins to answer it, so neither
-        # a run that is being answered has suspect parts, nor is a part suspect
-        # that was answered elsewhere since the run began.
-        parts = tuple(
-            key
-            for key in run.part_keys
-            if run not in self._answering
-            and not self._answered_parts.is_answered_since(key, run.began_at_s)
-        )
-        for fingerprint in (*parts, run.fingerprint):
-            self._count(run, fingerprint, now_s)
         self._signs.watch_for_refutation(run)
         log_event(
             log,
             'request_suspected',
             request_id=run.request_id,
             fingerprint=run.fingerprint,
-            parts=','.join(parts),
+            parts=','.join(self._suspect_parts(run)),
             backend=run.backend_id,
             ending=ending,
             ran_ms=round(1000 * (now_s - run.began_at_s)),
             state=self._session.view.fingerprint_state(run.fingerprint),
         )
+        if run in self._answering:
+            # What ends a run in the middle of its answer is not a prompt part.
+            self._count(run, run.fingerprint, now_s)
+        else:
+            self._checks.start(run, now_s)
+
+    def _suspect_parts(self, run: WatchedRun) -> tuple[str, ...]:
+        """Return the parts that may have ended the backend server of a run.
+
+        A part crashes the backend server that begins to answer it, so neither
+        a run that is being answered has suspect parts, nor is a part suspect
+        that was answered elsewhere since the run began.
+        """
+        if run in self._answering:
+            return ()
+        return tuple(
+            key
+            for key in run.part_keys
+            if not self._answered_parts.is_answered_since(key, run.began_at_s)
+        )
+
+    def _count_end(self, check: EndCheck) -> None:
+        run = check.run
+        if check.is_outlived:
+            self._count(run, run.fingerprint, check.ended_at_s)
+            self._refute(run, (), 'observed process')
+            return
+        for fingerprint in (*self._suspect_parts(run), run.fingerprint):
+            self._count(run, fingerprint, check.ended_at_s)
 
     def _count(self, run: WatchedRun, fingerprint: str, now_s: float) -> None:
         if now_s >= self._local_ends_s.get(fingerprint, now_s):
@@ -317,8 +313,10 @@
             del self._local_ends_s[self._local_runs.forget_oldest()]
         self._reports.add_run(run, fingerprint, now_s)
 
-    def _refute(self, run: WatchedRun) -> None:
-        parts = tuple(filter(self._is_counted, run.part_keys))
+    def _refute(
+        self, run: WatchedRun, parts: tuple[str, ...], proof: str
+    ) -> None:
+        """Report that the backend server of a run outlived it."""
         for fingerprint in (*parts, run.fingerprint):
             self._local_runs.refute(fingerprint, run.backend_id)
             self._reports.add_clear(fingerprint, run.backend_id)
@@ -329,6 +327,7 @@
             fingerprint=run.fingerprint,
             parts=','.join(parts),
             backend=run.backend_id,
+            proof=proof,
         )
 
     def _report_known_answer(self, fingerprint: str) -> None:
@@ -348,7 +347,7 @@
             return
         self._local_runs.forget(fingerprint)
         self._local_ends_s.pop(fingerprint, None)
-        self._schedules.pop(fingerprint, None)
+        self._trials.forget(fingerprint)
         self._reports.add_clear(fingerprint)
         log_event(
             log,
--- a/src/kumquatrun/gateway/engine/engine_agent.py
+++ b/src/kumquatrun/gateway/engine/engine_agent.py
@@ -37,6 +37,8 @@
     AdapterQueued,
     AdapterReady,
     AdapterReleased,
+    CheckEngine,
+    EngineState,
     PromptRead,
     UseAdapter,
 )
@@ -150,6 +152,8 @@
         if isinstance(request, PromptRead):
             self._gate.leave(request.request_id)
             return Ack()
+        if isinstance(request, CheckEngine):
+            return await self._engine_state()
         if not isinstance(request, UseAdapter | AdapterInUse):
             raise InvalidRequestError(f'unexpected {type(request).__name__}')
         name = (request.model, request.adapter)
@@ -163,6 +167,12 @@
 
     # Handling of one call.
 
+    async def _engine_state(self) -> EngineState:
+        known_for_s = await self._watch.known_for_s()
+        if known_for_s is None:
+            return EngineState()
+        return EngineState(known_for_ms=int(1000 * known_for_s))
+
     @contextmanager
     def _pinned(self, name: AdapterName, request_id: str) -> Iterator[None]:
         residency = self._watch.residency
--- a/src/kumquatrun/gateway/engine/engine_watch.py
+++ b/src/kumquatrun/gateway/engine/engine_watch.py
@@ -64,6 +64,8 @@
         self._spec = spec
         self._clock = clock
         self._reported_at_s = float('-inf')
+        # When the process that sent the latest report was first seen.
+        self._process_seen_at_s = float('-inf')
         # Whether the engine was last logged as reachable.
         self._is_logged_as_reachable = False
 
@@ -115,15 +117,24 @@
         version = self.residency.version_of(name)
         return version if version is not None and version >= wanted else None
 
-    async def refresh(self) -> None:
-        """Read a new report; keep the last one if that fails."""
+    async def known_for_s(self) -> float | None:
+        """Return the time since the process that runs now was first seen.
+
+        Returns None if the engine does not respond.
+        """
+        if not await self.refresh():
+            return None
+        return self._clock.now_s() - self._process_seen_at_s
+
+    async def refresh(self) -> bool:
+        """Read a new report and return True; keep the last one if it fails."""
         try:
             report = await self._engine.report()
         except KumquatrunError as error:
             if self.is_lost and self._is_logged_as_reachable:
                 self._is_logged_as_reachable = False
                 log_event(log, 'engine_lost', error=str(error))
-            return
+            return False
         self._apply(report)
         if not self._is_logged_as_reachable:
             self._is_logged_as_reachable = True
@@ -133,6 +144,7 @@
                 started_ms=report.started_ms,
                 order_count=report.order_count,
             )
+        return True
 
     def _apply(self, report: EngineReport) -> None:
         known = self.report
@@ -145,6 +157,8 @@
             )
             process_metrics().count('backend_restarts_total')
             self.residency.reset()
+        if known is None or known.started_ms != report.started_ms:
+            self._process_seen_at_s = self._clock.now_s()
         if report.is_draining and not (known and known.is_draining):
             log_event(log, 'engine_leaves', load=report.load)
         self.report = report
--- a/src/kumquatrun/gateway/placement/agent_calls.py
+++ b/src/kumquatrun/gateway/placement/agent_calls.py
@@ -23,6 +23,8 @@
 from kumquatrun.gateway.routing.messages import (
     AdapterInUse,
     AdapterReady,
+    CheckEngine,
+    EngineState,
     PromptRead,
     UseAdapter,
 )
@@ -40,6 +42,9 @@
 # Interval between attempts to report to an agent that a request is running.
 USE_REPORT_INTERVAL_S = 0.25
 NOTIFY_TIMEOUT_S = 1.0
+# Until an agent has answered, the end of a backend server does not count. Its
+# engine is on the same host, and one that has ended refuses the connection.
+CHECK_TIMEOUT_S = 0.25
 
 
 class PinnedAdapter:
@@ -135,6 +140,33 @@
         finally:
             task.cancel()
 
+    def has_agent(self, backend: Backend) -> bool:
+        """Return whether an agent is registered for a backend server."""
+        return self._connections.has_agent(backend)
+
+    async def engine_known_for_s(self, backend: Backend) -> float | None:
+        """Return how long the agent has observed the process that runs now.
+
+        Returns None if the agent or its engine does not respond.
+        """
+        try:
+            async with asyncio.timeout(CHECK_TIMEOUT_S):
+                client = await self._connections.client_of(backend)
+                state: EngineState = await client.call(
+                    CheckEngine(), CHECK_TIMEOUT_S
+                )
+        except (KumquatrunError, TimeoutError) as error:
+            log_event(
+                log,
+                'engine_not_checked',
+                backend=backend.backend_id,
+                reason=str(error),
+            )
+            return None
+        if state.known_for_ms is None:
+            return None
+        return state.known_for_ms / 1000
+
     async def _keep_reporting_use(
         self,
         backend: Backend,
--- a/src/kumquatrun/gateway/placement/agent_connections.py
+++ b/src/kumquatrun/gateway/placement/agent_connections.py
@@ -83,6 +83,10 @@
         self._check_backoff(address)
         return await self._connect(address)
 
+    def has_agent(self, backend: Backend) -> bool:
+        """Return whether an agent is registered for a backend server."""
+        return self._address_of(backend) is not None
+
     def back_off(self, address: Address, cause: str) -> None:
         """Stop contacting an agent for a while."""
         backoff_s = (
--- a/src/kumquatrun/gateway/roles/entry.py
+++ b/src/kumquatrun/gateway/roles/entry.py
@@ -32,6 +32,7 @@
 )
 from kumquatrun.gateway.placement.agent_calls import AgentCalls
 from kumquatrun.gateway.placement.balancer import Balancer, Locality
+from kumquatrun.gateway.placement.engine_observer import EngineObserver
 from kumquatrun.gateway.placement.reservations import Reservations
 from kumquatrun.gateway.roles.configuration_follower import (
     ConfigurationFollower,
@@ -123,7 +124,10 @@
             settings.retry_allowance,
             settings.retry_window_s,
         )
-        self._crashes = CrashWatch(session, clock)
+        self._agents = AgentCalls(session.view, self._identity)
+        self._crashes = CrashWatch(
+            session, clock, EngineObserver(self._backends, self._agents)
+        )
         self._backends.on_end(self._crashes.record_backend_end)
         self._admission = Admission(
             lambda: self._configuration.configuration,
@@ -133,7 +137,6 @@
             self._planned_stop.check,
             rng,
         )
-        self._agents = AgentCalls(session.view, self._identity)
         locality = Locality(
             failure_domain=settings.failure_domain,
             regions=dict(settings.regions),
--- a/src/kumquatrun/gateway/routing/messages.py
+++ b/src/kumquatrun/gateway/routing/messages.py
@@ -68,3 +68,19 @@
     """Reports that the first event of the response has arrived."""
 
     request_id: str
+
+
+@message
+class CheckEngine:
+    """Asks an agent whether the process of its engine runs."""
+
+
+@message
+class EngineState:
+    """Reply to ``CheckEngine``.
+
+    ``known_for_ms`` is the time since the agent first saw the process that
+    runs now, None if the engine does not respond to the agent.
+    """
+
+    known_for_ms: int | None = None
--- a/tests/gateway_host.py
+++ b/tests/gateway_host.py
@@ -75,9 +75,16 @@
             listener()
 
 
+class NoObserver:
+    """Observes no backend server, so each end counts at once."""
+
+    def known_for_s(self, backend_id):
+        return None
+
+
 def crash_watch():
     """Return a watch whose reports are accepted."""
-    return CrashWatch(Session(), LoopClock())
+    return CrashWatch(Session(), LoopClock(), NoObserver())
 
 
 class Served:
--- a/tests/test_agent_calls.py
+++ b/tests/test_agent_calls.py
@@ -33,6 +33,8 @@
     AdapterInUse,
     AdapterQueued,
     AdapterReady,
+    CheckEngine,
+    EngineState,
     PromptRead,
     UseAdapter,
 )
@@ -59,8 +61,13 @@
         self.prompts_read = []
         self.ended = asyncio.Event()
         self.in_use = []
+        self.engine_state = EngineState(known_for_ms=1500)
 
     async def handle(self, request, context):
+        if isinstance(request, CheckEngine):
+            if not self.is_ready:
+                await asyncio.Event().wait()
+            return self.engine_state
         if isinstance(request, PromptRead):
             self.prompts_read.append(request.request_id)
             return Ack()
@@ -340,3 +347,23 @@
         await poll(lambda: agent.in_use == ['r'])
     await poll(lambda: not agent.in_use)
     await calls.close()
+
+
+async def test_agent_tells_how_long_an_engine_has_been_running(agent):
+    calls = calls_to(agent.address)
+    assert calls.has_agent(backend())
+    assert await calls.engine_known_for_s(backend()) == 1.5
+    agent.engine_state = EngineState()
+    assert await calls.engine_known_for_s(backend()) is None
+    await calls.close()
+
+
+async def test_agent_without_an_answer_tells_nothing(agent):
+    # Guards against an end that never counts because its agent hangs.
+    agent.is_ready = False
+    calls = calls_to(agent.address)
+    began_s = asyncio.get_running_loop().time()
+    assert await calls.engine_known_for_s(backend()) is None
+    assert asyncio.get_running_loop().time() - began_s < 1
+    await calls.close()
+    assert not calls_to().has_agent(backend())
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -6,18 +6,18 @@
 import msgpack
 import pytest
 from tests.gateway_fakes import request_state_of
-from tests.gateway_host import Session
+from tests.gateway_host import NoObserver, Session
 
 from kumquatrun.control.part_keys import request_identity
 from kumquatrun.errors import ControlUnreachableError, QuarantinedError
 from kumquatrun.gateway.crashes.crash_watch import (
-    FIRST_TRIAL_S,
     MAX_PART_KEYS,
     PART_RETRY_AFTER_S,
     CrashWatch,
     fingerprint_of,
     part_keys_of,
 )
+from kumquatrun.gateway.crashes.trial_requests import FIRST_TRIAL_S
 from kumquatrun.gateway.crashes.watched_run import RunEnding
 from kumquatrun.peer.node_messages import (
     ClearEndedRuns,
@@ -48,7 +48,7 @@
     def __init__(self):
         self.clock = PausedClock()
         self.session = Session()
-        self.watch = CrashWatch(self.session, self.clock)
+        self.watch = CrashWatch(self.session, self.clock, NoObserver())
         self.state = request_state_of('non_idempotent')
         self.state.fingerprint = 'f'
 
--- a/tests/test_engine_agent.py
+++ b/tests/test_engine_agent.py
@@ -24,6 +24,7 @@
     AdapterQueued,
     AdapterReady,
     AdapterReleased,
+    CheckEngine,
     PromptRead,
     UseAdapter,
 )
@@ -610,3 +611,19 @@
         await use.end()
         reporting.cancel()
     assert [order.adapter for order in engine.orders] == ['a1']
+
+
+async def test_agent_says_how_long_its_engine_has_been_running():
+    # Guards against a restart that an entry takes for a living process, and
+    # against an answer from an old report while the engine is down.
+    engine = Engine()
+    async with agent_of(engine) as agent:
+        await asyncio.sleep(5)
+        state = await agent.handle(CheckEngine(), Call())
+        assert state.known_for_ms >= 5000
+        engine.restart()
+        state = await agent.handle(CheckEngine(), Call())
+        assert state.known_for_ms < 100
+        engine.is_silent = True
+        state = await agent.handle(CheckEngine(), Call())
+        assert state.known_for_ms is None
