Import only the modules of one role when a daemon starts

Cause: the package's top level imported consensus, documents and both products, the platform's builders imported all three roles, and aiohttp's connector read the system's certificates.

Public names are imported on first use, each role has a builder module of its own, the two products share error bodies and settings without pulling in each other's parsers, no certificates are read, and imports run without garbage collection. The modules are then left out of later collections.

--- a/bench/replication.py
+++ b/bench/replication.py
@@ -29,7 +29,7 @@
 )
 from kumquatrun.consensus.replica import Replica
 from kumquatrun.consensus.replica_transport import TcpTransport
-from kumquatrun.daemon.settings import ReplicaSettings
+from kumquatrun.daemon.shared_settings import ReplicaSettings
 from kumquatrun.peer import Address, PeerServer
 from kumquatrun.peer.messages import Hello
 from kumquatrun.runtime.clock import LoopClock
--- a/src/kumquatrun/agent/completions.py
+++ b/src/kumquatrun/agent/completions.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from kumquatrun.agent.adapter_slots import AdapterKey
+from kumquatrun.agent.json_content import json_object
 from kumquatrun.agent.merged_response import can_merge
 from kumquatrun.errors import InvalidRequestError
 
@@ -59,15 +60,6 @@
     is_merged: bool
 
 
-def json_object(text: bytes) -> dict[str, Any] | None:
-    """Return the parsed JSON object, or None if the text is not one."""
-    try:
-        content = json.loads(text)
-    except (ValueError, RecursionError):
-        return None
-    return content if isinstance(content, dict) else None
-
-
 def engine_error_code(body: bytes) -> str:
     """Return the ``code`` of an engine's error, or an empty string."""
     return str((json_object(body) or {}).get('code', ''))
--- a/src/kumquatrun/agent/engine_client.py
+++ b/src/kumquatrun/agent/engine_client.py
@@ -17,10 +17,10 @@
     ServedBy,
     Usage,
     engine_body,
-    json_object,
     parse_served_by,
     parse_usage,
 )
+from kumquatrun.agent.json_content import json_object
 from kumquatrun.agent.merged_response import MergedResponse
 from kumquatrun.agent.sse import EventSplitter, event_json
 from kumquatrun.document.document import ServiceKind
--- a/src/kumquatrun/agent/sse.py
+++ b/src/kumquatrun/agent/sse.py
@@ -5,7 +5,7 @@
 from itertools import pairwise
 from typing import Any
 
-from kumquatrun.agent.completions import json_object
+from kumquatrun.agent.json_content import json_object
 from kumquatrun.errors import BackendError
 
 MAX_EVENT_BYTES = 1024 * 1024
--- a/src/kumquatrun/command_line/cli_daemons.py
+++ b/src/kumquatrun/command_line/cli_daemons.py
@@ -1,13 +1,12 @@
 """Commands that start a daemon."""
 
-import asyncio
 import sys
-from collections.abc import Coroutine
 from typing import Any
 
 import click
 
-from kumquatrun.command_line.cli_output import ExitCode, exit_code_of
+from kumquatrun.command_line.cli_output import ExitCode
+from kumquatrun.command_line.daemon_runner import run_until_stopped
 from kumquatrun.daemon.setting_builder import build_settings
 from kumquatrun.daemon.setting_table import (
     ENVIRONMENT_PREFIX,
@@ -58,33 +57,6 @@
     run_until_stopped(daemons.run(daemon, settings), 'settings')
 
 
-def run_until_stopped(
-    running: Coroutine[Any, Any, None],
-    source: str,
-) -> None:
-    """Run a daemon; on an error, print it with the remedy and exit.
-
-    Parameters
-    ----------
-    running
-        Coroutine that runs the daemon.
-    source
-        Where its addresses are set, for the error message.
-    """
-    try:
-        asyncio.run(running)
-    except KumquatrunError as error:
-        click.echo(f'error: {error}', err=True)
-        sys.exit(int(exit_code_of(error)))
-    except OSError as error:
-        click.echo(
-            f'error: cannot start: {error}. Check that the addresses of the '
-            f'{source} belong to this host and are free.',
-            err=True,
-        )
-        sys.exit(int(ExitCode.UNEXPECTED))
-
-
 def _option(setting: Setting) -> click.Option:
     return click.Option(
         [setting.flag, setting.name],
--- a/src/kumquatrun/command_line/cli_platform.py
+++ b/src/kumquatrun/command_line/cli_platform.py
@@ -1,11 +1,12 @@
 """Commands that start a daemon on the users' platform."""
 
+import gc
 import signal
 import sys
 
 import click
 
-from kumquatrun.command_line.cli_daemons import run_until_stopped
+from kumquatrun.command_line.daemon_runner import run_until_stopped
 from kumquatrun.runtime.bounded_log import BoundedLogHandler
 from kumquatrun.runtime.logs import configure_logs
 
@@ -24,9 +25,13 @@
     # Imported here because the operator commands need no daemon modules.
     from kumquatrun.platform import daemons
 
+    builder = daemons.builder_of(role)
+    # The modules stay for good, so that later collections leave them out.
+    gc.freeze()
+    gc.enable()
     configure_logs(
         log_format,
         log_level,
         handler=BoundedLogHandler(sys.stdout.fileno()),
     )
-    run_until_stopped(daemons.run(role), 'settings file')
+    run_until_stopped(daemons.run(builder), 'settings file')
--- a/src/kumquatrun/consensus/replica_addresses.py
+++ b/src/kumquatrun/consensus/replica_addresses.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 
 from kumquatrun.consensus.quorum_node import LogNode, NodeSettings
-from kumquatrun.daemon.settings import ReplicaSettings
+from kumquatrun.daemon.shared_settings import ReplicaSettings
 from kumquatrun.errors import InvalidRequestError, SettingError
 from kumquatrun.peer import Address
 
--- a/src/kumquatrun/consensus/replica_driver.py
+++ b/src/kumquatrun/consensus/replica_driver.py
@@ -18,7 +18,7 @@
 from kumquatrun.consensus.replica_transport import Transport
 from kumquatrun.consensus.state_machine import StateMachine
 from kumquatrun.consensus.storage import Storage
-from kumquatrun.daemon.settings import ReplicaSettings
+from kumquatrun.daemon.shared_settings import ReplicaSettings
 from kumquatrun.errors import NotLeaderError
 from kumquatrun.peer.messages import Ack
 from kumquatrun.runtime.clock import Clock
--- a/src/kumquatrun/consensus/replica_status.py
+++ b/src/kumquatrun/consensus/replica_status.py
@@ -8,7 +8,7 @@
 from kumquatrun.consensus.quorum_node import LogNode
 from kumquatrun.consensus.quorum_progress import Progress
 from kumquatrun.consensus.replica_standing import StandingRecord
-from kumquatrun.daemon.settings import ReplicaSettings
+from kumquatrun.daemon.shared_settings import ReplicaSettings
 from kumquatrun.errors import NotLeaderError
 from kumquatrun.peer import Address
 from kumquatrun.peer.directory_messages import ControlGroup, ControlMember
--- a/src/kumquatrun/control/control_host.py
+++ b/src/kumquatrun/control/control_host.py
@@ -13,7 +13,7 @@
 from kumquatrun.control.control_state import ControlState
 from kumquatrun.control.feed_log import FeedLog
 from kumquatrun.control.group_announcer import GroupAnnouncer
-from kumquatrun.daemon.settings import DaemonSettings
+from kumquatrun.daemon.shared_settings import DaemonSettings
 from kumquatrun.errors import SettingError
 from kumquatrun.peer import Address, PeerServer
 from kumquatrun.peer.messages import Hello
--- a/src/kumquatrun/daemon/lifecycle.py
+++ b/src/kumquatrun/daemon/lifecycle.py
@@ -7,7 +7,7 @@
 from functools import partial
 from typing import Any, Protocol
 
-from kumquatrun.daemon.settings import DaemonSettings
+from kumquatrun.daemon.shared_settings import DaemonSettings
 from kumquatrun.runtime.logs import log_event
 from kumquatrun.runtime.statechart import load_chart
 
--- a/src/kumquatrun/daemon/setting_builder.py
+++ b/src/kumquatrun/daemon/setting_builder.py
@@ -12,7 +12,7 @@
     Setting,
     settings_for,
 )
-from kumquatrun.daemon.settings import DaemonSettings, ReplicaSettings
+from kumquatrun.daemon.shared_settings import DaemonSettings, ReplicaSettings
 from kumquatrun.errors import SettingError
 
 _BY_NAME: Mapping[str, Setting] = {
--- a/src/kumquatrun/daemon/setting_table.py
+++ b/src/kumquatrun/daemon/setting_table.py
@@ -10,9 +10,9 @@
 from kumquatrun.daemon.settings import (
     AgentSettings,
     ControlSettings,
-    DaemonSettings,
     EntrySettings,
 )
+from kumquatrun.daemon.shared_settings import DaemonSettings
 from kumquatrun.document.document import ServiceKind
 
 ENVIRONMENT_PREFIX = 'KUMQUATRUN'
--- a/src/kumquatrun/daemon/settings.py
+++ b/src/kumquatrun/daemon/settings.py
@@ -5,42 +5,11 @@
 
 from dataclasses import dataclass
 
+from kumquatrun.daemon.shared_settings import DaemonSettings
 from kumquatrun.document.document import ServiceKind
 from kumquatrun.peer import Address
 
 
-@dataclass(frozen=True, kw_only=True)
-class ReplicaSettings:
-    """Settings of a control replica, standalone or in another daemon.
-
-    ``replicas`` lists the addresses of the initial members by replica id; a
-    replica that joins later starts with ``join`` set.
-    """
-
-    replica_id: str
-    data_dir: str
-    listen: Address
-    replicas: tuple[tuple[str, Address], ...] = ()
-    join: bool = False
-
-
-@dataclass(frozen=True, kw_only=True)
-class DaemonSettings:
-    """Settings that all daemons share."""
-
-    host_id: str
-    region: str = 'local'
-    failure_domain: str = 'local'
-    control_addresses: tuple[Address, ...] = ()
-    cluster_token: str = ''
-    operator_token: str = ''
-    admin_listen: Address | None = None
-    log_format: str = 'text'
-    log_level: str = 'info'
-    drain_timeout_s: float = 300
-    replica: ReplicaSettings | None = None
-
-
 @dataclass(frozen=True, kw_only=True)
 class EntrySettings(DaemonSettings):
     """Settings of an entry."""
--- a/src/kumquatrun/entry/http_server.py
+++ b/src/kumquatrun/entry/http_server.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
-from kumquatrun.entry.openai_api import (
+from kumquatrun.entry.error_body import (
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
     error_headers,
--- a/src/kumquatrun/entry/openai_api.py
+++ b/src/kumquatrun/entry/openai_api.py
@@ -1,4 +1,4 @@
-"""Parses requests and renders responses of the OpenAI-compatible API.
+"""Parses requests and lists the models of the OpenAI-compatible API.
 
 Prompt tokens are estimated, because the entry has no tokenizer: four ASCII
 characters count as one token, every other character counts as one token, a
@@ -16,30 +16,16 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from kumquatrun.document.document import AdapterSpec
-from kumquatrun.errors import InvalidRequestError, KumquatrunError
+from kumquatrun.errors import InvalidRequestError
 
 ASCII_PER_TOKEN = 4
 TOKENS_PER_MESSAGE = 4
 MAX_SEQUENCES = 16
 MAX_OUTPUT_TOKENS = 1_000_000
-OUTCOME_HEADER = 'x-kumquatrun-outcome'
-REQUEST_ID_HEADER = 'x-request-id'
 PRIORITY_LIMIT = 10
-DEFAULT_RETRY_AFTER_S = 1
-HTTP_UNAVAILABLE = 503
 
 _BACKSLASH = 0x5C
 _SURROGATE_ESCAPE = bytes((_BACKSLASH,)) + b'ud'
-_ERROR_TYPES = {
-    400: 'invalid_request_error',
-    401: 'authentication_error',
-    403: 'permission_error',
-    404: 'not_found_error',
-    409: 'conflict_error',
-    413: 'invalid_request_error',
-    422: 'invalid_request_error',
-    429: 'rate_limit_error',
-}
 
 
 class Endpoint(StrEnum):
@@ -211,42 +197,6 @@
     return json.dumps({'object': 'list', 'data': models}).encode()
 
 
-def render_error(error: KumquatrunError) -> bytes:
-    """Return the JSON body of an error response."""
-    status = error.kind.http_status
-    return json.dumps(
-        {
-            'error': {
-                'message': error.detail,
-                'type': _ERROR_TYPES.get(status, 'server_error'),
-                'code': error.code,
-                'remedy': error.remedy,
-                'outcome': error.outcome.value,
-                'cause': error.cause or None,
-            },
-        },
-    ).encode()
-
-
-def render_error_event(error: KumquatrunError) -> bytes:
-    """Return the server-sent event that ends a failed stream."""
-    return b'data: ' + render_error(error) + b'\n\n'
-
-
-def error_headers(error: KumquatrunError, request_id: str) -> dict[str, str]:
-    """Return the headers of an error response."""
-    headers = {
-        OUTCOME_HEADER: error.outcome.value,
-        REQUEST_ID_HEADER: request_id,
-    }
-    retry_after_s = error.retry_after_s
-    if retry_after_s is None and error.kind.http_status == HTTP_UNAVAILABLE:
-        retry_after_s = DEFAULT_RETRY_AFTER_S
-    if retry_after_s is not None:
-        headers['Retry-After'] = str(max(1, math.ceil(retry_after_s)))
-    return headers
-
-
 def _parse_object(body: bytes) -> dict[str, Any]:
     try:
         fields = _DECODER.decode(body.decode())
--- a/src/kumquatrun/gateway/roles/control.py
+++ b/src/kumquatrun/gateway/roles/control.py
@@ -18,7 +18,7 @@
 from kumquatrun.control.backend_listing import BackendListing
 from kumquatrun.control.control_host import ControlHost
 from kumquatrun.control.replica_gauges import set_replica_gauges
-from kumquatrun.daemon.settings import ReplicaSettings
+from kumquatrun.daemon.shared_settings import ReplicaSettings
 from kumquatrun.gateway.roles.control_search import (
     ControlSearch,
     GroupBootstrap,
--- a/src/kumquatrun/gateway/roles/settings.py
+++ b/src/kumquatrun/gateway/roles/settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from kumquatrun.daemon.settings import DaemonSettings
+from kumquatrun.daemon.shared_settings import DaemonSettings
 from kumquatrun.peer import Address
 
 
--- a/src/kumquatrun/platform/settings.py
+++ b/src/kumquatrun/platform/settings.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
-from kumquatrun.daemon.settings import ReplicaSettings
+from kumquatrun.daemon.shared_settings import ReplicaSettings
 from kumquatrun.errors import DocumentError, SettingError
 from kumquatrun.gateway.roles.settings import (
     GatewayAgentSettings,
--- a/tests/control_cluster.py
+++ b/tests/control_cluster.py
@@ -10,7 +10,8 @@
 
 from kumquatrun.consensus.memory_store import MemoryStorage
 from kumquatrun.control.control_host import ControlHost
-from kumquatrun.daemon.settings import ControlSettings, ReplicaSettings
+from kumquatrun.daemon.settings import ControlSettings
+from kumquatrun.daemon.shared_settings import ReplicaSettings
 from kumquatrun.membership.control_client import Session
 from kumquatrun.membership.leader_client import LeaderClient
 from kumquatrun.peer import Address
--- a/tests/operator_host.py
+++ b/tests/operator_host.py
@@ -4,7 +4,7 @@
 """
 
 from kumquatrun.control.backend_listing import BackendListing
-from kumquatrun.daemon.settings import ReplicaSettings
+from kumquatrun.daemon.shared_settings import ReplicaSettings
 from kumquatrun.gateway.roles.cluster_view_state import ClusterViewState
 from kumquatrun.gateway.roles.control import GatewayControl
 from kumquatrun.gateway.roles.directory_server import DirectoryServer
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -16,7 +16,7 @@
 from kumquatrun.command_line.cli import main
 from kumquatrun.daemon.lifecycle import SIGNALS, Daemon, run_daemon
 from kumquatrun.daemon.setting_builder import build_settings
-from kumquatrun.daemon.settings import DaemonSettings
+from kumquatrun.daemon.shared_settings import DaemonSettings
 from kumquatrun.platform.settings import PATH_VARIABLE
 from kumquatrun.runtime.clock import LoopClock
 from kumquatrun.runtime.metrics import Metrics
--- a/tests/test_leader_client.py
+++ b/tests/test_leader_client.py
@@ -18,7 +18,7 @@
 from kumquatrun.control.control_host import FeedPublishingState
 from kumquatrun.control.control_state import ControlState
 from kumquatrun.control.feed_log import FeedLog
-from kumquatrun.daemon.settings import ReplicaSettings
+from kumquatrun.daemon.shared_settings import ReplicaSettings
 from kumquatrun.errors import (
     DeadlineExceededError,
     KumquatrunError,
--- a/tests/test_openai_api.py
+++ b/tests/test_openai_api.py
@@ -5,14 +5,16 @@
 import pytest
 
 from kumquatrun.document.document import AdapterSpec
+from kumquatrun.entry.error_body import (
+    error_headers,
+    render_error,
+    render_error_event,
+)
 from kumquatrun.entry.openai_api import (
     Endpoint,
     endpoint_of,
-    error_headers,
     estimate_tokens,
     parse_completion,
-    render_error,
-    render_error_event,
     render_models,
 )
 from kumquatrun.errors import (
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -16,7 +16,7 @@
 from kumquatrun.consensus.quorum_types import MembershipChange, Timing
 from kumquatrun.consensus.replica import MAX_COMMAND_BYTES, Replica
 from kumquatrun.consensus.replica_transport import TcpTransport
-from kumquatrun.daemon.settings import ReplicaSettings
+from kumquatrun.daemon.shared_settings import ReplicaSettings
 from kumquatrun.errors import (
     CorruptLogError,
     DeadlineExceededError,
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -17,7 +17,7 @@
     SETTINGS_CLASSES,
     settings_for,
 )
-from kumquatrun.daemon.settings import ReplicaSettings
+from kumquatrun.daemon.shared_settings import ReplicaSettings
 from kumquatrun.errors import SettingError
 from kumquatrun.peer import Address
 
