Keep the rate of an account over all entries while no leader responds

Cause: without a leader each entry admitted one request of any size and then 0.6 of its equal share.

A request that the share of an entry covers in part is now admitted with that probability, so that the sum does not depend on the number of entries. The rest waits for a leader, up to 2.5 s and half of the time that the request has; what a new leader could not grant is refused at once.

Ruled out: a pool at one entry for each account, since two halves of a fleet may choose different ones; a larger share, since the bound has no room for it.

--- a/src/kumquatrun/gateway/admission/admission.py
+++ b/src/kumquatrun/gateway/admission/admission.py
@@ -119,7 +119,7 @@
         self._check_stop(deadline_s)
         if account is not None:
             await self._allowances.charge(
-                account, _charge_amount(account, caller)
+                account, _charge_amount(account, caller), deadline_s
             )
         return RequestState(
             request=caller,
--- a/src/kumquatrun/gateway/admission/allowances.py
+++ b/src/kumquatrun/gateway/admission/allowances.py
@@ -1,18 +1,20 @@
 """Charges requests to the rate allowances of their accounts.
 
 The control leader keeps the allowances. While no leader responds, each entry
-admits a fraction of its equal share of the rate, so that accounts within their
-rate are not refused because the leader changes.
+admits its share of the rate, see ``local_share``, and requests beyond it wait
+for the leader: most leader changes end before a caller would return.
 """
 
 import asyncio
 import logging
+import random
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from kumquatrun.control.allowance_pool import AllowanceReply, TakeAllowance
 from kumquatrun.errors import KumquatrunError, RateLimitedError
+from kumquatrun.gateway.admission.local_share import LocalShares
 from kumquatrun.gateway.routing.configuration import GatewayAccount
 from kumquatrun.membership.leader_client import LeaderClient
 from kumquatrun.runtime.clock import Clock
@@ -24,28 +26,29 @@
 MAX_TOKEN_WAIT_S = 0.3
 # A leader that does not respond within this time is treated as unreachable.
 CALL_TIMEOUT_S = 0.3
-# Time after a failed call during which requests are charged locally.
+# Time after a failed call before the leader is called again.
 LEADER_RETRY_DELAY_S = 0.5
-# Fraction of its equal share that an entry admits without a leader. If only
-# this entry is cut off, the other entries may still use the whole rate.
-LEADERLESS_FRACTION = 0.6
+# Longest wait for a leader, and for tokens once it responds again: the requests
+# that waited come to it at the same time.
+MAX_LEADER_WAIT_S = 2.5
+# A request waits for a leader during this fraction of its time at most, so that
+# the rest is enough to serve it.
+LEADER_WAIT_FRACTION = 0.5
 # Minimum delay before the next batch if the leader did not grant a whole batch.
 MIN_BATCH_DELAY_S = 0.01
 
 
 @dataclass(eq=False)
 class _PendingCharge:
+    account: GatewayAccount
     amount: float
+    # End of the wait for tokens.
     deadline_s: float
+    # End of the wait for a leader.
+    leader_deadline_s: float
     future: asyncio.Future
 
 
-@dataclass
-class _LocalBucket:
-    level: float
-    refilled_at_s: float
-
-
 class Allowances:
     """Charges requests to account allowances.
 
@@ -58,6 +61,8 @@
     entries
         Returns the number of entries that share a rate while no leader
         responds.
+    rng
+        Source of randomness for the shares without a leader.
     """
 
     def __init__(
@@ -65,50 +70,68 @@
         leader: LeaderClient,
         clock: Clock,
         entries: Callable[[], int],
+        rng: random.Random | None = None,
     ) -> None:
         self._leader = leader
         self._clock = clock
-        self._entries = entries
+        self._shares = LocalShares(clock, entries, rng or random.Random())
         self._pending: dict[str, deque[_PendingCharge]] = {}
         self._request_tasks: dict[str, asyncio.Task] = {}
-        self._local_buckets: dict[str, _LocalBucket] = {}
         self._leaderless_until_s = float('-inf')
         self._has_leader = True
 
-    async def charge(self, account: GatewayAccount, amount: float) -> None:
+    async def charge(
+        self,
+        account: GatewayAccount,
+        amount: float,
+        deadline_s: float = float('inf'),
+    ) -> None:
         """Deduct ``amount`` from the account's allowance.
 
+        ``deadline_s`` is the deadline of the request.
+
         Raises
         ------
         RateLimitedError
-            If the account exceeds its rate.
+            If the account exceeds its rate, or no leader responds in time.
         """
         if account.rate_per_s <= 0:
             return
         now_s = self._clock.now_s()
-        if now_s < self._leaderless_until_s:
-            self._charge_locally(account, amount)
-            return
+        if self._is_leaderless(account, now_s):
+            if self._shares.admits(account, amount):
+                return
+            waiting = self._waiting_amount(account)
+            if not self._shares.may_wait(account, amount, waiting):
+                raise self._leaderless_refusal(account, amount)
+        wait_s = min(
+            MAX_LEADER_WAIT_S, LEADER_WAIT_FRACTION * (deadline_s - now_s)
+        )
         pending = _PendingCharge(
+            account,
             amount,
             now_s + MAX_TOKEN_WAIT_S,
+            now_s + wait_s,
             asyncio.get_running_loop().create_future(),
         )
         self._pending.setdefault(account.name, deque()).append(pending)
         self._start_requesting(account.name)
         refusal: RateLimitedError | None = await pending.future
-        if refusal is None:
-            return
-        if refusal.cause == 'no_leader':
-            self._charge_locally(account, amount)
-            return
-        raise refusal
+        if refusal is not None:
+            raise refusal
 
     def close(self) -> None:
         """Cancel the calls in progress."""
         for task in self._request_tasks.values():
             task.cancel()
 
+    def _is_leaderless(self, account: GatewayAccount, now_s: float) -> bool:
+        """Return whether others already try whether the leader responds."""
+        is_tried = account.name in self._request_tasks
+        return now_s < self._leaderless_until_s or (
+            is_tried and not self._has_leader
+        )
+
     def _start_requesting(self, account: str) -> None:
         if account not in self._request_tasks:
             task = asyncio.create_task(self._request_pending(account))
@@ -142,7 +165,9 @@
                 self._clock.now_s() + LEADER_RETRY_DELAY_S
             )
             self._record_leader_state(is_reachable=False, reason=error.detail)
-            _refuse(queue, len(batch), error.detail, 'no_leader', None)
+            self._charge_locally(queue)
+            await asyncio.sleep(LEADER_RETRY_DELAY_S)
+            self._refuse_overdue(queue)
             return
         self._record_leader_state(is_reachable=True)
         for _ in range(reply.granted):
@@ -175,28 +200,44 @@
         if queue:
             await asyncio.sleep(max(MIN_BATCH_DELAY_S, reply.retry_after_s))
 
-    def _charge_locally(self, account: GatewayAccount, amount: float) -> None:
+    def _charge_locally(self, queue: deque[_PendingCharge]) -> None:
+        """Admit what the share of this entry covers; the rest waits."""
+        for pending in tuple(queue):
+            if pending.future.done():
+                continue
+            if self._shares.admits(pending.account, pending.amount):
+                queue.remove(pending)
+                _resolve(pending, None)
+            else:
+                pending.deadline_s = max(
+                    pending.deadline_s, pending.leader_deadline_s
+                )
+
+    def _refuse_overdue(self, queue: deque[_PendingCharge]) -> None:
+        """Refuse the requests that can't wait for a leader any longer."""
         now_s = self._clock.now_s()
-        rate_per_s = (
-            account.rate_per_s * LEADERLESS_FRACTION / max(1, self._entries())
-        )
-        # A full bucket admits one request of any size.
-        capacity = max(rate_per_s, float(amount))
-        bucket = self._local_buckets.setdefault(
-            account.name,
-            _LocalBucket(capacity, now_s),
-        )
-        gained = rate_per_s * (now_s - bucket.refilled_at_s)
-        bucket.level = min(capacity, bucket.level + gained)
-        bucket.refilled_at_s = now_s
-        if bucket.level < amount:
-            raise RateLimitedError(
-                f'account {account.name} has used its share of the rate on '
-                'this host while no control leader responds',
-                retry_after_s=(amount - bucket.level) / rate_per_s,
-                cause='no_leader',
+        for pending in tuple(queue):
+            if now_s < pending.leader_deadline_s:
+                continue
+            queue.remove(pending)
+            _resolve(
+                pending,
+                self._leaderless_refusal(pending.account, pending.amount),
             )
-        bucket.level -= amount
+
+    def _waiting_amount(self, account: GatewayAccount) -> float:
+        queue = self._pending.get(account.name, ())
+        return sum(row.amount for row in queue if not row.future.done())
+
+    def _leaderless_refusal(
+        self, account: GatewayAccount, amount: float
+    ) -> RateLimitedError:
+        return RateLimitedError(
+            f'account {account.name} has used its share of the rate on this '
+            'host, and no control leader responds',
+            retry_after_s=self._shares.retry_after_s(account, amount),
+            cause='no_leader',
+        )
 
 
 def _refuse(
--- a/src/kumquatrun/gateway/roles/entry.py
+++ b/src/kumquatrun/gateway/roles/entry.py
@@ -118,6 +118,7 @@
             session.control,
             clock,
             self._entry_count,
+            rng,
         )
         self._retries = SharedRetryBudgets(
             settings.retry_ratio,
