Reserve tokens for requests that wait, refuse the others at once

Cause: a request whose tokens had not accrued slept at its entry and asked again; meanwhile requests of other entries took the tokens, so it was refused after 0.2 to 0.3 s. In a queue of one entry, small requests waited behind a large one and were refused with it.

The leader now takes the tokens of a request that can wait for them and says how long it waits; what can't be granted in its time is refused at once with the time after which it can return. Entries and leaders of the version before understand each other: without waits the first requests are granted.

Ruled out: an order by size, which starves large requests.

--- a/src/kumquatrun/control/allowance_pool.py
+++ b/src/kumquatrun/control/allowance_pool.py
@@ -18,21 +18,31 @@
 
 @message
 class TakeAllowance:
-    """Requests tokens for several requests of one account, in order."""
+    """Requests tokens for several requests of one account, in order.
+
+    ``max_waits_s`` is how long each request can wait for its tokens. Entries of
+    earlier versions leave it out: their requests can't wait, and those after
+    the first that is not granted are not considered.
+    """
 
     account: str
     amounts: tuple[float, ...]
+    max_waits_s: tuple[float, ...] = ()
 
 
 @message
 class AllowanceReply:
-    """Grants the first ``granted`` requests.
+    """Grants requests, some of them for a later time.
 
-    ``retry_after_s`` is the time after which the next request can be granted.
+    ``granted`` is the number of requests before the first that is not granted,
+    ``retry_after_s`` the time after which that one can be. ``waits_s`` is the
+    time until the tokens of each request have accrued; a request is granted,
+    and its tokens are taken, if it can wait as long.
     """
 
     granted: int
     retry_after_s: float = 0.0
+    waits_s: tuple[float, ...] = ()
 
 
 @dataclass
@@ -47,13 +57,15 @@
         self.level = min(self.burst, self.level + gained)
         self.refilled_at_s = now_s
 
-    def shortfall(self, amount: float) -> float:
-        """Return how many tokens are missing to admit a request.
+    def wait_s(self, amount: float) -> float:
+        """Return the time until the tokens of a request have accrued.
 
         A request larger than the burst is admitted by a full bucket, whose
-        level then becomes negative.
+        level then becomes negative. So it does for requests that wait for
+        their tokens.
         """
-        return min(float(amount), self.burst) - self.level
+        shortfall = min(float(amount), self.burst) - self.level
+        return max(0.0, shortfall) / max(1.0, self.rate_per_s)
 
 
 class AllowancePool:
@@ -91,19 +103,32 @@
             )
 
     def take(self, request: TakeAllowance, now_s: float) -> AllowanceReply:
-        """Grant as many requests as the account's bucket admits.
+        """Grant the requests whose tokens accrue in time.
 
+        A request that waits has its tokens reserved, so that those of other
+        entries can't overtake it and it is not refused after its wait.
         Requests of an account that has no limit, or is not known here yet,
         are all granted: keys are validated elsewhere.
         """
+        count = len(request.amounts)
         bucket = self._buckets.get(request.account)
         if bucket is None:
-            return AllowanceReply(granted=len(request.amounts))
+            return AllowanceReply(granted=count, waits_s=(0.0,) * count)
         bucket.fill(now_s)
-        for granted, amount in enumerate(request.amounts):
-            shortfall = bucket.shortfall(amount)
-            if shortfall > 0:
-                wait_s = shortfall / max(1.0, bucket.rate_per_s)
-                return AllowanceReply(granted=granted, retry_after_s=wait_s)
-            bucket.level -= amount
-        return AllowanceReply(granted=len(request.amounts))
+        waits_s: list[float] = []
+        refused: list[int] = []
+        max_waits_s = request.max_waits_s or (0.0,) * count
+        rows = zip(request.amounts, max_waits_s, strict=True)
+        for number, (amount, max_wait_s) in enumerate(rows):
+            waits_s.append(bucket.wait_s(amount))
+            if waits_s[number] <= max_wait_s:
+                bucket.level -= amount
+                continue
+            refused.append(number)
+            if not request.max_waits_s:
+                break
+        return AllowanceReply(
+            granted=refused[0] if refused else count,
+            retry_after_s=waits_s[refused[0]] if refused else 0.0,
+            waits_s=tuple(waits_s),
+        )
--- a/src/kumquatrun/gateway/admission/allowances.py
+++ b/src/kumquatrun/gateway/admission/allowances.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import isfinite
 
 from kumquatrun.control.allowance_pool import AllowanceReply, TakeAllowance
 from kumquatrun.errors import KumquatrunError, RateLimitedError
@@ -34,8 +35,6 @@
 # A request waits for a leader during this fraction of its time at most, so that
 # the rest is enough to serve it.
 LEADER_WAIT_FRACTION = 0.5
-# Minimum delay before the next batch if the leader did not grant a whole batch.
-MIN_BATCH_DELAY_S = 0.01
 
 
 @dataclass(eq=False)
@@ -149,14 +148,18 @@
     async def _request_batch(
         self, account: str, queue: deque[_PendingCharge]
     ) -> None:
-        while queue and queue[0].future.done():
-            queue.popleft()
-        batch = tuple(queue)
+        batch = tuple(row for row in queue if not row.future.done())
+        queue.clear()
+        queue.extend(batch)
         if not batch:
             return
+        now_s = self._clock.now_s()
         request = TakeAllowance(
             account=account,
             amounts=tuple(row.amount for row in batch),
+            max_waits_s=tuple(
+                max(0.0, row.deadline_s - now_s) for row in batch
+            ),
         )
         try:
             reply = await self._leader.call(request, CALL_TIMEOUT_S)
@@ -170,10 +173,14 @@
             self._refuse_overdue(queue)
             return
         self._record_leader_state(is_reachable=True)
-        for _ in range(reply.granted):
-            _resolve(queue.popleft(), None)
-        if reply.granted < len(batch):
-            await self._wait_or_refuse(account, queue, reply)
+        for pending, max_wait_s, wait_s in zip(
+            batch, request.max_waits_s, _waits_of(reply, batch), strict=True
+        ):
+            queue.remove(pending)
+            if wait_s <= max_wait_s:
+                _grant_after(pending, wait_s)
+            else:
+                _resolve(pending, _over_rate(pending, wait_s))
 
     def _record_leader_state(
         self, *, is_reachable: bool, reason: str = ''
@@ -187,19 +194,6 @@
         else:
             log_event(log, 'allowances_unled', reason=reason)
 
-    async def _wait_or_refuse(
-        self,
-        account: str,
-        queue: deque[_PendingCharge],
-        reply: AllowanceReply,
-    ) -> None:
-        ready_s = self._clock.now_s() + reply.retry_after_s
-        while queue and queue[0].deadline_s < ready_s:
-            detail = f'account {account} lacks {queue[0].amount} tokens'
-            _refuse(queue, 1, detail, 'over_rate', reply.retry_after_s)
-        if queue:
-            await asyncio.sleep(max(MIN_BATCH_DELAY_S, reply.retry_after_s))
-
     def _charge_locally(self, queue: deque[_PendingCharge]) -> None:
         """Admit what the share of this entry covers; the rest waits."""
         for pending in tuple(queue):
@@ -240,20 +234,31 @@
         )
 
 
-def _refuse(
-    queue: deque[_PendingCharge],
-    count: int,
-    detail: str,
-    cause: str,
-    retry_after_s: float | None,
-) -> None:
-    for _ in range(count):
-        error = RateLimitedError(
-            detail,
-            retry_after_s=retry_after_s,
-            cause=cause,
-        )
-        _resolve(queue.popleft(), error)
+def _waits_of(
+    reply: AllowanceReply, batch: tuple[_PendingCharge, ...]
+) -> tuple[float, ...]:
+    """Return how long each request must wait, infinity if it is refused."""
+    if reply.waits_s:
+        return reply.waits_s
+    # A leader of an earlier version grants no request that waits.
+    refused = len(batch) - reply.granted
+    return (0.0,) * reply.granted + (float('inf'),) * refused
+
+
+def _grant_after(pending: _PendingCharge, wait_s: float) -> None:
+    if wait_s <= 0:
+        _resolve(pending, None)
+        return
+    loop = asyncio.get_running_loop()
+    loop.call_later(wait_s, _resolve, pending, None)
+
+
+def _over_rate(pending: _PendingCharge, wait_s: float) -> RateLimitedError:
+    return RateLimitedError(
+        f'account {pending.account.name} lacks {pending.amount} tokens',
+        retry_after_s=wait_s if isfinite(wait_s) else None,
+        cause='over_rate',
+    )
 
 
 def _resolve(pending: _PendingCharge, refusal: RateLimitedError | None) -> None:
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from kumquatrun.control.allowance_pool import AllowancePool, TakeAllowance
+from kumquatrun.control.allowance_pool import (
+    AllowancePool,
+    AllowanceReply,
+    TakeAllowance,
+)
 from kumquatrun.control.configuration_register import AccountAllowance
 from kumquatrun.errors import ControlUnreachableError, RateLimitedError
 from kumquatrun.gateway.admission.allowances import Allowances
@@ -83,6 +87,29 @@
     )
 
 
+def test_waiting_request_has_its_tokens_reserved():
+    # Guards against a request that waits for its tokens, which requests of other
+    # entries then take, so that it is refused after its wait.
+    pool = full_pool()
+    request = TakeAllowance(
+        account='lamps', amounts=(1000, 200), max_waits_s=(0.3, 0.3)
+    )
+    assert pool.take(request, 10).waits_s == pytest.approx((0, 0.2))
+    assert take(pool, 10.1, 10).granted == 0
+    assert take(pool, 10.15, 1).granted == 0
+    assert take(pool, 10.25, 40).granted == 1
+
+
+def test_small_request_is_not_refused_with_a_large_one_before_it():
+    pool = full_pool()
+    request = TakeAllowance(
+        account='lamps', amounts=(900, 800, 200), max_waits_s=(0.3,) * 3
+    )
+    reply = pool.take(request, 10)
+    assert reply.granted == 1
+    assert reply.waits_s == pytest.approx((0, 0.7, 0.1))
+
+
 class Leader:
     """Fake ``LeaderClient`` with its own pool."""
 
@@ -125,6 +152,43 @@
     assert raised.value.retry_after_s > 0.3
 
 
+async def test_entries_that_compete_refuse_at_once():
+    # Guards against requests over the rate that are held for 0.3 s before they
+    # are refused: 309 of 6,400 on a calm day with 65 hosts.
+    leader = Leader()
+    entries = [make_allowances(leader) for _ in range(8)]
+    refused_after_s = []
+
+    async def ask(entry):
+        began_s = asyncio.get_running_loop().time()
+        try:
+            await entry.charge(ACCOUNT, 100)
+        except RateLimitedError:
+            passed_s = asyncio.get_running_loop().time() - began_s
+            refused_after_s.append(passed_s)
+
+    async with asyncio.TaskGroup() as tasks:
+        for number in range(400):
+            tasks.create_task(ask(entries[number % 8]))
+            await asyncio.sleep(0.01)
+    assert 0 < len(refused_after_s) < 400
+    assert max(refused_after_s) < 0.1
+
+
+async def test_leader_of_an_earlier_version_grants_the_first_requests():
+    # Guards against an entry that can't charge requests during an upgrade.
+    class EarlierLeader:
+        async def call(self, request, timeout_s):
+            return AllowanceReply(granted=1, retry_after_s=0.5)
+
+    allowances = make_allowances(EarlierLeader())
+    results = await asyncio.gather(
+        *(allowances.charge(ACCOUNT, 100) for _ in range(2)),
+        return_exceptions=True,
+    )
+    assert [type(row) for row in results] == [type(None), RateLimitedError]
+
+
 async def test_waiting_requests_are_batched():
     leader = Leader()
     allowances = make_allowances(leader)
