--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -43,6 +43,18 @@
     set_fatal(True)
 
 
+@pytest.fixture(autouse=True, scope='module')
+def collected_garbage():
+    """Finalize what earlier modules left behind.
+
+    A finalizer that fails has its traceback formatted, which parses a source
+    line. In CPython 3.11, that breaks the parse during which the collector ran,
+    with ``SystemError: AST constructor recursion depth mismatch``; hypothesis
+    parses the modules of its state machines.
+    """
+    gc.collect()
+
+
 @pytest.fixture
 def frozen_heap():
     """Exclude the objects of earlier tests from garbage collection.
