Let a stream pause while the agent says that its engine lives

Both streams were routine, had sent their first event and then paused for 1.5 s, six times the gap target: an engine that is out of memory preempts the least urgent requests and reads them anew later. The entry gave the run up as silent, found no engine with room for the adapter (0.34 and 1.67 s) and cut the answer.

After that pause the entry now asks the agent (CheckEngine). If the process has been running since before the run began, the stream goes on until 0.3 s before its caller would abandon it; otherwise, or without an answer, it is resumed elsewhere as before.

Ruled out: a longer limit alone, which leaves streams of engines that did end waiting; no limit, which leaves a stream whose connection is silent for good to its caller.

--- a/src/kumquatrun/gateway/crashes/crash_watch.py
+++ b/src/kumquatrun/gateway/crashes/crash_watch.py
@@ -189,6 +189,10 @@
             self._answered_parts.record(key, now_s)
             self._clear(key)
 
+    async def is_outlived(self, run: WatchedRun) -> bool:
+        """Return whether the backend server of a run is known to live on."""
+        return await self._checks.is_outlived(run)
+
     def end(self, run: WatchedRun, ending: RunEnding) -> None:
         """Record how a run ended."""
         now_s = self._clock.now_s()
--- a/src/kumquatrun/gateway/crashes/end_checks.py
+++ b/src/kumquatrun/gateway/crashes/end_checks.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from kumquatrun.gateway.crashes.watched_run import WatchedRun
@@ -78,6 +78,12 @@
             self._check_all(backend_id, [check], question)
         )
 
+    async def is_outlived(self, run: WatchedRun) -> bool:
+        """Return whether the backend server of a run is known to live on."""
+        question = self._observer.known_for_s(run.backend_id)
+        known_for_s = None if question is None else await question
+        return _is_outlived(run, known_for_s, self._clock.now_s())
+
     async def close(self, timeout_s: float) -> None:
         """Wait at most ``timeout_s`` for the checks in progress."""
         if not self._tasks:
@@ -99,7 +105,8 @@
                 known_for_s = None if question is None else await question
                 now_s = self._clock.now_s()
                 for check in checks:
-                    self._on_checked(_decide(check, known_for_s, now_s))
+                    is_outlived = _is_outlived(check.run, known_for_s, now_s)
+                    self._on_checked(replace(check, is_outlived=is_outlived))
                 # A reply tells nothing of a run that ended after its question.
                 checks = self._waiting.pop(backend_id)
                 self._waiting[backend_id] = []
@@ -114,10 +121,7 @@
             del self._tasks[backend_id]
 
 
-def _decide(
-    check: EndCheck, known_for_s: float | None, now_s: float
-) -> EndCheck:
-    is_outlived = (
-        known_for_s is not None and now_s - known_for_s <= check.run.began_at_s
-    )
-    return EndCheck(check.run, check.ended_at_s, is_outlived)
+def _is_outlived(
+    run: WatchedRun, known_for_s: float | None, now_s: float
+) -> bool:
+    return known_for_s is not None and now_s - known_for_s <= run.began_at_s
--- a/src/kumquatrun/gateway/forwarding/forwarder.py
+++ b/src/kumquatrun/gateway/forwarding/forwarder.py
@@ -302,6 +302,7 @@
                 connection,
                 reservation,
                 partial(self._crashes.record_answer, run),
+                partial(self._crashes.is_outlived, run),
             )
             ending = _ENDINGS[result]
         except (BrokenResponseError, TimeoutError) as error:
--- a/src/kumquatrun/gateway/forwarding/response_relay.py
+++ b/src/kumquatrun/gateway/forwarding/response_relay.py
@@ -1,7 +1,7 @@
 """Relays the response of a backend server to the caller."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from enum import StrEnum
 
 from kumquatrun.errors import BackendError, Outcome
@@ -20,6 +20,10 @@
     ResponseHead,
 )
 from kumquatrun.gateway.forwarding.response_writer import ResponseWriter
+from kumquatrun.gateway.forwarding.stream_pauses import (
+    longest_pause_s,
+    suspicious_pause_s,
+)
 from kumquatrun.gateway.placement.reservations import Reservation
 from kumquatrun.gateway.routing.configuration import RouteKind
 from kumquatrun.gateway.routing.request_state import RequestState
@@ -35,9 +39,6 @@
 # have begun. Otherwise the request goes to another backend server.
 ATTEMPT_TIMEOUT_FACTOR = 1.5
 STREAM_START_TIMEOUT_FACTOR = 2.0
-# A resumable stream that pauses for this many times the gap target of its route
-# is resumed on another backend server.
-STREAM_GAP_TIMEOUT_FACTOR = 6.0
 # A refusal arrives in one piece, so its body is not worth a longer wait.
 REFUSAL_BODY_TIMEOUT_S = 0.1
 # Largest response that is not streamed; it is buffered before it is relayed.
@@ -73,12 +74,14 @@
         connection: BackendConnection,
         reservation: Reservation,
         on_answer: Callable[[], None],
+        is_outlived: Callable[[], Awaitable[bool]],
     ) -> tuple[AttemptResult, ResponseHead | None]:
         """Relay the response to a request that was sent.
 
         Calls ``on_answer`` once the first event of a stream, or a successful
-        response that is no stream, has arrived in full. Returns how the
-        attempt ended, and the head of a complete response.
+        response that is no stream, has arrived in full, and ``is_outlived`` to
+        find out whether the backend server of a stream that pauses lives on.
+        Returns how the attempt ended, and the head of a complete response.
 
         Raises
         ------
@@ -100,7 +103,12 @@
         is_stream = request_state.route.kind is RouteKind.STREAMING
         if is_stream and head.status in SUCCESS:
             await self._relay_stream(
-                request_state, writer, head, reservation, on_answer
+                request_state,
+                writer,
+                head,
+                reservation,
+                EventBoundary(on_answer),
+                is_outlived,
             )
             return AttemptResult.DELIVERED, head
         async with asyncio.timeout_at(deadline_s):
@@ -185,7 +193,8 @@
         writer: ResponseWriter,
         head: ResponseHead,
         reservation: Reservation,
-        on_answer: Callable[[], None],
+        boundary: EventBoundary,
+        is_outlived: Callable[[], Awaitable[bool]],
     ) -> None:
         if request_state.route.may_repeat and request_state.stream is None:
             request_state.stream = ResumableStream(
@@ -200,9 +209,8 @@
                 head.reason,
                 self._stream_headers(request_state, head),
             )
-        boundary = EventBoundary(on_answer)
         await self._relay_events(
-            request_state, writer, head, reservation, boundary
+            request_state, writer, head, reservation, boundary, is_outlived
         )
         _check_stream_end(head, boundary)
         rest = stream.take_rest() if stream is not None else b''
@@ -217,11 +225,11 @@
         head: ResponseHead,
         reservation: Reservation,
         boundary: EventBoundary,
+        is_outlived: Callable[[], Awaitable[bool]],
     ) -> None:
         last_read_at_s: float | None = None
         while True:
-            async with asyncio.timeout(self._gap_timeout_s(request_state)):
-                chunk = await head.body.readany()
+            chunk = await self._read_chunk(request_state, head, is_outlived)
             if not chunk and head.body.is_eof():
                 return
             now_s = self._clock.now_s()
@@ -254,15 +262,35 @@
             if name.lower() != 'content-length'
         ]
 
-    def _gap_timeout_s(self, request_state: RequestState) -> float | None:
-        gap_ms = request_state.route.gap_target_ms
-        if (
-            request_state.stream is None
-            or not gap_ms
-            or not request_state.may_send_again
-        ):
-            return None
-        return STREAM_GAP_TIMEOUT_FACTOR * gap_ms / 1000
+    async def _read_chunk(
+        self,
+        request_state: RequestState,
+        head: ResponseHead,
+        is_outlived: Callable[[], Awaitable[bool]],
+    ) -> bytes:
+        """Return the next bytes of a stream.
+
+        A stream that can be resumed pauses for longer only if its backend
+        server is known to live on: it may have preempted the request.
+
+        Raises
+        ------
+        TimeoutError
+            If the stream has to be resumed elsewhere.
+        """
+        route = request_state.route
+        is_resumable = request_state.stream is not None and route.gap_target_ms
+        if not is_resumable or not request_state.may_send_again:
+            return await head.body.readany()
+        paused_at_s = self._clock.now_s()
+        try:
+            async with asyncio.timeout(suspicious_pause_s(route)):
+                return await head.body.readany()
+        except TimeoutError:
+            if not await is_outlived():
+                raise
+        async with asyncio.timeout_at(paused_at_s + longest_pause_s(route)):
+            return await head.body.readany()
 
 
 def _complete_events(
