--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -241,8 +241,8 @@
 
 
 async def test_stream_that_a_living_engine_pauses_is_not_resumed():
-    # Guards against sound streams that are cut: an engine had preempted the
-    # request for 1.5 s, and no other engine had room to resume it (LOST on the
+    # Guards against sound streams that are cut: they had paused for 1.5 s at
+    # living engines, and no other engine had room to resume them (LOST on the
     # large site, scale-1, seed 198989000).
     second = ScriptedBackend(RESUMED)
     caller = await forward(
