Keep requests in the regions that their route and account allow

Each entry now filters the backend servers at each choice. Ruled out: a check at admission only (a change would not hold for requests that wait).

--- a/src/kumquatrun/gateway/placement/reservations.py
+++ b/src/kumquatrun/gateway/placement/reservations.py
@@ -15,6 +15,7 @@
     AgentUnreachableError,
 )
 from kumquatrun.gateway.placement.balancer import Balancer
+from kumquatrun.gateway.placement.eligibility import Eligibility
 from kumquatrun.gateway.placement.model_spread import ModelScaler
 from kumquatrun.gateway.routing.messages import ENGINE_WITHOUT_MODEL, UseAdapter
 from kumquatrun.gateway.routing.request_state import RequestState
@@ -38,6 +39,8 @@
 # Interval between attempts to reach stopped agents, which may restart.
 AGENT_RETRY_INTERVAL_S = 0.2
 BUSY_RETRY_AFTER_S = 0.5
+# Cause of a refusal if no listed backend server may run the request.
+NONE_ELIGIBLE = 'none_eligible'
 
 
 @dataclass(frozen=True)
@@ -62,8 +65,10 @@
         balancer: Balancer,
         agents: AgentCalls,
         adapter_version: Callable[[str, str], int],
+        eligibility: Eligibility,
         clock: Clock,
     ) -> None:
+        self._eligibility = eligibility
         self._backends = backends
         self._balancer = balancer
         self._agents = agents
@@ -109,9 +114,15 @@
             'no backend server can take the request: '
             f'{last_refusal[0] if last_refusal else "none is available"}',
             retry_after_s=BUSY_RETRY_AFTER_S,
-            cause='no_backend',
+            cause=self._refusal_cause(request_state),
         )
 
+    def _refusal_cause(self, request_state: RequestState) -> str:
+        listed = self._backends.of_service(request_state.service)
+        if listed and not self._eligibility.select(listed, request_state):
+            return NONE_ELIGIBLE
+        return 'no_backend'
+
     async def _choose_next(
         self,
         request_state: RequestState,
@@ -179,6 +190,10 @@
             )
             if backend is not None or request_state.tried_backends:
                 return backend
+            if self._backends.of_service(request_state.service):
+                # The listed backend servers may not run this request, and a
+                # wait would not change that.
+                return None
             if self._clock.now_s() >= deadline_s:
                 return None
             await self._backends.wait_for_change(BACKEND_POLL_INTERVAL_S)
@@ -193,7 +208,9 @@
         affinity key directs all requests for the same model and adapter to
         the same backend server, which loads the model.
         """
-        backends = self._backends.of_service(request_state.service)
+        backends = self._eligibility.select(
+            self._backends.of_service(request_state.service), request_state
+        )
         request = request_state.request
         if not request.model:
             return backends, ''
--- a/src/kumquatrun/gateway/roles/entry.py
+++ b/src/kumquatrun/gateway/roles/entry.py
@@ -32,6 +32,7 @@
 )
 from kumquatrun.gateway.placement.agent_calls import AgentCalls
 from kumquatrun.gateway.placement.balancer import Balancer, Locality
+from kumquatrun.gateway.placement.eligibility import Eligibility
 from kumquatrun.gateway.placement.engine_observer import EngineObserver
 from kumquatrun.gateway.placement.reservations import Reservations
 from kumquatrun.gateway.roles.configuration_follower import (
@@ -147,6 +148,9 @@
             Balancer(locality, rng),
             self._agents,
             session.view.adapter_version,
+            Eligibility(
+                locality.regions, lambda: self._configuration.configuration
+            ),
             clock,
         )
         self._forwarder = Forwarder(
--- a/src/kumquatrun/gateway/routing/configuration.py
+++ b/src/kumquatrun/gateway/routing/configuration.py
@@ -46,6 +46,8 @@
         Number of backend servers that may run one request of a caller.
     is_resumable
         Whether a stream may be resumed on another backend server.
+    allowed_regions
+        Regions whose backend servers may run the requests; empty for all.
     """
 
     name: str
@@ -60,6 +62,7 @@
     max_attempts: int = 1
     is_public: bool = False
     is_resumable: bool = False
+    allowed_regions: frozenset[str] = frozenset()
 
     @property
     def may_repeat(self) -> bool:
@@ -101,7 +104,8 @@
 
     ``rate_per_s`` and ``burst`` count tokens where ``counts_tokens`` is true,
     else requests; a rate of 0 means no limit. A request without token counts
-    is charged ``plain_tokens``.
+    is charged ``plain_tokens``. ``allowed_regions`` restricts its requests as
+    that of a route does.
     """
 
     name: str
@@ -111,6 +115,7 @@
     plain_tokens: float = 1
     rate_per_s: float = 0
     burst: float = 0
+    allowed_regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -155,6 +160,34 @@
         """Return a service by name."""
         return self._services_by_name.get(name)
 
+    def allowed_regions(
+        self, route: GatewayRoute, account_name: str
+    ) -> frozenset[str] | None:
+        """Return the regions that may run a request, or None for all.
+
+        Where route and account both restrict the regions, both apply, which
+        may leave none. A route that this version lacks keeps the regions of
+        the version that admitted the request.
+        """
+        current = self._routes_by_name.get(route.name, route)
+        account = self._accounts_by_name.get(account_name)
+        restrictions = [
+            row.allowed_regions
+            for row in (current, account)
+            if row is not None and row.allowed_regions
+        ]
+        if not restrictions:
+            return None
+        return frozenset.intersection(*restrictions)
+
+    @cached_property
+    def _routes_by_name(self) -> Mapping[str, GatewayRoute]:
+        return {row.name: row for row in self.routes}
+
+    @cached_property
+    def _accounts_by_name(self) -> Mapping[str, GatewayAccount]:
+        return {row.name: row for row in self.accounts}
+
     @cached_property
     def _routes_by_host(self) -> Mapping[str, Mapping[str, GatewayRoute]]:
         hosts: dict[str, dict[str, GatewayRoute]] = {}
--- a/src/kumquatrun/platform/configuration.py
+++ b/src/kumquatrun/platform/configuration.py
@@ -65,6 +65,7 @@
         max_attempts=max(1, decoding.integer(fields, 'max_attempts', 1)),
         is_public=decoding.boolean(fields, 'public'),
         is_resumable=decoding.boolean(fields, 'resumable'),
+        allowed_regions=_allowed_regions(fields),
     )
 
 
@@ -127,9 +128,21 @@
         plain_tokens=decoding.number(fields, 'plain_tokens', 1),
         rate_per_s=decoding.number(fields, 'rate_per_s', 0.0),
         burst=decoding.number(fields, 'burst', 0.0),
+        allowed_regions=_allowed_regions(fields),
     )
 
 
+def _allowed_regions(fields: Fields) -> frozenset[str]:
+    names = fields.get('allowed_regions') or []
+    if not isinstance(names, list):
+        raise DocumentError("'allowed_regions' is not a list")
+    if not all(isinstance(name, str) for name in names):
+        raise DocumentError(
+            "'allowed_regions' has an entry that is not a string"
+        )
+    return frozenset(names)
+
+
 def _optional_integer(fields: Fields, name: str) -> int | None:
     return None if fields.get(name) is None else decoding.integer(fields, name)
 
--- a/tests/test_agent_calls.py
+++ b/tests/test_agent_calls.py
@@ -26,6 +26,7 @@
     AgentUnreachableError,
 )
 from kumquatrun.gateway.placement.balancer import Balancer, Locality
+from kumquatrun.gateway.placement.eligibility import Eligibility
 from kumquatrun.gateway.placement.reservations import Reservations
 from kumquatrun.gateway.roles.agent import GatewayAgent
 from kumquatrun.gateway.roles.settings import GatewayAgentSettings
@@ -298,6 +299,7 @@
         Balancer(Locality(failure_domain='a', regions={}), random.Random(1)),
         calls,
         lambda model, adapter: 0,
+        Eligibility({}, lambda: None),
         LoopClock(),
     )
     running = replace(REQUEST, adapter='a1', request_id='r1')
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -19,6 +19,7 @@
     AgentUnreachableError,
 )
 from kumquatrun.gateway.placement.balancer import Balancer, Locality
+from kumquatrun.gateway.placement.eligibility import Eligibility
 from kumquatrun.gateway.placement.model_spread import SCALE_OUT_COOLDOWN_S
 from kumquatrun.gateway.placement.reservations import (
     MAX_ADAPTER_WAIT_S,
@@ -89,6 +90,7 @@
         Balancer(locality, random.Random(1)),
         agents,
         lambda model, adapter: 2 if adapter == 'named' else 0,
+        Eligibility(locality.regions, lambda: None),
         LoopClock(),
     )
     reservations.backends = table.of_service('assistant')
