Split the crash watch: fingerprints and the counts of one host

What names a request or prompt part is now in fingerprints.py, the counts that one host keeps until the fleet's count replaces them in local_counts.py.

--- a/src/kumquatrun/gateway/admission/admission.py
+++ b/src/kumquatrun/gateway/admission/admission.py
@@ -17,8 +17,8 @@
     RouteNotFoundError,
 )
 from kumquatrun.gateway.admission.allowances import Allowances
-from kumquatrun.gateway.crashes.crash_watch import (
-    CrashWatch,
+from kumquatrun.gateway.crashes.crash_watch import CrashWatch
+from kumquatrun.gateway.crashes.fingerprints import (
     fingerprint_of,
     part_keys_of,
 )
--- a/src/kumquatrun/gateway/crashes/crash_watch.py
+++ b/src/kumquatrun/gateway/crashes/crash_watch.py
@@ -11,12 +11,9 @@
 The methods call both fingerprints.
 """
 
-import hashlib
 import logging
-from itertools import islice
 
-from kumquatrun.control.ended_runs import EndedRun, EndedRuns
-from kumquatrun.control.part_keys import is_part_key, part_key
+from kumquatrun.control.part_keys import is_part_key
 from kumquatrun.errors import QuarantinedError
 from kumquatrun.gateway.crashes.answered_parts import AnsweredParts
 from kumquatrun.gateway.crashes.backend_signs import BackendSigns
@@ -25,6 +22,7 @@
     EndChecks,
     ProcessObserver,
 )
+from kumquatrun.gateway.crashes.local_counts import LocalCounts
 from kumquatrun.gateway.crashes.suspect_reports import SuspectReports
 from kumquatrun.gateway.crashes.trial_requests import (
     FIRST_TRIAL_S,
@@ -36,7 +34,6 @@
     WatchedRun,
 )
 from kumquatrun.gateway.routing.request_state import RequestState
-from kumquatrun.gateway.routing.wire_format import CallerRequest
 from kumquatrun.membership.control_client import Session
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.logs import log_event
@@ -44,46 +41,10 @@
 log = logging.getLogger(__name__)
 
 REFUSED_STATES = frozenset(('quarantined', 'blocked'))
-# How long this host refuses by its own count: while the report is not
-# delivered, and until the feed has brought the count of the fleet.
-LOCAL_WINDOW_S = 60.0
-FEED_DELAY_S = 2.0
-# The same for a prompt part. Other hosts may have cleared a part that sound
-# requests share, so this host must not refuse it for long by its own count.
-PART_FEED_DELAY_S = 0.3
-MAX_LOCAL_FINGERPRINTS = 2000
-# Parts of one prompt that are watched. Headers hold more, but all parts of a run
-# must fit into one report.
-MAX_PART_KEYS = 255
 # Time until a blocked prompt part may get its first trial run.
 PART_RETRY_AFTER_S = 30.0
 
 
-def fingerprint_of(request: CallerRequest, account: str) -> str:
-    """Return a hash that is the same for equal requests of one caller.
-
-    A caller with an account is the same with any of its keys. The query, the
-    method and the host are not part of it: a caller that varies them still
-    sends the same request.
-    """
-    digest = hashlib.blake2b(digest_size=12)
-    for part in (request.path, account or request.key):
-        digest.update(part.encode('utf-8', 'surrogateescape'))
-        digest.update(b'\0')
-    digest.update(request.body)
-    return digest.hexdigest()
-
-
-def part_keys_of(request: CallerRequest) -> tuple[str, ...]:
-    """Return the keys of the prompt parts that other requests may share.
-
-    Neither model nor adapter is part of a key: a part crashes backend servers
-    whatever else its request holds.
-    """
-    shared = islice(request.prompt_parts[:-1], MAX_PART_KEYS)
-    return tuple(dict.fromkeys(map(part_key, shared)))
-
-
 class CrashWatch:
     """Watches runs, and refuses what backend servers ended under.
 
@@ -108,9 +69,7 @@
         self._answered_parts = AnsweredParts()
         # Runs that are being answered.
         self._answering: set[WatchedRun] = set()
-        self._local_runs = EndedRuns()
-        # Times until which the local counts are in force.
-        self._local_ends_s: dict[str, float] = {}
+        self._local_counts = LocalCounts()
         self._trials = TrialRequests(session, clock)
 
     async def admit(
@@ -238,10 +197,7 @@
         state = self._session.view.fingerprint_state(fingerprint)
         if state in REFUSED_STATES:
             return True
-        return (
-            self._local_runs.is_over_limit(fingerprint)
-            and self._clock.now_s() < self._local_ends_s[fingerprint]
-        )
+        return self._local_counts.is_refused(fingerprint, self._clock.now_s())
 
     def _refusal(self, fingerprint: str) -> QuarantinedError:
         state = self._session.view.fingerprint_state(fingerprint)
@@ -300,21 +256,7 @@
             self._count(run, fingerprint, check.ended_at_s)
 
     def _count(self, run: WatchedRun, fingerprint: str, now_s: float) -> None:
-        if now_s >= self._local_ends_s.get(fingerprint, now_s):
-            # The fleet has counted the earlier ends, or cleared them.
-            self._local_runs.forget(fingerprint)
-        self._local_runs.add(
-            fingerprint,
-            EndedRun(
-                run.backend_id,
-                round(run.began_at_s * 1000),
-                round(now_s * 1000),
-                request=run.identity if is_part_key(fingerprint) else '',
-            ),
-        )
-        self._local_ends_s[fingerprint] = now_s + LOCAL_WINDOW_S
-        if len(self._local_runs) > MAX_LOCAL_FINGERPRINTS:
-            del self._local_ends_s[self._local_runs.forget_oldest()]
+        self._local_counts.add(run, fingerprint, now_s)
         self._reports.add_run(run, fingerprint, now_s)
 
     def _refute(
@@ -322,7 +264,7 @@
     ) -> None:
         """Report that the backend server of a run outlived it."""
         for fingerprint in (*parts, run.fingerprint):
-            self._local_runs.refute(fingerprint, run.backend_id)
+            self._local_counts.refute(fingerprint, run.backend_id)
             self._reports.add_clear(fingerprint, run.backend_id)
         log_event(
             log,
@@ -344,13 +286,13 @@
             self._reports.add_clear(fingerprint, at_s=answered_at_s)
 
     def _is_counted(self, fingerprint: str) -> bool:
-        return fingerprint in self._local_runs or self._is_suspect(fingerprint)
+        is_counted_here = fingerprint in self._local_counts
+        return is_counted_here or self._is_suspect(fingerprint)
 
     def _clear(self, fingerprint: str) -> None:
         if not self._is_counted(fingerprint):
             return
-        self._local_runs.forget(fingerprint)
-        self._local_ends_s.pop(fingerprint, None)
+        self._local_counts.clear(fingerprint)
         self._trials.forget(fingerprint)
         self._reports.add_clear(fingerprint)
         log_event(
@@ -362,11 +304,4 @@
 
     def _on_delivered(self, fingerprint: str) -> None:
         """Let the count of the fleet replace that of this host."""
-        ends_s = self._local_ends_s.get(fingerprint)
-        if ends_s is None:
-            return
-        is_part = is_part_key(fingerprint)
-        delay_s = PART_FEED_DELAY_S if is_part else FEED_DELAY_S
-        self._local_ends_s[fingerprint] = min(
-            ends_s, self._clock.now_s() + delay_s
-        )
+        self._local_counts.shorten(fingerprint, self._clock.now_s())
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -11,9 +11,11 @@
 from kumquatrun.control.part_keys import request_identity
 from kumquatrun.errors import ControlUnreachableError, QuarantinedError
 from kumquatrun.gateway.crashes.crash_watch import (
-    MAX_PART_KEYS,
     PART_RETRY_AFTER_S,
     CrashWatch,
+)
+from kumquatrun.gateway.crashes.fingerprints import (
+    MAX_PART_KEYS,
     fingerprint_of,
     part_keys_of,
 )
