Check a routing configuration before it is sent

Operators could see a mistake only after control had refused the first error, or not at all where a configuration is valid but an entry can never match. `kumquatrun configuration check` runs the checks that control runs and lists all errors, then entries that can never match, limits that contradict each other, and what differs from the version in force, without printing keys. Rates are not compared with the size of the fleet: a file doesn't tell it.

--- a/src/kumquatrun/command_line/cli.py
+++ b/src/kumquatrun/command_line/cli.py
@@ -10,7 +10,7 @@
 )
 from kumquatrun.command_line.cli_explain import explain_command
 from kumquatrun.command_line.cli_operator import SIMPLE_ACTIONS
-from kumquatrun.command_line.cli_platform import platform_command
+from kumquatrun.command_line.cli_platform import check_command, platform_command
 from kumquatrun.daemon.setting_table import ALL_DAEMONS, ENVIRONMENT_PREFIX
 
 
@@ -25,6 +25,11 @@
     """Check, apply, try, promote and show configuration documents."""
 
 
+@main.group('configuration')
+def configuration_group() -> None:
+    """Check routing configurations of a gateway."""
+
+
 @main.group('key')
 def key_group() -> None:
     """Issue, revoke and list API keys."""
@@ -47,6 +52,7 @@
         main.add_command(daemon_command(daemon))
     main.add_command(platform_command)
     main.add_command(explain_command)
+    configuration_group.add_command(check_command)
     for command in document_commands():
         document_group.add_command(command)
     for command in key_commands():
--- a/src/kumquatrun/command_line/cli_output.py
+++ b/src/kumquatrun/command_line/cli_output.py
@@ -48,6 +48,11 @@
     return json.dumps(value, indent=2, ensure_ascii=False, default=_to_text)
 
 
+def print_json(value: Any) -> None:
+    """Print JSON text on standard output."""
+    click.echo(to_json(value))
+
+
 def print_result(
     result: Mapping[str, Any],
     *,
--- a/src/kumquatrun/command_line/cli_platform.py
+++ b/src/kumquatrun/command_line/cli_platform.py
@@ -6,10 +6,16 @@
 
 import click
 
+from kumquatrun.command_line.cli_configuration import (
+    configuration_check_command,
+)
 from kumquatrun.command_line.daemon_runner import run_until_stopped
+from kumquatrun.platform.configuration import decode_unchecked
 from kumquatrun.runtime.bounded_log import BoundedLogHandler
 from kumquatrun.runtime.logs import configure_logs
 
+check_command = configuration_check_command(decode_unchecked)
+
 ROLES = ('entry', 'agent', 'control')
 
 
--- a/src/kumquatrun/gateway/routing/checks.py
+++ b/src/kumquatrun/gateway/routing/checks.py
@@ -15,9 +15,14 @@
     DocumentError
         If a rule is broken; the message describes the first violation.
     """
+    for problem in configuration_errors(configuration):
+        raise DocumentError(problem)
+
+
+def configuration_errors(configuration: Configuration) -> Iterator[str]:
+    """Yield a description of each violation of a rule."""
     for check in _CHECKS:
-        for problem in check(configuration):
-            raise DocumentError(problem)
+        yield from check(configuration)
 
 
 def _unknown_services(configuration: Configuration) -> Iterator[str]:
--- a/src/kumquatrun/platform/configuration.py
+++ b/src/kumquatrun/platform/configuration.py
@@ -29,6 +29,19 @@
     DocumentError
         If the content cannot be decoded or the configuration is invalid.
     """
+    configuration = decode_unchecked(content)
+    check_configuration(configuration)
+    return configuration
+
+
+def decode_unchecked(content: bytes) -> Configuration:
+    """Decode a configuration that may break rules.
+
+    Raises
+    ------
+    DocumentError
+        If the content cannot be decoded.
+    """
     fields = decoding.parse_object(content)
     try:
         configuration = Configuration(
@@ -47,7 +60,6 @@
         raise DocumentError(f'cannot be read: {error}') from None
     if configuration.version <= 0:
         raise DocumentError('the version is not above 0')
-    check_configuration(configuration)
     return configuration
 
 
