Leave out backend servers that leave or ask for quiet

An entry learned only from the listing that a backend server leaves, up to seconds after the server had said so in its answers, and it ignored the Retry-After of a refusal. Both now bind the entry from the answer on: the head of any answer sets the state of that process id, every choice reads it, and the forwarder checks it again right before the send. If all servers leave or ask for quiet, callers are refused at once, with the shortest remaining time.

Ruled out: ending the mark with the next listing that says ready, since it lags; the mark ends with the process. Malformed headers count as absent.

--- a/src/kumquatrun/gateway/backends/backends.py
+++ b/src/kumquatrun/gateway/backends/backends.py
@@ -1,14 +1,17 @@
 """Backend servers known to the gateway, with their load and health."""
 
 import asyncio
+from collections import OrderedDict
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from kumquatrun.gateway.backends.connection_pool import (
     DEFAULT_IDLE_S,
     ConnectionPool,
 )
+from kumquatrun.gateway.backends.server_signals import ServerSignals
 from kumquatrun.peer.address import Address
+from kumquatrun.runtime.clock import Clock, LoopClock
 
 # Number of slots of a backend server whose listing does not state it.
 DEFAULT_SLOTS = 32
@@ -26,6 +29,8 @@
 # Half-life of the failure rate, so that a backend server that gets no requests
 # is tried again.
 FAILURE_HALF_LIFE_S = 4.0
+# Maximum number of servers that are not listed but whose signals are kept.
+MAX_UNLISTED = 4096
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -69,6 +74,7 @@
     # since then.
     reported_load: int = 0
     started_since_report: int = 0
+    signals: ServerSignals = field(default_factory=ServerSignals)
 
     @property
     def backend_id(self) -> str:
@@ -124,12 +130,21 @@
     ----------
     unrepeatable_request_idle_s
         See ``ConnectionPool``.
+    clock
+        Source of time.
     """
 
     def __init__(
-        self, unrepeatable_request_idle_s: float = DEFAULT_IDLE_S
+        self,
+        unrepeatable_request_idle_s: float = DEFAULT_IDLE_S,
+        clock: Clock | None = None,
     ) -> None:
         self._unrepeatable_request_idle_s = unrepeatable_request_idle_s
+        self._clock = clock or LoopClock()
+        # A single listing may lack a server that is running.
+        self._unlisted_signals: OrderedDict[
+            tuple[str, Address], ServerSignals
+        ] = OrderedDict()
         self._backends: dict[str, Backend] = {}
         self._services: dict[str, tuple[Backend, ...]] = {}
         self._changed = asyncio.Event()
@@ -158,10 +173,13 @@
                     self._unrepeatable_request_idle_s,
                 )
                 backend = Backend(record, pool)
+                self._restore_signals(backend)
             backend.record = record
             self._backends[record.backend_id] = backend
+            self._record_listing(backend, is_ready=not record.is_draining)
         for unlisted in previous.values():
             unlisted.pool.close()
+            self._keep_signals(unlisted)
             self._notify_end(unlisted.backend_id)
         services: dict[str, list[Backend]] = {}
         for backend in self._backends.values():
@@ -171,6 +189,26 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def _record_listing(self, backend: Backend, *, is_ready: bool) -> None:
+        if backend.signals.is_leaving:
+            backend.signals.record_listing(
+                is_ready=is_ready, now_s=self._clock.now_s()
+            )
+
+    def _keep_signals(self, backend: Backend) -> None:
+        """Keep the signals of an unlisted server that may be listed again."""
+        if backend.signals == ServerSignals():
+            return
+        self._record_listing(backend, is_ready=False)
+        key = (backend.backend_id, backend.record.address)
+        self._unlisted_signals[key] = backend.signals
+        if len(self._unlisted_signals) > MAX_UNLISTED:
+            self._unlisted_signals.popitem(last=False)
+
+    def _restore_signals(self, backend: Backend) -> None:
+        key = (backend.backend_id, backend.record.address)
+        backend.signals = self._unlisted_signals.pop(key, backend.signals)
+
     def _notify_end(self, backend_id: str) -> None:
         if self._on_end is not None:
             self._on_end(backend_id)
@@ -187,6 +225,14 @@
         """Return the backend servers of a service that are not draining."""
         return self._services.get(service, ())
 
+    def all_of_service(self, service: str) -> tuple[Backend, ...]:
+        """Return all backend servers of a service, also draining ones."""
+        return tuple(
+            row
+            for row in self._backends.values()
+            if row.record.service == service
+        )
+
     def by_id(self) -> Mapping[str, Backend]:
         """Return all backend servers by id, including draining ones."""
         return self._backends
--- a/src/kumquatrun/gateway/backends/connection_pool.py
+++ b/src/kumquatrun/gateway/backends/connection_pool.py
@@ -84,6 +84,13 @@
         else:
             connection.abort()
 
+    def put_back(self, connection: BackendConnection) -> None:
+        """Return a connection on which nothing was sent."""
+        if connection.is_reusable and len(self._idle) < MAX_IDLE_CONNECTIONS:
+            self._idle.append(connection)
+        else:
+            connection.abort()
+
     def close(self) -> None:
         """Close all idle connections."""
         for connection in self._idle:
--- a/src/kumquatrun/gateway/forwarding/forwarder.py
+++ b/src/kumquatrun/gateway/forwarding/forwarder.py
@@ -24,6 +24,12 @@
 )
 from kumquatrun.gateway.crashes.crash_watch import CrashWatch
 from kumquatrun.gateway.crashes.watched_run import RunEnding
+from kumquatrun.gateway.forwarding.attempt_failures import (
+    failure_reason,
+    log_extra_bytes,
+    log_failed_attempt,
+    no_response_reason,
+)
 from kumquatrun.gateway.forwarding.response_relay import (
     SERVER_ERROR,
     AttemptResult,
@@ -33,6 +39,7 @@
 from kumquatrun.gateway.forwarding.shared_retry_budgets import (
     SharedRetryBudgets,
 )
+from kumquatrun.gateway.forwarding.signal_recorder import record_signals
 from kumquatrun.gateway.placement.reservations import (
     BUSY_RETRY_AFTER_S,
     Reservation,
@@ -47,6 +54,7 @@
 )
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.logs import log_event
+from kumquatrun.runtime.metrics import process_metrics
 
 log = logging.getLogger(__name__)
 
@@ -117,7 +125,7 @@
                 break
             if result is AttemptResult.DELIVERED:
                 return
-            _log_failed_attempt(request_state, result)
+            log_failed_attempt(request_state, result)
         await self._give_up(request_state, writer, problem)
 
     def _take_retry(self, request_state: RequestState) -> bool:
@@ -145,6 +153,7 @@
                 outcome=Outcome.UNKNOWN,
                 cause='backend_failed',
             )
+        problem = problem or self._reservations.unavailable(request_state)
         raise problem or NoCapacityError(
             f'no backend server accepted the request: {request_state.failure}',
             retry_after_s=BUSY_RETRY_AFTER_S,
@@ -164,6 +173,8 @@
         request_state.tried_backends.add(backend.backend_id)
         self._check_deadline(request_state)
         self._crashes.check(request_state)
+        if self._is_passed_over(request_state, backend):
+            return AttemptResult.NOT_RUN
         try:
             connection = await backend.pool.acquire(
                 may_repeat=request_state.route.may_repeat,
@@ -182,6 +193,9 @@
                 reason=error.detail,
             )
             return AttemptResult.NOT_RUN
+        if self._is_passed_over(request_state, backend):
+            backend.pool.put_back(connection)
+            return AttemptResult.NOT_RUN
         backend.open_requests += 1
         backend.started_since_report += 1
         head: ResponseHead | None = None
@@ -201,14 +215,7 @@
                 connection.abort()
             else:
                 backend.pool.release(connection, head)
-        if connection.has_extra_bytes:
-            log_event(
-                log,
-                'bytes_after_answer',
-                request_id=request_state.request.request_id,
-                backend=backend.backend_id,
-                received_bytes=connection.received_bytes,
-            )
+        log_extra_bytes(request_state, backend, connection)
         has_failed = head is not None and head.status >= SERVER_ERROR
         backend.record_response(
             failed=result in FAILURES
@@ -217,6 +224,25 @@
         )
         return result
 
+    def _is_passed_over(
+        self, request_state: RequestState, backend: Backend
+    ) -> bool:
+        """Return whether a server that was chosen wants no requests any more.
+
+        It may have said so in another answer while this request waited.
+        """
+        signals = backend.signals
+        now_s = self._clock.now_s()
+        if signals.accepts_requests(now_s):
+            return False
+        request_state.failure = (
+            'the backend server leaves'
+            if signals.is_leaving
+            else f'asked for a pause, {signals.quiet_s(now_s):.2f} s remain'
+        )
+        process_metrics().count('passed_over_total')
+        return True
+
     def _check_deadline(self, request_state: RequestState) -> None:
         """Check that the deadline of the request has not passed.
 
@@ -250,9 +276,9 @@
             or not connection.is_response_incomplete
         ):
             return
-        request_state.failure = _no_response_reason(connection)
+        request_state.failure = no_response_reason(connection)
         backend.record_response(failed=True, now_s=now_s)
-        _log_failed_attempt(request_state, AttemptResult.SILENT)
+        log_failed_attempt(request_state, AttemptResult.SILENT)
 
     async def _exchange(
         self,
@@ -270,7 +296,9 @@
             connection.send(
                 self._head_bytes(request_state, reservation),
                 request.body,
-                lambda head: self._is_response_to(request, connection, head),
+                lambda head: self._is_response_to(
+                    request, connection, head, reservation.backend
+                ),
                 has_response_body=request.method != 'HEAD',
             )
         except ConnectionLostError as error:
@@ -307,7 +335,7 @@
             ending = _ENDINGS[result]
         except (BrokenResponseError, TimeoutError) as error:
             result, ending = _FAILED_RUNS[type(error)]
-            request_state.failure = _failure_reason(error, connection)
+            request_state.failure = failure_reason(error, connection)
             return result, None
         except BackendError:
             # The response was complete but can't be relayed.
@@ -353,42 +381,21 @@
         request: CallerRequest,
         connection: BackendConnection,
         head: ResponseHead,
+        backend: Backend,
     ) -> bool:
         """Return whether a response belongs to a request.
 
+        Also records what the response says about its backend server, before
+        any other request can be sent there.
+
         On a reused connection, a response without a request id may be a
         duplicate: the backend server sent the refusal of an earlier request
         twice.
         """
-        id_in_response = self._wire.read_response(head).answered_id
-        if not id_in_response:
-            return connection.is_first_request
-        return id_in_response == request.request_id
-
-
-def _failure_reason(
-    error: BrokenResponseError | TimeoutError, connection: BackendConnection
-) -> str:
-    if isinstance(error, BrokenResponseError):
-        return error.detail
-    return _no_response_reason(connection)
-
-
-def _no_response_reason(connection: BackendConnection) -> str:
-    return f'no answer in time, {connection.received_bytes} bytes received'
-
-
-def _log_failed_attempt(
-    request_state: RequestState, result: AttemptResult
-) -> None:
-    log_event(
-        log,
-        'attempt_failed',
-        request_id=request_state.request.request_id,
-        backend=request_state.last_backend,
-        result=result,
-        sends=request_state.sends,
-        runs=request_state.runs,
-        framing=request_state.framing,
-        reason=request_state.failure,
-    )
+        info = self._wire.read_response(head)
+        if info.answered_id:
+            is_own = info.answered_id == request.request_id
+        else:
+            is_own = connection.is_first_request
+        record_signals(backend, info, self._clock.now_s(), is_own=is_own)
+        return is_own
--- a/src/kumquatrun/gateway/placement/eligibility.py
+++ b/src/kumquatrun/gateway/placement/eligibility.py
@@ -4,10 +4,28 @@
 """
 
 from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
 
 from kumquatrun.gateway.backends.backends import Backend
 from kumquatrun.gateway.routing.configuration import Configuration
 from kumquatrun.gateway.routing.request_state import RequestState
+from kumquatrun.runtime.clock import Clock, LoopClock
+
+# Causes of a refusal if all backend servers want no requests.
+ALL_LEAVING = 'backends_leaving'
+ALL_QUIET = 'backends_quiet'
+# Replacements of leaving backend servers are listed within about this time.
+LEAVING_RETRY_AFTER_S = 1.0
+# A refusal by a full backend server holds for about this long.
+BUSY_RETRY_AFTER_S = 0.5
+
+
+@dataclass(frozen=True, kw_only=True)
+class Unavailability:
+    """Why no backend server takes a request, and when one may."""
+
+    cause: str
+    retry_after_s: float
 
 
 class Eligibility:
@@ -20,21 +38,75 @@
     configuration
         Returns the configuration in force. It is read at each choice, so that
         a change also applies to requests that wait.
+    clock
+        Source of time.
     """
 
     def __init__(
         self,
         regions: Mapping[str, str],
         configuration: Callable[[], Configuration | None],
+        clock: Clock | None = None,
     ) -> None:
         self._regions = regions
         self._configuration = configuration
+        self._clock = clock or LoopClock()
 
     def select(
         self, backends: Sequence[Backend], request_state: RequestState
     ) -> Sequence[Backend]:
         """Return the backend servers that may run a request.
 
+        Those that leave or want no requests from this host are left out.
+        """
+        now_s = self._clock.now_s()
+        return tuple(
+            row
+            for row in self._in_allowed_regions(backends, request_state)
+            if row.signals.accepts_requests(now_s)
+        )
+
+    def unavailability(
+        self, backends: Sequence[Backend], request_state: RequestState
+    ) -> Unavailability | None:
+        """Return why no backend server takes a request now.
+
+        Returns None if one may take it, or if none has said that it wants no
+        requests. ``backends`` may contain draining ones.
+        """
+        now_s = self._clock.now_s()
+        rows = [
+            row
+            for row in self._in_allowed_regions(backends, request_state)
+            if row.signals.is_leaving or not row.record.is_draining
+        ]
+        accepting = {
+            row.backend_id
+            for row in rows
+            if row.signals.accepts_requests(now_s)
+        }
+        if accepting - request_state.tried_backends:
+            return None
+        waits_s = [
+            row.signals.quiet_s(now_s)
+            for row in rows
+            if not row.signals.is_leaving and row.backend_id not in accepting
+        ]
+        if waits_s and accepting:
+            waits_s.append(BUSY_RETRY_AFTER_S)
+        if waits_s:
+            return Unavailability(cause=ALL_QUIET, retry_after_s=min(waits_s))
+        if accepting or not rows:
+            return None
+        return Unavailability(
+            cause=ALL_LEAVING, retry_after_s=LEAVING_RETRY_AFTER_S
+        )
+
+    def _in_allowed_regions(
+        self, backends: Sequence[Backend], request_state: RequestState
+    ) -> Sequence[Backend]:
+        """Return the backend servers in the regions that a request allows.
+
         A failure domain whose region is unknown is in no allowed region.
         """
         allowed = self._allowed_regions(request_state)
--- a/src/kumquatrun/gateway/placement/reservations.py
+++ b/src/kumquatrun/gateway/placement/reservations.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncIterator, Callable, Mapping, Sequence
+from collections.abc import AsyncIterator, Callable, Mapping
 from collections.abc import Set as AbstractSet
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
@@ -15,7 +15,11 @@
     AgentUnreachableError,
 )
 from kumquatrun.gateway.placement.balancer import Balancer
-from kumquatrun.gateway.placement.eligibility import Eligibility
+from kumquatrun.gateway.placement.candidates import Candidates
+from kumquatrun.gateway.placement.eligibility import (
+    BUSY_RETRY_AFTER_S,
+    Eligibility,
+)
 from kumquatrun.gateway.placement.model_spread import ModelScaler
 from kumquatrun.gateway.routing.messages import ENGINE_WITHOUT_MODEL, UseAdapter
 from kumquatrun.gateway.routing.request_state import RequestState
@@ -38,9 +42,6 @@
 BACKEND_POLL_INTERVAL_S = 0.1
 # Interval between attempts to reach stopped agents, which may restart.
 AGENT_RETRY_INTERVAL_S = 0.2
-BUSY_RETRY_AFTER_S = 0.5
-# Cause of a refusal if no listed backend server may run the request.
-NONE_ELIGIBLE = 'none_eligible'
 
 
 @dataclass(frozen=True)
@@ -68,13 +69,13 @@
         eligibility: Eligibility,
         clock: Clock,
     ) -> None:
-        self._eligibility = eligibility
         self._backends = backends
         self._balancer = balancer
         self._agents = agents
         self._adapter_version = adapter_version
         self._clock = clock
         self._scaler = ModelScaler(agents, clock)
+        self._candidates = Candidates(backends, eligibility, self._scaler)
 
     def close(self) -> None:
         """Stop background work."""
@@ -110,18 +111,18 @@
                     yield reservation
                     return
         last_refusal = [str(error) for error in refusals.values()][-1:]
-        raise NoCapacityError(
-            'no backend server can take the request: '
-            f'{last_refusal[0] if last_refusal else "none is available"}',
+        reason = last_refusal[0] if last_refusal else 'none is available'
+        raise self.unavailable(request_state) or NoCapacityError(
+            f'no backend server can take the request: {reason}',
             retry_after_s=BUSY_RETRY_AFTER_S,
-            cause=self._refusal_cause(request_state),
+            cause=self._candidates.refusal_cause(request_state),
         )
 
-    def _refusal_cause(self, request_state: RequestState) -> str:
-        listed = self._backends.of_service(request_state.service)
-        if listed and not self._eligibility.select(listed, request_state):
-            return NONE_ELIGIBLE
-        return 'no_backend'
+    def unavailable(
+        self, request_state: RequestState
+    ) -> NoCapacityError | None:
+        """Return the refusal if all backend servers want no requests."""
+        return self._candidates.unavailable(request_state)
 
     async def _choose_next(
         self,
@@ -181,7 +182,7 @@
             * request_state.remaining_s(self._clock.now_s()),
         )
         while True:
-            backends, affinity = self._candidates(request_state)
+            backends, affinity = self._candidates.select(request_state)
             backend = self._balancer.choose(
                 backends,
                 self._clock.now_s(),
@@ -190,40 +191,12 @@
             )
             if backend is not None or request_state.tried_backends:
                 return backend
-            if self._backends.of_service(request_state.service):
-                # The listed backend servers may not run this request, and a
-                # wait would not change that.
+            if not self._candidates.may_appear(request_state):
                 return None
             if self._clock.now_s() >= deadline_s:
                 return None
             await self._backends.wait_for_change(BACKEND_POLL_INTERVAL_S)
 
-    def _candidates(
-        self, request_state: RequestState
-    ) -> tuple[Sequence[Backend], str]:
-        """Return the candidate backend servers and the affinity key.
-
-        If backend servers hold the model, only these are candidates, since
-        loading a model takes seconds. Otherwise all are candidates, and the
-        affinity key directs all requests for the same model and adapter to
-        the same backend server, which loads the model.
-        """
-        backends = self._eligibility.select(
-            self._backends.of_service(request_state.service), request_state
-        )
-        request = request_state.request
-        if not request.model:
-            return backends, ''
-        holders = [
-            row for row in backends if request.model in row.record.models
-        ]
-        if len(holders) < len(backends):
-            others = [row for row in backends if row not in holders]
-            self._scaler.scale_out_if_needed(request.model, holders, others)
-        if request.adapter or not holders:
-            return holders or backends, f'{request.model}/{request.adapter}'
-        return holders, ''
-
     async def _try_reserve(
         self,
         request_state: RequestState,
--- a/src/kumquatrun/gateway/roles/entry.py
+++ b/src/kumquatrun/gateway/roles/entry.py
@@ -102,10 +102,7 @@
         self._wire = wire
         self._clock = clock
         self._configuration = ConfigurationFollower(
-            session.view,
-            wire,
-            clock,
-            self._apply_configuration,
+            session.view, wire, clock, self._apply_configuration
         )
         self._planned_stop = PlannedStop(clock)
         self._has_stopped = False
@@ -113,6 +110,7 @@
             DROPPED_IDLE_S
             if settings.drops_idle_connections
             else DEFAULT_IDLE_S,
+            clock,
         )
         self._listing = listing(self._backends)
         self._allowances = Allowances(
@@ -149,7 +147,9 @@
             self._agents,
             session.view.adapter_version,
             Eligibility(
-                locality.regions, lambda: self._configuration.configuration
+                locality.regions,
+                lambda: self._configuration.configuration,
+                clock,
             ),
             clock,
         )
--- a/src/kumquatrun/gateway/routing/wire_format.py
+++ b/src/kumquatrun/gateway/routing/wire_format.py
@@ -86,15 +86,29 @@
 
 @dataclass(frozen=True, kw_only=True)
 class ResponseInfo:
-    """What a response says about its request.
+    """What a response says about its request and its backend server.
 
-    ``answered_id`` is the id of the request, empty if the response does not
-    contain it. ``is_not_run`` is true if the backend server did not run the
-    request and never will.
+    Attributes
+    ----------
+    answered_id
+        Id of the request; empty if the response does not contain it.
+    is_not_run
+        Whether the backend server did not run the request and never will.
+    is_leaving
+        Whether the backend server is about to stop.
+    quiet_s
+        How long the backend server wants no requests from this host; 0 if it
+        does not say so.
+    unreadable_headers
+        Names of headers about the backend server whose values are malformed;
+        they count as absent.
     """
 
     answered_id: str
     is_not_run: bool
+    is_leaving: bool = False
+    quiet_s: float = 0.0
+    unreadable_headers: tuple[str, ...] = ()
 
 
 class WireFormat(Protocol):
--- a/src/kumquatrun/platform/requests.py
+++ b/src/kumquatrun/platform/requests.py
@@ -1,5 +1,7 @@
 """Headers of requests and responses in the platform's format."""
 
+import re
+
 from kumquatrun.errors import InvalidRequestError
 from kumquatrun.gateway.backends.response_head import (
     RawHeaders,
@@ -28,10 +30,18 @@
 PROMPT_PARTS = 'x-kumquatrun-prompt-prefix'
 LAST_EVENT_ID = 'last-event-id'
 NOT_RUN = 'x-kumquatrun-not-executed'
+# In every response of a backend server that is about to stop.
+LEAVING = 'server-leaving'
+LEAVING_VALUES = {'0': False, '1': True}
+# In a refusal: the backend server wants no request from this host so long.
+RETRY_AFTER = 'retry-after'
 MISDIRECTED_REQUEST = 421
+UNAVAILABLE = 503
 # Encoding of HTTP headers; it maps every byte to one character.
 HEADER_ENCODING = 'latin-1'
 
+_SECONDS = re.compile(r'[0-9]+(?:\.[0-9]+)?|\.[0-9]+')
+
 # Headers that apply to a single connection and are not forwarded.
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -143,9 +153,19 @@
     def read_response(self, head: ResponseHead) -> ResponseInfo:
         """Return what the head of a response says about its request."""
         is_not_run = bool(head.header(NOT_RUN.encode()))
+        is_leaving = _read_leaving(_values_of(head, LEAVING))
+        quiet_s: float | None = 0.0
+        if head.status == UNAVAILABLE:
+            quiet_s = _read_seconds(_values_of(head, RETRY_AFTER))
+        unreadable = {LEAVING: is_leaving is None, RETRY_AFTER: quiet_s is None}
         return ResponseInfo(
             answered_id=head.header(REQUEST_ID.encode()),
             is_not_run=is_not_run or head.status == MISDIRECTED_REQUEST,
+            is_leaving=bool(is_leaving),
+            quiet_s=quiet_s or 0.0,
+            unreadable_headers=tuple(
+                name for name, is_bad in unreadable.items() if is_bad
+            ),
         )
 
     def response_headers(self, head: ResponseHead) -> list[tuple[str, str]]:
@@ -171,6 +191,30 @@
     }
 
 
+def _values_of(head: ResponseHead, name: str) -> list[str]:
+    return [
+        value.decode(HEADER_ENCODING).strip()
+        for key, value in head.headers
+        if key.lower() == name.encode()
+    ]
+
+
+def _read_leaving(lines: list[str]) -> bool | None:
+    """Return whether the backend server leaves; None if malformed."""
+    if not lines:
+        return False
+    return LEAVING_VALUES.get(lines[0]) if len(lines) == 1 else None
+
+
+def _read_seconds(lines: list[str]) -> float | None:
+    """Return a number of seconds, 0 if there is none; None if malformed."""
+    if not lines:
+        return 0.0
+    if len(lines) > 1 or not _SECONDS.fullmatch(lines[0]):
+        return None
+    return float(lines[0])
+
+
 def _hop_by_hop_headers(headers: RawHeaders) -> frozenset[str]:
     """Return the headers to drop, with those that ``Connection`` names."""
     named = {
--- a/src/kumquatrun/runtime/metrics.py
+++ b/src/kumquatrun/runtime/metrics.py
@@ -96,6 +96,19 @@
         Counter,
         'Adapters that were unloaded to make room.',
     ),
+    Metric(
+        'backend_signals_total',
+        Counter,
+        'Times that a backend server asked this host for no more requests, '
+        'by service and signal (leaving or quiet).',
+        ('service', 'signal'),
+    ),
+    Metric(
+        'passed_over_total',
+        Counter,
+        'Choices of a backend server that were made again before the send, '
+        'since the server had asked for no more requests.',
+    ),
     Metric(
         'running_requests',
         Gauge,
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -250,6 +250,9 @@
                 return
         raise NoCapacityError('none is left', cause='no_backend')
 
+    def unavailable(self, request_state):
+        return None
+
 
 def request_state_of(kind, *, max_attempts=1, is_resumable=False, body=b'x'):
     """Return the state of an admitted request."""
--- a/tests/test_allowed_regions.py
+++ b/tests/test_allowed_regions.py
@@ -13,11 +13,9 @@
 from kumquatrun.errors import DocumentError, NoCapacityError
 from kumquatrun.gateway.backends.backends import BackendRecord, BackendTable
 from kumquatrun.gateway.placement.balancer import Balancer, Locality
+from kumquatrun.gateway.placement.candidates import NONE_ELIGIBLE
 from kumquatrun.gateway.placement.eligibility import Eligibility
-from kumquatrun.gateway.placement.reservations import (
-    NONE_ELIGIBLE,
-    Reservations,
-)
+from kumquatrun.gateway.placement.reservations import Reservations
 from kumquatrun.peer.address import Address
 from kumquatrun.platform.configuration import decode_configuration
 from kumquatrun.runtime.clock import LoopClock
