Grant shares of account rates ahead, by demand, and keep them back

The leader now grants each entry a share by its demand with every renewal of its lease, and deducts the share of an entry from its bucket while that entry is silent. A new leader keeps back the shares that earlier leaders may have granted.

That test now takes its share from a leader first, with the same bound over the time without one; a new test asks that an entry without a share admits nothing. The fake leader of test_leaderless_allowances.py grants and inherits shares; its bounds are unchanged.

--- a/src/kumquatrun/control/allowance_pool.py
+++ b/src/kumquatrun/control/allowance_pool.py
@@ -2,18 +2,26 @@
 
 Each request of a limited account takes its tokens from this pool, so that all
 entries share one bucket per account. The pool lasts for one leadership term; a
-new leader starts with part of each burst.
+new leader starts with part of each burst. What entries may admit while they
+can't reach the leader is granted ahead in shares, see ``account_shares``.
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from kumquatrun.control.account_shares import AccountShares, ShareHolder
 from kumquatrun.control.configuration_register import AccountAllowance
+from kumquatrun.control.share_division import ShareLimit
 from kumquatrun.peer.messages import message
+from kumquatrun.peer.share_messages import ShareGrant, ShareReport
 
-# Fraction of the burst that a new leader starts with: its predecessor may have
-# granted a whole burst just before.
+# Fraction of the burst that a new account starts with.
 INITIAL_FILL_RATIO = 0.5
+# Fraction of the burst, and seconds of the rate at most, that a new leader
+# starts with: its predecessor may have granted a whole burst just before.
+INHERITED_FILL_RATIO = 0.35
+# Limits the accounts that have shares, and so the size of a renewal.
+MAX_SHARED_ACCOUNTS = 256
 
 
 @message
@@ -51,12 +59,27 @@
     burst: float
     level: float
     refilled_at_s: float
+    shares: AccountShares = field(default_factory=AccountShares)
+    is_shared: bool = False
+
+    @property
+    def limit(self) -> ShareLimit:
+        return ShareLimit(self.rate_per_s, self.burst)
 
     def fill(self, now_s: float) -> None:
         gained = self.rate_per_s * max(0.0, now_s - self.refilled_at_s)
-        self.level = min(self.burst, self.level + gained)
+        gained -= self.shares.withhold(now_s)
+        self.level = min(self._size(), self.level + gained)
         self.refilled_at_s = now_s
 
+    def renew_share(
+        self, holder: ShareHolder, report: ShareReport, now_s: float
+    ) -> ShareGrant | None:
+        self.fill(now_s)
+        grant, deducted = self.shares.renew(holder, report, self.limit, now_s)
+        self.level -= deducted
+        return grant
+
     def wait_s(self, amount: float) -> float:
         """Return the time until the tokens of a request have accrued.
 
@@ -64,9 +87,12 @@
         level then becomes negative. So it does for requests that wait for
         their tokens.
         """
-        shortfall = min(float(amount), self.burst) - self.level
+        shortfall = min(float(amount), self._size()) - self.level
         return max(0.0, shortfall) / max(1.0, self.rate_per_s)
 
+    def _size(self) -> float:
+        return self.shares.bucket_size(self.limit)
+
 
 class AllowancePool:
     """Token buckets of the limited accounts."""
@@ -74,6 +100,23 @@
     def __init__(self) -> None:
         self._buckets: dict[str, _Bucket] = {}
         self._version = -1
+        self._awaited_hosts: set[str] = set()
+
+    def inherit(self, hosts: Iterable[str], now_s: float) -> None:
+        """Begin a term in which entries may hold shares of earlier leaders.
+
+        Parameters
+        ----------
+        hosts
+            Ids of the hosts with an entry that are registered now.
+        now_s
+            Current time.
+        """
+        self._awaited_hosts = set(hosts)
+        for bucket in self._buckets.values():
+            start = min(bucket.burst, bucket.rate_per_s)
+            bucket.level = INHERITED_FILL_RATIO * start
+            bucket.shares.inherit(bucket.limit, now_s)
 
     def configure(
         self,
@@ -100,6 +143,8 @@
                 burst,
                 level,
                 now_s,
+                bucket.shares if bucket else AccountShares(),
+                bucket.is_shared if bucket else False,
             )
 
     def take(self, request: TakeAllowance, now_s: float) -> AllowanceReply:
@@ -132,3 +177,43 @@
             retry_after_s=waits_s[refused[0]] if refused else 0.0,
             waits_s=tuple(waits_s),
         )
+
+    def renew_shares(
+        self,
+        holder: ShareHolder,
+        reports: Iterable[ShareReport],
+        now_s: float,
+    ) -> tuple[ShareGrant, ...]:
+        """Grant an entry its shares of all accounts that are in use."""
+        by_account = {report.account: report for report in reports}
+        self._share_accounts(by_account)
+        grants = [
+            bucket.renew_share(
+                holder,
+                by_account.get(account, ShareReport(account=account)),
+                now_s,
+            )
+            for account, bucket in self._buckets.items()
+            if bucket.is_shared
+        ]
+        self._record_contact(holder.host_id)
+        return tuple(grant for grant in grants if grant is not None)
+
+    def _share_accounts(self, accounts: Iterable[str]) -> None:
+        shared = sum(bucket.is_shared for bucket in self._buckets.values())
+        for account in accounts:
+            bucket = self._buckets.get(account)
+            if bucket is None or bucket.is_shared:
+                continue
+            if shared >= MAX_SHARED_ACCOUNTS:
+                return
+            bucket.is_shared = True
+            shared += 1
+
+    def _record_contact(self, host_id: str) -> None:
+        if host_id not in self._awaited_hosts:
+            return
+        self._awaited_hosts.discard(host_id)
+        if not self._awaited_hosts:
+            for bucket in self._buckets.values():
+                bucket.shares.limit_inherited()
--- a/src/kumquatrun/control/control.py
+++ b/src/kumquatrun/control/control.py
@@ -9,11 +9,8 @@
 
 from kumquatrun.consensus.replica import Replica
 from kumquatrun.control.agent_report_table import AgentReportTable
-from kumquatrun.control.allowance_pool import (
-    AllowancePool,
-    AllowanceReply,
-    TakeAllowance,
-)
+from kumquatrun.control.allowance_pool import AllowanceReply, TakeAllowance
+from kumquatrun.control.allowance_service import AllowanceService
 from kumquatrun.control.backend_listing import BackendListing
 from kumquatrun.control.command_batcher import CommandBatcher
 from kumquatrun.control.commands import ExpireHost, ReportBudgets
@@ -28,6 +25,7 @@
 from kumquatrun.control.feed_log import FeedLog
 from kumquatrun.control.feed_sender import FeedSender
 from kumquatrun.control.group_announcer import GroupAnnouncer
+from kumquatrun.control.hosts import ENTRY_ROLE
 from kumquatrun.control.leases import Incarnation, LeaseTable
 from kumquatrun.control.load_slot_queue import LoadSlotQueue
 from kumquatrun.control.operator_actions import OperatorActions
@@ -65,7 +63,6 @@
 MAX_TIME_LAG_S = 10.0
 FEED_CHECK_INTERVAL_S = 1.0
 BARRIER_TIMEOUT_S = 2.0
-ENTRY_ROLE = 'entry'
 
 
 class ControlService:
@@ -97,7 +94,7 @@
         self._leases = LeaseTable(0, 0)
         self._slots = LoadSlotQueue('', clock)
         self._reports = AgentReportTable()
-        self._allowances = AllowancePool()
+        self._allowances = AllowanceService(state, clock)
         self._actions = OperatorActions(
             replica,
             state,
@@ -185,7 +182,7 @@
         self._leases = LeaseTable(self._clock.now_s(), self._feed.index)
         self._slots = LoadSlotQueue(str(term), self._clock)
         self._reports = AgentReportTable()
-        self._allowances = AllowancePool()
+        self._allowances.begin_term()
         self._served_term = term
         if self._announcer is not None:
             self._announcer.begin_term(self._state.hosts())
@@ -244,6 +241,9 @@
             ),
             configuration_version=self._state.configuration_version,
             group=self._changed_group(request),
+            share_grants=self._allowances.renew_shares(
+                request, self._replica.quorum_confirmed_at_s
+            ),
             **self._listing_fields(record, request),
         )
 
@@ -314,9 +314,9 @@
         request: TakeAllowance,
         context: CallContext,
     ) -> AllowanceReply:
-        now_s = self._clock.now_s()
-        self._allowances.configure(*self._state.allowances(), now_s)
-        return self._allowances.take(request, now_s)
+        return self._allowances.take(
+            request, self._replica.quorum_confirmed_at_s
+        )
 
     async def _on_read_configuration(
         self,
--- a/src/kumquatrun/control/hosts.py
+++ b/src/kumquatrun/control/hosts.py
@@ -19,6 +19,7 @@
 _MAX_EXPIRED_INCARNATIONS = 10_000
 
 Incarnation = tuple[str, str]
+ENTRY_ROLE = 'entry'
 
 
 class HostRegister:
--- a/src/kumquatrun/gateway/admission/allowances.py
+++ b/src/kumquatrun/gateway/admission/allowances.py
@@ -1,8 +1,9 @@
 """Charges requests to the rate allowances of their accounts.
 
 The control leader keeps the allowances. While no leader responds, each entry
-admits its share of the rate, see ``local_share``, and requests beyond it wait
-for the leader: most leader changes end before a caller would return.
+admits what its share of the rate covers, see ``local_share``, and requests
+beyond it wait for the leader: most leader changes end before a caller would
+return.
 """
 
 import asyncio
@@ -18,6 +19,7 @@
 from kumquatrun.gateway.admission.local_share import LocalShares
 from kumquatrun.gateway.routing.configuration import GatewayAccount
 from kumquatrun.membership.leader_client import LeaderClient
+from kumquatrun.membership.share_source import ShareSource
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.logs import log_event
 
@@ -27,11 +29,16 @@
 MAX_TOKEN_WAIT_S = 0.3
 # A leader that does not respond within this time is treated as unreachable.
 CALL_TIMEOUT_S = 0.3
+# Time after which a request that waits for the leader is charged to the share.
+SHARE_DELAY_S = 0.1
 # Time after a failed call before the leader is called again.
 LEADER_RETRY_DELAY_S = 0.5
 # Longest wait for a leader, and for tokens once it responds again: the requests
 # that waited come to it at the same time.
 MAX_LEADER_WAIT_S = 2.5
+# Time after the return of a leader in which requests wait for tokens as long as
+# those that waited for the leader: these take the first tokens.
+LEADER_RETURN_S = 1.0
 # A request waits for a leader during this fraction of its time at most, so that
 # the rest is enough to serve it.
 LEADER_WAIT_FRACTION = 0.5
@@ -79,6 +86,11 @@
         self._leaderless_until_s = float('-inf')
         self._has_leader = True
 
+    @property
+    def shares(self) -> ShareSource:
+        """Return the shares that this entry renews with its lease."""
+        return self._shares
+
     async def charge(
         self,
         account: GatewayAccount,
@@ -96,6 +108,7 @@
         """
         if account.rate_per_s <= 0:
             return
+        self._shares.record_demand(account, amount)
         now_s = self._clock.now_s()
         if self._is_leaderless(account, now_s):
             if self._shares.admits(account, amount):
@@ -109,7 +122,7 @@
         pending = _PendingCharge(
             account,
             amount,
-            now_s + MAX_TOKEN_WAIT_S,
+            now_s + self._token_wait_s(now_s, wait_s),
             now_s + wait_s,
             asyncio.get_running_loop().create_future(),
         )
@@ -131,6 +144,12 @@
             is_tried and not self._has_leader
         )
 
+    def _token_wait_s(self, now_s: float, leader_wait_s: float) -> float:
+        """Return how long a request can wait for tokens to accrue."""
+        if now_s - self._shares.regained_at_s < LEADER_RETURN_S:
+            return max(MAX_TOKEN_WAIT_S, leader_wait_s)
+        return MAX_TOKEN_WAIT_S
+
     def _start_requesting(self, account: str) -> None:
         if account not in self._request_tasks:
             task = asyncio.create_task(self._request_pending(account))
@@ -161,6 +180,8 @@
                 max(0.0, row.deadline_s - now_s) for row in batch
             ),
         )
+        loop = asyncio.get_running_loop()
+        late = loop.call_later(SHARE_DELAY_S, self._charge_locally, queue)
         try:
             reply = await self._leader.call(request, CALL_TIMEOUT_S)
         except KumquatrunError as error:
@@ -172,10 +193,15 @@
             await asyncio.sleep(LEADER_RETRY_DELAY_S)
             self._refuse_overdue(queue)
             return
+        finally:
+            late.cancel()
         self._record_leader_state(is_reachable=True)
         for pending, max_wait_s, wait_s in zip(
             batch, request.max_waits_s, _waits_of(reply, batch), strict=True
         ):
+            if pending not in queue:
+                # Charged to the share while the leader was slow.
+                continue
             queue.remove(pending)
             if wait_s <= max_wait_s:
                 _grant_after(pending, wait_s)
--- a/src/kumquatrun/gateway/roles/entry.py
+++ b/src/kumquatrun/gateway/roles/entry.py
@@ -116,11 +116,9 @@
         )
         self._listing = listing(self._backends)
         self._allowances = Allowances(
-            session.control,
-            clock,
-            self._entry_count,
-            rng,
+            session.control, clock, self._entry_count, rng
         )
+        session.renew_shares(self._allowances.shares)
         self._retries = SharedRetryBudgets(
             settings.retry_ratio,
             settings.retry_allowance,
--- a/src/kumquatrun/membership/control_client.py
+++ b/src/kumquatrun/membership/control_client.py
@@ -18,15 +18,15 @@
 from kumquatrun.membership.cluster_view import ClusterView
 from kumquatrun.membership.control_directory import ControlDirectory
 from kumquatrun.membership.directory_exchange import ControlFinder
+from kumquatrun.membership.feed_parts import MAX_ITEM_BYTES, assemble_item
 from kumquatrun.membership.leader_client import LeaderClient
+from kumquatrun.membership.share_source import NoShares, ShareSource
 from kumquatrun.peer import Address, PeerClient
 from kumquatrun.peer.directory_messages import ControlHosts
 from kumquatrun.peer.messages import Hello
 from kumquatrun.peer.node_messages import (
     AgentReport,
     BudgetReport,
-    FeedItem,
-    FeedPart,
     FollowFeed,
     HostRecord,
     LeaseReply,
@@ -46,8 +46,6 @@
 # of the lease.
 RENEW_TIMEOUT_S = 1.0
 FEED_RETRY_S = 0.1
-# Limit on the size of a feed item that is received in parts.
-MAX_ITEM_BYTES = 64 * 1024 * 1024
 # No feed item has this index, so the leader answers with a snapshot.
 BEFORE_FIRST_INDEX = -1
 
@@ -105,6 +103,7 @@
             None
         )
         self._budget_reports: tuple[BudgetReport, ...] = ()
+        self._shares: ShareSource = NoShares()
         self._sequence = 0
         self._tasks: list[asyncio.Task] = []
         self._listing_version = ''
@@ -176,6 +175,10 @@
         """Set the source of the budget reports that renewals carry."""
         self._budget_source = source
 
+    def renew_shares(self, shares: ShareSource) -> None:
+        """Set the shares of account rates that renewals report and extend."""
+        self._shares = shares
+
     def follow_listing(
         self,
         sink: Callable[[bytes | None, float], None],
@@ -264,10 +267,14 @@
                 listing_version=self._listing_version,
                 group_term=group.term,
                 group_index=group.index,
+                boot_id=self._shares.boot_id,
+                sent_at_s=sent_at_s,
+                share_reports=self._shares.reports(sent_at_s),
             ),
             RENEW_TIMEOUT_S,
         )
         self._budget_reports = ()
+        self._shares.apply(reply.share_grants, sent_at_s)
         self._view.update_reports(reply.agent_reports)
         self._deliver_listing(reply)
         self._announced_configuration_version = max(
@@ -326,21 +333,7 @@
         parts = PartCollector(MAX_ITEM_BYTES)
         async with leader.stream(request) as feed:
             async for received in feed:
-                feed_item = _assemble_item(received, parts)
+                feed_item = assemble_item(received, parts)
                 if feed_item is not None:
                     self._view.apply(feed_item)
                     self._listeners.notify()
-
-
-def _assemble_item(
-    received: FeedItem | FeedPart,
-    parts: PartCollector,
-) -> FeedItem | None:
-    """Return a whole feed item, or None if parts of it are missing."""
-    if isinstance(received, FeedItem):
-        return received
-    key = (received.index, received.kind)
-    body = parts.add(key, received.number, received.count, received.content)
-    if body is None:
-        return None
-    return FeedItem(index=received.index, kind=received.kind, body=body)
--- a/src/kumquatrun/peer/node_messages.py
+++ b/src/kumquatrun/peer/node_messages.py
@@ -2,6 +2,7 @@
 
 from kumquatrun.peer.directory_messages import ControlGroup
 from kumquatrun.peer.messages import message
+from kumquatrun.peer.share_messages import ShareGrant, ShareReport
 
 
 @message
@@ -70,7 +71,9 @@
 
     ``sequence`` numbers the reports of one incarnation, so that a report that
     is resent after a lost reply is counted once. ``group_term`` and
-    ``group_index`` identify the control group that the host knows.
+    ``group_index`` identify the control group that the host knows. An entry
+    reports its shares of account rates; ``boot_id`` differs after each start of
+    its process, and ``sent_at_s`` is the time by its clock.
     """
 
     host_id: str
@@ -82,6 +85,9 @@
     listing_version: str = ''
     group_term: int = 0
     group_index: int = 0
+    boot_id: str = ''
+    sent_at_s: float = 0.0
+    share_reports: tuple[ShareReport, ...] = ()
 
 
 @message
@@ -94,7 +100,8 @@
     ``listing_age_s`` is the time since the leader read it.
     ``configuration_version`` is the version of the active routing
     configuration, 0 for none. ``group`` is the control group, None if the host
-    already knows it.
+    already knows it. ``share_grants`` replace shares of account rates that the
+    host holds; it keeps those of accounts that are left out.
     """
 
     duration_s: float
@@ -105,6 +112,7 @@
     listing: bytes | None = None
     configuration_version: int = 0
     group: ControlGroup | None = None
+    share_grants: tuple[ShareGrant, ...] = ()
 
 
 @message
--- a/tests/gateway_host.py
+++ b/tests/gateway_host.py
@@ -49,6 +49,9 @@
             failure_domain='a',
         )
 
+    def renew_shares(self, shares):
+        """There is no leader that grants any."""
+
     @property
     def newest_configuration_version(self):
         return max(self.view.configuration_version, self.announced_version)
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from kumquatrun.control.account_shares import ShareHolder
 from kumquatrun.control.allowance_pool import (
     AllowancePool,
     AllowanceReply,
@@ -133,6 +134,16 @@
     return Allowances(leader, LoopClock(), lambda: entry_count)
 
 
+def renew_shares(leader, allowances):
+    """Report the shares of an entry to the leader and take over the reply."""
+    now_s = asyncio.get_running_loop().time()
+    leader.pool.configure(1, [LIMIT], now_s)
+    shares = allowances.shares
+    holder = ShareHolder(shares.boot_id, shares.boot_id, now_s)
+    reports = shares.reports(now_s)
+    shares.apply(leader.pool.renew_shares(holder, reports, now_s), now_s)
+
+
 async def test_request_waits_for_tokens():
     # A new leader's bucket holds 500 of the 1000 tokens of the burst.
     allowances = make_allowances(Leader())
@@ -196,12 +207,30 @@
     assert leader.calls <= 2
 
 
+async def test_entry_that_never_had_a_share_admits_nothing_by_itself():
+    # Guards against entries that admit tokens of which no leader knows.
+    leader = Leader()
+    leader.is_reachable = False
+    allowances = make_allowances(leader)
+    with pytest.raises(RateLimitedError) as refused:
+        await allowances.charge(ACCOUNT, 10)
+    assert refused.value.cause == 'no_leader'
+    assert refused.value.retry_after_s > 0
+
+
 async def test_entry_without_a_leader_admits_its_share():
     # During a leader election, entries must neither refuse every request nor
-    # together admit more than the rate.
+    # together admit more than the rate: three others hold the same share.
     leader = Leader()
+    entries = [make_allowances(leader) for _ in range(4)]
+    for _ in range(4):
+        for entry in entries:
+            await entry.charge(ACCOUNT, 10)
+            renew_shares(leader, entry)
+        await asyncio.sleep(0.5)
     leader.is_reachable = False
-    allowances = make_allowances(leader)
+    allowances = entries[0]
+    began_s = asyncio.get_running_loop().time()
     admitted = 0
     for _ in range(300):
         try:
@@ -210,7 +239,7 @@
             await asyncio.sleep(0.02)
         else:
             admitted += 10
-    passed_s = asyncio.get_running_loop().time()
+    passed_s = asyncio.get_running_loop().time() - began_s
     assert 0 < admitted <= (passed_s + 1) * 1000 / 4
 
 
--- a/tests/test_leaderless_allowances.py
+++ b/tests/test_leaderless_allowances.py
@@ -5,8 +5,10 @@
 
 import pytest
 
+from kumquatrun.control.account_shares import ShareHolder
 from kumquatrun.control.allowance_pool import AllowancePool
 from kumquatrun.control.configuration_register import AccountAllowance
+from kumquatrun.control.leases import RENEW_INTERVAL_S
 from kumquatrun.errors import ControlUnreachableError, RateLimitedError
 from kumquatrun.gateway.admission import allowances as allowances_module
 from kumquatrun.gateway.admission.allowances import Allowances
@@ -37,10 +39,26 @@
     def __init__(self):
         self.pool = AllowancePool()
         self.returns_at_s = 0.0
+        self.hosts = []
 
     def lose(self, duration_s):
         self.returns_at_s = _now_s() + duration_s
+        asyncio.get_running_loop().call_later(duration_s, self._begin_term)
+
+    def renew(self, host_id, shares):
+        """Renew the shares of an entry, unless there is no leader."""
+        now_s = _now_s()
+        if now_s < self.returns_at_s:
+            return
+        self.pool.configure(1, [LIMIT], now_s)
+        holder = ShareHolder(host_id, shares.boot_id, now_s)
+        reports = shares.reports(now_s)
+        shares.apply(self.pool.renew_shares(holder, reports, now_s), now_s)
+
+    def _begin_term(self):
         self.pool = AllowancePool()
+        self.pool.configure(1, [LIMIT], _now_s())
+        self.pool.inherit(self.hosts, _now_s())
 
     async def call(self, request, timeout_s):
         await asyncio.sleep(0.01)
@@ -64,17 +82,32 @@
             )
             for number in range(entries)
         ]
+        self.leader.hosts = [str(number) for number in range(entries)]
         self.admitted = []
         self.refused = 0
         self.refused_after_s = []
 
     async def ask_for(self, duration_s, tokens_per_s):
         ends_s = _now_s() + duration_s
+        renewing = asyncio.create_task(self._renew_shares())
         async with asyncio.TaskGroup() as tasks:
             while _now_s() < ends_s:
                 tasks.create_task(self._ask())
                 pause_s = REQUEST_TOKENS / tokens_per_s
                 await asyncio.sleep(self.rng.expovariate(1 / pause_s))
+        renewing.cancel()
+
+    async def _renew_shares(self):
+        while True:
+            for number, entry in enumerate(self.entries):
+                self.leader.renew(str(number), entry.shares)
+            # A renewal without a leader is tried until there is one.
+            leader_returns_in_s = self.leader.returns_at_s - _now_s()
+            await asyncio.sleep(
+                leader_returns_in_s + 0.05
+                if leader_returns_in_s > 0
+                else RENEW_INTERVAL_S
+            )
 
     async def _ask(self):
         entry = self.rng.choice(self.entries)
