Limit the requests of all entries to cold backend servers

A server that has just started got whatever the entries chose to send, while its service may bear only cold_per_s requests a second over the whole fleet. A few entries now own each cold server, by rendezvous hashing over the registered entries, and share half of the limit; the others leave the server out. An entry without a lease owns nothing. Off where cold_per_s is 0 or missing.

Weighed: admission by the agent beside the server (a grant may be used late by an entry that stood still, and plain services have no agent), an equal share for each entry (less than one request), one owner.

Not covered: a server that becomes cold again in use before the listing shows it, and its slower pace in the balancer.

--- a/src/kumquatrun/gateway/backends/backends.py
+++ b/src/kumquatrun/gateway/backends/backends.py
@@ -46,7 +46,8 @@
 class BackendRecord:
     """A backend server in the listing of the platform.
 
-    ``slots`` is the number of requests that it runs concurrently.
+    ``slots`` is the number of requests that it runs concurrently. A cold one
+    bears only a low rate of requests.
     """
 
     backend_id: str
@@ -55,6 +56,7 @@
     failure_domain: str
     slots: int = DEFAULT_SLOTS
     is_draining: bool = False
+    is_cold: bool = False
     models: frozenset[str] = frozenset()
     adapters: frozenset[HeldAdapter] = frozenset()
 
@@ -74,6 +76,9 @@
     # since then.
     reported_load: int = 0
     started_since_report: int = 0
+    # When a listing first contained this process; unknown if it was in the
+    # first listing.
+    appeared_at_s: float = float('-inf')
     signals: ServerSignals = field(default_factory=ServerSignals)
 
     @property
@@ -147,6 +152,7 @@
         ] = OrderedDict()
         self._backends: dict[str, Backend] = {}
         self._services: dict[str, tuple[Backend, ...]] = {}
+        self._has_listing = False
         self._changed = asyncio.Event()
         self._on_end: Callable[[str], None] | None = None
 
@@ -173,6 +179,8 @@
                     self._unrepeatable_request_idle_s,
                 )
                 backend = Backend(record, pool)
+                if self._has_listing:
+                    backend.appeared_at_s = self._clock.now_s()
                 self._restore_signals(backend)
             backend.record = record
             self._backends[record.backend_id] = backend
@@ -186,6 +194,7 @@
             if not backend.record.is_draining:
                 services.setdefault(backend.record.service, []).append(backend)
         self._services = {name: tuple(rows) for name, rows in services.items()}
+        self._has_listing = self._has_listing or bool(self._backends)
         self._changed.set()
         self._changed = asyncio.Event()
 
--- a/src/kumquatrun/gateway/backends/listing_follower.py
+++ b/src/kumquatrun/gateway/backends/listing_follower.py
@@ -23,6 +23,9 @@
 # draining.
 MAX_AGE_S = 1.6
 CHECK_INTERVAL_S = 0.25
+# Value of the column that says whether a server is draining, if it is cold.
+# Hosts of earlier versions take it for draining and leave the server out.
+COLD = 2
 # Index of the address in a row of an encoded listing.
 ADDRESS_COLUMN = 2
 
@@ -36,7 +39,7 @@
             str(record.address),
             record.failure_domain,
             record.slots,
-            record.is_draining,
+            _encode_state(record),
             sorted(record.models),
             sorted(
                 (held.model, held.adapter, held.version)
@@ -48,6 +51,12 @@
     return msgpack.packb(rows)
 
 
+def _encode_state(record: BackendRecord) -> bool | int:
+    if record.is_cold and not record.is_draining:
+        return COLD
+    return record.is_draining
+
+
 def decode_records(encoded: bytes) -> tuple[BackendRecord, ...]:
     """Decode a listing, skipping rows with an invalid address.
 
@@ -74,7 +83,7 @@
     address: str,
     failure_domain: str,
     slots: int,
-    is_draining: bool,
+    state: bool | int,
     models: list[str],
     adapters: list[tuple[str, str, int]],
 ) -> BackendRecord:
@@ -84,7 +93,8 @@
         address=Address.parse(address),
         failure_domain=failure_domain,
         slots=slots,
-        is_draining=is_draining,
+        is_draining=bool(state) and state != COLD,
+        is_cold=state == COLD,
         models=frozenset(models),
         adapters=frozenset(
             HeldAdapter(model=model, adapter=adapter, version=version)
--- a/src/kumquatrun/gateway/forwarding/forwarder.py
+++ b/src/kumquatrun/gateway/forwarding/forwarder.py
@@ -36,6 +36,7 @@
     ResponseRelay,
 )
 from kumquatrun.gateway.forwarding.response_writer import ResponseWriter
+from kumquatrun.gateway.forwarding.send_checks import SendChecks
 from kumquatrun.gateway.forwarding.shared_retry_budgets import (
     SharedRetryBudgets,
 )
@@ -54,7 +55,6 @@
 )
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.logs import log_event
-from kumquatrun.runtime.metrics import process_metrics
 
 log = logging.getLogger(__name__)
 
@@ -92,6 +92,7 @@
         self._wire = wire
         self._relay = ResponseRelay(wire, clock)
         self._reservations = reservations
+        self._send_checks = SendChecks(reservations, clock)
         self._retries = retries
         self._check_stop = check_stop
         self._crashes = crashes
@@ -173,7 +174,7 @@
         request_state.tried_backends.add(backend.backend_id)
         self._check_deadline(request_state)
         self._crashes.check(request_state)
-        if self._is_passed_over(request_state, backend):
+        if not self._send_checks.is_wanted(request_state, backend):
             return AttemptResult.NOT_RUN
         try:
             connection = await backend.pool.acquire(
@@ -193,7 +194,7 @@
                 reason=error.detail,
             )
             return AttemptResult.NOT_RUN
-        if self._is_passed_over(request_state, backend):
+        if not self._send_checks.may_send(request_state, backend):
             backend.pool.put_back(connection)
             return AttemptResult.NOT_RUN
         backend.open_requests += 1
@@ -224,25 +225,6 @@
         )
         return result
 
-    def _is_passed_over(
-        self, request_state: RequestState, backend: Backend
-    ) -> bool:
-        """Return whether a server that was chosen wants no requests any more.
-
-        It may have said so in another answer while this request waited.
-        """
-        signals = backend.signals
-        now_s = self._clock.now_s()
-        if signals.accepts_requests(now_s):
-            return False
-        request_state.failure = (
-            'the backend server leaves'
-            if signals.is_leaving
-            else f'asked for a pause, {signals.quiet_s(now_s):.2f} s remain'
-        )
-        process_metrics().count('passed_over_total')
-        return True
-
     def _check_deadline(self, request_state: RequestState) -> None:
         """Check that the deadline of the request has not passed.
 
--- a/src/kumquatrun/gateway/placement/candidates.py
+++ b/src/kumquatrun/gateway/placement/candidates.py
@@ -67,6 +67,10 @@
             return holders or backends, f'{request.model}/{request.adapter}'
         return holders, ''
 
+    def take_share(self, backend: Backend) -> bool:
+        """Return whether a chosen server may get a request; count it."""
+        return self._eligibility.take_share(backend)
+
     def may_appear(self, request_state: RequestState) -> bool:
         """Return whether a wait for the listing may bring a candidate.
 
--- a/src/kumquatrun/gateway/placement/eligibility.py
+++ b/src/kumquatrun/gateway/placement/eligibility.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from kumquatrun.gateway.backends.backends import Backend
+from kumquatrun.gateway.placement.cold_starts import ColdStarts
 from kumquatrun.gateway.routing.configuration import Configuration
 from kumquatrun.gateway.routing.request_state import RequestState
 from kumquatrun.runtime.clock import Clock, LoopClock
@@ -40,6 +41,8 @@
         a change also applies to requests that wait.
     clock
         Source of time.
+    cold_starts
+        Limits requests to cold servers; None for no limit.
     """
 
     def __init__(
@@ -47,7 +50,9 @@
         regions: Mapping[str, str],
         configuration: Callable[[], Configuration | None],
         clock: Clock | None = None,
+        cold_starts: ColdStarts | None = None,
     ) -> None:
+        self._cold_starts = cold_starts
         self._regions = regions
         self._configuration = configuration
         self._clock = clock or LoopClock()
@@ -57,15 +62,27 @@
     ) -> Sequence[Backend]:
         """Return the backend servers that may run a request.
 
-        Those that leave or want no requests from this host are left out.
+        Those that leave or want no requests from this host are left out, and
+        cold ones to which this entry may not send now.
         """
         now_s = self._clock.now_s()
+        cold_starts = self._cold_starts
         return tuple(
             row
             for row in self._in_allowed_regions(backends, request_state)
             if row.signals.accepts_requests(now_s)
+            and (cold_starts is None or cold_starts.may_send(row, now_s))
         )
 
+    def take_share(self, backend: Backend) -> bool:
+        """Return whether a chosen server may get a request; count it.
+
+        To be called right before the send.
+        """
+        if self._cold_starts is None:
+            return True
+        return self._cold_starts.take(backend, self._clock.now_s())
+
     def unavailability(
         self, backends: Sequence[Backend], request_state: RequestState
     ) -> Unavailability | None:
--- a/src/kumquatrun/gateway/placement/reservations.py
+++ b/src/kumquatrun/gateway/placement/reservations.py
@@ -118,6 +118,14 @@
             cause=self._candidates.refusal_cause(request_state),
         )
 
+    def take_share(self, backend: Backend) -> bool:
+        """Return whether a reserved server may get its request now.
+
+        To be called right before the send: a cold server may have got others
+        since it was chosen.
+        """
+        return self._candidates.take_share(backend)
+
     def unavailable(
         self, request_state: RequestState
     ) -> NoCapacityError | None:
--- a/src/kumquatrun/gateway/roles/entry.py
+++ b/src/kumquatrun/gateway/roles/entry.py
@@ -4,6 +4,7 @@
 import logging
 import random
 from collections.abc import Callable
+from functools import partial
 
 from aiohttp import web
 
@@ -32,12 +33,14 @@
 )
 from kumquatrun.gateway.placement.agent_calls import AgentCalls
 from kumquatrun.gateway.placement.balancer import Balancer, Locality
+from kumquatrun.gateway.placement.cold_starts import ColdStarts
 from kumquatrun.gateway.placement.eligibility import Eligibility
 from kumquatrun.gateway.placement.engine_observer import EngineObserver
 from kumquatrun.gateway.placement.reservations import Reservations
 from kumquatrun.gateway.roles.configuration_follower import (
     ConfigurationFollower,
 )
+from kumquatrun.gateway.roles.entry_group import entry_count, entry_group
 from kumquatrun.gateway.roles.planned_stop import (
     ACCEPT_PERIOD_S,
     OpenRequest,
@@ -114,10 +117,7 @@
         )
         self._listing = listing(self._backends)
         self._allowances = Allowances(
-            session.control,
-            clock,
-            self._entry_count,
-            rng,
+            session.control, clock, partial(entry_count, session), rng
         )
         self._retries = SharedRetryBudgets(
             settings.retry_ratio,
@@ -150,6 +150,11 @@
                 locality.regions,
                 lambda: self._configuration.configuration,
                 clock,
+                ColdStarts(
+                    settings.cold_starts,
+                    lambda: self._configuration.configuration,
+                    partial(entry_group, session),
+                ),
             ),
             clock,
         )
@@ -248,12 +253,8 @@
             region=record.region,
         )
 
-    def _entry_count(self) -> int:
-        hosts = self._session.view.hosts
-        return max(1, sum(host.role == 'entry' for host in hosts))
-
     def _follow_session(self) -> None:
-        self._retries.set_entry_count(self._entry_count())
+        self._retries.set_entry_count(entry_count(self._session))
         self._configuration.follow()
 
     def _is_configuration_outdated(self) -> bool:
@@ -264,9 +265,8 @@
         if not self._is_configuration_outdated():
             # A restarted host must not serve with an outdated configuration.
             self._admission.mark_configured()
-        self._http.set_idle_timeout(
-            configuration.limits.idle_timeout_ms / 1000,
-        )
+        idle_timeout_s = configuration.limits.idle_timeout_ms / 1000
+        self._http.set_idle_timeout(idle_timeout_s)
 
     # One request.
 
@@ -344,7 +344,6 @@
     ) -> None:
         now_s = self._clock.now_s()
         freshness = StateFreshness(
-            self._configuration.version,
-            self._listing.age_s(now_s),
+            self._configuration.version, self._listing.age_s(now_s)
         )
         report.finish(now_s, freshness, problem, aborted_by=aborted_by)
--- a/src/kumquatrun/gateway/roles/settings.py
+++ b/src/kumquatrun/gateway/roles/settings.py
@@ -1,8 +1,9 @@
 """Settings of the gateway daemons."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from kumquatrun.daemon.shared_settings import DaemonSettings
+from kumquatrun.gateway.placement.cold_starts import ColdStartLimits
 from kumquatrun.peer import Address
 
 
@@ -35,7 +36,8 @@
     ``retry_ratio`` and ``retry_allowance`` limit the retries that all entries
     together send to one service within ``retry_window_s``.
     ``drops_idle_connections`` says that backend servers drop idle connections
-    without notice.
+    without notice. ``cold_starts`` limits the requests of all entries to a
+    cold backend server.
     """
 
     http_listen: Address
@@ -47,6 +49,7 @@
     retry_allowance: float = 50
     retry_window_s: float = 10.0
     drops_idle_connections: bool = False
+    cold_starts: ColdStartLimits = field(default_factory=ColdStartLimits)
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/kumquatrun/gateway/routing/configuration.py
+++ b/src/kumquatrun/gateway/routing/configuration.py
@@ -92,10 +92,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class BackendService:
-    """A group of interchangeable backend servers."""
+    """A group of interchangeable backend servers.
+
+    A server is cold for ``cold_start_s`` after its start, and maybe later. All
+    entries together may then send it ``cold_per_s`` requests; 0 for no limit.
+    """
 
     name: str
     engine: EngineSpec | None = None
+    cold_start_s: float = 0
+    cold_per_s: float = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/kumquatrun/platform/configuration.py
+++ b/src/kumquatrun/platform/configuration.py
@@ -93,6 +93,8 @@
     return BackendService(
         name=decoding.text(fields, 'name'),
         engine=_engine(engine) if isinstance(engine, dict) else None,
+        cold_start_s=max(0.0, decoding.number(fields, 'cold_start_s', 0.0)),
+        cold_per_s=max(0.0, decoding.number(fields, 'cold_per_s', 0.0)),
     )
 
 
--- a/src/kumquatrun/platform/listing.py
+++ b/src/kumquatrun/platform/listing.py
@@ -110,6 +110,7 @@
         slots=decoding.integer(fields, 'slots', DEFAULT_SLOTS),
         is_draining=IS_DRAINING_BY_STATE[state]
         or fields.get('remaining_ms') is not None,
+        is_cold=_is_cold(fields),
         models=frozenset(
             decoding.text(model, 'name')
             for model in decoding.object_list(fields, 'models', [])
@@ -121,6 +122,12 @@
     )
 
 
+def _is_cold(fields: decoding.Fields) -> bool:
+    if fields.get('cold_remaining_ms') is None:
+        return False
+    return decoding.number(fields, 'cold_remaining_ms') > 0
+
+
 def _address(listed: str) -> Address:
     """Parse an address; reject one that cannot be connected to."""
     address = Address.parse(listed)
--- a/src/kumquatrun/platform/settings.py
+++ b/src/kumquatrun/platform/settings.py
@@ -8,6 +8,7 @@
 
 from kumquatrun.daemon.shared_settings import ReplicaSettings
 from kumquatrun.errors import DocumentError, SettingError
+from kumquatrun.gateway.placement.cold_starts import ColdStartLimits
 from kumquatrun.gateway.roles.settings import (
     GatewayAgentSettings,
     GatewayControlSettings,
@@ -107,6 +108,10 @@
         retry_allowance=decoding.number(bounds, 'budget_extra', 50),
         retry_window_s=decoding.number(bounds, 'budget_window_s', 10.0),
         drain_timeout_s=decoding.number(bounds, 'grace_s', 8.0),
+        cold_starts=ColdStartLimits(
+            overage=decoding.number(bounds, 'cold_overage', 1.0),
+            slack=decoding.number(bounds, 'cold_slack', 0.0),
+        ),
         drops_idle_connections=DROPS_IDLE_CONTRACT
         in (fields.get('contracts') or ()),
     )
--- a/src/kumquatrun/runtime/metrics.py
+++ b/src/kumquatrun/runtime/metrics.py
@@ -107,7 +107,13 @@
         'passed_over_total',
         Counter,
         'Choices of a backend server that were made again before the send, '
-        'since the server had asked for no more requests.',
+        'since the server had asked for no more requests or is cold.',
+    ),
+    Metric(
+        'cold_sends_total',
+        Counter,
+        'Requests that this entry sent to cold backend servers, by service.',
+        ('service',),
     ),
     Metric(
         'running_requests',
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -250,6 +250,9 @@
                 return
         raise NoCapacityError('none is left', cause='no_backend')
 
+    def take_share(self, backend):
+        return True
+
     def unavailable(self, request_state):
         return None
 
