--- a/src/kumquatrun/gateway/admission/allowances.py
+++ b/src/kumquatrun/gateway/admission/allowances.py
@@ -33,12 +33,14 @@
 SHARE_DELAY_S = 0.1
 # Time after a failed call before the leader is called again.
 LEADER_RETRY_DELAY_S = 0.5
-# Longest wait for a leader, and for tokens once it responds again: the requests
-# that waited come to it at the same time.
+# Longest wait for a leader.
 MAX_LEADER_WAIT_S = 2.5
-# Time after the return of a leader in which requests wait for tokens as long as
-# those that waited for the leader: these take the first tokens.
+# Time after the return of a leader in which requests wait longer for tokens:
+# those that waited for the leader take the first ones.
 LEADER_RETURN_S = 1.0
+# Maximum wait for tokens then. A longer one would only make the requests of an
+# account late that asks for more than its rate.
+RETURN_TOKEN_WAIT_S = 0.75
 # A request waits for a leader during this fraction of its time at most, so that
 # the rest is enough to serve it.
 LEADER_WAIT_FRACTION = 0.5
@@ -53,6 +55,8 @@
     # End of the wait for a leader.
     leader_deadline_s: float
     future: asyncio.Future
+    # Whether it waited for a leader that did not respond.
+    missed_leader: bool = False
 
 
 class Allowances:
@@ -122,7 +126,7 @@
         pending = _PendingCharge(
             account,
             amount,
-            now_s + self._token_wait_s(now_s, wait_s),
+            now_s + MAX_TOKEN_WAIT_S,
             now_s + wait_s,
             asyncio.get_running_loop().create_future(),
         )
@@ -144,11 +148,14 @@
             is_tried and not self._has_leader
         )
 
-    def _token_wait_s(self, now_s: float, leader_wait_s: float) -> float:
-        """Return how long a request can wait for tokens to accrue."""
-        if now_s - self._shares.regained_at_s < LEADER_RETURN_S:
-            return max(MAX_TOKEN_WAIT_S, leader_wait_s)
-        return MAX_TOKEN_WAIT_S
+    def _token_wait_s(self, pending: _PendingCharge, now_s: float) -> float:
+        """Return how long a request can wait now for tokens to accrue."""
+        wait_s = pending.deadline_s - now_s
+        has_returned = now_s - self._shares.regained_at_s < LEADER_RETURN_S
+        if has_returned or pending.missed_leader:
+            longest_s = pending.leader_deadline_s - now_s
+            wait_s = max(wait_s, min(RETURN_TOKEN_WAIT_S, longest_s))
+        return max(0.0, wait_s)
 
     def _start_requesting(self, account: str) -> None:
         if account not in self._request_tasks:
@@ -176,9 +183,7 @@
         request = TakeAllowance(
             account=account,
             amounts=tuple(row.amount for row in batch),
-            max_waits_s=tuple(
-                max(0.0, row.deadline_s - now_s) for row in batch
-            ),
+            max_waits_s=tuple(self._token_wait_s(row, now_s) for row in batch),
         )
         loop = asyncio.get_running_loop()
         late = loop.call_later(SHARE_DELAY_S, self._charge_locally, queue)
@@ -229,9 +234,7 @@
                 queue.remove(pending)
                 _resolve(pending, None)
             else:
-                pending.deadline_s = max(
-                    pending.deadline_s, pending.leader_deadline_s
-                )
+                pending.missed_leader = True
 
     def _refuse_overdue(self, queue: deque[_PendingCharge]) -> None:
         """Refuse the requests that can't wait for a leader any longer."""
