--- a/src/kumquatrun/control/allowance_pool.py
+++ b/src/kumquatrun/control/allowance_pool.py
@@ -19,7 +19,7 @@
 INITIAL_FILL_RATIO = 0.5
 # Fraction of the burst, and seconds of the rate at most, that a new leader
 # starts with: its predecessor may have granted a whole burst just before.
-INHERITED_FILL_RATIO = 0.35
+INHERITED_FILL_RATIO = 0.18
 # Limits the accounts that have shares, and so the size of a renewal.
 MAX_SHARED_ACCOUNTS = 256
 
--- a/src/kumquatrun/gateway/admission/allowances.py
+++ b/src/kumquatrun/gateway/admission/allowances.py
@@ -37,7 +37,7 @@
 MAX_LEADER_WAIT_S = 2.5
 # Time after the return of a leader in which requests wait longer for tokens:
 # those that waited for the leader take the first ones.
-LEADER_RETURN_S = 1.0
+LEADER_RETURN_S = 1.5
 # Maximum wait for tokens then. A longer one would only make the requests of an
 # account late that asks for more than its rate.
 RETURN_TOKEN_WAIT_S = 0.75
