Bound what callers make an entry hold

Cause: nothing related the memory and the descriptors of an entry to what its callers send. Measured with the entry as a process of its own (peak resident bytes; 52 MiB without callers): 40 bodies of 4 MiB 213 MiB, 8 connections with heads of 800 KB ahead 426 MiB (the HTTP library queues up to 32 heads), 50 connections with bytes that are no request 180 MiB, 40 unfinished heads 114 MiB. Ruled out with the crowds of the test: small requests ahead (54 MiB), unread plain answers (88 MiB), unread streams (60 MiB), chunk extensions, trailers and 1,000 idle connections (57 MiB).

One module sums what connections hold and releases those of the heaviest client; limits follow from limits.memory_mb and limits.max_fds.

--- a/src/kumquatrun/daemon/setting_table.py
+++ b/src/kumquatrun/daemon/setting_table.py
@@ -21,6 +21,7 @@
 ALL_DAEMONS = (*ENTRY, *AGENT, 'control')
 MAX_COUNT = 1_000_000
 MAX_BODY_BYTES = 1024 * 1024 * 1024
+MAX_HELD_BYTES = 2**40
 DAY_S = 86_400
 
 SETTINGS_CLASSES: Mapping[str, type[DaemonSettings]] = {
@@ -164,6 +165,13 @@
         'Most open connections of callers.',
         daemons=ENTRY,
     ),
+    _setting(
+        'max_held_bytes',
+        _count('bytes', MAX_HELD_BYTES),
+        'Most bytes held for callers: requests that have not ended and answers '
+        'that are not read.',
+        daemons=ENTRY,
+    ),
     _setting(
         'write_timeout_s',
         _seconds(0.1),
--- a/src/kumquatrun/daemon/settings.py
+++ b/src/kumquatrun/daemon/settings.py
@@ -17,6 +17,7 @@
     http_listen: Address
     max_body_bytes: int = 1024 * 1024
     max_connections: int = 2000
+    max_held_bytes: int = 64 * 1024 * 1024
     write_timeout_s: float = 20
     request_timeout_s: float = 120
     host_list_url: str = ''
--- a/src/kumquatrun/entry/entry.py
+++ b/src/kumquatrun/entry/entry.py
@@ -15,17 +15,16 @@
 from kumquatrun.entry.agent_pool import AgentPool
 from kumquatrun.entry.budget_client import BudgetClient
 from kumquatrun.entry.claim_client import ClaimClient
+from kumquatrun.entry.error_body import JSON_TYPE, new_request_id
 from kumquatrun.entry.execution import (
     CallerDisconnectedError,
     Execution,
     RelayRequest,
 )
 from kumquatrun.entry.http_server import (
-    JSON_TYPE,
     SWEEPS_PER_TIMEOUT,
     HttpServer,
     ResponseSink,
-    new_request_id,
 )
 from kumquatrun.entry.openai_api import Endpoint, endpoint_of, render_models
 from kumquatrun.entry.placement import BoundedAffinity, PlacementPolicy
@@ -46,6 +45,7 @@
 from kumquatrun.peer import Address, PeerClient
 from kumquatrun.peer.messages import Hello
 from kumquatrun.peer.request_messages import StoredAnswer
+from kumquatrun.runtime.client_memory import ClientLimits
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.invariants import Invariants
 from kumquatrun.runtime.logs import request_id_var
@@ -138,9 +138,11 @@
     async def start(self) -> Address:
         """Start listening; returns the bound address."""
         settings = self._settings
-        self._http = HttpServer(
-            self._handle, settings.max_connections, settings.write_timeout_s
+        limits = ClientLimits(
+            held_bytes=settings.max_held_bytes,
+            connections=settings.max_connections,
         )
+        self._http = HttpServer(self._handle, limits, settings.write_timeout_s)
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             self._http,
@@ -261,12 +263,13 @@
             adapters = self._admission.table.adapters_of(route)
             await sink.send(_models_response(render_models(adapters)))
             return sink.response
-        body = await read_body(
-            request,
-            self._settings.max_body_bytes,
-            self._settings.write_timeout_s,
-            self._body_memory,
-        )
+        async with request.protocol.reading_body():
+            body = await read_body(
+                request,
+                self._settings.max_body_bytes,
+                self._settings.write_timeout_s,
+                self._body_memory,
+            )
         try:
             # The document or the key may have changed while the body arrived.
             relay_request = self._admission.build_request(
@@ -305,7 +308,8 @@
     ) -> web.StreamResponse:
         response = await sink.send_error(error)
         is_over_limit = sink.connection.is_over_limit
-        if is_over_limit or self._state == 'draining':
+        must_close = is_over_limit or sink.connection.must_close
+        if must_close or self._state == 'draining':
             response.force_close()
         return response
 
--- a/src/kumquatrun/entry/error_body.py
+++ b/src/kumquatrun/entry/error_body.py
@@ -2,12 +2,16 @@
 
 import json
 import math
+import uuid
+
+from aiohttp import web
 
 from kumquatrun.errors import KumquatrunError
 
 OUTCOME_HEADER = 'x-kumquatrun-outcome'
 REQUEST_ID_HEADER = 'x-request-id'
 DEFAULT_RETRY_AFTER_S = 1
+JSON_TYPE = 'application/json'
 HTTP_UNAVAILABLE = 503
 
 _ERROR_TYPES = {
@@ -56,3 +60,18 @@
     if retry_after_s is not None:
         headers['Retry-After'] = str(max(1, math.ceil(retry_after_s)))
     return headers
+
+
+def new_request_id() -> str:
+    """Return a unique request id."""
+    return uuid.uuid4().hex
+
+
+def error_response(error: KumquatrunError, request_id: str) -> web.Response:
+    """Return the HTTP response for ``error``."""
+    return web.Response(
+        status=error.kind.http_status,
+        headers=error_headers(error, request_id),
+        body=render_error(error),
+        content_type=JSON_TYPE,
+    )
--- a/src/kumquatrun/entry/http_server.py
+++ b/src/kumquatrun/entry/http_server.py
@@ -3,26 +3,32 @@
 import asyncio
 import logging
 import math
-import uuid
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
+from kumquatrun.entry.caller_connection import CallerConnection
 from kumquatrun.entry.error_body import (
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
-    error_headers,
-    render_error,
+    error_response,
     render_error_event,
 )
 from kumquatrun.errors import (
-    InvalidRequestError,
     KumquatrunError,
     Outcome,
 )
 from kumquatrun.peer.request_messages import StoredAnswer
+from kumquatrun.runtime.client_memory import (
+    MAX_EXCESS_CONNECTIONS,
+    ClientLimits,
+    ClientMemory,
+)
 from kumquatrun.runtime.connection_close import close_in_order, reset_on_close
+from kumquatrun.runtime.logs import log_event
+from kumquatrun.runtime.metrics import process_metrics
 
 log = logging.getLogger(__name__)
 
@@ -33,117 +39,29 @@
 IDLE_TIMEOUT_S = 75.0
 LINGERING_S = 2.0
 SWEEPS_PER_TIMEOUT = 8
-# Number of connections over the limit that are accepted, so that their requests
-# get a typed error; further connections are aborted.
-MAX_EXCESS_CONNECTIONS = 100
-JSON_TYPE = 'application/json'
-HTTP_BAD_REQUEST = 400
+# Share of the limit of connections that are closed at once to make room.
+CLOSED_SHARE = 1 / 16
+# A request may be on its way on a connection that was idle for less.
+MIN_IDLE_S = 1.0
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
-class _Connection(RequestHandler):
-    """One caller's connection.
-
-    ``is_over_limit`` is true for a connection over the limit; its first request
-    is refused. ``has_input`` is true from the first byte of a request until
-    its handler begins. ``unhandled_requests`` counts the requests whose heads
-    were read and whose handlers have not begun.
-    """
-
-    def __init__(self, *args, **kwargs) -> None:
-        super().__init__(*args, **kwargs)
-        self.is_busy = False
-        self.has_input = False
-        self.is_over_limit = False
-        self.unhandled_requests = 0
-        self.idle_since_s = self._loop.time()
-        self.input_since_s = self.idle_since_s
-
-    @property
-    def is_idle(self) -> bool:
-        """Return whether no request is arriving, waiting or being handled."""
-        return not (self.is_busy or self.has_input or self.has_next_request)
-
-    def is_head_overdue(self, now_s: float, limit_s: float) -> bool:
-        """Return whether a head has been incomplete for over ``limit_s``."""
-        if self.is_busy or self.has_next_request:
-            return False
-        return self.has_input and now_s - self.input_since_s > limit_s
-
-    @property
-    def has_next_request(self) -> bool:
-        """Return whether a request was read and waits for its handler."""
-        return self.unhandled_requests > 0
-
-    def data_received(self, data: bytes) -> None:
-        """Receive bytes of a request."""
-        # Bytes that arrive while a request is handled belong to its body.
-        if not (self.is_busy or self.has_input):
-            self.has_input = True
-            self.input_since_s = self._loop.time()
-        queued = len(self._messages)
-        super().data_received(data)
-        self.unhandled_requests += len(self._messages) - queued
-
-    def begin_request(self) -> None:
-        """Record that the handler of a request has begun."""
-        self.is_busy = True
-        self.has_input = False
-        self.unhandled_requests -= 1
-
-    def end_request(self) -> None:
-        """Record that the handler of the request has ended."""
-        self.is_busy = False
-        self.idle_since_s = self._loop.time()
-
-    def handle_error(
-        self,
-        request: web.BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        """Answer a malformed HTTP request with a typed error.
-
-        Raises
-        ------
-        ConnectionError
-            If a response has begun; the connection ends without its rest.
-        """
-        if request.writer.output_size:
-            log.error('event=handler_failed', exc_info=exc)
-            raise ConnectionError('the response has begun') from exc
-        if status == HTTP_BAD_REQUEST:
-            # The rest of the message quotes the request, which may hold a key.
-            reason = (message or '').partition(':')[0]
-            error: KumquatrunError = InvalidRequestError(
-                f'malformed HTTP request: {reason}',
-            )
-        else:
-            log.error('event=handler_failed', exc_info=exc)
-            error = KumquatrunError('unexpected error in the entry')
-        request_id = new_request_id()
-        log.info(
-            'event=request_finished request_id=%s account= adapter= version= '
-            'host= outcome=%s status=%d code=%s ttft_ms= output_tokens=0',
-            request_id,
-            error.outcome,
-            error.kind.http_status,
-            error.code,
-        )
-        response = error_response(error, request_id)
-        response.force_close()
-        return response
-
-
 class HttpServer(web.Server):
-    """Accepts a bounded number of connections."""
+    """Accepts a bounded number of connections.
+
+    Attributes
+    ----------
+    limits
+        Limits for all connections together.
+    memory
+        What the connections hold together.
+    """
 
     def __init__(
         self,
         handle: Handler,
-        max_connections: int,
+        limits: ClientLimits,
         write_timeout_s: float,
         *,
         max_line_bytes: int = MAX_LINE_BYTES,
@@ -160,9 +78,13 @@
             lingering_time=LINGERING_S,
             auto_decompress=False,
         )
-        self._max_connections = max_connections
+        self.limits = limits
+        self.memory = ClientMemory(limits.held_bytes)
+        self._max_connections = limits.connections
         self._write_timeout_s = write_timeout_s
         self._idle_timeout_s: float | None = None
+        # Aborted connections whose loss was not reported yet.
+        self._leaving: set[RequestHandler] = set()
 
     def set_idle_timeout(self, idle_timeout_s: float) -> None:
         """Change how long connections may stay idle.
@@ -174,24 +96,78 @@
 
     def __call__(self) -> RequestHandler:
         """Return the protocol object of a new connection."""
-        return _Connection(self, loop=self._loop, **self._kwargs)
+        return CallerConnection(
+            self, loop=self._loop, memory=self.memory, **self._kwargs
+        )
 
     def connection_made(
         self,
         handler: RequestHandler,
         transport: asyncio.Transport,
     ) -> None:
-        """Mark a connection over the limit; abort it if too many are open."""
+        """Make room for a connection over the limit, or mark or abort it."""
         super().connection_made(handler, transport)
-        excess = len(self._connections) - self._max_connections
-        handler.is_over_limit = excess > 0
-        if excess > MAX_EXCESS_CONNECTIONS:
+        if self._excess > 0:
+            self._close_idle_of_heaviest_client()
+        handler.is_over_limit = self._excess > 0
+        if self._excess > MAX_EXCESS_CONNECTIONS:
             log.warning(
                 'event=connection_refused max_connections=%d',
                 self._max_connections,
             )
+            self._leaving.add(handler)
             transport.abort()
 
+    def connection_lost(
+        self,
+        handler: RequestHandler,
+        exc: BaseException | None = None,
+    ) -> None:
+        """Forget a connection."""
+        super().connection_lost(handler, exc)
+        self._leaving.discard(handler)
+
+    @property
+    def _excess(self) -> int:
+        open_connections = len(self._connections) - len(self._leaving)
+        return open_connections - self._max_connections
+
+    def _close_idle_of_heaviest_client(self) -> None:
+        """Close idle connections of the client that has most, oldest first."""
+        now_s = self._loop.time()
+        staying = [
+            connection
+            for connection in self._connections
+            if connection not in self._leaving
+        ]
+        counts = Counter(connection.client for connection in staying)
+        client, _ = counts.most_common(1)[0]
+        idle = [
+            connection
+            for connection in staying
+            if connection.client == client
+            and connection.is_idle
+            and now_s - connection.idle_since_s > MIN_IDLE_S
+        ]
+        if not idle:
+            return
+        idle.sort(key=lambda connection: connection.idle_since_s)
+        closed = idle[: math.ceil(self._max_connections * CLOSED_SHARE)]
+        for connection in closed:
+            self._leaving.add(connection)
+            self._connections[connection].abort()
+        process_metrics().count(
+            'client_releases_total', len(closed), action='idle_closed'
+        )
+        log_event(
+            log,
+            'idle_connections_closed',
+            level=logging.WARNING,
+            client=client,
+            closed=len(closed),
+            max_connections=self._max_connections,
+        )
+
     def close_idle(self, head_limit_s: float = math.inf) -> None:
         """Close the connections that have no request at present.
 
@@ -216,7 +192,7 @@
 
     def _abort_if_idle(
         self,
-        connection: _Connection,
+        connection: CallerConnection,
         transport: asyncio.Transport,
         now_s: float,
     ) -> None:
@@ -255,7 +231,7 @@
         self._transport: asyncio.Transport | None = None
 
     @property
-    def connection(self) -> _Connection:
+    def connection(self) -> CallerConnection:
         """Return the caller's connection."""
         return self._request.protocol
 
@@ -345,18 +321,3 @@
         if content_type:
             headers['Content-Type'] = content_type
         return headers
-
-
-def new_request_id() -> str:
-    """Return a unique request id."""
-    return uuid.uuid4().hex
-
-
-def error_response(error: KumquatrunError, request_id: str) -> web.Response:
-    """Return the HTTP response for ``error``."""
-    return web.Response(
-        status=error.kind.http_status,
-        headers=error_headers(error, request_id),
-        body=render_error(error),
-        content_type=JSON_TYPE,
-    )
--- a/src/kumquatrun/gateway/admission/admission.py
+++ b/src/kumquatrun/gateway/admission/admission.py
@@ -221,6 +221,7 @@
         # The interim response must not count as the start of the response.
         request.writer.output_size = 0
     try:
-        return await read_body(request.content, limit_bytes)
+        async with request.protocol.reading_body():
+            return await read_body(request.content, limit_bytes)
     except BodyTooLargeError as error:
         raise RequestTooLargeError(str(error)) from error
--- a/src/kumquatrun/gateway/forwarding/response_writer.py
+++ b/src/kumquatrun/gateway/forwarding/response_writer.py
@@ -96,10 +96,9 @@
 
     def _announce_connection_close(self, response: web.StreamResponse) -> None:
         # A pipelined request that was already read is still answered.
-        if (
-            self.closes_connection
-            and not self._request.protocol.has_next_request
-        ):
+        connection = self._request.protocol
+        closes = self.closes_connection or connection.must_close
+        if closes and not connection.has_next_request:
             response.force_close()
 
     def abort(self) -> None:
--- a/src/kumquatrun/gateway/roles/entry.py
+++ b/src/kumquatrun/gateway/roles/entry.py
@@ -50,12 +50,12 @@
 from kumquatrun.membership.control_client import Session
 from kumquatrun.peer.messages import Hello
 from kumquatrun.runtime.background import start_background
+from kumquatrun.runtime.client_memory import client_limits
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.logs import log_event
 
 log = logging.getLogger(__name__)
 
-MAX_CONNECTIONS = 3000
 WRITE_TIMEOUT_S = 20.0
 DRAIN_CHECK_S = 0.05
 # Callers send the head of a request at once. After this time an incomplete head
@@ -163,7 +163,7 @@
         )
         self._http = HttpServer(
             self._handle,
-            MAX_CONNECTIONS,
+            client_limits(settings.memory_bytes, settings.max_descriptors),
             WRITE_TIMEOUT_S,
             max_line_bytes=settings.max_header_bytes,
         )
@@ -176,6 +176,11 @@
         """Return the number of requests without a complete response."""
         return self._planned_stop.open_requests
 
+    @property
+    def client_held_bytes(self) -> int:
+        """Return the bytes that are held for callers."""
+        return self._http.memory.held_bytes
+
     def not_ready_reason(self) -> str:
         """Return why this host is not ready, or an empty string."""
         if self._planned_stop.has_begun:
@@ -192,7 +197,7 @@
             self._http,
             self._settings.http_listen.host,
             self._settings.http_listen.port,
-            backlog=1024,
+            backlog=self._http.limits.accept_batch,
         )
         self._tasks = [
             start_background(self._http.sweep),
--- a/src/kumquatrun/gateway/roles/settings.py
+++ b/src/kumquatrun/gateway/roles/settings.py
@@ -4,6 +4,10 @@
 
 from kumquatrun.daemon.shared_settings import DaemonSettings
 from kumquatrun.peer import Address
+from kumquatrun.runtime.client_memory import (
+    DEFAULT_DESCRIPTORS,
+    DEFAULT_MEMORY_BYTES,
+)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -18,11 +22,15 @@
         Address of the platform's list of backend servers.
     directory_addresses
         Addresses at which to look up the control group.
+    memory_bytes, max_descriptors
+        Limits of the process, from which the limits for clients follow.
     """
 
     listing_address: Address
     directory_addresses: tuple[Address, ...] = ()
     regions: tuple[tuple[str, str], ...] = ()
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
+    max_descriptors: int = DEFAULT_DESCRIPTORS
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/kumquatrun/platform/entry_daemon.py
+++ b/src/kumquatrun/platform/entry_daemon.py
@@ -49,6 +49,9 @@
     metrics.before_render(
         lambda: metrics.set_gauge('open_requests', entry.open_requests),
     )
+    metrics.before_render(
+        lambda: metrics.set_gauge('client_held_bytes', entry.client_held_bytes),
+    )
     operator = build_operator_api(session, settings.operator_listen, clock)
     servers = ServerGroup(entry, operator)
     parts = [
--- a/src/kumquatrun/platform/settings.py
+++ b/src/kumquatrun/platform/settings.py
@@ -15,6 +15,11 @@
 )
 from kumquatrun.peer.address import MAX_PORT, Address
 from kumquatrun.platform import decoding
+from kumquatrun.runtime.client_memory import (
+    DEFAULT_DESCRIPTORS,
+    DEFAULT_MEMORY_BYTES,
+    MIB,
+)
 
 # Environment variable with the path of the settings file.
 PATH_VARIABLE = 'KUMQUATRUN_BOOT'
@@ -194,9 +199,25 @@
         'directory_addresses': directory_addresses(fields),
         'admin_listen': Address(ip, METRICS_PORTS[role]),
         'listing_address': _address(_object(fields, 'cloud'), 'address'),
+        **_process_limits(fields),
     }
 
 
+def _process_limits(fields: decoding.Fields) -> dict[str, int]:
+    limits = fields.get('limits') or {}
+    if not isinstance(limits, dict):
+        raise SettingError("settings file: 'limits' is not an object")
+    memory_mb = decoding.integer(
+        limits, 'memory_mb', DEFAULT_MEMORY_BYTES // MIB
+    )
+    descriptors = decoding.integer(limits, 'max_fds', DEFAULT_DESCRIPTORS)
+    if memory_mb <= 0 or descriptors <= 0:
+        raise SettingError(
+            "settings file: 'limits': 'memory_mb' and 'max_fds' must be above 0"
+        )
+    return {'memory_bytes': memory_mb * MIB, 'max_descriptors': descriptors}
+
+
 def _object(fields: decoding.Fields, name: str) -> decoding.Fields:
     found = fields.get(name)
     if not isinstance(found, dict):
--- a/src/kumquatrun/runtime/metrics.py
+++ b/src/kumquatrun/runtime/metrics.py
@@ -56,6 +56,18 @@
         Gauge,
         'Requests that are open in this process.',
     ),
+    Metric(
+        'client_held_bytes',
+        Gauge,
+        'Bytes that this process holds for the connections of callers.',
+    ),
+    Metric(
+        'client_releases_total',
+        Counter,
+        'Bodies refused, requests dropped and connections closed because a '
+        'limit for callers was reached, by action.',
+        ('action',),
+    ),
     Metric(
         'time_to_first_token_seconds',
         Histogram,
--- a/tests/own_processes.py
+++ b/tests/own_processes.py
@@ -18,8 +18,8 @@
 
 from kumquatrun.platform.settings import METRICS_PORTS, PATH_VARIABLE
 
-# Not 127.0.0.1: the metrics ports are fixed, and other programs may use them.
-IP = '127.42.7.1'
+# An address for each test process, because the metrics ports are fixed.
+IP = f'127.42.{os.getpid() // 250 % 250}.{os.getpid() % 250 + 1}'
 SERVICE = 'assistant'
 KEY = 'key-1'
 READY_S = 30
@@ -102,7 +102,7 @@
 
     def __init__(self, body=b'done'):
         self.body = body
-        self.requests = 0
+        self._writers = []
 
     async def start(self):
         self._server = await asyncio.start_server(
@@ -113,8 +113,13 @@
 
     async def stop(self):
         self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+        # Lets the loop report the lost connections before it ends.
+        await asyncio.sleep(0.1)
 
     async def _serve(self, reader, writer):
+        self._writers.append(writer)
         with suppress(EOFError, OSError, asyncio.CancelledError):
             while True:
                 await self._respond(reader, writer)
@@ -122,7 +127,6 @@
 
     async def _respond(self, reader, writer):
         head, headers, _ = await read_request(reader)
-        self.requests += 1
         attempt = headers.get('x-kumquatrun-attempt-id', '')
         writer.write(
             f'HTTP/1.1 200 OK\r\nX-Kumquatrun-Attempt-Id: {attempt}\r\n'.encode()
