Place requests by the learned pace of the engines

Cause: engines of one service differ in pace by up to 2.7 times; entries counted requests and agents admitted the same number of prompt tokens to each engine.

Agents learn the pace from prompts that were read, admit prompts by it, and report it with the queued prompt tokens. Entries spread adapters in proportion to the pace and leave an engine when the expected delay endangers the target.

--- a/src/kumquatrun/control/agent_report_table.py
+++ b/src/kumquatrun/control/agent_report_table.py
@@ -4,7 +4,7 @@
 
 from kumquatrun.peer.node_messages import AgentReport
 
-# Two replies a second with 32 reports of about 190 bytes are 12 KB/s, within
+# Two replies a second with 32 reports of about 220 bytes are 14 KB/s, within
 # the limit of 18 KB/s of control traffic per node. Reports of 730 agents whose
 # load changes constantly are then each forwarded once in 12 s.
 MAX_REPORTS_PER_REPLY = 32
--- a/src/kumquatrun/gateway/backends/backends.py
+++ b/src/kumquatrun/gateway/backends/backends.py
@@ -8,6 +8,7 @@
     DEFAULT_IDLE_S,
     ConnectionPool,
 )
+from kumquatrun.gateway.backends.engine_load import UNKNOWN_LOAD, EngineLoad
 from kumquatrun.peer.address import Address
 
 # Number of slots of a backend server whose listing does not state it.
@@ -53,6 +54,15 @@
     models: frozenset[str] = frozenset()
     adapters: frozenset[HeldAdapter] = frozenset()
 
+    def holds(self, model: str, adapter: str, version: int = 0) -> bool:
+        """Return whether an adapter is loaded; version 0 means any."""
+        return any(
+            held.model == model
+            and held.adapter == adapter
+            and version in {0, held.version}
+            for held in self.adapters
+        )
+
 
 @dataclass
 class Backend:
@@ -66,9 +76,11 @@
     failure_rate: float = 0.0
     last_response_at_s: float = 0.0
     # Load reported by the agent, and requests that this process started
-    # since then.
+    # since then, with their prompt tokens.
     reported_load: int = 0
+    engine_load: EngineLoad = UNKNOWN_LOAD
     started_since_report: int = 0
+    tokens_since_report: int = 0
 
     @property
     def backend_id(self) -> str:
@@ -86,10 +98,22 @@
         """Return whether most slots are occupied."""
         return self.load > BUSY_FRACTION * self.record.slots
 
+    @property
+    def queued_tokens(self) -> int:
+        """Return the estimated prompt tokens that wait or are being read."""
+        reported_tokens = max(0, self.engine_load.queued_tokens)
+        return reported_tokens + self.tokens_since_report
+
     def record_reported_load(self, load: int) -> None:
         """Record the load that the agent of the backend server reported."""
         self.reported_load = load
         self.started_since_report = 0
+        self.tokens_since_report = 0
+
+    def record_engine_load(self, engine_load: EngineLoad) -> None:
+        """Record what the agent of the backend server reported in full."""
+        self.record_reported_load(engine_load.requests)
+        self.engine_load = engine_load
 
     def current_failure_rate(self, now_s: float) -> float:
         """Return the failure rate, decayed since the last response."""
--- a/src/kumquatrun/gateway/engine/engine_agent.py
+++ b/src/kumquatrun/gateway/engine/engine_agent.py
@@ -18,6 +18,7 @@
     InvalidRequestError,
     NoCapacityError,
 )
+from kumquatrun.gateway.backends.engine_load import EngineLoad
 from kumquatrun.gateway.engine.adapter_waiters import (
     AdapterWaiter,
     AdapterWaiters,
@@ -73,6 +74,8 @@
         Returns the newest registered version of an adapter, 0 for none.
     clock
         Source of time.
+    gap_target_s
+        Returns the shortest target for pauses in streams, 0 for none.
     """
 
     def __init__(
@@ -82,12 +85,13 @@
         spec: Callable[[], EngineSpec | None],
         newest_version: Callable[[str, str], int],
         clock: Clock,
+        gap_target_s: Callable[[], float] = float,
     ) -> None:
         self._newest_version = newest_version
         self._clock = clock
         self._watch = EngineWatch(engine, spec, clock)
         self._orders = EngineOrders(host_id, engine, self._watch, clock)
-        self._gate = PromptGate(clock)
+        self._gate = PromptGate(clock, gap_target_s=gap_target_s)
         self._waiters = AdapterWaiters(clock)
         self._wake = asyncio.Event()
         self._open_calls = 0
@@ -100,6 +104,17 @@
         """Return the latest report of the engine."""
         return self._watch.report
 
+    @property
+    def engine_load(self) -> EngineLoad:
+        """Return what the engine has in hand."""
+        now_s = self._clock.now_s()
+        return EngineLoad(
+            requests=self._current_load(),
+            queued_tokens=self._gate.tokens_in_hand,
+            tokens_per_s=self._gate.pace.published_tokens_per_s(now_s),
+            reported_at_s=now_s,
+        )
+
     async def start(self) -> None:
         """Read the state of the engine and start polling it.
 
@@ -150,7 +165,7 @@
             If the engine cannot load the adapter now.
         """
         if isinstance(request, PromptRead):
-            self._gate.leave(request.request_id)
+            self._gate.finish(request.request_id)
             return Ack()
         if isinstance(request, CheckEngine):
             return await self._engine_state()
@@ -236,7 +251,13 @@
             gate_waiting=self._gate.waiting_count,
             report_age_ms=self._watch.age_ms,
         )
-        return AdapterReady(version=version, load=self._current_load())
+        engine_load = self.engine_load
+        return AdapterReady(
+            version=version,
+            load=engine_load.requests,
+            queued_tokens=engine_load.queued_tokens,
+            tokens_per_s=engine_load.tokens_per_s,
+        )
 
     async def _provide_adapter(
         self, name: AdapterName, request: UseAdapter
--- a/src/kumquatrun/gateway/placement/balancer.py
+++ b/src/kumquatrun/gateway/placement/balancer.py
@@ -5,7 +5,12 @@
 from dataclasses import dataclass
 
 from kumquatrun.gateway.backends.backends import Backend
-from kumquatrun.gateway.routing.ranking import rank
+from kumquatrun.gateway.placement.expected_delay import (
+    Demand,
+    Paces,
+    first_that_fits,
+)
+from kumquatrun.gateway.routing.ranking import weighted_rank
 
 # Limit for affinity as in consistent hashing with bounded loads: a preferred
 # backend server is skipped if it is busy and its load exceeds this multiple of
@@ -51,6 +56,7 @@
         now_s: float,
         *,
         affinity: str = '',
+        demand: Demand | None = None,
         excluded: Collection[str] = (),
     ) -> Backend | None:
         """Return the backend server to try next, or None if all were tried.
@@ -64,6 +70,8 @@
         affinity
             Key whose requests should share a backend server, such as an
             adapter; empty if every backend server is equally suitable.
+        demand
+            The request, if the expected delay is to be compared.
         excluded
             Ids of the backend servers that were already tried.
         """
@@ -74,26 +82,41 @@
         healthy = [row for row in available if row.is_healthy(now_s)]
         candidates = healthy or available or untried
         if affinity:
-            return self._by_affinity(candidates, affinity)
+            return self._by_affinity(
+                candidates, affinity, demand or Demand(), now_s
+            )
         return min(candidates, key=lambda row: self._cost(row, now_s))
 
     def _by_affinity(
         self,
         candidates: Sequence[Backend],
         affinity: str,
+        demand: Demand,
+        now_s: float,
     ) -> Backend:
+        """Return the backend server that requests with this key share.
+
+        Keys are spread in proportion to the paces, so that a slow engine holds
+        fewer adapters.
+        """
+        paces = Paces(candidates, now_s)
         ranked = sorted(
             candidates,
-            key=lambda row: rank(affinity, row.backend_id),
+            key=lambda row: weighted_rank(
+                affinity, row.backend_id, paces.of(row)
+            ),
         )
         mean = sum(row.load for row in ranked) / len(ranked)
-        for backend in ranked:
-            if (
-                not backend.is_busy
-                or backend.load <= BOUNDED_LOAD_FACTOR * mean
-            ):
-                return backend
-        return min(ranked, key=lambda row: row.load)
+        fitting = [
+            row
+            for row in ranked
+            if not row.is_busy or row.load <= BOUNDED_LOAD_FACTOR * mean
+        ]
+        if not fitting:
+            return min(ranked, key=lambda row: row.load)
+        if not paces.is_known:
+            return fitting[0]
+        return first_that_fits(fitting, demand, paces, self._rng)
 
     def _cost(self, backend: Backend, now_s: float) -> float:
         return (
--- a/src/kumquatrun/gateway/placement/reservations.py
+++ b/src/kumquatrun/gateway/placement/reservations.py
@@ -14,10 +14,19 @@
     AGENT_STOPPED,
     AgentUnreachableError,
 )
+from kumquatrun.gateway.placement.agent_refusals import (
+    all_lack_base_model,
+    stopped_agents,
+)
 from kumquatrun.gateway.placement.balancer import Balancer
 from kumquatrun.gateway.placement.eligibility import Eligibility
+from kumquatrun.gateway.placement.engine_reports import (
+    EngineReports,
+    record_ready,
+)
+from kumquatrun.gateway.placement.expected_delay import demand_of
 from kumquatrun.gateway.placement.model_spread import ModelScaler
-from kumquatrun.gateway.routing.messages import ENGINE_WITHOUT_MODEL, UseAdapter
+from kumquatrun.gateway.routing.messages import UseAdapter
 from kumquatrun.gateway.routing.request_state import RequestState
 from kumquatrun.gateway.routing.wire_format import CallerRequest
 from kumquatrun.runtime.clock import Clock
@@ -67,7 +76,9 @@
         adapter_version: Callable[[str, str], int],
         eligibility: Eligibility,
         clock: Clock,
+        reports: EngineReports | None = None,
     ) -> None:
+        self._reports = reports
         self._eligibility = eligibility
         self._backends = backends
         self._balancer = balancer
@@ -129,7 +140,7 @@
         refusals: Mapping[str, KumquatrunError],
     ) -> Backend | None:
         # A stopped agent fails at once, so it does not count as an attempt.
-        attempts = len(refusals) - len(_stopped_agents(refusals))
+        attempts = len(refusals) - len(stopped_agents(refusals))
         if attempts >= MAX_PIN_ATTEMPTS:
             return None
         if request_state.adapter_wait_s >= MAX_ADAPTER_WAIT_S:
@@ -145,12 +156,12 @@
 
         Before a retry at stopped agents, wait for one retry interval.
         """
-        if _all_lack_base_model(refusals) and not request_state.waits_for_model:
+        if all_lack_base_model(refusals) and not request_state.waits_for_model:
             # Waiting at one engine is faster than polling all of them.
             request_state.waits_for_model = True
             _clear_refusals(request_state, refusals, set(refusals))
             return True
-        stopped = _stopped_agents(refusals)
+        stopped = stopped_agents(refusals)
         began_s = self._clock.now_s()
         initial_remaining_s = (
             request_state.remaining_s(began_s) + request_state.adapter_wait_s
@@ -186,6 +197,7 @@
                 backends,
                 self._clock.now_s(),
                 affinity=affinity,
+                demand=demand_of(request_state),
                 excluded=request_state.tried_backends,
             )
             if backend is not None or request_state.tried_backends:
@@ -214,6 +226,8 @@
         request = request_state.request
         if not request.model:
             return backends, ''
+        if self._reports is not None:
+            self._reports.apply(backends)
         holders = [
             row for row in backends if request.model in row.record.models
         ]
@@ -258,6 +272,7 @@
             prompt_tokens=request.prompt_tokens or 0,
             waits_for_model=request_state.waits_for_model,
         )
+        backend.tokens_since_report += message.prompt_tokens
         began_s = self._clock.now_s()
         wait_s = min(
             MAX_ADAPTER_WAIT_S - request_state.adapter_wait_s,
@@ -282,7 +297,7 @@
             return Reservation(backend, version)
         finally:
             request_state.adapter_wait_s += self._clock.now_s() - began_s
-        backend.record_reported_load(pinned_adapter.ready.load)
+        record_ready(backend, pinned_adapter.ready, self._clock.now_s())
         held_version = pinned_adapter.ready.version if version else 0
         return Reservation(backend, held_version, pinned_adapter)
 
@@ -319,21 +334,7 @@
     """Return whether a backend server is listed with the adapter, if any."""
     if not request.adapter:
         return True
-    return any(
-        held.model == request.model
-        and held.adapter == request.adapter
-        and version in {0, held.version}
-        for held in backend.record.adapters
-    )
-
-
-def _stopped_agents(refusals: Mapping[str, KumquatrunError]) -> set[str]:
-    """Return the ids of backend servers whose agents have stopped."""
-    return {
-        backend_id
-        for backend_id, error in refusals.items()
-        if error.cause == AGENT_STOPPED
-    }
+    return backend.record.holds(request.model, request.adapter, version)
 
 
 def _clear_refusals(
@@ -345,10 +346,3 @@
     request_state.tried_backends -= backend_ids
     for backend_id in backend_ids:
         del refusals[backend_id]
-
-
-def _all_lack_base_model(refusals: Mapping[str, KumquatrunError]) -> bool:
-    """Return whether all refusals are from engines without a base model."""
-    return bool(refusals) and all(
-        error.cause == ENGINE_WITHOUT_MODEL for error in refusals.values()
-    )
--- a/src/kumquatrun/gateway/roles/agent.py
+++ b/src/kumquatrun/gateway/roles/agent.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 
+from kumquatrun.gateway.backends.engine_load import EngineLoad
 from kumquatrun.gateway.engine.engine_agent import EngineAgent
 from kumquatrun.gateway.engine.engine_api import ControllableEngine
 from kumquatrun.gateway.roles.configuration_follower import (
@@ -18,6 +19,7 @@
 from kumquatrun.peer.node_messages import AgentReport
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.logs import log_event
+from kumquatrun.runtime.metrics import process_metrics
 
 log = logging.getLogger(__name__)
 
@@ -50,6 +52,7 @@
             self._spec,
             session.view.adapter_version,
             clock,
+            self._gap_target_s,
         )
         record = session.record
         self._server = PeerServer(
@@ -96,12 +99,29 @@
         service = configuration.service(self._settings.service)
         return service.engine if service else None
 
+    def _gap_target_s(self) -> float:
+        configuration = self._configuration.configuration
+        if configuration is None:
+            return 0
+        return configuration.gap_target_ms(self._settings.service) / 1000
+
     def _report(self) -> AgentReport:
         report = self._engine_agent.report
+        engine_load = self._engine_agent.engine_load
+        running = report.running if report else 0
+        _export_load(engine_load)
         record = self._session.record
         return AgentReport(
             host_id=record.host_id,
             incarnation=record.incarnation,
-            running=report.running if report else 0,
-            queued=report.waiting if report else 0,
+            running=running,
+            queued=max(0, engine_load.requests - running),
+            queued_tokens=engine_load.queued_tokens,
+            tokens_per_s=engine_load.tokens_per_s,
         )
+
+
+def _export_load(engine_load: EngineLoad) -> None:
+    metrics = process_metrics()
+    metrics.set_gauge('engine_queued_prompt_tokens', engine_load.queued_tokens)
+    metrics.set_gauge('engine_read_tokens_per_second', engine_load.tokens_per_s)
--- a/src/kumquatrun/gateway/roles/entry.py
+++ b/src/kumquatrun/gateway/roles/entry.py
@@ -34,6 +34,7 @@
 from kumquatrun.gateway.placement.balancer import Balancer, Locality
 from kumquatrun.gateway.placement.eligibility import Eligibility
 from kumquatrun.gateway.placement.engine_observer import EngineObserver
+from kumquatrun.gateway.placement.engine_reports import EngineReports
 from kumquatrun.gateway.placement.reservations import Reservations
 from kumquatrun.gateway.roles.configuration_follower import (
     ConfigurationFollower,
@@ -152,6 +153,7 @@
                 locality.regions, lambda: self._configuration.configuration
             ),
             clock,
+            EngineReports(session.view, clock),
         )
         self._forwarder = Forwarder(
             wire,
--- a/src/kumquatrun/gateway/routing/configuration.py
+++ b/src/kumquatrun/gateway/routing/configuration.py
@@ -180,6 +180,26 @@
             return None
         return frozenset.intersection(*restrictions)
 
+    def gap_target_ms(self, service: str) -> float:
+        """Return the shortest target for pauses in a service's streams.
+
+        Returns 0 if no route to the service has one.
+        """
+        return self._gap_targets_ms.get(service, 0)
+
+    @cached_property
+    def _gap_targets_ms(self) -> Mapping[str, float]:
+        shortest_ms: dict[str, float] = {}
+        for route in self.routes:
+            if route.gap_target_ms <= 0:
+                continue
+            for target in route.targets:
+                shortest_ms[target.service] = min(
+                    route.gap_target_ms,
+                    shortest_ms.get(target.service, route.gap_target_ms),
+                )
+        return shortest_ms
+
     @cached_property
     def _routes_by_name(self) -> Mapping[str, GatewayRoute]:
         return {row.name: row for row in self.routes}
--- a/src/kumquatrun/gateway/routing/messages.py
+++ b/src/kumquatrun/gateway/routing/messages.py
@@ -51,11 +51,15 @@
 class AdapterReady:
     """Second stream item: the engine holds the adapter.
 
-    ``load`` is the number of requests at the engine.
+    ``load`` is the number of requests at the engine, ``queued_tokens`` the
+    prompt tokens that wait or are being read, and ``tokens_per_s`` how many are
+    read in a second, 0 if that is unknown.
     """
 
     version: int
     load: int
+    queued_tokens: int = 0
+    tokens_per_s: int = 0
 
 
 @message
--- a/src/kumquatrun/peer/node_messages.py
+++ b/src/kumquatrun/peer/node_messages.py
@@ -40,7 +40,11 @@
 
 @message
 class AgentReport:
-    """Soft state of one agent: load and loaded adapters."""
+    """Soft state of one agent: load and loaded adapters.
+
+    ``queued_tokens`` are the prompt tokens that wait or are being read, and
+    ``tokens_per_s`` is how many are read in a second, 0 if that is unknown.
+    """
 
     host_id: str
     incarnation: str
@@ -48,6 +52,8 @@
     queued: int = 0
     capacity: int = 0
     adapters: tuple[str, ...] = ()
+    queued_tokens: int = 0
+    tokens_per_s: int = 0
 
 
 @message
--- a/src/kumquatrun/runtime/metrics.py
+++ b/src/kumquatrun/runtime/metrics.py
@@ -106,6 +106,16 @@
         Gauge,
         'Requests that wait in the queue of the agent.',
     ),
+    Metric(
+        'engine_queued_prompt_tokens',
+        Gauge,
+        'Prompt tokens that wait for the engine or are being read.',
+    ),
+    Metric(
+        'engine_read_tokens_per_second',
+        Gauge,
+        'Learned pace at which the engine reads prompts, 0 if unknown.',
+    ),
     Metric(
         'backend_restarts_total',
         Counter,
--- a/tests/test_engine_agent.py
+++ b/tests/test_engine_agent.py
@@ -627,3 +627,17 @@
         engine.is_silent = True
         state = await agent.handle(CheckEngine(), Call())
         assert state.known_for_ms is None
+
+
+async def test_answer_carries_pace_and_prompts_in_hand():
+    # An entry sees too few requests of one engine to learn its pace.
+    engine = Engine()
+    async with agent_of(engine) as agent:
+        for number in range(8):
+            use = AdapterCall(agent, 'a1', f'r{number}', prompt_tokens=1000)
+            ready = await use.ready()
+            await asyncio.sleep(0.1)
+            await agent.handle(PromptRead(request_id=f'r{number}'), Call())
+            await use.end()
+    assert ready.queued_tokens == 1000
+    assert ready.tokens_per_s == pytest.approx(10000, rel=0.01)
