--- a/src/kumquatrun/gateway/roles/entry.py
+++ b/src/kumquatrun/gateway/roles/entry.py
@@ -36,6 +36,7 @@
 from kumquatrun.gateway.placement.cold_starts import ColdStarts
 from kumquatrun.gateway.placement.eligibility import Eligibility
 from kumquatrun.gateway.placement.engine_observer import EngineObserver
+from kumquatrun.gateway.placement.engine_reports import EngineReports
 from kumquatrun.gateway.placement.reservations import Reservations
 from kumquatrun.gateway.roles.configuration_follower import (
     ConfigurationFollower,
@@ -158,6 +159,9 @@
                 ),
             ),
             clock,
+            EngineReports(session.view, clock)
+            if settings.follows_engine_load
+            else None,
         )
         self._forwarder = Forwarder(
             wire,
--- a/src/kumquatrun/gateway/roles/settings.py
+++ b/src/kumquatrun/gateway/roles/settings.py
@@ -25,6 +25,10 @@
         Addresses at which to look up the control group.
     memory_bytes, max_descriptors
         Limits of the process, from which the limits for clients follow.
+    follows_engine_load
+        Whether requests are placed by the load and pace that the agents of
+        engines report, and prompts are admitted by the pace. For engines that
+        are put under pressure.
     """
 
     listing_address: Address
@@ -32,6 +36,7 @@
     regions: tuple[tuple[str, str], ...] = ()
     memory_bytes: int = DEFAULT_MEMORY_BYTES
     max_descriptors: int = DEFAULT_DESCRIPTORS
+    follows_engine_load: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/kumquatrun/platform/settings.py
+++ b/src/kumquatrun/platform/settings.py
@@ -27,6 +27,9 @@
 # Platform contract under which backend servers close idle connections without
 # notice.
 DROPS_IDLE_CONTRACT = 'pool'
+# Platform contract under which engines are put under pressure: what they hold
+# may exceed their memory.
+PRESSURE_CONTRACT = 'pressure'
 # Offsets of listen ports from the first internal port: for control replicas,
 # and for entries and agents. No host runs both an entry and an agent, so the
 # control group is looked up at the same port of every host.
@@ -117,8 +120,7 @@
             overage=decoding.number(bounds, 'cold_overage', 1.0),
             slack=decoding.number(bounds, 'cold_slack', 0.0),
         ),
-        drops_idle_connections=DROPS_IDLE_CONTRACT
-        in (fields.get('contracts') or ()),
+        drops_idle_connections=_has_contract(fields, DROPS_IDLE_CONTRACT),
     )
 
 
@@ -200,6 +202,7 @@
         'region': decoding.text(fields, 'region'),
         'failure_domain': decoding.text(fields, 'zone'),
         'regions': tuple(_object(fields, 'zones').items()),
+        'follows_engine_load': _has_contract(fields, PRESSURE_CONTRACT),
         'control_addresses': control_addresses(fields),
         'directory_addresses': directory_addresses(fields),
         'admin_listen': Address(ip, METRICS_PORTS[role]),
@@ -223,6 +226,10 @@
     return {'memory_bytes': memory_mb * MIB, 'max_descriptors': descriptors}
 
 
+def _has_contract(fields: decoding.Fields, name: str) -> bool:
+    return name in (fields.get('contracts') or ())
+
+
 def _object(fields: decoding.Fields, name: str) -> decoding.Fields:
     found = fields.get(name)
     if not isinstance(found, dict):
