--- a/src/kumquatrun/gateway/placement/expected_delay.py
+++ b/src/kumquatrun/gateway/placement/expected_delay.py
@@ -22,7 +22,7 @@
 # target, and one that has to load it, up to the other. The rest is left for the
 # way, the first step and the error of the estimate.
 HELD_TARGET_FRACTION = 0.2
-LOAD_TARGET_FRACTION = 0.4
+LOAD_TARGET_FRACTION = 0.5
 # Each delay is varied at random by up to this fraction. Entries that all see
 # the same late reports would otherwise leave and return together.
 NOISE_FRACTION = 0.5
