--- a/tests/test_uncontrolled_callers.py
+++ b/tests/test_uncontrolled_callers.py
@@ -89,3 +89,48 @@
             writer.transport.abort()
         assert await processes.ask_again() == 200
         assert entry.peak_bytes <= MEMORY_MB * MIB
+
+
+LONG_HEAD = b'GET /metrics HTTP/1.1\r\nHost: h\r\n' + b''.join(
+    b'X-Pad-%d: %s\r\n' % (number, b'y' * 8000) for number in range(100)
+)
+OTHER_CROWDS = {
+    'unfinished heads': (120, LONG_HEAD),
+    'no requests': (50, b'\x00\xff' * (MIB // 2)),
+    'idle': (1000, b''),
+}
+OTHER_ADDRESSES = {
+    'readiness': 'entry',
+    'operator': 'entry',
+    'entry metrics': 'entry',
+    'directory': 'entry',
+    'control metrics': 'control',
+    'control hosts': 'control',
+}
+
+
+@pytest.mark.parametrize('address', OTHER_ADDRESSES)
+@pytest.mark.parametrize('crowd', OTHER_CROWDS)
+async def test_crowd_at_another_address_stays_within_the_limits(
+    tmp_path, crowd, address
+):
+    # Guards against clients of the other listening addresses that end a
+    # process.
+    count, content = OTHER_CROWDS[crowd]
+    writers = []
+    async with own_processes(
+        tmp_path, memory_mb=MEMORY_MB, max_fds=MAX_DESCRIPTORS
+    ) as processes:
+        process = getattr(processes, OTHER_ADDRESSES[address])
+        await asyncio.gather(
+            *(
+                send_unread(processes, content, writers, address)
+                for _ in range(count)
+            )
+        )
+        assert process.is_running
+        assert process.descriptors <= MAX_DESCRIPTORS
+        for writer in writers:
+            writer.transport.abort()
+        assert await processes.ask_again() == 200
+        assert process.peak_bytes <= MEMORY_MB * MIB
