Bound what clients make the readiness and metrics addresses hold

Cause: aiohttp's defaults (128 headers of 8 KiB, 256 KiB a read, an error for each read after bytes that are no request, any number of connections). Before: 192 to 206 MiB of 128 and 1,013 or 1,014 descriptors of 700; 7 of the 9 cases at these three addresses failed.

Ruled out: a limit of 32 headers alone at the operator's address; its crowd of unfinished heads still took 171 MiB (179,613,696 bytes).

--- a/src/kumquatrun/daemon/admin.py
+++ b/src/kumquatrun/daemon/admin.py
@@ -5,6 +5,7 @@
 from aiohttp import hdrs, web
 
 from kumquatrun.peer import Address
+from kumquatrun.runtime.bounded_server import BACKLOG, BoundedServer
 from kumquatrun.runtime.metrics import Metrics
 
 UNAVAILABLE = 503
@@ -32,20 +33,24 @@
         self.address = listen
         self._metrics = metrics
         self._not_ready_reason = not_ready_reason
-        self._runner: web.AppRunner | None = None
+        self._runner: web.ServerRunner | None = None
 
     async def start(self) -> None:
         """Listen; ``address`` is the bound address afterwards."""
-        app = web.Application()
-        app.router.add_get('/metrics', self._serve_metrics)
-        app.router.add_get('/healthz', self._serve_health)
-        app.router.add_get('/readyz', self._serve_readiness)
-        self._runner = web.AppRunner(app, access_log=None)
+        server = BoundedServer(
+            {
+                '/metrics': self._serve_metrics,
+                '/healthz': self._serve_health,
+                '/readyz': self._serve_readiness,
+            }
+        )
+        self._runner = web.ServerRunner(server)
         await self._runner.setup()
         site = web.TCPSite(
             self._runner,
             self.address.host,
             self.address.port,
+            backlog=BACKLOG,
         )
         await site.start()
         self.address = Address(*self._runner.addresses[0][:2])
@@ -55,15 +60,15 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
-    async def _serve_metrics(self, request: web.Request) -> web.Response:
+    async def _serve_metrics(self, request: web.BaseRequest) -> web.Response:
         accept = request.headers.getall(hdrs.ACCEPT, [])
         content, headers = self._metrics.render(accept)
         return web.Response(body=content, headers=headers)
 
-    async def _serve_health(self, request: web.Request) -> web.Response:
+    async def _serve_health(self, request: web.BaseRequest) -> web.Response:
         return web.Response(text='ok\n')
 
-    async def _serve_readiness(self, request: web.Request) -> web.Response:
+    async def _serve_readiness(self, request: web.BaseRequest) -> web.Response:
         reason = self._not_ready_reason()
         if reason:
             return web.Response(status=UNAVAILABLE, text=f'{reason}\n')
