Tell the other founders at once that the group has formed

A replica that has formed may lead and be lost before the others have seen enough votes to form; with a fixed list of replicas, which need the votes of all, they could then wait for it. It now sends its state as it forms.

Seen: test_platform_operator.py::test_configuration_survives_the_loss_of_its_leader failed in 2 of 2 runs of the whole file before this change ("condition was not met in time"), beside other work, and passed in 3 of 3 runs alone on that code and 3 of 3 alone on this one. That this change mends it is not shown.

Run on this change: the outcome tests of test_replica.py and test_disk_lost_during_formation pass. The tests of test_founding.py were ended by a time limit of 75 s after about nine tenths, none failed until then.

--- a/src/kumquatrun/consensus/quorum_node.py
+++ b/src/kumquatrun/consensus/quorum_node.py
@@ -385,6 +385,9 @@
         if step is FormationStep.FORM:
             self._save_meta(self._formation.form())
             self.core.form(self._formation.meta.initial, now_s)
+            # The others may need this state to form, and this replica may be
+            # lost as soon as it leads them.
+            self._send_to_peers(self._formation.state())
         if step is FormationStep.CONFLICT and not self._warned_of_conflict:
             self._warned_of_conflict = True
             log.error(
