Evacuate failure domains on the operator's request

A repeated call is confirmed again; a host never confirms from its own copy, which may be reversed already. Unknown zones get 404, bodies 400, other methods 405, and a call without a leader 503.

A configuration whose allowed regions name one that the settings of the host do not know is refused by the operator's API, and only there.

The reading of bodies and the 503 reply moved to platform/operator_replies.py; test_operator_limits.py sets BODY_TIMEOUT_S there, unchanged otherwise.

--- a/src/kumquatrun/command_line/cli.py
+++ b/src/kumquatrun/command_line/cli.py
@@ -30,6 +30,11 @@
     """Issue, revoke and list API keys."""
 
 
+@main.group('evacuation')
+def evacuation_group() -> None:
+    """Evacuate failure domains and take them back."""
+
+
 @main.group('replica')
 def replica_group() -> None:
     """Add, remove and list control replicas."""
@@ -38,6 +43,7 @@
 _GROUPS = {
     'document': document_group,
     'key': key_group,
+    'evacuation': evacuation_group,
     'replica': replica_group,
 }
 
--- a/src/kumquatrun/command_line/cli_operator.py
+++ b/src/kumquatrun/command_line/cli_operator.py
@@ -250,6 +250,18 @@
         'Drain a host: it gets no new work and finishes what it has.',
         (_argument('host_id'),),
     ),
+    SimpleAction(
+        'evacuation start',
+        'start_evacuation',
+        'Send nothing more to the backend servers of a failure domain.',
+        (_argument('failure_domain'),),
+    ),
+    SimpleAction(
+        'evacuation finish',
+        'finish_evacuation',
+        'Use the backend servers of a failure domain again.',
+        (_argument('failure_domain'),),
+    ),
     SimpleAction(
         'unblock',
         'unblock',
--- a/src/kumquatrun/control/control.py
+++ b/src/kumquatrun/control/control.py
@@ -25,6 +25,7 @@
     ReadConfiguration,
 )
 from kumquatrun.control.control_state import ControlState
+from kumquatrun.control.evacuations import FinishEvacuation, StartEvacuation
 from kumquatrun.control.feed_log import FeedLog
 from kumquatrun.control.feed_sender import FeedSender
 from kumquatrun.control.group_announcer import GroupAnnouncer
@@ -123,6 +124,8 @@
             PutConfiguration: self._on_command,
             PutConfigurationPart: self._on_command,
             NameAdapterVersion: self._on_command,
+            StartEvacuation: self._on_command,
+            FinishEvacuation: self._on_command,
             TakeAllowance: self._on_take_allowance,
             ReadConfiguration: self._on_read_configuration,
         }
--- a/src/kumquatrun/control/control_registers.py
+++ b/src/kumquatrun/control/control_registers.py
@@ -24,6 +24,7 @@
 )
 from kumquatrun.control.crash_register import CrashRegister
 from kumquatrun.control.document_register import DocumentRegister
+from kumquatrun.control.evacuations import EvacuationRegister
 from kumquatrun.control.hosts import HostRegister, host_fields, host_summary
 from kumquatrun.control.operations import OperationRegister
 from kumquatrun.control.quarantine import FingerprintChange, QuarantineRegister
@@ -72,6 +73,7 @@
         self.changes = ChangeLog()
         self.operations = OperationRegister()
         self.configurations = ConfigurationRegister()
+        self.evacuations = EvacuationRegister(self.changes, lambda: self.now_ms)
         self._handlers: Mapping[type, Callable[[Any], Any]] = {
             RegisterHost: self._register_host,
             ExpireHost: self._expire_host,
@@ -93,6 +95,7 @@
                 self.changes,
                 lambda: self.now_ms,
             ).handlers,
+            **self.evacuations.handlers,
         }
 
     def advance(self, elapsed_ms: int) -> None:
@@ -137,6 +140,7 @@
             'audit': self.changes.audit,
             'operations': self.operations,
             'configurations': self.configurations,
+            'evacuations': self.evacuations,
         }
 
     def _handle(self, command: Any) -> Any:
--- a/src/kumquatrun/control/control_state.py
+++ b/src/kumquatrun/control/control_state.py
@@ -100,6 +100,7 @@
             'quarantine': registers.quarantine.states(),
             'configuration': self.configuration_row(known_configuration),
             'adapter_versions': registers.configurations.adapter_rows(),
+            'evacuated_domains': registers.evacuations.domains,
         }
         return FeedItem(
             index=self._feed_index,
@@ -227,6 +228,7 @@
             'claims': len(registers.claims),
             'accounts': registers.budgets.status(registers.now_ms),
             'fingerprints': registers.quarantine.states(),
+            'evacuated_domains': registers.evacuations.domains,
         }
 
     def _collect_changes(self, index: int) -> None:
--- a/src/kumquatrun/control/operator_actions.py
+++ b/src/kumquatrun/control/operator_actions.py
@@ -16,6 +16,7 @@
     Unblock,
 )
 from kumquatrun.control.control_state import ControlState
+from kumquatrun.control.evacuations import FinishEvacuation, StartEvacuation
 from kumquatrun.document.document_transfer import pack_content, unpack_arguments
 from kumquatrun.errors import InvalidRequestError, UnauthorizedPeerError
 from kumquatrun.peer.node_messages import AgentReport
@@ -54,6 +55,8 @@
             'revoke_key': RevokeKey,
             'drain_host': DrainHost,
             'unblock': Unblock,
+            'start_evacuation': StartEvacuation,
+            'finish_evacuation': FinishEvacuation,
         }
         self._reads: Mapping[str, Callable[..., Fields]] = {
             'get_document': self._document,
--- a/src/kumquatrun/gateway/placement/eligibility.py
+++ b/src/kumquatrun/gateway/placement/eligibility.py
@@ -18,17 +18,23 @@
     regions
         Region of each failure domain.
     configuration
-        Returns the configuration in force. It is read at each choice, so that
-        a change also applies to requests that wait.
+        Returns the configuration in force.
+    evacuated_domains
+        Returns the failure domains that get no new requests.
+
+    Both are read at each choice, so that a change also applies to requests that
+    wait and to retries.
     """
 
     def __init__(
         self,
         regions: Mapping[str, str],
         configuration: Callable[[], Configuration | None],
+        evacuated_domains: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
         self._regions = regions
         self._configuration = configuration
+        self._evacuated_domains = evacuated_domains
 
     def select(
         self, backends: Sequence[Backend], request_state: RequestState
@@ -37,15 +43,22 @@
 
         A failure domain whose region is unknown is in no allowed region.
         """
+        evacuated = self._evacuated_domains()
         allowed = self._allowed_regions(request_state)
-        if allowed is None:
+        if allowed is None and not evacuated:
             return backends
         return tuple(
             row
             for row in backends
-            if self._regions.get(row.record.failure_domain) in allowed
+            if row.record.failure_domain not in evacuated
+            and self._is_allowed(row.record.failure_domain, allowed)
         )
 
+    def _is_allowed(
+        self, failure_domain: str, allowed: frozenset[str] | None
+    ) -> bool:
+        return allowed is None or self._regions.get(failure_domain) in allowed
+
     def _allowed_regions(
         self, request_state: RequestState
     ) -> frozenset[str] | None:
--- a/src/kumquatrun/gateway/roles/entry.py
+++ b/src/kumquatrun/gateway/roles/entry.py
@@ -149,7 +149,9 @@
             self._agents,
             session.view.adapter_version,
             Eligibility(
-                locality.regions, lambda: self._configuration.configuration
+                locality.regions,
+                lambda: self._configuration.configuration,
+                session.view.evacuated_domains,
             ),
             clock,
         )
--- a/src/kumquatrun/gateway/roles/operator_proxy.py
+++ b/src/kumquatrun/gateway/roles/operator_proxy.py
@@ -9,6 +9,7 @@
     NameAdapterVersion,
     ReadConfiguration,
 )
+from kumquatrun.control.evacuations import FinishEvacuation, StartEvacuation
 from kumquatrun.errors import ControlUnreachableError, KumquatrunError
 from kumquatrun.gateway.roles.configuration_upload import (
     CommittedConfiguration,
@@ -126,6 +127,22 @@
             ),
         )
 
+    async def evacuate(
+        self, command: StartEvacuation | FinishEvacuation
+    ) -> None:
+        """Commit the start or the end of an evacuation.
+
+        The leader decides always: what this host knows as committed may be
+        reversed already.
+
+        Raises
+        ------
+        KumquatrunError
+            If the command is not known to be committed.
+        """
+        self._require_leader()
+        await self._leader.call(command, COMMIT_TIMEOUT_S)
+
     async def _commit(
         self,
         commit: Callable[[], Awaitable[Any]],
--- a/src/kumquatrun/gateway/routing/checks.py
+++ b/src/kumquatrun/gateway/routing/checks.py
@@ -1,7 +1,7 @@
 """Checks of a routing configuration, one function per rule."""
 
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 
 from kumquatrun.errors import DocumentError
 from kumquatrun.gateway.routing.configuration import Configuration, GatewayRoute
@@ -20,6 +20,32 @@
             raise DocumentError(problem)
 
 
+def check_regions(
+    configuration: Configuration, known_regions: Collection[str]
+) -> None:
+    """Check that the allowed regions are regions of this deployment.
+
+    Only the host that receives a configuration checks this: other hosts accept
+    what is committed, even if their settings differ.
+
+    Raises
+    ------
+    DocumentError
+        If a route or an account allows an unknown region.
+    """
+    for kind, rows in (
+        ('route', configuration.routes),
+        ('account', configuration.accounts),
+    ):
+        for row in rows:
+            unknown = row.allowed_regions.difference(known_regions)
+            if unknown:
+                raise DocumentError(
+                    f'{kind} {row.name!r} allows the unknown region '
+                    f'{min(unknown)!r}'
+                )
+
+
 def _unknown_services(configuration: Configuration) -> Iterator[str]:
     for route in configuration.routes:
         for target in route.targets:
--- a/src/kumquatrun/membership/cluster_view.py
+++ b/src/kumquatrun/membership/cluster_view.py
@@ -12,6 +12,7 @@
 - ``configuration``: ``[version, base_version, delta]``, see ``content_delta``;
   base version 0 is empty
 - ``adapter_version``: ``[model, adapter, version]``
+- ``evacuation``: ``[failure_domain, is_evacuated]``
 - ``snapshot``: a map of all of these, with the compressed document
 """
 
@@ -50,11 +51,13 @@
         self._reports: dict[str, AgentReport] = {}
         self._configuration = (0, b'')
         self._adapter_versions: dict[tuple[str, str], int] = {}
+        self._evacuated_domains: frozenset[str] = frozenset()
         self._handlers = {
             'adapter_version': self._apply_adapter_version,
             'configuration': self._apply_configuration,
             'batch': self._apply_batch,
             'document': self._apply_document,
+            'evacuation': self._apply_evacuation,
             'host': self._apply_host,
             'key': self._apply_key,
             'quarantine': self._apply_quarantine,
@@ -103,6 +106,10 @@
         """Return the version of the routing configuration; 0 for none."""
         return self._configuration[0]
 
+    def evacuated_domains(self) -> frozenset[str]:
+        """Return the failure domains that get no new requests."""
+        return self._evacuated_domains
+
     def adapter_version(self, model: str, adapter: str) -> int:
         """Return the newest named version of an adapter; 0 for none."""
         return self._adapter_versions.get((model, adapter), 0)
@@ -232,10 +239,20 @@
         known = self._adapter_versions.get(name, 0)
         self._adapter_versions[name] = max(known, version)
 
+    def _apply_evacuation(self, body: Any) -> None:
+        failure_domain, is_evacuated = body
+        domains = {failure_domain}
+        if is_evacuated:
+            self._evacuated_domains |= domains
+        else:
+            self._evacuated_domains -= domains
+
     def _apply_snapshot(self, body: Any) -> None:
         self._apply_configuration(body['configuration'])
         for row in body['adapter_versions']:
             self._apply_adapter_version(row)
+        # Snapshots of earlier versions have no evacuated failure domains.
+        self._evacuated_domains = frozenset(body.get('evacuated_domains', ()))
         if body['revision'] > self._revision:
             self._document = _read_compressed(body['document'])
             self._revision = body['revision']
--- a/src/kumquatrun/platform/agent_daemon.py
+++ b/src/kumquatrun/platform/agent_daemon.py
@@ -39,7 +39,7 @@
         PlatformEngine(client, settings.engine_address),
         clock,
     )
-    operator = build_operator_api(session, settings.operator_listen, clock)
+    operator = build_operator_api(session, settings, clock)
     servers = ServerGroup(agent, operator)
     parts = [
         ClientCloser(client),
--- a/src/kumquatrun/platform/daemon_parts.py
+++ b/src/kumquatrun/platform/daemon_parts.py
@@ -7,8 +7,13 @@
 
 from kumquatrun.errors import SettingError
 from kumquatrun.gateway.roles.cluster_view_state import ClusterViewState
+from kumquatrun.gateway.roles.evacuation_report import EvacuationReport
 from kumquatrun.gateway.roles.operator_proxy import OperatorProxy
-from kumquatrun.gateway.roles.settings import GatewaySettings
+from kumquatrun.gateway.roles.settings import (
+    GatewayAgentSettings,
+    GatewayEntrySettings,
+    GatewaySettings,
+)
 from kumquatrun.membership.control_client import Session
 from kumquatrun.peer.address import Address
 from kumquatrun.peer.node_messages import HostRecord
@@ -20,6 +25,7 @@
 from kumquatrun.runtime.background import start_background
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.logs import log_event
+from kumquatrun.runtime.metrics import process_metrics
 
 log = logging.getLogger(__name__)
 
@@ -124,12 +130,16 @@
 
 def build_operator_api(
     session: Session,
-    listen: Address,
+    settings: GatewayEntrySettings | GatewayAgentSettings,
     clock: Clock,
 ) -> OperatorApi:
     """Build the API that passes the operator's calls to control."""
     proxy = OperatorProxy(session.control, ClusterViewState(session.view))
-    return OperatorApi(proxy, listen, clock)
+    report = EvacuationReport(session.view, process_metrics())
+    session.on_change(report.update)
+    return OperatorApi(
+        proxy, settings.operator_listen, clock, dict(settings.regions)
+    )
 
 
 def address_updater(session: Session) -> SettingsCallback:
--- a/src/kumquatrun/platform/entry_daemon.py
+++ b/src/kumquatrun/platform/entry_daemon.py
@@ -49,7 +49,7 @@
     metrics.before_render(
         lambda: metrics.set_gauge('open_requests', entry.open_requests),
     )
-    operator = build_operator_api(session, settings.operator_listen, clock)
+    operator = build_operator_api(session, settings, clock)
     servers = ServerGroup(entry, operator)
     parts = [
         ClientCloser(client),
--- a/src/kumquatrun/platform/operator.py
+++ b/src/kumquatrun/platform/operator.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 from aiohttp import web
 
@@ -15,9 +15,16 @@
 )
 from kumquatrun.gateway.roles.configuration_upload import build_change
 from kumquatrun.gateway.roles.operator_proxy import OperatorProxy
+from kumquatrun.gateway.routing.checks import check_regions
 from kumquatrun.peer.address import Address
 from kumquatrun.platform import decoding
 from kumquatrun.platform.configuration import decode_configuration
+from kumquatrun.platform.evacuations import EvacuationCalls
+from kumquatrun.platform.operator_replies import (
+    BAD_REQUEST,
+    read_body,
+    reply_unavailable,
+)
 from kumquatrun.runtime.clock import Clock
 from kumquatrun.runtime.logs import log_event
 from kumquatrun.runtime.metrics import process_metrics
@@ -30,12 +37,7 @@
 READ_PATH = '/Config.Get'
 NAME_VERSION_PATH = '/version-put'
 MAX_BODY_BYTES = 16 * 1024 * 1024
-# Longest wait for a whole body. The operator gives up earlier than this, even
-# with large bodies.
-BODY_TIMEOUT_S = 5.0
-BAD_REQUEST = 400
 CONFIRMATION_METRIC = 'change_confirmation_seconds'
-UNAVAILABLE = 503
 # Longest wait for open calls at a stop. The operator abandons a call after one
 # second. An agent must restart quickly, since requests for its engine wait
 # meanwhile.
@@ -59,6 +61,8 @@
         Address to listen on.
     clock
         Source of time.
+    regions
+        Region of each zone, from the settings of this host.
     """
 
     def __init__(
@@ -66,10 +70,13 @@
         proxy: OperatorProxy,
         listen: Address,
         clock: Clock,
+        regions: Mapping[str, str] | None = None,
     ) -> None:
         self._proxy = proxy
         self._clock = clock
         self._listen = listen
+        self._regions = regions or {}
+        self._evacuations = EvacuationCalls(proxy, self._regions, clock)
         self._runner: web.AppRunner | None = None
         self._is_draining = False
         self._open_calls = 0
@@ -86,6 +93,7 @@
         app.router.add_post(PUT_PATH, self._put)
         app.router.add_get(READ_PATH, self._read)
         app.router.add_post(NAME_VERSION_PATH, self._name_version)
+        self._evacuations.add_routes(app.router)
         self._runner = web.AppRunner(
             app,
             access_log=None,
@@ -125,7 +133,7 @@
         handler: Handler,
     ) -> web.StreamResponse:
         if self._is_draining:
-            return _unavailable('operator_call_refused', _draining_error())
+            return reply_unavailable('operator_call_refused', _draining_error())
         self._open_calls += 1
         self._idle.clear()
         try:
@@ -140,15 +148,16 @@
         if size_bytes is not None and size_bytes <= LARGE_BODY_BYTES:
             return await self._put_body(request)
         if self._large_body_lock.locked():
-            return _unavailable('operator_call_refused', _busy_error())
+            return reply_unavailable('operator_call_refused', _busy_error())
         async with self._large_body_lock:
             return await self._put_body(request)
 
     async def _put_body(self, request: web.Request) -> web.Response:
         started_s = self._clock.now_s()
-        content = await _read_body(request)
+        content = await read_body(request)
         try:
             configuration = decode_configuration(content)
+            check_regions(configuration, self._regions.values())
         except DocumentError as error:
             log_event(log, 'configuration_refused', reason=error.detail)
             return web.Response(status=BAD_REQUEST, text=f'{error}\n')
@@ -159,7 +168,7 @@
         try:
             version = await self._proxy.put(change)
         except KumquatrunError as error:
-            return _unavailable(
+            return reply_unavailable(
                 'configuration_not_committed',
                 error,
                 took_ms=self._elapsed_ms(started_s),
@@ -184,13 +193,13 @@
         try:
             content = await self._proxy.read()
         except KumquatrunError as error:
-            return _unavailable('configuration_not_read', error)
+            return reply_unavailable('configuration_not_read', error)
         return web.Response(body=content, content_type='application/json')
 
     async def _name_version(self, request: web.Request) -> web.Response:
         started_s = self._clock.now_s()
         try:
-            fields = decoding.parse_object(await _read_body(request))
+            fields = decoding.parse_object(await read_body(request))
             command = NameAdapterVersion(
                 model=decoding.text(fields, 'model'),
                 adapter=decoding.text(fields, 'adapter', ''),
@@ -201,7 +210,7 @@
         try:
             await self._proxy.name_version(command)
         except KumquatrunError as error:
-            return _unavailable(
+            return reply_unavailable(
                 'adapter_version_not_committed',
                 error,
                 took_ms=self._elapsed_ms(started_s),
@@ -225,34 +234,9 @@
         return round(1000 * (self._clock.now_s() - started_s))
 
 
-async def _read_body(request: web.Request) -> bytes:
-    """Return the body, or respond with 408 if it does not end in time."""
-    try:
-        async with asyncio.timeout(BODY_TIMEOUT_S):
-            return await request.read()
-    except TimeoutError:
-        log_event(
-            log,
-            'operator_call_unfinished',
-            path=request.path,
-            limit_s=BODY_TIMEOUT_S,
-            received_bytes=request.content.total_bytes,
-        )
-        raise web.HTTPRequestTimeout from None
-
-
 def _draining_error() -> KumquatrunError:
     return DrainingError('this host is about to stop')
 
 
 def _busy_error() -> KumquatrunError:
     return NoCapacityError('this host is reading another large configuration')
-
-
-def _unavailable(
-    event: str,
-    error: KumquatrunError,
-    **fields: str | int,
-) -> web.Response:
-    log_event(log, event, error=str(error), **fields)
-    return web.Response(status=UNAVAILABLE, text=f'{error}\n')
--- a/src/kumquatrun/runtime/metrics.py
+++ b/src/kumquatrun/runtime/metrics.py
@@ -164,6 +164,11 @@
         Gauge,
         'Voters without a reply to the leader for a second or more.',
     ),
+    Metric(
+        'evacuated_domains',
+        Gauge,
+        'Failure domains whose backend servers get no new requests.',
+    ),
     Metric(
         'change_confirmation_seconds',
         Histogram,
--- a/tests/fake_control.py
+++ b/tests/fake_control.py
@@ -35,6 +35,8 @@
     'list_replicas': {'replicas': [{'replica_id': 'a', 'voter': True}]},
     'unblock': {'fingerprint': 'part:5c', 'former_state': 'blocked'},
     'drain_host': {'record': {'host_id': 'e1', 'draining': True}},
+    'start_evacuation': {'failure_domain': 'a1', 'is_evacuated': True},
+    'finish_evacuation': {'failure_domain': 'a1', 'is_evacuated': False},
     'add_replica': {},
     'remove_replica': {},
 }
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -96,6 +96,18 @@
         'former_state: blocked',
     ),
     (('drain', 'e1'), 'drain_host', {'host_id': 'e1'}, 'draining: yes'),
+    (
+        ('evacuation', 'start', 'a1'),
+        'start_evacuation',
+        {'failure_domain': 'a1'},
+        'is_evacuated: yes',
+    ),
+    (
+        ('evacuation', 'finish', 'a1'),
+        'finish_evacuation',
+        {'failure_domain': 'a1'},
+        'is_evacuated: no',
+    ),
     (
         ('replica', 'add', 'd', '10.0.0.4:7400', 'disk-4'),
         'add_replica',
--- a/tests/test_operator_limits.py
+++ b/tests/test_operator_limits.py
@@ -6,7 +6,7 @@
 import pytest
 
 from kumquatrun.peer.address import Address
-from kumquatrun.platform import operator as operator_module
+from kumquatrun.platform import operator_replies as operator_module
 from kumquatrun.platform.operator import OperatorApi
 from kumquatrun.runtime.clock import LoopClock
 
