--- a/src/kumquatrun/gateway/placement/eligibility.py
+++ b/src/kumquatrun/gateway/placement/eligibility.py
@@ -43,6 +43,9 @@
         Source of time.
     cold_starts
         Limits requests to cold servers; None for no limit.
+    evacuated_domains
+        Returns the failure domains that get no new requests, also read at each
+        choice.
     """
 
     def __init__(
@@ -51,11 +54,13 @@
         configuration: Callable[[], Configuration | None],
         clock: Clock | None = None,
         cold_starts: ColdStarts | None = None,
+        evacuated_domains: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
         self._cold_starts = cold_starts
         self._regions = regions
         self._configuration = configuration
         self._clock = clock or LoopClock()
+        self._evacuated_domains = evacuated_domains
 
     def select(
         self, backends: Sequence[Backend], request_state: RequestState
@@ -69,7 +74,7 @@
         cold_starts = self._cold_starts
         return tuple(
             row
-            for row in self._in_allowed_regions(backends, request_state)
+            for row in self._in_allowed_places(backends, request_state)
             if row.signals.accepts_requests(now_s)
             and (cold_starts is None or cold_starts.may_send(row, now_s))
         )
@@ -94,7 +99,7 @@
         now_s = self._clock.now_s()
         rows = [
             row
-            for row in self._in_allowed_regions(backends, request_state)
+            for row in self._in_allowed_places(backends, request_state)
             if row.signals.is_leaving or not row.record.is_draining
         ]
         accepting = {
@@ -119,22 +124,30 @@
             cause=ALL_LEAVING, retry_after_s=LEAVING_RETRY_AFTER_S
         )
 
-    def _in_allowed_regions(
+    def _in_allowed_places(
         self, backends: Sequence[Backend], request_state: RequestState
     ) -> Sequence[Backend]:
-        """Return the backend servers in the regions that a request allows.
+        """Return the backend servers where a request may run.
 
-        A failure domain whose region is unknown is in no allowed region.
+        Their regions are allowed and their failure domains not evacuated. A
+        failure domain whose region is unknown is in no allowed region.
         """
+        evacuated = self._evacuated_domains()
         allowed = self._allowed_regions(request_state)
-        if allowed is None:
+        if allowed is None and not evacuated:
             return backends
         return tuple(
             row
             for row in backends
-            if self._regions.get(row.record.failure_domain) in allowed
+            if row.record.failure_domain not in evacuated
+            and self._is_allowed(row.record.failure_domain, allowed)
         )
 
+    def _is_allowed(
+        self, failure_domain: str, allowed: frozenset[str] | None
+    ) -> bool:
+        return allowed is None or self._regions.get(failure_domain) in allowed
+
     def _allowed_regions(
         self, request_state: RequestState
     ) -> frozenset[str] | None:
--- a/src/kumquatrun/gateway/roles/entry.py
+++ b/src/kumquatrun/gateway/roles/entry.py
@@ -143,6 +143,11 @@
             failure_domain=settings.failure_domain,
             regions=dict(settings.regions),
         )
+        self._cold_starts = ColdStarts(
+            settings.cold_starts,
+            lambda: self._configuration.configuration,
+            partial(entry_group, session),
+        )
         self._reservations = Reservations(
             self._backends,
             Balancer(locality, rng),
@@ -152,11 +157,8 @@
                 locality.regions,
                 lambda: self._configuration.configuration,
                 clock,
-                ColdStarts(
-                    settings.cold_starts,
-                    lambda: self._configuration.configuration,
-                    partial(entry_group, session),
-                ),
+                self._cold_starts,
+                session.view.evacuated_domains,
             ),
             clock,
             EngineReports(session.view, clock)
@@ -191,6 +193,10 @@
         """Return the bytes that are held for callers."""
         return self._http.memory.held_bytes
 
+    def record_return(self, failure_domain: str) -> None:
+        """Record that a failure domain is used again after its evacuation."""
+        self._cold_starts.record_return(failure_domain, self._clock.now_s())
+
     def not_ready_reason(self) -> str:
         """Return why this host is not ready, or an empty string."""
         if self._planned_stop.has_begun:
--- a/src/kumquatrun/platform/entry_daemon.py
+++ b/src/kumquatrun/platform/entry_daemon.py
@@ -52,7 +52,7 @@
     metrics.before_render(
         lambda: metrics.set_gauge('client_held_bytes', entry.client_held_bytes),
     )
-    operator = build_operator_api(session, settings.operator_listen, clock)
+    operator = build_operator_api(session, settings, clock, entry.record_return)
     servers = ServerGroup(entry, operator)
     parts = [
         ClientCloser(client),
