--- a/src/kumquatrun/gateway/roles/settings.py
+++ b/src/kumquatrun/gateway/roles/settings.py
@@ -28,7 +28,7 @@
     follows_engine_load
         Whether requests are placed by the load and pace that the agents of
         engines report, and prompts are admitted by the pace. For engines that
-        may be slow although they say that they are healthy.
+        are put under pressure.
     """
 
     listing_address: Address
--- a/src/kumquatrun/platform/settings.py
+++ b/src/kumquatrun/platform/settings.py
@@ -27,9 +27,9 @@
 # Platform contract under which backend servers close idle connections without
 # notice.
 DROPS_IDLE_CONTRACT = 'pool'
-# Platform contract under which backend servers may be slow or fail although they
-# say that they are healthy.
-HEALTH_CONTRACT = 'health'
+# Platform contract under which engines are put under pressure: what they hold
+# may exceed their memory.
+PRESSURE_CONTRACT = 'pressure'
 # Offsets of listen ports from the first internal port: for control replicas,
 # and for entries and agents. No host runs both an entry and an agent, so the
 # control group is looked up at the same port of every host.
@@ -202,7 +202,7 @@
         'region': decoding.text(fields, 'region'),
         'failure_domain': decoding.text(fields, 'zone'),
         'regions': tuple(_object(fields, 'zones').items()),
-        'follows_engine_load': _has_contract(fields, HEALTH_CONTRACT),
+        'follows_engine_load': _has_contract(fields, PRESSURE_CONTRACT),
         'control_addresses': control_addresses(fields),
         'directory_addresses': directory_addresses(fields),
         'admin_listen': Address(ip, METRICS_PORTS[role]),
