Keep the founding quorum out of the settings of an operator

Operators can't set it: it follows from the founding failure domains. It is now a field of the settings that a gateway's control host makes by itself.

--- a/src/kumquatrun/daemon/shared_settings.py
+++ b/src/kumquatrun/daemon/shared_settings.py
@@ -1,6 +1,7 @@
 """Settings that the daemons of both products share."""
 
 from dataclasses import dataclass
+from typing import ClassVar
 
 from kumquatrun.peer import Address
 
@@ -10,15 +11,27 @@
     """Settings of a control replica, standalone or in another daemon.
 
     ``replicas`` lists the addresses of the initial members by replica id; a
-    replica that joins later starts with ``join`` set. ``founding_quorum`` of
-    the founders must accept the first membership; 0 stands for all of them.
+    replica that joins later starts with ``join`` set. All initial members must
+    accept the first membership.
     """
 
+    founding_quorum: ClassVar[int] = 0
+
     replica_id: str
     data_dir: str
     listen: Address
     replicas: tuple[tuple[str, Address], ...] = ()
     join: bool = False
+
+
+@dataclass(frozen=True, kw_only=True)
+class FoundingReplicaSettings(ReplicaSettings):
+    """Settings of a replica whose fellow founders were found, not set.
+
+    ``founding_quorum`` of the founders must accept the first membership; 0
+    stands for all of them.
+    """
+
     founding_quorum: int = 0
 
 
--- a/src/kumquatrun/gateway/roles/control.py
+++ b/src/kumquatrun/gateway/roles/control.py
@@ -19,7 +19,10 @@
 from kumquatrun.control.backend_listing import BackendListing
 from kumquatrun.control.control_host import ControlHost
 from kumquatrun.control.replica_gauges import set_replica_gauges
-from kumquatrun.daemon.shared_settings import ReplicaSettings
+from kumquatrun.daemon.shared_settings import (
+    FoundingReplicaSettings,
+    ReplicaSettings,
+)
 from kumquatrun.gateway.roles.control_search import (
     ControlSearch,
     GroupBootstrap,
@@ -172,10 +175,11 @@
         # tell. The replica joins otherwise.
         founders = founders or await self._bootstrap.wait()
         founders[own.replica_id] = own.listen
-        return replace(
-            own,
+        return FoundingReplicaSettings(
+            replica_id=own.replica_id,
+            data_dir=own.data_dir,
+            listen=own.listen,
             replicas=tuple(founders.items()),
-            join=False,
             founding_quorum=self._bootstrap.quorum,
         )
 
