--- a/src/kumquatrun/gateway/roles/configuration_follower.py
+++ b/src/kumquatrun/gateway/roles/configuration_follower.py
@@ -73,6 +73,13 @@
         if pause_s > 0:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(pause_s, self._read_after_pause)
+            log_event(
+                log,
+                'configuration_delayed',
+                version=version,
+                in_force=self.version,
+                pause_ms=round(1000 * pause_s),
+            )
             return
         self._seen_version = version
         began_s = self._clock.now_s()
@@ -93,6 +100,7 @@
         self.follow()
 
     def _read(self, version: int, content: bytes) -> None:
+        began_s = self._clock.now_s()
         try:
             configuration = self._wire.read_configuration(content)
         except DocumentError as error:
@@ -113,4 +121,5 @@
             version=version,
             routes=len(configuration.routes),
             accounts=len(configuration.accounts),
+            read_ms=round(1000 * (self._clock.now_s() - began_s)),
         )
