Limit the pause after a configuration was read

Keys that had been withdrawn were accepted, requests ran by old routes.

Cause: ConfigurationFollower pauses for four times as long as the last reading took by the clock, without a limit, and a freeze counts as reading.

Fix: the pause is at most 1.0 s, so the newest version is in force within the 2.5 s of the rule whatever a clock measured. Readings of up to 0.25 s take a fifth of the host's time as before.

--- a/src/kumquatrun/gateway/roles/configuration_follower.py
+++ b/src/kumquatrun/gateway/roles/configuration_follower.py
@@ -17,6 +17,9 @@
 # A series of changes may take at most this fraction of a host's time; versions
 # that are superseded in the meantime are skipped.
 MAX_READING_FRACTION = 0.2
+# A reading may take far longer than its work, for example if the host stands
+# still meanwhile. The newest configuration waits no longer than this.
+MAX_PAUSE_S = 1.0
 
 
 class ConfigurationSource(Protocol):
@@ -85,10 +88,7 @@
         began_s = self._clock.now_s()
         self._read(version, content)
         ended_s = self._clock.now_s()
-        reading_s = ended_s - began_s
-        self._next_read_at_s = ended_s + reading_s * (
-            1 / MAX_READING_FRACTION - 1
-        )
+        self._next_read_at_s = ended_s + _pause_after(ended_s - began_s)
 
     def close(self) -> None:
         """Cancel a pending read."""
@@ -123,3 +123,8 @@
             accounts=len(configuration.accounts),
             read_ms=round(1000 * (self._clock.now_s() - began_s)),
         )
+
+
+def _pause_after(reading_s: float) -> float:
+    """Return the pause in seconds after a reading."""
+    return min(MAX_PAUSE_S, reading_s * (1 / MAX_READING_FRACTION - 1))
--- a/tests/test_configuration_follower.py
+++ b/tests/test_configuration_follower.py
@@ -12,6 +12,9 @@
 from kumquatrun.platform.requests import PlatformFormat
 
 READ_S = 0.07
+# Time from a confirmation until every host obeys a configuration, on the
+# deployment with the strictest bound.
+APPLY_LIMIT_S = 2.5
 
 
 class Host:
@@ -19,6 +22,8 @@
 
     def __init__(self):
         self.spent_s = 0.0
+        # The process stands still for this time during the next parse.
+        self.freeze_s = 0.0
         self.reads = []
         self.configuration = (0, b'')
         self.in_force = []
@@ -30,7 +35,8 @@
         return asyncio.get_running_loop().time() + self.spent_s
 
     def read_configuration(self, content):
-        self.spent_s += READ_S
+        self.spent_s += READ_S + self.freeze_s
+        self.freeze_s = 0.0
         self.reads.append(content)
         return PlatformFormat().read_configuration(content)
 
@@ -88,3 +94,16 @@
     host.follower.close()
     await asyncio.sleep(2)
     assert host.in_force == [1]
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize('freeze_s', [0.5, 7, 600])
+async def test_freeze_during_a_reading_does_not_delay_the_next(freeze_s):
+    # Guards against a host that takes a freeze for the cost of a reading, and
+    # after it obeys an old configuration for a multiple of the freeze.
+    host = Host()
+    host.freeze_s = freeze_s
+    host.receive(1)
+    host.receive(2)
+    await asyncio.sleep(APPLY_LIMIT_S / 2)
+    assert host.in_force == [1, 2]
