Leave prompts out of an engine's pace that a freeze of the agent held up

Prompts are taken for read after 1.5 s, so one that was admitted more than 2 s ago shows that the agent stood still; it no longer counts.

Test: test_freeze_of_the_agent_does_not_change_the_pace, failed before.

--- a/src/kumquatrun/gateway/engine/read_pace.py
+++ b/src/kumquatrun/gateway/engine/read_pace.py
@@ -15,6 +15,9 @@
 # Paces outside these bounds are errors of measurement.
 MIN_TOKENS_PER_S = 200.0
 MAX_TOKENS_PER_S = 500_000.0
+# Prompts are taken for read after a shorter time, see ``prompt_gate``. A longer
+# one shows that this process stood still, and nothing about the engine.
+MAX_READ_S = 2.0
 # Largest prompt that is counted; the number is stated by the caller.
 MAX_PROMPT_TOKENS = 200_000
 # A published pace changes only by more than this factor, so that all entries
@@ -61,11 +64,12 @@
         duration_s = now_s - max(admitted_s, self._last_read_at_s)
         if not 0 < tokens <= MAX_PROMPT_TOKENS or duration_s < 0:
             return
-        remaining = self._remaining(now_s)
-        self._tokens = self._tokens * remaining + tokens
-        self._duration_s = self._duration_s * remaining + duration_s
-        self._prompts = self._prompts * remaining + 1
-        self._last_read_at_s = now_s
+        self._fade(now_s)
+        if now_s - admitted_s > MAX_READ_S:
+            return
+        self._tokens += tokens
+        self._duration_s += duration_s
+        self._prompts += 1
 
     def estimate(self, now_s: float) -> PaceEstimate | None:
         """Return the pace, or None if it is unknown."""
@@ -91,6 +95,14 @@
             self._published_tokens_per_s = pace
         return round(self._published_tokens_per_s)
 
+    def _fade(self, now_s: float) -> None:
+        """Reduce the earlier evidence by its age, and begin a new age."""
+        remaining = self._remaining(now_s)
+        self._tokens *= remaining
+        self._duration_s *= remaining
+        self._prompts *= remaining
+        self._last_read_at_s = now_s
+
     def _remaining(self, now_s: float) -> float:
         """Return which fraction of the earlier evidence still counts."""
         age_s = max(0.0, now_s - self._last_read_at_s)
