Deliver answers that arrived while an entry stood still

An entry that woke took backend servers for silent whose answers or next events lay in its sockets: it counted a failure against them, sent repeatable requests to another one, which spends the retry budget, and resumed streams elsewhere.

After its limit an attempt now looks at what has arrived before it gives up: BackendConnection.read_head and read_received return it.

Ruled out: a longer limit, which a longer freeze exceeds again.

Tests: test_answer_that_arrived_during_a_freeze_is_delivered (two kinds) and test_events_that_arrived_during_a_freeze_are_delivered failed before: the spare backend server got the request.

--- a/src/kumquatrun/gateway/backends/backend_connection.py
+++ b/src/kumquatrun/gateway/backends/backend_connection.py
@@ -160,15 +160,26 @@
         )
         self.transport.write(head + body)
 
-    async def read_head(self) -> ResponseHead:
+    async def read_head(self, deadline_s: float | None = None) -> ResponseHead:
         """Wait for the head of the response.
 
+        A head that has arrived is returned also after the deadline: a process
+        that stood still until then has not read it yet.
+
         Raises
         ------
         BrokenResponseError
             If the connection ends or the response is not valid HTTP.
+        TimeoutError
+            If no head has arrived by ``deadline_s``, in the clock of the loop.
         """
-        return await self._head
+        try:
+            async with asyncio.timeout_at(deadline_s):
+                return await self._head
+        except TimeoutError:
+            if self._head.cancelled():
+                raise
+            return self._head.result()
 
     def mark_finished(self, head: ResponseHead) -> None:
         """Record that the response was read to its end."""
--- a/src/kumquatrun/gateway/forwarding/response_relay.py
+++ b/src/kumquatrun/gateway/forwarding/response_relay.py
@@ -1,6 +1,5 @@
 """Relays the response of a backend server to the caller."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from enum import StrEnum
 
@@ -31,6 +30,7 @@
 from kumquatrun.runtime.body_reader import (
     BodyTooLargeError,
     read_body,
+    read_received,
 )
 from kumquatrun.runtime.clock import Clock
 
@@ -91,13 +91,13 @@
             If the backend server took too long.
         """
         deadline_s = self._attempt_deadline_s(request_state)
-        async with asyncio.timeout_at(deadline_s):
-            head = await connection.read_head()
+        head = await connection.read_head(deadline_s)
         request_state.framing = head.framing
         if self._wire.read_response(head).is_not_run:
             request_state.runs -= 1
-            async with asyncio.timeout(REFUSAL_BODY_TIMEOUT_S):
-                await _read_buffered(head)
+            await _read_buffered(
+                head, self._clock.now_s() + REFUSAL_BODY_TIMEOUT_S
+            )
             request_state.failure = f'refused with {head.status}'
             return AttemptResult.NOT_RUN, head
         is_stream = request_state.route.kind is RouteKind.STREAMING
@@ -111,8 +111,7 @@
                 is_outlived,
             )
             return AttemptResult.DELIVERED, head
-        async with asyncio.timeout_at(deadline_s):
-            body = await _read_buffered(head)
+        body = await _read_buffered(head, deadline_s)
         if head.status in SUCCESS:
             on_answer()
         if writer.has_begun or self._should_try_another(
@@ -284,13 +283,15 @@
             return await head.body.readany()
         paused_at_s = self._clock.now_s()
         try:
-            async with asyncio.timeout(suspicious_pause_s(route)):
-                return await head.body.readany()
+            return await read_received(
+                head.body, paused_at_s + suspicious_pause_s(route)
+            )
         except TimeoutError:
             if not await is_outlived():
                 raise
-        async with asyncio.timeout_at(paused_at_s + longest_pause_s(route)):
-            return await head.body.readany()
+        return await read_received(
+            head.body, paused_at_s + longest_pause_s(route)
+        )
 
 
 def _complete_events(
@@ -342,8 +343,10 @@
     return content_type.strip().lower() == EVENT_STREAM
 
 
-async def _read_buffered(head: ResponseHead) -> bytes:
+async def _read_buffered(head: ResponseHead, deadline_s: float | None) -> bytes:
     try:
-        return await read_body(head.body, MAX_BUFFERED_RESPONSE_BYTES)
+        return await read_body(
+            head.body, MAX_BUFFERED_RESPONSE_BYTES, deadline_s
+        )
     except BodyTooLargeError as error:
         raise MalformedResponseError(str(error)) from error
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -4,7 +4,9 @@
 import json
 import socket
 import struct
+import time
 from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass
 
 from kumquatrun.errors import ConnectionLostError, NoCapacityError
 from kumquatrun.gateway.backends.backends import Backend, BackendRecord
@@ -111,12 +113,21 @@
     return head, headers, body
 
 
+@dataclass(frozen=True)
+class Freeze:
+    """Bytes that arrive while the process of the gateway stands still."""
+
+    sent: bytes
+    freeze_s: float
+
+
 class ScriptedBackend:
     """Backend server with one scripted response for each request, in order.
 
     Each script is a list of byte strings to send; ``'close'`` closes the
     connection, ``'reset'`` resets it, and a number is a delay in seconds.
-    ``{id}`` is replaced by the attempt id of the request.
+    ``{id}`` is replaced by the attempt id of the request. A ``Freeze`` sends
+    bytes and blocks the event loop before anything can read them.
     """
 
     def __init__(self, *scripts):
@@ -153,6 +164,10 @@
             if isinstance(step, (int, float)):
                 await asyncio.sleep(step)
                 continue
+            if isinstance(step, Freeze):
+                writer.write(step.sent.replace(b'{id}', request_id.encode()))
+                time.sleep(step.freeze_s)  # noqa: ASYNC251
+                continue
             writer.write(step.replace(b'{id}', request_id.encode()))
             await writer.drain()
 
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -9,6 +9,7 @@
     STREAM_HEAD,
     Caller,
     FixedReservations,
+    Freeze,
     ScriptedBackend,
     chunk,
     event,
@@ -317,3 +318,30 @@
         await forwarder.run(request_state(kind, max_attempts=1), Caller())
     now_s = LoopClock().now_s()
     assert reservations.backends[0].is_healthy(now_s) == (status == '200 OK')
+
+
+@pytest.mark.parametrize('kind', REPEATABLE)
+async def test_answer_that_arrived_during_a_freeze_is_delivered(kind):
+    # Guards against an entry that has stood still and takes its backend servers
+    # for silent: requests ran again elsewhere though their answer was there.
+    answer = http_response()
+    if kind == 'resumable':
+        answer = STREAM_HEAD + chunk(event(1)) + LAST_CHUNK
+    first = ScriptedBackend([0.02, Freeze(answer, 0.7)])
+    spare = ScriptedBackend([http_response()])
+    caller = await forward(request_state(kind), first, spare)
+    assert caller.status == 200
+    assert caller.is_finished
+    assert not spare.requests
+
+
+async def test_events_that_arrived_during_a_freeze_are_delivered():
+    # Guards against an entry that has stood still and resumes its streams
+    # elsewhere, though their next events wait to be read.
+    rest = chunk(event(2)) + LAST_CHUNK
+    begin = STREAM_HEAD + chunk(event(1))
+    first = ScriptedBackend([begin, 0.05, Freeze(rest, 0.7)])
+    spare = ScriptedBackend([STREAM_HEAD + chunk(event(2)) + LAST_CHUNK])
+    caller = await forward(request_state('resumable'), first, spare)
+    assert caller.body == event(1) + event(2)
+    assert not spare.requests
