Tie each order to the process of the engine that it is for

Cause: orders named the number of accepted orders alone. A process that starts again counts from 0 and reaches the same numbers, as it loads what is in use.

Ruled out: a wrong count of slots (20 of 20 were held and the agent sent no further load) and a second send of the order (the engine took the first one).

Fix: an order names the id of the process, which the agent reads with a health check between two reports of that process, and a fencing number that is higher for each later process: its start time. The id covers restarts under another id, the number those under the same id, also if the agent starts again in between. An engine that names no id gets orders as before.

--- a/src/kumquatrun/gateway/engine/engine_api.py
+++ b/src/kumquatrun/gateway/engine/engine_api.py
@@ -63,6 +63,7 @@
     CONFLICT = 'conflict'
     REFUSED = 'refused'
     STALE_HOLDER = 'stale_holder'
+    OTHER_PROCESS = 'other_process'
     NO_ANSWER = 'no_answer'
 
 
@@ -70,9 +71,11 @@
 class EngineOrder:
     """An order to load or unload a base model or an adapter.
 
-    The engine rejects the order if ``expected_count`` differs from its number
-    of accepted orders, so an order that arrives late has no effect. ``holder``
-    and ``fencing_number`` identify the sender.
+    An order may be carried out late, even by a process that has started since.
+    The engine rejects it if ``expected_count`` differs from its number of
+    accepted orders, if its process is not the one with the id ``process_id``
+    (empty if the id is unknown), or if it has seen a higher
+    ``fencing_number``. ``holder`` identifies the sender.
     """
 
     holder: str
@@ -82,6 +85,7 @@
     adapter: str = ''
     version: int = 0
     expected_count: int
+    process_id: str = ''
 
 
 class ControllableEngine(Protocol):
@@ -97,6 +101,16 @@
         """
         ...
 
+    async def identify(self, check_path: str) -> str:
+        """Return the id of the engine's process, read with a health check.
+
+        Raises
+        ------
+        KumquatrunError
+            If the engine does not respond or names no id.
+        """
+        ...
+
     async def order(self, order: EngineOrder) -> OrderVerdict:
         """Send an order; return ``NO_ANSWER`` if no response arrives."""
         ...
--- a/src/kumquatrun/gateway/engine/engine_orders.py
+++ b/src/kumquatrun/gateway/engine/engine_orders.py
@@ -9,6 +9,7 @@
     OrderVerdict,
 )
 from kumquatrun.gateway.engine.engine_watch import EngineWatch
+from kumquatrun.gateway.engine.order_fence import OrderFence
 from kumquatrun.gateway.engine.residency import AdapterName
 from kumquatrun.gateway.routing.configuration import BaseModelSpec
 from kumquatrun.gateway.routing.ranking import rank
@@ -25,8 +26,6 @@
 # A base model that was unused for this time may be unloaded to free memory for
 # another base model.
 MODEL_IDLE_S = 5.0
-# Constant, since only one host sends orders to an engine.
-FENCING_NUMBER = 1
 
 
 class EngineOrders:
@@ -55,6 +54,7 @@
         self._engine = engine
         self._watch = watch
         self._clock = clock
+        self._fence = OrderFence()
         self._started_s = clock.now_s()
         self._model_used_at_s: dict[str, float] = {}
         # Base model for which another base model was unloaded.
@@ -166,14 +166,16 @@
     ) -> bool:
         """Send one order; return whether the engine has accepted it."""
         model, adapter = name
+        report = self._watch.report
         order = EngineOrder(
             holder=self._host_id,
-            fencing_number=FENCING_NUMBER,
+            fencing_number=self._fence.number_of(report.started_ms),
             is_load=is_load,
             model=model,
             adapter=adapter,
             version=version,
-            expected_count=self._watch.report.order_count,
+            expected_count=report.order_count,
+            process_id=self._watch.process_id,
         )
         if is_load and adapter:
             now_s = self._clock.now_s()
@@ -184,10 +186,15 @@
             await self._watch.refresh()
             return True
         # An order without a response may still be carried out, but only until
-        # the engine accepts another one, since both expect the same number of
-        # accepted orders. Only one of them can take effect, so the next order
-        # may use the same slot.
+        # the same process of the engine accepts another one, since both expect
+        # the same number of accepted orders. Only one of them can take effect,
+        # so the next order may use the same slot. A later process, which counts
+        # from 0 again, refuses the order for its id or its fencing number.
         self._watch.residency.discard_load(name)
+        if verdict is OrderVerdict.STALE_HOLDER:
+            self._fence.raise_number()
+        if verdict is OrderVerdict.OTHER_PROCESS:
+            self._watch.forget_process_id()
         if verdict is not OrderVerdict.NO_ANSWER:
             await asyncio.sleep(REFUSED_ORDER_DELAY_S)
         await self._watch.refresh()
@@ -201,6 +208,8 @@
             adapter=order.adapter or order.model,
             version=order.version,
             expected_count=order.expected_count,
+            process_id=order.process_id,
+            fencing_number=order.fencing_number,
             verdict=verdict,
             report_age_ms=self._watch.age_ms,
         )
--- a/src/kumquatrun/gateway/engine/engine_watch.py
+++ b/src/kumquatrun/gateway/engine/engine_watch.py
@@ -11,6 +11,7 @@
     ControllableEngine,
     EngineReport,
 )
+from kumquatrun.gateway.engine.engine_identity import EngineIdentity
 from kumquatrun.gateway.engine.residency import AdapterName, Residency
 from kumquatrun.gateway.routing.configuration import EngineSpec
 from kumquatrun.gateway.routing.messages import ENGINE_WITHOUT_MODEL
@@ -68,12 +69,24 @@
         self._process_seen_at_s = float('-inf')
         # Whether the engine was last logged as reachable.
         self._is_logged_as_reachable = False
+        self._identity = EngineIdentity(engine, self._check_path, clock)
 
     @property
     def spec(self) -> EngineSpec | None:
         """Return the capacity of the engine; None before it is known."""
         return self._spec()
 
+    @property
+    def process_id(self) -> str:
+        """Return the id of the process of the latest report, or ``''``."""
+        if self.report is None:
+            return ''
+        return self._identity.id_of(self.report.started_ms)
+
+    def forget_process_id(self) -> None:
+        """Forget the id after the engine has refused it."""
+        self._identity.forget()
+
     @property
     def age_ms(self) -> int:
         """Return the age of the latest report, up to a maximum."""
@@ -128,6 +141,29 @@
 
     async def refresh(self) -> bool:
         """Read a new report and return True; keep the last one if it fails."""
+        if not await self._read_report():
+            return False
+        started_ms = self.report.started_ms
+        if self._identity.is_due(started_ms):
+            await self._identify(started_ms)
+        return True
+
+    async def _identify(self, started_ms: int) -> None:
+        """Read the id of the process that sent the latest report.
+
+        The id belongs to that process only if the next report comes from it
+        too.
+        """
+        process_id = await self._identity.read()
+        if not process_id or not await self._read_report():
+            return
+        if self.report.started_ms == started_ms:
+            self._identity.record(started_ms, process_id)
+
+    def _check_path(self) -> str:
+        return self.spec.check_path if self.spec is not None else ''
+
+    async def _read_report(self) -> bool:
         try:
             report = await self._engine.report()
         except KumquatrunError as error:
--- a/src/kumquatrun/gateway/routing/configuration.py
+++ b/src/kumquatrun/gateway/routing/configuration.py
@@ -83,10 +83,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EngineSpec:
-    """Memory and adapter slots of each engine of a service."""
+    """Memory and adapter slots of each engine of a service.
+
+    ``check_path`` is the path of its health check.
+    """
 
     weights_mb: float = 0
     adapter_slots: int = 0
+    check_path: str = ''
     base_models: tuple[BaseModelSpec, ...] = ()
 
 
--- a/src/kumquatrun/platform/client.py
+++ b/src/kumquatrun/platform/client.py
@@ -1,6 +1,8 @@
 """HTTP client for calls to the platform and to engines."""
 
 import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Any
 
 import aiohttp
@@ -20,6 +22,15 @@
 OK = 200
 
 
+@dataclass(frozen=True, kw_only=True)
+class PlatformResponse:
+    """A complete response; names of headers are case-insensitive."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
 class PlatformClient:
     """Sends JSON requests over one session for all addresses."""
 
@@ -41,16 +52,40 @@
             If no such response arrives in time, or its body is too large or
             not valid JSON.
         """
-        status, body = await self._call(
+        response = await self._call(
             'GET',
             address,
             path,
             query=query,
             timeout_s=timeout_s,
         )
-        if status != OK:
-            raise ConnectionLostError(f'{address}{path} answered {status}')
-        return _parse_body(body, f'{address}{path}')
+        if response.status != OK:
+            raise ConnectionLostError(
+                f'{address}{path} answered {response.status}'
+            )
+        return _parse_body(response.body, f'{address}{path}')
+
+    async def check(
+        self,
+        address: Address,
+        path: str,
+        headers: Mapping[str, str],
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> PlatformResponse:
+        """Send a health check and return the response, of any status.
+
+        Raises
+        ------
+        ConnectionLostError
+            If no response arrives in time or its body is too large.
+        """
+        return await self._call(
+            'GET',
+            address,
+            path,
+            headers=headers,
+            timeout_s=timeout_s,
+        )
 
     async def post(
         self,
@@ -58,6 +93,7 @@
         path: str,
         fields: Any,
         timeout_s: float = CALL_TIMEOUT_S,
+        headers: Mapping[str, str] | None = None,
     ) -> int:
         """Send a JSON body and return the status of the response.
 
@@ -66,14 +102,15 @@
         ConnectionLostError
             If no response arrives in time or its body is too large.
         """
-        status, _ = await self._call(
+        response = await self._call(
             'POST',
             address,
             path,
             fields=fields,
+            headers=headers,
             timeout_s=timeout_s,
         )
-        return status
+        return response.status
 
     async def close(self) -> None:
         """Close all connections."""
@@ -88,8 +125,9 @@
         *,
         query: dict[str, str] | None = None,
         fields: Any = None,
+        headers: Mapping[str, str] | None = None,
         timeout_s: float,
-    ) -> tuple[int, bytes]:
+    ) -> PlatformResponse:
         if self._session is None:
             self._session = aiohttp.ClientSession(
                 connector=aiohttp.TCPConnector(limit=0),
@@ -107,10 +145,15 @@
                     f'http://{address}{path}',
                     params=query,
                     json=fields,
+                    headers=headers,
                 ) as response,
             ):
                 body = await read_body(response.content, MAX_RESPONSE_BYTES)
-                return response.status, body
+                return PlatformResponse(
+                    status=response.status,
+                    headers=response.headers,
+                    body=body,
+                )
         except BodyTooLargeError as error:
             raise ConnectionLostError(
                 f'{method} {address}{path}: {error}',
--- a/src/kumquatrun/platform/configuration.py
+++ b/src/kumquatrun/platform/configuration.py
@@ -104,16 +104,18 @@
     engine = fields.get('engine')
     return BackendService(
         name=decoding.text(fields, 'name'),
-        engine=_engine(engine) if isinstance(engine, dict) else None,
+        engine=_engine(fields, engine) if isinstance(engine, dict) else None,
         cold_start_s=max(0.0, decoding.number(fields, 'cold_start_s', 0.0)),
         cold_per_s=max(0.0, decoding.number(fields, 'cold_per_s', 0.0)),
     )
 
 
-def _engine(fields: Fields) -> EngineSpec:
+def _engine(service: Fields, fields: Fields) -> EngineSpec:
+    check_path = service.get('health_path')
     return EngineSpec(
         weights_mb=decoding.number(fields, 'weights_mb', 0.0),
         adapter_slots=decoding.integer(fields, 'adapter_slots', 0),
+        check_path=check_path if isinstance(check_path, str) else '',
         base_models=tuple(
             map(_model, decoding.object_list(fields, 'models', []))
         ),
--- a/src/kumquatrun/platform/engine.py
+++ b/src/kumquatrun/platform/engine.py
@@ -14,6 +14,7 @@
 from kumquatrun.platform import decoding
 from kumquatrun.platform.client import PlatformClient
 from kumquatrun.platform.listing import DECODING_ERRORS, split_adapter
+from kumquatrun.platform.requests import EXPECTED_BACKEND
 
 REPORT_PATH = '/report'
 ORDER_PATH = '/order'
@@ -22,11 +23,17 @@
 # The engine is on the same host, so a later response counts as lost.
 ENGINE_TIMEOUT_S = 0.3
 DRAINING_STATE = 'draining'
+# Header in which an engine names the id of its process.
+PROCESS_ID = 'X-Kumquatrun-Instance-Id'
+# No process has this id. An engine that treats a health check as a request
+# refuses it, and names its own id in the refusal.
+NO_PROCESS = '-'
 VERDICT_BY_STATUS = {
     200: OrderVerdict.HOLDS,
     202: OrderVerdict.ACCEPTED,
     409: OrderVerdict.CONFLICT,
     412: OrderVerdict.STALE_HOLDER,
+    421: OrderVerdict.OTHER_PROCESS,
 }
 
 
@@ -49,6 +56,21 @@
         except DECODING_ERRORS as error:
             raise ConnectionLostError(f'unreadable report: {error}') from None
 
+    async def identify(self, check_path: str) -> str:
+        """Return the id of the engine's process, read with a health check."""
+        response = await self._client.check(
+            self._address,
+            check_path,
+            {EXPECTED_BACKEND: NO_PROCESS},
+            ENGINE_TIMEOUT_S,
+        )
+        process_id = response.headers.get(PROCESS_ID, '')
+        if not process_id:
+            raise ConnectionLostError(
+                f'health check answered {response.status} without an id'
+            )
+        return process_id
+
     async def order(self, order: EngineOrder) -> OrderVerdict:
         """Send an order and return the engine's verdict."""
         try:
@@ -57,12 +79,18 @@
                 ORDER_PATH,
                 encode_order(order),
                 ENGINE_TIMEOUT_S,
+                order_headers(order),
             )
         except KumquatrunError:
             return OrderVerdict.NO_ANSWER
         return VERDICT_BY_STATUS.get(status, OrderVerdict.REFUSED)
 
 
+def order_headers(order: EngineOrder) -> dict[str, str]:
+    """Return the headers of an order, which name the process it is for."""
+    return {EXPECTED_BACKEND: order.process_id} if order.process_id else {}
+
+
 def encode_order(order: EngineOrder) -> dict[str, object]:
     """Return the body of an order."""
     fields: dict[str, object] = {
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -316,6 +316,15 @@
         self.loading = {}
         self.count = 0
         self.started_ms = 1
+        self.process_id = 'engine-1'
+        # Which fields of an order the engine compares with its own state.
+        self.checks_process_id = True
+        self.checks_fencing_number = True
+        self.seen_fencing_number = 0
+        self.is_unidentified = False
+        self.identifications = 0
+        # The engine starts again after it has named its id once more.
+        self.identify_restarts = False
         self.orders = []
         self.max_held = 0
         self.models = ('m',)
@@ -327,6 +336,8 @@
         # Number of orders that get no response, and the delay of their effect.
         self.late_orders = 0
         self.late_s = 0
+        # Only loads of this adapter get no response, if it is named.
+        self.late_adapter = ''
         # Adapters of running requests, by request id. An adapter is unloaded
         # only after its requests have ended.
         self.runs = {}
@@ -355,9 +366,19 @@
             running_ids=frozenset(self.runs if self.reports_runs else ()),
         )
 
+    async def identify(self, check_path):
+        self.identifications += 1
+        if self.is_unidentified or self.is_silent:
+            raise ConnectionLostError('no id')
+        process_id = self.process_id
+        if self.identify_restarts:
+            self.identify_restarts = False
+            self.restart()
+        return process_id
+
     async def order(self, order):
         self.orders.append(order)
-        if self.late_orders:
+        if self.late_orders and self._is_late(order):
             self.late_orders -= 1
             loop = asyncio.get_running_loop()
             loop.call_later(self.late_s, self._carry_out, order)
@@ -365,7 +386,19 @@
             return OrderVerdict.NO_ANSWER
         return self._carry_out(order)
 
+    def _is_late(self, order):
+        if not self.late_adapter:
+            return True
+        return order.is_load and order.adapter == self.late_adapter
+
     def _carry_out(self, order):
+        is_other = order.process_id not in {'', self.process_id}
+        if is_other and self.checks_process_id:
+            return OrderVerdict.OTHER_PROCESS
+        is_stale = order.fencing_number < self.seen_fencing_number
+        if is_stale and self.checks_fencing_number:
+            return OrderVerdict.STALE_HOLDER
+        self.seen_fencing_number = order.fencing_number
         if order.expected_count != self.count:
             return OrderVerdict.CONFLICT
         self._finish_loads()
@@ -400,8 +433,11 @@
         self.models = models
         self.is_changing_model = False
 
-    def restart(self):
+    def restart(self, *, keeps_id=False):
         self.started_ms += 1
+        if not keeps_id:
+            self.process_id = f'engine-{self.started_ms}'
+        self.seen_fencing_number = 0
         self.count = 0
         self.held.clear()
         self.loading.clear()
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+from dataclasses import replace
 
 import pytest
 from tests.endless_server import MAX_SENT_BYTES, EndlessServer
@@ -148,6 +149,34 @@
     assert server.sent_bytes < MAX_SENT_BYTES
 
 
+async def test_order_names_the_process_it_is_for(client):
+    # Guards against an order that a later process at the address carries out:
+    # only an order that names a process is refused by every other one.
+    refusal = http_response(b'', '421 Misdirected Request')
+    runner = await ScriptedBackend([refusal], [http_response()]).start()
+    engine = PlatformEngine(client, runner.address)
+    verdict = await engine.order(replace(ORDER, process_id='i-7'))
+    assert verdict is OrderVerdict.OTHER_PROCESS
+    assert await engine.order(ORDER) is OrderVerdict.HOLDS
+    (named, _), (unnamed, _) = runner.requests
+    assert 'x-kumquatrun-expect-instance: i-7\r\n' in named.lower()
+    assert 'expect-instance' not in unnamed.lower()
+
+
+@pytest.mark.parametrize(
+    'status', ['200 OK', '421 Misdirected Request', '503 Service Unavailable']
+)
+async def test_id_of_the_process_is_read_from_a_health_check(client, status):
+    headers = 'X-Kumquatrun-Instance-Id: i-7\r\n'
+    reply = http_response(b'', status, headers)
+    runner = await ScriptedBackend([reply], [http_response()]).start()
+    engine = PlatformEngine(client, runner.address)
+    assert await engine.identify('/health') == 'i-7'
+    with pytest.raises(ConnectionLostError, match='without an id'):
+        await engine.identify('/health')
+    assert runner.requests[0][0].startswith('GET /health HTTP/1.1\r\n')
+
+
 @pytest.mark.parametrize(
     'body',
     [b'[' * 100_000, b'{"a":' * 100_000, b'\xff', b'1' * 5000, b'{}}', b'[]'],
