Take an engine for lost only if its reports have failed for a while

An engine is lost if its latest report is older than 0.7 s, as before, and its reports have been failing for 0.3 s. An engine that really stops is lost after the same 0.7 s: its first failure is known after 0.4 s at most.

Test: test_freeze_of_the_agent_does_not_refuse_waiting_requests, failed before (no report from the engine for 7070 ms).

--- a/src/kumquatrun/gateway/engine/engine_watch.py
+++ b/src/kumquatrun/gateway/engine/engine_watch.py
@@ -21,8 +21,11 @@
 
 log = logging.getLogger(__name__)
 
-# An engine that has sent no report for this time is considered lost.
+# An engine is considered lost if its latest report is older than this, and its
+# reports have been failing for some time. An agent that has stood still has no
+# recent report either, but its calls have only begun to fail, if at all.
 LOST_AFTER_S = 0.7
+FAILING_AFTER_S = 0.3
 DEFAULT_ADAPTER_SLOTS = 8
 # Limit of the age in logs and errors: the age is infinite before the first
 # report.
@@ -65,6 +68,8 @@
         self._spec = spec
         self._clock = clock
         self._reported_at_s = float('-inf')
+        # When the first report since the latest one failed.
+        self._failing_since_s = float('inf')
         # When the process that sent the latest report was first seen.
         self._process_seen_at_s = float('-inf')
         # Whether the engine was last logged as reachable.
@@ -96,7 +101,11 @@
     @property
     def is_lost(self) -> bool:
         """Return whether the engine has stopped responding."""
-        return self._clock.now_s() - self._reported_at_s > LOST_AFTER_S
+        now_s = self._clock.now_s()
+        return (
+            now_s - self._reported_at_s > LOST_AFTER_S
+            and now_s - self._failing_since_s > FAILING_AFTER_S
+        )
 
     def problem(self) -> AdapterLoadError | None:
         """Return why the engine cannot serve requests, or None if it can."""
@@ -167,6 +176,9 @@
         try:
             report = await self._engine.report()
         except KumquatrunError as error:
+            self._failing_since_s = min(
+                self._failing_since_s, self._clock.now_s()
+            )
             if self.is_lost and self._is_logged_as_reachable:
                 self._is_logged_as_reachable = False
                 log_event(log, 'engine_lost', error=str(error))
@@ -199,6 +211,7 @@
             log_event(log, 'engine_leaves', load=report.load)
         self.report = report
         self._reported_at_s = self._clock.now_s()
+        self._failing_since_s = float('inf')
         self.residency.apply_report(report, self._reported_at_s)
         if report.models:
             self.last_models = tuple(held.name for held in report.models)
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -25,6 +25,7 @@
 from kumquatrun.gateway.routing.request_state import RequestState
 from kumquatrun.peer.address import Address
 from kumquatrun.platform.requests import PlatformFormat
+from kumquatrun.runtime.clock import LoopClock
 
 CONFIGURATION = {
     'version': 7,
@@ -306,6 +307,15 @@
     )
 
 
+class FreezingClock(LoopClock):
+    """Clock of a process that has stood still for ``freeze_s`` in total."""
+
+    freeze_s = 0.0
+
+    def now_s(self):
+        return super().now_s() + self.freeze_s
+
+
 class Engine:
     """Fake engine that loads an adapter in ``load_s`` seconds."""
 
@@ -332,6 +342,8 @@
         self.is_draining = False
         self.is_changing_model = False
         self.is_silent = False
+        # Number of reports that get lost.
+        self.failing_reports = 0
         self.report_s = 0
         # Number of orders that get no response, and the delay of their effect.
         self.late_orders = 0
@@ -348,6 +360,9 @@
         if self.is_silent:
             raise ConnectionLostError('no report')
         await asyncio.sleep(self.report_s)
+        if self.failing_reports:
+            self.failing_reports -= 1
+            raise ConnectionLostError('no report in time')
         self._finish_loads()
         return EngineReport(
             started_ms=self.started_ms,
--- a/tests/test_engine_agent.py
+++ b/tests/test_engine_agent.py
@@ -5,7 +5,7 @@
 from contextlib import asynccontextmanager
 
 import pytest
-from tests.gateway_fakes import Engine
+from tests.gateway_fakes import Engine, FreezingClock
 
 from kumquatrun.errors import (
     AdapterLoadError,
@@ -53,6 +53,7 @@
     models=('m',),
     host_id='host',
     spec=None,
+    clock=None,
 ):
     spec = spec or EngineSpec(
         adapter_slots=engine.slots,
@@ -64,7 +65,7 @@
         engine,
         lambda: spec,
         lambda model, adapter: (versions or {}).get(adapter, 0),
-        LoopClock(),
+        clock or LoopClock(),
     )
     await agent.start()
     await asyncio.sleep(0.01)
@@ -344,6 +345,21 @@
             await use.ready()
 
 
+async def test_freeze_of_the_agent_does_not_refuse_waiting_requests():
+    # Guards against an agent that has stood still and takes its engine for
+    # lost: its report call fails by its time limit, though the engine is up.
+    engine = Engine(load_s=2)
+    engine.report_s = 0.05
+    clock = FreezingClock()
+    async with agent_of(engine, clock=clock) as agent:
+        use = AdapterCall(agent, 'a1')
+        await asyncio.sleep(0.5)
+        clock.freeze_s = 7.0
+        engine.failing_reports = 1
+        await use.ready()
+    assert 'a1' in engine.held
+
+
 async def test_prompts_wait_for_earlier_ones():
     engine = Engine()
     async with agent_of(engine) as agent:
--- a/tests/test_prompt_gate.py
+++ b/tests/test_prompt_gate.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from tests.gateway_fakes import FreezingClock
 
 from kumquatrun.gateway.engine.prompt_gate import PROMPT_EXPIRY_S, PromptGate
 from kumquatrun.runtime.clock import LoopClock
@@ -113,19 +114,10 @@
     assert estimate.tokens_per_s == pytest.approx(12000, rel=0.01)
 
 
-class FrozenClock(LoopClock):
-    """Clock of a process that stands still for ``freeze_s`` in total."""
-
-    freeze_s = 0.0
-
-    def now_s(self):
-        return super().now_s() + self.freeze_s
-
-
 async def test_freeze_of_the_agent_does_not_change_the_pace():
     # Guards against an agent that has stood still and takes its engine for a
     # slow one: it holds prompts back, and entries avoid the engine.
-    clock = FrozenClock()
+    clock = FreezingClock()
     gate = PromptGate(clock, gap_target_s=lambda: 0.3)
     await read_prompts(gate, 12000)
     tasks = [enter(gate, f'frozen-{number}', 1400) for number in range(2)]
