Take responses that HTTP/1.1 does not define for broken ones

Cause: the parser takes any three digits for a status, and each status below 500 was relayed. A refusal with such a status was believed, as were the health of a loopback engine, the list of leaving hosts and the id of an engine.

Fix: one check, where each of the four clients reads a head: status 200 to 599, version 1.0 or 1.1, no control character in the reason, no coding but chunked. What fails it is a broken response.

--- a/src/kumquatrun/agent/backend_http.py
+++ b/src/kumquatrun/agent/backend_http.py
@@ -16,6 +16,7 @@
     Outcome,
 )
 from kumquatrun.runtime.error_text import error_text
+from kumquatrun.runtime.response_checks import final_problem
 
 CONNECT_TIMEOUT_S = 2.0
 # Largest chunk of a body that is forwarded at once. The credit of a caller
@@ -144,7 +145,8 @@
         Raises
         ------
         ConnectionLostError
-            The outcome is ``not_run`` if no connection was opened, else
+            If no response arrives, or one that HTTP/1.1 does not define. The
+            outcome is ``not_run`` if no connection was opened, else
             ``unknown``.
         """
         response = await self._get_session().request(
@@ -167,6 +169,7 @@
             ),
         )
         try:
+            _check_response(response)
             yield response
         finally:
             response.close()
@@ -196,6 +199,12 @@
         return self._session
 
 
+def _check_response(response: aiohttp.ClientResponse) -> None:
+    problem = final_problem(response.status, response)
+    if problem:
+        raise ConnectionLostError(f'a response with {problem}')
+
+
 async def read_chunks(
     response: aiohttp.ClientResponse,
 ) -> AsyncIterator[bytes]:
--- a/src/kumquatrun/agent/engine_client.py
+++ b/src/kumquatrun/agent/engine_client.py
@@ -32,6 +32,8 @@
 )
 
 FENCING_HEADER = 'X-Fencing-Number'
+OK = 200
+CONFLICT = 409
 HEALTH_TIMEOUT_S = 1.0
 # Longest time between two reads of a streamed response. The agent runs no more
 # requests than fit into the engine's batch, so a token is due every few tens of
@@ -243,9 +245,11 @@
         call = BackendCall(request_id='health', method='GET', path='/health')
         try:
             async with asyncio.timeout(HEALTH_TIMEOUT_S):
-                _, content = await self._call_json(call, {})
+                status, content = await self._call_json(call, {})
         except TimeoutError:
             raise ConnectionLostError('no response to a health check') from None
+        if status != OK:
+            raise ConnectionLostError(f'health check answered {status}')
         try:
             return EngineHealth(
                 incarnation=str(content['incarnation']),
@@ -307,11 +311,11 @@
         )
         headers = {FENCING_HEADER: str(fencing_number)}
         status, content = await self._call_json(call, headers)
-        if status == 409:
+        if status == CONFLICT:
             raise StaleDispatchError(
                 f'the engine refused fencing number {fencing_number}'
             )
-        if status != 200:
+        if status != OK:
             raise AdapterLoadError(
                 f'{action} of {key} failed with status {status}: {content}'
             )
--- a/src/kumquatrun/daemon/host_list.py
+++ b/src/kumquatrun/daemon/host_list.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from kumquatrun.runtime.body_reader import read_body
+from kumquatrun.runtime.response_checks import final_problem
 
 log = logging.getLogger(__name__)
 
@@ -20,6 +21,7 @@
 # Largest list that is read; a record of a host takes about 50 bytes.
 MAX_LIST_BYTES = 1024 * 1024
 LEAVING = 'leaving'
+OK = 200
 # Deeply nested JSON raises RecursionError.
 FETCH_ERRORS = (aiohttp.ClientError, RecursionError, TimeoutError, ValueError)
 
@@ -79,10 +81,26 @@
 
     async def _is_leaving(self, http: aiohttp.ClientSession) -> bool:
         try:
-            async with http.get(self._url) as answer:
-                body = await read_body(answer.content, MAX_LIST_BYTES)
+            async with http.get(self._url) as response:
+                _check_response(response)
+                body = await read_body(response.content, MAX_LIST_BYTES)
             listed = json.loads(body)
         except FETCH_ERRORS as error:
             log.warning('event=host_list_unreachable error=%r', str(error))
             return False
         return isinstance(listed, dict) and listed.get(self._host_id) == LEAVING
+
+
+def _check_response(response: aiohttp.ClientResponse) -> None:
+    """Check that a response is the list.
+
+    Raises
+    ------
+    ValueError
+        If it is not.
+    """
+    problem = final_problem(response.status, response)
+    if problem:
+        raise ValueError(f'a response with {problem}')
+    if response.status != OK:
+        raise ValueError(f'a response with status {response.status}')
--- a/src/kumquatrun/gateway/backends/backend_connection.py
+++ b/src/kumquatrun/gateway/backends/backend_connection.py
@@ -23,6 +23,10 @@
 from kumquatrun.peer.address import Address
 from kumquatrun.runtime.connection_close import reset_on_close
 from kumquatrun.runtime.error_text import error_text
+from kumquatrun.runtime.response_checks import (
+    INTERIM_STATUSES,
+    final_problem,
+)
 
 CONNECT_TIMEOUT_S = 0.4
 # If the reader of a response body is slow, up to twice this size plus one
@@ -31,7 +35,6 @@
 SOCKET_READ_BYTES = 16 * 1024
 MAX_HEADER_LINE_BYTES = 32 * 1024
 END_OF_HEAD = b'\r\n\r\n'
-INFORMATIONAL_STATUSES = range(100, 200)
 # A port out of range raises OverflowError, an invalid host name ValueError.
 CONNECT_ERRORS = (OSError, OverflowError, TimeoutError, ValueError)
 
@@ -284,12 +287,15 @@
             yield data[start:]
 
     def _on_message(self, message: Any, body: StreamReader) -> None:
-        if message.code in INFORMATIONAL_STATUSES:
+        if message.code in INTERIM_STATUSES:
             return
         if self._body is not None:
             # A second response belongs to no request.
             self.has_extra_bytes = True
             return
+        problem = final_problem(message.code, message)
+        if problem:
+            raise MalformedResponseError(f'a response with {problem}')
         head = ResponseHead(
             status=message.code,
             reason=message.reason or '',
--- a/src/kumquatrun/platform/client.py
+++ b/src/kumquatrun/platform/client.py
@@ -15,6 +15,7 @@
     read_body,
 )
 from kumquatrun.runtime.error_text import error_text
+from kumquatrun.runtime.response_checks import final_problem
 
 CALL_TIMEOUT_S = 0.8
 # Largest response body that is accepted from the platform or an engine.
@@ -148,6 +149,11 @@
                     headers=headers,
                 ) as response,
             ):
+                problem = final_problem(response.status, response)
+                if problem:
+                    raise ConnectionLostError(
+                        f'{method} {address}{path}: a response with {problem}'
+                    )
                 body = await read_body(response.content, MAX_RESPONSE_BYTES)
                 return PlatformResponse(
                     status=response.status,
