Count the adapters of an engine before a base model is loaded

Cause: the free memory for a base model was what the other base models leave, without the adapters that are held or on their way.

Ruled out: the places for adapters beside two models, which count both.

Fix: EngineMemory counts both. Adapters that no request uses make room, as many as needed, if that is enough; else an idle base model does, as before.

--- a/src/kumquatrun/gateway/engine/engine_orders.py
+++ b/src/kumquatrun/gateway/engine/engine_orders.py
@@ -8,6 +8,7 @@
     EngineOrder,
     OrderVerdict,
 )
+from kumquatrun.gateway.engine.engine_memory import EngineMemory
 from kumquatrun.gateway.engine.engine_watch import EngineWatch
 from kumquatrun.gateway.engine.order_fence import OrderFence
 from kumquatrun.gateway.engine.residency import AdapterName
@@ -98,25 +99,26 @@
         return await self._order(name, version, is_load=True)
 
     async def load_model(self, model: str) -> bool:
-        """Order a base model load, or the unload of an idle base model.
+        """Order a base model load, or an unload that makes room for it.
 
-        Return False if the model is unknown, or if it does not fit and no other
-        model is idle.
+        Adapters make room if that is enough, else an idle base model does.
+        Return False if the model is unknown, or if it does not fit and nothing
+        can make room.
         """
         spec = self._watch.spec
-        specs = {row.name: row for row in spec.base_models} if spec else {}
-        if model not in specs:
+        memory = EngineMemory(spec, self._watch.report) if spec else None
+        if memory is None or model not in memory.specs:
             return False
-        held = [
-            specs[row.name]
-            for row in self._watch.report.models
-            if row.name in specs
-        ]
-        free_mb = spec.weights_mb - sum(row.weights_mb for row in held)
-        if free_mb >= specs[model].weights_mb:
+        residency = self._watch.residency
+        missing_mb = memory.missing_mb(model, residency.occupants)
+        if missing_mb <= 0:
             await self._order((model, ''), 0, is_load=True)
             return True
-        idle = self._idle_model(held)
+        evictable = residency.evictable(self._clock.now_s())
+        if memory.size_mb(evictable) >= missing_mb:
+            await self._evict(evictable[0])
+            return True
+        idle = self._idle_model(memory.held_models)
         if idle is None:
             return False
         self._wanted_model = model
@@ -150,12 +152,14 @@
         if residency.used_slots < residency.adapter_slots:
             return True
         victim = residency.victim(self._clock.now_s())
-        if victim is None:
-            return False
-        if not await self._order(victim, 0, is_load=False):
+        return victim is not None and await self._evict(victim)
+
+    async def _evict(self, name: AdapterName) -> bool:
+        """Order the unload of an adapter; return whether it took effect."""
+        if not await self._order(name, 0, is_load=False):
             return False
         process_metrics().count('adapter_evictions_total')
-        return residency.record_unload(victim, self._clock.now_s())
+        return self._watch.residency.record_unload(name, self._clock.now_s())
 
     async def _order(
         self,
--- a/src/kumquatrun/gateway/engine/residency.py
+++ b/src/kumquatrun/gateway/engine/residency.py
@@ -5,6 +5,8 @@
 which orders are not visible in a report yet.
 """
 
+from collections.abc import Set as AbstractSet
+
 from kumquatrun.gateway.engine.engine_api import EngineReport
 from kumquatrun.gateway.engine.running_requests import (
     AdapterName,
@@ -95,7 +97,12 @@
     @property
     def used_slots(self) -> int:
         """Return the number of slots that are or may be occupied."""
-        return len({*self._held, *self._loading, *self._pending_loads})
+        return len(self.occupants)
+
+    @property
+    def occupants(self) -> AbstractSet[AdapterName]:
+        """Return the adapters that take a slot and memory, or may do so."""
+        return {*self._held, *self._loading, *self._pending_loads}
 
     def pin(self, name: AdapterName, request_id: str, now_s: float) -> None:
         """Protect an adapter, held or not, from eviction until ``unpin``."""
@@ -140,8 +147,15 @@
 
         None if every adapter is or may be in use, or was used recently.
         """
+        return next(iter(self.evictable(now_s)), None)
+
+    def evictable(self, now_s: float) -> list[AdapterName]:
+        """Return the adapters that may be evicted, least recently used first.
+
+        There are none while a request runs whose adapter is unknown.
+        """
         if self._running_requests.has_unknown_adapter:
-            return None
+            return []
         in_use = self._running_requests.adapters_in_use()
         candidates = [
             name
@@ -151,9 +165,7 @@
             and name not in in_use
             and now_s - self._last_used_s(name) >= EVICTION_GRACE_S
         ]
-        if not candidates:
-            return None
-        return min(candidates, key=self._last_used_s)
+        return sorted(candidates, key=self._last_used_s)
 
     def _last_used_s(self, name: AdapterName) -> float:
         return self._last_used_at_s.get(name, float('-inf'))
