Do not follow redirects of the platform and of engines

Found while the paths of MIXED were read: the client of the platform followed redirects, so an engine in trouble could have sent an order of its agent to another server.

Test: test_order_is_not_redirected, failed before (the other server got the order).

--- a/src/kumquatrun/platform/client.py
+++ b/src/kumquatrun/platform/client.py
@@ -147,6 +147,8 @@
                     params=query,
                     json=fields,
                     headers=headers,
+                    # A redirect would carry an order to another engine.
+                    allow_redirects=False,
                 ) as response,
             ):
                 problem = final_problem(response.status, response)
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -163,6 +163,17 @@
     assert 'expect-instance' not in unnamed.lower()
 
 
+async def test_order_is_not_redirected(client):
+    # Guards against an engine that sends the orders of its agent elsewhere.
+    other = await ScriptedBackend([http_response()]).start()
+    location = f'Location: http://{other.address}/order\r\n'
+    redirect = http_response(b'', '307 Temporary Redirect', location)
+    runner = await ScriptedBackend([redirect]).start()
+    verdict = await PlatformEngine(client, runner.address).order(ORDER)
+    assert verdict is OrderVerdict.REFUSED
+    assert not other.requests
+
+
 @pytest.mark.parametrize(
     'status', ['200 OK', '421 Misdirected Request', '503 Service Unavailable']
 )
