Take the path of a health check only from a path

A health_path that does not begin with a slash would have named another host in the URL. Anything else counts as unknown, so that no configuration is refused for it.

--- a/src/kumquatrun/platform/configuration.py
+++ b/src/kumquatrun/platform/configuration.py
@@ -111,17 +111,22 @@
 
 
 def _engine(service: Fields, fields: Fields) -> EngineSpec:
-    check_path = service.get('health_path')
     return EngineSpec(
         weights_mb=decoding.number(fields, 'weights_mb', 0.0),
         adapter_slots=decoding.integer(fields, 'adapter_slots', 0),
-        check_path=check_path if isinstance(check_path, str) else '',
+        check_path=_check_path(service.get('health_path')),
         base_models=tuple(
             map(_model, decoding.object_list(fields, 'models', []))
         ),
     )
 
 
+def _check_path(value: object) -> str:
+    """Return a path; empty for anything else, which could name a host."""
+    is_path = isinstance(value, str) and value.startswith('/')
+    return value if is_path else ''
+
+
 def _model(fields: Fields) -> BaseModelSpec:
     return BaseModelSpec(
         name=decoding.text(fields, 'name'),
--- a/tests/test_gateway_configuration.py
+++ b/tests/test_gateway_configuration.py
@@ -122,3 +122,27 @@
     engine = decode_configuration(configuration()).service('assistant').engine
     assert engine.adapter_slots == 20
     assert engine.base_models[0].adapter_mb == 66
+
+
+@pytest.mark.parametrize(
+    ('path', 'expected'),
+    [
+        ('/health', '/health'),
+        ('@other.example/', ''),
+        ('health', ''),
+        (7, ''),
+        (None, ''),
+    ],
+)
+def test_path_of_a_health_check_names_no_host(path, expected):
+    # Guards against a health check that goes to another host, and against a
+    # configuration that is refused for a field that few hosts read.
+    content = changed_content(
+        lambda row: row['services'][0].update(health_path=path)
+    )
+    (engine,) = [
+        row.engine
+        for row in decode_configuration(content).services
+        if row.engine
+    ]
+    assert engine.check_path == expected
