Count crashes apart that follow each other within a millisecond

Cause: a run counts as ended with another one if it began before that one ended, and both times were rounded to the nearest millisecond. A caller that sends its request again at once reaches the entry in the same millisecond.

Fix: the start of a run is rounded up and its end down, here and in the reports to the control leader.

Test: test_runs_within_one_millisecond_are_counted_one_by_one, failed before.

--- a/src/kumquatrun/gateway/crashes/local_counts.py
+++ b/src/kumquatrun/gateway/crashes/local_counts.py
@@ -3,6 +3,8 @@
 The counts are in force until the count of the whole fleet replaces them.
 """
 
+import math
+
 from kumquatrun.control.ended_runs import EndedRun, EndedRuns
 from kumquatrun.control.part_keys import is_part_key
 from kumquatrun.gateway.crashes.watched_run import WatchedRun
@@ -45,8 +47,10 @@
             fingerprint,
             EndedRun(
                 run.backend_id,
-                round(run.began_at_s * 1000),
-                round(now_s * 1000),
+                # Rounded apart: a run that began in the millisecond in which
+                # another one ended has not ended with it.
+                math.ceil(run.began_at_s * 1000),
+                math.floor(now_s * 1000),
                 request=run.identity if is_part_key(fingerprint) else '',
             ),
         )
--- a/src/kumquatrun/gateway/crashes/suspect_reports.py
+++ b/src/kumquatrun/gateway/crashes/suspect_reports.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -171,10 +172,11 @@
             fingerprints=tuple(end.fingerprint for end in ends),
             requests=tuple(end.request for end in ends),
             backend_id=ends[0].run.backend_id,
+            # Rounded apart, as in ``LocalCounts``.
             run_ages_ms=tuple(
-                round(1000 * (now_s - end.run.began_at_s)) for end in ends
+                math.floor(1000 * (now_s - end.run.began_at_s)) for end in ends
             ),
             end_ages_ms=tuple(
-                round(1000 * (now_s - end.ended_at_s)) for end in ends
+                math.ceil(1000 * (now_s - end.ended_at_s)) for end in ends
             ),
         )
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -8,10 +8,13 @@
 from tests.gateway_fakes import request_state_of
 from tests.gateway_host import NoObserver, Session
 
+from kumquatrun.control.crash_register import CrashRegister
 from kumquatrun.control.part_keys import request_identity
+from kumquatrun.control.quarantine import QuarantineRegister
 from kumquatrun.errors import ControlUnreachableError, QuarantinedError
 from kumquatrun.gateway.crashes.crash_watch import (
     PART_RETRY_AFTER_S,
+    REFUSED_STATES,
     CrashWatch,
 )
 from kumquatrun.gateway.crashes.fingerprints import (
@@ -94,6 +97,23 @@
     assert bool(await host.sent(ReportSuspects)) is is_counted
 
 
+async def test_runs_within_one_millisecond_are_counted_one_by_one():
+    # Guards against a request that goes on to crash backend servers, since its
+    # caller sends it again in the millisecond in which the last run ended.
+    host = Watch()
+    for _ in range(3):
+        run = host.begin()
+        host.clock.time_s += 0.0003
+        host.end(run, RunEnding.BROKEN)
+        host.clock.time_s += 0.0001
+    with pytest.raises(QuarantinedError):
+        host.watch.check(host.state)
+    register = CrashRegister(QuarantineRegister())
+    (report,) = await host.sent(ReportSuspects)
+    ((_, _, state),) = register.report(report, now_ms=1000)
+    assert state in REFUSED_STATES
+
+
 async def test_timeout_at_an_answering_server_is_not_counted():
     # Guards against overload taken for crashes: requests time out while the
     # backend server answers others.
